--- /dev/null
+++ b/godwitnotch/core/outbox.py
@@ -0,0 +1,33 @@
+"""Collects the actions that one event gives rise to."""
+
+from godwitnotch.core import actions
+from godwitnotch.core import ids
+from godwitnotch.core import model
+
+
+class Outbox:
+    """The actions not yet handed to the caller of the decisions."""
+
+    def __init__(self) -> None:
+        self._actions: list[actions.Action] = []
+
+    def add(self, action: actions.Action) -> None:
+        """Adds an action."""
+        self._actions.append(action)
+
+    def note(
+        self,
+        event: str,
+        *,
+        submission: ids.SubmissionId | None = None,
+        reason: model.Reason | model.AttemptOutcome | None = None,
+        detail: str = "",
+    ) -> None:
+        """Adds an event for the log, the event ring and the counters."""
+        self._actions.append(actions.Note(event, submission, reason, detail))
+
+    def take(self) -> list[actions.Action]:
+        """Returns the actions so far and forgets them."""
+        taken = self._actions
+        self._actions = []
+        return taken
--- /dev/null
+++ b/godwitnotch/core/outcomes.py
@@ -0,0 +1,355 @@
+"""Outcomes of started jobs, recorded behind and read by other hosts.
+
+Outcomes are written in batches after the callers were answered. A clean
+shutdown writes a seal last: from then on an id of that incarnation without a
+recorded outcome is proven not to have run.
+"""
+
+import collections
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+
+from godwitnotch.core import backoff
+from godwitnotch.core import chance as chance_module
+from godwitnotch.core import events
+from godwitnotch.core import ids
+from godwitnotch.core import limits as limits_module
+from godwitnotch.core import model
+from godwitnotch.core import outbox
+from godwitnotch.core import records
+from godwitnotch.core import store_calls
+from godwitnotch.core import timers as timers_module
+
+MAX_CACHED_LOOKUPS = 256
+MAX_DELETES_PER_BATCH = 50
+
+
+class OutcomeLog:
+    """Writes the outcomes of one incarnation, one batch in flight.
+
+    Args:
+        incarnation: The incarnation, the only writer of its rows.
+        store: Exchanges with the table service.
+        timers: Deadlines.
+        out: Where events are noted.
+        chance: Source of jitter.
+        limits: Bounds of the host.
+    """
+
+    def __init__(
+        self,
+        incarnation: ids.Incarnation,
+        *,
+        store: store_calls.StoreCalls,
+        timers: timers_module.Timers,
+        out: outbox.Outbox,
+        chance: chance_module.Chance,
+        limits: limits_module.HostLimits,
+    ) -> None:
+        self._incarnation = incarnation
+        self._store = store
+        self._timers = timers
+        self._out = out
+        self._limits = limits
+        self._backoff = backoff.Backoff(
+            chance=chance,
+            first_s=limits.store_backoff_s,
+            longest_s=limits.max_store_backoff_s,
+        )
+        self._unwritten: collections.deque[_Outcome] = collections.deque()
+        self._written: collections.deque[_WrittenRow] = collections.deque()
+        self._flight: _Batch | None = None
+        self._scheduled = False
+        self._batch = 0
+        self._forgotten_below = 0
+        self._lost = False
+        self._on_sealed: Callable[[float], None] | None = None
+
+    @property
+    def unwritten_count(self) -> int:
+        """Outcomes that are not recorded yet."""
+        in_flight = self._flight.outcome_count if self._flight else 0
+        return len(self._unwritten) + in_flight
+
+    def record(
+        self, sequence: ids.Sequence, answer: model.JobAnswer, *, now: float
+    ) -> None:
+        """Queues the outcome of a job that started, or may have."""
+        size = sum(map(len, answer.results))
+        if size > self._limits.max_outcome_bytes:
+            answer = replace(answer, results=())
+        self._unwritten.append(_Outcome(sequence, answer))
+        if len(self._unwritten) > self._limits.max_unwritten_outcomes:
+            lost = self._unwritten.popleft()
+            self._lost = True
+            self._out.note("outcome_dropped", submission=lost.answer.submission)
+        self._schedule(now + self._limits.outcome_flush_s)
+
+    def seal(self, on_sealed: Callable[[float], None], *, now: float) -> None:
+        """Writes what is left and then the seal, and calls back.
+
+        If outcomes were dropped no seal is written, since it would be false.
+        """
+        self._on_sealed = on_sealed
+        self._schedule(now)
+        if not self._flight:
+            self._flush(now)
+
+    def _schedule(self, deadline: float) -> None:
+        if self._scheduled or self._flight:
+            return
+        self._scheduled = True
+        self._timers.at(max(deadline, self._backoff.retry_at), self._flush)
+
+    def _flush(self, now: float) -> None:
+        self._scheduled = False
+        if self._flight:
+            return
+        if self._unwritten:
+            self._flight = self._next_batch(now)
+            self._store.transact(self._flight.writes, self._on_written)
+        elif self._on_sealed is not None:
+            self._write_seal(now)
+
+    def _next_batch(self, now: float) -> "_Batch":
+        count = min(len(self._unwritten), self._limits.max_batch_rows)
+        outcomes = [self._unwritten.popleft() for _ in range(count)]
+        buckets: dict[str, list[_Outcome]] = {}
+        for outcome in outcomes:
+            prefix = records.bucket_prefix(self._incarnation, outcome.sequence)
+            buckets.setdefault(prefix, []).append(outcome)
+        self._batch += 1
+        writes = [
+            self._row(prefix, bucket, now) for prefix, bucket in buckets.items()
+        ]
+        return _Batch(writes + self._deletes(now), count)
+
+    def _row(
+        self, prefix: str, bucket: "list[_Outcome]", now: float
+    ) -> model.RowWrite:
+        key = f"{prefix}{self._batch:010d}"
+        highest = max(outcome.sequence for outcome in bucket)
+        self._written.append(
+            _WrittenRow(key, highest, now + self._limits.outcome_retention_s)
+        )
+        answers = [outcome.answer for outcome in bucket]
+        return model.RowWrite(key, records.encode_outcomes(answers))
+
+    def _deletes(self, now: float) -> list[model.RowWrite]:
+        deletes: list[model.RowWrite] = []
+        while self._written and self._written[0].deadline <= now:
+            if len(deletes) == MAX_DELETES_PER_BATCH:
+                break
+            row = self._written.popleft()
+            self._forgotten_below = max(
+                self._forgotten_below, row.highest_sequence + 1
+            )
+            deletes.append(model.RowWrite(row.key, None))
+        return deletes
+
+    def _on_written(self, event: store_calls.StoreEvent, now: float) -> None:
+        if isinstance(event, events.StoreCommitted):
+            self._backoff.succeeded()
+            self._flight = None
+            if self._unwritten or self._on_sealed:
+                self._flush(now)
+            return
+        # The same rows with the same values are written again: only this
+        # incarnation writes them, so a repeat changes nothing.
+        self._timers.at(self._backoff.failed(now=now), self._write_again)
+
+    def _write_again(self, now: float) -> None:
+        if self._flight:
+            self._store.transact(self._flight.writes, self._on_written)
+
+    def _write_seal(self, now: float) -> None:
+        if self._lost:
+            self._sealed(now)
+            return
+        write = model.RowWrite(
+            records.seal_key(self._incarnation),
+            records.encode_seal(self._forgotten_below),
+        )
+        self._flight = _Batch([write], 0)
+        self._store.transact([write], self._on_seal_written)
+
+    def _on_seal_written(
+        self, event: store_calls.StoreEvent, now: float
+    ) -> None:
+        if isinstance(event, events.StoreCommitted):
+            self._sealed(now)
+            return
+        retry_at = self._backoff.failed(now=now)
+        self._timers.at(retry_at, self._write_seal)
+
+    def _sealed(self, now: float) -> None:
+        if self._on_sealed is not None:
+            self._on_sealed(now)
+
+
+@dataclass(frozen=True, slots=True)
+class _Outcome:
+    sequence: ids.Sequence
+    answer: model.JobAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class _WrittenRow:
+    key: str
+    highest_sequence: int
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Batch:
+    writes: list[model.RowWrite]
+    outcome_count: int
+
+
+@dataclass(frozen=True, slots=True)
+class Recorded:
+    """What the table service tells of an id whose owner can't be asked.
+
+    Attributes:
+        read: Whether the table service could be read.
+        sealed: Whether all outcomes of the owner are known to be recorded.
+        answer: The recorded outcome, if any.
+    """
+
+    read: bool
+    sealed: bool = False
+    answer: model.JobAnswer | None = None
+
+
+LookupDone = Callable[[Recorded, float], None]
+
+
+class OutcomeReader:
+    """Looks up outcomes that other incarnations recorded."""
+
+    def __init__(
+        self,
+        *,
+        store: store_calls.StoreCalls,
+        limits: limits_module.HostLimits,
+    ) -> None:
+        self._store = store
+        self._limits = limits
+        self._lookups: collections.OrderedDict[str, _Lookup] = (
+            collections.OrderedDict()
+        )
+
+    def find(
+        self,
+        owner: ids.OwnerName,
+        submission: ids.SubmissionId,
+        done: LookupDone,
+        *,
+        now: float,
+    ) -> None:
+        """Finds the recorded outcome of an id, and calls back."""
+        prefix = records.bucket_prefix(owner.incarnation, owner.sequence)
+        lookup = self._lookups.get(prefix)
+        if lookup is not None and lookup.usable(submission, now):
+            done(lookup.result(owner, submission), now)
+            return
+        if lookup is None or not lookup.running:
+            lookup = self._start(owner, prefix)
+        lookup.waiters.append(_LookupWaiter(owner, submission, done))
+
+    def _start(self, owner: ids.OwnerName, prefix: str) -> "_Lookup":
+        lookup = _Lookup(prefix)
+        self._lookups[prefix] = lookup
+        self._lookups.move_to_end(prefix)
+        if len(self._lookups) > MAX_CACHED_LOOKUPS:
+            self._drop_oldest()
+
+        def on_seal(event: store_calls.StoreEvent, now: float) -> None:
+            if not isinstance(event, events.StoreRows):
+                lookup.fail(now)
+                return
+            # The seal is read before the outcomes: it is the last write, so
+            # all outcomes are there to be read after it.
+            lookup.set_seal(event.rows)
+            self._store.scan(prefix, on_outcomes)
+
+        def on_outcomes(event: store_calls.StoreEvent, now: float) -> None:
+            if not isinstance(event, events.StoreRows):
+                lookup.fail(now)
+                return
+            usable_until = now + self._limits.lookup_cache_s
+            lookup.finish(event.rows, usable_until, now)
+
+        self._store.read([records.seal_key(owner.incarnation)], on_seal)
+        return lookup
+
+    def _drop_oldest(self) -> None:
+        for prefix, lookup in self._lookups.items():
+            if not lookup.running:
+                del self._lookups[prefix]
+                return
+
+
+@dataclass(frozen=True, slots=True)
+class _LookupWaiter:
+    owner: ids.OwnerName
+    submission: ids.SubmissionId
+    done: LookupDone
+
+
+@dataclass(slots=True)
+class _Lookup:
+    prefix: str
+    running: bool = True
+    failed: bool = False
+    sealed: bool = False
+    forgotten_below: int = 0
+    usable_until: float = 0.0
+    answers: dict[ids.SubmissionId, model.JobAnswer] = field(
+        default_factory=dict
+    )
+    waiters: list[_LookupWaiter] = field(default_factory=list)
+
+    def usable(self, submission: ids.SubmissionId, now: float) -> bool:
+        if self.running or self.failed:
+            return False
+        final = self.sealed or submission in self.answers
+        return final or now < self.usable_until
+
+    def result(
+        self, owner: ids.OwnerName, submission: ids.SubmissionId
+    ) -> Recorded:
+        if self.failed:
+            return Recorded(read=False)
+        sealed = self.sealed and owner.sequence >= self.forgotten_below
+        return Recorded(
+            read=True, sealed=sealed, answer=self.answers.get(submission)
+        )
+
+    def set_seal(self, rows: tuple[model.Row, ...]) -> None:
+        seals = [row for row in rows if row.version]
+        self.sealed = bool(seals)
+        if seals:
+            self.forgotten_below = records.decode_seal(seals[0])
+
+    def finish(
+        self, rows: tuple[model.Row, ...], usable_until: float, now: float
+    ) -> None:
+        self.usable_until = usable_until
+        for row in rows:
+            for answer in records.decode_outcomes(row.value):
+                self.answers[answer.submission] = answer
+        self._tell(now)
+
+    def fail(self, now: float) -> None:
+        self.failed = True
+        self._tell(now)
+
+    def _tell(self, now: float) -> None:
+        self.running = False
+        waiters = self.waiters
+        self.waiters = []
+        for waiter in waiters:
+            waiter.done(self.result(waiter.owner, waiter.submission), now)
--- /dev/null
+++ b/godwitnotch/core/records.py
@@ -0,0 +1,200 @@
+"""Values of the rows in the table service, as CBOR."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import cbor2
+
+from godwitnotch.core import ids
+from godwitnotch.core import model
+
+CONFIG_LOG_KEY = "config/log"
+CONFIG_PREFIX = "config/ws/"
+SEQUENCES_PER_BUCKET = 1_024
+
+
+@dataclass(frozen=True, slots=True)
+class Binding:
+    """A submission id bound to a caller key.
+
+    Attributes:
+        submission: The id.
+        digest: Digest of the job's body.
+        version: Version of the row.
+    """
+
+    submission: ids.SubmissionId
+    digest: bytes
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class LoggedChange:
+    """One recorded configuration change.
+
+    Attributes:
+        workspace: Whose settings changed.
+        version: The workspace's version that was recorded.
+        nonce: Tells this change from a racing one.
+    """
+
+    workspace: ids.WorkspaceId
+    version: int
+    nonce: str
+
+
+def config_key(workspace: ids.WorkspaceId) -> str:
+    """Returns the row key of a workspace's settings."""
+    return CONFIG_PREFIX + workspace
+
+
+def binding_key(workspace: ids.WorkspaceId, key: ids.CallerKey) -> str:
+    """Returns the row key of a caller key."""
+    return f"key/{workspace}/{key}"
+
+
+def bucket_prefix(incarnation: ids.Incarnation, sequence: ids.Sequence) -> str:
+    """Returns the prefix of the outcome rows that may hold an id."""
+    bucket = sequence // SEQUENCES_PER_BUCKET
+    return f"outcome/{incarnation}/{bucket:010d}/"
+
+
+def seal_key(incarnation: ids.Incarnation) -> str:
+    """Returns the row key that tells that all outcomes are recorded."""
+    return f"seal/{incarnation}"
+
+
+def encode_seal(forgotten_below: int) -> bytes:
+    """Encodes the value of a seal.
+
+    Args:
+        forgotten_below: Outcomes of sequence numbers below this may have
+            been deleted.
+    """
+    return cbor2.dumps([forgotten_below])
+
+
+def decode_seal(row: model.Row) -> int:
+    """Returns the number below which outcomes may have been deleted."""
+    forgotten_below: int = cbor2.loads(row.value)[0]
+    return forgotten_below
+
+
+def encode_binding(submission: ids.SubmissionId, digest: bytes) -> bytes:
+    """Encodes the value of a binding's row."""
+    return cbor2.dumps([submission, digest])
+
+
+def decode_binding(row: model.Row) -> Binding:
+    """Decodes a binding's row."""
+    submission, digest = cbor2.loads(row.value)
+    return Binding(ids.SubmissionId(submission), digest, row.version)
+
+
+def encode_outcomes(answers: list[model.JobAnswer]) -> bytes:
+    """Encodes the value of a batch of outcomes."""
+    return cbor2.dumps([_pack_answer(answer) for answer in answers])
+
+
+def decode_outcomes(value: bytes) -> list[model.JobAnswer]:
+    """Decodes a batch of outcomes."""
+    return [_unpack_answer(packed) for packed in cbor2.loads(value)]
+
+
+def encode_log(changes: list[LoggedChange]) -> bytes:
+    """Encodes the value of the configuration log."""
+    return cbor2.dumps(
+        [[change.workspace, change.version, change.nonce] for change in changes]
+    )
+
+
+def decode_log(value: bytes) -> list[LoggedChange]:
+    """Decodes the configuration log; an empty value is an empty log."""
+    if not value:
+        return []
+    return [
+        LoggedChange(ids.WorkspaceId(workspace), version, nonce)
+        for workspace, version, nonce in cbor2.loads(value)
+    ]
+
+
+def encode_config(config: model.WorkspaceConfig, *, nonce: str) -> bytes:
+    """Encodes a workspace's settings."""
+    return cbor2.dumps(
+        {
+            "workspace": config.workspace,
+            "token_sha256": config.token_sha256,
+            "max_running_tasks": config.max_running_tasks,
+            "max_queued_tasks": config.max_queued_tasks,
+            "templates": [
+                _pack_template(template)
+                for template in config.templates.values()
+            ],
+            "nonce": nonce,
+        }
+    )
+
+
+def decode_config(row: model.Row) -> model.WorkspaceConfig:
+    """Decodes a workspace's settings; the row's version is theirs."""
+    packed = cbor2.loads(row.value)
+    templates = [_unpack_template(each) for each in packed["templates"]]
+    return model.WorkspaceConfig(
+        workspace=ids.WorkspaceId(packed["workspace"]),
+        version=row.version,
+        templates={template.name: template for template in templates},
+        token_sha256=packed["token_sha256"],
+        max_running_tasks=packed["max_running_tasks"],
+        max_queued_tasks=packed["max_queued_tasks"],
+    )
+
+
+def config_nonce(row: model.Row) -> str:
+    """Returns the nonce of the change that wrote this row."""
+    nonce: str = cbor2.loads(row.value)["nonce"] if row.value else ""
+    return nonce
+
+
+def _pack_template(template: model.Template) -> dict[str, Any]:
+    return {
+        "name": template.name,
+        "path": template.path,
+        "upstreams": sorted(template.upstreams),
+        "max_wait_s": template.max_wait_s,
+        "idempotent": template.idempotent,
+        "max_answer_bytes": template.max_answer_bytes,
+    }
+
+
+def _unpack_template(packed: dict[str, Any]) -> model.Template:
+    return model.Template(
+        name=ids.TemplateName(packed["name"]),
+        path=packed["path"],
+        upstreams=frozenset(map(ids.UpstreamId, packed["upstreams"])),
+        max_wait_s=packed["max_wait_s"],
+        idempotent=packed["idempotent"],
+        max_answer_bytes=packed["max_answer_bytes"],
+    )
+
+
+def _pack_answer(answer: model.JobAnswer) -> list[Any]:
+    return [
+        answer.submission,
+        answer.outcome.value,
+        answer.ran.value,
+        answer.reason.value if answer.reason else None,
+        answer.detail,
+        list(answer.results),
+    ]
+
+
+def _unpack_answer(packed: list[Any]) -> model.JobAnswer:
+    submission, outcome, ran, reason, detail, results = packed
+    return model.JobAnswer(
+        ids.SubmissionId(submission),
+        model.Outcome(outcome),
+        model.Ran(ran),
+        model.Reason(reason) if reason else None,
+        detail,
+        tuple(results),
+    )
--- /dev/null
+++ b/godwitnotch/core/reservations.py
@@ -0,0 +1,100 @@
+"""Which of a process's submission ids are open, and which have started.
+
+Every reservation is open for the same time, so ids expire in the order of
+their sequence numbers: a single low-water mark tells the expired ones, and
+two bits an id tell what became of it.
+"""
+
+import enum
+from collections import deque
+from dataclasses import dataclass
+
+from godwitnotch.core import ids
+
+
+class IdState(enum.Enum):
+    """State of an id that has no job in the job table."""
+
+    OPEN = "open"
+    CLOSED_UNSTARTED = "closed_unstarted"
+    EXPIRED_UNSTARTED = "expired_unstarted"
+    STARTED = "started"
+    NEVER_RESERVED = "never_reserved"
+
+
+@dataclass(frozen=True, slots=True)
+class _Block:
+    end: int
+    deadline: float
+
+
+class Reservations:
+    """The sequence numbers that one incarnation has handed out.
+
+    Args:
+        open_for_s: How long each reservation is open, in seconds.
+    """
+
+    def __init__(self, *, open_for_s: float) -> None:
+        self._open_for_s = open_for_s
+        self._next = 0
+        self._low_water = 0
+        self._blocks: deque[_Block] = deque()
+        self._closed = bytearray()
+        self._started = bytearray()
+
+    @property
+    def open_count(self) -> int:
+        """Sequence numbers handed out and not yet expired."""
+        return self._next - self._low_water
+
+    def reserve(self, count: int, *, now: float) -> range:
+        """Hands out the next sequence numbers."""
+        block = range(self._next, self._next + count)
+        self._next = block.stop
+        size = (self._next + 7) // 8
+        self._closed.extend(bytes(size - len(self._closed)))
+        self._started.extend(bytes(size - len(self._started)))
+        self._blocks.append(_Block(block.stop, now + self._open_for_s))
+        return block
+
+    def state(self, sequence: ids.Sequence, *, now: float) -> IdState:
+        """Returns the state of an id."""
+        self._expire(now)
+        if not 0 <= sequence < self._next:
+            return IdState.NEVER_RESERVED
+        if _bit(self._started, sequence):
+            return IdState.STARTED
+        if _bit(self._closed, sequence):
+            return IdState.CLOSED_UNSTARTED
+        if sequence < self._low_water:
+            return IdState.EXPIRED_UNSTARTED
+        return IdState.OPEN
+
+    def mark_started(self, sequence: ids.Sequence) -> None:
+        """Notes that a task of this id may have started."""
+        _set_bit(self._started, sequence, True)
+
+    def mark_not_started(self, sequence: ids.Sequence) -> None:
+        """Takes the mark back: every attempt proved not to have started."""
+        _set_bit(self._started, sequence, False)
+
+    def close(self, sequence: ids.Sequence) -> None:
+        """Closes an id for good; nothing will start under it."""
+        _set_bit(self._closed, sequence, True)
+
+    def _expire(self, now: float) -> None:
+        while self._blocks and self._blocks[0].deadline <= now:
+            self._low_water = self._blocks.popleft().end
+
+
+def _bit(bits: bytearray, index: int) -> bool:
+    return bool(bits[index >> 3] & (1 << (index & 7)))
+
+
+def _set_bit(bits: bytearray, index: int, value: bool) -> None:
+    mask = 1 << (index & 7)
+    if value:
+        bits[index >> 3] |= mask
+    else:
+        bits[index >> 3] &= ~mask
--- /dev/null
+++ b/godwitnotch/core/store_calls.py
@@ -0,0 +1,56 @@
+"""Exchanges with the table service, each with the callback of its result."""
+
+import itertools
+from collections.abc import Callable
+from collections.abc import Sequence
+
+from godwitnotch.core import actions
+from godwitnotch.core import events
+from godwitnotch.core import ids
+from godwitnotch.core import model
+from godwitnotch.core import outbox
+
+StoreEvent = (
+    events.StoreCommitted
+    | events.StoreConflict
+    | events.StoreRows
+    | events.StoreFailed
+)
+Callback = Callable[[StoreEvent, float], None]
+
+
+class StoreCalls:
+    """Starts exchanges and hands each result to the callback given for it."""
+
+    def __init__(self, out: outbox.Outbox) -> None:
+        self._out = out
+        self._numbers = itertools.count(1)
+        self._callbacks: dict[ids.StoreCallId, Callback] = {}
+
+    def transact(
+        self, writes: Sequence[model.RowWrite], callback: Callback
+    ) -> None:
+        """Writes rows in one transaction."""
+        call = self._register(callback)
+        self._out.add(actions.StoreTransact(call, tuple(writes)))
+
+    def read(self, keys: Sequence[str], callback: Callback) -> None:
+        """Reads rows by key."""
+        call = self._register(callback)
+        self._out.add(actions.StoreRead(call, tuple(keys)))
+
+    def scan(self, prefix: str, callback: Callback) -> None:
+        """Reads the rows whose key starts with a prefix, as one snapshot."""
+        call = self._register(callback)
+        self._out.add(actions.StoreScan(call, prefix))
+
+    def ended(self, event: StoreEvent, *, now: float) -> None:
+        """Hands a result to its callback; a second result is dropped."""
+        callback = self._callbacks.pop(event.call, None)
+        if callback is not None:
+            callback(event, now)
+
+    def _register(self, callback: Callback) -> ids.StoreCallId:
+        call = ids.StoreCallId(next(self._numbers))
+        self._callbacks[call] = callback
+        return call
