--- /dev/null
+++ b/godwitnotch/core/charts.py
@@ -0,0 +1,151 @@
+"""State charts that are written in YAML files and interpreted by the code.
+
+A chart file gives a name, an initial state, and for each state the events
+that it takes and the state that each leads to:
+
+    name: door
+    initial: closed
+    states:
+      closed:
+        open: opened
+      opened:
+        close: closed
+"""
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass
+from importlib import resources
+from typing import Any
+from typing import Generic
+from typing import TypeVar
+
+import yaml
+
+_State = TypeVar("_State", bound=enum.Enum)
+_Event = TypeVar("_Event", bound=enum.Enum)
+
+
+class ChartError(Exception):
+    """A chart file that can't be interpreted."""
+
+
+class UndefinedTransitionError(Exception):
+    """An event that the chart doesn't define for the present state."""
+
+    def __init__(self, chart: str, state: str, event: str) -> None:
+        super().__init__(
+            f"chart {chart!r} defines no transition for event {event!r} in "
+            f"state {state!r}; add it to core/charts/{chart}.yaml, or don't "
+            "send the event in that state"
+        )
+        self.chart = chart
+        self.state = state
+        self.event = event
+
+
+@dataclass(frozen=True, slots=True)
+class Chart(Generic[_State, _Event]):
+    """A transition table.
+
+    Attributes:
+        name: Name of the chart and of its file.
+        initial: The state to start in.
+        transitions: The next state by state and event.
+    """
+
+    name: str
+    initial: _State
+    transitions: Mapping[tuple[_State, _Event], _State]
+
+    def next(self, state: _State, event: _Event) -> _State:
+        """Returns the state that an event leads to.
+
+        Raises:
+            UndefinedTransitionError: The state doesn't take the event.
+        """
+        try:
+            return self.transitions[state, event]
+        except KeyError:
+            raise UndefinedTransitionError(
+                self.name, str(state.value), str(event.value)
+            ) from None
+
+    def takes(self, state: _State, event: _Event) -> bool:
+        """Returns whether a state takes an event."""
+        return (state, event) in self.transitions
+
+
+def load(
+    name: str, states: type[_State], events: type[_Event]
+) -> Chart[_State, _Event]:
+    """Loads a chart that is shipped in core/charts/.
+
+    Args:
+        name: Name of the file, without `.yaml`.
+        states: States of the chart; the file must describe each.
+        events: Events of the chart; the file must use each.
+
+    Raises:
+        ChartError: The file doesn't fit the states and events.
+    """
+    path = resources.files("godwitnotch.core") / "charts" / f"{name}.yaml"
+    return parse(path.read_text(), states, events)
+
+
+def parse(
+    text: str, states: type[_State], events: type[_Event]
+) -> Chart[_State, _Event]:
+    """Returns the chart that a YAML text describes.
+
+    Raises:
+        ChartError: The text doesn't fit the states and events.
+    """
+    document = _document(text)
+    name = document["name"]
+    transitions = {}
+    for state_name, row in document["states"].items():
+        state = _member(name, states, state_name)
+        for event_name, next_name in (row or {}).items():
+            event = _member(name, events, event_name)
+            transitions[state, event] = _member(name, states, next_name)
+    described = {_member(name, states, each) for each in document["states"]}
+    _check_complete(name, states, described)
+    _check_complete(name, events, {event for _, event in transitions})
+    initial = _member(name, states, document["initial"])
+    return Chart(name, initial, transitions)
+
+
+def _document(text: str) -> Mapping[str, Any]:
+    document = yaml.safe_load(text)
+    wanted = {"name", "initial", "states"}
+    if not isinstance(document, dict) or set(document) != wanted:
+        raise ChartError(
+            "a chart has exactly the keys name, initial and states; "
+            f"found {sorted(document) if document else 'nothing'}"
+        )
+    return dict(document)
+
+
+_Member = TypeVar("_Member", bound=enum.Enum)
+
+
+def _member(chart: object, members: type[_Member], name: object) -> _Member:
+    try:
+        return members(name)
+    except ValueError:
+        allowed = ", ".join(str(member.value) for member in members)
+        raise ChartError(
+            f"chart {chart!r} names {name!r}; allowed: {allowed}"
+        ) from None
+
+
+def _check_complete(
+    chart: object, members: type[_Member], used: set[_Member]
+) -> None:
+    missing = [str(member.value) for member in members if member not in used]
+    if missing:
+        raise ChartError(
+            f"chart {chart!r} leaves out {', '.join(missing)}; describe "
+            f"them, or remove them from {members.__name__}"
+        )
