--- /dev/null
+++ b/tests/callers.py
@@ -0,0 +1,294 @@
+"""Callers and operators of a world, and what their answers must satisfy."""
+
+import functools
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+
+from godwitnotch.core import actions
+from godwitnotch.core import events
+from godwitnotch.core import ids
+from godwitnotch.core import model
+from tests import world as worlds
+
+LATE_S = 1.0  # By how much an answer may miss its deadline.
+ASK_S = 10.0  # Until when a reservation or a status is due.
+SETTLE_S = 20.0
+_FINAL = (model.Outcome.COMPLETE, model.Outcome.FAILED, model.Outcome.REFUSED)
+
+
+@dataclass(slots=True)
+class Asked:
+    """A job call: what it asked for, under which identity."""
+
+    identity: str  # The submission or caller key, as the caller knows it.
+    submits: bool
+    call: worlds.Call
+
+
+@dataclass(slots=True)
+class Callers:
+    """Sends requests into a world and checks the answers."""
+
+    world: worlds.World
+    calls: dict[str, worlds.Call] = field(default_factory=dict)
+    asked: list[Asked] = field(default_factory=list)
+    _bodies: dict[str, model.JobBody] = field(default_factory=dict)
+    _numbers: int = 0
+
+    def reserve(
+        self,
+        label: str,
+        *,
+        host: str,
+        workspace: str,
+        count: int = 1,
+        key: str | None = None,
+    ) -> worlds.Call:
+        """Asks for ids."""
+        call = self._call(label, host, due_in_s=ASK_S)
+        self._tell(
+            call,
+            functools.partial(
+                events.ReserveAsked,
+                workspace=ids.WorkspaceId(workspace),
+                count=count,
+                key=ids.CallerKey(key) if key else None,
+            ),
+        )
+        return call
+
+    def submit(
+        self,
+        label: str,
+        *,
+        host: str,
+        workspace: str,
+        submission: ids.SubmissionId,
+        body: model.JobBody,
+        identity: str,
+        within_s: float = 10.0,
+    ) -> worlds.Call:
+        """Sends a job under an id."""
+        call = self._job_call(label, host, body, identity, within_s)
+        self._tell(
+            call,
+            functools.partial(
+                events.SubmitAsked,
+                workspace=ids.WorkspaceId(workspace),
+                submission=submission,
+                body=body,
+                deadline=call.host.clock + within_s,
+            ),
+        )
+        return call
+
+    def submit_keyed(
+        self,
+        label: str,
+        *,
+        host: str,
+        workspace: str,
+        key: str,
+        body: model.JobBody,
+        within_s: float = 10.0,
+    ) -> worlds.Call:
+        """Sends a job under a caller key."""
+        call = self._job_call(label, host, body, f"key:{key}", within_s)
+        self._tell(
+            call,
+            functools.partial(
+                events.KeyedSubmitAsked,
+                workspace=ids.WorkspaceId(workspace),
+                key=ids.CallerKey(key),
+                body=body,
+                deadline=call.host.clock + within_s,
+            ),
+        )
+        return call
+
+    def ask(
+        self,
+        kind: type[events.StatusAsked] | type[events.CancelAsked],
+        label: str,
+        *,
+        host: str,
+        workspace: str,
+        submission: ids.SubmissionId,
+        identity: str,
+    ) -> worlds.Call:
+        """Asks for the status of a job, or cancels it."""
+        call = self._call(label, host, due_in_s=ASK_S)
+        body = self._bodies.get(identity)
+        call.payloads = _payloads(body) if body else ()
+        self.asked.append(Asked(identity, False, call))
+        self._tell(
+            call,
+            functools.partial(
+                kind,
+                workspace=ids.WorkspaceId(workspace),
+                submission=submission,
+            ),
+        )
+        return call
+
+    def put(
+        self,
+        label: str,
+        *,
+        host: str,
+        config: model.WorkspaceConfig,
+        within_s: float = 10.0,
+    ) -> worlds.Call:
+        """Replaces a workspace's settings."""
+        call = self._call(label, host, due_in_s=within_s)
+        call.put = config
+        self._tell(
+            call,
+            functools.partial(
+                events.ConfigPutAsked,
+                config=config,
+                deadline=call.host.clock + within_s,
+            ),
+        )
+        return call
+
+    def check(self) -> list[str]:
+        """Returns what the answers so far break."""
+        found = list(self.world.violations)
+        self.world.violations.clear()
+        for asked in self.asked:
+            if (answer := asked.call.answer) is not None:
+                found += self._check_answer(asked, answer)
+        found += self._check_agreement()
+        found += self._check_unanswered()
+        return found
+
+    def settle(self) -> list[str]:
+        """Lets late effects come to pass; returns what is broken then."""
+        self.world.run(SETTLE_S)
+        self.world.check_versions()
+        return self.check()
+
+    def _call(self, label: str, host: str, *, due_in_s: float) -> worlds.Call:
+        sim = self.world.hosts[host]
+        now = self.world.now
+        call = worlds.Call(label, now, sim, now + due_in_s)
+        self.calls[label] = call
+        self.world.calls.append(call)
+        return call
+
+    def _job_call(
+        self,
+        label: str,
+        host: str,
+        body: model.JobBody,
+        identity: str,
+        within_s: float,
+    ) -> worlds.Call:
+        call = self._call(label, host, due_in_s=within_s)
+        call.payloads = _payloads(body)
+        self._bodies.setdefault(identity, body)
+        self.asked.append(Asked(identity, True, call))
+        return call
+
+    def _tell(
+        self, call: worlds.Call, event: "functools.partial[events.Event]"
+    ) -> None:
+        self._numbers += 1
+        number = ids.CallId(self._numbers)
+        call.host.calls[number] = call
+        call.host.deliver(event(call=number))
+
+    def _check_answer(self, asked: Asked, answer: model.JobAnswer) -> list[str]:
+        call = asked.call
+        found = []
+        right = tuple(worlds.result_of(each) for each in call.payloads)
+        if answer.outcome is model.Outcome.COMPLETE:
+            if answer.results != right:
+                found.append(f"{call.label}: not the answer to this request")
+        elif answer.results:
+            found.append(f"{call.label}: a partial answer")
+        refused = answer.outcome is model.Outcome.REFUSED
+        if refused and answer.ran is not model.Ran.NOTHING:
+            found.append(f"{call.label}: refused, but not as not run")
+        unknown = answer.outcome is model.Outcome.UNKNOWN
+        if unknown and answer.ran is not model.Ran.POSSIBLY:
+            found.append(f"{call.label}: unknown, but claims {answer.ran}")
+        if answer.outcome in _FINAL and answer.ran is model.Ran.NOTHING:
+            found += self._check_nothing_ran(asked)
+        final_some = (
+            answer.ran is model.Ran.SOMETHING and answer.outcome in _FINAL
+        )
+        if final_some and not self._starts(call):
+            found.append(f"{call.label}: said that something ran")
+        return found
+
+    def _check_nothing_ran(self, asked: Asked) -> list[str]:
+        told = asked.call.answered_at
+        again = [
+            other.call.sent_at
+            for other in self.asked
+            if other.submits
+            and other.identity == asked.identity
+            and other.call.sent_at > told
+        ]
+        return [
+            f"{asked.call.label}: said not run at "
+            f"{told - worlds.EPOCH_S:.3f} s, but task {start.task_index} "
+            f"started at {start.at - worlds.EPOCH_S:.3f} s"
+            for start in self._starts(asked.call)
+            if not any(told < sent <= start.at for sent in again)
+        ]
+
+    def _check_agreement(self) -> list[str]:
+        finals: dict[tuple[bytes, ...], set[model.Outcome]] = {}
+        for asked in self.asked:
+            answer = asked.call.answer
+            if answer is None or answer.outcome not in _FINAL:
+                continue
+            if answer.ran is model.Ran.SOMETHING:
+                told = finals.setdefault(asked.call.payloads, set())
+                told.add(answer.outcome)
+        return [
+            f"{payloads[:1]}: told both complete and failed"
+            for payloads, told in finals.items()
+            if payloads and len(told) > 1
+        ]
+
+    def _check_unanswered(self) -> list[str]:
+        now = self.world.now
+        return [
+            f"{call.label}: no answer by its deadline"
+            for call in self.world.calls
+            if call.reply is None
+            and call.host.alive
+            and not call.host.paused
+            and now > call.due + LATE_S
+        ]
+
+    def _starts(self, call: worlds.Call) -> Sequence[worlds.Start]:
+        payloads = set(call.payloads)
+        return [s for s in self.world.starts if s.payload in payloads]
+
+
+def body_of(
+    identity: str, *, tasks: int, template: str = "check"
+) -> model.JobBody:
+    """Returns the body of a job; its payloads occur in no other job."""
+    specs = tuple(
+        model.TaskSpec(f'"{identity}/{index}"'.encode())
+        for index in range(tasks)
+    )
+    return model.JobBody(ids.TemplateName(template), specs)
+
+
+def reserved(call: worlds.Call) -> tuple[ids.SubmissionId, ...]:
+    """Returns the ids that a reservation brought, if it did."""
+    if isinstance(call.reply, actions.ReplyReserved):
+        return call.reply.submissions
+    return ()
+
+
+def _payloads(body: model.JobBody) -> tuple[bytes, ...]:
+    return tuple(task.payload for task in body.tasks)
