Add HostCore: ownership, forwarding, keys, configuration, drain

Cause: the design rests on one process per id; the core now decides it. Ruled out: answering from a membership view or lease; a non-owner only forwards, or answers what the table service recorded. Conclusion: the whole path's decisions exist; transports can be wired.

--- /dev/null
+++ b/godwitnotch/core/configuration.py
@@ -0,0 +1,465 @@
+"""Workspace settings: read, applied and never taken back.
+
+A change is recorded with the workspace's row and the log of changes in one
+transaction. Hosts poll the log's version, and look at once when a peer tells
+of a change. A host applies a version only if it is higher than the one it has.
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+
+from godwitnotch.core import actions
+from godwitnotch.core import backoff
+from godwitnotch.core import chance as chance_module
+from godwitnotch.core import events
+from godwitnotch.core import ids
+from godwitnotch.core import limits as limits_module
+from godwitnotch.core import messages
+from godwitnotch.core import model
+from godwitnotch.core import outbox
+from godwitnotch.core import records
+from godwitnotch.core import store_calls
+from godwitnotch.core import timers as timers_module
+
+LOG_LENGTH = 64
+NONCE_DIGITS = 10**18
+PEER_CONFIG_WAIT_S = 1.0
+
+
+class ConfigKeeper:
+    """The workspace settings that are in force on this host."""
+
+    def __init__(
+        self,
+        *,
+        store: store_calls.StoreCalls,
+        timers: timers_module.Timers,
+        out: outbox.Outbox,
+        chance: chance_module.Chance,
+        limits: limits_module.HostLimits,
+    ) -> None:
+        self._store = store
+        self._timers = timers
+        self._out = out
+        self._chance = chance
+        self._limits = limits
+        self._configs: dict[ids.WorkspaceId, model.WorkspaceConfig] = {}
+        self._counter = -1
+        self._polling = False
+        self._poll_wanted = False
+        self._poll_timer: timers_module.Timer | None = None
+        self._askers: dict[ids.HostId, int] = {}
+        self._peers: set[ids.HostId] = set()
+        self._backoff = backoff.Backoff(
+            chance=chance,
+            first_s=limits.store_backoff_s,
+            longest_s=limits.max_store_backoff_s,
+        )
+        self._applied_watchers: list[Callable[[float], None]] = []
+
+    @property
+    def configs(self) -> Mapping[ids.WorkspaceId, model.WorkspaceConfig]:
+        """The settings in force."""
+        return self._configs
+
+    @property
+    def counter(self) -> int:
+        """All changes up to this one are in force; -1 before the first."""
+        return self._counter
+
+    @property
+    def ready(self) -> bool:
+        """Whether this host has a configuration to serve under."""
+        return self._counter >= 0
+
+    def start(self, *, now: float) -> None:
+        """Reads the configuration for the first time."""
+        self._poll(now)
+
+    def on_applied(self, watcher: Callable[[float], None]) -> None:
+        """Calls back whenever a newer configuration came into force."""
+        self._applied_watchers.append(watcher)
+
+    def look_now(self, *, now: float) -> None:
+        """Looks for changes at once."""
+        self._poll(now)
+
+    def peer_up(self, host: ids.HostId) -> None:
+        """Asks a peer for its configuration while this host has none."""
+        self._peers.add(host)
+        if not self.ready:
+            self._out.add(actions.SendPeer(host, messages.ConfigWanted()))
+
+    def peer_down(self, host: ids.HostId) -> None:
+        """Forgets a peer."""
+        self._peers.discard(host)
+        self._askers.pop(host, None)
+
+    def peer_said(
+        self, host: ids.HostId, message: messages.Message, *, now: float
+    ) -> None:
+        """Takes a peer's message about configuration."""
+        match message:
+            case messages.ConfigChanged(counter=counter):
+                self._askers[host] = max(counter, self._askers.get(host, 0))
+                self._tell_askers()
+                if counter > self._counter:
+                    self._poll(now)
+            case messages.ConfigWanted() if self.ready:
+                snapshot = messages.ConfigSnapshot(
+                    self._counter, tuple(self._configs.values())
+                )
+                self._out.add(actions.SendPeer(host, snapshot))
+            case messages.ConfigSnapshot(counter=counter, configs=configs):
+                self._apply(configs, counter, now)
+            case _:
+                pass
+
+    def _poll(self, now: float) -> None:
+        if self._polling:
+            self._poll_wanted = True
+            return
+        self._polling = True
+        self._poll_wanted = False
+        if self._poll_timer is not None:
+            self._poll_timer.cancel()
+        self._store.read([records.CONFIG_LOG_KEY], self._on_log)
+
+    def _on_log(self, event: store_calls.StoreEvent, now: float) -> None:
+        if not isinstance(event, events.StoreRows):
+            self._poll_failed(now)
+            return
+        row = event.rows[0]
+        if row.version <= self._counter:
+            self._poll_done(now)
+            return
+        self._read_changes(row)
+
+    def _read_changes(self, row: model.Row) -> None:
+        def on_rows(event: store_calls.StoreEvent, now: float) -> None:
+            if not isinstance(event, events.StoreRows):
+                self._poll_failed(now)
+                return
+            present = [each for each in event.rows if each.version]
+            configs = [records.decode_config(each) for each in present]
+            self._apply(configs, row.version, now)
+            self._poll_done(now)
+
+        changes = records.decode_log(row.value)
+        missing = row.version - self._counter
+        if self._counter < 0 or missing > len(changes):
+            self._store.scan(records.CONFIG_PREFIX, on_rows)
+            return
+        changed = {change.workspace for change in changes[-missing:]}
+        keys = [records.config_key(each) for each in sorted(changed)]
+        self._store.read(keys, on_rows)
+
+    def _apply(
+        self,
+        configs: Iterable[model.WorkspaceConfig],
+        counter: int,
+        now: float,
+    ) -> None:
+        for config in configs:
+            current = self._configs.get(config.workspace)
+            if current is None or config.version > current.version:
+                self._configs[config.workspace] = config
+                self._out.note(
+                    "config_applied",
+                    detail=f"workspace={config.workspace} "
+                    f"version={config.version}",
+                )
+        if counter <= self._counter:
+            return
+        self._counter = counter
+        self._tell_askers()
+        for watcher in list(self._applied_watchers):
+            watcher(now)
+
+    def _tell_askers(self) -> None:
+        for host, counter in list(self._askers.items()):
+            if counter <= self._counter:
+                del self._askers[host]
+                applied = messages.ConfigApplied(self._counter)
+                self._out.add(actions.SendPeer(host, applied))
+
+    def _poll_done(self, now: float) -> None:
+        self._polling = False
+        self._backoff.succeeded()
+        if self._poll_wanted:
+            self._poll(now)
+            return
+        pause_s = self._limits.config_poll_s * (
+            0.9 + 0.2 * self._chance.random()
+        )
+        self._poll_timer = self._timers.at(now + pause_s, self._poll)
+
+    def _poll_failed(self, now: float) -> None:
+        self._polling = False
+        if not self.ready:
+            for host in sorted(self._peers):
+                self._out.add(actions.SendPeer(host, messages.ConfigWanted()))
+        retry_at = self._backoff.failed(now=now)
+        self._poll_timer = self._timers.at(retry_at, self._poll)
+
+
+@dataclass(slots=True)
+class _Change:
+    """One operator's change on its way into force."""
+
+    call: ids.CallId
+    config: model.WorkspaceConfig
+    nonce: str
+    deadline: float
+    counter: int | None = None
+    unconfirmed: set[ids.HostId] = field(default_factory=set)
+    done: bool = False
+    maybe_recorded: bool = False
+
+
+class ConfigChanges:
+    """Records operators' changes and waits until they are in force.
+
+    Args:
+        keeper: The settings in force on this host.
+        store: Exchanges with the table service.
+        timers: Deadlines.
+        out: Where answers go.
+        chance: Source of nonces and jitter.
+        limits: Bounds of the host.
+        live_hosts: Returns the other hosts that must confirm a change.
+    """
+
+    def __init__(
+        self,
+        *,
+        keeper: ConfigKeeper,
+        store: store_calls.StoreCalls,
+        timers: timers_module.Timers,
+        out: outbox.Outbox,
+        chance: chance_module.Chance,
+        limits: limits_module.HostLimits,
+        live_hosts: Callable[[float], frozenset[ids.HostId]],
+    ) -> None:
+        self._keeper = keeper
+        self._store = store
+        self._timers = timers
+        self._out = out
+        self._chance = chance
+        self._limits = limits
+        self._live_hosts = live_hosts
+        self._confirmed: collections.Counter[ids.HostId] = collections.Counter()
+        self._waiting: list[_Change] = []
+        keeper.on_applied(self._check_all)
+
+    def put(self, event: events.ConfigPutAsked, *, now: float) -> None:
+        """Records a change; answers once it is in force, or at the deadline."""
+        nonce = str(self._chance.randrange(NONCE_DIGITS))
+        change = _Change(event.call, event.config, nonce, event.deadline)
+        self._timers.at(event.deadline, lambda now: self._expire(change, now))
+        self._read(change)
+
+    def peer_up(self, host: ids.HostId) -> None:
+        """Asks a peer that came back to confirm what is still waiting."""
+        self._confirmed.pop(host, None)
+        for change in self._waiting:
+            if change.counter is not None:
+                message = messages.ConfigChanged(change.counter)
+                self._out.add(actions.SendPeer(host, message))
+
+    def peer_confirmed(
+        self, host: ids.HostId, counter: int, *, now: float
+    ) -> None:
+        """Notes that a peer has all changes up to a counter in force."""
+        self._confirmed[host] = max(self._confirmed[host], counter)
+        self._check_all(now)
+
+    def hosts_changed(self, *, now: float) -> None:
+        """Looks again at who must confirm, after hosts left."""
+        self._check_all(now)
+
+    def _read(self, change: _Change) -> None:
+        keys = [
+            records.config_key(change.config.workspace),
+            records.CONFIG_LOG_KEY,
+        ]
+
+        def on_rows(event: store_calls.StoreEvent, now: float) -> None:
+            if change.done:
+                return
+            if isinstance(event, events.StoreRows):
+                self._write(change, event.rows[0], event.rows[1], now)
+            else:
+                self._try_later(change, now)
+
+        self._store.read(keys, on_rows)
+
+    def _read_unless_done(self, change: _Change) -> None:
+        if not change.done:
+            self._read(change)
+
+    def _write(
+        self, change: _Change, row: model.Row, log: model.Row, now: float
+    ) -> None:
+        logged = records.decode_log(log.value)
+        counter = _counter_of(change, logged, log.version)
+        if counter is not None:
+            self._recorded(change, counter, now)
+            return
+        if row.version != change.config.version - 1:
+            self._conflict(change, row, now)
+            return
+        logged.append(
+            records.LoggedChange(
+                change.config.workspace, change.config.version, change.nonce
+            )
+        )
+        self._transact(change, row, log.version, logged[-LOG_LENGTH:])
+
+    def _transact(
+        self,
+        change: _Change,
+        row: model.Row,
+        log_version: int,
+        logged: list[records.LoggedChange],
+    ) -> None:
+        value = records.encode_config(change.config, nonce=change.nonce)
+        writes = [
+            model.RowWrite(
+                records.config_key(change.config.workspace),
+                value,
+                row.version,
+            ),
+            model.RowWrite(
+                records.CONFIG_LOG_KEY,
+                records.encode_log(logged),
+                log_version,
+            ),
+        ]
+
+        earlier = change.maybe_recorded
+
+        def on_write(event: store_calls.StoreEvent, now: float) -> None:
+            if isinstance(event, events.StoreCommitted):
+                self._recorded(change, log_version + 1, now)
+            elif isinstance(event, events.StoreConflict):
+                change.maybe_recorded = earlier
+                # The next read tells a conflict from a busy log.
+                self._read_unless_done(change)
+            elif isinstance(event, events.StoreFailed):
+                change.maybe_recorded = earlier or event.uncertain
+                self._try_later(change, now)
+
+        # Until the reply comes the write may take effect unseen.
+        change.maybe_recorded = True
+        self._store.transact(writes, on_write)
+
+    def _try_later(self, change: _Change, now: float) -> None:
+        if change.done:
+            return
+        pause_s = self._limits.store_backoff_s * (
+            0.5 + 0.5 * self._chance.random()
+        )
+
+        self._timers.at(now + pause_s, lambda _: self._read_unless_done(change))
+
+    def _recorded(self, change: _Change, counter: int, now: float) -> None:
+        if change.done:
+            return
+        change.counter = counter
+        self._out.note(
+            "config_recorded",
+            detail=f"workspace={change.config.workspace} "
+            f"version={change.config.version}",
+        )
+        self._waiting.append(change)
+        for host in sorted(self._live_hosts(now)):
+            message = messages.ConfigChanged(counter)
+            self._out.add(actions.SendPeer(host, message))
+        self._keeper.look_now(now=now)
+        self._check_all(now)
+
+    def _check_all(self, now: float) -> None:
+        for change in list(self._waiting):
+            if not self._lagging(change, now) and self._in_force_here(change):
+                self._answer(change, (), "in force on all live hosts")
+
+    def _in_force_here(self, change: _Change) -> bool:
+        return (
+            change.counter is not None
+            and self._keeper.counter >= change.counter
+        )
+
+    def _lagging(self, change: _Change, now: float) -> tuple[ids.HostId, ...]:
+        counter = change.counter or 0
+        return tuple(
+            host
+            for host in sorted(self._live_hosts(now))
+            if self._confirmed[host] < counter
+        )
+
+    def _answer(
+        self,
+        change: _Change,
+        lagging: tuple[ids.HostId, ...],
+        detail: str,
+    ) -> None:
+        change.done = True
+        self._waiting.remove(change)
+        self._out.add(
+            actions.ReplyConfig(
+                change.call, True, change.config, lagging, detail
+            )
+        )
+
+    def _conflict(self, change: _Change, row: model.Row, now: float) -> None:
+        if change.maybe_recorded and row.version >= change.config.version:
+            recorded = None
+            detail = (
+                "the write's effect is unknown, and a newer version has "
+                "replaced it; read the settings and decide again"
+            )
+        else:
+            recorded = False
+            detail = (
+                f"version {change.config.version} is not the next one; read "
+                "the current version and apply the change to it"
+            )
+        current = records.decode_config(row) if row.version else None
+        change.done = True
+        self._out.add(
+            actions.ReplyConfig(change.call, recorded, current, (), detail)
+        )
+
+    def _expire(self, change: _Change, now: float) -> None:
+        if change.done:
+            return
+        if change.counter is not None:
+            lagging = self._lagging(change, now)
+            detail = "recorded, not yet in force on all live hosts"
+            self._answer(change, lagging, detail)
+            return
+        change.done = True
+        recorded = None if change.maybe_recorded else False
+        detail = (
+            "the table service did not answer; read the settings before "
+            "trying again"
+        )
+        self._out.add(
+            actions.ReplyConfig(change.call, recorded, None, (), detail)
+        )
+
+
+def _counter_of(
+    change: _Change, logged: list[records.LoggedChange], log_version: int
+) -> int | None:
+    """Returns the counter at which a change was recorded, if it was."""
+    newest = len(logged) - 1
+    for position, entry in enumerate(logged):
+        if entry.nonce == change.nonce:
+            return log_version - (newest - position)
+    return None
--- /dev/null
+++ b/godwitnotch/core/host.py
@@ -0,0 +1,523 @@
+"""The decisions of one entry host: typed events in, typed actions out."""
+
+import enum
+from collections.abc import Callable
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from godwitnotch.core import actions
+from godwitnotch.core import bindings
+from godwitnotch.core import chance as chance_module
+from godwitnotch.core import charts
+from godwitnotch.core import configuration
+from godwitnotch.core import events
+from godwitnotch.core import ids
+from godwitnotch.core import jobs
+from godwitnotch.core import limits as limits_module
+from godwitnotch.core import membership as membership_module
+from godwitnotch.core import messages
+from godwitnotch.core import model
+from godwitnotch.core import outbox
+from godwitnotch.core import outcomes
+from godwitnotch.core import remedies
+from godwitnotch.core import reservations
+from godwitnotch.core import scheduler as scheduler_module
+from godwitnotch.core import store_calls
+from godwitnotch.core import submissions
+from godwitnotch.core import timers
+
+
+class HostState(enum.Enum):
+    """States of core/charts/host.yaml."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    DRAINING = "draining"
+    SEALING = "sealing"
+    STOPPED = "stopped"
+
+
+class HostChange(enum.Enum):
+    """Events of core/charts/host.yaml."""
+
+    CONFIGURED = "configured"
+    DRAIN = "drain"
+    IDLE = "idle"
+    SEALED = "sealed"
+
+
+_CHART = charts.load("host", HostState, HostChange)
+
+
+@dataclass(frozen=True, slots=True)
+class HostStatus:
+    """A summary of what a host is doing.
+
+    Attributes:
+        state: State of its life.
+        config_counter: Configuration changes up to this are in force.
+        jobs: Jobs under way.
+        attempts: Requests at upstreams.
+        forwards: Calls that other hosts have not answered yet.
+        kept_answers: Final answers kept for resubmissions.
+        open_ids: Reserved ids that have not expired.
+        unwritten_outcomes: Outcomes not yet recorded.
+        linked_hosts: Other hosts that can be talked to.
+    """
+
+    state: HostState
+    config_counter: int
+    jobs: int
+    attempts: int
+    forwards: int
+    kept_answers: int
+    open_ids: int
+    unwritten_outcomes: int
+    linked_hosts: tuple[ids.HostId, ...]
+
+
+class HostCore:
+    """Decides for one process; the caller performs the actions.
+
+    Args:
+        identity: This host and the incarnation of its process.
+        mint: Mints and verifies submission ids.
+        scheduler: The policy of queueing and routing.
+        chance: Source of jitter and nonces.
+        limits: Bounds of the host.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: model.HostEntry,
+        mint: ids.IdMint,
+        scheduler: scheduler_module.Scheduler,
+        chance: chance_module.Chance,
+        limits: limits_module.HostLimits,
+    ) -> None:
+        self._identity = identity
+        self._limits = limits
+        self._scheduler = scheduler
+        self._state = _CHART.initial
+        self._started = False
+        self._out = outbox.Outbox()
+        self._timers = timers.Timers()
+        self._store = store_calls.StoreCalls(self._out)
+        self._membership = membership_module.Membership(identity, limits=limits)
+        self._reservations = reservations.Reservations(
+            open_for_s=limits.reservation_open_s
+        )
+        self._keeper = configuration.ConfigKeeper(
+            store=self._store,
+            timers=self._timers,
+            out=self._out,
+            chance=chance,
+            limits=limits,
+        )
+        self._changes = configuration.ConfigChanges(
+            keeper=self._keeper,
+            store=self._store,
+            timers=self._timers,
+            out=self._out,
+            chance=chance,
+            limits=limits,
+            live_hosts=self._membership.unconfirmed_hosts,
+        )
+        self._outcome_log = outcomes.OutcomeLog(
+            identity.incarnation,
+            store=self._store,
+            timers=self._timers,
+            out=self._out,
+            chance=chance,
+            limits=limits,
+        )
+        self._submissions = submissions.Submissions(
+            self._collaborators(mint, chance)
+        )
+        self._keeper.on_applied(self._configured)
+
+    def _collaborators(
+        self, mint: ids.IdMint, chance: chance_module.Chance
+    ) -> submissions.Collaborators:
+        return submissions.Collaborators(
+            identity=self._identity,
+            mint=mint,
+            scheduler=self._scheduler,
+            reservations=self._reservations,
+            keeper=self._keeper,
+            membership=self._membership,
+            binder=bindings.KeyBinder(
+                store=self._store,
+                timers=self._timers,
+                chance=chance,
+                limits=self._limits,
+            ),
+            outcome_log=self._outcome_log,
+            outcome_reader=outcomes.OutcomeReader(
+                store=self._store, limits=self._limits
+            ),
+            timers=self._timers,
+            out=self._out,
+            limits=self._limits,
+            admitting=lambda: (
+                self._state in (HostState.STARTING, HostState.SERVING)
+            ),
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether the platform's balancer should send callers here."""
+        return self._state is HostState.SERVING
+
+    @property
+    def configs(self) -> Mapping[ids.WorkspaceId, model.WorkspaceConfig]:
+        """The workspace settings in force."""
+        return self._keeper.configs
+
+    @property
+    def status(self) -> HostStatus:
+        """What the host is doing."""
+        runner = self._submissions.runner
+        return HostStatus(
+            state=self._state,
+            config_counter=self._keeper.counter,
+            jobs=runner.job_count,
+            attempts=runner.attempt_count,
+            forwards=self._submissions.forward_count,
+            kept_answers=self._submissions.kept_count,
+            open_ids=self._reservations.open_count,
+            unwritten_outcomes=self._outcome_log.unwritten_count,
+            linked_hosts=tuple(entry.host for entry in self._membership.linked),
+        )
+
+    def heartbeat(self) -> messages.Heartbeat:
+        """Returns the heartbeat to send on each peer link."""
+        draining = self._state not in (HostState.STARTING, HostState.SERVING)
+        return messages.Heartbeat(self._keeper.counter, draining)
+
+    def handle(
+        self, event: events.Event, *, now: float
+    ) -> list[actions.Action]:
+        """Takes one event; returns what is to be done."""
+        if not self._started:
+            self._started = True
+            self._keeper.start(now=now)
+        self._timers.run(now=now)
+        _HANDLERS[type(event)](self, event, now)
+        self._submissions.runner.pump(now=now)
+        for peer_message in self._scheduler.peer_messages(now=now):
+            self._send(peer_message.host, peer_message.message)
+        self._seal_when_idle(now)
+        return self._out.take()
+
+    def next_deadline(self) -> float | None:
+        """Returns when `TimePassed` is next due, if ever."""
+        deadlines = (
+            self._timers.next_deadline(),
+            self._scheduler.next_deadline(),
+        )
+        return min(
+            (each for each in deadlines if each is not None), default=None
+        )
+
+    def _send(self, host: ids.HostId, message: messages.Message) -> None:
+        self._out.add(actions.SendPeer(host, message))
+
+    def _replier(self, call: ids.CallId) -> jobs.Answered:
+        def answered(answer: model.JobAnswer, now: float) -> None:
+            self._out.add(actions.Reply(call, answer))
+
+        return answered
+
+    def _peer_replier(
+        self, host: ids.HostId, call: ids.CallId
+    ) -> jobs.Answered:
+        def answered(answer: model.JobAnswer, now: float) -> None:
+            self._send(host, messages.ForwardReply(call, answer))
+
+        return answered
+
+    def _configured(self, now: float) -> None:
+        if self._state is HostState.STARTING:
+            self._change(HostChange.CONFIGURED)
+
+    def _change(self, change: HostChange) -> None:
+        self._state = _CHART.next(self._state, change)
+        self._out.note("host_state", detail=f"state={self._state.value}")
+
+    def _seal_when_idle(self, now: float) -> None:
+        if self._state is not HostState.DRAINING:
+            return
+        runner = self._submissions.runner
+        if runner.job_count or self._submissions.forward_count:
+            return
+        self._change(HostChange.IDLE)
+        self._outcome_log.seal(self._sealed, now=now)
+
+    def _sealed(self, now: float) -> None:
+        self._change(HostChange.SEALED)
+        self._out.add(actions.Stopped())
+
+
+_Handler = Callable[[HostCore, Any, float], None]
+_HANDLERS: dict[type, _Handler] = {}
+
+
+def _handles(kind: type) -> Callable[[_Handler], _Handler]:
+    """Registers the handler of one kind of event or peer message."""
+
+    def register(handler: _Handler) -> _Handler:
+        _HANDLERS[kind] = handler
+        return handler
+
+    return register
+
+
+@_handles(events.ReserveAsked)
+def _reserve(core: HostCore, event: events.ReserveAsked, now: float) -> None:
+    refusal = _reserve_refusal(core, event)
+    if refusal is not None:
+        core._out.add(actions.Reply(event.call, refusal))
+        return
+    if event.key is not None:
+        _reserve_keyed(core, event, event.key, now)
+        return
+    minted = core._submissions.mint(event.workspace, event.count, now=now)
+    _reply_reserved(core, event.call, minted)
+
+
+def _reserve_refusal(
+    core: HostCore, event: events.ReserveAsked
+) -> model.JobAnswer | None:
+    nothing = submissions.NO_SUBMISSION
+    if core._state not in (HostState.STARTING, HostState.SERVING):
+        return remedies.refusal(nothing, model.Reason.DRAINING)
+    longest = 1 if event.key is not None else core._limits.max_reserve
+    if 1 <= event.count <= longest:
+        return None
+    return remedies.refusal(
+        nothing,
+        model.Reason.BAD_REQUEST,
+        detail=f"count is {event.count}; allowed: 1 to {longest}",
+    )
+
+
+def _reserve_keyed(
+    core: HostCore,
+    event: events.ReserveAsked,
+    key: ids.CallerKey,
+    now: float,
+) -> None:
+    def done(result: bindings.BindResult, now: float) -> None:
+        if isinstance(result, bindings.NotBound):
+            refusal = remedies.refusal(
+                submissions.NO_SUBMISSION,
+                result.reason,
+                retry_after_s=result.retry_after_s,
+            )
+            core._out.add(actions.Reply(event.call, refusal))
+        else:
+            _reply_reserved(core, event.call, (result.submission,))
+
+    core._submissions.reserve_keyed(event.workspace, key, done, now=now)
+
+
+def _reply_reserved(
+    core: HostCore,
+    call: ids.CallId,
+    minted: tuple[ids.SubmissionId, ...],
+) -> None:
+    open_for_s = core._limits.reservation_open_s
+    core._out.add(actions.ReplyReserved(call, minted, open_for_s))
+
+
+@_handles(events.SubmitAsked)
+def _submit(core: HostCore, event: events.SubmitAsked, now: float) -> None:
+    order = submissions.JobOrder(
+        event.workspace, event.body, event.deadline, core._replier(event.call)
+    )
+    core._submissions.submit(order, event.submission, now=now)
+
+
+@_handles(events.KeyedSubmitAsked)
+def _submit_keyed(
+    core: HostCore, event: events.KeyedSubmitAsked, now: float
+) -> None:
+    order = submissions.JobOrder(
+        event.workspace, event.body, event.deadline, core._replier(event.call)
+    )
+    core._submissions.submit_keyed(order, event.key, now=now)
+
+
+@_handles(events.StatusAsked)
+def _status(core: HostCore, event: events.StatusAsked, now: float) -> None:
+    core._submissions.status(
+        event.workspace,
+        event.submission,
+        core._replier(event.call),
+        now=now,
+    )
+
+
+@_handles(events.CancelAsked)
+def _cancel(core: HostCore, event: events.CancelAsked, now: float) -> None:
+    core._submissions.cancel(
+        event.workspace,
+        event.submission,
+        core._replier(event.call),
+        now=now,
+    )
+
+
+@_handles(events.PeerUp)
+def _peer_up(core: HostCore, event: events.PeerUp, now: float) -> None:
+    core._submissions.peer_down(event.host, now=now)
+    core._membership.peer_up(event, now=now)
+    core._scheduler.hosts_seen(core._membership.linked, now=now)
+    core._keeper.peer_up(event.host)
+    core._changes.peer_up(event.host)
+
+
+@_handles(events.PeerDown)
+def _peer_down(core: HostCore, event: events.PeerDown, now: float) -> None:
+    core._membership.peer_down(event.host, now=now)
+    core._scheduler.hosts_seen(core._membership.linked, now=now)
+    core._keeper.peer_down(event.host)
+    core._submissions.peer_down(event.host, now=now)
+
+
+@_handles(events.PeerSaid)
+def _peer_said(core: HostCore, event: events.PeerSaid, now: float) -> None:
+    _HANDLERS[type(event.message)](core, event, now)
+
+
+@_handles(messages.Hello)
+def _hello(core: HostCore, event: events.PeerSaid, now: float) -> None:
+    """Ignores a greeting: the link has dealt with it."""
+
+
+@_handles(messages.Heartbeat)
+def _heartbeat(core: HostCore, event: events.PeerSaid, now: float) -> None:
+    message = event.message
+    assert isinstance(message, messages.Heartbeat)
+    if message.draining:
+        core._membership.peer_leaving(event.host)
+    core._changes.peer_confirmed(event.host, message.config_counter, now=now)
+
+
+@_handles(messages.ForwardSubmit)
+def _forward_submit(core: HostCore, event: events.PeerSaid, now: float) -> None:
+    message = event.message
+    assert isinstance(message, messages.ForwardSubmit)
+    order = submissions.JobOrder(
+        message.workspace,
+        message.body,
+        now + message.timeout_s,
+        core._peer_replier(event.host, message.call),
+    )
+    core._submissions.submit(order, message.submission, now=now)
+
+
+@_handles(messages.ForwardStatus)
+def _forward_status(core: HostCore, event: events.PeerSaid, now: float) -> None:
+    message = event.message
+    assert isinstance(message, messages.ForwardStatus)
+    core._submissions.status(
+        message.workspace,
+        message.submission,
+        core._peer_replier(event.host, message.call),
+        now=now,
+    )
+
+
+@_handles(messages.ForwardCancel)
+def _forward_cancel(core: HostCore, event: events.PeerSaid, now: float) -> None:
+    message = event.message
+    assert isinstance(message, messages.ForwardCancel)
+    core._submissions.cancel(
+        message.workspace,
+        message.submission,
+        core._peer_replier(event.host, message.call),
+        now=now,
+    )
+
+
+@_handles(messages.ForwardReply)
+def _forward_reply(core: HostCore, event: events.PeerSaid, now: float) -> None:
+    message = event.message
+    assert isinstance(message, messages.ForwardReply)
+    core._submissions.peer_replied(event.host, message, now=now)
+
+
+@_handles(messages.ConfigApplied)
+def _config_applied(core: HostCore, event: events.PeerSaid, now: float) -> None:
+    message = event.message
+    assert isinstance(message, messages.ConfigApplied)
+    core._changes.peer_confirmed(event.host, message.counter, now=now)
+
+
+@_handles(messages.ConfigChanged)
+@_handles(messages.ConfigWanted)
+@_handles(messages.ConfigSnapshot)
+def _config_message(core: HostCore, event: events.PeerSaid, now: float) -> None:
+    core._keeper.peer_said(event.host, event.message, now=now)
+
+
+@_handles(messages.SlotsWanted)
+@_handles(messages.SlotsLent)
+def _scheduler_message(
+    core: HostCore, event: events.PeerSaid, now: float
+) -> None:
+    core._scheduler.peer_said(event.host, event.message, now=now)
+
+
+@_handles(events.AttemptEnded)
+def _attempt_ended(
+    core: HostCore, event: events.AttemptEnded, now: float
+) -> None:
+    core._submissions.runner.attempt_ended(event, now=now)
+
+
+@_handles(events.StoreCommitted)
+@_handles(events.StoreConflict)
+@_handles(events.StoreRows)
+@_handles(events.StoreFailed)
+def _store_ended(
+    core: HostCore, event: store_calls.StoreEvent, now: float
+) -> None:
+    core._store.ended(event, now=now)
+
+
+@_handles(events.DirectorySeen)
+def _directory_seen(
+    core: HostCore, event: events.DirectorySeen, now: float
+) -> None:
+    core._membership.directory_seen(event.directory, now=now)
+    core._scheduler.upstreams_seen(core._membership.upstreams, now=now)
+    core._changes.hosts_changed(now=now)
+
+
+@_handles(events.ConfigPutAsked)
+def _config_put(
+    core: HostCore, event: events.ConfigPutAsked, now: float
+) -> None:
+    core._changes.put(event, now=now)
+
+
+@_handles(events.DrainAsked)
+def _drain(core: HostCore, event: events.DrainAsked, now: float) -> None:
+    if not _CHART.takes(core._state, HostChange.DRAIN):
+        return
+    core._change(HostChange.DRAIN)
+    core._timers.at(
+        event.deadline,
+        lambda now: core._submissions.runner.cut_all(now=now),
+    )
+
+
+@_handles(events.CallerGone)
+@_handles(events.TimePassed)
+def _nothing(core: HostCore, event: events.Event, now: float) -> None:
+    """Does nothing: the reply to a gone caller is dropped by the runtime."""
--- /dev/null
+++ b/godwitnotch/core/jobs.py
@@ -0,0 +1,357 @@
+"""Jobs under way at their owner: attempts, results and endings."""
+
+import enum
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+
+from godwitnotch.core import actions
+from godwitnotch.core import charts
+from godwitnotch.core import events
+from godwitnotch.core import ids
+from godwitnotch.core import model
+from godwitnotch.core import outbox
+from godwitnotch.core import remedies
+from godwitnotch.core import reservations as reservations_module
+from godwitnotch.core import retries
+from godwitnotch.core import scheduler as scheduler_module
+from godwitnotch.core import timers as timers_module
+from godwitnotch.core.model import AttemptOutcome
+from godwitnotch.core.model import Outcome
+from godwitnotch.core.model import Ran
+from godwitnotch.core.model import Reason
+
+Answered = Callable[[model.JobAnswer, float], None]
+
+
+class JobState(enum.Enum):
+    """States of core/charts/job.yaml."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETE = "complete"
+    FAILED = "failed"
+    REFUSED = "refused"
+
+
+class JobEvent(enum.Enum):
+    """Events of core/charts/job.yaml."""
+
+    START = "start"
+    PROVE_UNSTARTED = "prove_unstarted"
+    COMPLETE = "complete"
+    FAIL = "fail"
+    REFUSE = "refuse"
+
+
+_CHART = charts.load("job", JobState, JobEvent)
+
+_FAILURES: dict[AttemptOutcome, Reason] = {
+    AttemptOutcome.TASK_FAILED: Reason.TASK_FAILED,
+    AttemptOutcome.BROKE_OFF: Reason.UPSTREAM_BROKE_OFF,
+    AttemptOutcome.TIMED_OUT: Reason.UPSTREAM_TIMEOUT,
+    AttemptOutcome.BAD_ANSWER: Reason.UPSTREAM_BAD_ANSWER,
+    AttemptOutcome.ANSWER_TOO_LARGE: Reason.ANSWER_TOO_LARGE,
+    AttemptOutcome.ABORTED: Reason.UPSTREAM_BROKE_OFF,
+}
+MAX_ERROR_DETAIL_BYTES = 200
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """One job under way.
+
+    Attributes:
+        request: What the scheduler knows of it.
+        sequence: Sequence number of its id.
+        body: What the caller sent.
+        digest: Digest of the body.
+        waiters: Who is to be told its answer.
+        state: State by the chart.
+        results: Answers so far, by task index.
+        unanswered: Tasks without an answer.
+        started: Attempts not proven unstarted.
+        proven: Whether an attempt is known to have started.
+        attempts: Attempts under way.
+    """
+
+    request: scheduler_module.JobRequest
+    sequence: ids.Sequence
+    body: model.JobBody
+    digest: bytes
+    waiters: list[Answered] = field(default_factory=list)
+    state: JobState = _CHART.initial
+    results: list[bytes] = field(default_factory=list)
+    unanswered: int = 0
+    started: int = 0
+    proven: bool = False
+    attempts: set[ids.AttemptId] = field(default_factory=set)
+    timer: timers_module.Timer | None = None
+
+    def __post_init__(self) -> None:
+        self.unanswered = len(self.body.tasks)
+        self.results = [b""] * self.unanswered
+
+    @property
+    def ended(self) -> bool:
+        """Whether the answer is final."""
+        return self.state not in (JobState.QUEUED, JobState.RUNNING)
+
+
+@dataclass(frozen=True, slots=True)
+class _Attempt:
+    job: Job
+    assignment: scheduler_module.Assignment
+    started_at: float
+
+
+class JobRunner:
+    """Runs admitted jobs and answers each once.
+
+    Args:
+        scheduler: Decides what starts where.
+        reservations: Where started ids are marked.
+        timers: Deadlines.
+        out: Where actions go.
+        on_end: Called with each ended job and its answer, before its waiters.
+    """
+
+    def __init__(
+        self,
+        *,
+        scheduler: scheduler_module.Scheduler,
+        reservations: reservations_module.Reservations,
+        timers: timers_module.Timers,
+        out: outbox.Outbox,
+        on_end: Callable[[Job, model.JobAnswer, float], None],
+    ) -> None:
+        self._scheduler = scheduler
+        self._reservations = reservations
+        self._timers = timers
+        self._out = out
+        self._on_end = on_end
+        self._jobs: dict[ids.SubmissionId, Job] = {}
+        self._attempts: dict[ids.AttemptId, _Attempt] = {}
+        self._numbers = itertools.count(1)
+
+    @property
+    def job_count(self) -> int:
+        """Jobs under way."""
+        return len(self._jobs)
+
+    @property
+    def attempt_count(self) -> int:
+        """Requests at upstreams, aborted ones included until they end."""
+        return len(self._attempts)
+
+    def get(self, submission: ids.SubmissionId) -> Job | None:
+        """Returns a job under way."""
+        return self._jobs.get(submission)
+
+    def run(self, job: Job, *, now: float) -> None:
+        """Queues an admitted job."""
+        submission = job.request.submission
+        self._jobs[submission] = job
+        job.timer = self._timers.at(
+            job.request.deadline, lambda now: self._expire(job, now)
+        )
+        self._scheduler.enqueue(job.request, now=now)
+        self._out.note(
+            "job_admitted",
+            submission=submission,
+            detail=f"tasks={job.unanswered}",
+        )
+
+    def pump(self, *, now: float) -> None:
+        """Starts the tasks that the scheduler assigns."""
+        for assignment in self._scheduler.assign(now=now):
+            self._start(assignment, now)
+
+    def attempt_ended(self, event: events.AttemptEnded, *, now: float) -> None:
+        """Takes the end of an attempt; unknown attempts are ignored."""
+        attempt = self._attempts.pop(event.attempt, None)
+        if attempt is None:
+            return
+        outcome = _checked_outcome(attempt, event)
+        self._scheduler.ended(
+            attempt.assignment,
+            outcome,
+            started_at=attempt.started_at,
+            now=now,
+        )
+        job = attempt.job
+        job.attempts.discard(event.attempt)
+        if job.ended:
+            return
+        match retries.verdict(outcome):
+            case retries.Verdict.ANSWERED:
+                self._answered(attempt, event.body, now)
+            case retries.Verdict.NOT_STARTED:
+                self._not_started(attempt, outcome, now)
+            case retries.Verdict.STARTED:
+                job.proven = True
+                self._attempt_failed(attempt, outcome, event, now)
+            case retries.Verdict.MAY_HAVE_STARTED:
+                self._attempt_failed(attempt, outcome, event, now)
+
+    def cancel(self, job: Job, *, now: float) -> None:
+        """Ends a job on its caller's behalf."""
+        if job.state is JobState.QUEUED:
+            self._refuse(job, Reason.CANCELLED_BEFORE_START, now)
+        else:
+            self._fail(job, Reason.CANCELLED, "", now)
+
+    def cut_all(self, *, now: float) -> None:
+        """Ends every job since the process has to stop."""
+        for job in list(self._jobs.values()):
+            self._out.note(
+                "job_cut",
+                submission=job.request.submission,
+                reason=Reason.SHUTDOWN_CUT,
+                detail=f"unanswered={job.unanswered}",
+            )
+            if job.state is JobState.QUEUED:
+                self._refuse(job, Reason.DRAINING, now)
+            else:
+                self._fail(job, Reason.SHUTDOWN_CUT, "", now)
+
+    def _start(
+        self, assignment: scheduler_module.Assignment, now: float
+    ) -> None:
+        job = self._jobs[assignment.submission]
+        attempt = ids.AttemptId(next(self._numbers))
+        self._attempts[attempt] = _Attempt(job, assignment, now)
+        job.attempts.add(attempt)
+        job.started += 1
+        if job.state is JobState.QUEUED:
+            job.state = _CHART.next(job.state, JobEvent.START)
+            self._reservations.mark_started(job.sequence)
+        template = job.request.template
+        self._out.add(
+            actions.StartAttempt(
+                attempt=attempt,
+                upstream=assignment.upstream.upstream,
+                address=assignment.upstream.address,
+                path=template.path,
+                submission=assignment.submission,
+                task_index=assignment.task_index,
+                payload=job.body.tasks[assignment.task_index].payload,
+                max_answer_bytes=template.max_answer_bytes,
+                deadline=job.request.deadline,
+            )
+        )
+
+    def _answered(self, attempt: _Attempt, body: bytes, now: float) -> None:
+        job = attempt.job
+        job.proven = True
+        job.results[attempt.assignment.task_index] = body
+        job.unanswered -= 1
+        if job.unanswered:
+            return
+        job.state = _CHART.next(job.state, JobEvent.COMPLETE)
+        answer = model.JobAnswer(
+            job.request.submission,
+            Outcome.COMPLETE,
+            Ran.SOMETHING,
+            results=tuple(job.results),
+        )
+        self._end(job, answer, now)
+
+    def _not_started(
+        self, attempt: _Attempt, outcome: AttemptOutcome, now: float
+    ) -> None:
+        job = attempt.job
+        job.started -= 1
+        if not job.started:
+            job.state = _CHART.next(job.state, JobEvent.PROVE_UNSTARTED)
+            self._reservations.mark_not_started(job.sequence)
+        assignment = attempt.assignment
+        self._out.note(
+            "task_not_started",
+            submission=assignment.submission,
+            reason=outcome,
+            detail=f"task={assignment.task_index} "
+            f"upstream={assignment.upstream.upstream}",
+        )
+        requeued = self._scheduler.requeue(
+            assignment.submission, assignment.task_index, now=now
+        )
+        if requeued:
+            return
+        if job.state is JobState.QUEUED:
+            self._refuse(job, Reason.RETRIES_EXHAUSTED, now)
+        else:
+            self._fail(job, Reason.RETRIES_EXHAUSTED, "", now)
+
+    def _attempt_failed(
+        self,
+        attempt: _Attempt,
+        outcome: AttemptOutcome,
+        event: events.AttemptEnded,
+        now: float,
+    ) -> None:
+        assignment = attempt.assignment
+        text = event.body[:MAX_ERROR_DETAIL_BYTES].decode(errors="replace")
+        detail = (
+            f"task {assignment.task_index} at upstream "
+            f"{assignment.upstream.upstream}: {outcome.value} {text}".strip()
+        )
+        self._fail(attempt.job, _FAILURES[outcome], detail, now)
+
+    def _expire(self, job: Job, now: float) -> None:
+        if job.state is JobState.QUEUED:
+            self._refuse(job, Reason.DEADLINE_BEFORE_START, now)
+        else:
+            self._fail(job, Reason.DEADLINE_EXCEEDED, "", now)
+
+    def _refuse(self, job: Job, reason: Reason, now: float) -> None:
+        job.state = _CHART.next(job.state, JobEvent.REFUSE)
+        answer = remedies.refusal(job.request.submission, reason)
+        self._end(job, answer, now)
+
+    def _fail(self, job: Job, reason: Reason, detail: str, now: float) -> None:
+        job.state = _CHART.next(job.state, JobEvent.FAIL)
+        ran = Ran.SOMETHING if job.proven else Ran.POSSIBLY
+        answer = remedies.answer(
+            job.request.submission,
+            Outcome.FAILED,
+            reason,
+            ran=ran,
+            detail=detail,
+        )
+        self._end(job, answer, now)
+
+    def _end(self, job: Job, answer: model.JobAnswer, now: float) -> None:
+        submission = job.request.submission
+        del self._jobs[submission]
+        if job.timer is not None:
+            job.timer.cancel()
+        self._scheduler.withdraw(submission, now=now)
+        for attempt in sorted(job.attempts):
+            self._out.add(actions.AbortAttempt(attempt))
+        self._on_end(job, answer, now)
+        self._out.note(
+            "job_ended",
+            submission=submission,
+            reason=answer.reason,
+            detail=f"outcome={answer.outcome.value} ran={answer.ran.value}",
+        )
+        waiters = job.waiters
+        job.waiters = []
+        for waiter in waiters:
+            waiter(answer, now)
+
+
+def _checked_outcome(
+    attempt: _Attempt, event: events.AttemptEnded
+) -> AttemptOutcome:
+    """Turns an answer to another request into a bad answer."""
+    if event.outcome is not AttemptOutcome.ANSWERED:
+        return event.outcome
+    assignment = attempt.assignment
+    matches = (
+        event.submission == assignment.submission
+        and event.task_index == assignment.task_index
+    )
+    return event.outcome if matches else AttemptOutcome.BAD_ANSWER
--- /dev/null
+++ b/godwitnotch/core/membership.py
@@ -0,0 +1,94 @@
+"""The other entry hosts: those listed, those linked, those missing."""
+
+from dataclasses import dataclass
+
+from godwitnotch.core import events
+from godwitnotch.core import ids
+from godwitnotch.core import limits as limits_module
+from godwitnotch.core import model
+
+
+@dataclass(slots=True)
+class _Known:
+    entry: model.HostEntry
+    seen_until: float
+
+
+class Membership:
+    """Keeps the platform's list, open links and hosts that vanished.
+
+    The platform's list lags and a cut-off host drops out of it, so a host
+    that was seen and did not leave stays known for a while.
+    """
+
+    def __init__(
+        self,
+        identity: model.HostEntry,
+        *,
+        limits: limits_module.HostLimits,
+    ) -> None:
+        self._identity = identity
+        self._limits = limits
+        self._directory = model.Directory()
+        self._linked: dict[ids.HostId, model.HostEntry] = {}
+        self._known: dict[ids.HostId, _Known] = {}
+
+    @property
+    def upstreams(self) -> tuple[model.UpstreamEntry, ...]:
+        """The upstreams of the latest list."""
+        return self._directory.upstreams
+
+    @property
+    def linked(self) -> tuple[model.HostEntry, ...]:
+        """The hosts that can be talked to now."""
+        return tuple(self._linked.values())
+
+    def linked_entry(self, host: ids.HostId) -> model.HostEntry | None:
+        """Returns a host if it can be talked to now."""
+        return self._linked.get(host)
+
+    def directory_seen(self, directory: model.Directory, *, now: float) -> None:
+        """Takes a newer list."""
+        self._directory = directory
+        for entry in directory.hosts:
+            self._note(entry, now)
+
+    def peer_up(self, event: events.PeerUp, *, now: float) -> None:
+        """Notes an open link."""
+        entry = model.HostEntry(event.host, event.domain, event.incarnation, "")
+        self._linked[event.host] = entry
+        self._note(entry, now)
+
+    def peer_down(self, host: ids.HostId, *, now: float) -> None:
+        """Notes that a link closed; the host may be alive all the same."""
+        entry = self._linked.pop(host, None)
+        if entry is not None:
+            self._note(entry, now)
+
+    def peer_leaving(self, host: ids.HostId) -> None:
+        """Notes that a host is draining: it takes no new jobs."""
+        self._known.pop(host, None)
+
+    def current_incarnation(self, host: ids.HostId) -> ids.Incarnation | None:
+        """Returns the incarnation linked or listed under a host's name."""
+        linked = self._linked.get(host)
+        if linked is not None:
+            return linked.incarnation
+        known = self._known.get(host)
+        return known.entry.incarnation if known else None
+
+    def unconfirmed_hosts(self, now: float) -> frozenset[ids.HostId]:
+        """Returns the other hosts that may be serving now."""
+        for host, known in list(self._known.items()):
+            if host not in self._linked and known.seen_until <= now:
+                del self._known[host]
+        return frozenset(self._known)
+
+    def _note(self, entry: model.HostEntry, now: float) -> None:
+        if entry.host == self._identity.host:
+            return
+        if entry.leaving:
+            self._known.pop(entry.host, None)
+            return
+        until = now + self._limits.missing_host_memory_s
+        self._known[entry.host] = _Known(entry, until)
--- a/godwitnotch/core/outcomes.py
+++ b/godwitnotch/core/outcomes.py
@@ -74,17 +74,24 @@
         return len(self._unwritten) + in_flight
 
     def record(
-        self, sequence: ids.Sequence, answer: model.JobAnswer, *, now: float
+        self,
+        sequence: ids.Sequence,
+        outcome: records.JobOutcome,
+        *,
+        now: float,
     ) -> None:
         """Queues the outcome of a job that started, or may have."""
-        size = sum(map(len, answer.results))
+        size = sum(map(len, outcome.answer.results))
         if size > self._limits.max_outcome_bytes:
-            answer = replace(answer, results=())
-        self._unwritten.append(_Outcome(sequence, answer))
+            answer = replace(outcome.answer, results=())
+            outcome = replace(outcome, answer=answer)
+        self._unwritten.append(_Outcome(sequence, outcome))
         if len(self._unwritten) > self._limits.max_unwritten_outcomes:
             lost = self._unwritten.popleft()
             self._lost = True
-            self._out.note("outcome_dropped", submission=lost.answer.submission)
+            self._out.note(
+                "outcome_dropped", submission=lost.outcome.answer.submission
+            )
         self._schedule(now + self._limits.outcome_flush_s)
 
     def seal(self, on_sealed: Callable[[float], None], *, now: float) -> None:
@@ -134,8 +141,8 @@
         self._written.append(
             _WrittenRow(key, highest, now + self._limits.outcome_retention_s)
         )
-        answers = [outcome.answer for outcome in bucket]
-        return model.RowWrite(key, records.encode_outcomes(answers))
+        outcomes = [each.outcome for each in bucket]
+        return model.RowWrite(key, records.encode_outcomes(outcomes))
 
     def _deletes(self, now: float) -> list[model.RowWrite]:
         deletes: list[model.RowWrite] = []
@@ -192,7 +199,7 @@
 @dataclass(frozen=True, slots=True)
 class _Outcome:
     sequence: ids.Sequence
-    answer: model.JobAnswer
+    outcome: records.JobOutcome
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,12 +222,12 @@
     Attributes:
         read: Whether the table service could be read.
         sealed: Whether all outcomes of the owner are known to be recorded.
-        answer: The recorded outcome, if any.
+        outcome: The recorded outcome, if any.
     """
 
     read: bool
     sealed: bool = False
-    answer: model.JobAnswer | None = None
+    outcome: records.JobOutcome | None = None
 
 
 LookupDone = Callable[[Recorded, float], None]
@@ -307,7 +314,7 @@
     sealed: bool = False
     forgotten_below: int = 0
     usable_until: float = 0.0
-    answers: dict[ids.SubmissionId, model.JobAnswer] = field(
+    outcomes: dict[ids.SubmissionId, records.JobOutcome] = field(
         default_factory=dict
     )
     waiters: list[_LookupWaiter] = field(default_factory=list)
@@ -315,7 +322,7 @@
     def usable(self, submission: ids.SubmissionId, now: float) -> bool:
         if self.running or self.failed:
             return False
-        final = self.sealed or submission in self.answers
+        final = self.sealed or submission in self.outcomes
         return final or now < self.usable_until
 
     def result(
@@ -325,7 +332,7 @@
             return Recorded(read=False)
         sealed = self.sealed and owner.sequence >= self.forgotten_below
         return Recorded(
-            read=True, sealed=sealed, answer=self.answers.get(submission)
+            read=True, sealed=sealed, outcome=self.outcomes.get(submission)
         )
 
     def set_seal(self, rows: tuple[model.Row, ...]) -> None:
@@ -339,8 +346,8 @@
     ) -> None:
         self.usable_until = usable_until
         for row in rows:
-            for answer in records.decode_outcomes(row.value):
-                self.answers[answer.submission] = answer
+            for outcome in records.decode_outcomes(row.value):
+                self.outcomes[outcome.answer.submission] = outcome
         self._tell(now)
 
     def fail(self, now: float) -> None:
--- a/godwitnotch/core/records.py
+++ b/godwitnotch/core/records.py
@@ -1,5 +1,6 @@
 """Values of the rows in the table service, as CBOR."""
 
+import hashlib
 from dataclasses import dataclass
 from typing import Any
 
@@ -11,6 +12,7 @@
 CONFIG_LOG_KEY = "config/log"
 CONFIG_PREFIX = "config/ws/"
 SEQUENCES_PER_BUCKET = 1_024
+KEY_DIGEST_BYTES = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +45,19 @@
     nonce: str
 
 
+@dataclass(frozen=True, slots=True)
+class JobOutcome:
+    """The final answer to a job that started, or may have.
+
+    Attributes:
+        answer: The answer that its callers were given.
+        digest: Digest of the job's body.
+    """
+
+    answer: model.JobAnswer
+    digest: bytes
+
+
 def config_key(workspace: ids.WorkspaceId) -> str:
     """Returns the row key of a workspace's settings."""
     return CONFIG_PREFIX + workspace
@@ -50,7 +65,8 @@
 
 def binding_key(workspace: ids.WorkspaceId, key: ids.CallerKey) -> str:
     """Returns the row key of a caller key."""
-    return f"key/{workspace}/{key}"
+    digest = hashlib.blake2b(key.encode(), digest_size=KEY_DIGEST_BYTES)
+    return f"key/{workspace}/{digest.hexdigest()}"
 
 
 def bucket_prefix(incarnation: ids.Incarnation, sequence: ids.Sequence) -> str:
@@ -91,14 +107,19 @@
     return Binding(ids.SubmissionId(submission), digest, row.version)
 
 
-def encode_outcomes(answers: list[model.JobAnswer]) -> bytes:
+def encode_outcomes(outcomes: list[JobOutcome]) -> bytes:
     """Encodes the value of a batch of outcomes."""
-    return cbor2.dumps([_pack_answer(answer) for answer in answers])
+    return cbor2.dumps(
+        [[each.digest, _pack_answer(each.answer)] for each in outcomes]
+    )
 
 
-def decode_outcomes(value: bytes) -> list[model.JobAnswer]:
+def decode_outcomes(value: bytes) -> list[JobOutcome]:
     """Decodes a batch of outcomes."""
-    return [_unpack_answer(packed) for packed in cbor2.loads(value)]
+    return [
+        JobOutcome(_unpack_answer(packed), digest)
+        for digest, packed in cbor2.loads(value)
+    ]
 
 
 def encode_log(changes: list[LoggedChange]) -> bytes:
