Add an HTTP server and client on h11

The server bounds headers, bodies, connections and the time to send them. The client keeps a pool for each address and says of each failed exchange whether a byte of the request was handed to the kernel, since only then a retry is proven safe.

--- /dev/null
+++ b/godwitnotch/net/http_client.py
@@ -0,0 +1,526 @@
+"""An HTTP/1.1 client on h11 that knows whether a request left the process.
+
+Every failed exchange says whether a byte of the request was handed to the
+kernel, since only a request of which no byte was may be sent again.
+"""
+
+import asyncio
+import contextlib
+import enum
+import socket
+import urllib.parse
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import field
+
+import h11
+
+from godwitnotch.net import http_types
+
+DEFAULT_CONNECTIONS = 64
+# A connection can go silent unseen while idle, so it is reused only for this
+# long after its last answer.
+DEFAULT_MAX_IDLE_S = 2.0
+DEFAULT_CONNECT_TIMEOUT_S = 1.0
+_MAX_HEADER_BYTES = 16_384
+_KEEPALIVE_IDLE_S = 2
+_KEEPALIVE_INTERVAL_S = 1
+_KEEPALIVE_PROBES = 3
+_UNACKNOWLEDGED_TIMEOUT_MS = 5_000
+
+
+class Progress(enum.Enum):
+    """How far a failed request got."""
+
+    CONNECT_REFUSED = "connect_refused"  # No connection could be made.
+    NOTHING_SENT = "nothing_sent"  # No byte was handed to the kernel.
+    SENT = "sent"  # A byte was, or may have been, handed to the kernel.
+
+
+class Cause(enum.Enum):
+    """What ended a failed exchange."""
+
+    CONNECT_FAILED = "connect_failed"
+    TIMED_OUT = "timed_out"
+    CLOSED = "closed"
+    MALFORMED = "malformed"
+    TOO_LARGE = "too_large"
+
+
+class ExchangeError(Exception):
+    """An exchange that brought no whole answer.
+
+    Attributes:
+        address: The address of the server.
+        progress: How far the request got.
+        cause: What ended the exchange.
+    """
+
+    def __init__(
+        self, address: str, progress: Progress, cause: Cause, remedy: str
+    ) -> None:
+        super().__init__(
+            f"no answer from {address}: cause={cause.value} "
+            f"progress={progress.value}; {remedy}"
+        )
+        self.address = address
+        self.progress = progress
+        self.cause = cause
+
+
+class HttpClient:
+    """Sends requests over kept connections, one at a time on each.
+
+    Args:
+        connections: Connections for each address, unless `limit` sets others.
+        max_idle_s: How long after an answer a connection is reused.
+        connect_timeout_s: Longest time to make a connection.
+    """
+
+    def __init__(
+        self,
+        *,
+        connections: int = DEFAULT_CONNECTIONS,
+        max_idle_s: float = DEFAULT_MAX_IDLE_S,
+        connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
+    ) -> None:
+        self._connections = connections
+        self._max_idle_s = max_idle_s
+        self._connect_timeout_s = connect_timeout_s
+        self._pools: dict[str, _Pool] = {}
+        self._sweep_timer: asyncio.TimerHandle | None = None
+
+    def limit(self, address: str, connections: int) -> None:
+        """Sets the connections for one address."""
+        self._pool(address).set_limit(connections)
+
+    def idle_connections(self, address: str) -> int:
+        """Returns how many connections to an address wait for reuse."""
+        return len(self._pool(address).idle)
+
+    async def request(
+        self,
+        address: str,
+        request: http_types.HttpRequest,
+        *,
+        deadline: float,
+        max_body_bytes: int,
+    ) -> http_types.HttpResponse:
+        """Sends a request and returns the whole answer.
+
+        The connection is closed, never reused, if this is cancelled.
+
+        Args:
+            address: IP number and port of the server.
+            request: What to send.
+            deadline: Loop time at which the exchange is given up.
+            max_body_bytes: Largest accepted body of an answer.
+
+        Raises:
+            ExchangeError: There was no whole answer.
+        """
+        pool = self._pool(address)
+        await self._acquire(pool, deadline)
+        try:
+            return await self._exchange(pool, request, deadline, max_body_bytes)
+        except ExchangeError as error:
+            if error.cause is Cause.TIMED_OUT:
+                pool.close_idle()
+            raise
+        finally:
+            pool.release()
+
+    async def close(self) -> None:
+        """Closes all idle connections."""
+        if self._sweep_timer is not None:
+            self._sweep_timer.cancel()
+            self._sweep_timer = None
+        for pool in self._pools.values():
+            pool.close_idle()
+        await asyncio.sleep(0)
+
+    def _pool(self, address: str) -> "_Pool":
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = _Pool(address, self._connections)
+            self._pools[address] = pool
+        return pool
+
+    async def _acquire(self, pool: "_Pool", deadline: float) -> None:
+        if pool.try_acquire():
+            return
+        try:
+            async with asyncio.timeout_at(deadline):
+                await pool.acquire()
+        except TimeoutError:
+            raise ExchangeError(
+                pool.address,
+                Progress.NOTHING_SENT,
+                Cause.TIMED_OUT,
+                "all connections are in use; allow more, or send less",
+            ) from None
+
+    async def _exchange(
+        self,
+        pool: "_Pool",
+        request: http_types.HttpRequest,
+        deadline: float,
+        max_body_bytes: int,
+    ) -> http_types.HttpResponse:
+        while True:
+            kept = pool.take_idle(self._max_idle_s)
+            connection = kept or await self._connect(pool, deadline)
+            try:
+                response = await connection.exchange(
+                    request, deadline, max_body_bytes
+                )
+            except ExchangeError as error:
+                connection.abort()
+                if kept and _closed_unsent(error):
+                    continue
+                raise
+            except BaseException:
+                connection.abort()
+                raise
+            if connection.reusable:
+                pool.idle.append(connection)
+                self._arm_sweep()
+            else:
+                connection.abort()
+            return response
+
+    async def _connect(self, pool: "_Pool", deadline: float) -> "_Connection":
+        loop = asyncio.get_running_loop()
+        give_up = min(deadline, loop.time() + self._connect_timeout_s)
+        try:
+            async with asyncio.timeout_at(give_up):
+                return await _open(pool.address)
+        except TimeoutError:
+            raise ExchangeError(
+                pool.address,
+                Progress.NOTHING_SENT,
+                Cause.TIMED_OUT,
+                "the server does not accept connections; check that it runs",
+            ) from None
+        except OSError as error:
+            raise ExchangeError(
+                pool.address,
+                Progress.CONNECT_REFUSED,
+                Cause.CONNECT_FAILED,
+                f"check that the server runs and listens there ({error})",
+            ) from error
+
+    def _arm_sweep(self) -> None:
+        if self._sweep_timer is None:
+            loop = asyncio.get_running_loop()
+            self._sweep_timer = loop.call_later(self._max_idle_s, self._sweep)
+
+    def _sweep(self) -> None:
+        self._sweep_timer = None
+        for pool in self._pools.values():
+            pool.close_older(self._max_idle_s)
+        if any(pool.idle for pool in self._pools.values()):
+            self._arm_sweep()
+
+
+def _closed_unsent(error: ExchangeError) -> bool:
+    return (
+        error.progress is Progress.NOTHING_SENT and error.cause is Cause.CLOSED
+    )
+
+
+@dataclass(slots=True)
+class _Pool:
+    address: str
+    limit: int
+    in_use: int = 0
+    idle: list["_Connection"] = field(default_factory=list)
+    waiters: deque[asyncio.Future[None]] = field(default_factory=deque)
+
+    def set_limit(self, limit: int) -> None:
+        self.limit = limit
+        self._wake()
+
+    def try_acquire(self) -> bool:
+        if self.in_use >= self.limit or self.waiters:
+            return False
+        self.in_use += 1
+        return True
+
+    async def acquire(self) -> None:
+        waiter = asyncio.get_running_loop().create_future()
+        self.waiters.append(waiter)
+        try:
+            await waiter
+        except asyncio.CancelledError:
+            if waiter.done() and not waiter.cancelled():
+                self.release()
+            else:
+                self.waiters.remove(waiter)
+            raise
+
+    def release(self) -> None:
+        self.in_use -= 1
+        self._wake()
+
+    def take_idle(self, max_idle_s: float) -> "_Connection | None":
+        now = asyncio.get_running_loop().time()
+        while self.idle:
+            connection = self.idle.pop()
+            if now - connection.idle_since <= max_idle_s and connection.quiet():
+                return connection
+            connection.abort()
+        return None
+
+    def close_idle(self) -> None:
+        for connection in self.idle:
+            connection.abort()
+        self.idle.clear()
+
+    def close_older(self, max_idle_s: float) -> None:
+        now = asyncio.get_running_loop().time()
+        kept = []
+        for connection in self.idle:
+            if now - connection.idle_since < max_idle_s:
+                kept.append(connection)
+            else:
+                connection.abort()
+        self.idle = kept
+
+    def _wake(self) -> None:
+        while self.waiters and self.in_use < self.limit:
+            waiter = self.waiters.popleft()
+            if not waiter.done():
+                self.in_use += 1
+                waiter.set_result(None)
+
+
+async def _open(address: str) -> "_Connection":
+    host, _, port = address.rpartition(":")
+    host = host.strip("[]")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    loop = asyncio.get_running_loop()
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        _set_options(sock)
+        await loop.sock_connect(sock, (host, int(port)))
+    except BaseException:
+        sock.close()
+        raise
+    _, connection = await loop.create_connection(
+        lambda: _Connection(address, sock), sock=sock
+    )
+    return connection
+
+
+def _set_options(sock: socket.socket) -> None:
+    """Lets the kernel find a peer that went silent during an exchange."""
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_TIMEOUT_MS)
+
+
+class _Connection(asyncio.Protocol):
+    """One connection; carries one exchange at a time."""
+
+    def __init__(self, address: str, sock: socket.socket) -> None:
+        self._address = address
+        self._sock = sock
+        self._loop = asyncio.get_running_loop()
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_HEADER_BYTES
+        )
+        self._transport: asyncio.Transport
+        self._answer: asyncio.Future[http_types.HttpResponse] | None = None
+        self._head: h11.Response | None = None
+        self._body = bytearray()
+        self._max_body_bytes = 0
+        self._request_bytes = 0
+        self._sent = False
+        self._closed = False
+        self.idle_since = 0.0
+
+    @property
+    def reusable(self) -> bool:
+        """Returns whether another exchange may follow the one that ended."""
+        return (
+            not self._closed
+            and self._http.our_state is h11.IDLE
+            and self._transport.get_write_buffer_size() == 0
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fails the exchange under way."""
+        self._closed = True
+        self._fail(Cause.CLOSED, "the connection was lost")
+
+    def eof_received(self) -> None:
+        """Ends an answer that is delimited by the close."""
+        self._closed = True
+        self._feed(b"")
+
+    def data_received(self, data: bytes) -> None:
+        """Feeds the parser; input that was not asked for closes."""
+        if self._answer is None:
+            self.abort()
+            return
+        self._feed(data)
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        self._closed = True
+        self._transport.abort()
+
+    def quiet(self) -> bool:
+        """Returns whether the idle connection is open with nothing to read."""
+        if self._closed or self._transport.is_closing():
+            return False
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    async def exchange(
+        self,
+        request: http_types.HttpRequest,
+        deadline: float,
+        max_body_bytes: int,
+    ) -> http_types.HttpResponse:
+        """Sends a request and waits for its answer."""
+        self._answer = self._loop.create_future()
+        self._max_body_bytes = max_body_bytes
+        timer = self._loop.call_at(deadline, self._time_out)
+        try:
+            self._write(self._encode(request))
+            response = await self._answer
+        finally:
+            timer.cancel()
+            self._answer = None
+            self._head = None
+            self._body.clear()
+        self.idle_since = self._loop.time()
+        return response
+
+    def _encode(self, request: http_types.HttpRequest) -> bytes:
+        headers = [("host", self._address), *request.headers.items()]
+        if request.body or request.method not in ("GET", "HEAD", "DELETE"):
+            headers.append(("content-length", str(len(request.body))))
+        head = h11.Request(
+            method=request.method, target=_target(request), headers=headers
+        )
+        parts = [self._http.send(head) or b""]
+        if request.body:
+            parts.append(self._http.send(h11.Data(data=request.body)) or b"")
+        parts.append(self._http.send(h11.EndOfMessage()) or b"")
+        return b"".join(parts)
+
+    def _write(self, data: bytes) -> None:
+        self._sent = False
+        self._request_bytes = len(data)
+        if not self._transport.is_closing():
+            self._transport.write(data)
+        if self._transport.is_closing():
+            # The transport sends at once, so here the kernel took no byte.
+            self._fail(
+                Cause.CLOSED,
+                "the connection was closed before use",
+                Progress.NOTHING_SENT,
+            )
+            return
+        self._sent = self._transport.get_write_buffer_size() < len(data)
+
+    def _progress(self) -> Progress:
+        if self._sent or self._closed or self._transport.is_closing():
+            return Progress.SENT
+        if self._transport.get_write_buffer_size() < self._request_bytes:
+            return Progress.SENT
+        return Progress.NOTHING_SENT
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._http.receive_data(data)
+            while self._answer is not None and not self._answer.done():
+                event = self._http.next_event()
+                if event is h11.NEED_DATA:
+                    return
+                self._take(event)
+        except h11.RemoteProtocolError as error:
+            if data:
+                self._fail(Cause.MALFORMED, f"correct the server ({error})")
+            else:
+                self._fail(Cause.CLOSED, "the server closed the connection")
+
+    def _take(self, event: object) -> None:
+        match event:
+            case h11.Response():
+                self._head = event
+            case h11.Data():
+                self._body += event.data
+                if len(self._body) > self._max_body_bytes:
+                    self._fail(
+                        Cause.TOO_LARGE,
+                        f"the answer is larger than {self._max_body_bytes} "
+                        "bytes; raise the limit or make it smaller",
+                    )
+            case h11.EndOfMessage():
+                self._finish()
+            case h11.ConnectionClosed():
+                self._fail(Cause.CLOSED, "the server closed the connection")
+            case _:
+                pass
+
+    def _finish(self) -> None:
+        assert self._head is not None
+        assert self._answer is not None
+        response = http_types.HttpResponse(
+            self._head.status_code,
+            bytes(self._body),
+            {
+                name.decode("latin-1"): value.decode("latin-1")
+                for name, value in self._head.headers
+            },
+        )
+        self._start_next_cycle()
+        self._answer.set_result(response)
+
+    def _start_next_cycle(self) -> None:
+        trailing, _ = self._http.trailing_data
+        if trailing:
+            self._closed = True
+        with contextlib.suppress(h11.LocalProtocolError):
+            self._http.start_next_cycle()
+
+    def _time_out(self) -> None:
+        self._fail(
+            Cause.TIMED_OUT, "the answer is late; see what holds up the server"
+        )
+
+    def _fail(
+        self, cause: Cause, remedy: str, progress: Progress | None = None
+    ) -> None:
+        if self._answer is None or self._answer.done():
+            return
+        progress = progress or self._progress()
+        self._closed = True
+        self._answer.set_exception(
+            ExchangeError(self._address, progress, cause, remedy)
+        )
+
+
+def _target(request: http_types.HttpRequest) -> str:
+    if not request.query:
+        return request.path
+    return f"{request.path}?{urllib.parse.urlencode(request.query)}"
--- /dev/null
+++ b/godwitnotch/net/http_server.py
@@ -0,0 +1,377 @@
+"""An HTTP/1.1 server on h11 that bounds what a client can cost it."""
+
+import asyncio
+import enum
+import json
+import logging
+import urllib.parse
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+
+import h11
+
+from godwitnotch.net import http_types
+
+# How long an idle connection is still read after stop() was called, so that a
+# request that was already on its way is answered.
+STOP_GRACE_S = 0.1
+# How long the rest of a rejected request is read and dropped, so that the
+# client sees the answer and not a connection reset.
+LINGER_S = 1.0
+_POLL_S = 0.01
+
+_LOG = logging.getLogger(__name__)
+
+
+class DropConnection(Exception):
+    """Raised by a handler to close its connection without an answer."""
+
+
+def error_response(
+    status: int, kind: str, detail: str
+) -> http_types.HttpResponse:
+    """Returns an error answer; `detail` names the cause and the remedy."""
+    body = json.dumps({"error": {"kind": kind, "detail": detail}})
+    return http_types.HttpResponse(
+        status, body.encode(), {"content-type": "application/json"}
+    )
+
+
+class HttpServer:
+    """Serves a handler; a handler is cancelled when its client hangs up.
+
+    Args:
+        handler: Answers one request. It may raise `DropConnection`.
+        limits: Bounds of what is taken from a client.
+    """
+
+    def __init__(
+        self, handler: http_types.Handler, *, limits: http_types.HttpLimits
+    ) -> None:
+        self._shared = _Shared(handler, limits)
+        self._server: asyncio.Server | None = None
+
+    @property
+    def open_connections(self) -> int:
+        """Returns how many connections are open."""
+        return len(self._shared.connections)
+
+    async def start(self, host: str, port: int) -> int:
+        """Listens on an address and returns the bound port."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Connection(self._shared),
+            host,
+            port,
+            backlog=1024,
+            reuse_address=True,
+        )
+        bound: int = self._server.sockets[0].getsockname()[1]
+        return bound
+
+    async def stop(self, *, deadline: float) -> None:
+        """Stops accepting, and returns once all connections are closed.
+
+        Args:
+            deadline: Loop time at which requests in flight are cut.
+        """
+        if self._server is None:
+            return
+        loop = asyncio.get_running_loop()
+        self._server.close()
+        self._shared.stopping = True
+        grace_end = min(deadline, loop.time() + STOP_GRACE_S)
+        while self._shared.connections and loop.time() < deadline:
+            if loop.time() >= grace_end:
+                self._close_idle()
+            await asyncio.sleep(_POLL_S)
+        for connection in tuple(self._shared.connections):
+            connection.abort()
+        # Python 3.11 closes the listening sockets in close() alone.
+        await asyncio.sleep(0)
+
+    def _close_idle(self) -> None:
+        for connection in tuple(self._shared.connections):
+            connection.close_if_idle()
+
+
+@dataclass(slots=True)
+class _Shared:
+    handler: http_types.Handler
+    limits: http_types.HttpLimits
+    connections: set["_Connection"] = field(default_factory=set)
+    stopping: bool = False
+
+
+class _Phase(enum.Enum):
+    IDLE = "idle"
+    RECEIVING = "receiving"
+    HANDLING = "handling"
+    LINGERING = "lingering"  # Answered; the rest of the input is dropped.
+
+
+class _Connection(asyncio.Protocol):
+    """One client's connection."""
+
+    def __init__(self, shared: _Shared) -> None:
+        self._shared = shared
+        self._limits = shared.limits
+        self._loop = asyncio.get_running_loop()
+        self._http = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=shared.limits.max_header_bytes,
+        )
+        self._transport: asyncio.Transport
+        self._phase = _Phase.IDLE
+        self._timer: asyncio.TimerHandle | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._request: h11.Request | None = None
+        self._body = bytearray()
+        self._unread_bytes = 0
+        self._write_paused = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Starts to read, or refuses a connection too many."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._shared.connections.add(self)
+        if len(self._shared.connections) > self._limits.max_connections:
+            self._reject(
+                503,
+                "too_many_connections",
+                "this host has too many open connections; "
+                "come back later or use another host",
+            )
+            return
+        self._set_timer(self._limits.idle_timeout_s, self._transport.close)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancels the handler of a client that has gone."""
+        self._shared.connections.discard(self)
+        self._cancel_timer()
+        if self._task is not None:
+            self._task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        """Feeds the parser."""
+        if self._phase is _Phase.LINGERING:
+            return
+        self._http.receive_data(data)
+        if self._phase is _Phase.HANDLING:
+            self._bound_unread(len(data))
+            return
+        self._receive()
+
+    def eof_received(self) -> None:
+        """Closes the connection: a client that stops sending has gone."""
+
+    def pause_writing(self) -> None:
+        """Bounds the time that a client takes to read an answer."""
+        self._write_paused = True
+        self._set_timer(self._limits.receive_timeout_s, self.abort)
+
+    def resume_writing(self) -> None:
+        """Goes on with the next request."""
+        self._write_paused = False
+        if self._phase is _Phase.IDLE:
+            self._cancel_timer()
+            self._next_request()
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        self._transport.abort()
+
+    def close_if_idle(self) -> None:
+        """Closes the connection unless a request is under way."""
+        if self._phase is _Phase.IDLE and not self._write_paused:
+            self._transport.close()
+
+    def _bound_unread(self, size: int) -> None:
+        self._unread_bytes += size
+        if self._unread_bytes > self._limits.max_header_bytes:
+            self._transport.pause_reading()
+
+    def _receive(self) -> None:
+        if self._phase is _Phase.IDLE:
+            self._phase = _Phase.RECEIVING
+            self._set_timer(
+                self._limits.receive_timeout_s, self._receive_timed_out
+            )
+        try:
+            while self._phase is _Phase.RECEIVING:
+                event = self._http.next_event()
+                if event is h11.NEED_DATA:
+                    self._continue_if_asked()
+                    return
+                self._take(event)
+        except h11.RemoteProtocolError as error:
+            self._reject_malformed(error)
+
+    def _continue_if_asked(self) -> None:
+        if self._http.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            self._transport.write(self._http.send(go_on) or b"")
+
+    def _take(self, event: object) -> None:
+        match event:
+            case h11.Request():
+                self._request = event
+                self._check_size(event)
+            case h11.Data():
+                self._body += event.data
+                if len(self._body) > self._limits.max_body_bytes:
+                    self._reject_body()
+            case h11.EndOfMessage():
+                self._dispatch()
+            case _:
+                self._transport.close()
+                self._phase = _Phase.LINGERING
+
+    def _check_size(self, request: h11.Request) -> None:
+        header_bytes = len(request.target)
+        for name, value in request.headers:
+            header_bytes += len(name) + len(value)
+            if name == b"content-length":
+                declared = int(value)
+                if declared > self._limits.max_body_bytes:
+                    self._reject_body()
+                    return
+        if header_bytes > self._limits.max_header_bytes:
+            self._reject_headers()
+
+    def _reject_body(self) -> None:
+        self._reject(
+            413,
+            "body_too_large",
+            "the request body is larger than "
+            f"{self._limits.max_body_bytes} bytes; send fewer or smaller tasks",
+        )
+
+    def _reject_headers(self) -> None:
+        self._reject(
+            431,
+            "headers_too_large",
+            "the request line and headers are larger than "
+            f"{self._limits.max_header_bytes} bytes; send fewer headers",
+        )
+
+    def _reject_malformed(self, error: h11.RemoteProtocolError) -> None:
+        if error.error_status_hint == 431:
+            self._reject_headers()
+            return
+        self._reject(
+            400,
+            "malformed_request",
+            f"not a valid HTTP/1.1 request ({error}); correct the client",
+        )
+
+    def _receive_timed_out(self) -> None:
+        self._reject(
+            408,
+            "receive_timeout",
+            "the request did not arrive whole within "
+            f"{self._limits.receive_timeout_s} s; send it again, faster",
+        )
+
+    def _reject(self, status: int, kind: str, detail: str) -> None:
+        """Answers without the handler, then closes."""
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            response = error_response(status, kind, detail)
+            self._transport.write(self._encode(response, close=True))
+        self._linger()
+
+    def _linger(self) -> None:
+        self._phase = _Phase.LINGERING
+        self._body.clear()
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._set_timer(LINGER_S, self.abort)
+
+    def _dispatch(self) -> None:
+        assert self._request is not None
+        request = _to_request(self._request, bytes(self._body))
+        self._body.clear()
+        self._cancel_timer()
+        self._phase = _Phase.HANDLING
+        self._unread_bytes = 0
+        self._task = self._loop.create_task(self._handle(request))
+
+    async def _handle(self, request: http_types.HttpRequest) -> None:
+        try:
+            response = await self._shared.handler(request)
+        except DropConnection:
+            self.abort()
+            return
+        except Exception:
+            _LOG.exception(
+                "event=handler_failed method=%s path=%s",
+                request.method,
+                request.path,
+            )
+            response = error_response(
+                500, "internal", "the handler failed; see the log of this host"
+            )
+        self._task = None
+        self._respond(response)
+
+    def _respond(self, response: http_types.HttpResponse) -> None:
+        self._transport.write(
+            self._encode(response, close=self._shared.stopping)
+        )
+        if self._http.our_state is not h11.DONE:
+            self._phase = _Phase.LINGERING
+            self._transport.close()
+            return
+        self._http.start_next_cycle()
+        self._phase = _Phase.IDLE
+        if not self._write_paused:
+            self._next_request()
+
+    def _next_request(self) -> None:
+        self._transport.resume_reading()
+        if self._http.trailing_data[0]:
+            self._receive()
+        else:
+            self._set_timer(self._limits.idle_timeout_s, self._transport.close)
+
+    def _encode(
+        self, response: http_types.HttpResponse, *, close: bool
+    ) -> bytes:
+        headers = list(response.headers.items())
+        headers.append(("content-length", str(len(response.body))))
+        if response.body and "content-type" not in response.headers:
+            headers.append(("content-type", "application/json"))
+        if close:
+            headers.append(("connection", "close"))
+        head = h11.Response(status_code=response.status, headers=headers)
+        parts = [self._http.send(head) or b""]
+        if self._request is None or self._request.method != b"HEAD":
+            parts.append(self._http.send(h11.Data(data=response.body)) or b"")
+        parts.append(self._http.send(h11.EndOfMessage()) or b"")
+        return b"".join(parts)
+
+    def _set_timer(
+        self, delay_s: float, callback: Callable[[], object]
+    ) -> None:
+        self._cancel_timer()
+        self._timer = self._loop.call_later(delay_s, callback)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+def _to_request(request: h11.Request, body: bytes) -> http_types.HttpRequest:
+    path, _, query = request.target.decode("latin-1").partition("?")
+    return http_types.HttpRequest(
+        request.method.decode("latin-1"),
+        urllib.parse.unquote(path),
+        dict(urllib.parse.parse_qsl(query)) if query else {},
+        {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in request.headers
+        },
+        body,
+    )
