--- /dev/null
+++ b/godwitnotch/net/platform_client.py
@@ -0,0 +1,340 @@
+"""The platform's services; docs/design/platform-protocol.md is the protocol."""
+
+import base64
+import json
+import urllib.parse
+from collections.abc import Iterable
+from collections.abc import Sequence
+from dataclasses import asdict
+from dataclasses import dataclass
+from typing import Any
+from typing import Protocol
+
+from godwitnotch.core import ids
+from godwitnotch.core import model
+from godwitnotch.net import http_client
+from godwitnotch.net import http_types
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+_OK = 200
+_BAD_REQUEST = 400
+_NOT_FOUND = 404
+_CONFLICT = 409
+_SERVER_ERROR = 500
+
+
+@dataclass(frozen=True, slots=True)
+class Committed:
+    """A transaction took effect."""
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """A transaction had no effect; the rows are those that differed."""
+
+    rows: tuple[model.Row, ...]
+
+
+@dataclass(slots=True)
+class PlatformCounts:
+    """What the platform was asked for.
+
+    Attributes:
+        reads: Exchanges that read.
+        writes: Exchanges that write.
+        failures: Exchanges that failed.
+        bytes_sent: Bytes of request bodies.
+        bytes_received: Bytes of answer bodies.
+    """
+
+    reads: int = 0
+    writes: int = 0
+    failures: int = 0
+    bytes_sent: int = 0
+    bytes_received: int = 0
+
+
+class PlatformUnavailable(Exception):
+    """The platform gave no answer.
+
+    Attributes:
+        uncertain: True where a write may have taken effect.
+    """
+
+    def __init__(self, detail: str, *, uncertain: bool) -> None:
+        super().__init__(detail)
+        self.uncertain = uncertain
+
+
+class Platform(Protocol):
+    """What the platform gives; each call raises PlatformUnavailable.
+
+    Deadlines are loop times at which a call is given up.
+    """
+
+    async def transact(
+        self, writes: Sequence[model.RowWrite], *, deadline: float
+    ) -> Committed | Conflict:
+        """Writes all rows or none."""
+
+    async def read(
+        self, keys: Sequence[str], *, deadline: float
+    ) -> tuple[model.Row, ...]:
+        """Reads rows in the order of the keys; absent ones have version 0."""
+
+    async def scan(
+        self, prefix: str, *, deadline: float
+    ) -> tuple[model.Row, ...]:
+        """Reads the rows whose key starts with a prefix."""
+
+    async def directory(self, *, deadline: float) -> model.Directory:
+        """Returns the list of live and leaving hosts and upstreams."""
+
+    async def register(
+        self, entry: model.HostEntry, *, deadline: float
+    ) -> None:
+        """Keeps a host in the list for a while."""
+
+    async def put_object(
+        self, name: str, body: bytes, *, deadline: float
+    ) -> None:
+        """Stores an object."""
+
+    async def get_object(self, name: str, *, deadline: float) -> bytes | None:
+        """Returns an object, or None if there is none."""
+
+
+class PlatformClient:
+    """Reaches the platform over HTTP.
+
+    Args:
+        address: IP number and port of the platform.
+        client: The HTTP client whose pools are used.
+    """
+
+    def __init__(
+        self, address: str, *, client: http_client.HttpClient | None = None
+    ) -> None:
+        self._address = address
+        self._client = client or http_client.HttpClient()
+        self._counts = PlatformCounts()
+
+    @property
+    def counts(self) -> PlatformCounts:
+        """Returns what was asked so far."""
+        return self._counts
+
+    async def transact(
+        self, writes: Sequence[model.RowWrite], *, deadline: float
+    ) -> Committed | Conflict:
+        """Writes all rows or none."""
+        body = json.dumps({"writes": [_write_json(write) for write in writes]})
+        response = await self._write(
+            "POST", "/table/transact", body.encode(), deadline
+        )
+        if response.status == _CONFLICT:
+            return Conflict(self._rows(response, uncertain=False))
+        self._check(response, writing=True)
+        return Committed()
+
+    async def read(
+        self, keys: Sequence[str], *, deadline: float
+    ) -> tuple[model.Row, ...]:
+        """Reads rows in the order of the keys; absent ones have version 0."""
+        body = json.dumps({"keys": list(keys)}).encode()
+        response = await self._read("POST", "/table/read", deadline, body=body)
+        return self._rows(response, uncertain=False)
+
+    async def scan(
+        self, prefix: str, *, deadline: float
+    ) -> tuple[model.Row, ...]:
+        """Reads the rows whose key starts with a prefix."""
+        target = f"/table/scan?prefix={urllib.parse.quote(prefix, safe='')}"
+        response = await self._read("GET", target, deadline)
+        return self._rows(response, uncertain=False)
+
+    async def directory(self, *, deadline: float) -> model.Directory:
+        """Returns the list of live and leaving hosts and upstreams."""
+        response = await self._read("GET", "/hosts", deadline)
+        try:
+            return directory_from_json(json.loads(response.body))
+        except (ValueError, KeyError, TypeError) as error:
+            raise self._malformed(error, uncertain=False) from error
+
+    async def register(
+        self, entry: model.HostEntry, *, deadline: float
+    ) -> None:
+        """Keeps a host in the list for a while."""
+        body = json.dumps(asdict(entry)).encode()
+        response = await self._write("POST", "/hosts", body, deadline)
+        self._check(response, writing=True)
+
+    async def put_object(
+        self, name: str, body: bytes, *, deadline: float
+    ) -> None:
+        """Stores an object."""
+        response = await self._write("PUT", _object_path(name), body, deadline)
+        self._check(response, writing=True)
+
+    async def get_object(self, name: str, *, deadline: float) -> bytes | None:
+        """Returns an object, or None if there is none."""
+        response = await self._read(
+            "GET", _object_path(name), deadline, absent_ok=True
+        )
+        return None if response.status == _NOT_FOUND else response.body
+
+    async def close(self) -> None:
+        """Closes the idle connections."""
+        await self._client.close()
+
+    async def _write(
+        self, method: str, path: str, body: bytes, deadline: float
+    ) -> http_types.HttpResponse:
+        self._counts.writes += 1
+        return await self._exchange(
+            http_types.HttpRequest(method, path, body=body), deadline, True
+        )
+
+    async def _read(
+        self,
+        method: str,
+        path: str,
+        deadline: float,
+        *,
+        body: bytes = b"",
+        absent_ok: bool = False,
+    ) -> http_types.HttpResponse:
+        self._counts.reads += 1
+        response = await self._exchange(
+            http_types.HttpRequest(method, path, body=body), deadline, False
+        )
+        if not (absent_ok and response.status == _NOT_FOUND):
+            self._check(response, writing=False)
+        return response
+
+    async def _exchange(
+        self, request: http_types.HttpRequest, deadline: float, writing: bool
+    ) -> http_types.HttpResponse:
+        self._counts.bytes_sent += len(request.body)
+        try:
+            response = await self._client.request(
+                self._address,
+                request,
+                deadline=deadline,
+                max_body_bytes=MAX_ANSWER_BYTES,
+            )
+        except http_client.ExchangeError as error:
+            self._counts.failures += 1
+            sent = error.progress is http_client.Progress.SENT
+            raise PlatformUnavailable(
+                str(error), uncertain=writing and sent
+            ) from error
+        self._counts.bytes_received += len(response.body)
+        return response
+
+    def _check(
+        self, response: http_types.HttpResponse, *, writing: bool
+    ) -> None:
+        if response.status == _OK:
+            return
+        self._counts.failures += 1
+        raise PlatformUnavailable(
+            f"the platform at {self._address} answered {response.status} "
+            f"{response.body[:200]!r}; see its own log",
+            uncertain=writing and response.status >= _SERVER_ERROR,
+        )
+
+    def _rows(
+        self, response: http_types.HttpResponse, *, uncertain: bool
+    ) -> tuple[model.Row, ...]:
+        try:
+            return tuple(
+                row_from_json(row) for row in json.loads(response.body)["rows"]
+            )
+        except (ValueError, KeyError, TypeError) as error:
+            raise self._malformed(error, uncertain=uncertain) from error
+
+    def _malformed(
+        self, error: Exception, *, uncertain: bool
+    ) -> PlatformUnavailable:
+        self._counts.failures += 1
+        return PlatformUnavailable(
+            f"the platform at {self._address} sent a malformed answer "
+            f"({error!r}); check the address in the settings",
+            uncertain=uncertain,
+        )
+
+
+def row_json(row: model.Row) -> dict[str, object]:
+    """Returns a row as the protocol writes it."""
+    return {
+        "key": row.key,
+        "version": row.version,
+        "value": base64.b64encode(row.value).decode(),
+    }
+
+
+def row_from_json(row: dict[str, Any]) -> model.Row:
+    """Returns a row that the protocol wrote."""
+    return model.Row(
+        row["key"], int(row["version"]), base64.b64decode(row["value"])
+    )
+
+
+def writes_from_json(writes: Iterable[dict[str, Any]]) -> list[model.RowWrite]:
+    """Returns the writes of a transaction that the protocol wrote."""
+    return [
+        model.RowWrite(
+            write["key"],
+            None
+            if write["value"] is None
+            else base64.b64decode(write["value"]),
+            write["expected_version"],
+        )
+        for write in writes
+    ]
+
+
+def host_from_json(entry: dict[str, Any]) -> model.HostEntry:
+    """Returns a host's entry that the protocol wrote."""
+    return model.HostEntry(
+        ids.HostId(entry["host"]),
+        ids.DomainId(entry["domain"]),
+        ids.Incarnation(entry["incarnation"]),
+        entry["address"],
+        bool(entry.get("leaving", False)),
+    )
+
+
+def upstream_from_json(entry: dict[str, Any]) -> model.UpstreamEntry:
+    """Returns an upstream's entry that the protocol wrote."""
+    return model.UpstreamEntry(
+        ids.UpstreamId(entry["upstream"]),
+        ids.DomainId(entry["domain"]),
+        str(entry.get("rack", "")),
+        entry["address"],
+        int(entry["slots"]),
+        int(entry["connections"]),
+        bool(entry.get("leaving", False)),
+    )
+
+
+def directory_from_json(listing: dict[str, Any]) -> model.Directory:
+    """Returns the list that the protocol wrote."""
+    return model.Directory(
+        tuple(host_from_json(entry) for entry in listing["hosts"]),
+        tuple(upstream_from_json(entry) for entry in listing["upstreams"]),
+    )
+
+
+def _write_json(write: model.RowWrite) -> dict[str, object]:
+    value = write.value
+    return {
+        "key": write.key,
+        "value": None if value is None else base64.b64encode(value).decode(),
+        "expected_version": write.expected_version,
+    }
+
+
+def _object_path(name: str) -> str:
+    return f"/objects/{urllib.parse.quote(name, safe='')}"
--- /dev/null
+++ b/godwitnotch/standins/platform.py
@@ -0,0 +1,187 @@
+"""A stand-in of the platform: table, objects and host list, in memory."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from collections.abc import Sequence
+from dataclasses import asdict
+from dataclasses import dataclass
+from dataclasses import replace
+
+import yaml
+
+from godwitnotch.core import ids
+from godwitnotch.core import model
+from godwitnotch.net import http_server
+from godwitnotch.net import http_types
+from godwitnotch.net import platform_client
+from godwitnotch.standins import faults
+from godwitnotch.standins import table
+
+DEFAULT_REGISTRATION_S = 5.0
+_MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+def read_upstreams(text: str) -> list[model.UpstreamEntry]:
+    """Returns the upstreams of a YAML list.
+
+    Raises:
+        ValueError: An entry lacks a key or has a malformed value.
+    """
+    entries = yaml.safe_load(text) or []
+    try:
+        return [platform_client.upstream_from_json(entry) for entry in entries]
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(
+            f"malformed list of upstreams ({error!r}); each entry needs "
+            "upstream, domain, address, slots and connections"
+        ) from error
+
+
+class Platform:
+    """Serves the platform protocol from memory.
+
+    Args:
+        upstreams: The upstreams in the list.
+        registration_s: How long a host stays listed after it registered.
+    """
+
+    def __init__(
+        self,
+        upstreams: Sequence[model.UpstreamEntry] = (),
+        *,
+        registration_s: float = DEFAULT_REGISTRATION_S,
+    ) -> None:
+        self.table = table.Table()
+        self.faults = faults.Faults()
+        self._upstreams = {entry.upstream: entry for entry in upstreams}
+        self._registration_s = registration_s
+        self._hosts: dict[ids.HostId, _Registration] = {}
+        self._objects: dict[str, bytes] = {}
+        self._server = http_server.HttpServer(
+            faults.faulty(self._handle, lambda: self.faults),
+            limits=http_types.HttpLimits(max_body_bytes=_MAX_BODY_BYTES),
+        )
+
+    async def start(self, host: str, port: int) -> int:
+        """Listens on an address and returns the bound port."""
+        return await self._server.start(host, port)
+
+    async def stop(self) -> None:
+        """Closes all connections."""
+        await self._server.stop(deadline=asyncio.get_running_loop().time())
+
+    def set_upstream(self, entry: model.UpstreamEntry) -> None:
+        """Adds or replaces an upstream in the list."""
+        self._upstreams[entry.upstream] = entry
+
+    def set_leaving(self, upstream: ids.UpstreamId, *, leaving: bool) -> None:
+        """Marks an upstream as leaving or not.
+
+        Raises:
+            KeyError: The list has no such upstream.
+        """
+        entry = self._upstreams[upstream]
+        self._upstreams[upstream] = replace(entry, leaving=leaving)
+
+    async def _handle(
+        self, request: http_types.HttpRequest
+    ) -> http_types.HttpResponse:
+        route = _ROUTES.get((request.method, request.path))
+        try:
+            if route is not None:
+                return route(self, request)
+            if request.path.startswith("/objects/"):
+                return self._object(request)
+            if request.path.startswith("/upstreams/"):
+                return self._mark(request)
+        except (ValueError, KeyError, TypeError) as error:
+            return http_server.error_response(
+                400, "bad_request", f"{error!r}; see platform-protocol.md"
+            )
+        return http_server.error_response(
+            404, "not_found", "no such path; see platform-protocol.md"
+        )
+
+    def _transact(
+        self, request: http_types.HttpRequest
+    ) -> http_types.HttpResponse:
+        writes = platform_client.writes_from_json(
+            json.loads(request.body)["writes"]
+        )
+        differing = self.table.transact(writes)
+        return _rows(differing, 409 if differing else 200)
+
+    def _read(self, request: http_types.HttpRequest) -> http_types.HttpResponse:
+        return _rows(self.table.read(json.loads(request.body)["keys"]), 200)
+
+    def _scan(self, request: http_types.HttpRequest) -> http_types.HttpResponse:
+        return _rows(self.table.scan(request.query.get("prefix", "")), 200)
+
+    def _list(self, request: http_types.HttpRequest) -> http_types.HttpResponse:
+        now = asyncio.get_running_loop().time()
+        hosts = [
+            asdict(registration.entry)
+            for registration in self._hosts.values()
+            if registration.expires_at > now
+        ]
+        upstreams = [asdict(entry) for entry in self._upstreams.values()]
+        return _json({"hosts": hosts, "upstreams": upstreams})
+
+    def _register(
+        self, request: http_types.HttpRequest
+    ) -> http_types.HttpResponse:
+        entry = platform_client.host_from_json(json.loads(request.body))
+        now = asyncio.get_running_loop().time()
+        self._hosts[entry.host] = _Registration(
+            entry, now + self._registration_s
+        )
+        return _json({})
+
+    def _object(
+        self, request: http_types.HttpRequest
+    ) -> http_types.HttpResponse:
+        name = request.path.removeprefix("/objects/")
+        if request.method == "PUT":
+            self._objects[name] = request.body
+            return _json({})
+        if name not in self._objects:
+            return http_server.error_response(
+                404, "not_found", f"no object {name!r}; put it first"
+            )
+        return http_types.HttpResponse(
+            200,
+            self._objects[name],
+            {"content-type": "application/octet-stream"},
+        )
+
+    def _mark(self, request: http_types.HttpRequest) -> http_types.HttpResponse:
+        name = request.path.removeprefix("/upstreams/")
+        leaving = json.loads(request.body)["leaving"]
+        self.set_leaving(ids.UpstreamId(name), leaving=bool(leaving))
+        return _json({})
+
+
+@dataclass(frozen=True, slots=True)
+class _Registration:
+    entry: model.HostEntry
+    expires_at: float
+
+
+_Route = Callable[[Platform, http_types.HttpRequest], http_types.HttpResponse]
+_ROUTES: dict[tuple[str, str], _Route] = {
+    ("POST", "/table/transact"): Platform._transact,
+    ("POST", "/table/read"): Platform._read,
+    ("GET", "/table/scan"): Platform._scan,
+    ("GET", "/hosts"): Platform._list,
+    ("POST", "/hosts"): Platform._register,
+}
+
+
+def _rows(rows: Sequence[model.Row], status: int) -> http_types.HttpResponse:
+    body = {"rows": [platform_client.row_json(row) for row in rows]}
+    return http_types.HttpResponse(status, json.dumps(body).encode())
+
+
+def _json(value: object) -> http_types.HttpResponse:
+    return http_types.HttpResponse(200, json.dumps(value).encode())
--- /dev/null
+++ b/godwitnotch/standins/table.py
@@ -0,0 +1,62 @@
+"""The transactional table that stands in for the platform's: no I/O."""
+
+from collections.abc import Iterable
+
+from godwitnotch.core import model
+
+
+class Table:
+    """Rows with versions; a write raises its row's version by one from 1."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, model.Row] = {}
+
+    def transact(
+        self, writes: Iterable[model.RowWrite]
+    ) -> tuple[model.Row, ...]:
+        """Applies all writes, or none.
+
+        Returns:
+            The rows whose version was not the expected one, in the order of
+            the writes; empty if the transaction took effect.
+
+        Raises:
+            ValueError: Two writes name the same key.
+        """
+        writes = tuple(writes)
+        if len({write.key for write in writes}) != len(writes):
+            raise ValueError(
+                "two writes of a transaction name the same key; merge them"
+            )
+        differing = tuple(
+            self._row(write.key)
+            for write in writes
+            if write.expected_version is not None
+            and write.expected_version != self._row(write.key).version
+        )
+        if not differing:
+            for write in writes:
+                self._apply(write)
+        return differing
+
+    def read(self, keys: Iterable[str]) -> tuple[model.Row, ...]:
+        """Returns the rows in the order of the keys, absent ones included."""
+        return tuple(self._row(key) for key in keys)
+
+    def scan(self, prefix: str) -> tuple[model.Row, ...]:
+        """Returns the rows whose key starts with a prefix, by key."""
+        return tuple(
+            self._rows[key]
+            for key in sorted(self._rows)
+            if key.startswith(prefix)
+        )
+
+    def _row(self, key: str) -> model.Row:
+        return self._rows.get(key) or model.Row(key, 0, b"")
+
+    def _apply(self, write: model.RowWrite) -> None:
+        if write.value is None:
+            self._rows.pop(write.key, None)
+            return
+        version = self._row(write.key).version + 1
+        self._rows[write.key] = model.Row(write.key, version, write.value)
--- /dev/null
+++ b/godwitnotch/standins/upstream.py
@@ -0,0 +1,139 @@
+"""A stand-in of an upstream: runs a task by sleeping."""
+
+import asyncio
+import json
+from dataclasses import asdict
+from dataclasses import dataclass
+
+from godwitnotch.net import http_server
+from godwitnotch.net import http_types
+from godwitnotch.net import upstream_client
+from godwitnotch.standins import faults
+
+STARTS_PATH = "/starts"
+DEFAULT_SLOTS = 8
+_RETRY_AFTER_S = 1
+
+
+@dataclass(slots=True)
+class Start:
+    """One task start, as `GET /starts` lists it.
+
+    Attributes:
+        submission_id: Submission that the task belongs to.
+        task_index: Index of the task in its job.
+        started_at: Loop time of the start.
+        ended_at: Loop time of the end; None while running or if cut.
+    """
+
+    submission_id: str
+    task_index: int
+    started_at: float
+    ended_at: float | None = None
+
+
+class Upstream:
+    """Serves the upstream protocol.
+
+    A task's body is a JSON object: `sleep_ms` is how long it takes at speed
+    1.0, and `fail` makes it fail. The answer to a task is its own body. The
+    slot is freed at once when the dispatcher closes the connection.
+
+    Args:
+        slots: Tasks that run at once; more are refused as not started.
+        speed: How many times faster than the reference.
+    """
+
+    def __init__(
+        self, *, slots: int = DEFAULT_SLOTS, speed: float = 1.0
+    ) -> None:
+        self.faults = faults.Faults()
+        self.starts: list[Start] = []
+        self._slots = slots
+        self._speed = speed
+        self._running = 0
+        self._refused = 0
+        self._server = http_server.HttpServer(
+            faults.faulty(
+                self._handle,
+                lambda: self.faults,
+                exempt=frozenset((STARTS_PATH,)),
+            ),
+            limits=http_types.HttpLimits(),
+        )
+
+    @property
+    def running(self) -> int:
+        """Returns how many tasks run now."""
+        return self._running
+
+    async def start(self, host: str, port: int) -> int:
+        """Listens on an address and returns the bound port."""
+        return await self._server.start(host, port)
+
+    async def stop(self) -> None:
+        """Cuts all tasks and closes all connections."""
+        await self._server.stop(deadline=asyncio.get_running_loop().time())
+
+    async def _handle(
+        self, request: http_types.HttpRequest
+    ) -> http_types.HttpResponse:
+        if request.path == STARTS_PATH:
+            return self._list()
+        if request.method != "POST":
+            return http_server.error_response(
+                405, "bad_method", "send tasks by POST"
+            )
+        if self.faults.not_started:
+            return self._refuse(self.faults.not_started)
+        if self._running >= self._slots:
+            return self._refuse("full")
+        return await self._run(request)
+
+    def _list(self) -> http_types.HttpResponse:
+        body = {
+            "starts": [asdict(start) for start in self.starts],
+            "refused": self._refused,
+        }
+        return http_types.HttpResponse(200, json.dumps(body).encode())
+
+    def _refuse(self, why: str) -> http_types.HttpResponse:
+        self._refused += 1
+        headers = {
+            upstream_client.NOT_STARTED_HEADER: why,
+            upstream_client.RETRY_AFTER_HEADER: str(_RETRY_AFTER_S),
+        }
+        return http_types.HttpResponse(503, b"", headers)
+
+    async def _run(
+        self, request: http_types.HttpRequest
+    ) -> http_types.HttpResponse:
+        loop = asyncio.get_running_loop()
+        start = Start(
+            request.headers.get(upstream_client.SUBMISSION_HEADER, ""),
+            int(request.headers.get(upstream_client.TASK_HEADER, "-1")),
+            loop.time(),
+        )
+        self.starts.append(start)
+        if self.faults.fail_fast:
+            return _failed("this upstream fails everything")
+        self._running += 1
+        try:
+            task = json.loads(request.body)
+            await asyncio.sleep(task["sleep_ms"] / 1000 / self._speed)
+        except (ValueError, KeyError, TypeError) as error:
+            return _failed(f"sleep_ms must be a number ({error!r})")
+        finally:
+            self._running -= 1
+        start.ended_at = loop.time()
+        if task.get("fail"):
+            return _failed("the task asked to fail")
+        headers = {
+            upstream_client.SUBMISSION_HEADER: start.submission_id,
+            upstream_client.TASK_HEADER: str(start.task_index),
+        }
+        return http_types.HttpResponse(200, request.body, headers)
+
+
+def _failed(detail: str) -> http_types.HttpResponse:
+    return http_server.error_response(500, "task_failed", detail)
