--- /dev/null
+++ b/godwitnotch/checked_yaml.py
@@ -0,0 +1,299 @@
+"""Checks YAML documents against pydantic models, all problems at once."""
+
+import difflib
+import types
+import typing
+from collections.abc import Iterator
+from collections.abc import Mapping
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+from typing import TypeVar
+
+import pydantic
+import pydantic_core
+import yaml
+from pydantic import fields
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+Path = tuple[str | int, ...]
+
+_MAX_SHOWN_CHARS = 60
+_LEAF = "[key]"  # How pydantic marks a problem of a mapping's key itself.
+
+
+class Checked(pydantic.BaseModel):
+    """Base of all checked documents: strict types, no unknown keys.
+
+    Each field states what is allowed in its description and gives an example.
+    """
+
+    model_config = pydantic.ConfigDict(
+        extra="forbid", frozen=True, strict=True, hide_input_in_errors=True
+    )
+
+
+Model = TypeVar("Model", bound=Checked)
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One problem of a document.
+
+    Attributes:
+        source: Name of the file, or of the request that carried the document.
+        line: Line in the file, from 1; None where there is no file.
+        key: Path of the key, joined by dots; empty for the whole document.
+        found: What was found there; never a secret.
+        allowed: What is allowed there.
+        remedy: What to do.
+    """
+
+    source: str
+    line: int | None
+    key: str
+    found: str
+    allowed: str
+    remedy: str
+
+    def __str__(self) -> str:
+        place = (
+            self.source if self.line is None else f"{self.source}:{self.line}"
+        )
+        key = self.key or "(document)"
+        return (
+            f"{place}: {key}: found {self.found}; "
+            f"allowed: {self.allowed}; remedy: {self.remedy}"
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class InvalidDocument:
+    """Every problem of a document, in the order of its lines."""
+
+    problems: tuple[Problem, ...]
+
+    def __str__(self) -> str:
+        return "\n".join(str(problem) for problem in self.problems)
+
+
+def check_text(
+    text: str, kind: type[Model], *, source: str
+) -> Result[Model, InvalidDocument]:
+    """Reads a YAML document and checks it against a model."""
+    loader = yaml.SafeLoader(text)
+    try:
+        root = loader.get_single_node()
+        if root is None:
+            return Failure(_one(source, 1, "nothing", "a YAML mapping"))
+        data = loader.construct_document(root)
+    except yaml.MarkedYAMLError as error:
+        line = error.problem_mark.line + 1 if error.problem_mark else 1
+        return Failure(_one(source, line, str(error.problem), "valid YAML"))
+    except (yaml.YAMLError, ValueError, TypeError, RecursionError) as error:
+        found = str(error).splitlines()[0]
+        return Failure(_one(source, 1, found, "valid YAML"))
+    finally:
+        loader.dispose()
+    lines: dict[Path, int] = {}
+    repeated = tuple(_index_lines(root, (), lines, source, set()))
+    checked = check_value(data, kind, source=source, lines=lines)
+    if not repeated:
+        return checked
+    return Failure(
+        checked.swap()
+        .map(lambda invalid: _in_order(repeated + invalid.problems))
+        .value_or(_in_order(repeated))
+    )
+
+
+def check_value(
+    value: object,
+    kind: type[Model],
+    *,
+    source: str,
+    lines: Mapping[Path, int] | None = None,
+) -> Result[Model, InvalidDocument]:
+    """Checks a value, already read, against a model."""
+    try:
+        return Success(kind.model_validate(value))
+    except pydantic.ValidationError as error:
+        details = error.errors(include_url=False)
+    problems = [_problem(kind, detail, source, lines) for detail in details]
+    return Failure(_in_order(problems))
+
+
+def custom_problem(allowed: str) -> pydantic_core.PydanticCustomError:
+    """Returns the error that a validator raises for a value not allowed."""
+    return pydantic_core.PydanticCustomError(
+        "not_allowed", "{allowed}", {"allowed": allowed}
+    )
+
+
+def _one(source: str, line: int, found: str, allowed: str) -> InvalidDocument:
+    problem = Problem(
+        source, line, "", found, allowed, "correct this line and check again"
+    )
+    return InvalidDocument((problem,))
+
+
+def _in_order(problems: Sequence[Problem]) -> InvalidDocument:
+    return InvalidDocument(
+        tuple(sorted(problems, key=lambda problem: problem.line or 0))
+    )
+
+
+def _index_lines(
+    node: yaml.Node,
+    path: Path,
+    lines: dict[Path, int],
+    source: str,
+    seen: set[int],
+) -> Iterator[Problem]:
+    """Fills the line of each path, and yields a problem a repeated key."""
+    lines.setdefault(path, node.start_mark.line + 1)
+    if id(node) in seen:  # An alias may lead back to its own anchor.
+        return
+    seen.add(id(node))
+    if isinstance(node, yaml.SequenceNode):
+        for index, item in enumerate(node.value):
+            yield from _index_lines(item, (*path, index), lines, source, seen)
+    if not isinstance(node, yaml.MappingNode):
+        return
+    for key_node, value_node in node.value:
+        inner = (*path, str(key_node.value))
+        line = key_node.start_mark.line + 1
+        if inner in lines:
+            yield _repeated(source, line, inner, lines[inner])
+        lines[inner] = line
+        yield from _index_lines(value_node, inner, lines, source, seen)
+
+
+def _repeated(source: str, line: int, path: Path, first: int) -> Problem:
+    return Problem(
+        source,
+        line,
+        _dotted(path),
+        f"the key again, first given in line {first}",
+        "each key once",
+        "remove one of the two",
+    )
+
+
+@dataclass(slots=True)
+class _Place:
+    """What a model says about one path."""
+
+    field: fields.FieldInfo | None
+    siblings: tuple[str, ...]
+    hidden: bool
+
+
+def _problem(
+    kind: type[Checked],
+    detail: pydantic_core.ErrorDetails,
+    source: str,
+    lines: Mapping[Path, int] | None,
+) -> Problem:
+    path = tuple(part for part in detail["loc"] if part != _LEAF)
+    place = _place(kind, path)
+    line = _line(path, lines) if lines is not None else None
+    if detail["type"] == "extra_forbidden":
+        return _unknown_key(source, line, path, place)
+    allowed = _allowed(detail, place)
+    if detail["type"] == "missing":
+        remedy = f"add the key{_example(place)}"
+        return Problem(source, line, _dotted(path), "nothing", allowed, remedy)
+    found = "a value (not shown)" if place.hidden else _shown(detail["input"])
+    remedy = f"give an allowed value{_example(place)}"
+    return Problem(source, line, _dotted(path), found, allowed, remedy)
+
+
+def _unknown_key(
+    source: str, line: int | None, path: Path, place: _Place
+) -> Problem:
+    nearest = difflib.get_close_matches(str(path[-1]), place.siblings, n=1)
+    remedy = f"write {nearest[0]!r}" if nearest else "remove it"
+    return Problem(
+        source,
+        line,
+        _dotted(path),
+        "an unknown key",
+        f"the keys {', '.join(place.siblings)}",
+        remedy,
+    )
+
+
+def _allowed(detail: pydantic_core.ErrorDetails, place: _Place) -> str:
+    if detail["type"] == "not_allowed":
+        return str(detail["msg"])
+    if place.field is not None and place.field.description:
+        return place.field.description
+    return str(detail["msg"]).removeprefix("Input should be ")
+
+
+def _example(place: _Place) -> str:
+    examples = place.field.examples if place.field is not None else None
+    if not examples:
+        return ""
+    return f", for example {examples[0]!r}"
+
+
+def _shown(value: object) -> str:
+    text = repr(value)
+    if len(text) > _MAX_SHOWN_CHARS:
+        return text[:_MAX_SHOWN_CHARS] + "..."
+    return text
+
+
+def _line(path: Path, lines: Mapping[Path, int]) -> int:
+    """Returns the line of a path, or of the nearest one around it."""
+    while path and path not in lines:
+        path = path[:-1]
+    return lines.get(path, 1)
+
+
+def _dotted(path: Path) -> str:
+    return ".".join(str(part) for part in path)
+
+
+def _place(kind: type[Checked], path: Path) -> _Place:
+    place = _Place(None, (), False)
+    annotation: Any = kind
+    for part in path:
+        annotation = _without_none(annotation)
+        if _is_model(annotation):
+            known = annotation.model_fields
+            place.siblings = tuple(known)
+            place.field = known.get(str(part))
+            if place.field is None:
+                break
+            place.hidden |= _is_hidden(place.field)
+            annotation = place.field.annotation
+        else:
+            arguments = typing.get_args(annotation)
+            annotation = arguments[-1] if arguments else None
+    return place
+
+
+def _without_none(annotation: Any) -> Any:
+    if typing.get_origin(annotation) not in (typing.Union, types.UnionType):
+        return annotation
+    return next(
+        argument
+        for argument in typing.get_args(annotation)
+        if argument is not type(None)
+    )
+
+
+def _is_model(annotation: Any) -> bool:
+    return isinstance(annotation, type) and issubclass(
+        annotation, pydantic.BaseModel
+    )
+
+
+def _is_hidden(field: fields.FieldInfo) -> bool:
+    extra = field.json_schema_extra
+    return isinstance(extra, dict) and bool(extra.get("hidden"))
--- /dev/null
+++ b/godwitnotch/log.py
@@ -0,0 +1,168 @@
+"""Logs one line of key=value pairs for each event."""
+
+import json
+import logging
+import sys
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TextIO
+
+from godwitnotch.core import actions
+
+LEVELS = ("debug", "info", "warning", "error")
+BURST_LINES = 20  # Lines of one event in a window before it is bounded.
+WINDOW_S = 1.0
+MAX_TRACKED_EVENTS = 1_000
+
+_ROOT = "godwitnotch"
+_PLAIN_CHARS = frozenset(
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789"
+    "-_.:/+@[]()*,"
+)
+
+logger = logging.getLogger(_ROOT)
+
+
+def configure(
+    *,
+    level: str = "info",
+    stream: TextIO | None = None,
+    clock: Callable[[], float] = time.monotonic,
+) -> None:
+    """Sends the log to a stream, standard error unless given.
+
+    Args:
+        level: Least severe level, one of `LEVELS`.
+        stream: Where lines go.
+        clock: Time in seconds, by which repeated events are bounded.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(_LineFormatter())
+    handler.addFilter(RateFilter(clock=clock))
+    for old in tuple(logger.handlers):
+        logger.removeHandler(old)
+    logger.addHandler(handler)
+    logger.propagate = False
+    set_level(level)
+
+
+def set_level(level: str) -> None:
+    """Changes the least severe level that is logged.
+
+    Raises:
+        ValueError: The level is none of `LEVELS`.
+    """
+    if level not in LEVELS:
+        raise ValueError(f"level {level!r} unknown; use {', '.join(LEVELS)}")
+    logger.setLevel(level.upper())
+
+
+def level() -> str:
+    """Returns the least severe level that is logged."""
+    return logging.getLevelName(logger.level).lower()
+
+
+def event(name: str, *, severity: int = logging.INFO, **pairs: object) -> None:
+    """Logs an event; the pairs follow it in the order given."""
+    if not logger.isEnabledFor(severity):
+        return
+    text = " ".join(
+        f"{key}={value_text(value)}" for key, value in pairs.items()
+    )
+    logger.log(severity, text, extra={"event": name})
+
+
+def note(noted: actions.Note) -> None:
+    """Logs an event that the decisions noted.
+
+    Events of one submission are logged at debug level, as there are several a
+    job; the rest at info level.
+    """
+    severity = logging.INFO if noted.submission is None else logging.DEBUG
+    if not logger.isEnabledFor(severity):
+        return
+    parts = []
+    if noted.submission is not None:
+        parts.append(f"submission={value_text(noted.submission)}")
+    if noted.reason is not None:
+        parts.append(f"reason={noted.reason.value}")
+    if noted.detail:
+        parts.append(noted.detail.replace("\n", " "))
+    logger.log(severity, " ".join(parts), extra={"event": noted.event})
+
+
+def value_text(value: object) -> str:
+    """Returns a value as one word, quoted where it has other characters."""
+    text = "" if value is None else str(value)
+    if text and _PLAIN_CHARS.issuperset(text):
+        return text
+    return json.dumps(text)
+
+
+@dataclass(slots=True)
+class _Window:
+    """Lines of one event since a time."""
+
+    started_at: float
+    lines: int = 0
+    dropped: int = 0
+
+
+class RateFilter(logging.Filter):
+    """Passes a bounded number of lines of an event in each window.
+
+    The first line of the next window tells how many were dropped.
+    """
+
+    def __init__(self, *, clock: Callable[[], float]) -> None:
+        super().__init__()
+        self._clock = clock
+        self._windows: OrderedDict[str, _Window] = OrderedDict()
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Returns whether the record is written."""
+        name = getattr(record, "event", record.name)
+        now = self._clock()
+        window = self._windows.get(name)
+        if window is None or now - window.started_at >= WINDOW_S:
+            record.dropped = window.dropped if window else 0
+            window = self._windows[name] = _Window(now)
+        self._windows.move_to_end(name)
+        if len(self._windows) > MAX_TRACKED_EVENTS:
+            self._windows.popitem(last=False)
+        window.lines += 1
+        if window.lines <= BURST_LINES:
+            return True
+        window.dropped += 1
+        return False
+
+
+class _LineFormatter(logging.Formatter):
+    """Formats a record as one line of key=value pairs."""
+
+    converter = time.gmtime
+    default_time_format = "%Y-%m-%dT%H:%M:%S"
+    default_msec_format = "%s.%03dZ"
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Returns the line."""
+        name = getattr(record, "event", None)
+        pairs = record.getMessage()
+        if name is None:  # A library's record.
+            name, pairs = record.name, f"message={value_text(pairs)}"
+        parts = [
+            f"time={self.formatTime(record)}",
+            f"level={record.levelname.lower()}",
+            f"event={value_text(name)}",
+        ]
+        if pairs:
+            parts.append(pairs)
+        dropped = getattr(record, "dropped", 0)
+        if dropped:
+            parts.append(f"dropped={dropped}")
+        if record.exc_info:
+            trace = self.formatException(record.exc_info)
+            parts.append(f"traceback={json.dumps(trace)}")
+        return " ".join(parts)
--- /dev/null
+++ b/godwitnotch/metrics.py
@@ -0,0 +1,119 @@
+"""Counters and latencies of a host, in the Prometheus text format."""
+
+import enum
+from collections import Counter
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+from hdrh import histogram
+
+from godwitnotch.core import actions
+from godwitnotch.core import model
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+QUANTILES = (0.5, 0.9, 0.99, 0.999)
+MAX_LATENCY_S = 3_600
+SIGNIFICANT_DIGITS = 2
+MAX_EVENT_NAMES = 200
+
+_US_PER_S = 1_000_000
+_PREFIX = "godwitnotch"
+
+
+class Latency(enum.Enum):
+    """A duration that is recorded in a histogram."""
+
+    JOB = "job"  # From a job's arrival to its answer, at this host.
+    RESERVE = "reserve"
+    CONFIG_PUT = "config_put"
+
+
+class Metrics:
+    """Counts what a host answers and does; every reason is always shown."""
+
+    def __init__(self) -> None:
+        self._answers: Counter[model.Outcome] = Counter()
+        self._refusals: Counter[model.Reason] = Counter()
+        self._retries: Counter[model.AttemptOutcome] = Counter()
+        self._events: Counter[str] = Counter()
+        self._latencies = {
+            latency: histogram.HdrHistogram(
+                1, MAX_LATENCY_S * _US_PER_S, SIGNIFICANT_DIGITS
+            )
+            for latency in Latency
+        }
+        self._sums_s = dict.fromkeys(Latency, 0.0)
+
+    def count_answer(self, answer: model.JobAnswer) -> None:
+        """Counts an answer given to a caller, and its reason."""
+        self._answers[answer.outcome] += 1
+        if answer.reason is not None:
+            self._refusals[answer.reason] += 1
+
+    def count_note(self, noted: actions.Note) -> None:
+        """Counts an event, and the outcome of the attempt that it names."""
+        if isinstance(noted.reason, model.AttemptOutcome):
+            self._retries[noted.reason] += 1
+        known = noted.event in self._events
+        if known or len(self._events) < MAX_EVENT_NAMES:
+            self._events[noted.event] += 1
+
+    def record(self, latency: Latency, seconds: float) -> None:
+        """Records one duration."""
+        micros = max(
+            1, min(round(seconds * _US_PER_S), MAX_LATENCY_S * _US_PER_S)
+        )
+        self._latencies[latency].record_value(micros)
+        self._sums_s[latency] += seconds
+
+    def counts_by_reason(self) -> dict[str, int]:
+        """Returns the reasons and attempt outcomes counted so far."""
+        counts = {reason.value: n for reason, n in self._refusals.items()}
+        counts |= {f"retry_{end.value}": n for end, n in self._retries.items()}
+        return counts
+
+    def render(self, gauges: Iterable[tuple[str, float]] = ()) -> bytes:
+        """Returns all metrics, and the gauges given, as text."""
+        lines = [
+            *_counter("answers", "outcome", model.Outcome, self._answers),
+            *_counter("reasons", "reason", model.Reason, self._refusals),
+            *_counter(
+                "retries", "outcome", model.AttemptOutcome, self._retries
+            ),
+            *_events(self._events),
+        ]
+        for latency in Latency:
+            lines.extend(self._summary(latency))
+        for name, value in gauges:
+            lines.append(f"# TYPE {_PREFIX}_{name} gauge")
+            lines.append(f"{_PREFIX}_{name} {value:g}")
+        return ("\n".join(lines) + "\n").encode()
+
+    def _summary(self, latency: Latency) -> Iterator[str]:
+        name = f"{_PREFIX}_{latency.value}_seconds"
+        recorded = self._latencies[latency]
+        yield f"# TYPE {name} summary"
+        for quantile in QUANTILES:
+            micros = recorded.get_value_at_percentile(quantile * 100)
+            yield f'{name}{{quantile="{quantile:g}"}} {micros / _US_PER_S:g}'
+        yield f"{name}_sum {self._sums_s[latency]:g}"
+        yield f"{name}_count {recorded.get_total_count()}"
+
+
+def _counter(
+    name: str,
+    label: str,
+    kind: type[enum.Enum],
+    counts: Counter[enum.Enum],
+) -> Iterator[str]:
+    full_name = f"{_PREFIX}_{name}_total"
+    yield f"# TYPE {full_name} counter"
+    for member in kind:
+        yield f'{full_name}{{{label}="{member.value}"}} {counts[member]}'
+
+
+def _events(counts: Counter[str]) -> Iterator[str]:
+    full_name = f"{_PREFIX}_events_total"
+    yield f"# TYPE {full_name} counter"
+    for name in sorted(counts):
+        yield f'{full_name}{{event="{name}"}} {counts[name]}'
