--- a/godwitnotch/event_ring.py
+++ b/godwitnotch/event_ring.py
@@ -1,13 +1,13 @@
 """Keeps the latest events of the latest submissions in memory."""
 
-from collections import OrderedDict
 from collections import deque
+from collections import OrderedDict
 from dataclasses import dataclass
 
 from godwitnotch.core import actions
 from godwitnotch.core import ids
 
-MAX_EVENTS_PER_SUBMISSION = 256
+MAX_EVENTS_PER_SUBMISSION = 512
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,32 +19,40 @@
 
 
 class EventRing:
-    """Holds a bounded number of events for a bounded number of submissions.
+    """Holds a bounded number of events, by submission.
 
     The submission whose latest event is oldest is dropped first.
 
     Args:
-        max_submissions: Submissions whose events are kept.
+        max_events: Events that are kept, of all submissions together.
     """
 
-    def __init__(self, *, max_submissions: int) -> None:
-        self._max_submissions = max_submissions
+    def __init__(self, *, max_events: int) -> None:
+        self._max_events = max_events
+        self._events = 0
         self._notes: OrderedDict[ids.SubmissionId, deque[TimedNote]] = (
             OrderedDict()
         )
 
+    def __len__(self) -> int:
+        return self._events
+
     def add(self, noted: actions.Note, *, now: float) -> None:
         """Keeps an event, if it is about a submission."""
         if noted.submission is None:
             return
         notes = self._notes.get(noted.submission)
         if notes is None:
-            notes = deque(maxlen=MAX_EVENTS_PER_SUBMISSION)
-            self._notes[noted.submission] = notes
+            notes = self._notes[noted.submission] = deque()
         self._notes.move_to_end(noted.submission)
         notes.append(TimedNote(now, noted))
-        if len(self._notes) > self._max_submissions:
-            self._notes.popitem(last=False)
+        self._events += 1
+        if len(notes) > MAX_EVENTS_PER_SUBMISSION:
+            notes.popleft()
+            self._events -= 1
+        while self._events > self._max_events:
+            _, dropped = self._notes.popitem(last=False)
+            self._events -= len(dropped)
 
     def events(self, submission: ids.SubmissionId) -> tuple[TimedNote, ...]:
         """Returns the kept events of a submission, oldest first."""
--- a/godwitnotch/log.py
+++ b/godwitnotch/log.py
@@ -142,10 +142,13 @@
 class _LineFormatter(logging.Formatter):
     """Formats a record as one line of key=value pairs."""
 
-    converter = time.gmtime
     default_time_format = "%Y-%m-%dT%H:%M:%S"
     default_msec_format = "%s.%03dZ"
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.converter = time.gmtime
+
     def format(self, record: logging.LogRecord) -> str:
         """Returns the line."""
         name = getattr(record, "event", None)
--- a/godwitnotch/metrics.py
+++ b/godwitnotch/metrics.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from collections.abc import Iterator
+from typing import TypeVar
 
 from hdrh import histogram
 
@@ -18,6 +19,7 @@
 
 _US_PER_S = 1_000_000
 _PREFIX = "godwitnotch"
+_Member = TypeVar("_Member", bound=enum.Enum)
 
 
 class Latency(enum.Enum):
@@ -103,8 +105,8 @@
 def _counter(
     name: str,
     label: str,
-    kind: type[enum.Enum],
-    counts: Counter[enum.Enum],
+    kind: type[_Member],
+    counts: Counter[_Member],
 ) -> Iterator[str]:
     full_name = f"{_PREFIX}_{name}_total"
     yield f"# TYPE {full_name} counter"
--- a/godwitnotch/settings.py
+++ b/godwitnotch/settings.py
@@ -58,7 +58,7 @@
         receive_timeout_s: For a caller to send one request.
         idle_timeout_s: Between requests on a caller's connection.
         max_connections: Open connections of callers.
-        event_ring_submissions: Submissions whose events are kept in memory.
+        event_ring_events: Events of submissions that are kept in memory.
     """
 
     drain_timeout_s: float = 30.0
@@ -67,7 +67,7 @@
     receive_timeout_s: float = 10.0
     idle_timeout_s: float = 75.0
     max_connections: int = 4_096
-    event_ring_submissions: int = 10_000
+    event_ring_events: int = 20_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -221,12 +221,12 @@
         description="a count, 1 to 65536",
         examples=[4_096],
     )
-    event_ring_submissions: int = pydantic.Field(
-        default=Limits.event_ring_submissions,
+    event_ring_events: int = pydantic.Field(
+        default=Limits.event_ring_events,
         ge=1,
         le=1_000_000,
         description="a count, 1 to 1000000",
-        examples=[10_000],
+        examples=[20_000],
     )
 
 
