--- /dev/null
+++ b/godwitnotch/net/job_json.py
@@ -0,0 +1,223 @@
+"""Reads jobs and reservations from JSON, and writes answers as JSON."""
+
+import difflib
+import json
+import math
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+from typing import NoReturn
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from godwitnotch.core import actions
+from godwitnotch.core import ids
+from godwitnotch.core import model
+
+MAX_TIMEOUT_MS = 600_000
+MAX_DECLARED_MS = 86_400_000
+KEY_PATTERN = re.compile(r"[!#-\[\]-~]{1,200}")
+KEY_ALLOWED = '1 to 200 printable ASCII characters, no blank, " or \\'
+
+_JOB_KEYS = ("template", "tasks", "timeout_ms")
+_TASK_KEYS = ("payload", "declared_ms")
+_RESERVATION_KEYS = ("count", "key")
+
+
+@dataclass(frozen=True, slots=True)
+class BadBody:
+    """A body that is refused; the text names cause and remedy."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class JobRequest:
+    """A job as a caller sent it.
+
+    Attributes:
+        body: The job.
+        timeout_s: How long the caller waits; None where not given.
+    """
+
+    body: model.JobBody
+    timeout_s: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class ReservationRequest:
+    """A reservation as a caller sent it."""
+
+    count: int
+    key: ids.CallerKey | None
+
+
+class _Refused(Exception):
+    """Raised within this module for a body that is refused."""
+
+
+def read_object(body: bytes) -> Result[dict[str, Any], BadBody]:
+    """Returns the JSON object that a body holds."""
+    try:
+        value = json.loads(body, parse_constant=_refuse_constant)
+    except (ValueError, RecursionError) as error:
+        return Failure(BadBody(f"the body is no JSON: {error}; correct it"))
+    if not isinstance(value, dict):
+        return Failure(BadBody("the body is no JSON object; send one"))
+    return Success(value)
+
+
+def read_job(body: bytes) -> Result[JobRequest, BadBody]:
+    """Returns the job that a body holds."""
+    return read_object(body).bind(_to_job)
+
+
+def read_reservation(body: bytes) -> Result[ReservationRequest, BadBody]:
+    """Returns the reservation that a body holds."""
+    return read_object(body).bind(_to_reservation)
+
+
+def read_key(text: str) -> Result[ids.CallerKey, BadBody]:
+    """Returns a caller key, given bare or in double quotes."""
+    if len(text) > 1 and text[0] == text[-1] == '"':
+        text = text[1:-1]
+    if KEY_PATTERN.fullmatch(text) is None:
+        return Failure(BadBody(f"the key is not allowed; use {KEY_ALLOWED}"))
+    return Success(ids.CallerKey(text))
+
+
+def write_answer(answer: model.JobAnswer) -> bytes:
+    """Returns an answer as JSON; results are copied as they are."""
+    head: dict[str, object] = {
+        "id": answer.submission,
+        "outcome": answer.outcome.value,
+        "ran": answer.ran.value,
+    }
+    if answer.reason is not None:
+        head["reason"] = answer.reason.value
+    if answer.detail:
+        head["detail"] = answer.detail
+    if answer.retry_after_s is not None:
+        head["retry_after_s"] = round(answer.retry_after_s, 3)
+    text = json.dumps(head).encode()
+    if answer.outcome is not model.Outcome.COMPLETE:
+        return text
+    return text[:-1] + b', "results": [' + b",".join(answer.results) + b"]}"
+
+
+def write_reserved(reserved: actions.ReplyReserved) -> bytes:
+    """Returns reserved ids as JSON."""
+    return json.dumps(
+        {
+            "ids": reserved.submissions,
+            "open_for_s": round(reserved.open_for_s, 3),
+        }
+    ).encode()
+
+
+def _to_job(value: dict[str, Any]) -> Result[JobRequest, BadBody]:
+    try:
+        _check_keys(value, _JOB_KEYS, "the job")
+        tasks = _tasks(value.get("tasks"))
+        body = model.JobBody(_template(value.get("template")), tasks)
+        return Success(JobRequest(body, _timeout_s(value.get("timeout_ms"))))
+    except _Refused as refused:
+        return Failure(BadBody(str(refused)))
+
+
+def _to_reservation(
+    value: dict[str, Any],
+) -> Result[ReservationRequest, BadBody]:
+    try:
+        _check_keys(value, _RESERVATION_KEYS, "the reservation")
+        count = value.get("count", 1)
+        if type(count) is not int or count < 1:
+            raise _Refused("count is no whole number above 0; give one")
+    except _Refused as refused:
+        return Failure(BadBody(str(refused)))
+    key = value.get("key")
+    if key is None:
+        return Success(ReservationRequest(count, None))
+    if count != 1:
+        return Failure(BadBody("a key names one id; give it with count 1"))
+    return read_key(str(key)).map(lambda key: ReservationRequest(count, key))
+
+
+def _check_keys(
+    value: Mapping[str, Any], known: tuple[str, ...], what: str
+) -> None:
+    unknown = next((key for key in value if key not in known), None)
+    if unknown is None:
+        return
+    nearest = difflib.get_close_matches(unknown, known, n=1)
+    remedy = f"write {nearest[0]!r}" if nearest else "remove it"
+    raise _Refused(
+        f"{what} has the unknown key {unknown[:60]!r}; {remedy}; "
+        f"known are {', '.join(known)}"
+    )
+
+
+def _template(value: object) -> ids.TemplateName:
+    if not isinstance(value, str) or not value:
+        raise _Refused("template is missing or no string; name a template")
+    return ids.TemplateName(value)
+
+
+def _tasks(value: object) -> tuple[model.TaskSpec, ...]:
+    if not isinstance(value, list):
+        raise _Refused("tasks is missing or no list; give the tasks")
+    if not 1 <= len(value) <= model.MAX_TASKS_PER_JOB:
+        raise _Refused(
+            f"the job has {len(value)} tasks; send 1 to "
+            f"{model.MAX_TASKS_PER_JOB}"
+        )
+    return tuple(_task(index, task) for index, task in enumerate(value))
+
+
+def _task(index: int, value: object) -> model.TaskSpec:
+    declared_ms = None
+    if isinstance(value, dict) and "payload" in value:
+        _check_keys(value, _TASK_KEYS, f"task {index}")
+        declared_ms = _declared_ms(index, value.get("declared_ms"))
+        value = value["payload"]
+    return model.TaskSpec(_payload(index, value), declared_ms)
+
+
+def _payload(index: int, value: object) -> bytes:
+    """Returns one text for equal values, so that a resubmission matches."""
+    try:
+        text = json.dumps(
+            value, allow_nan=False, sort_keys=True, separators=(",", ":")
+        )
+    except ValueError as error:
+        raise _Refused(
+            f"the payload of task {index} has a number out of range; send it "
+            "as a string"
+        ) from error
+    return text.encode()
+
+
+def _declared_ms(index: int, value: object) -> float | None:
+    if value is None:
+        return None
+    return _number(value, f"declared_ms of task {index}", MAX_DECLARED_MS)
+
+
+def _timeout_s(value: object) -> float | None:
+    if value is None:
+        return None
+    return _number(value, "timeout_ms", MAX_TIMEOUT_MS) / 1_000
+
+
+def _number(value: object, name: str, largest: int) -> float:
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not number or not 0 < value <= largest or math.isnan(value):  # type: ignore[operator, arg-type]
+        raise _Refused(f"{name} is no number above 0, at most {largest}")
+    return float(value)  # type: ignore[arg-type]
+
+
+def _refuse_constant(name: str) -> NoReturn:
+    raise ValueError(f"{name} is no JSON number")
