Add authenticated links between hosts

Cause: any host may receive a job that another owns. Ruled out: only the lower id dials (a host restarted in an outage of the platform is not found); websocket pings (show a reader task, not the loop). Shown by: python -m tests tests.test_peer_link tests.test_codec. Conclusion: one link a pair, silence found, both ends keep the same link.

--- /dev/null
+++ b/godwitnotch/net/peer_auth.py
@@ -0,0 +1,174 @@
+"""Proves to each end of a peer link that the other knows the shared secret.
+
+The dialler sends its hello and a nonce; the acceptor answers with its own and
+a proof over both; the dialler proves itself in turn. Proofs cover the role,
+both hellos and both nonces, so that none can be replayed or reflected.
+"""
+
+import enum
+import hashlib
+import hmac
+import secrets
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import astuple
+from dataclasses import dataclass
+from typing import TypeVar
+
+import cbor2
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from godwitnotch.core import messages
+from godwitnotch.net import codec
+
+NONCE_BYTES = 16
+_KEY_LABEL = b"godwitnotch peer link"
+
+
+@dataclass(frozen=True, slots=True)
+class Challenge:
+    """A hello and the nonce that the other end's proof must cover."""
+
+    hello: messages.Hello
+    nonce: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Proof:
+    """Shows knowledge of the shared secret."""
+
+    mac: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """Tells the dialler that the link is open."""
+
+
+HandshakeMessage = Challenge | Proof | Accepted
+_CODEC: codec.Codec[HandshakeMessage] = codec.Codec(
+    (Challenge, Proof, Accepted), version=messages.PROTOCOL_VERSION
+)
+_Kind = TypeVar("_Kind", Challenge, Proof, Accepted)
+
+
+class AuthProblem(enum.Enum):
+    """Why a handshake failed."""
+
+    BAD_MESSAGE = "bad_message"
+    VERSION_MISMATCH = "version_mismatch"
+    WRONG_SECRET = "wrong_secret"
+
+
+class _Role(enum.Enum):
+    DIALLER = "dialler"
+    ACCEPTOR = "acceptor"
+
+
+@dataclass(frozen=True, slots=True)
+class Wire:
+    """The two directions of a connection, frame by frame."""
+
+    send: Callable[[bytes], Awaitable[None]]
+    receive: Callable[[], Awaitable[bytes]]
+
+
+@dataclass(frozen=True, slots=True)
+class _Transcript:
+    dialler: Challenge
+    acceptor: Challenge
+
+    def mac(self, key: bytes, role: _Role) -> bytes:
+        """Returns the proof of one end."""
+        text = cbor2.dumps(
+            (role.value, astuple(self.dialler), astuple(self.acceptor))
+        )
+        return hmac.digest(key, text, hashlib.sha256)
+
+
+class Authenticator:
+    """One host's side of the handshakes.
+
+    Args:
+        hello: What this host says of itself.
+        secret: Shared by all hosts of the deployment.
+    """
+
+    def __init__(self, *, hello: messages.Hello, secret: bytes) -> None:
+        self._hello = hello
+        self._key = hmac.digest(secret, _KEY_LABEL, hashlib.sha256)
+
+    async def dial(self, wire: Wire) -> Result[messages.Hello, AuthProblem]:
+        """Proves this end, checks the acceptor, and waits to be accepted."""
+        mine = self._challenge()
+        await _send(wire, mine)
+        theirs = await _receive(wire, Challenge)
+        if isinstance(theirs, Failure):
+            return theirs
+        transcript = _Transcript(mine, theirs.unwrap())
+        problem = await self._check(wire, transcript, _Role.ACCEPTOR)
+        if problem is not None:
+            return Failure(problem)
+        await self._prove(wire, transcript, _Role.DIALLER)
+        accepted = await _receive(wire, Accepted)
+        return accepted.map(lambda _: transcript.acceptor.hello)
+
+    async def accept(self, wire: Wire) -> Result[messages.Hello, AuthProblem]:
+        """Proves this end and checks the dialler; `confirm` comes next."""
+        theirs = await _receive(wire, Challenge)
+        if isinstance(theirs, Failure):
+            return theirs
+        mine = self._challenge()
+        transcript = _Transcript(theirs.unwrap(), mine)
+        await _send(wire, mine)
+        await self._prove(wire, transcript, _Role.ACCEPTOR)
+        problem = await self._check(wire, transcript, _Role.DIALLER)
+        if problem is not None:
+            return Failure(problem)
+        return Success(transcript.dialler.hello)
+
+    async def confirm(self, wire: Wire) -> None:
+        """Tells the dialler that the link is open."""
+        await _send(wire, Accepted())
+
+    def _challenge(self) -> Challenge:
+        return Challenge(self._hello, secrets.token_bytes(NONCE_BYTES))
+
+    async def _prove(
+        self, wire: Wire, transcript: _Transcript, role: _Role
+    ) -> None:
+        await _send(wire, Proof(transcript.mac(self._key, role)))
+
+    async def _check(
+        self, wire: Wire, transcript: _Transcript, role: _Role
+    ) -> AuthProblem | None:
+        proof = await _receive(wire, Proof)
+        if isinstance(proof, Failure):
+            problem: AuthProblem = proof.failure()
+            return problem
+        expected = transcript.mac(self._key, role)
+        if hmac.compare_digest(expected, proof.unwrap().mac):
+            return None
+        return AuthProblem.WRONG_SECRET
+
+
+async def _send(wire: Wire, message: HandshakeMessage) -> None:
+    await wire.send(_CODEC.encode(message))
+
+
+async def _receive(wire: Wire, kind: type[_Kind]) -> Result[_Kind, AuthProblem]:
+    result = _CODEC.decode(await wire.receive())
+    if isinstance(result, Failure):
+        return Failure(_problem(result.failure()))
+    message = result.unwrap()
+    if not isinstance(message, kind):
+        return Failure(AuthProblem.BAD_MESSAGE)
+    return Success(message)
+
+
+def _problem(error: codec.CodecError) -> AuthProblem:
+    if error.problem is codec.CodecProblem.UNKNOWN_VERSION:
+        return AuthProblem.VERSION_MISMATCH
+    return AuthProblem.BAD_MESSAGE
--- /dev/null
+++ b/tests/process/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that run real processes, and what they share."""
--- /dev/null
+++ b/tests/test_peer_link.py
@@ -0,0 +1,287 @@
+"""Tests of the links between hosts, over loopback sockets."""
+
+import asyncio
+import random
+import unittest
+from collections.abc import Callable
+
+import websockets.asyncio.client
+
+from godwitnotch.core import actions
+from godwitnotch.core import events
+from godwitnotch.core import ids
+from godwitnotch.core import messages
+from godwitnotch.core import model
+from godwitnotch.net import codec
+from godwitnotch.net import peer_link
+from tests.process import relay
+
+SECRET = b"s" * 32
+WAIT_S = 20.0
+LIMITS = peer_link.PeerLimits(
+    heartbeat_interval_s=0.02,
+    silence_timeout_s=0.2,
+    handshake_timeout_s=1.0,
+    min_backoff_s=0.01,
+    max_backoff_s=0.05,
+    higher_id_delay_s=0.05,
+    max_message_bytes=100_000,
+    max_queued_bytes=400_000,
+)
+BIG = messages.ForwardReply(
+    ids.CallId(1),
+    model.JobAnswer(
+        ids.SubmissionId("x"),
+        model.Outcome.COMPLETE,
+        model.Ran.SOMETHING,
+        results=(b"1" * 90_000,),
+    ),
+)
+
+
+class Host:
+    """One end: its links, and what they reported."""
+
+    def __init__(
+        self, name: str, incarnation: str = "1", secret: bytes = SECRET
+    ) -> None:
+        self.name = ids.HostId(name)
+        self.events: list[events.Event] = []
+        self.notes: list[actions.Note] = []
+        hello = messages.Hello(
+            messages.PROTOCOL_VERSION,
+            self.name,
+            ids.DomainId("d"),
+            ids.Incarnation(incarnation),
+        )
+        self.links = peer_link.PeerLinks(
+            hello=hello,
+            secret=secret,
+            heartbeat=lambda: messages.Heartbeat(1, False),
+            on_event=self.events.append,
+            on_note=self.notes.append,
+            chance=random.Random(1),
+            limits=LIMITS,
+        )
+        self.address = ""
+
+    async def start(self, port: int = 0) -> "Host":
+        listener = peer_link.bind("127.0.0.1", port)
+        self.address = f"127.0.0.1:{listener.getsockname()[1]}"
+        await self.links.start(listener)
+        return self
+
+    def see(self, other: "Host", address: str = "") -> None:
+        entry = model.HostEntry(
+            other.name,
+            ids.DomainId("d"),
+            ids.Incarnation("listed"),
+            address or other.address,
+        )
+        self.links.hosts_seen([entry])
+
+    def said(self, kind: type) -> list[messages.Message]:
+        return [
+            event.message
+            for event in self.events
+            if isinstance(event, events.PeerSaid)
+            and isinstance(event.message, kind)
+        ]
+
+    def noted(self, name: str) -> int:
+        return sum(note.event == name for note in self.notes)
+
+    def ups(self) -> int:
+        return sum(isinstance(event, events.PeerUp) for event in self.events)
+
+    def downs(self) -> int:
+        return sum(isinstance(event, events.PeerDown) for event in self.events)
+
+
+async def until(condition: Callable[[], object]) -> None:
+    """Waits for a condition, for a bounded time."""
+    async with asyncio.timeout(WAIT_S):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+class PeerLinkTest(unittest.IsolatedAsyncioTestCase):
+    async def host(
+        self,
+        name: str,
+        incarnation: str = "1",
+        secret: bytes = SECRET,
+        port: int = 0,
+    ) -> Host:
+        host = await Host(name, incarnation, secret).start(port)
+        self.addAsyncCleanup(host.links.close)
+        return host
+
+    async def relay_to(self, target: str) -> relay.Relay:
+        between = await relay.Relay(target).start()
+        self.addAsyncCleanup(between.close)
+        return between
+
+    async def test_messages_both_ways(self) -> None:
+        low, high = await self.host("a"), await self.host("b")
+        low.see(high)
+        await until(lambda: low.links.linked and high.links.linked)
+        self.assertTrue(low.links.send(high.name, messages.ConfigChanged(1)))
+        self.assertTrue(high.links.send(low.name, messages.ConfigChanged(2)))
+        await until(lambda: high.said(messages.ConfigChanged))
+        await until(lambda: low.said(messages.ConfigChanged))
+        self.assertEqual(
+            high.said(messages.ConfigChanged), [messages.ConfigChanged(1)]
+        )
+        await until(lambda: high.said(messages.Heartbeat))
+
+    async def test_only_the_higher_id_knows_the_other(self) -> None:
+        low, high = await self.host("a"), await self.host("b")
+        high.see(low)
+        await until(lambda: low.links.linked and high.links.linked)
+
+    async def test_both_dial_and_one_link_stays(self) -> None:
+        hosts = [await self.host(name) for name in "abc"]
+        for host in hosts:
+            host.links.hosts_seen(
+                model.HostEntry(
+                    other.name,
+                    ids.DomainId("d"),
+                    ids.Incarnation("1"),
+                    other.address,
+                )
+                for other in hosts
+            )
+        await until(lambda: all(len(h.links.linked) == 2 for h in hosts))
+        await asyncio.sleep(3 * LIMITS.silence_timeout_s)
+        for host in hosts:
+            self.assertEqual(len(host.links.linked), 2)
+            self.assertEqual(host.ups() - host.downs(), 2)
+
+    async def test_lower_dialled_link_replaces_the_other(self) -> None:
+        low, high = await self.host("a"), await self.host("b")
+        high.see(low)
+        await until(lambda: low.links.linked and high.links.linked)
+        entry = model.HostEntry(
+            high.name, ids.DomainId("d"), ids.Incarnation("1"), high.address
+        )
+        dial = asyncio.create_task(low.links._dial(entry))
+        self.addCleanup(dial.cancel)
+        await until(lambda: low.downs() == 1 and high.downs() == 1)
+        await until(lambda: low.links.linked and high.links.linked)
+        self.assertTrue(low.links.send(high.name, messages.ConfigChanged(1)))
+        await until(lambda: high.said(messages.ConfigChanged))
+
+    async def test_wrong_secret_is_refused(self) -> None:
+        low = await self.host("a", secret=b"x" * 32)
+        high = await self.host("b")
+        low.see(high)
+        await until(lambda: low.noted("peer_link_wrong_secret") >= 2)
+        self.assertEqual(low.ups() + high.ups(), 0)
+
+    async def test_dialler_that_skips_its_proof_is_refused(self) -> None:
+        host = await self.host("a")
+        uri = f"ws://{host.address}/"
+        async with websockets.asyncio.client.connect(uri, proxy=None) as link:
+            await link.send(codec.MESSAGES.encode(messages.ConfigChanged(1)))
+            await until(lambda: host.noted("peer_link_handshake_failed"))
+        self.assertEqual(host.ups(), 0)
+
+    async def test_another_host_at_the_address_is_refused(self) -> None:
+        low, high = await self.host("a"), await self.host("b")
+        other = Host("c")
+        other.address = high.address
+        low.see(other)
+        await until(lambda: low.noted("peer_link_wrong_host"))
+        self.assertEqual(low.ups(), 0)
+
+    async def test_silent_link_is_found_and_dialled_again(self) -> None:
+        low, high = await self.host("a"), await self.host("b")
+        between = await self.relay_to(high.address)
+        low.see(high, between.address)
+        await until(lambda: low.links.linked and high.links.linked)
+        between.mute_present()
+        await until(lambda: low.noted("peer_link_silent"))
+        await until(lambda: high.noted("peer_link_silent"))
+        await until(lambda: low.ups() == 2 and high.ups() == 2)
+        self.assertTrue(low.links.send(high.name, messages.ConfigChanged(1)))
+        await until(lambda: high.said(messages.ConfigChanged))
+
+    async def test_cut_link_is_dialled_again(self) -> None:
+        low, high = await self.host("a"), await self.host("b")
+        between = await self.relay_to(high.address)
+        low.see(high, between.address)
+        await until(lambda: low.links.linked and high.links.linked)
+        between.cut()
+        await until(lambda: low.downs() and high.downs())
+        self.assertFalse(low.links.send(high.name, messages.ConfigChanged(1)))
+        between.heal()
+        await until(lambda: low.links.linked and high.links.linked)
+
+    async def test_new_incarnation_at_the_same_address(self) -> None:
+        low, old = await self.host("a"), await self.host("b", "1")
+        low.see(old)
+        await until(lambda: low.links.linked)
+        await old.links.close()
+        port = int(old.address.rpartition(":")[2])
+        await self.host("b", "2", port=port)
+        await until(lambda: low.ups() == 2)
+        ups = [e for e in low.events if isinstance(e, events.PeerUp)]
+        self.assertEqual([up.incarnation for up in ups], ["1", "2"])
+
+    async def test_old_incarnation_does_not_displace_the_new(self) -> None:
+        high, new = await self.host("b"), await self.host("a", "2")
+        new.see(high)
+        await until(lambda: high.links.linked)
+        old = await self.host("a", "1")
+        old.see(high)
+        await until(lambda: old.noted("peer_link_old_incarnation"))
+        self.assertEqual(high.links.linked[new.name].incarnation, "2")
+        self.assertEqual(high.ups(), 1)
+
+    async def test_full_send_queue_ends_the_link(self) -> None:
+        low, high = await self.host("a"), await self.host("b")
+        low.see(high)
+        await until(lambda: low.links.linked and high.links.linked)
+        sent = [low.links.send(high.name, BIG) for _ in range(6)]
+        self.assertEqual(sent, [True] * 4 + [False] * 2)
+        await until(lambda: low.noted("peer_link_send_queue_full"))
+        self.assertEqual(low.downs(), 1)
+
+    async def test_too_large_a_message_is_not_sent(self) -> None:
+        low, high = await self.host("a"), await self.host("b")
+        low.see(high)
+        await until(lambda: low.links.linked)
+        results = (b"1" * LIMITS.max_message_bytes,)
+        answer = model.JobAnswer(
+            ids.SubmissionId("x"),
+            model.Outcome.COMPLETE,
+            model.Ran.SOMETHING,
+            results=results,
+        )
+        reply = messages.ForwardReply(ids.CallId(1), answer)
+        self.assertFalse(low.links.send(high.name, reply))
+        self.assertTrue(low.links.linked)
+
+    async def test_dialler_delivers_what_is_queued_at_close(self) -> None:
+        low, high = await self.host("a"), await self.host("b")
+        await self.check_close(low, high, closer=low, other=high)
+
+    async def test_acceptor_delivers_what_is_queued_at_close(self) -> None:
+        low, high = await self.host("a"), await self.host("b")
+        await self.check_close(low, high, closer=high, other=low)
+
+    async def check_close(
+        self, low: Host, high: Host, *, closer: Host, other: Host
+    ) -> None:
+        low.see(high)
+        await until(lambda: low.links.linked and high.links.linked)
+        for _ in range(3):
+            self.assertTrue(closer.links.send(other.name, BIG))
+        await closer.links.close()
+        await until(lambda: not other.links.linked)
+        self.assertEqual(len(other.said(messages.ForwardReply)), 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
