--- a/tests/callers.py
+++ b/tests/callers.py
@@ -268,8 +268,7 @@
         ]
 
     def _starts(self, call: worlds.Call) -> Sequence[worlds.Start]:
-        payloads = set(call.payloads)
-        return [s for s in self.world.starts if s.payload in payloads]
+        return self.world.starts_of(call.payloads)
 
 
 def body_of(
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -25,6 +25,7 @@
 _COMPARE = {"=": operator.eq, "<=": operator.le, ">=": operator.ge}
 _STORE_MODES = {
     "losing answers": worlds.StoreMode.LOSES_ANSWERS,
+    "losing acks": worlds.StoreMode.LOSES_ACKS,
     "losing requests": worlds.StoreMode.LOSES_REQUESTS,
 }
 Step = Callable[["Scenario", lark.Tree], None]
@@ -130,7 +131,7 @@
         return self.submissions[name]
 
     def ends(self, names: list[str]) -> list[str]:
-        """Returns hosts, upstreams or the store; a domain means its parts."""
+        """Returns hosts, upstreams or the platform; a domain means its parts."""
         found = []
         for name in names:
             entries = [
@@ -139,12 +140,12 @@
                 for entry_name, part in parts.items()
             ]
             ends = [n for n, domain in entries if name in (n, domain)]
-            if name == worlds.STORE:
+            if name == worlds.PLATFORM:
                 ends = [name]
             if not ends:
                 raise self.error(
                     f"unknown end {name!r}",
-                    "name a host, an upstream, a domain or `store`",
+                    "name a host, an upstream, a domain or `platform`",
                 )
             found += ends
         return found
@@ -207,6 +208,8 @@
 
 
 def _seconds(text: str) -> float:
+    if text.endswith("us"):
+        return float(text[:-2]) / 1_000_000
     if text.endswith("ms"):
         return float(text[:-2]) / 1_000
     return float(text[:-1])
@@ -465,9 +468,9 @@
 @step("store")
 def _store(scenario: Scenario, tree: lark.Tree) -> None:
     text, slow = str(tree.children[0]), tree.children[1]
-    table = scenario.world.table
-    table.mode = _STORE_MODES.get(text) or worlds.StoreMode(text)
-    table.slow_s = _seconds(str(slow)) if slow else 0.0
+    platform = scenario.world.store
+    platform.mode = _STORE_MODES.get(text) or worlds.StoreMode(text)
+    platform.slow_s = _seconds(str(slow)) if slow else 0.0
 
 
 @step("upstream_mode")
@@ -675,7 +678,7 @@
 
 @step("expect_writes")
 def _expect_writes(scenario: Scenario, tree: lark.Tree) -> None:
-    _count(scenario, tree, scenario.world.table.writes)
+    _count(scenario, tree, scenario.world.store.writes)
 
 
 def main(names: list[str]) -> int:
--- a/tests/world.py
+++ b/tests/world.py
@@ -20,6 +20,7 @@
 from godwitnotch.core import messages
 from godwitnotch.core import model
 from godwitnotch.core import scheduler
+from godwitnotch.standins import table
 
 EPOCH_S = 1_000_000.0
 HOP_S = 0.001
@@ -31,7 +32,7 @@
 HEARTBEAT_S = 1.0
 UNLIST_S = 5.0  # Until the platform drops a dead host from its list.
 LEAVING_GRACE_S = 5.0
-STORE = "store"
+PLATFORM = "platform"
 SECRET = b"world secret of the fleet".ljust(32)
 
 
@@ -57,6 +58,7 @@
     DOWN = "down"
     SLOW = "slow"
     LOSES_ANSWERS = "answers"
+    LOSES_ACKS = "acks"  # Answers to writes only.
     LOSES_REQUESTS = "requests"
     FLAKY = "flaky"  # Loses half of the answers, at random.
 
@@ -126,37 +128,14 @@
 
 
 @dataclass(slots=True)
-class Table:
-    """A fake of the transactional table service."""
+class Store:
+    """The table service and its faults."""
 
     mode: StoreMode = StoreMode.UP
     slow_s: float = 0.0
-    rows: dict[str, model.Row] = field(default_factory=dict)
+    rows: table.Table = field(default_factory=table.Table)
     writes: int = 0
 
-    def get(self, key: str) -> model.Row:
-        """Returns a row; version 0 where absent."""
-        return self.rows.get(key, model.Row(key, 0, b""))
-
-    def transact(
-        self, writes: Iterable[model.RowWrite]
-    ) -> tuple[model.Row, ...]:
-        """Writes all rows or none; returns the rows that differed."""
-        self.writes += 1
-        differing = tuple(
-            self.get(write.key)
-            for write in writes
-            if write.expected_version is not None
-            and self.get(write.key).version != write.expected_version
-        )
-        for write in () if differing else writes:
-            if write.value is None:
-                self.rows.pop(write.key, None)
-                continue
-            version = self.get(write.key).version + 1
-            self.rows[write.key] = model.Row(write.key, version, write.value)
-        return differing
-
 
 @dataclass(slots=True)
 class Link:
@@ -182,6 +161,7 @@
         self.drain_deadline: float | None = None
         self.attempts: dict[ids.AttemptId, Attempt] = {}
         self.calls: dict[ids.CallId, Call] = {}
+        self.last_attempt: Attempt | None = None
         self.versions: dict[ids.WorkspaceId, int] = {}
         self._held: list[Callable[[], None]] = []
         self._pause_after_deciding = False
@@ -301,6 +281,7 @@
     def _(self, act: actions.StartAttempt) -> None:
         attempt = Attempt(self, act)
         self.attempts[act.attempt] = attempt
+        self.last_attempt = attempt
         self.world.connect(attempt)
 
     @_perform.register
@@ -312,17 +293,18 @@
     @_perform.register
     def _(self, act: actions.StoreTransact) -> None:
         def effect() -> events.Event:
-            rows = self.world.table.transact(act.writes)
+            self.world.store.writes += 1
+            rows = self.world.store.rows.transact(act.writes)
             if rows:
                 return events.StoreConflict(act.call, rows)
             return events.StoreCommitted(act.call)
 
-        self.world.store_call(self, act.call, effect)
+        self.world.store_call(self, act.call, effect, writes=True)
 
     @_perform.register
     def _(self, act: actions.StoreRead) -> None:
         def effect() -> events.Event:
-            rows = tuple(self.world.table.get(key) for key in act.keys)
+            rows = self.world.store.rows.read(act.keys)
             return events.StoreRows(act.call, rows)
 
         self.world.store_call(self, act.call, effect)
@@ -330,9 +312,7 @@
     @_perform.register
     def _(self, act: actions.StoreScan) -> None:
         def effect() -> events.Event:
-            table = self.world.table.rows
-            keys = sorted(key for key in table if key.startswith(act.prefix))
-            rows = tuple(table[key] for key in keys)
+            rows = self.world.store.rows.scan(act.prefix)
             return events.StoreRows(act.call, rows)
 
         self.world.store_call(self, act.call, effect)
@@ -376,7 +356,7 @@
         self.chance = random.Random(seed)
         self.hosts: dict[str, SimHost] = {}
         self.upstreams: dict[str, Upstream] = {}
-        self.table = Table()
+        self.store = Store()
         self.starts: list[Start] = []
         self.calls: list[Call] = []
         self.notes: dict[tuple[str, object], int] = {}
@@ -385,6 +365,8 @@
         self._policy = policy
         self._agenda: list[tuple[float, int, Callable[[], None]]] = []
         self._tick = itertools.count(1)
+        self._started: dict[bytes, Start] = {}
+        self._tasks: dict[tuple[ids.SubmissionId, int], Start] = {}
         self._cuts: set[frozenset[str]] = set()
         self._links: dict[frozenset[str], Link] = {}
         self._listed: dict[str, model.HostEntry] = {}
@@ -412,6 +394,11 @@
         if not until or not until():
             self.now = end
 
+    def starts_of(self, payloads: Iterable[bytes]) -> list[Start]:
+        """Returns the first starts of some tasks."""
+        found = (self._started.get(payload) for payload in payloads)
+        return [start for start in found if start]
+
     def violate(self, text: str) -> None:
         """Records that a promise was broken."""
         self.violations.append(f"at {self.now - EPOCH_S:.3f} s: {text}")
@@ -534,20 +521,23 @@
         sim: SimHost,
         call: ids.StoreCallId,
         effect: Callable[[], events.Event],
+        *,
+        writes: bool = False,
     ) -> None:
         """Carries a request to the table service, with its faults."""
-        mode, name = self.table.mode, sim.entry.host
+        mode, name = self.store.mode, sim.entry.host
         failed = events.StoreFailed(call, uncertain=mode is not StoreMode.DOWN)
         fail = functools.partial(sim.deliver, failed)
-        if self.is_cut(name, STORE) or mode is StoreMode.LOSES_REQUESTS:
+        if self.is_cut(name, PLATFORM) or mode is StoreMode.LOSES_REQUESTS:
             self.after(STORE_TIMEOUT_S, fail)
             return
         if mode is StoreMode.DOWN:
             self.after(HOP_S, fail)
             return
         lost = mode is StoreMode.LOSES_ANSWERS
+        lost |= mode is StoreMode.LOSES_ACKS and writes
         lost |= mode is StoreMode.FLAKY and self.chance.random() < 0.5
-        one_way = self.table.slow_s / 2 if mode is StoreMode.SLOW else HOP_S
+        one_way = self.store.slow_s / 2 if mode is StoreMode.SLOW else HOP_S
         late = 2 * one_way > STORE_TIMEOUT_S
 
         def arrive() -> None:
@@ -626,9 +616,11 @@
             start.task_index,
             start.payload,
         )
-        others = [s for s in self.starts if s.payload != start.payload]
-        if mode is Mode.CROSSES and others:
-            other = others[-1]
+        other = next(
+            (s for s in reversed(self.starts) if s.payload != start.payload),
+            None,
+        )
+        if mode is Mode.CROSSES and other:
             submission, index = other.submission, other.task_index
             body = other.payload
         elif mode is Mode.CROSSES:
@@ -669,31 +661,27 @@
     def _start(self, upstream: Upstream, attempt: Attempt) -> None:
         start = attempt.start
         name = upstream.entry.upstream
-        before = [
-            s
-            for s in self.starts
-            if s.payload == start.payload
-            or (s.submission, s.task_index)
-            == (start.submission, start.task_index)
-        ]
-        if before:
+        task = (start.submission, start.task_index)
+        first = self._started.get(start.payload) or self._tasks.get(task)
+        if first is not None:
             self.violate(
                 f"task {start.task_index} of {start.submission} started "
-                f"again by {attempt.host}, first by {before[0].host}"
+                f"again by {attempt.host}, first by {first.host}"
             )
         left = upstream.left_at
         if left is not None and self.now > left + LEAVING_GRACE_S:
             self.violate(f"{name} got new work from {attempt.host}, leaving")
-        self.starts.append(
-            Start(
-                self.now,
-                name,
-                attempt.host.entry.host,
-                start.submission,
-                start.task_index,
-                start.payload,
-            )
+        began = Start(
+            self.now,
+            name,
+            attempt.host.entry.host,
+            start.submission,
+            start.task_index,
+            start.payload,
         )
+        self.starts.append(began)
+        self._started.setdefault(start.payload, began)
+        self._tasks.setdefault(task, began)
 
     def _free(self, upstream: Upstream) -> None:
         upstream.running -= 1
@@ -744,8 +732,10 @@
         if not sim.alive:
             return
         if not sim.paused:
-            for act in sim.core.heartbeats():
-                self.send(sim, act.host, act.message)
+            heartbeat = sim.core.heartbeat()
+            for link in self._links_of(sim):
+                peer = link.ends[link.ends[0] is sim]
+                self.send(sim, peer.entry.host, heartbeat)
         self.after(HEARTBEAT_S, functools.partial(self._beat, sim))
 
     def _unlist(self, sim: SimHost) -> None:
@@ -768,9 +758,7 @@
             for time, directory in self._directories
             if time <= self.now - self.directory_lag_s
         ]
-        out = self.table.mode is StoreMode.DOWN
-        out |= self.is_cut(sim.entry.host, STORE)
-        if seen and not out:
+        if seen and not self.is_cut(sim.entry.host, PLATFORM):
             sim.deliver(events.DirectorySeen(seen[-1]))
         self.after(POLL_S, functools.partial(self._poll, sim))
 
