Wait for all linked peers before starting on their configuration; count open calls

Cause: a host starting in an outage took the first peer's settings; a peer that had been cut off could so bring an older version back into force. Draining also counted only forwards, not callers waiting on a key.

--- a/godwitnotch/core/configuration.py
+++ b/godwitnotch/core/configuration.py
@@ -54,6 +54,8 @@
         self._poll_timer: timers_module.Timer | None = None
         self._askers: dict[ids.HostId, int] = {}
         self._peers: set[ids.HostId] = set()
+        self._snapshots: dict[ids.HostId, messages.ConfigSnapshot] = {}
+        self._snapshot_timer: timers_module.Timer | None = None
         self._backoff = backoff.Backoff(
             chance=chance,
             first_s=limits.store_backoff_s,
@@ -94,10 +96,11 @@
         if not self.ready:
             self._out.add(actions.SendPeer(host, messages.ConfigWanted()))
 
-    def peer_down(self, host: ids.HostId) -> None:
+    def peer_down(self, host: ids.HostId, *, now: float) -> None:
         """Forgets a peer."""
         self._peers.discard(host)
         self._askers.pop(host, None)
+        self._start_from_peers_if_all_answered(now)
 
     def peer_said(
         self, host: ids.HostId, message: messages.Message, *, now: float
@@ -114,11 +117,40 @@
                     self._counter, tuple(self._configs.values())
                 )
                 self._out.add(actions.SendPeer(host, snapshot))
-            case messages.ConfigSnapshot(counter=counter, configs=configs):
-                self._apply(configs, counter, now)
+            case messages.ConfigSnapshot():
+                self._snapshot_arrived(host, message, now)
             case _:
                 pass
 
+    def _snapshot_arrived(
+        self,
+        host: ids.HostId,
+        snapshot: messages.ConfigSnapshot,
+        now: float,
+    ) -> None:
+        if self.ready:
+            self._apply(snapshot.configs, snapshot.counter, now)
+            return
+        # One peer alone may have been cut off and lag behind the others.
+        self._snapshots[host] = snapshot
+        if self._snapshot_timer is None:
+            self._snapshot_timer = self._timers.at(
+                now + PEER_CONFIG_WAIT_S, self._start_from_peers
+            )
+        self._start_from_peers_if_all_answered(now)
+
+    def _start_from_peers_if_all_answered(self, now: float) -> None:
+        if self._snapshots and self._peers <= self._snapshots.keys():
+            self._start_from_peers(now)
+
+    def _start_from_peers(self, now: float) -> None:
+        snapshots = self._snapshots
+        self._snapshots = {}
+        for snapshot in snapshots.values():
+            self._merge(snapshot.configs)
+        counters = [each.counter for each in snapshots.values()]
+        self._advance(max(counters, default=-1), now)
+
     def _poll(self, now: float) -> None:
         if self._polling:
             self._poll_wanted = True
@@ -164,6 +196,10 @@
         counter: int,
         now: float,
     ) -> None:
+        self._merge(configs)
+        self._advance(counter, now)
+
+    def _merge(self, configs: Iterable[model.WorkspaceConfig]) -> None:
         for config in configs:
             current = self._configs.get(config.workspace)
             if current is None or config.version > current.version:
@@ -173,6 +209,8 @@
                     detail=f"workspace={config.workspace} "
                     f"version={config.version}",
                 )
+
+    def _advance(self, counter: int, now: float) -> None:
         if counter <= self._counter:
             return
         self._counter = counter
--- a/godwitnotch/core/host.py
+++ b/godwitnotch/core/host.py
@@ -102,6 +102,8 @@
         self._scheduler = scheduler
         self._state = _CHART.initial
         self._started = False
+        self._open_calls: set[ids.CallId] = set()
+        self._overdue = False
         self._out = outbox.Outbox()
         self._timers = timers.Timers()
         self._store = store_calls.StoreCalls(self._out)
@@ -226,11 +228,20 @@
         self._out.add(actions.SendPeer(host, message))
 
     def _replier(self, call: ids.CallId) -> jobs.Answered:
+        self._open_calls.add(call)
+
         def answered(answer: model.JobAnswer, now: float) -> None:
-            self._out.add(actions.Reply(call, answer))
+            self._reply(actions.Reply(call, answer))
 
         return answered
 
+    def _reply(
+        self,
+        reply: actions.Reply | actions.ReplyReserved,
+    ) -> None:
+        self._open_calls.discard(reply.call)
+        self._out.add(reply)
+
     def _peer_replier(
         self, host: ids.HostId, call: ids.CallId
     ) -> jobs.Answered:
@@ -251,11 +262,15 @@
         if self._state is not HostState.DRAINING:
             return
         runner = self._submissions.runner
-        if runner.job_count or self._submissions.forward_count:
+        if runner.job_count or (self._open_calls and not self._overdue):
             return
         self._change(HostChange.IDLE)
         self._outcome_log.seal(self._sealed, now=now)
 
+    def _stop_waiting(self, now: float) -> None:
+        self._overdue = True
+        self._submissions.runner.cut_all(now=now)
+
     def _sealed(self, now: float) -> None:
         self._change(HostChange.SEALED)
         self._out.add(actions.Stopped())
@@ -279,7 +294,7 @@
 def _reserve(core: HostCore, event: events.ReserveAsked, now: float) -> None:
     refusal = _reserve_refusal(core, event)
     if refusal is not None:
-        core._out.add(actions.Reply(event.call, refusal))
+        core._reply(actions.Reply(event.call, refusal))
         return
     if event.key is not None:
         _reserve_keyed(core, event, event.key, now)
@@ -310,6 +325,8 @@
     key: ids.CallerKey,
     now: float,
 ) -> None:
+    core._open_calls.add(event.call)
+
     def done(result: bindings.BindResult, now: float) -> None:
         if isinstance(result, bindings.NotBound):
             refusal = remedies.refusal(
@@ -317,7 +334,7 @@
                 result.reason,
                 retry_after_s=result.retry_after_s,
             )
-            core._out.add(actions.Reply(event.call, refusal))
+            core._reply(actions.Reply(event.call, refusal))
         else:
             _reply_reserved(core, event.call, (result.submission,))
 
@@ -330,7 +347,7 @@
     minted: tuple[ids.SubmissionId, ...],
 ) -> None:
     open_for_s = core._limits.reservation_open_s
-    core._out.add(actions.ReplyReserved(call, minted, open_for_s))
+    core._reply(actions.ReplyReserved(call, minted, open_for_s))
 
 
 @_handles(events.SubmitAsked)
@@ -384,7 +401,7 @@
 def _peer_down(core: HostCore, event: events.PeerDown, now: float) -> None:
     core._membership.peer_down(event.host, now=now)
     core._scheduler.hosts_seen(core._membership.linked, now=now)
-    core._keeper.peer_down(event.host)
+    core._keeper.peer_down(event.host, now=now)
     core._submissions.peer_down(event.host, now=now)
 
 
@@ -511,10 +528,7 @@
     if not _CHART.takes(core._state, HostChange.DRAIN):
         return
     core._change(HostChange.DRAIN)
-    core._timers.at(
-        event.deadline,
-        lambda now: core._submissions.runner.cut_all(now=now),
-    )
+    core._timers.at(event.deadline, core._stop_waiting)
 
 
 @_handles(events.CallerGone)
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -1,5 +1,6 @@
 """Tests of one host's decisions, event by event."""
 
+import dataclasses
 import random
 import unittest
 
@@ -8,6 +9,7 @@
 from godwitnotch.core import host
 from godwitnotch.core import ids
 from godwitnotch.core import limits
+from godwitnotch.core import messages
 from godwitnotch.core import model
 from godwitnotch.core import records
 from godwitnotch.core import scheduler
@@ -223,3 +225,44 @@
         self.assertTrue(seal.writes[0].key.startswith("seal/"))
         driver.feed(events.StoreCommitted(seal.call))
         self.assertEqual(driver.count(actions.Stopped), 1)
+
+
+class StartInAnOutageTest(unittest.TestCase):
+    def test_a_host_waits_for_all_linked_peers_and_takes_the_newest(
+        self,
+    ) -> None:
+        driver = Driver()
+        for name in ("h2", "h3"):
+            driver.feed(
+                events.PeerUp(
+                    ids.HostId(name),
+                    ids.DomainId("d1"),
+                    ids.Incarnation(name),
+                )
+            )
+        read = driver.take(actions.StoreRead)
+        driver.feed(events.StoreFailed(read.call, False))
+        newer = dataclasses.replace(CONFIG, version=2)
+        for name, config, counter in (("h2", CONFIG, 4), ("h3", newer, 5)):
+            self.assertFalse(driver.core.ready)
+            snapshot = messages.ConfigSnapshot(counter, (config,))
+            driver.feed(events.PeerSaid(ids.HostId(name), snapshot))
+        self.assertTrue(driver.core.ready)
+        self.assertEqual(driver.core.configs[ACME].version, 2)
+        self.assertEqual(driver.core.status.config_counter, 5)
+
+    def test_a_peer_that_goes_down_is_waited_for_no_longer(self) -> None:
+        driver = Driver()
+        for name in ("h2", "h3"):
+            driver.feed(
+                events.PeerUp(
+                    ids.HostId(name),
+                    ids.DomainId("d1"),
+                    ids.Incarnation(name),
+                )
+            )
+        snapshot = messages.ConfigSnapshot(4, (CONFIG,))
+        driver.feed(events.PeerSaid(ids.HostId("h2"), snapshot))
+        self.assertFalse(driver.core.ready)
+        driver.feed(events.PeerDown(ids.HostId("h3")))
+        self.assertTrue(driver.core.ready)
