--- /dev/null
+++ b/godwitnotch/core/baselines.py
@@ -0,0 +1,221 @@
+"""Simple policies that the others are measured against."""
+
+import zlib
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from godwitnotch.core import chance
+from godwitnotch.core import ids
+from godwitnotch.core import messages
+from godwitnotch.core import model
+from godwitnotch.core import scheduler
+
+# An upstream that refused as full is left alone for so long.
+FULL_PAUSE_S = 0.02
+
+
+@dataclass(slots=True)
+class _Waiting:
+    job: scheduler.JobRequest
+    task_index: int
+
+
+@dataclass(slots=True)
+class _Load:
+    entry: model.UpstreamEntry
+    running: int = 0
+    paused_until: float = 0.0
+
+
+@scheduler.policy("uniform")
+class UniformScheduler:
+    """First come, first served, to any upstream at random: the baseline."""
+
+    def __init__(
+        self,
+        host: ids.HostId,
+        domain: ids.DomainId,
+        chance: chance.Chance,
+    ) -> None:
+        self._host = host
+        self._domain = domain
+        self._chance = chance
+        self._loads: dict[ids.UpstreamId, _Load] = {}
+        self._queue: deque[_Waiting] = deque()
+        self._jobs: dict[ids.SubmissionId, scheduler.JobRequest] = {}
+        self._sharers = [host]
+        self._asked_at = 0.0
+
+    def upstreams_seen(
+        self, upstreams: Sequence[model.UpstreamEntry], *, now: float
+    ) -> None:
+        """Keeps the running counts of the upstreams that stay."""
+        loads = {entry.upstream: _Load(entry) for entry in upstreams}
+        for upstream, load in loads.items():
+            if upstream in self._loads:
+                load.running = self._loads[upstream].running
+                load.paused_until = self._loads[upstream].paused_until
+        self._loads = loads
+
+    def hosts_seen(
+        self, hosts: Sequence[model.HostEntry], *, now: float
+    ) -> None:
+        """Ignores the other hosts."""
+
+    def admit(
+        self, job: scheduler.JobRequest, *, now: float
+    ) -> scheduler.Refusal | None:
+        """Refuses only what no upstream may serve."""
+        if self._allowed(job.template):
+            return None
+        return scheduler.Refusal(
+            model.Reason.NO_UPSTREAM,
+            f"no live upstream may serve template {job.template.name!r}; "
+            "come back later, or allow more upstreams in the template",
+            1.0,
+        )
+
+    def enqueue(self, job: scheduler.JobRequest, *, now: float) -> None:
+        """Queues the tasks in order."""
+        self._jobs[job.submission] = job
+        for index in range(len(job.declared_ms)):
+            self._queue.append(_Waiting(job, index))
+
+    def requeue(
+        self, submission: ids.SubmissionId, task_index: int, *, now: float
+    ) -> bool:
+        """Queues the task last."""
+        job = self._jobs.get(submission)
+        if job is None:
+            return False
+        self._queue.append(_Waiting(job, task_index))
+        return True
+
+    def withdraw(self, submission: ids.SubmissionId, *, now: float) -> None:
+        """Drops the job's queued tasks."""
+        if self._jobs.pop(submission, None) is None:
+            return
+        self._queue = deque(
+            waiting
+            for waiting in self._queue
+            if waiting.job.submission != submission
+        )
+
+    def assign(self, *, now: float) -> list[scheduler.Assignment]:
+        """Assigns from the head of the queue while a slot is free."""
+        self._asked_at = now
+        assignments = []
+        while self._queue:
+            waiting = self._queue[0]
+            load = self._pick(waiting.job.template, now)
+            if load is None:
+                break
+            self._queue.popleft()
+            load.running += 1
+            assignments.append(
+                scheduler.Assignment(
+                    waiting.job.submission, waiting.task_index, load.entry
+                )
+            )
+        return assignments
+
+    def ended(
+        self,
+        assignment: scheduler.Assignment,
+        outcome: model.AttemptOutcome,
+        *,
+        started_at: float,
+        now: float,
+    ) -> None:
+        """Frees the slot."""
+        load = self._loads.get(assignment.upstream.upstream)
+        if load is not None and load.running:
+            load.running -= 1
+        if load is not None and outcome is model.AttemptOutcome.REFUSED_FULL:
+            load.paused_until = now + FULL_PAUSE_S
+
+    def peer_said(
+        self, host: ids.HostId, message: messages.Message, *, now: float
+    ) -> None:
+        """Ignores messages."""
+
+    def peer_messages(self, *, now: float) -> list[scheduler.PeerMessage]:
+        """Sends none."""
+        return []
+
+    def next_deadline(self) -> float | None:
+        """Wants to be asked when a paused upstream may be tried again."""
+        pauses = [
+            load.paused_until
+            for load in self._loads.values()
+            if load.paused_until > self._asked_at
+        ]
+        return min(pauses, default=None) if self._queue else None
+
+    def _allowed(self, template: model.Template) -> list[_Load]:
+        return [
+            load
+            for load in self._loads.values()
+            if not load.entry.leaving
+            and (
+                not template.upstreams
+                or load.entry.upstream in template.upstreams
+            )
+        ]
+
+    def _pick(self, template: model.Template, now: float) -> _Load | None:
+        free = [
+            load
+            for load in self._allowed(template)
+            if load.running < self._limit(load.entry)
+            and load.paused_until <= now
+        ]
+        if not free:
+            return None
+        return self._choose(free)
+
+    def _limit(self, entry: model.UpstreamEntry) -> int:
+        return entry.slots
+
+    def _choose(self, free: list[_Load]) -> _Load:
+        return free[self._chance.randrange(len(free))]
+
+
+@scheduler.policy("two_choices")
+class TwoChoicesScheduler(UniformScheduler):
+    """The less used of two random upstreams of this host's domain."""
+
+    def _allowed(self, template: model.Template) -> list[_Load]:
+        allowed = super()._allowed(template)
+        near = [load for load in allowed if load.entry.domain == self._domain]
+        return near or allowed
+
+    def _choose(self, free: list[_Load]) -> _Load:
+        one, other = super()._choose(free), super()._choose(free)
+        return one if one.running <= other.running else other
+
+
+@scheduler.policy("even_split")
+class EvenSplitScheduler(UniformScheduler):
+    """Each live host of a domain has an equal part of its slots."""
+
+    def hosts_seen(
+        self, hosts: Sequence[model.HostEntry], *, now: float
+    ) -> None:
+        """Shares with the linked hosts of the own domain."""
+        near = [each.host for each in hosts if each.domain == self._domain]
+        self._sharers = sorted([*near, self._host])
+
+    def _allowed(self, template: model.Template) -> list[_Load]:
+        allowed = super()._allowed(template)
+        near = [load for load in allowed if load.entry.domain == self._domain]
+        return near or allowed
+
+    def _limit(self, entry: model.UpstreamEntry) -> int:
+        # The remainder goes to other hosts at each upstream.
+        rank = self._sharers.index(self._host) + zlib.crc32(
+            entry.upstream.encode()
+        )
+        extra = rank % len(self._sharers) < entry.slots % len(self._sharers)
+        return entry.slots // len(self._sharers) + extra
