--- a/godwitnotch/net/http_client.py
+++ b/godwitnotch/net/http_client.py
@@ -256,7 +256,9 @@
             if waiter.done() and not waiter.cancelled():
                 self.release()
             else:
-                self.waiters.remove(waiter)
+                # A release in the meantime may have skipped it already.
+                with contextlib.suppress(ValueError):
+                    self.waiters.remove(waiter)
             raise
 
     def release(self) -> None:
--- a/godwitnotch/net/http_server.py
+++ b/godwitnotch/net/http_server.py
@@ -60,6 +60,7 @@
     async def start(self, host: str, port: int) -> int:
         """Listens on an address and returns the bound port."""
         loop = asyncio.get_running_loop()
+        self._shared.stopping = False
         self._server = await loop.create_server(
             lambda: _Connection(self._shared),
             host,
--- /dev/null
+++ b/tests/test_http_client.py
@@ -0,0 +1,299 @@
+"""The pool never lets an answer cross, and knows what was sent."""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from godwitnotch.net import http_client
+from godwitnotch.net import http_types
+
+_Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+def _answer(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b" % (
+        len(body),
+        body,
+    )
+
+
+class HttpClientTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.client = http_client.HttpClient(max_idle_s=60.0)
+        self.connections = 0
+        self.requests: list[bytes] = []
+        self.script: _Serve = self._echo
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def asyncTearDown(self) -> None:
+        await self.client.close()
+        self.server.close()
+        await self.server.wait_closed()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        try:
+            await self.script(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def _read_path(self, reader: asyncio.StreamReader) -> bytes:
+        head = await reader.readuntil(b"\r\n\r\n")
+        path = head.split(b" ")[1]
+        self.requests.append(path)
+        return path
+
+    async def _echo(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            writer.write(_answer(await self._read_path(reader)))
+
+    async def _get(
+        self, path: str, *, timeout_s: float = 5.0, max_bytes: int = 100
+    ) -> bytes:
+        response = await self.client.request(
+            self.address,
+            http_types.HttpRequest("GET", path),
+            deadline=asyncio.get_running_loop().time() + timeout_s,
+            max_body_bytes=max_bytes,
+        )
+        return response.body
+
+    async def _fails(
+        self,
+        path: str,
+        progress: http_client.Progress,
+        cause: http_client.Cause,
+        *,
+        timeout_s: float = 5.0,
+    ) -> None:
+        with self.assertRaises(http_client.ExchangeError) as caught:
+            await self._get(path, timeout_s=timeout_s)
+        error = caught.exception
+        self.assertEqual((error.progress, error.cause), (progress, cause))
+
+    async def test_connection_is_kept(self) -> None:
+        for path in ("/1", "/2", "/3"):
+            self.assertEqual(await self._get(path), path.encode())
+        self.assertEqual(self.connections, 1)
+
+    async def test_old_idle_connection_is_not_reused(self) -> None:
+        self.client = http_client.HttpClient(max_idle_s=0.0)
+        await self._get("/1")
+        await asyncio.sleep(0.001)
+        await self._get("/2")
+        self.assertEqual(self.connections, 2)
+
+    async def test_idle_connections_are_swept(self) -> None:
+        self.client = http_client.HttpClient(max_idle_s=0.01)
+        await self._get("/1")
+        self.assertEqual(self.client.idle_connections(self.address), 1)
+        while self.client.idle_connections(self.address):
+            await asyncio.sleep(0.001)
+
+    async def test_kept_connection_that_closed_is_replaced(self) -> None:
+        async def once(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(_answer(await self._read_path(reader)))
+
+        self.script = once
+        for path in ("/1", "/2", "/3"):
+            self.assertEqual(await self._get(path), path.encode())
+        self.assertEqual(self.requests, [b"/1", b"/2", b"/3"])
+
+    async def test_unasked_answer_does_not_cross(self) -> None:
+        async def twice(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            path = await self._read_path(reader)
+            writer.write(_answer(path))
+            await writer.drain()
+            await asyncio.sleep(0)
+            writer.write(_answer(b"stray"))
+            await reader.read()
+
+        self.script = twice
+        await self._get("/1")
+        await asyncio.sleep(0.01)
+        self.assertEqual(await self._get("/2"), b"/2")
+        self.assertEqual(self.connections, 2)
+
+    async def test_answer_with_a_stray_tail_is_not_kept(self) -> None:
+        async def tail(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            path = await self._read_path(reader)
+            writer.write(_answer(path) + _answer(b"stray"))
+            await reader.read()
+
+        self.script = tail
+        for path in ("/1", "/2"):
+            self.assertEqual(await self._get(path), path.encode())
+        self.assertEqual(self.connections, 2)
+
+    async def test_late_answer_does_not_cross(self) -> None:
+        release = asyncio.Event()
+
+        async def late(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            while True:
+                path = await self._read_path(reader)
+                if path == b"/slow":
+                    await release.wait()
+                writer.write(_answer(path))
+
+        self.script = late
+        await self._fails(
+            "/slow",
+            http_client.Progress.SENT,
+            http_client.Cause.TIMED_OUT,
+            timeout_s=0.02,
+        )
+        release.set()
+        self.assertEqual(await self._get("/next"), b"/next")
+        self.assertEqual(self.connections, 2)
+
+    async def test_timeout_closes_the_idle_connections_too(self) -> None:
+        async def silent_after_one(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            if self.connections > 2:
+                await self._echo(reader, writer)
+            writer.write(_answer(await self._read_path(reader)))
+            await reader.read()
+
+        self.script = silent_after_one
+        await asyncio.gather(self._get("/1"), self._get("/2"))
+        self.assertEqual(self.client.idle_connections(self.address), 2)
+        await self._fails(
+            "/3",
+            http_client.Progress.SENT,
+            http_client.Cause.TIMED_OUT,
+            timeout_s=0.02,
+        )
+        self.assertEqual(await self._get("/4"), b"/4")
+        self.assertEqual(self.connections, 3)
+
+    async def test_cancelled_exchange_closes_its_connection(self) -> None:
+        closed = asyncio.Event()
+
+        async def wait(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await self._read_path(reader)
+            self.assertEqual(await reader.read(), b"")
+            closed.set()
+
+        self.script = wait
+        task = asyncio.create_task(self._get("/1"))
+        while not self.requests:
+            await asyncio.sleep(0.001)
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+        await closed.wait()
+        self.assertEqual(self.client.idle_connections(self.address), 0)
+
+    async def test_broken_exchange_was_sent(self) -> None:
+        async def cut(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await self._read_path(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nab")
+
+        self.script = cut
+        await self._fails(
+            "/1", http_client.Progress.SENT, http_client.Cause.CLOSED
+        )
+        self.assertEqual(len(self.requests), 1)
+
+    async def test_connect_refused(self) -> None:
+        self.server.close()
+        await self.server.wait_closed()
+        await self._fails(
+            "/1",
+            http_client.Progress.CONNECT_REFUSED,
+            http_client.Cause.CONNECT_FAILED,
+        )
+
+    async def test_body_of_unknown_length_ends_at_the_close(self) -> None:
+        async def unframed(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await self._read_path(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\nwhole")
+
+        self.script = unframed
+        self.assertEqual(await self._get("/1"), b"whole")
+        self.assertEqual(self.client.idle_connections(self.address), 0)
+
+    async def test_unframed_body_is_bounded(self) -> None:
+        async def endless(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await self._read_path(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+            while True:
+                writer.write(b"x" * 1000)
+                await writer.drain()
+
+        self.script = endless
+        await self._fails(
+            "/1", http_client.Progress.SENT, http_client.Cause.TOO_LARGE
+        )
+
+    async def test_connections_are_bounded_and_shared_in_order(self) -> None:
+        self.client.limit(self.address, 2)
+        paths = [f"/{index}" for index in range(20)]
+        bodies = await asyncio.gather(*map(self._get, paths))
+        self.assertEqual(bodies, [path.encode() for path in paths])
+        self.assertEqual(self.connections, 2)
+
+    async def test_cancelled_waiter_passes_its_turn_on(self) -> None:
+        self.client.limit(self.address, 1)
+        gate = asyncio.Event()
+
+        async def gated(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await gate.wait()
+            await self._echo(reader, writer)
+
+        self.script = gated
+        tasks = [
+            asyncio.create_task(self._get(f"/{index}")) for index in range(3)
+        ]
+        await asyncio.sleep(0.01)
+        tasks[1].cancel()
+        gate.set()
+        self.assertEqual(await tasks[2], b"/2")
+        self.assertTrue(tasks[1].cancelled())
+
+    async def test_request_that_fills_no_buffer_counts_as_sent(self) -> None:
+        release = asyncio.Event()
+
+        async def unread(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await release.wait()
+
+        self.script = unread
+        with self.assertRaises(http_client.ExchangeError) as caught:
+            await self.client.request(
+                self.address,
+                http_types.HttpRequest("POST", "/", body=b"x" * 20_000_000),
+                deadline=asyncio.get_running_loop().time() + 0.05,
+                max_body_bytes=1,
+            )
+        release.set()
+        self.assertIs(caught.exception.progress, http_client.Progress.SENT)
