Add the command line for hosts, callers, operators and stand-ins

Each command imports what it needs when it runs, so that a role loads only its own modules. Tokens come from files or variables, never from arguments, since arguments show in process lists.

--- /dev/null
+++ b/godwitnotch/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the command line, a module for each group."""
--- /dev/null
+++ b/godwitnotch/commands/callers.py
@@ -0,0 +1,185 @@
+"""Commands of callers: reserve, submit, status, cancel."""
+
+import json
+import sys
+from typing import Annotated
+from typing import Any
+from typing import TYPE_CHECKING
+
+import typer
+
+from godwitnotch.commands import options
+
+if TYPE_CHECKING:
+    from godwitnotch import host_client
+
+_ANSWER_GRACE_S = 5.0
+_DEFAULT_TIMEOUT_MS = 30_000
+_EXIT_CODES = {
+    "complete": options.ExitCode.OK,
+    "running": options.ExitCode.OK,
+    "reserved": options.ExitCode.OK,
+    "refused": options.ExitCode.REFUSED,
+    "failed": options.ExitCode.FAILED,
+    "unknown": options.ExitCode.UNKNOWN,
+}
+
+Submission = Annotated[
+    str, typer.Argument(metavar="ID", help="Submission id, as reserved.")
+]
+
+
+def register(app: typer.Typer) -> None:
+    """Adds the commands to the command line."""
+    app.command()(reserve)
+    app.command()(submit)
+    app.command()(status)
+    app.command()(cancel)
+
+
+def reserve(
+    host: options.Host,
+    workspace: options.Workspace,
+    count: Annotated[int, typer.Option(min=1, help="Number of ids.")] = 1,
+    key: Annotated[
+        str | None,
+        typer.Option(help="Your own key for one id, as an order number."),
+    ] = None,
+    token_file: options.TokenFile = None,
+) -> None:
+    """Reserves submission ids and prints one a line. Starts nothing.
+
+    Example: godwitnotch reserve --host 127.0.0.1:8080 --workspace chutney
+    --count 10
+    """
+    client = options.caller_client(host, token_file)
+    wanted: dict[str, Any] = {"count": count}
+    if key is not None:
+        wanted["key"] = key
+    for submission in _reserve(client, workspace, wanted):
+        print(submission)
+
+
+def submit(
+    host: options.Host,
+    workspace: options.Workspace,
+    template: Annotated[
+        str, typer.Option(metavar="NAME", help="Template of the tasks.")
+    ],
+    tasks: Annotated[
+        typer.FileText,
+        typer.Option(
+            metavar="FILE", help="JSON list of 1 to 110 payloads; - for stdin."
+        ),
+    ],
+    submission: Annotated[
+        str | None,
+        typer.Option("--id", metavar="ID", help="Reserved id to submit under."),
+    ] = None,
+    key: Annotated[
+        str | None,
+        typer.Option(help="Your own key instead, in one call."),
+    ] = None,
+    timeout_ms: Annotated[
+        float, typer.Option(min=1, help="How long to wait, in milliseconds.")
+    ] = _DEFAULT_TIMEOUT_MS,
+    token_file: options.TokenFile = None,
+) -> None:
+    """Submits a job, waits for its answer and prints it as JSON.
+
+    Without --id and --key an id is reserved first. To repeat a submission
+    whose answer was lost, give the same --id or --key: no task starts twice.
+
+    Example: godwitnotch submit --host 127.0.0.1:8080 --workspace chutney
+    --template reorder-check --tasks tasks.json --timeout-ms 5000
+    """
+    if submission and key:
+        options.fail("give --id or --key, not both", options.ExitCode.USAGE)
+    job = {
+        "template": template,
+        "tasks": _read_tasks(tasks),
+        "timeout_ms": timeout_ms,
+    }
+    client = options.caller_client(host, token_file)
+    wait_s = timeout_ms / 1_000 + _ANSWER_GRACE_S
+    if key is not None:
+        headers = {"idempotency-key": key}
+        path = f"/v1/{workspace}/jobs"
+        answer = options.call(
+            client, "POST", path, value=job, headers=headers, timeout_s=wait_s
+        )
+        _finish(answer)
+    if submission is None:
+        submission = _reserve(client, workspace, {"count": 1})[0]
+        print(f"id={submission}", file=sys.stderr)
+    path = f"/v1/{workspace}/jobs/{submission}"
+    _finish(options.call(client, "PUT", path, value=job, timeout_s=wait_s))
+
+
+def status(
+    submission: Submission,
+    host: options.Host,
+    workspace: options.Workspace,
+    token_file: options.TokenFile = None,
+) -> None:
+    """Prints what became of a submission, as JSON.
+
+    Example: godwitnotch status ID --host 127.0.0.1:8080 --workspace chutney
+    """
+    client = options.caller_client(host, token_file)
+    path = f"/v1/{workspace}/jobs/{submission}"
+    _finish(options.call(client, "GET", path))
+
+
+def cancel(
+    submission: Submission,
+    host: options.Host,
+    workspace: options.Workspace,
+    token_file: options.TokenFile = None,
+) -> None:
+    """Cancels a submission and prints what became of it, as JSON.
+
+    Tasks that have started are broken off; the answer tells what ran.
+
+    Example: godwitnotch cancel ID --host 127.0.0.1:8080 --workspace chutney
+    """
+    client = options.caller_client(host, token_file)
+    path = f"/v1/{workspace}/jobs/{submission}"
+    _finish(options.call(client, "DELETE", path))
+
+
+def _reserve(
+    client: "host_client.HostClient", workspace: str, wanted: dict[str, Any]
+) -> list[str]:
+    path = f"/v1/{workspace}/reservations"
+    answer = options.call(client, "POST", path, value=wanted)
+    if "ids" not in answer.value:
+        _finish(answer)
+    return [str(submission) for submission in answer.value["ids"]]
+
+
+def _read_tasks(file: typer.FileText) -> list[Any]:
+    try:
+        tasks = json.load(file)
+    except ValueError as error:
+        options.fail(f"--tasks: no JSON: {error}", options.ExitCode.USAGE)
+    if not isinstance(tasks, list):
+        options.fail(
+            "--tasks: no JSON list; give one payload a task",
+            options.ExitCode.USAGE,
+        )
+    return tasks
+
+
+def _finish(answer: "host_client.HostAnswer") -> None:
+    """Prints an answer, a summary on standard error, and exits."""
+    print(json.dumps(answer.value))
+    outcome = str(answer.value.get("outcome", "refused"))
+    if "outcome" in answer.value:
+        parts = [f"outcome={outcome}", f"ran={answer.value.get('ran')}"]
+        if "reason" in answer.value:
+            parts.append(f"reason={answer.value['reason']}")
+        if "results" in answer.value:
+            parts.append(f"answers={len(answer.value['results'])}")
+        print(" ".join(parts), file=sys.stderr)
+    raise typer.Exit(_EXIT_CODES.get(outcome, options.ExitCode.FAILED))
--- /dev/null
+++ b/godwitnotch/commands/hosts.py
@@ -0,0 +1,101 @@
+"""Commands that run an entry host, and look after running ones."""
+
+import asyncio
+import json
+import pathlib
+from typing import Annotated
+
+import typer
+
+from godwitnotch.commands import options
+from godwitnotch.commands import settings_files
+
+app = typer.Typer(invoke_without_command=True)
+
+
+@app.callback()
+def run(
+    context: typer.Context,
+    settings: Annotated[
+        pathlib.Path | None,
+        typer.Option(metavar="FILE", help="Settings file of the host."),
+    ] = None,
+) -> None:
+    """Runs an entry host until it is drained, or looks after a running one.
+
+    SIGTERM drains: no new work is taken, work under way finishes within
+    limits.drain_timeout_s seconds. A second SIGTERM ends it at once.
+
+    Example: godwitnotch host --settings /etc/godwitnotch/host.yaml
+    """
+    if context.invoked_subcommand is not None:
+        return
+    if settings is None:
+        options.fail(
+            "give --settings FILE to run a host, or --help for the commands",
+            options.ExitCode.USAGE,
+        )
+    loaded = settings_files.load(settings)
+    from godwitnotch import root
+
+    asyncio.run(root.run_host(loaded))
+
+
+@app.command()
+def status(
+    host: options.Host, operator_token_file: options.OperatorTokenFile = None
+) -> None:
+    """Prints the state of a running host as JSON.
+
+    Example: godwitnotch host status --host 127.0.0.1:8080
+    """
+    client = options.operator_client(host, operator_token_file)
+    answer = options.call(client, "GET", "/v1/host")
+    if not answer.ok:
+        options.fail(answer.error, options.ExitCode.REFUSED)
+    print(json.dumps(answer.value, indent=2))
+
+
+@app.command()
+def drain(
+    host: options.Host,
+    timeout: Annotated[
+        float | None,
+        typer.Option(
+            min=0,
+            max=3_600,
+            help="Seconds for work under way; the host's own unless given.",
+        ),
+    ] = None,
+    operator_token_file: options.OperatorTokenFile = None,
+) -> None:
+    """Starts the graceful shutdown of a running host.
+
+    Example: godwitnotch host drain --host 127.0.0.1:8080 --timeout 60
+    """
+    client = options.operator_client(host, operator_token_file)
+    query = {} if timeout is None else {"timeout_s": f"{timeout:g}"}
+    answer = options.call(client, "POST", "/v1/host/drain", query=query)
+    if not answer.ok:
+        options.fail(answer.error, options.ExitCode.REFUSED)
+    print(f"state=draining timeout_s={answer.value['timeout_s']:g}")
+
+
+@app.command("log-level")
+def log_level(
+    level: Annotated[
+        str, typer.Argument(help="debug, info, warning or error.")
+    ],
+    host: options.Host,
+    operator_token_file: options.OperatorTokenFile = None,
+) -> None:
+    """Changes the log level of a running host.
+
+    Example: godwitnotch host log-level debug --host 127.0.0.1:8080
+    """
+    client = options.operator_client(host, operator_token_file)
+    query = {"level": level}
+    answer = options.call(client, "PUT", "/v1/host/log", query=query)
+    if not answer.ok:
+        options.fail(answer.error, options.ExitCode.REFUSED)
+    print(f"log_level={answer.value['log_level']}")
--- /dev/null
+++ b/godwitnotch/commands/options.py
@@ -0,0 +1,137 @@
+"""Options and exit codes that several commands share."""
+
+import enum
+import os
+import pathlib
+import sys
+from typing import Annotated
+from typing import NoReturn
+from typing import TYPE_CHECKING
+
+import typer
+
+if TYPE_CHECKING:
+    from godwitnotch import host_client
+
+TOKEN_VARIABLE = "GODWITNOTCH_TOKEN"
+OPERATOR_TOKEN_VARIABLE = "GODWITNOTCH_OPERATOR_TOKEN"
+_EXAMPLE_ADDRESS = "127.0.0.1:8080"
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of the commands."""
+
+    OK = 0
+    REFUSED = 1  # Nothing ran, nothing changed.
+    USAGE = 2
+    FAILED = 3
+    UNKNOWN = 4  # Tasks may have run, or a change may have been recorded.
+    UNREACHABLE = 5
+    NOT_IN_FORCE = 6  # Recorded, but some hosts lag.
+
+
+Host = Annotated[
+    str,
+    typer.Option(
+        envvar="GODWITNOTCH_HOST",
+        metavar="IP:PORT",
+        help="Callers' address of any entry host.",
+    ),
+]
+Hosts = Annotated[
+    list[str],
+    typer.Option(
+        "--host",
+        envvar="GODWITNOTCH_HOSTS",
+        metavar="IP:PORT",
+        help="Callers' address of a host; repeat for several.",
+    ),
+]
+Workspace = Annotated[
+    str,
+    typer.Option(
+        envvar="GODWITNOTCH_WORKSPACE",
+        metavar="NAME",
+        help="Workspace of the job.",
+    ),
+]
+TokenFile = Annotated[
+    pathlib.Path | None,
+    typer.Option(
+        metavar="FILE",
+        exists=True,
+        dir_okay=False,
+        help=f"File with the workspace's token; else ${TOKEN_VARIABLE}.",
+    ),
+]
+OperatorTokenFile = Annotated[
+    pathlib.Path | None,
+    typer.Option(
+        metavar="FILE",
+        exists=True,
+        dir_okay=False,
+        help=f"File with the operators' token; else "
+        f"${OPERATOR_TOKEN_VARIABLE}.",
+    ),
+]
+
+
+def caller_client(
+    address: str, token_file: pathlib.Path | None
+) -> "host_client.HostClient":
+    """Returns a client with the workspace's token, or exits."""
+    return _client(address, TOKEN_VARIABLE, "--token-file", token_file)
+
+
+def operator_client(
+    address: str, token_file: pathlib.Path | None
+) -> "host_client.HostClient":
+    """Returns a client with the operators' token, or exits."""
+    return _client(
+        address, OPERATOR_TOKEN_VARIABLE, "--operator-token-file", token_file
+    )
+
+
+def call(
+    client: "host_client.HostClient",
+    method: str,
+    path: str,
+    **more: object,
+) -> "host_client.HostAnswer":
+    """Sends a request; exits with a message if the host gives no answer."""
+    from godwitnotch import host_client
+
+    try:
+        return client.call(method, path, **more)  # type: ignore[arg-type]
+    except host_client.HostUnreachable as error:
+        fail(
+            f"host {client.address} gave no answer, so the effect is not "
+            f"known: {error}. Send the request again unchanged, there or to "
+            "another host.",
+            ExitCode.UNREACHABLE,
+        )
+
+
+def fail(message: str, code: ExitCode) -> NoReturn:
+    """Prints a message to standard error and exits."""
+    print(message, file=sys.stderr)
+    raise typer.Exit(code)
+
+
+def _client(
+    address: str,
+    variable: str,
+    option: str,
+    token_file: pathlib.Path | None,
+) -> "host_client.HostClient":
+    from godwitnotch import host_client
+    from godwitnotch import settings
+
+    try:
+        settings.parse_address(address)
+    except ValueError as error:
+        fail(f"--host: {error}", ExitCode.USAGE)
+    token = host_client.read_token(variable, token_file, os.environ)
+    if token is None:
+        fail(f"no token: set {variable} or give {option} FILE", ExitCode.USAGE)
+    return host_client.HostClient(address, token)
--- /dev/null
+++ b/godwitnotch/commands/standins.py
@@ -0,0 +1,149 @@
+"""Commands that run stand-ins of the platform and the upstreams."""
+
+import asyncio
+import json
+import pathlib
+import signal
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Annotated
+
+import typer
+
+from godwitnotch.commands import options
+
+app = typer.Typer(
+    no_args_is_help=True,
+    help="Runs in-memory stand-ins of the platform and upstreams, for trials.",
+)
+
+Listen = Annotated[
+    str,
+    typer.Option(
+        metavar="IP:PORT", help="Where to listen; port 0 takes a free one."
+    ),
+]
+
+
+@app.command()
+def platform(
+    listen: Listen = "127.0.0.1:0",
+    upstreams: Annotated[
+        pathlib.Path | None,
+        typer.Option(
+            metavar="FILE",
+            exists=True,
+            dir_okay=False,
+            help="YAML list of upstreams, each with upstream, domain, rack, "
+            "address, slots, connections.",
+        ),
+    ] = None,
+) -> None:
+    """Runs a stand-in of the platform until SIGTERM.
+
+    Prints listening=IP:PORT. Faults are ordered by `standin faults`.
+
+    Example: godwitnotch standin platform --listen 127.0.0.1:9000
+    --upstreams upstreams.yaml
+    """
+    from godwitnotch.standins import platform as platform_standin
+
+    text = upstreams.read_text() if upstreams is not None else ""
+    try:
+        entries = platform_standin.read_upstreams(text)
+    except ValueError as error:
+        options.fail(f"{upstreams}: {error}", options.ExitCode.USAGE)
+
+    async def run() -> None:
+        standin = platform_standin.Platform(entries)
+        await _serve(listen, standin.start, standin.stop)
+
+    asyncio.run(run())
+
+
+@app.command()
+def upstream(
+    listen: Listen = "127.0.0.1:0",
+    slots: Annotated[
+        int, typer.Option(min=1, help="Tasks that run at once.")
+    ] = 8,
+    speed: Annotated[
+        float,
+        typer.Option(min=0.001, help="Times faster than the reference."),
+    ] = 1.0,
+) -> None:
+    """Runs a stand-in of an upstream until SIGTERM.
+
+    It runs a task {"sleep_ms": 100} by sleeping 100 ms divided by its speed,
+    answers with the task's own body, and fails a task {"fail": true}.
+
+    Example: godwitnotch standin upstream --listen 127.0.0.1:9101 --speed 0.5
+    """
+    from godwitnotch.standins import upstream as upstream_standin
+
+    async def run() -> None:
+        standin = upstream_standin.Upstream(slots=slots, speed=speed)
+        await _serve(listen, standin.start, standin.stop)
+
+    asyncio.run(run())
+
+
+@app.command()
+def faults(
+    address: Annotated[str, typer.Argument(metavar="IP:PORT")],
+    changes: Annotated[
+        list[str] | None,
+        typer.Argument(metavar="NAME=VALUE", help="Faults to order."),
+    ] = None,
+) -> None:
+    """Orders faults from a running stand-in, and prints those in force.
+
+    Names: down, slow_s (seconds), lose_answers (a count, -1 for all),
+    silent, fail_fast, not_started (full, leaving or "").
+
+    Example: godwitnotch standin faults 127.0.0.1:9000 down=true
+    """
+    from godwitnotch import host_client
+
+    client = host_client.HostClient(address, "")
+    wanted = dict(_read_change(change) for change in changes or ())
+    method = "POST" if wanted else "GET"
+    answer = options.call(client, method, "/faults", value=wanted or None)
+    if not answer.ok:
+        options.fail(answer.error, options.ExitCode.REFUSED)
+    print(json.dumps(answer.value))
+
+
+def _read_change(text: str) -> tuple[str, object]:
+    name, separator, value = text.partition("=")
+    if not separator:
+        options.fail(
+            f"{text!r} is no NAME=VALUE; write as down=true",
+            options.ExitCode.USAGE,
+        )
+    try:
+        return name, json.loads(value)
+    except ValueError:
+        return name, value
+
+
+async def _serve(
+    listen: str,
+    start: Callable[[str, int], Awaitable[int]],
+    stop: Callable[[], Awaitable[None]],
+) -> None:
+    """Serves until SIGTERM or SIGINT."""
+    from godwitnotch import settings
+
+    try:
+        address = settings.parse_address(listen)
+    except ValueError as error:
+        options.fail(f"--listen: {error}", options.ExitCode.USAGE)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    port = await start(address.ip, address.port)
+    print(f"listening={settings.Address(address.ip, port)}", flush=True)
+    await stopping.wait()
+    await stop()
--- /dev/null
+++ b/godwitnotch/commands/workspaces.py
@@ -0,0 +1,200 @@
+"""Commands for the settings of workspaces."""
+
+import pathlib
+import sys
+from typing import Annotated
+from typing import Any
+from typing import NoReturn
+from typing import TYPE_CHECKING
+
+import typer
+from returns.result import Failure
+
+from godwitnotch.commands import options
+
+if TYPE_CHECKING:
+    from godwitnotch import host_client
+
+app = typer.Typer(
+    no_args_is_help=True, help="Shows and changes the settings of workspaces."
+)
+
+_ANSWER_GRACE_S = 5.0
+_HTTP_CONFLICT = 409
+_HTTP_NOT_FOUND = 404
+_HTTP_NOT_KNOWN = 504
+
+
+@app.command("list")
+def list_workspaces(
+    host: options.Host, operator_token_file: options.OperatorTokenFile = None
+) -> None:
+    """Prints each workspace and the version in force on a host.
+
+    Example: godwitnotch workspace list --host 127.0.0.1:8080
+    """
+    client = options.operator_client(host, operator_token_file)
+    answer = options.call(client, "GET", "/v1/workspaces")
+    _expect_ok(answer)
+    for listed in answer.value["workspaces"]:
+        print(f"workspace={listed['workspace']} version={listed['version']}")
+
+
+@app.command()
+def get(
+    workspace: Annotated[str, typer.Argument(metavar="NAME")],
+    host: options.Host,
+    operator_token_file: options.OperatorTokenFile = None,
+) -> None:
+    """Prints a workspace's settings as a file that `put` takes.
+
+    Example: godwitnotch workspace get chutney --host 127.0.0.1:8080
+    """
+    from godwitnotch import workspace_file
+
+    client = options.operator_client(host, operator_token_file)
+    answer = options.call(client, "GET", f"/v1/workspaces/{workspace}")
+    _expect_ok(answer)
+    print(f"# version: {answer.value['version']}")
+    print(workspace_file.to_yaml(answer.value["settings"]), end="")
+
+
+@app.command()
+def check(
+    file: Annotated[pathlib.Path, typer.Argument(metavar="FILE")],
+) -> None:
+    """Checks a workspace file and prints every problem of it.
+
+    Example: godwitnotch workspace check chutney.yaml
+    """
+    wanted = _load(file)
+    print(f"{file}: no problem; workspace={wanted['workspace']}")
+
+
+@app.command()
+def put(
+    file: Annotated[pathlib.Path, typer.Argument(metavar="FILE")],
+    host: options.Host,
+    version: Annotated[
+        int | None,
+        typer.Option(
+            min=0,
+            help="Version that your file was made from; the one in force "
+            "unless given. 0 creates the workspace.",
+        ),
+    ] = None,
+    dry_run: Annotated[
+        bool, typer.Option("--dry-run", help="Show the change only.")
+    ] = False,
+    wait: Annotated[
+        float,
+        typer.Option(
+            min=0, max=120, help="Seconds to wait until in force everywhere."
+        ),
+    ] = 17.0,
+    operator_token_file: options.OperatorTokenFile = None,
+) -> None:
+    """Replaces a workspace's settings and waits until they are in force.
+
+    Hosts on which they are not yet in force are named, with exit code 6.
+
+    Example: godwitnotch workspace put chutney.yaml --host 127.0.0.1:8080
+    --dry-run
+    """
+    from godwitnotch import workspace_file
+
+    wanted = _load(file)
+    name = wanted["workspace"]
+    client = options.operator_client(host, operator_token_file)
+    seen_version, seen = _seen(client, name)
+    change = workspace_file.difference(
+        seen, wanted, old_name=f"version {seen_version}", new_name=str(file)
+    )
+    print(change or "no change", end="" if change else "\n")
+    if dry_run or not change:
+        return
+    answer = options.call(
+        client,
+        "PUT",
+        f"/v1/workspaces/{name}",
+        value=wanted,
+        headers={"if-match": str(seen_version if version is None else version)},
+        query={"wait_s": f"{wait:g}"},
+        timeout_s=wait + _ANSWER_GRACE_S,
+    )
+    _finish_put(answer, seen, seen_version, file)
+
+
+def _load(file: pathlib.Path) -> dict[str, Any]:
+    """Returns the checked file with all defaults, or exits."""
+    from godwitnotch import workspace_file
+
+    loaded = workspace_file.load(file)
+    if isinstance(loaded, Failure):
+        options.fail(str(loaded.failure()), options.ExitCode.USAGE)
+    config = workspace_file.to_config(loaded.unwrap(), version=0)
+    return workspace_file.to_json(config)
+
+
+def _seen(
+    client: "host_client.HostClient", name: str
+) -> tuple[int, dict[str, Any]]:
+    answer = options.call(client, "GET", f"/v1/workspaces/{name}")
+    if answer.code == _HTTP_NOT_FOUND:
+        return 0, {}
+    _expect_ok(answer)
+    return int(answer.value["version"]), answer.value["settings"]
+
+
+def _finish_put(
+    answer: "host_client.HostAnswer",
+    seen: dict[str, Any],
+    seen_version: int,
+    file: pathlib.Path,
+) -> None:
+    if answer.code == _HTTP_CONFLICT:
+        _fail_conflict(answer, seen, seen_version, file)
+    if answer.code == _HTTP_NOT_KNOWN:
+        options.fail(answer.error, options.ExitCode.UNKNOWN)
+    _expect_ok(answer)
+    version = answer.value["version"]
+    if answer.value["state"] == "in_force":
+        print(f"state=in_force version={version}")
+        return
+    lagging = ",".join(answer.value["lagging"])
+    print(f"state=recorded version={version} lagging={lagging}")
+    options.fail(answer.value["detail"], options.ExitCode.NOT_IN_FORCE)
+
+
+def _fail_conflict(
+    answer: "host_client.HostAnswer",
+    seen: dict[str, Any],
+    seen_version: int,
+    file: pathlib.Path,
+) -> NoReturn:
+    """Shows what another operator changed, and exits."""
+    from godwitnotch import workspace_file
+
+    current = answer.value["error"]["current"]
+    print(
+        f"Another operator recorded version {current['version']}. "
+        "Their change:",
+        file=sys.stderr,
+    )
+    theirs = workspace_file.difference(
+        seen,
+        current["settings"],
+        old_name=f"version {seen_version}",
+        new_name=f"version {current['version']}",
+    )
+    print(theirs or "(none that your host had not seen)", file=sys.stderr)
+    options.fail(
+        f"Nothing was changed. Merge their change into {file} and put it "
+        f"again with --version {current['version']}.",
+        options.ExitCode.REFUSED,
+    )
+
+
+def _expect_ok(answer: "host_client.HostAnswer") -> None:
+    if not answer.ok:
+        options.fail(answer.error, options.ExitCode.REFUSED)
--- /dev/null
+++ b/godwitnotch/host_client.py
@@ -0,0 +1,161 @@
+"""Sends one request to a host, for the commands of callers and operators."""
+
+import asyncio
+import json
+import pathlib
+from collections.abc import Mapping
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+from godwitnotch.net import http_client
+from godwitnotch.net import http_types
+
+DEFAULT_TIMEOUT_S = 10.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
+NO_HEADERS: Mapping[str, str] = {}
+
+
+class HostUnreachable(Exception):
+    """The host gave no whole answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class HostAnswer:
+    """An answer of a host.
+
+    Attributes:
+        code: HTTP status code.
+        value: The JSON object of the body.
+        headers: Headers by lower case name.
+    """
+
+    code: int
+    value: dict[str, Any]
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+    @property
+    def ok(self) -> bool:
+        """Whether the code tells of success."""
+        return 200 <= self.code < 300
+
+    @property
+    def error(self) -> str:
+        """Kind and detail of an error, as one line."""
+        error = self.value.get("error")
+        if isinstance(error, dict):
+            return f"{error.get('kind')}: {error.get('detail')}"
+        return f"{self.value.get('reason')}: {self.value.get('detail')}"
+
+
+@dataclass(frozen=True, slots=True)
+class HostClient:
+    """Reaches one host; each request opens a connection of its own.
+
+    Attributes:
+        address: IP:PORT of the host's callers.
+        token: Bearer token.
+    """
+
+    address: str
+    token: str = field(repr=False)
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        value: object = None,
+        query: Mapping[str, str] = NO_HEADERS,
+        headers: Mapping[str, str] = NO_HEADERS,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+    ) -> HostAnswer:
+        """Sends a request and waits for the answer.
+
+        Raises:
+            HostUnreachable: There was no whole answer.
+        """
+        return asyncio.run(
+            self.acall(
+                method,
+                path,
+                value=value,
+                query=query,
+                headers=headers,
+                timeout_s=timeout_s,
+            )
+        )
+
+    async def acall(
+        self,
+        method: str,
+        path: str,
+        *,
+        value: object = None,
+        query: Mapping[str, str] = NO_HEADERS,
+        headers: Mapping[str, str] = NO_HEADERS,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+    ) -> HostAnswer:
+        """Does what `call` does, on a running loop."""
+        request = http_types.HttpRequest(
+            method,
+            path,
+            query,
+            {
+                "authorization": f"Bearer {self.token}",
+                "content-type": "application/json",
+                **headers,
+            },
+            b"" if value is None else json.dumps(value).encode(),
+        )
+        client = http_client.HttpClient(connections=1)
+        try:
+            response = await client.request(
+                self.address,
+                request,
+                deadline=asyncio.get_running_loop().time() + timeout_s,
+                max_body_bytes=MAX_ANSWER_BYTES,
+            )
+        except http_client.ExchangeError as error:
+            raise HostUnreachable(str(error)) from error
+        finally:
+            await client.close()
+        return _read(response)
+
+
+def read_token(
+    variable: str, file: pathlib.Path | None, environment: Mapping[str, str]
+) -> str | None:
+    """Returns a token from a file if given, else from a variable."""
+    if file is not None:
+        return file.read_text().strip() or None
+    return environment.get(variable, "").strip() or None
+
+
+async def gather(
+    clients: Sequence[HostClient], method: str, path: str, *, timeout_s: float
+) -> list[HostAnswer | HostUnreachable]:
+    """Sends one request to several hosts at once."""
+
+    async def call(client: HostClient) -> HostAnswer | HostUnreachable:
+        try:
+            return await client.acall(method, path, timeout_s=timeout_s)
+        except HostUnreachable as error:
+            return error
+
+    return await asyncio.gather(*(call(client) for client in clients))
+
+
+def _read(response: http_types.HttpResponse) -> HostAnswer:
+    try:
+        value = json.loads(response.body)
+    except ValueError:
+        value = None
+    if not isinstance(value, dict):
+        raise HostUnreachable(
+            f"status {response.status} without a JSON object; check that the "
+            "address is that of a host's callers"
+        )
+    return HostAnswer(response.status, value, response.headers)
