--- a/godwitnotch/commands/hosts.py
+++ b/godwitnotch/commands/hosts.py
@@ -1,6 +1,7 @@
 """Commands that run an entry host, and look after running ones."""
 
 import asyncio
+import importlib
 import json
 import pathlib
 from typing import Annotated
@@ -36,8 +37,7 @@
             options.ExitCode.USAGE,
         )
     loaded = settings_files.load(settings)
-    from godwitnotch import root
-
+    root = importlib.import_module("godwitnotch.root")
     asyncio.run(root.run_host(loaded))
 
 
--- /dev/null
+++ b/godwitnotch/net/operator_routes.py
@@ -0,0 +1,314 @@
+"""HTTP routes for operators, the balancer and the metrics collector."""
+
+from typing import Any
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from godwitnotch import event_ring
+from godwitnotch import log
+from godwitnotch import metrics
+from godwitnotch import workspace_file
+from godwitnotch.core import actions
+from godwitnotch.core import events
+from godwitnotch.core import ids
+from godwitnotch.core import model
+from godwitnotch.net import core_port
+from godwitnotch.net import http_types
+from godwitnotch.net import job_json
+from godwitnotch.net import routes
+
+DEFAULT_CONFIG_WAIT_S = 17.0
+MAX_CONFIG_WAIT_S = 120.0
+MAX_DRAIN_TIMEOUT_S = 3_600.0
+
+
+@routes.route("GET", "/v1/workspaces", access=routes.Access.OPERATOR)
+async def _list_workspaces(
+    host: routes.Host, call: routes.Call
+) -> http_types.HttpResponse:
+    listed = [
+        {"workspace": name, "version": config.version}
+        for name, config in sorted(host.port.configs.items())
+    ]
+    return routes.json_response(200, {"workspaces": listed})
+
+
+@routes.route(
+    "GET", "/v1/workspaces/{workspace}", access=routes.Access.OPERATOR
+)
+async def _get_workspace(
+    host: routes.Host, call: routes.Call
+) -> http_types.HttpResponse:
+    config = host.port.configs.get(call.workspace)
+    if config is None:
+        return routes.error(
+            404,
+            "no_workspace",
+            "no such workspace is in force here; create it with "
+            "If-Match: 0, or list those that exist",
+        )
+    return routes.versioned(200, _config_json(config), config.version)
+
+
+@routes.route(
+    "PUT", "/v1/workspaces/{workspace}", access=routes.Access.OPERATOR
+)
+async def _put_workspace(
+    host: routes.Host, call: routes.Call
+) -> http_types.HttpResponse:
+    seen = _if_match(call.request)
+    if seen is None:
+        return routes.error(
+            428,
+            "version_missing",
+            "give the version that you saw in If-Match, 0 to create the "
+            "workspace",
+        )
+    wait_s = routes.query_seconds(
+        call.request, "wait_s", DEFAULT_CONFIG_WAIT_S, MAX_CONFIG_WAIT_S
+    )
+    if wait_s is None:
+        return routes.error(
+            400,
+            "bad_request",
+            f"wait_s is no number of seconds from 0 to {MAX_CONFIG_WAIT_S:g}",
+        )
+    read = _read_workspace(call)
+    if isinstance(read, Failure):
+        refused: http_types.HttpResponse = read.failure()
+        return refused
+    config = workspace_file.to_config(read.unwrap(), version=seen + 1)
+    return await _ask_to_put(host, config, wait_s)
+
+
+async def _ask_to_put(
+    host: routes.Host, config: model.WorkspaceConfig, wait_s: float
+) -> http_types.HttpResponse:
+    started_at = host.port.now()
+    answer = await host.port.ask(
+        lambda call_id: events.ConfigPutAsked(
+            call_id, config, started_at + wait_s
+        )
+    )
+    host.record(metrics.Latency.CONFIG_PUT, started_at)
+    if isinstance(answer, actions.ReplyConfig):
+        return _put_response(answer, config.version)
+    raise TypeError(f"an operator was answered with {type(answer)}")
+
+
+@routes.route("GET", "/v1/host", access=routes.Access.OPERATOR)
+async def _host_status(
+    host: routes.Host, call: routes.Call
+) -> http_types.HttpResponse:
+    status = host.port.status()
+    return routes.json_response(
+        200,
+        {
+            **_status_json(status),
+            "workspaces": len(host.port.configs),
+            "log_level": log.level(),
+            "counts": host.counts.counts_by_reason(),
+        },
+    )
+
+
+@routes.route("POST", "/v1/host/drain", access=routes.Access.OPERATOR)
+async def _drain(
+    host: routes.Host, call: routes.Call
+) -> http_types.HttpResponse:
+    timeout_s = routes.query_seconds(
+        call.request,
+        "timeout_s",
+        host.drain_timeout_s,
+        MAX_DRAIN_TIMEOUT_S,
+    )
+    if timeout_s is None:
+        return routes.error(
+            400,
+            "bad_request",
+            "timeout_s is no number of seconds from 0 to "
+            f"{MAX_DRAIN_TIMEOUT_S:g}",
+        )
+    host.port.drain(deadline=host.port.now() + timeout_s)
+    return routes.json_response(
+        202, {"state": "draining", "timeout_s": timeout_s}
+    )
+
+
+@routes.route("PUT", "/v1/host/log", access=routes.Access.OPERATOR)
+async def _set_log_level(
+    host: routes.Host, call: routes.Call
+) -> http_types.HttpResponse:
+    wanted = call.request.query.get("level", "")
+    try:
+        log.set_level(wanted)
+    except ValueError as error:
+        return routes.error(400, "bad_request", str(error))
+    return routes.json_response(200, {"log_level": wanted})
+
+
+@routes.route("GET", "/v1/explain/{submission}", access=routes.Access.OPERATOR)
+async def _explain(
+    host: routes.Host, call: routes.Call
+) -> http_types.HttpResponse:
+    now = host.port.now()
+    entry = host.port.status().entry
+    noted = [
+        _event_json(timed, now) for timed in host.ring.events(call.submission)
+    ]
+    return routes.json_response(
+        200,
+        {"host": entry.host, "domain": entry.domain, "events": noted},
+    )
+
+
+@routes.route("GET", "/healthz", access=routes.Access.ANYONE)
+async def _health(
+    host: routes.Host, call: routes.Call
+) -> http_types.HttpResponse:
+    return routes.json_response(200, {"state": "alive"})
+
+
+@routes.route("GET", "/readyz", access=routes.Access.ANYONE)
+async def _readiness(
+    host: routes.Host, call: routes.Call
+) -> http_types.HttpResponse:
+    if host.port.ready:
+        return routes.json_response(200, {"state": "ready"})
+    return routes.json_response(503, {"state": "not_ready"})
+
+
+@routes.route("GET", "/metrics", access=routes.Access.ANYONE)
+async def _metrics_text(
+    host: routes.Host, call: routes.Call
+) -> http_types.HttpResponse:
+    status = host.port.status()
+    gauges = (
+        ("ready", float(status.ready)),
+        ("draining", float(status.draining)),
+        ("store_up", float(status.store_up)),
+        ("jobs", float(status.jobs)),
+        ("running_tasks", float(status.running_tasks)),
+        ("queued_tasks", float(status.queued_tasks)),
+        ("linked_peers", float(sum(p.linked for p in status.peers))),
+        ("upstreams", float(len(status.upstreams))),
+        ("kept_events", float(len(host.ring))),
+    )
+    text = host.counts.render(gauges)
+    return routes.response(200, text, content_type=metrics.CONTENT_TYPE)
+
+
+def _if_match(request: http_types.HttpRequest) -> int | None:
+    text = request.headers.get("if-match", "").strip().strip('"')
+    if not text.isascii() or not text.isdigit() or len(text) > 15:
+        return None
+    return int(text)
+
+
+def _read_workspace(
+    call: routes.Call,
+) -> Result[workspace_file.WorkspaceDocument, http_types.HttpResponse]:
+    return (
+        job_json.read_object(call.request.body)
+        .alt(lambda bad: routes.error(400, "bad_request", bad.detail))
+        .bind(_check_workspace)
+        .bind(lambda document: _check_name(document, call.workspace))
+    )
+
+
+def _check_workspace(
+    value: dict[str, Any],
+) -> Result[workspace_file.WorkspaceDocument, http_types.HttpResponse]:
+    return workspace_file.check_json(value, source="request").alt(
+        lambda invalid: routes.error(
+            422,
+            "invalid_settings",
+            str(invalid),
+            problems=[str(problem) for problem in invalid.problems],
+        )
+    )
+
+
+def _check_name(
+    document: workspace_file.WorkspaceDocument, workspace: ids.WorkspaceId
+) -> Result[workspace_file.WorkspaceDocument, http_types.HttpResponse]:
+    if document.workspace == workspace:
+        return Success(document)
+    detail = "the workspace in the path and the body differ; make them equal"
+    return Failure(routes.error(400, "bad_request", detail))
+
+
+def _put_response(
+    answer: actions.ReplyConfig, version: int
+) -> http_types.HttpResponse:
+    """Returns in force, recorded, conflict, not recorded, or not known."""
+    if answer.recorded is None:
+        return routes.error(504, "not_known_whether_recorded", answer.detail)
+    if answer.recorded:
+        state = "recorded" if answer.lagging else "in_force"
+        body = {
+            "state": state,
+            "version": version,
+            "lagging": list(answer.lagging),
+            "detail": answer.detail,
+        }
+        return routes.versioned(202 if answer.lagging else 200, body, version)
+    if answer.current is None:
+        return routes.error(503, "not_recorded", answer.detail)
+    current = answer.current
+    return routes.with_headers(
+        routes.error(
+            409,
+            "version_conflict",
+            answer.detail,
+            current=_config_json(current),
+        ),
+        {"etag": f'"{current.version}"'},
+    )
+
+
+def _config_json(config: model.WorkspaceConfig) -> dict[str, Any]:
+    return {
+        "version": config.version,
+        "settings": workspace_file.to_json(config),
+    }
+
+
+def _status_json(status: core_port.HostStatus) -> dict[str, Any]:
+    return {
+        "host": status.entry.host,
+        "domain": status.entry.domain,
+        "incarnation": status.entry.incarnation,
+        "ready": status.ready,
+        "draining": status.draining,
+        "store_up": status.store_up,
+        "jobs": status.jobs,
+        "running_tasks": status.running_tasks,
+        "queued_tasks": status.queued_tasks,
+        "peers": [
+            {"host": peer.host, "domain": peer.domain, "linked": peer.linked}
+            for peer in status.peers
+        ],
+        "upstreams": [
+            {
+                "upstream": upstream.upstream,
+                "domain": upstream.domain,
+                "slots": upstream.slots,
+                "running": upstream.running,
+                "leaving": upstream.leaving,
+            }
+            for upstream in status.upstreams
+        ],
+    }
+
+
+def _event_json(timed: event_ring.TimedNote, now: float) -> dict[str, Any]:
+    noted = timed.note
+    return {
+        "ago_s": round(now - timed.at, 6),
+        "event": noted.event,
+        "reason": noted.reason.value if noted.reason else None,
+        "detail": noted.detail,
+    }
--- /dev/null
+++ b/godwitnotch/net/routes.py
@@ -0,0 +1,169 @@
+"""The table of HTTP routes, and how their answers are written."""
+
+import enum
+import hashlib
+import hmac
+import json
+import re
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterator
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from godwitnotch import event_ring
+from godwitnotch import metrics
+from godwitnotch.core import ids
+from godwitnotch.net import core_port
+from godwitnotch.net import http_types
+
+_JSON = "application/json"
+_BEARER = "bearer "
+
+
+class Access(enum.Enum):
+    """Whose token a route asks for."""
+
+    ANYONE = "anyone"
+    CALLER = "caller"
+    OPERATOR = "operator"
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """What the routes use of their host.
+
+    Attributes:
+        port: The running host.
+        counts: Counters and latencies of the host.
+        ring: Events of the latest submissions.
+        operator_token_sha256: Hex digest of the operators' bearer token.
+        drain_timeout_s: Time for work under way when an operator drains the
+            host and gives no other.
+    """
+
+    port: core_port.CorePort
+    counts: metrics.Metrics
+    ring: event_ring.EventRing
+    operator_token_sha256: str
+    drain_timeout_s: float
+
+    def record(self, latency: metrics.Latency, started_at: float) -> None:
+        """Records the time since an exchange started."""
+        self.counts.record(latency, self.port.now() - started_at)
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A request and the parts of its path that the route names."""
+
+    request: http_types.HttpRequest
+    parts: Mapping[str, str]
+
+    @property
+    def workspace(self) -> ids.WorkspaceId:
+        """The workspace in the path."""
+        return ids.WorkspaceId(self.parts["workspace"])
+
+    @property
+    def submission(self) -> ids.SubmissionId:
+        """The submission id in the path, not yet verified."""
+        return ids.SubmissionId(self.parts["submission"])
+
+
+Answerer = Callable[[Host, Call], Awaitable[http_types.HttpResponse]]
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """A method and path, who may use it, and what answers it."""
+
+    method: str
+    pattern: re.Pattern[str]
+    access: Access
+    answerer: Answerer
+
+
+_ROUTES: list[Route] = []
+
+
+def route(
+    method: str, path: str, *, access: Access
+) -> Callable[[Answerer], Answerer]:
+    """Registers what answers a method and path; {name} matches one part."""
+    pattern = re.compile(re.sub(r"\{(\w+)\}", r"(?P<\1>[^/]+)", path))
+
+    def register(answerer: Answerer) -> Answerer:
+        _ROUTES.append(Route(method, pattern, access, answerer))
+        return answerer
+
+    return register
+
+
+def matching(path: str) -> Iterator[tuple[Route, Mapping[str, str]]]:
+    """Yields the routes of a path, and the parts that they name."""
+    for candidate in _ROUTES:
+        match = candidate.pattern.fullmatch(path)
+        if match is not None:
+            yield candidate, match.groupdict()
+
+
+def token_matches(request: http_types.HttpRequest, sha256: str) -> bool:
+    """Compares in constant time; an empty digest matches no token."""
+    given = request.headers.get("authorization", "")
+    scheme, token = given[: len(_BEARER)], given[len(_BEARER) :].strip()
+    if scheme.lower() != _BEARER or not token:
+        return False
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    return hmac.compare_digest(digest, sha256)
+
+
+def query_seconds(
+    request: http_types.HttpRequest, name: str, default: float, largest: float
+) -> float | None:
+    """Returns a query value in seconds, None where it is not allowed."""
+    try:
+        seconds = float(request.query.get(name, default))
+    except ValueError:
+        return None
+    return seconds if 0 <= seconds <= largest else None
+
+
+def error(
+    code: int, kind: str, detail: str, **more: object
+) -> http_types.HttpResponse:
+    """Returns an error; `detail` names the cause and the remedy."""
+    return json_response(
+        code, {"error": {"kind": kind, "detail": detail, **more}}
+    )
+
+
+def versioned(
+    code: int, value: Mapping[str, Any], version: int
+) -> http_types.HttpResponse:
+    """Returns JSON with its version as entity tag."""
+    return with_headers(json_response(code, value), {"etag": f'"{version}"'})
+
+
+def json_response(
+    code: int, value: Mapping[str, Any]
+) -> http_types.HttpResponse:
+    """Returns JSON."""
+    return response(code, json.dumps(value).encode())
+
+
+def response(
+    code: int, body: bytes, *, content_type: str = _JSON
+) -> http_types.HttpResponse:
+    """Returns a body of one content type."""
+    return http_types.HttpResponse(code, body, {"content-type": content_type})
+
+
+def with_headers(
+    response: http_types.HttpResponse, headers: Mapping[str, str]
+) -> http_types.HttpResponse:
+    """Returns a response with further headers."""
+    return http_types.HttpResponse(
+        response.status, response.body, {**response.headers, **headers}
+    )
--- /dev/null
+++ b/tests/test_log.py
@@ -0,0 +1,77 @@
+"""Tests of the log's lines."""
+
+import io
+import logging
+import unittest
+
+from godwitnotch import log
+from godwitnotch.core import actions
+from godwitnotch.core import ids
+from godwitnotch.core import model
+
+
+class LogTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.stream = io.StringIO()
+        self.now = 0.0
+        disabled = logging.root.manager.disable
+        logging.disable(logging.NOTSET)
+        self.addCleanup(logging.disable, disabled)
+        self.addCleanup(log.logger.handlers.clear)
+        log.configure(stream=self.stream, clock=lambda: self.now)
+
+    def lines(self) -> list[str]:
+        return self.stream.getvalue().splitlines()
+
+    def test_an_event_is_one_line_of_pairs(self) -> None:
+        log.event("peer_up", host="h2", detail='two "words"\nand a line')
+        (line,) = self.lines()
+        self.assertRegex(
+            line, r"^time=\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z level=info "
+        )
+        self.assertTrue(
+            line.endswith(
+                r'event=peer_up host=h2 detail="two \"words\"\nand a line"'
+            )
+        )
+
+    def test_notes_of_a_submission_are_debug_lines(self) -> None:
+        noted = actions.Note(
+            "refused", ids.SubmissionId("a.b"), model.Reason.QUEUE_FULL, "n=1"
+        )
+        log.note(noted)
+        self.assertEqual(self.lines(), [])
+        log.set_level("debug")
+        log.note(noted)
+        (line,) = self.lines()
+        self.assertTrue(
+            line.endswith("event=refused submission=a.b reason=queue_full n=1")
+        )
+
+    def test_repeated_events_are_bounded_and_the_dropped_counted(self) -> None:
+        for _ in range(log.BURST_LINES + 7):
+            log.event("store_failed")
+        log.event("peer_up")
+        self.assertEqual(len(self.lines()), log.BURST_LINES + 1)
+        self.now = log.WINDOW_S
+        log.event("store_failed")
+        self.assertTrue(self.lines()[-1].endswith(" dropped=7"))
+
+    def test_a_traceback_stays_on_its_line(self) -> None:
+        try:
+            raise ValueError("bad\nvalue")
+        except ValueError:
+            log.logger.exception("path=/x", extra={"event": "request_failed"})
+        (line,) = self.lines()
+        self.assertIn("event=request_failed path=/x traceback=", line)
+
+    def test_records_of_libraries_are_pairs_too(self) -> None:
+        logging.getLogger("godwitnotch.net").warning("went %s", "wrong")
+        (line,) = self.lines()
+        self.assertTrue(
+            line.endswith('event=godwitnotch.net message="went wrong"')
+        )
+
+    def test_an_unknown_level_is_refused(self) -> None:
+        with self.assertRaisesRegex(ValueError, "debug, info"):
+            log.set_level("loud")
