Add the runtime of a host and the composition root

Cause: the decisions need one place that performs their actions. Ruled out: a task per event (order of events is lost); a wait without a bound (a fault in the decisions would leave its caller hanging).

--- /dev/null
+++ b/godwitnotch/net/runtime.py
@@ -0,0 +1,512 @@
+"""Drives the decisions of one host: events in, actions performed."""
+
+import asyncio
+import itertools
+from collections import Counter
+from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Iterable
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import Any
+from typing import Protocol
+
+from godwitnotch.core import actions
+from godwitnotch.core import events
+from godwitnotch.core import host as host_module
+from godwitnotch.core import ids
+from godwitnotch.core import messages
+from godwitnotch.core import model
+from godwitnotch.net import core_port
+from godwitnotch.net import platform_client
+
+ANSWER_GRACE_S = 5.0  # For the decisions to answer after a deadline.
+ANSWER_LIMIT_S = 15.0  # For calls without a deadline.
+STORE_TIMEOUT_S = 2.0
+DIRECTORY_INTERVAL_S = 1.0
+DIRECTORY_TIMEOUT_S = 1.5
+REGISTER_INTERVAL_S = 2.0
+
+OnNote = Callable[[actions.Note], None]
+OnFault = Callable[[str, BaseException], None]
+
+
+class Core(Protocol):
+    """The decisions, as `core.host.HostCore` provides them."""
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+
+    @property
+    def configs(self) -> Mapping[ids.WorkspaceId, model.WorkspaceConfig]:
+        """The workspace settings in force."""
+
+    @property
+    def status(self) -> host_module.HostStatus:
+        """What the host is doing."""
+
+    def handle(
+        self, event: events.Event, *, now: float
+    ) -> list[actions.Action]:
+        """Takes one event; returns what is to be done."""
+
+    def next_deadline(self) -> float | None:
+        """Returns when `TimePassed` is next due, if ever."""
+
+
+class Upstreams(Protocol):
+    """What sends tasks to upstreams."""
+
+    def upstreams_seen(self, upstreams: Iterable[model.UpstreamEntry]) -> None:
+        """Takes a newer list."""
+
+    async def send(self, action: actions.StartAttempt) -> events.AttemptEnded:
+        """Sends one task; cancelling this closes its connection."""
+
+
+class Peers(Protocol):
+    """The links to the other hosts."""
+
+    @property
+    def linked(self) -> Mapping[ids.HostId, messages.Hello]:
+        """What the linked peers say of themselves."""
+
+    def hosts_seen(self, hosts: Iterable[model.HostEntry]) -> None:
+        """Takes a newer list."""
+
+    def send(self, host: ids.HostId, message: messages.Message) -> bool:
+        """Queues a message; False if it is lost."""
+
+
+@dataclass(frozen=True, slots=True)
+class Connections:
+    """What the runtime performs actions with."""
+
+    platform: platform_client.Platform
+    upstreams: Upstreams
+    peers: Peers
+
+
+class HostRuntime:
+    """Runs one host's decisions on the running loop; a `core_port.CorePort`.
+
+    Args:
+        core: The decisions.
+        identity: This host.
+        connections: What performs the actions.
+        on_note: Takes notes for the log, the event ring and the counters.
+        on_fault: Takes exceptions that nothing else expected.
+    """
+
+    def __init__(
+        self,
+        *,
+        core: Core,
+        identity: model.HostEntry,
+        connections: Connections,
+        on_note: OnNote,
+        on_fault: OnFault,
+    ) -> None:
+        self._core = core
+        self._identity = identity
+        self._platform = connections.platform
+        self._upstreams = connections.upstreams
+        self._peers = connections.peers
+        self._on_note = on_note
+        self._on_fault = on_fault
+        self._loop = asyncio.get_running_loop()
+        self._call_numbers = itertools.count(1)
+        self._calls: dict[ids.CallId, asyncio.Future[core_port.Answer]] = {}
+        self._attempts: dict[ids.AttemptId, asyncio.Task[Any]] = {}
+        self._running: Counter[ids.UpstreamId] = Counter()
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._directory = model.Directory()
+        self._store_up = True
+        self._draining: asyncio.Future[float] = self._loop.create_future()
+        self._stopped = asyncio.Event()
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+        return self._core.ready
+
+    @property
+    def configs(self) -> Mapping[ids.WorkspaceId, model.WorkspaceConfig]:
+        """The workspace settings in force on this host."""
+        return self._core.configs
+
+    def now(self) -> float:
+        """Returns the time of the loop's clock, in seconds."""
+        return self._loop.time()
+
+    def start(self) -> None:
+        """Begins to decide, to watch the platform's list and to be in it."""
+        self.feed(events.TimePassed())
+        for interval_s, work in (
+            (DIRECTORY_INTERVAL_S, self._read_directory),
+            (REGISTER_INTERVAL_S, self._register),
+        ):
+            self._spawn(self._repeat(interval_s, work), self._unexpected)
+
+    async def wait_draining(self) -> float:
+        """Waits for a drain to start; returns its deadline."""
+        return await asyncio.shield(self._draining)
+
+    async def wait_stopped(self) -> None:
+        """Returns once the decisions have nothing left to do."""
+        await self._stopped.wait()
+
+    async def close(self) -> None:
+        """Ends what is still under way."""
+        if self._timer is not None:
+            self._timer.cancel()
+        pending = tuple(self._tasks)
+        for task in pending:
+            task.cancel()
+        await asyncio.gather(*pending, return_exceptions=True)
+
+    def drain(self, *, deadline: float) -> None:
+        """Starts a graceful shutdown; may be repeated."""
+        if self._draining.done():
+            return
+        self._draining.set_result(deadline)
+        self._identity = replace(self._identity, leaving=True)
+        self._spawn(self._register(), self._unexpected)
+        self.feed(events.DrainAsked(deadline))
+
+    def status(self) -> core_port.HostStatus:
+        """Returns the state of this host."""
+        status = self._core.status
+        draining = status.state not in (
+            host_module.HostState.STARTING,
+            host_module.HostState.SERVING,
+        )
+        return core_port.HostStatus(
+            entry=self._identity,
+            ready=self._core.ready,
+            draining=draining,
+            store_up=self._store_up,
+            jobs=status.jobs,
+            running_tasks=len(self._attempts),
+            peers=self._peer_statuses(),
+            upstreams=self._upstream_statuses(),
+        )
+
+    async def ask(self, make_event: core_port.MakeEvent) -> core_port.Answer:
+        """Feeds an event with a fresh call id and waits for its answer."""
+        call = ids.CallId(next(self._call_numbers))
+        event = make_event(call)
+        answered: asyncio.Future[core_port.Answer] = self._loop.create_future()
+        self._calls[call] = answered
+        self.feed(event)
+        try:
+            async with asyncio.timeout_at(self._give_up_at(event)):
+                return await answered
+        except TimeoutError:
+            self._on_note(actions.Note("call_overdue"))
+            return _fallback(event, call)
+        finally:
+            del self._calls[call]
+            if not answered.done() or answered.cancelled():
+                self.feed(events.CallerGone(call))
+
+    def feed(self, event: events.Event) -> None:
+        """Decides on an event and performs what follows from it."""
+        try:
+            decided = self._core.handle(event, now=self._loop.time())
+        except Exception as error:
+            self._on_fault(f"deciding on {type(event).__name__}", error)
+            self._answer_after_fault(event)
+            decided = []
+        for action in decided:
+            self._perform(action)
+        self._set_timer()
+
+    def _give_up_at(self, event: events.Event) -> float:
+        deadline = getattr(event, "deadline", None)
+        if deadline is None:
+            return self._loop.time() + ANSWER_LIMIT_S
+        return float(deadline) + ANSWER_GRACE_S
+
+    def _answer_after_fault(self, event: events.Event) -> None:
+        call = getattr(event, "call", None)
+        if call in self._calls and not isinstance(event, events.CallerGone):
+            self._answer(call, _fallback(event, call))
+
+    def _perform(self, action: actions.Action) -> None:
+        try:
+            _PERFORMERS[type(action)](self, action)
+        except Exception as error:
+            self._on_fault(f"performing {type(action).__name__}", error)
+
+    def _set_timer(self) -> None:
+        deadline = self._core.next_deadline()
+        if self._timer is not None:
+            if self._timer.when() == deadline and not self._timer.cancelled():
+                return
+            self._timer.cancel()
+            self._timer = None
+        if deadline is not None and not self._stopped.is_set():
+            self._timer = self._loop.call_at(deadline, self._time_passed)
+
+    def _time_passed(self) -> None:
+        self._timer = None
+        self.feed(events.TimePassed())
+
+    def _answer(self, call: ids.CallId, answer: core_port.Answer) -> None:
+        """Hands an answer to its caller, who may have hung up."""
+        answered = self._calls.get(call)
+        if answered is not None and not answered.done():
+            answered.set_result(answer)
+
+    def _spawn(
+        self,
+        work: Coroutine[Any, Any, Any],
+        done: Callable[[asyncio.Task[Any]], None],
+    ) -> asyncio.Task[Any]:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(done)
+        return task
+
+    def _unexpected(self, task: asyncio.Task[Any]) -> None:
+        """Reports the exception of a task that should have none."""
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            self._on_fault("background task", error)
+
+    def _attempt_done(
+        self, action: actions.StartAttempt, task: asyncio.Task[Any]
+    ) -> None:
+        del self._attempts[action.attempt]
+        self._running[action.upstream] -= 1
+        if task.cancelled():
+            ended = events.AttemptEnded(
+                action.attempt, model.AttemptOutcome.ABORTED
+            )
+        elif (error := task.exception()) is not None:
+            self._on_fault("attempt", error)
+            ended = events.AttemptEnded(
+                action.attempt, model.AttemptOutcome.BROKE_OFF
+            )
+        else:
+            ended = task.result()
+        self.feed(ended)
+
+    def _spawn_store(
+        self, call: ids.StoreCallId, work: Coroutine[Any, Any, events.Event]
+    ) -> None:
+        def done(task: asyncio.Task[Any]) -> None:
+            self.feed(self._store_event(call, task))
+
+        self._spawn(work, done)
+
+    def _store_event(
+        self, call: ids.StoreCallId, task: asyncio.Task[Any]
+    ) -> events.Event:
+        if task.cancelled():
+            return events.StoreFailed(call, uncertain=True)
+        error = task.exception()
+        self._store_up = error is None
+        if error is None:
+            result: events.Event = task.result()
+            return result
+        if isinstance(error, platform_client.PlatformUnavailable):
+            self._on_note(actions.Note("store_call_failed"))
+            return events.StoreFailed(call, uncertain=error.uncertain)
+        self._on_fault("table service", error)
+        return events.StoreFailed(call, uncertain=True)
+
+    async def _transact(self, action: actions.StoreTransact) -> events.Event:
+        result = await self._platform.transact(
+            action.writes, deadline=self._store_deadline()
+        )
+        if isinstance(result, platform_client.Conflict):
+            return events.StoreConflict(action.call, result.rows)
+        return events.StoreCommitted(action.call)
+
+    async def _read(self, action: actions.StoreRead) -> events.Event:
+        rows = await self._platform.read(
+            action.keys, deadline=self._store_deadline()
+        )
+        return events.StoreRows(action.call, rows)
+
+    async def _scan(self, action: actions.StoreScan) -> events.Event:
+        rows = await self._platform.scan(
+            action.prefix, deadline=self._store_deadline()
+        )
+        return events.StoreRows(action.call, rows)
+
+    def _store_deadline(self) -> float:
+        return self._loop.time() + STORE_TIMEOUT_S
+
+    async def _repeat(
+        self, interval_s: float, work: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Does some work for ever, whatever becomes of it."""
+        while True:
+            begun_at = self._loop.time()
+            try:
+                await work()
+            except Exception as error:
+                self._on_fault(work.__name__, error)
+            elapsed_s = self._loop.time() - begun_at
+            await asyncio.sleep(max(0.0, interval_s - elapsed_s))
+
+    async def _read_directory(self) -> None:
+        deadline = self._loop.time() + DIRECTORY_TIMEOUT_S
+        try:
+            directory = await self._platform.directory(deadline=deadline)
+        except platform_client.PlatformUnavailable:
+            self._on_note(actions.Note("directory_unavailable"))
+        else:
+            self._directory_seen(directory)
+
+    def _directory_seen(self, directory: model.Directory) -> None:
+        self._directory = directory
+        self._upstreams.upstreams_seen(directory.upstreams)
+        self._peers.hosts_seen(directory.hosts)
+        self.feed(events.DirectorySeen(directory))
+
+    async def _register(self) -> None:
+        deadline = self._loop.time() + DIRECTORY_TIMEOUT_S
+        try:
+            await self._platform.register(self._identity, deadline=deadline)
+        except platform_client.PlatformUnavailable:
+            self._on_note(actions.Note("registration_failed"))
+
+    def _peer_statuses(self) -> tuple[core_port.PeerStatus, ...]:
+        linked = self._peers.linked
+        domains = {
+            entry.host: entry.domain
+            for entry in self._directory.hosts
+            if entry.host != self._identity.host
+        }
+        domains |= {host: hello.domain for host, hello in linked.items()}
+        return tuple(
+            core_port.PeerStatus(host, domain, host in linked)
+            for host, domain in sorted(domains.items())
+        )
+
+    def _upstream_statuses(self) -> tuple[core_port.UpstreamStatus, ...]:
+        return tuple(
+            core_port.UpstreamStatus(
+                entry.upstream,
+                entry.domain,
+                entry.slots,
+                self._running[entry.upstream],
+                entry.leaving,
+            )
+            for entry in self._directory.upstreams
+        )
+
+
+_Performer = Callable[[HostRuntime, Any], None]
+_PERFORMERS: dict[type, _Performer] = {}
+
+
+def _performs(kind: type) -> Callable[[_Performer], _Performer]:
+    """Registers what performs one kind of action."""
+
+    def register(performer: _Performer) -> _Performer:
+        _PERFORMERS[kind] = performer
+        return performer
+
+    return register
+
+
+@_performs(actions.Reply)
+@_performs(actions.ReplyReserved)
+@_performs(actions.ReplyConfig)
+def _reply(runtime: HostRuntime, action: core_port.Answer) -> None:
+    runtime._answer(action.call, action)
+
+
+@_performs(actions.SendPeer)
+def _send_peer(runtime: HostRuntime, action: actions.SendPeer) -> None:
+    runtime._peers.send(action.host, action.message)
+
+
+@_performs(actions.StartAttempt)
+def _start_attempt(runtime: HostRuntime, action: actions.StartAttempt) -> None:
+    def done(task: asyncio.Task[Any]) -> None:
+        runtime._attempt_done(action, task)
+
+    runtime._running[action.upstream] += 1
+    work = runtime._upstreams.send(action)
+    runtime._attempts[action.attempt] = runtime._spawn(work, done)
+
+
+@_performs(actions.AbortAttempt)
+def _abort_attempt(runtime: HostRuntime, action: actions.AbortAttempt) -> None:
+    task = runtime._attempts.get(action.attempt)
+    if task is not None:
+        task.cancel()
+
+
+@_performs(actions.StoreTransact)
+def _transact(runtime: HostRuntime, action: actions.StoreTransact) -> None:
+    runtime._spawn_store(action.call, runtime._transact(action))
+
+
+@_performs(actions.StoreRead)
+def _read(runtime: HostRuntime, action: actions.StoreRead) -> None:
+    runtime._spawn_store(action.call, runtime._read(action))
+
+
+@_performs(actions.StoreScan)
+def _scan(runtime: HostRuntime, action: actions.StoreScan) -> None:
+    runtime._spawn_store(action.call, runtime._scan(action))
+
+
+@_performs(actions.Note)
+def _note(runtime: HostRuntime, action: actions.Note) -> None:
+    runtime._on_note(action)
+
+
+@_performs(actions.Stopped)
+def _stopped(runtime: HostRuntime, action: actions.Stopped) -> None:
+    runtime._stopped.set()
+
+
+def _fallback(event: events.Event, call: ids.CallId) -> core_port.Answer:
+    """Returns what is true of a call that the decisions left unanswered."""
+    if isinstance(event, events.ConfigPutAsked):
+        return actions.ReplyConfig(
+            call,
+            recorded=None,
+            current=None,
+            lagging=(),
+            detail="this host failed to answer; read the settings to see "
+            "whether the change was recorded",
+        )
+    if isinstance(event, events.ReserveAsked):
+        return actions.Reply(
+            call,
+            model.JobAnswer(
+                ids.SubmissionId(""),
+                model.Outcome.REFUSED,
+                model.Ran.NOTHING,
+                model.Reason.STORE_UNAVAILABLE,
+                "this host failed to answer; reserve again",
+                retry_after_s=1.0,
+            ),
+        )
+    return actions.Reply(
+        call,
+        model.JobAnswer(
+            getattr(event, "submission", ids.SubmissionId("")),
+            model.Outcome.UNKNOWN,
+            model.Ran.POSSIBLY,
+            model.Reason.OWNER_UNREACHABLE,
+            "this host failed to answer; send the job again under the same "
+            "id or key, or ask for its status",
+            retry_after_s=1.0,
+        ),
+    )
--- /dev/null
+++ b/godwitnotch/root.py
@@ -0,0 +1,288 @@
+"""The composition root: wires the parts of one entry host and runs them."""
+
+import asyncio
+import logging
+import random
+import secrets
+import signal
+import time
+from typing import Any
+
+from godwitnotch import event_ring
+from godwitnotch import log
+from godwitnotch import metrics
+from godwitnotch import settings as settings_module
+from godwitnotch.core import actions
+from godwitnotch.core import events
+from godwitnotch.core import host as host_module
+from godwitnotch.core import ids
+from godwitnotch.core import limits as limits_module
+from godwitnotch.core import messages
+from godwitnotch.core import model
+from godwitnotch.core import scheduler
+from godwitnotch.net import caller_api
+from godwitnotch.net import http_server
+from godwitnotch.net import http_types
+from godwitnotch.net import peer_link
+from godwitnotch.net import platform_client
+from godwitnotch.net import runtime as runtime_module
+from godwitnotch.net import upstream_client
+
+# The balancer sees a host that is not ready before connections close.
+MIN_DRAIN_S = 2.0
+SEAL_GRACE_S = 3.0  # Beyond the drain deadline, to write the last outcomes.
+ANSWER_GRACE_S = 2.0  # For the last answers to reach their callers.
+
+_RANDOM_BYTES = 8
+_SEED_BITS = 128
+
+
+async def run_host(settings: settings_module.HostSettings) -> None:
+    """Runs an entry host until SIGTERM has drained it.
+
+    A second SIGTERM, or the drain deadline, cuts what is still under way.
+
+    Raises:
+        OSError: A listening address can't be bound.
+    """
+    log.configure(level=settings.log_level)
+    host = await start_host(settings)
+    signals = _Signals(host, settings.limits.drain_timeout_s)
+    drained = asyncio.create_task(_drained(host))
+    cut = asyncio.create_task(signals.cut.wait())
+    await asyncio.wait((drained, cut), return_when=asyncio.FIRST_COMPLETED)
+    if signals.cut.is_set():
+        host.log_cut("second_signal")
+    drained.cancel()
+    cut.cancel()
+    await host.close()
+    log.event("host_exited", host=settings.host)
+
+
+async def start_host(settings: settings_module.HostSettings) -> "Host":
+    """Starts an entry host on the running loop.
+
+    Raises:
+        OSError: A listening address can't be bound.
+    """
+    host = Host(settings)
+    await host.start()
+    return host
+
+
+class Host:
+    """One entry host and its parts.
+
+    Args:
+        settings: Settings of the host.
+    """
+
+    def __init__(self, settings: settings_module.HostSettings) -> None:
+        self._settings = settings
+        self._metrics = metrics.Metrics()
+        self._ring = event_ring.EventRing(
+            max_events=settings.limits.event_ring_events
+        )
+        self._loop = asyncio.get_running_loop()
+        self._loop.set_exception_handler(self._loop_fault)
+        self._peer_socket = peer_link.bind(
+            settings.peers.ip, settings.peers.port
+        )
+        self._identity = self._make_identity()
+        self._core = self._make_core()
+        self._links = self._make_links()
+        self._platform = platform_client.PlatformClient(str(settings.platform))
+        self._upstreams = upstream_client.UpstreamClient()
+        self._runtime = runtime_module.HostRuntime(
+            core=self._core,
+            identity=self._identity,
+            connections=runtime_module.Connections(
+                self._platform, self._upstreams, self._links
+            ),
+            on_note=self._note,
+            on_fault=self._fault,
+        )
+        self._server = self._make_server()
+        self._callers_port = 0
+
+    @property
+    def runtime(self) -> runtime_module.HostRuntime:
+        """The running decisions."""
+        return self._runtime
+
+    @property
+    def callers(self) -> settings_module.Address:
+        """Where callers and operators are served."""
+        return settings_module.Address(
+            self._settings.callers.ip, self._callers_port
+        )
+
+    async def start(self) -> None:
+        """Listens, then begins to decide."""
+        await self._links.start(self._peer_socket)
+        self._callers_port = await self._server.start(
+            self._settings.callers.ip, self._settings.callers.port
+        )
+        self._runtime.start()
+        log.event(
+            "host_started",
+            host=self._identity.host,
+            domain=self._identity.domain,
+            incarnation=self._identity.incarnation,
+            callers=self.callers,
+            peers=self._identity.address,
+        )
+
+    def drain(self, *, deadline: float) -> None:
+        """Starts a graceful shutdown."""
+        self._runtime.drain(deadline=deadline)
+
+    async def wait_draining(self) -> float:
+        """Waits for a drain to start; returns its deadline."""
+        return await self._runtime.wait_draining()
+
+    async def wait_drained(self) -> None:
+        """Returns once nothing is under way."""
+        await self._runtime.wait_stopped()
+
+    def log_cut(self, cause: str) -> None:
+        """Logs what the end of the process cuts."""
+        status = self._core.status
+        log.event(
+            "shutdown_cut",
+            severity=logging.WARNING,
+            cause=cause,
+            jobs=status.jobs,
+            attempts=status.attempts,
+            forwards=status.forwards,
+            unwritten_outcomes=status.unwritten_outcomes,
+        )
+
+    async def close(self) -> None:
+        """Delivers the last answers and closes all connections."""
+        await self._server.stop(deadline=self._loop.time() + ANSWER_GRACE_S)
+        await self._links.close()
+        await self._runtime.close()
+        await self._upstreams.close()
+        await self._platform.close()
+
+    def _make_identity(self) -> model.HostEntry:
+        peers = self._settings.peers
+        port = self._peer_socket.getsockname()[1]
+        return model.HostEntry(
+            host=self._settings.host,
+            domain=self._settings.domain,
+            incarnation=_new_incarnation(),
+            address=str(settings_module.Address(peers.ip, port)),
+        )
+
+    def _make_core(self) -> host_module.HostCore:
+        chance = random.Random(secrets.randbits(_SEED_BITS))
+        return host_module.HostCore(
+            identity=self._identity,
+            mint=ids.IdMint(secret=self._settings.secret),
+            scheduler=scheduler.create(
+                self._settings.policy,
+                host=self._identity.host,
+                domain=self._identity.domain,
+                chance=chance,
+            ),
+            chance=chance,
+            limits=limits_module.HostLimits(),
+        )
+
+    def _make_links(self) -> peer_link.PeerLinks:
+        return peer_link.PeerLinks(
+            hello=messages.Hello(
+                messages.PROTOCOL_VERSION,
+                self._identity.host,
+                self._identity.domain,
+                self._identity.incarnation,
+            ),
+            secret=self._settings.secret,
+            heartbeat=self._core.heartbeat,
+            on_event=self._peer_event,
+            on_note=self._note,
+            chance=random.Random(secrets.randbits(_SEED_BITS)),
+        )
+
+    def _make_server(self) -> http_server.HttpServer:
+        limits = self._settings.limits
+        api = caller_api.CallerApi(
+            self._runtime,
+            operator_token_sha256=self._settings.operator_token_sha256,
+            counts=self._metrics,
+            ring=self._ring,
+            drain_timeout_s=limits.drain_timeout_s,
+        )
+        return http_server.HttpServer(
+            api.handle,
+            limits=http_types.HttpLimits(
+                max_header_bytes=limits.max_header_bytes,
+                max_body_bytes=limits.max_body_bytes,
+                receive_timeout_s=limits.receive_timeout_s,
+                idle_timeout_s=limits.idle_timeout_s,
+                max_connections=limits.max_connections,
+            ),
+        )
+
+    def _peer_event(self, event: events.Event) -> None:
+        self._runtime.feed(event)
+
+    def _note(self, note: actions.Note) -> None:
+        log.note(note)
+        self._metrics.count_note(note)
+        self._ring.add(note, now=self._loop.time())
+
+    def _fault(self, where: str, error: BaseException) -> None:
+        self._metrics.count_note(actions.Note("internal_fault"))
+        log.logger.error(
+            f"where={log.value_text(where)} error={log.value_text(error)}",
+            extra={"event": "internal_fault"},
+            exc_info=error,
+        )
+
+    def _loop_fault(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        message = context["message"]
+        self._fault(message, context.get("exception") or RuntimeError(message))
+
+
+class _Signals:
+    """Turns SIGTERM and SIGINT into a drain, and a second one into an end."""
+
+    def __init__(self, host: Host, drain_timeout_s: float) -> None:
+        self.cut = asyncio.Event()
+        self._host = host
+        self._drain_timeout_s = drain_timeout_s
+        self._loop = asyncio.get_running_loop()
+        self._signalled = False
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self._on_signal)
+
+    def _on_signal(self) -> None:
+        if self._signalled:
+            self.cut.set()
+            return
+        self._signalled = True
+        self._host.drain(deadline=self._loop.time() + self._drain_timeout_s)
+
+
+async def _drained(host: Host) -> None:
+    """Returns once a drain is done or its time is up."""
+    deadline = await host.wait_draining()
+    try:
+        async with asyncio.timeout_at(deadline + SEAL_GRACE_S):
+            await asyncio.gather(
+                host.wait_drained(), asyncio.sleep(MIN_DRAIN_S)
+            )
+    except TimeoutError:
+        host.log_cut("drain_deadline")
+
+
+def _new_incarnation() -> ids.Incarnation:
+    """Returns a name that no other process has, sorted by time of birth."""
+    milliseconds = int(time.time() * 1000)
+    random_part = secrets.token_hex(_RANDOM_BYTES)
+    return ids.Incarnation(f"{milliseconds:011x}-{random_part}")
--- /dev/null
+++ b/tests/test_runtime.py
@@ -0,0 +1,303 @@
+"""Tests of the runtime with small fakes of the decisions and connections."""
+
+import asyncio
+import unittest
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from godwitnotch.core import actions
+from godwitnotch.core import events
+from godwitnotch.core import ids
+from godwitnotch.core import messages
+from godwitnotch.core import model
+from godwitnotch.net import core_port
+from godwitnotch.net import platform_client
+from godwitnotch.net import runtime as runtime_module
+
+WAIT_S = 20.0
+IDENTITY = model.HostEntry(
+    ids.HostId("h1"), ids.DomainId("d1"), ids.Incarnation("i1"), "127.0.0.1:1"
+)
+WORKSPACE = ids.WorkspaceId("orders")
+SUBMISSION = ids.SubmissionId("s1")
+DONE = model.JobAnswer(SUBMISSION, model.Outcome.COMPLETE, model.Ran.SOMETHING)
+ATTEMPT = actions.StartAttempt(
+    ids.AttemptId(1),
+    ids.UpstreamId("u1"),
+    "127.0.0.1:2",
+    "/price",
+    SUBMISSION,
+    0,
+    b"{}",
+    100,
+    0.0,
+)
+Respond = Callable[[events.Event], list[actions.Action]]
+
+
+class FakeCore:
+    """Answers each kind of event by a function that the test sets."""
+
+    ready = True
+
+    def __init__(self) -> None:
+        self.seen: list[events.Event] = []
+        self.respond: dict[type, Respond] = {}
+        self.deadline: float | None = None
+
+    def handle(
+        self, event: events.Event, *, now: float
+    ) -> list[actions.Action]:
+        self.seen.append(event)
+        respond = self.respond.get(type(event))
+        return respond(event) if respond else []
+
+    def next_deadline(self) -> float | None:
+        return self.deadline
+
+    def kinds(self) -> list[type]:
+        return [type(event) for event in self.seen]
+
+
+class FakePlatform:
+    """Fails each call with the error that the test sets, if any."""
+
+    def __init__(self) -> None:
+        self.error: Exception | None = None
+        self.registered: list[model.HostEntry] = []
+        self.listed = model.Directory()
+
+    def _fail(self) -> None:
+        if self.error is not None:
+            raise self.error
+
+    async def transact(
+        self, writes: object, *, deadline: float
+    ) -> platform_client.Committed:
+        self._fail()
+        return platform_client.Committed()
+
+    async def directory(self, *, deadline: float) -> model.Directory:
+        self._fail()
+        return self.listed
+
+    async def register(
+        self, entry: model.HostEntry, *, deadline: float
+    ) -> None:
+        self._fail()
+        self.registered.append(entry)
+
+
+class FakeUpstreams:
+    """Holds each attempt until the test lets it end."""
+
+    def __init__(self) -> None:
+        self.error: Exception | None = None
+        self.cancelled = 0
+
+    def upstreams_seen(self, upstreams: Iterable[model.UpstreamEntry]) -> None:
+        pass
+
+    async def send(self, action: actions.StartAttempt) -> events.AttemptEnded:
+        if self.error is not None:
+            raise self.error
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.cancelled += 1
+        raise AssertionError
+
+
+class FakePeers:
+    """Keeps what is sent."""
+
+    linked: dict[ids.HostId, messages.Hello] = {}
+
+    def __init__(self) -> None:
+        self.sent: list[messages.Message] = []
+        self.hosts: list[model.HostEntry] = []
+
+    def hosts_seen(self, hosts: Iterable[model.HostEntry]) -> None:
+        self.hosts = list(hosts)
+
+    def send(self, host: ids.HostId, message: messages.Message) -> bool:
+        self.sent.append(message)
+        return True
+
+
+class RuntimeTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.core = FakeCore()
+        self.platform = FakePlatform()
+        self.upstreams = FakeUpstreams()
+        self.peers = FakePeers()
+        self.notes: list[actions.Note] = []
+        self.faults: list[str] = []
+        self.runtime = runtime_module.HostRuntime(
+            core=self.core,
+            identity=IDENTITY,
+            connections=runtime_module.Connections(
+                self.platform, self.upstreams, self.peers
+            ),
+            on_note=self.notes.append,
+            on_fault=lambda where, error: self.faults.append(where),
+        )
+        self.addAsyncCleanup(self.runtime.close)
+
+    def on(self, kind: type, *answer: actions.Action) -> None:
+        self.core.respond[kind] = lambda event: list(answer)
+
+    async def until(self, condition: Callable[[], object]) -> None:
+        async with asyncio.timeout(WAIT_S):
+            while not condition():
+                await asyncio.sleep(0.001)
+
+    def status_event(self, call: ids.CallId) -> events.Event:
+        return events.StatusAsked(call, WORKSPACE, SUBMISSION)
+
+    def submit_event(self, call: ids.CallId) -> events.Event:
+        body = model.JobBody(ids.TemplateName("t"), (model.TaskSpec(b"1"),))
+        deadline = self.runtime.now() - runtime_module.ANSWER_GRACE_S
+        return events.SubmitAsked(call, WORKSPACE, SUBMISSION, body, deadline)
+
+    async def ask(self, make_event: core_port.MakeEvent) -> core_port.Answer:
+        async with asyncio.timeout(WAIT_S):
+            return await self.runtime.ask(make_event)
+
+    async def test_each_caller_gets_its_own_answer(self) -> None:
+        def respond(event: events.Event) -> list[actions.Action]:
+            assert isinstance(event, events.StatusAsked)
+            asked.append(event.call)
+            if len(asked) < 2:
+                return []
+            return [actions.Reply(call, DONE) for call in reversed(asked)]
+
+        asked: list[ids.CallId] = []
+        self.core.respond[events.StatusAsked] = respond
+        first, second = await asyncio.gather(
+            self.ask(self.status_event), self.ask(self.status_event)
+        )
+        self.assertEqual([first.call, second.call], asked)
+
+    async def test_fault_in_the_decisions_is_reported_and_answered(
+        self,
+    ) -> None:
+        self.core.respond[events.SubmitAsked] = lambda event: [][1]
+        answer = await self.ask(self.submit_event)
+        assert isinstance(answer, actions.Reply)
+        self.assertIs(answer.answer.outcome, model.Outcome.UNKNOWN)
+        self.assertIs(answer.answer.ran, model.Ran.POSSIBLY)
+        self.assertEqual(self.faults, ["deciding on SubmitAsked"])
+
+    async def test_caller_without_an_answer_does_not_hang(self) -> None:
+        answer = await self.ask(self.submit_event)
+        assert isinstance(answer, actions.Reply)
+        self.assertIs(answer.answer.outcome, model.Outcome.UNKNOWN)
+        self.assertEqual(self.notes, [actions.Note("call_overdue")])
+        self.assertIn(events.CallerGone, self.core.kinds())
+
+    async def test_unanswered_reservation_says_that_nothing_ran(self) -> None:
+        self.core.respond[events.ReserveAsked] = lambda event: [][1]
+        answer = await self.ask(
+            lambda call: events.ReserveAsked(call, WORKSPACE, 1)
+        )
+        assert isinstance(answer, actions.Reply)
+        self.assertIs(answer.answer.ran, model.Ran.NOTHING)
+
+    async def test_caller_that_hangs_up_is_told_to_the_decisions(self) -> None:
+        asking = asyncio.create_task(self.runtime.ask(self.status_event))
+        await self.until(lambda: self.core.seen)
+        asking.cancel()
+        await self.until(lambda: events.CallerGone in self.core.kinds())
+
+    async def test_one_failing_action_does_not_stop_the_others(self) -> None:
+        self.peers.send = lambda host, message: [][1]
+        sent = actions.SendPeer(ids.HostId("h2"), messages.ConfigWanted())
+        self.on(events.TimePassed, sent, actions.Note("after"))
+        self.runtime.feed(events.TimePassed())
+        self.assertEqual(self.faults, ["performing SendPeer"])
+        self.assertEqual(self.notes, [actions.Note("after")])
+
+    async def test_aborted_attempt_ends_even_if_it_never_ran(self) -> None:
+        self.on(
+            events.TimePassed, ATTEMPT, actions.AbortAttempt(ATTEMPT.attempt)
+        )
+        self.runtime.feed(events.TimePassed())
+        ended = events.AttemptEnded(
+            ATTEMPT.attempt, model.AttemptOutcome.ABORTED
+        )
+        await self.until(lambda: ended in self.core.seen)
+
+    async def test_aborted_attempt_is_cancelled(self) -> None:
+        self.on(events.TimePassed, ATTEMPT)
+        self.runtime.feed(events.TimePassed())
+        await asyncio.sleep(0)
+        self.on(events.TimePassed, actions.AbortAttempt(ATTEMPT.attempt))
+        self.runtime.feed(events.TimePassed())
+        await self.until(lambda: events.AttemptEnded in self.core.kinds())
+        self.assertEqual(self.upstreams.cancelled, 1)
+
+    async def test_fault_in_an_attempt_may_have_run(self) -> None:
+        self.upstreams.error = ZeroDivisionError()
+        self.on(events.TimePassed, ATTEMPT)
+        self.runtime.feed(events.TimePassed())
+        ended = events.AttemptEnded(
+            ATTEMPT.attempt, model.AttemptOutcome.BROKE_OFF
+        )
+        await self.until(lambda: ended in self.core.seen)
+        self.assertEqual(self.faults, ["attempt"])
+
+    async def test_failed_write_tells_whether_it_is_uncertain(self) -> None:
+        call = ids.StoreCallId(1)
+        cases = [
+            (platform_client.PlatformUnavailable("x", uncertain=False), False),
+            (platform_client.PlatformUnavailable("x", uncertain=True), True),
+            (ZeroDivisionError(), True),
+        ]
+        self.on(events.TimePassed, actions.StoreTransact(call, ()))
+        for error, uncertain in cases:
+            self.core.seen.clear()
+            self.platform.error = error
+            self.runtime.feed(events.TimePassed())
+            failed = events.StoreFailed(call, uncertain)
+            await self.until(lambda: failed in self.core.seen)  # noqa: B023
+        self.assertEqual(self.faults, ["table service"])
+
+    async def test_time_passes_at_the_next_deadline(self) -> None:
+        self.core.deadline = self.runtime.now() + 0.01
+
+        def respond(event: events.Event) -> list[actions.Action]:
+            self.core.deadline = None
+            return []
+
+        self.core.respond[events.TimePassed] = respond
+        self.runtime.feed(events.DirectorySeen(model.Directory()))
+        await self.until(lambda: events.TimePassed in self.core.kinds())
+
+    async def test_directory_reaches_decisions_and_links(self) -> None:
+        self.platform.listed = model.Directory(hosts=(IDENTITY,))
+        self.runtime.start()
+        seen = events.DirectorySeen(self.platform.listed)
+        await self.until(lambda: seen in self.core.seen)
+        self.assertEqual(self.peers.hosts, [IDENTITY])
+        await self.until(lambda: self.platform.registered == [IDENTITY])
+
+    async def test_unexpected_fault_does_not_end_the_watch(self) -> None:
+        self.platform.error = ZeroDivisionError()
+        self.runtime.start()
+        await self.until(lambda: len(self.faults) >= 2)
+        self.platform.error = None
+        await self.until(lambda: events.DirectorySeen in self.core.kinds())
+        await self.until(lambda: self.platform.registered)
+
+    async def test_drain_registers_the_host_as_leaving(self) -> None:
+        self.on(events.DrainAsked, actions.Stopped())
+        self.runtime.drain(deadline=5.0)
+        self.assertEqual(await self.runtime.wait_draining(), 5.0)
+        await self.runtime.wait_stopped()
+        await self.until(lambda: self.platform.registered)
+        self.assertTrue(self.platform.registered[0].leaving)
+
+
+if __name__ == "__main__":
+    unittest.main()
