Answer a forwarded call only to the process that asked

Cause: a reply was addressed to a host name and a call number, and a restarted forwarder counts its calls from one again; a late reply to the process before answered the new process's call under the same id with another body. Ruled out: numbering calls from a random start (it only makes it rare).

--- a/godwitnotch/core/host.py
+++ b/godwitnotch/core/host.py
@@ -245,8 +245,12 @@
     def _peer_replier(
         self, host: ids.HostId, call: ids.CallId
     ) -> jobs.Answered:
+        asker = self._membership.linked_entry(host)
+
         def answered(answer: model.JobAnswer, now: float) -> None:
-            self._send(host, messages.ForwardReply(call, answer))
+            # A restarted peer counts its calls from one again.
+            if self._membership.is_linked(asker):
+                self._send(host, messages.ForwardReply(call, answer))
 
         return answered
 
--- a/godwitnotch/core/membership.py
+++ b/godwitnotch/core/membership.py
@@ -47,6 +47,13 @@
         """Returns a host if it can be talked to now."""
         return self._linked.get(host)
 
+    def is_linked(self, entry: model.HostEntry | None) -> bool:
+        """Returns whether the same process can still be talked to."""
+        if entry is None:
+            return False
+        linked = self._linked.get(entry.host)
+        return linked is not None and linked.incarnation == entry.incarnation
+
     def directory_seen(self, directory: model.Directory, *, now: float) -> bool:
         """Takes a newer list; returns whether its upstreams changed."""
         changed = directory.upstreams != self._directory.upstreams
