Stop a draining host when nothing is awaited, and soon after its deadline

Cause: three faults. A waiting operator and a call that came while the seal was written were cut by the stop; with the store down the seal was tried for ever, so the process never stopped. Ruled out: refusing calls for other hosts' ids while sealing (they can be served truthfully, and a caller on an open connection gains by it). Shown by: graceful_shutdown_with_operators_waiting, graceful_shutdown_asked_for_a_foreign_id_while_sealing, graceful_shutdown_with_the_store_down and true_refusal_no_seal_in_a_store_outage, which failed before.

--- a/godwitnotch/core/configuration.py
+++ b/godwitnotch/core/configuration.py
@@ -292,12 +292,19 @@
         self._live_hosts = live_hosts
         self._confirmed: collections.Counter[ids.HostId] = collections.Counter()
         self._waiting: list[_Change] = []
+        self._open_count = 0
         keeper.on_applied(self._check_all)
 
+    @property
+    def open_count(self) -> int:
+        """Operators who wait for an answer."""
+        return self._open_count
+
     def put(self, event: events.ConfigPutAsked, *, now: float) -> None:
         """Records a change; answers once it is in force, or at the deadline."""
         nonce = str(self._chance.randrange(NONCE_DIGITS))
         change = _Change(event.call, event.config, nonce, event.deadline)
+        self._open_count += 1
         self._timers.at(event.deadline, lambda now: self._expire(change, now))
         self._read(change)
 
@@ -446,12 +453,12 @@
         lagging: tuple[ids.HostId, ...],
         detail: str,
     ) -> None:
-        change.done = True
         self._waiting.remove(change)
-        self._out.add(
+        self._reply(
+            change,
             actions.ReplyConfig(
                 change.call, True, change.config, lagging, detail
-            )
+            ),
         )
 
     def _conflict(self, change: _Change, row: model.Row, now: float) -> None:
@@ -468,9 +475,9 @@
                 "the current version and apply the change to it"
             )
         current = records.decode_config(row) if row.version else None
-        change.done = True
-        self._out.add(
-            actions.ReplyConfig(change.call, recorded, current, (), detail)
+        self._reply(
+            change,
+            actions.ReplyConfig(change.call, recorded, current, (), detail),
         )
 
     def _expire(self, change: _Change, now: float) -> None:
@@ -481,16 +488,21 @@
             detail = "recorded, not yet in force on all live hosts"
             self._answer(change, lagging, detail)
             return
-        change.done = True
         recorded = None if change.maybe_recorded else False
         detail = (
             "the table service did not answer; read the settings before "
             "trying again"
         )
-        self._out.add(
-            actions.ReplyConfig(change.call, recorded, None, (), detail)
+        self._reply(
+            change,
+            actions.ReplyConfig(change.call, recorded, None, (), detail),
         )
 
+    def _reply(self, change: _Change, reply: actions.ReplyConfig) -> None:
+        change.done = True
+        self._open_count -= 1
+        self._out.add(reply)
+
 
 def _counter_of(
     change: _Change, logged: list[records.LoggedChange], log_version: int
--- a/godwitnotch/core/host.py
+++ b/godwitnotch/core/host.py
@@ -49,6 +49,9 @@
 
 _CHART = charts.load("host", HostState, HostChange)
 
+# How long outcomes and seal are still written after the drain's deadline.
+LAST_WRITES_S = 2.0
+
 
 @dataclass(frozen=True, slots=True)
 class HostStatus:
@@ -104,6 +107,7 @@
         self._started = False
         self._open_calls: set[ids.CallId] = set()
         self._overdue = False
+        self._seal_settled = False
         self._out = outbox.Outbox()
         self._timers = timers.Timers()
         self._store = store_calls.StoreCalls(self._out)
@@ -194,6 +198,12 @@
             linked_hosts=tuple(entry.host for entry in self._membership.linked),
         )
 
+    @property
+    def _is_awaited(self) -> bool:
+        """Whether callers or operators wait who need not be cut off yet."""
+        waiting = self._open_calls or self._changes.open_count
+        return bool(waiting) and not self._overdue
+
     def heartbeat(self) -> messages.Heartbeat:
         """Returns the heartbeat to send on each peer link."""
         draining = self._state not in (HostState.STARTING, HostState.SERVING)
@@ -212,6 +222,7 @@
         for peer_message in self._scheduler.peer_messages(now=now):
             self._send(peer_message.host, peer_message.message)
         self._seal_when_idle(now)
+        self._stop_when_sealed()
         return self._out.take()
 
     def next_deadline(self) -> float | None:
@@ -266,7 +277,7 @@
         if self._state is not HostState.DRAINING:
             return
         runner = self._submissions.runner
-        if runner.job_count or (self._open_calls and not self._overdue):
+        if runner.job_count or self._is_awaited:
             return
         self._change(HostChange.IDLE)
         self._outcome_log.seal(self._sealed, now=now)
@@ -275,7 +286,22 @@
         self._overdue = True
         self._submissions.runner.cut_all(now=now)
 
+        self._timers.at(now + LAST_WRITES_S, self._give_up_sealing)
+
+    def _give_up_sealing(self, now: float) -> None:
+        if self._state is HostState.SEALING and not self._seal_settled:
+            self._out.note("seal_not_written")
+            self._seal_settled = True
+
     def _sealed(self, now: float) -> None:
+        self._seal_settled = True
+
+    def _stop_when_sealed(self) -> None:
+        """Stops once nothing is left, calls that came while sealing included."""
+        if self._state is not HostState.SEALING or not self._seal_settled:
+            return
+        if self._is_awaited:
+            return
         self._change(HostChange.SEALED)
         self._out.add(actions.Stopped())
 
