Name the asked host itself where a change is not in force on it

Cause: at the operator's deadline the host that recorded a change listed only other hosts as lagging, so with its own reads failing it told 'in force' while it still served the version before.

--- a/godwitnotch/core/configuration.py
+++ b/godwitnotch/core/configuration.py
@@ -270,6 +270,7 @@
         chance: Source of nonces and jitter.
         limits: Bounds of the host.
         live_hosts: Returns the other hosts that must confirm a change.
+        own_host: This host.
     """
 
     def __init__(
@@ -282,6 +283,7 @@
         chance: chance_module.Chance,
         limits: limits_module.HostLimits,
         live_hosts: Callable[[float], frozenset[ids.HostId]],
+        own_host: ids.HostId,
     ) -> None:
         self._keeper = keeper
         self._store = store
@@ -290,6 +292,7 @@
         self._chance = chance
         self._limits = limits
         self._live_hosts = live_hosts
+        self._own_host = own_host
         self._confirmed: collections.Counter[ids.HostId] = collections.Counter()
         self._waiting: list[_Change] = []
         self._open_count = 0
@@ -430,22 +433,19 @@
 
     def _check_all(self, now: float) -> None:
         for change in list(self._waiting):
-            if not self._lagging(change, now) and self._in_force_here(change):
+            if not self._lagging(change, now):
                 self._answer(change, (), "in force on all live hosts")
 
-    def _in_force_here(self, change: _Change) -> bool:
-        return (
-            change.counter is not None
-            and self._keeper.counter >= change.counter
-        )
-
     def _lagging(self, change: _Change, now: float) -> tuple[ids.HostId, ...]:
         counter = change.counter or 0
-        return tuple(
+        lagging = {
             host
-            for host in sorted(self._live_hosts(now))
+            for host in self._live_hosts(now)
             if self._confirmed[host] < counter
-        )
+        }
+        if self._keeper.counter < counter:
+            lagging.add(self._own_host)
+        return tuple(sorted(lagging))
 
     def _answer(
         self,
--- a/godwitnotch/core/host.py
+++ b/godwitnotch/core/host.py
@@ -130,6 +130,7 @@
             chance=chance,
             limits=limits,
             live_hosts=self._membership.unconfirmed_hosts,
+            own_host=identity.host,
         )
         self._outcome_log = outcomes.OutcomeLog(
             identity.incarnation,
