Say 'not run' of a keyed job only when its key is known to be unbound

Cause: with the table service down, or at a draining or overloaded host, a keyed job was refused as not run although the key's job had run on another host. A caller that retypes its order number there was told a falsehood. Now the key is looked up before such a refusal, and 'unknown, may have run' with a time to come back is told where it can't be. Ruled out: asking the peers (a cut-off one may be the one that ran it).

--- a/godwitnotch/core/bindings.py
+++ b/godwitnotch/core/bindings.py
@@ -23,7 +23,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NotBound:
-    """The key can't be bound now; no task of the request ran."""
+    """The key can't be bound now, nor can it be told whether it is."""
 
     reason: model.Reason
     retry_after_s: float | None
@@ -31,6 +31,8 @@
 
 BindResult = records.Binding | NotBound
 Done = Callable[[BindResult, float], None]
+FindResult = records.Binding | NotBound | None
+Found = Callable[[FindResult, float], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +81,22 @@
         """Returns a binding that needs no look at the table service."""
         return self._known.get(row_key)
 
+    def find(self, row_key: str, found: Found, *, now: float) -> None:
+        """Finds what a key is bound to, binding nothing, and calls back."""
+        if now < self._backoff.retry_at:
+            found(self._unavailable(now), now)
+            return
+
+        def on_rows(event: store_calls.StoreEvent, now: float) -> None:
+            if not isinstance(event, events.StoreRows):
+                self._backoff.failed(now=now)
+                found(self._unavailable(now), now)
+                return
+            row = event.rows[0]
+            found(records.decode_binding(row) if row.version else None, now)
+
+        self._store.read([row_key], on_rows)
+
     def bind(self, request: BindRequest, done: Done, *, now: float) -> None:
         """Binds a key, or finds what it is bound to, and calls back."""
         known = self._known.get(request.row_key)
--- a/godwitnotch/core/submissions.py
+++ b/godwitnotch/core/submissions.py
@@ -142,18 +142,40 @@
             return
         refusal = self._admission_refusal(order, NO_SUBMISSION, now)
         if refusal is not None:
-            order.answered(refusal, now)
+            self._refuse_unless_bound(order, row_key, refusal, now)
             return
         request = self._bind_request(order, row_key, now)
 
         def done(result: bindings.BindResult, now: float) -> None:
             if isinstance(result, bindings.NotBound):
-                order.answered(_not_bound(result), now)
+                order.answered(_key_unsettled(result), now)
             else:
                 self._submit_bound(order, row_key, result, now)
 
         self._parts.binder.bind(request, done, now=now)
 
+    def _refuse_unless_bound(
+        self,
+        order: JobOrder,
+        row_key: str,
+        refusal: model.JobAnswer,
+        now: float,
+    ) -> None:
+        """Refuses a keyed job if the key's job didn't run elsewhere."""
+        late = _key_unsettled(bindings.NotBound(Reason.KEY_PENDING, 1.0))
+        answered = self._once_by(order.deadline, order.answered, late)
+        order = replace(order, answered=answered)
+
+        def found(result: bindings.FindResult, now: float) -> None:
+            if isinstance(result, bindings.NotBound):
+                answered(_key_unsettled(result), now)
+            elif result is None:
+                answered(refusal, now)
+            else:
+                self._submit_bound(order, row_key, result, now)
+
+        self._parts.binder.find(row_key, found, now=now)
+
     def reserve_keyed(
         self,
         workspace: ids.WorkspaceId,
@@ -383,7 +405,7 @@
     ) -> None:
         def done(result: bindings.BindResult, now: float) -> None:
             if isinstance(result, bindings.NotBound):
-                order.answered(_not_bound(result), now)
+                order.answered(_key_unsettled(result), now)
             elif result.digest not in (order.body.digest(), b""):
                 refusal = remedies.refusal(
                     result.submission, Reason.BODY_MISMATCH
@@ -585,9 +607,15 @@
     )
 
 
-def _not_bound(result: bindings.NotBound) -> model.JobAnswer:
-    return remedies.refusal(
-        NO_SUBMISSION, result.reason, retry_after_s=result.retry_after_s
+def _key_unsettled(result: bindings.NotBound) -> model.JobAnswer:
+    return remedies.answer(
+        NO_SUBMISSION,
+        Outcome.UNKNOWN,
+        result.reason,
+        ran=Ran.POSSIBLY,
+        detail="this call started nothing; an earlier one with the same key "
+        "may have, at another host",
+        retry_after_s=result.retry_after_s,
     )
 
 
