Give loans of slots a serial, and add the same messages for quotas

A holder must know whether a borrower's word was sent before or after it saw the last change of its loan; without a serial, a grant under way and a give-back that cross leave the holder's count too low. Fields are additive, with defaults.

--- a/godwitnotch/core/messages.py
+++ b/godwitnotch/core/messages.py
@@ -96,19 +96,53 @@
 
 @dataclass(frozen=True, slots=True)
 class SlotsWanted:
-    """A borrower tells a holder what it uses and would use of an upstream."""
+    """A borrower tells a holder what it uses and would use of an upstream.
+
+    Attributes:
+        upstream: The upstream.
+        in_use: Slots that the borrower may use and hasn't given back.
+        wanted: Slots that it would use.
+        serial: Serial of the last `SlotsLent` that it saw.
+    """
 
     upstream: ids.UpstreamId
     in_use: int
     wanted: int
+    serial: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class SlotsLent:
-    """A holder tells a borrower how many slots of an upstream it may use."""
+    """A holder tells a borrower how many slots of an upstream it may use.
+
+    Attributes:
+        upstream: The upstream.
+        allowed: Slots that the borrower may use.
+        serial: Rises by one with each change of the loan.
+    """
 
     upstream: ids.UpstreamId
     allowed: int
+    serial: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaWanted:
+    """The same as `SlotsWanted`, of a workspace's quota of running tasks."""
+
+    workspace: ids.WorkspaceId
+    in_use: int
+    wanted: int
+    serial: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaLent:
+    """The same as `SlotsLent`, of a workspace's quota of running tasks."""
+
+    workspace: ids.WorkspaceId
+    allowed: int
+    serial: int = 0
 
 
 Message = (
@@ -124,4 +158,6 @@
     | ConfigSnapshot
     | SlotsWanted
     | SlotsLent
+    | QuotaWanted
+    | QuotaLent
 )
