--- /dev/null
+++ b/godwitnotch/core/admission.py
@@ -0,0 +1,116 @@
+"""Refuses at once what can't be done in time, and says when to come back.
+
+The time that a job takes is estimated from the tasks queued before it, the
+run times learnt, and the slots that this host can count on. Callers that are
+refused are told to come back one after the other, at the rate at which the
+queue drains, so that they don't return all together.
+"""
+
+from dataclasses import dataclass
+
+from godwitnotch.core import chance
+from godwitnotch.core import model
+from godwitnotch.core import scheduler
+
+# A job takes at least so many mean run times.
+LEAST_RUNS = 1.5
+# Share of a job's time that the estimate may fill.
+FILL_SHARE = 0.8
+LEAST_RETRY_S = 0.05
+MOST_RETRY_S = 60.0
+NO_UPSTREAM_RETRY_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Situation:
+    """What the queue looks like to a new job.
+
+    Attributes:
+        upstreams: Upstreams that may serve it.
+        slots: Slots that the host can count on for it.
+        mean_s: Mean run time of its template.
+        before: Tasks that are expected to go before its last one.
+        queued: Tasks of its workspace that wait on this host.
+    """
+
+    upstreams: int
+    slots: float
+    mean_s: float
+    before: int
+    queued: int
+
+
+class Admission:
+    """Decides on new jobs; one for each host."""
+
+    def __init__(self, chance: chance.Chance) -> None:
+        self._chance = chance
+        self._next_retry = 0.0
+
+    def check(
+        self,
+        job: scheduler.JobRequest,
+        situation: Situation,
+        *,
+        now: float,
+    ) -> scheduler.Refusal | None:
+        """Returns why a job is refused; None admits it."""
+        tasks = len(job.declared_ms)
+        if not situation.upstreams:
+            return scheduler.Refusal(
+                model.Reason.NO_UPSTREAM,
+                f"no live upstream may serve template {job.template.name!r}; "
+                "come back later, or allow more upstreams in the template",
+                NO_UPSTREAM_RETRY_S,
+            )
+        if not job.workspace.max_running_tasks:
+            return scheduler.Refusal(
+                model.Reason.QUOTA_EXCEEDED,
+                f"workspace {job.workspace.workspace!r} may run no tasks; "
+                "raise its max_running_tasks",
+                None,
+            )
+        task_s = situation.mean_s / situation.slots
+        if situation.queued + tasks > job.workspace.max_queued_tasks:
+            return self._full(job, situation, task_s, now)
+        wait_s = job.deadline - now
+        need_s = (situation.before + tasks) * task_s
+        need_s += LEAST_RUNS * situation.mean_s
+        if need_s <= FILL_SHARE * wait_s:
+            return None
+        over_s = need_s - FILL_SHARE * wait_s
+        possible = need_s - situation.before * task_s <= FILL_SHARE * wait_s
+        retry_s = self._retry(over_s, tasks * task_s, now)
+        return scheduler.Refusal(
+            model.Reason.DEADLINE_UNREACHABLE,
+            f"{situation.before} tasks wait before this job, which would take "
+            f"some {need_s:.1f} s of the {wait_s:.1f} s left; come back when "
+            "the queue is shorter, or allow more time",
+            retry_s if possible else None,
+        )
+
+    def _full(
+        self,
+        job: scheduler.JobRequest,
+        situation: Situation,
+        task_s: float,
+        now: float,
+    ) -> scheduler.Refusal:
+        tasks = len(job.declared_ms)
+        most = job.workspace.max_queued_tasks
+        over = situation.queued + tasks - most
+        retry_s = self._retry(over * task_s, tasks * task_s, now)
+        return scheduler.Refusal(
+            model.Reason.QUEUE_FULL,
+            f"{situation.queued} tasks of the workspace wait on this host, of "
+            f"at most {most}; come back when the queue is shorter, or raise "
+            "max_queued_tasks",
+            retry_s if tasks <= most else None,
+        )
+
+    def _retry(self, drain_s: float, turn_s: float, now: float) -> float:
+        """Returns the seconds until the queue has room for one more job."""
+        at = max(now + drain_s, self._next_retry)
+        at = min(at, now + MOST_RETRY_S * (0.5 + self._chance.random() / 2))
+        self._next_retry = at + turn_s
+        return max(at - now, LEAST_RETRY_S)
--- /dev/null
+++ b/godwitnotch/core/credit_scheduler.py
@@ -0,0 +1,579 @@
+"""The policy of slot credits with late binding.
+
+A task waits at its host until a slot is in hand, then goes to the free slot
+with the best expected finish. The slots of all domains that are linked form
+one pool, shared by `credits`.
+"""
+
+import heapq
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+
+from godwitnotch.core import admission
+from godwitnotch.core import chance
+from godwitnotch.core import credits
+from godwitnotch.core import fair_queue
+from godwitnotch.core import health
+from godwitnotch.core import ids
+from godwitnotch.core import messages
+from godwitnotch.core import model
+from godwitnotch.core import quotas
+from godwitnotch.core import retry_budget
+from godwitnotch.core import scheduler
+from godwitnotch.core import speeds
+
+# A slower slot is taken only if the time lost on it is at most this share of
+# the time that the queue takes to drain.
+PATIENCE = 1.0
+# A waiting task reconsiders a slower slot after so long.
+PATIENCE_S = 0.01
+# Pauses of an upstream that refused, doubling.
+FIRST_PAUSE_S = 0.02
+LONGEST_PAUSE_S = 1.0
+# An upstream whose running tasks are this many times older than expected is
+# taken as slower than learnt.
+STALL_AGE = 3.0
+STALL_TASKS = 3
+# An upstream's own word that it leaves is kept against a lagging list.
+LEAVING_S = 60.0
+# Slots asked of one upstream at once, and upstreams asked at once.
+ASK_BLOCK = 4
+ASKS_AT_ONCE = 12
+ASK_CANDIDATES = 24
+# Time between two looks for upstreams to ask.
+ASK_EVERY_S = 0.005
+
+_Allowed = frozenset[ids.UpstreamId]
+_Task = tuple[ids.SubmissionId, int]
+
+
+@dataclass(slots=True, eq=False)
+class _Upstream:
+    entry: model.UpstreamEntry
+    credit: credits.Credit
+    starts: dict[_Task, float] = field(default_factory=dict)
+    starts_sum: float = 0.0
+    paused_until: float = 0.0
+    pause_s: float = FIRST_PAUSE_S
+    leaving_until: float = 0.0
+    gone: bool = False
+
+    def leaving(self, now: float) -> bool:
+        return self.gone or self.entry.leaving or self.leaving_until > now
+
+
+@dataclass(slots=True)
+class _Running:
+    workspace: ids.WorkspaceId
+    template: ids.TemplateName
+
+
+@dataclass(slots=True)
+class _Lane:
+    """The queue of the jobs that may use the same upstreams."""
+
+    allowed: _Allowed
+    queue: fair_queue.FairQueue
+    slots: int = 0
+    upstreams: list[_Upstream] = field(default_factory=list)
+
+
+@scheduler.policy("credits")
+class CreditScheduler:
+    """Slot credits, fair queues, late binding, learnt speeds and health."""
+
+    def __init__(
+        self,
+        host: ids.HostId,
+        domain: ids.DomainId,
+        chance: chance.Chance,
+    ) -> None:
+        self._chance = chance
+        self._hosts = 1
+        self._slots = credits.CreditLedger(host, domain)
+        self._quotas = quotas.QuotaShares(host, domain)
+        self._speeds = speeds.SpeedModel()
+        self._health = health.HealthTracker()
+        self._budget = retry_budget.RetryBudget()
+        self._admission = admission.Admission(chance)
+        self._shares = fair_queue.Shares()
+        self._lanes: dict[_Allowed, _Lane] = {}
+        self._upstreams: dict[ids.UpstreamId, _Upstream] = {}
+        self._names: list[ids.UpstreamId] = []
+        self._free: dict[ids.UpstreamId, _Upstream] = {}
+        self._paused: dict[ids.UpstreamId, _Upstream] = {}
+        self._jobs: dict[ids.SubmissionId, scheduler.JobRequest] = {}
+        self._running: dict[_Task, _Running] = {}
+        self._reconsider_at = math.inf
+        self._ask_at = 0.0
+        self._best = 0.0
+        self._best_until = -math.inf
+
+    def upstreams_seen(
+        self, upstreams: Sequence[model.UpstreamEntry], *, now: float
+    ) -> None:
+        """Takes a newer list of upstreams, leaving ones included."""
+        self._health.upstreams_seen(upstreams)
+        self._slots.resources_seen(
+            [
+                credits.Resource(each.upstream, each.slots, each.domain)
+                for each in upstreams
+            ],
+            now=now,
+        )
+        seen = {each.upstream: each for each in upstreams}
+        for name, upstream in list(self._upstreams.items()):
+            if name not in seen:
+                self._lose(upstream)
+        for entry in seen.values():
+            self._meet(entry)
+        self._names = list(self._upstreams)
+        self._best_until = -math.inf
+        for lane in self._lanes.values():
+            self._size(lane)
+
+    def hosts_seen(
+        self, hosts: Sequence[model.HostEntry], *, now: float
+    ) -> None:
+        """Takes the entry hosts now linked, this one not included."""
+        domains = {each.host: each.domain for each in hosts}
+        self._hosts = len(domains) + 1
+        self._slots.hosts_seen(domains, now=now)
+        self._quotas.hosts_seen(domains, now=now)
+        for upstream in self._upstreams.values():
+            self._offer(upstream, now)
+
+    def admit(
+        self, job: scheduler.JobRequest, *, now: float
+    ) -> scheduler.Refusal | None:
+        """Refuses a job that can't be done in time; takes no note of it."""
+        self._quotas.seen(job.workspace, now=now)
+        return self._admission.check(job, self._situation(job, now), now=now)
+
+    def enqueue(self, job: scheduler.JobRequest, *, now: float) -> None:
+        """Queues all tasks of an admitted job."""
+        self._quotas.seen(job.workspace, now=now)
+        self._jobs[job.submission] = job
+        self._budget.earn(len(job.declared_ms))
+        tasks = list(range(len(job.declared_ms) - 1, -1, -1))
+        self._lane(job.template).queue.push(job, tasks, now=now)
+
+    def requeue(
+        self, submission: ids.SubmissionId, task_index: int, *, now: float
+    ) -> bool:
+        """Queues a task again that did not start; False if over budget."""
+        job = self._jobs.get(submission)
+        if job is None or not self._budget.spend():
+            return False
+        self._lane(job.template).queue.push(job, [task_index], now=now)
+        return True
+
+    def withdraw(self, submission: ids.SubmissionId, *, now: float) -> None:
+        """Drops the queued tasks of a job that has ended."""
+        job = self._jobs.pop(submission, None)
+        if job is not None:
+            self._lane(job.template).queue.withdraw(submission)
+
+    def assign(self, *, now: float) -> list[scheduler.Assignment]:
+        """Returns the tasks that start now."""
+        self._advance(now)
+        self._reconsider_at = math.inf
+        started: list[scheduler.Assignment] = []
+        queued = 0
+        for lane in self._lanes.values():
+            if len(lane.queue):
+                self._assign_lane(lane, started, now)
+                queued += len(lane.queue)
+        self._slots.hungry = queued > 0
+        if queued and now >= self._ask_at:
+            self._ask_at = now + ASK_EVERY_S
+            self._ask(queued, now)
+        return started
+
+    def ended(
+        self,
+        assignment: scheduler.Assignment,
+        outcome: model.AttemptOutcome,
+        *,
+        started_at: float,
+        now: float,
+    ) -> None:
+        """Frees the slot of an attempt, and learns from it."""
+        task = (assignment.submission, assignment.task_index)
+        running = self._running.pop(task, None)
+        if running is None:
+            return
+        self._end_quota(running.workspace, now)
+        upstream = self._upstreams.get(assignment.upstream.upstream)
+        if upstream is None:
+            return
+        upstream.starts_sum -= upstream.starts.pop(task)
+        self._learn(upstream, running, task[0], outcome, started_at, now)
+        self._slots.put(upstream.credit, now=now)
+        if upstream.gone and not upstream.starts:
+            del self._upstreams[upstream.entry.upstream]
+        self._offer(upstream, now)
+
+    def peer_said(
+        self, host: ids.HostId, message: messages.Message, *, now: float
+    ) -> None:
+        """Takes a message of the same policy on another host."""
+        match message:
+            case messages.SlotsWanted(key, held, wanted, serial):
+                word = credits.Wanted(key, held, wanted, serial)
+                self._slots.wanted(host, word, now=now)
+            case messages.SlotsLent(key, allowed, serial):
+                loan = credits.Lent(key, allowed, serial)
+                self._slots.lent(host, loan, now=now)
+            case messages.QuotaWanted(workspace, held, wanted, serial):
+                word = credits.Wanted(workspace, held, wanted, serial)
+                self._quotas.ledger.wanted(host, word, now=now)
+            case messages.QuotaLent(workspace, allowed, serial):
+                loan = credits.Lent(workspace, allowed, serial)
+                self._quotas.ledger.lent(host, loan, now=now)
+
+    def peer_messages(self, *, now: float) -> list[scheduler.PeerMessage]:
+        """Returns the messages to send now."""
+        slots = self._slots.outgoing(now=now)
+        shares = self._quotas.ledger.outgoing(now=now)
+        return [_slots_message(each) for each in slots] + [
+            _quota_message(each) for each in shares
+        ]
+
+    def next_deadline(self) -> float | None:
+        """Returns when the policy next wants to be asked, if ever."""
+        times = [self._reconsider_at]
+        for each in (
+            self._slots.next_deadline(),
+            self._quotas.ledger.next_deadline(),
+            self._health.next_deadline(),
+        ):
+            if each is not None:
+                times.append(each)
+        times += [each.paused_until for each in self._paused.values()]
+        earliest = min(times)
+        return None if earliest == math.inf else earliest
+
+    def _meet(self, entry: model.UpstreamEntry) -> None:
+        credit = self._slots.credit(entry.upstream)
+        assert credit is not None
+        upstream = self._upstreams.get(entry.upstream)
+        if upstream is None:
+            upstream = _Upstream(entry, credit)
+            self._upstreams[entry.upstream] = upstream
+        upstream.entry = entry
+        upstream.credit = credit
+        upstream.gone = False
+        self._free[entry.upstream] = upstream
+
+    def _lose(self, upstream: _Upstream) -> None:
+        name = upstream.entry.upstream
+        upstream.gone = True
+        self._free.pop(name, None)
+        self._paused.pop(name, None)
+        self._speeds.forget(name)
+        if not upstream.starts:
+            del self._upstreams[name]
+
+    def _lane(self, template: model.Template) -> _Lane:
+        lane = self._lanes.get(template.upstreams)
+        if lane is None:
+            queue = fair_queue.FairQueue(self._shares)
+            lane = _Lane(template.upstreams, queue)
+            self._lanes[template.upstreams] = lane
+            self._size(lane)
+        return lane
+
+    def _size(self, lane: _Lane) -> None:
+        """Counts what may serve a lane's tasks."""
+        names = lane.allowed or self._upstreams
+        lane.upstreams = [
+            self._upstreams[name] for name in names if name in self._upstreams
+        ]
+        lane.slots = sum(
+            each.entry.slots
+            for each in lane.upstreams
+            if not each.gone and not each.entry.leaving
+        )
+
+    def _situation(
+        self, job: scheduler.JobRequest, now: float
+    ) -> admission.Situation:
+        lane = self._lane(job.template)
+        queue = lane.queue
+        workspace = job.workspace.workspace
+        tasks = len(job.declared_ms)
+        own = queue.queued_before(workspace, tasks)
+        others = len(queue) - queue.queued(workspace)
+        rivals = queue.workspaces - (queue.queued(workspace) > 0)
+        slots = max(lane.slots / self._hosts, 1.0)
+        if not lane.allowed:
+            slots = max(slots, len(self._running))
+        return admission.Situation(
+            upstreams=sum(not each.leaving(now) for each in lane.upstreams),
+            slots=min(slots, self._quotas.part(workspace)),
+            mean_s=self._speeds.mean_s(job.template.name),
+            before=own + min(others, rivals * (own + tasks)),
+            queued=queue.queued(workspace),
+        )
+
+    def _advance(self, now: float) -> None:
+        self._slots.advance(now=now)
+        self._quotas.ledger.advance(now=now)
+        for name in self._health.advance(now=now):
+            self._offer(self._upstreams[name], now)
+        if self._slots.changed:
+            for key in sorted(self._slots.changed):
+                upstream = self._upstreams.get(ids.UpstreamId(key))
+                if upstream is not None:
+                    self._offer(upstream, now)
+            self._slots.changed.clear()
+        if self._paused:
+            due = [u for u in self._paused.values() if u.paused_until <= now]
+            for upstream in due:
+                del self._paused[upstream.entry.upstream]
+                self._offer(upstream, now)
+        if self._quotas.ledger.changed:
+            for workspace in self._quotas.take_changed():
+                self._unblock(workspace)
+
+    def _offer(self, upstream: _Upstream, now: float) -> None:
+        """Lists an upstream among those with a free slot, if it has one."""
+        name = upstream.entry.upstream
+        if self._is_free(upstream, now):
+            self._free[name] = upstream
+        else:
+            self._free.pop(name, None)
+
+    def _is_free(self, upstream: _Upstream, now: float) -> bool:
+        return (
+            upstream.credit.free > 0
+            and upstream.paused_until <= now
+            and not upstream.leaving(now)
+            and self._health.usable(upstream.entry.upstream)
+        )
+
+    def _assign_lane(
+        self, lane: _Lane, started: list[scheduler.Assignment], now: float
+    ) -> None:
+        offers: dict[ids.TemplateName, list[tuple[float, int, _Upstream]]] = {}
+        while True:
+            job = lane.queue.head(self._quotas.may_run, now=now)
+            if job is None:
+                break
+            template = job.request.template.name
+            if template not in offers:
+                offers[template] = self._offers(lane, template, now)
+            found = self._best_offer(offers[template], now)
+            if found is None:
+                break
+            if not self._worth(lane, job, found, now):
+                self._reconsider_at = now + PATIENCE_S
+                break
+            started.append(self._start(lane, job, found[2], now))
+        for workspace in lane.queue.blocked:
+            queued = lane.queue.queued(workspace)
+            self._quotas.ask(workspace, queued, now=now)
+
+    def _offers(
+        self, lane: _Lane, template: ids.TemplateName, now: float
+    ) -> list[tuple[float, int, _Upstream]]:
+        offers = [
+            (self._expect_s(upstream, template, now), order, upstream)
+            for order, upstream in enumerate(self._free.values())
+            if not lane.allowed or upstream.entry.upstream in lane.allowed
+        ]
+        heapq.heapify(offers)
+        return offers
+
+    def _best_offer(
+        self, offers: list[tuple[float, int, _Upstream]], now: float
+    ) -> tuple[float, int, _Upstream] | None:
+        while offers:
+            if self._is_free(offers[0][2], now):
+                return offers[0]
+            self._free.pop(offers[0][2].entry.upstream, None)
+            heapq.heappop(offers)
+        return None
+
+    def _expect_s(
+        self, upstream: _Upstream, template: ids.TemplateName, now: float
+    ) -> float:
+        expected = self._speeds.expect_s(template, upstream.entry.upstream)
+        count = len(upstream.starts)
+        if count >= STALL_TASKS:
+            age = now - upstream.starts_sum / count
+            if age > STALL_AGE * expected:
+                return age
+        return expected
+
+    def _worth(
+        self,
+        lane: _Lane,
+        job: fair_queue.QueuedJob,
+        offer: tuple[float, int, _Upstream],
+        now: float,
+    ) -> bool:
+        """Returns whether a slot is better than waiting for a faster one."""
+        template = job.request.template.name
+        lost_s = offer[0] - self._fastest_s(lane, template, now)
+        if lost_s <= 0:
+            return True
+        slots = max(lane.slots / self._hosts, len(self._running), 1.0)
+        drain_s = len(lane.queue) * self._speeds.mean_s(template) / slots
+        waited_s = now - job.enqueued_at
+        return lost_s <= PATIENCE * max(drain_s, waited_s)
+
+    def _fastest_s(
+        self, lane: _Lane, template: ids.TemplateName, now: float
+    ) -> float:
+        if lane.allowed:
+            return min(
+                self._speeds.expect_s(template, each.entry.upstream)
+                for each in lane.upstreams
+            )
+        if now >= self._best_until:
+            self._best_until = now + 0.5
+            self._best = min(
+                (
+                    self._speeds.deviation(each.entry.upstream)
+                    for each in lane.upstreams
+                    if not each.leaving(now)
+                    and self._health.usable(each.entry.upstream)
+                ),
+                default=0.0,
+            )
+        return self._speeds.typical_s(template) * math.exp(self._best)
+
+    def _start(
+        self,
+        lane: _Lane,
+        job: fair_queue.QueuedJob,
+        upstream: _Upstream,
+        now: float,
+    ) -> scheduler.Assignment:
+        request = job.request
+        workspace = request.workspace.workspace
+        template = request.template.name
+        cost_s = self._speeds.mean_s(template)
+        index = lane.queue.take(job, cost_s)
+        task = (request.submission, index)
+        self._slots.take(upstream.credit)
+        self._quotas.started(workspace)
+        self._health.started(upstream.entry.upstream)
+        upstream.starts[task] = now
+        upstream.starts_sum += now
+        self._running[task] = _Running(workspace, template)
+        return scheduler.Assignment(request.submission, index, upstream.entry)
+
+    def _end_quota(self, workspace: ids.WorkspaceId, now: float) -> None:
+        self._quotas.ended(workspace, now=now)
+        self._unblock(workspace)
+
+    def _unblock(self, workspace: ids.WorkspaceId) -> None:
+        for lane in self._lanes.values():
+            lane.queue.unblock(workspace)
+
+    def _learn(
+        self,
+        upstream: _Upstream,
+        running: _Running,
+        submission: ids.SubmissionId,
+        outcome: model.AttemptOutcome,
+        started_at: float,
+        now: float,
+    ) -> None:
+        name = upstream.entry.upstream
+        self._health.ended(name, running.template, submission, outcome, now=now)
+        match outcome:
+            case model.AttemptOutcome.ANSWERED:
+                took_s = now - started_at
+                self._speeds.learn(running.template, name, took_s)
+                upstream.pause_s = FIRST_PAUSE_S
+            case model.AttemptOutcome.REFUSED_LEAVING:
+                upstream.leaving_until = now + LEAVING_S
+            case (
+                model.AttemptOutcome.REFUSED_FULL
+                | model.AttemptOutcome.CONNECT_REFUSED
+                | model.AttemptOutcome.NOTHING_SENT
+            ):
+                self._pause(upstream, now)
+
+    def _pause(self, upstream: _Upstream, now: float) -> None:
+        if upstream.paused_until > now:
+            return
+        upstream.paused_until = now + upstream.pause_s
+        upstream.pause_s = min(2 * upstream.pause_s, LONGEST_PAUSE_S)
+        self._paused[upstream.entry.upstream] = upstream
+
+    def _ask(self, queued: int, now: float) -> None:
+        """Asks other holders for slots, the fastest upstreams first."""
+        need = queued - self._slots.asked
+        if need <= 0:
+            return
+        candidates = sorted(
+            (self._speeds.deviation(each.entry.upstream), order, each)
+            for order, each in enumerate(self._candidates(now))
+        )
+        for _, _, upstream in candidates[:ASKS_AT_ONCE]:
+            if need <= 0:
+                return
+            block = min(need, ASK_BLOCK)
+            self._slots.ask(upstream.credit, block, now=now)
+            need -= block
+
+    def _candidates(self, now: float) -> list[_Upstream]:
+        if len(self._names) <= ASK_CANDIDATES:
+            names = self._names
+        else:
+            size = len(self._names)
+            names = [
+                self._names[self._chance.randrange(size)]
+                for _ in range(ASK_CANDIDATES)
+            ]
+        found = {name: self._upstreams.get(name) for name in names}
+        return [
+            upstream
+            for name, upstream in found.items()
+            if upstream is not None
+            and not upstream.credit.mine
+            and upstream.credit.held < upstream.entry.slots
+            and not self._slots.is_asked(name)
+            and not upstream.leaving(now)
+            and self._health.state(name) is health.State.HEALTHY
+            and self._may_serve(name)
+        ]
+
+    def _may_serve(self, upstream: ids.UpstreamId) -> bool:
+        return any(
+            len(lane.queue) and (not lane.allowed or upstream in lane.allowed)
+            for lane in self._lanes.values()
+        )
+
+
+def _slots_message(sent: credits.Outgoing) -> scheduler.PeerMessage:
+    word = sent.message
+    key = ids.UpstreamId(word.key)
+    if isinstance(word, credits.Wanted):
+        return scheduler.PeerMessage(
+            sent.host,
+            messages.SlotsWanted(key, word.held, word.wanted, word.serial),
+        )
+    return scheduler.PeerMessage(
+        sent.host, messages.SlotsLent(key, word.allowed, word.serial)
+    )
+
+
+def _quota_message(sent: credits.Outgoing) -> scheduler.PeerMessage:
+    word = sent.message
+    key = ids.WorkspaceId(word.key)
+    if isinstance(word, credits.Wanted):
+        return scheduler.PeerMessage(
+            sent.host,
+            messages.QuotaWanted(key, word.held, word.wanted, word.serial),
+        )
+    return scheduler.PeerMessage(
+        sent.host, messages.QuotaLent(key, word.allowed, word.serial)
+    )
--- /dev/null
+++ b/godwitnotch/core/fair_queue.py
@@ -0,0 +1,261 @@
+"""Queues tasks: fair shares of workspaces, short jobs first inside each.
+
+A workspace is charged for the run time that its tasks are expected to take,
+and the one charged least goes next. Inside it the job with the fewest tasks
+left goes first, until a job has waited for a share of its time: from then on
+it goes before the others, the earliest deadline first.
+"""
+
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+
+from godwitnotch.core import ids
+from godwitnotch.core import scheduler
+
+# Share of a job's time to its deadline after which it is urgent.
+URGENT_SHARE = 0.5
+
+_SIZE_CLASSES = 8
+
+
+@dataclass(slots=True)
+class QueuedJob:
+    """A job with tasks that wait.
+
+    Attributes:
+        request: The job.
+        tasks: Indices of the waiting tasks; the last goes first.
+        enqueued_at: When it was queued.
+        urgent_at: When it goes before shorter jobs.
+    """
+
+    request: scheduler.JobRequest
+    tasks: list[int]
+    order: int
+    enqueued_at: float
+    urgent_at: float
+    listed: bool = False
+    urgent: bool = False
+
+
+class Shares:
+    """The run time that each workspace was charged for, in seconds."""
+
+    def __init__(self) -> None:
+        self._charged: dict[ids.WorkspaceId, float] = {}
+        self._floor = 0.0
+
+    def charged(self, workspace: ids.WorkspaceId) -> float:
+        """Returns the charge of a workspace; an idle one gains no credit."""
+        return max(self._charged.get(workspace, 0.0), self._floor)
+
+    def charge(self, workspace: ids.WorkspaceId, cost_s: float) -> None:
+        """Charges a workspace, the one charged least, for a task."""
+        self._floor = self.charged(workspace)
+        self._charged[workspace] = self._floor + cost_s
+        if len(self._charged) > 4_096:
+            self._forget_idle()
+
+    def _forget_idle(self) -> None:
+        self._charged = {
+            workspace: charge
+            for workspace, charge in self._charged.items()
+            if charge > self._floor
+        }
+
+
+class FairQueue:
+    """The waiting tasks of jobs that may use the same upstreams.
+
+    Args:
+        shares: What workspaces were charged, shared with other queues.
+    """
+
+    def __init__(self, shares: Shares) -> None:
+        self._shares = shares
+        self._count = 0
+        self._order = itertools.count()
+        self._jobs: dict[ids.SubmissionId, QueuedJob] = {}
+        self._backlogs: dict[ids.WorkspaceId, _Backlog] = {}
+        self._turns: list[tuple[float, int, ids.WorkspaceId]] = []
+        self._blocked: set[ids.WorkspaceId] = set()
+
+    def __len__(self) -> int:
+        return self._count
+
+    @property
+    def workspaces(self) -> int:
+        """Number of workspaces with waiting tasks."""
+        return len(self._backlogs)
+
+    def queued(self, workspace: ids.WorkspaceId) -> int:
+        """Returns the number of a workspace's waiting tasks."""
+        backlog = self._backlogs.get(workspace)
+        return backlog.count if backlog else 0
+
+    def queued_before(self, workspace: ids.WorkspaceId, tasks: int) -> int:
+        """Returns how many waiting tasks go before a new job's last one."""
+        backlog = self._backlogs.get(workspace)
+        if backlog is None:
+            return 0
+        return sum(backlog.by_size[: _size_class(tasks) + 1])
+
+    def push(
+        self, request: scheduler.JobRequest, tasks: list[int], *, now: float
+    ) -> None:
+        """Queues tasks of a job; the last of the list goes first."""
+        job = self._jobs.get(request.submission)
+        if job is None:
+            wait_s = max(request.deadline - now, 0.0)
+            job = QueuedJob(
+                request,
+                [],
+                next(self._order),
+                now,
+                now + URGENT_SHARE * wait_s,
+            )
+            self._jobs[request.submission] = job
+        job.tasks.extend(tasks)
+        self._count += len(tasks)
+        self._backlog(request.workspace.workspace).push(job, len(tasks))
+
+    def withdraw(self, submission: ids.SubmissionId) -> None:
+        """Drops a job and its waiting tasks."""
+        job = self._jobs.pop(submission, None)
+        if job is None or not job.tasks:
+            return
+        workspace = job.request.workspace.workspace
+        count = len(job.tasks)
+        job.tasks.clear()
+        self._count -= count
+        self._backlogs[workspace].removed(job, count)
+        self._close_if_empty(workspace)
+
+    def head(
+        self, may_run: Callable[[ids.WorkspaceId], bool], *, now: float
+    ) -> QueuedJob | None:
+        """Returns the job whose task goes next.
+
+        Args:
+            may_run: Tells whether a workspace's quota has room; one without
+                is passed over until `unblock`.
+            now: The present time.
+        """
+        while self._turns:
+            charge, order, workspace = self._turns[0]
+            backlog = self._backlogs.get(workspace)
+            if backlog is None or backlog.turn != order:
+                heapq.heappop(self._turns)
+                continue
+            charged = self._shares.charged(workspace)
+            if charged > charge:
+                heapq.heapreplace(self._turns, (charged, order, workspace))
+                continue
+            if not may_run(workspace):
+                heapq.heappop(self._turns)
+                self._blocked.add(workspace)
+                continue
+            return backlog.head(now)
+        return None
+
+    def take(self, job: QueuedJob, cost_s: float) -> int:
+        """Removes the next task of the head job and returns its index."""
+        workspace = job.request.workspace.workspace
+        index = job.tasks.pop()
+        self._count -= 1
+        self._backlogs[workspace].removed(job, 1)
+        self._shares.charge(workspace, cost_s)
+        if not job.tasks:
+            del self._jobs[job.request.submission]
+        self._close_if_empty(workspace)
+        return index
+
+    def unblock(self, workspace: ids.WorkspaceId) -> None:
+        """Takes a workspace in again whose quota has room."""
+        if workspace in self._blocked:
+            self._blocked.remove(workspace)
+            self._join(workspace)
+
+    @property
+    def blocked(self) -> frozenset[ids.WorkspaceId]:
+        """Workspaces that were passed over for their quota."""
+        return frozenset(self._blocked)
+
+    def _backlog(self, workspace: ids.WorkspaceId) -> "_Backlog":
+        backlog = self._backlogs.get(workspace)
+        if backlog is None:
+            backlog = self._backlogs[workspace] = _Backlog()
+            self._join(workspace)
+        return backlog
+
+    def _join(self, workspace: ids.WorkspaceId) -> None:
+        order = next(self._order)
+        self._backlogs[workspace].turn = order
+        charged = self._shares.charged(workspace)
+        heapq.heappush(self._turns, (charged, order, workspace))
+
+    def _close_if_empty(self, workspace: ids.WorkspaceId) -> None:
+        if not self._backlogs[workspace].count:
+            del self._backlogs[workspace]
+            self._blocked.discard(workspace)
+
+
+def _size_class(tasks: int) -> int:
+    return min(tasks.bit_length(), _SIZE_CLASSES - 1)
+
+
+@dataclass(slots=True)
+class _Backlog:
+    """The waiting jobs of one workspace."""
+
+    count: int = 0
+    turn: int = -1
+    by_size: list[int] = field(default_factory=lambda: [0] * _SIZE_CLASSES)
+    short: list[tuple[int, int, QueuedJob]] = field(default_factory=list)
+    waits: list[tuple[float, int, QueuedJob]] = field(default_factory=list)
+    urgent: list[tuple[float, int, QueuedJob]] = field(default_factory=list)
+
+    def push(self, job: QueuedJob, count: int) -> None:
+        self.count += count
+        self.by_size[_size_class(len(job.request.declared_ms))] += count
+        if job.listed:
+            return
+        job.listed = True
+        heapq.heappush(self.short, (len(job.tasks), job.order, job))
+        heapq.heappush(self.waits, (job.urgent_at, job.order, job))
+
+    def removed(self, job: QueuedJob, count: int) -> None:
+        self.count -= count
+        self.by_size[_size_class(len(job.request.declared_ms))] -= count
+        if len(self.waits) > 2 * self.count + 16:
+            self.waits = [each for each in self.waits if each[2].tasks]
+            heapq.heapify(self.waits)
+        if len(self.short) > 2 * self.count + 16:
+            self.short = [each for each in self.short if each[2].tasks]
+            heapq.heapify(self.short)
+
+    def head(self, now: float) -> QueuedJob:
+        while self.waits and self.waits[0][0] <= now:
+            job = heapq.heappop(self.waits)[2]
+            if job.tasks:
+                entry = (job.request.deadline, job.order, job)
+                heapq.heappush(self.urgent, entry)
+        while self.urgent:
+            if self.urgent[0][2].tasks:
+                return self.urgent[0][2]
+            heapq.heappop(self.urgent)
+        return self._shortest()
+
+    def _shortest(self) -> QueuedJob:
+        while True:
+            left, order, job = self.short[0]
+            if not job.tasks:
+                heapq.heappop(self.short)
+            elif len(job.tasks) != left:
+                entry = (len(job.tasks), order, job)
+                heapq.heapreplace(self.short, entry)
+            else:
+                return job
--- /dev/null
+++ b/godwitnotch/core/quotas.py
@@ -0,0 +1,112 @@
+"""Shares each workspace's quota of running tasks among the hosts.
+
+Half of a quota is split evenly, so that a host starts tasks without asking;
+the rest is lent where it is wanted. During a cut each side takes the hosts
+that it reaches for all of them, so that each side may run the whole quota.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from godwitnotch.core import credits
+from godwitnotch.core import ids
+from godwitnotch.core import model
+
+# Largest part of a quota that is asked for at once.
+BLOCK = 16
+
+
+@dataclass(slots=True)
+class _Quota:
+    limit: int
+    base: int
+    credit: credits.Credit
+    running: int = 0
+
+    @property
+    def room(self) -> int:
+        """How many more tasks may run on this host."""
+        own = self.base - (self.running - self.credit.in_use)
+        return own + self.credit.free
+
+
+class QuotaShares:
+    """This host's part of all quotas."""
+
+    def __init__(self, host: ids.HostId, domain: ids.DomainId) -> None:
+        self._ledger = credits.CreditLedger(host, domain)
+        self._quotas: dict[ids.WorkspaceId, _Quota] = {}
+        self._hosts = 1
+
+    @property
+    def ledger(self) -> credits.CreditLedger:
+        """The loans, for messages and deadlines."""
+        return self._ledger
+
+    def hosts_seen(
+        self, domains: Mapping[ids.HostId, ids.DomainId], *, now: float
+    ) -> None:
+        """Takes the linked hosts."""
+        self._ledger.hosts_seen(domains, now=now)
+        self._hosts = len(domains) + 1
+        for workspace, quota in self._quotas.items():
+            self._resize(workspace, quota, quota.limit)
+
+    def seen(self, config: model.WorkspaceConfig, *, now: float) -> None:
+        """Takes the settings of a workspace that has a task here."""
+        quota = self._quotas.get(config.workspace)
+        if quota is None:
+            resource = credits.Resource(config.workspace, 0, None)
+            credit = self._ledger.add(resource, now=now)
+            quota = _Quota(0, 0, credit)
+            self._quotas[config.workspace] = quota
+        if quota.limit != config.max_running_tasks:
+            self._resize(config.workspace, quota, config.max_running_tasks)
+
+    def part(self, workspace: ids.WorkspaceId) -> int:
+        """Returns how many tasks this host may count on running."""
+        quota = self._quotas[workspace]
+        fair = quota.limit // self._hosts
+        return max(quota.running + quota.room, fair, 1)
+
+    def may_run(self, workspace: ids.WorkspaceId) -> bool:
+        """Returns whether one more task may run now."""
+        return self._quotas[workspace].room > 0
+
+    def started(self, workspace: ids.WorkspaceId) -> None:
+        """Counts a task that starts; the base part is used up first."""
+        quota = self._quotas[workspace]
+        if quota.running - quota.credit.in_use >= quota.base:
+            self._ledger.take(quota.credit)
+        quota.running += 1
+
+    def ended(self, workspace: ids.WorkspaceId, *, now: float) -> None:
+        """Counts a task that ended; what was lent is freed first."""
+        quota = self._quotas.get(workspace)
+        if quota is None:
+            return
+        quota.running -= 1
+        if quota.credit.in_use:
+            self._ledger.put(quota.credit, now=now)
+
+    def ask(
+        self, workspace: ids.WorkspaceId, tasks: int, *, now: float
+    ) -> None:
+        """Asks for room for more tasks."""
+        credit = self._quotas[workspace].credit
+        self._ledger.ask(credit, min(tasks, BLOCK), now=now)
+
+    def take_changed(self) -> list[ids.WorkspaceId]:
+        """Returns the workspaces whose part grew since the last call."""
+        changed = sorted(self._ledger.changed)
+        self._ledger.changed.clear()
+        return [ids.WorkspaceId(each) for each in changed]
+
+    def _resize(
+        self, workspace: ids.WorkspaceId, quota: _Quota, limit: int
+    ) -> None:
+        quota.limit = limit
+        quota.base = limit // (2 * self._hosts)
+        lendable = limit - quota.base * self._hosts
+        quota.credit.resource = credits.Resource(workspace, lendable, None)
+        self._ledger.changed.add(workspace)
