--- a/godwitnotch/checked_yaml.py
+++ b/godwitnotch/checked_yaml.py
@@ -83,20 +83,18 @@
     text: str, kind: type[Model], *, source: str
 ) -> Result[Model, InvalidDocument]:
     """Reads a YAML document and checks it against a model."""
-    loader = yaml.SafeLoader(text)
     try:
+        loader = yaml.SafeLoader(text)
         root = loader.get_single_node()
-        if root is None:
-            return Failure(_one(source, 1, "nothing", "a YAML mapping"))
-        data = loader.construct_document(root)
+        data = loader.construct_document(root) if root is not None else None
     except yaml.MarkedYAMLError as error:
         line = error.problem_mark.line + 1 if error.problem_mark else 1
         return Failure(_one(source, line, str(error.problem), "valid YAML"))
     except (yaml.YAMLError, ValueError, TypeError, RecursionError) as error:
         found = str(error).splitlines()[0]
         return Failure(_one(source, 1, found, "valid YAML"))
-    finally:
-        loader.dispose()
+    if root is None:
+        return Failure(_one(source, 1, "nothing", "a YAML mapping"))
     lines: dict[Path, int] = {}
     repeated = tuple(_index_lines(root, (), lines, source, set()))
     checked = check_value(data, kind, source=source, lines=lines)
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,243 @@
+"""Tests of settings files, workspace files and their problems."""
+
+import hashlib
+import pathlib
+import tempfile
+import unittest
+
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
+from returns.result import Failure
+
+from godwitnotch import checked_yaml
+from godwitnotch import settings
+from godwitnotch import workspace_file
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+SECRET = "s" * 32
+ENVIRONMENT = {"SECRET": SECRET, "TOKEN": "operator-token"}
+GOOD = """\
+host: h1
+domain: d1
+listen:
+  callers: 127.0.0.1:8080
+  peers: "[::1]:0"
+platform: 127.0.0.1:9000
+secret: {environment: SECRET}
+operator_token: {environment: TOKEN}
+"""
+WORKSPACE = """\
+workspace: acme
+token_sha256: %s
+templates:
+  check: {path: /check}
+""" % ("a" * 64)
+
+
+def _problems(
+    text: str, environment: dict[str, str] | None = None
+) -> list[checked_yaml.Problem]:
+    parsed = settings.parse(
+        text,
+        source="host.yaml",
+        environment=ENVIRONMENT if environment is None else environment,
+    )
+    assert isinstance(parsed, Failure), parsed
+    return list(parsed.failure().problems)
+
+
+def _places(problems: list[checked_yaml.Problem]) -> list[tuple[object, str]]:
+    return [(problem.line, problem.key) for problem in problems]
+
+
+class HostSettingsTest(unittest.TestCase):
+    def parse(self, text: str) -> settings.HostSettings:
+        return settings.parse(
+            text, source="host.yaml", environment=ENVIRONMENT
+        ).unwrap()
+
+    def test_a_good_file_is_read(self) -> None:
+        read = self.parse(GOOD)
+        self.assertEqual(read.callers, settings.Address("127.0.0.1", 8080))
+        self.assertEqual(str(read.peers), "[::1]:0")
+        self.assertEqual(read.secret, SECRET.encode())
+        self.assertEqual(
+            read.operator_token_sha256,
+            hashlib.sha256(b"operator-token").hexdigest(),
+        )
+        self.assertEqual(read.limits, settings.Limits())
+
+    def test_every_problem_is_told_at_once_with_its_line(self) -> None:
+        text = GOOD.replace("127.0.0.1:8080", "localhost:8080")
+        text = text.replace("domain: d1", "domain: D1")
+        text += "limits:\n  drain_timeout_s: 0\n  max_conections: 5\n"
+        text += "log: {level: loud}\n"
+        self.assertEqual(
+            _places(_problems(text)),
+            [
+                (2, "domain"),
+                (4, "listen.callers"),
+                (10, "limits.drain_timeout_s"),
+                (11, "limits.max_conections"),
+                (12, "log.level"),
+            ],
+        )
+
+    def test_a_problem_names_what_was_found_and_the_remedy(self) -> None:
+        (problem,) = _problems(GOOD.replace("host: h1", "host: -h1"))
+        self.assertEqual(
+            str(problem),
+            "host.yaml:1: host: found '-h1'; allowed: name of this host: 1 to "
+            "63 lower case letters, digits and hyphens, no hyphen first; "
+            "remedy: give an allowed value, for example 'lucerne-1'",
+        )
+
+    def test_an_unknown_key_is_told_with_the_nearest_known(self) -> None:
+        (problem,) = _problems(GOOD + "polcy: uniform\n")
+        self.assertEqual(problem.remedy, "write 'policy'")
+        (problem,) = _problems(GOOD + "zzz: 1\n")
+        self.assertEqual(problem.remedy, "remove it")
+
+    def test_a_missing_key_is_told_where_it_belongs(self) -> None:
+        (problem,) = _problems(GOOD.replace('  peers: "[::1]:0"\n', ""))
+        self.assertEqual((problem.line, problem.key), (3, "listen.peers"))
+        self.assertIn("add the key, for example", problem.remedy)
+
+    def test_a_repeated_key_is_refused(self) -> None:
+        (problem,) = _problems(GOOD + "host: h2\n")
+        self.assertEqual((problem.line, problem.key), (9, "host"))
+
+    def test_an_unknown_policy_is_told_with_those_registered(self) -> None:
+        (problem,) = _problems(GOOD + "policy: fastest\n")
+        self.assertIn("uniform", problem.allowed)
+
+    def test_secrets_are_never_shown(self) -> None:
+        written = "hunter2-hunter2-hunter2-hunter2!"
+        texts = [
+            GOOD.replace("{environment: SECRET}", written),
+            GOOD.replace("{environment: TOKEN}", f"{{sha256: {written}}}"),
+            GOOD.replace("{environment: SECRET}", f"[{written}]"),
+        ]
+        for text in texts:
+            for problem in _problems(text):
+                self.assertNotIn("hunter2", str(problem))
+        read = self.parse(GOOD)
+        self.assertNotIn(SECRET, settings.show(read) + repr(read))
+
+    def test_missing_and_short_secrets_are_told(self) -> None:
+        self.assertEqual(
+            _places(_problems(GOOD, {})),
+            [
+                (None, "secret.environment"),
+                (None, "operator_token.environment"),
+            ],
+        )
+        (problem,) = _problems(GOOD, {**ENVIRONMENT, "SECRET": "short"})
+        self.assertIn("5 bytes", problem.found)
+        (problem,) = _problems(
+            GOOD.replace("environment: SECRET", "file: /nonexistent")
+        )
+        self.assertEqual(problem.key, "secret.file")
+
+    def test_two_places_of_a_secret_are_refused(self) -> None:
+        (problem,) = _problems(
+            GOOD.replace("environment: SECRET", "environment: A, file: /b")
+        )
+        self.assertIn("exactly one", problem.allowed)
+
+    def test_what_is_no_settings_file_is_told(self) -> None:
+        for text in ("", "[1]", "a: [", "\x00", "a: &a [*a]", "--- 1\n--- 2"):
+            with self.subTest(text=text):
+                self.assertTrue(_problems(text))
+
+    def test_an_unreadable_file_is_told(self) -> None:
+        loaded = settings.load(pathlib.Path("/nonexistent/host.yaml"))
+        self.assertIn("nonexistent", str(loaded.failure()))
+
+    @hypothesis_settings(derandomize=True, deadline=None)
+    @given(strategies.text(max_size=200))
+    def test_no_text_raises(self, text: str) -> None:
+        parsed = settings.parse(text, source="x", environment={})
+        self.assertIsInstance(parsed, Failure)
+
+    def test_addresses_are_ip_numbers_with_ports(self) -> None:
+        for text in (
+            "1.2.3.4",
+            "h:1",
+            "::1:80",
+            "[1.2.3.4]:1",
+            "1.2.3.4:65536",
+        ):
+            with self.subTest(text=text), self.assertRaises(ValueError):
+                settings.parse_address(text)
+
+
+class WorkspaceFileTest(unittest.TestCase):
+    def check(self, text: str) -> list[checked_yaml.Problem]:
+        checked = checked_yaml.check_text(
+            text, workspace_file.WorkspaceDocument, source="acme.yaml"
+        )
+        assert isinstance(checked, Failure), checked
+        return list(checked.failure().problems)
+
+    def test_settings_survive_the_way_out_and_back(self) -> None:
+        document = checked_yaml.check_text(
+            WORKSPACE, workspace_file.WorkspaceDocument, source="acme.yaml"
+        ).unwrap()
+        config = workspace_file.to_config(document, version=4)
+        again = workspace_file.check_json(
+            workspace_file.to_json(config), source="request"
+        ).unwrap()
+        self.assertEqual(workspace_file.to_config(again, version=4), config)
+
+    def test_problems_in_templates_are_told_with_their_lines(self) -> None:
+        text = WORKSPACE + (
+            "  slow:\n    path: no-slash\n    upstreams: [w1, W2]\n"
+            "    max_wait_s: 601\n    idempotnt: true\n  Bad Name: {path: /}\n"
+        )
+        self.assertEqual(
+            _places(self.check(text)),
+            [
+                (6, "templates.slow.path"),
+                (7, "templates.slow.upstreams.1"),
+                (8, "templates.slow.max_wait_s"),
+                (9, "templates.slow.idempotnt"),
+                (10, "templates.Bad Name"),
+            ],
+        )
+
+    def test_a_string_is_no_number(self) -> None:
+        (problem,) = self.check(WORKSPACE + 'max_running_tasks: "5"\n')
+        self.assertEqual(problem.found, "'5'")
+
+    def test_a_difference_shows_both_sides(self) -> None:
+        shown = workspace_file.difference(
+            {"a": 1}, {"a": 2}, old_name="old", new_name="new"
+        )
+        self.assertIn("-a: 1\n+a: 2\n", shown)
+
+
+class ExamplesTest(unittest.TestCase):
+    def test_host_settings_load(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            for name in ("godwitnotch", "godwitnotch-operator"):
+                pathlib.Path(folder, name).write_text(SECRET + "\n")
+            files = sorted(EXAMPLES.glob("*/host*.yaml"))
+            self.assertEqual(len(files), 2)
+            for file in files:
+                text = file.read_text().replace("/run/secrets", folder)
+                environment = {"GODWITNOTCH_SECRET": SECRET}
+                with self.subTest(file=file):
+                    settings.parse(
+                        text, source=str(file), environment=environment
+                    ).unwrap()
+
+    def test_workspaces_load(self) -> None:
+        files = set(EXAMPLES.glob("*/*.yaml")) - set(
+            EXAMPLES.glob("*/host*.yaml")
+        )
+        self.assertEqual(len(files), 2)
+        for file in files:
+            with self.subTest(file=file):
+                workspace_file.load(file).unwrap()
