Add the demo, explain and top

The demo is checked by itself: each answer must be the task's own body, the job is submitted twice, and the starts are counted at the upstreams.

--- a/godwitnotch/cli.py
+++ b/godwitnotch/cli.py
@@ -6,6 +6,7 @@
 from godwitnotch.commands import hosts
 from godwitnotch.commands import settings_files
 from godwitnotch.commands import standins
+from godwitnotch.commands import views
 from godwitnotch.commands import workspaces
 
 app = typer.Typer(
@@ -20,6 +21,7 @@
 app.add_typer(settings_files.app, name="settings")
 app.add_typer(standins.app, name="standin")
 callers.register(app)
+views.register(app)
 
 
 def main() -> None:
--- /dev/null
+++ b/godwitnotch/commands/views.py
@@ -0,0 +1,144 @@
+"""Commands that show what hosts do: demo, explain, top."""
+
+import asyncio
+import datetime
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Annotated
+from typing import TYPE_CHECKING
+
+import typer
+
+from godwitnotch.commands import options
+
+if TYPE_CHECKING:
+    from godwitnotch import host_client
+
+
+@dataclass(frozen=True, slots=True)
+class _Line:
+    """One event of a submission, at local wall-clock time."""
+
+    at: float
+    host: str
+    text: str
+
+
+def register(app: typer.Typer) -> None:
+    """Adds the commands to the command line."""
+    app.command()(explain)
+    app.command()(top)
+    app.command()(demo)
+
+
+def demo() -> None:
+    """Runs a job of some dozens of tasks on a host with stand-ins.
+
+    All in one process, on loopback; takes a few seconds. The last line tells
+    the outcome, and the exit code is 0 if the answer was whole.
+
+    Example: godwitnotch demo
+    """
+    from godwitnotch import demo as demo_module
+
+    raise typer.Exit(demo_module.run())
+
+
+def explain(
+    submission: Annotated[
+        str, typer.Argument(metavar="ID", help="Submission id.")
+    ],
+    host: options.Hosts,
+    operator_token_file: options.OperatorTokenFile = None,
+    timeout: Annotated[
+        float, typer.Option(min=0.1, help="Seconds to wait for each host.")
+    ] = 3.0,
+) -> None:
+    """Prints what happened to a submission, in order, over several hosts.
+
+    Hosts keep the latest events in memory only. Times are exact on one host,
+    and within the answers' travel time between hosts.
+
+    Example: godwitnotch explain ID --host 10.0.1.11:8080 --host
+    10.0.2.11:8080
+    """
+    clients = [
+        options.operator_client(address, operator_token_file)
+        for address in host
+    ]
+    lines, problems = _gather_events(clients, submission, timeout)
+    for line in lines:
+        at = datetime.datetime.fromtimestamp(line.at, datetime.UTC)
+        stamp = at.isoformat(timespec="milliseconds")
+        print(f"time={stamp} host={line.host} {line.text}")
+    if not lines:
+        print(
+            "no host asked has events of this id; ask all hosts of its domain"
+        )
+    if problems:
+        options.fail("\n".join(problems), options.ExitCode.UNREACHABLE)
+
+
+def top(
+    host: options.Hosts,
+    operator_token_file: options.OperatorTokenFile = None,
+    interval: Annotated[
+        float, typer.Option(min=0.2, help="Seconds between updates.")
+    ] = 1.0,
+    updates: Annotated[
+        int, typer.Option(min=0, help="Updates to show; 0 for no end.")
+    ] = 0,
+) -> None:
+    """Shows hosts, upstreams, queues and reasons live; Ctrl-C ends it.
+
+    Example: godwitnotch top --host 10.0.1.11:8080 --host 10.0.2.11:8080
+    """
+    from godwitnotch import live_view
+
+    clients = [
+        options.operator_client(address, operator_token_file)
+        for address in host
+    ]
+    try:
+        live_view.run(clients, interval_s=interval, updates=updates)
+    except KeyboardInterrupt:
+        return
+
+
+def _gather_events(
+    clients: Sequence["host_client.HostClient"],
+    submission: str,
+    timeout_s: float,
+) -> tuple[list[_Line], list[str]]:
+    """Returns the events of all hosts in order, and what went wrong."""
+    from godwitnotch import host_client
+
+    path = f"/v1/explain/{submission}"
+    answers = asyncio.run(
+        host_client.gather(clients, "GET", path, timeout_s=timeout_s)
+    )
+    now = time.time()
+    lines = []
+    problems = []
+    for client, answer in zip(clients, answers, strict=True):
+        if isinstance(answer, host_client.HostUnreachable):
+            problems.append(f"host {client.address} gave no answer: {answer}")
+        elif not answer.ok:
+            problems.append(f"host {client.address}: {answer.error}")
+        else:
+            lines.extend(_lines(answer, now))
+    return sorted(lines, key=lambda line: line.at), problems
+
+
+def _lines(answer: "host_client.HostAnswer", now: float) -> list[_Line]:
+    host = answer.value["host"]
+    lines = []
+    for event in answer.value["events"]:
+        parts = [f"event={event['event']}"]
+        if event["reason"]:
+            parts.append(f"reason={event['reason']}")
+        if event["detail"]:
+            parts.append(event["detail"])
+        lines.append(_Line(now - event["ago_s"], host, " ".join(parts)))
+    return lines
--- /dev/null
+++ b/godwitnotch/demo.py
@@ -0,0 +1,268 @@
+"""A demonstration: one host and its stand-ins in one process, one real job."""
+
+import asyncio
+import hashlib
+import random
+import secrets
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import rich.console
+import rich.progress
+import rich.table
+
+from godwitnotch import host_client
+from godwitnotch import log
+from godwitnotch import root
+from godwitnotch import settings
+from godwitnotch.core import ids
+from godwitnotch.core import model
+from godwitnotch.standins import platform
+from godwitnotch.standins import upstream
+
+TASKS = 48
+SPEEDS = (2.0, 1.0, 1.0, 0.5)  # Of the upstreams, times the reference.
+SLOTS = 4
+SHORTEST_TASK_MS = 50
+LONGEST_TASK_MS = 400
+SEED = 7
+JOB_TIMEOUT_S = 30.0
+START_TIMEOUT_S = 10.0
+
+_IP = "127.0.0.1"
+_DOMAIN = ids.DomainId("demo")
+_WORKSPACE = "demo"
+_TEMPLATE = "sleep"
+_POLL_S = 0.05
+_CONNECTIONS = 64
+
+
+class DemoFailed(Exception):
+    """The demonstration did not go as it must."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Outcome:
+    """What the job came to."""
+
+    answer: dict[str, Any]
+    correct: int
+    starts: int
+    response_s: float
+    ideal_s: float
+    counts: dict[str, int]
+    shares: tuple[int, ...]
+
+
+def run() -> int:
+    """Runs the demonstration and returns the exit code."""
+    log.configure(level="warning")
+    console = rich.console.Console()
+    outcome = asyncio.run(_run(console))
+    _print_summary(console, outcome)
+    complete = outcome.answer.get("outcome") == "complete"
+    whole = outcome.correct == outcome.starts == TASKS
+    return 0 if complete and whole else 1
+
+
+async def _run(console: rich.console.Console) -> _Outcome:
+    upstreams = [upstream.Upstream(slots=SLOTS, speed=each) for each in SPEEDS]
+    entries = await _start_upstreams(upstreams)
+    table_service = platform.Platform(entries)
+    platform_port = await table_service.start(_IP, 0)
+    caller_token = secrets.token_urlsafe()
+    operator_token = secrets.token_urlsafe()
+    host = await root.start_host(_settings(platform_port, operator_token))
+    caller = host_client.HostClient(str(host.callers), caller_token)
+    operator = host_client.HostClient(str(host.callers), operator_token)
+    try:
+        await _wait_ready(caller)
+        console.print(
+            f"host ready at {host.callers}, {len(SPEEDS)} upstreams of "
+            f"{SLOTS} slots and speeds {', '.join(map(str, SPEEDS))}"
+        )
+        await _put_workspace(operator, caller_token)
+        return await _run_job(console, caller, operator, upstreams)
+    finally:
+        await _stop(host)
+        for each in upstreams:
+            await each.stop()
+        await table_service.stop()
+
+
+async def _start_upstreams(
+    upstreams: Sequence[upstream.Upstream],
+) -> list[model.UpstreamEntry]:
+    return [
+        model.UpstreamEntry(
+            upstream=ids.UpstreamId(f"w{number}"),
+            domain=_DOMAIN,
+            rack="r1",
+            address=f"{_IP}:{await standin.start(_IP, 0)}",
+            slots=SLOTS,
+            connections=_CONNECTIONS,
+        )
+        for number, standin in enumerate(upstreams, start=1)
+    ]
+
+
+def _settings(platform_port: int, operator_token: str) -> settings.HostSettings:
+    return settings.HostSettings(
+        host=ids.HostId("demo-1"),
+        domain=_DOMAIN,
+        callers=settings.Address(_IP, 0),
+        peers=settings.Address(_IP, 0),
+        platform=settings.Address(_IP, platform_port),
+        secret=secrets.token_bytes(settings.MIN_SECRET_BYTES),
+        operator_token_sha256=_sha256(operator_token),
+        policy=settings.DEFAULT_POLICY,
+    )
+
+
+async def _wait_ready(client: host_client.HostClient) -> None:
+    deadline = time.monotonic() + START_TIMEOUT_S
+    while time.monotonic() < deadline:
+        if (await client.acall("GET", "/readyz")).ok:
+            return
+        await asyncio.sleep(_POLL_S)
+    raise DemoFailed(f"the host was not ready within {START_TIMEOUT_S:g} s")
+
+
+async def _put_workspace(
+    operator: host_client.HostClient, caller_token: str
+) -> None:
+    answer = await operator.acall(
+        "PUT",
+        f"/v1/workspaces/{_WORKSPACE}",
+        value={
+            "workspace": _WORKSPACE,
+            "token_sha256": _sha256(caller_token),
+            "templates": {
+                _TEMPLATE: {"path": "/", "max_wait_s": JOB_TIMEOUT_S}
+            },
+        },
+        headers={"if-match": "0"},
+    )
+    if answer.value.get("state") != "in_force":
+        raise DemoFailed(f"the workspace is not in force: {answer.error}")
+
+
+async def _run_job(
+    console: rich.console.Console,
+    caller: host_client.HostClient,
+    operator: host_client.HostClient,
+    upstreams: Sequence[upstream.Upstream],
+) -> _Outcome:
+    reserved = await caller.acall(
+        "POST", f"/v1/{_WORKSPACE}/reservations", value={"count": 1}
+    )
+    path = f"/v1/{_WORKSPACE}/jobs/{reserved.value['ids'][0]}"
+    tasks = _tasks()
+    job = {
+        "template": _TEMPLATE,
+        "tasks": tasks,
+        "timeout_ms": JOB_TIMEOUT_S * 1_000,
+    }
+    started_at = time.monotonic()
+    submitting = asyncio.ensure_future(
+        caller.acall("PUT", path, value=job, timeout_s=JOB_TIMEOUT_S)
+    )
+    await _show_progress(console, submitting, upstreams)
+    first = await submitting
+    response_s = time.monotonic() - started_at
+    again = await caller.acall("PUT", path, value=job, timeout_s=JOB_TIMEOUT_S)
+    if again.value != first.value:
+        raise DemoFailed("the job submitted again got another answer")
+    state = await operator.acall("GET", "/v1/host")
+    shares = tuple(len(each.starts) for each in upstreams)
+    return _Outcome(
+        answer=first.value,
+        correct=_correct(tasks, first.value.get("results", [])),
+        starts=sum(shares),
+        response_s=response_s,
+        ideal_s=_ideal_s(tasks),
+        counts=state.value["counts"],
+        shares=shares,
+    )
+
+
+def _tasks() -> list[dict[str, int]]:
+    lengths = random.Random(SEED)
+    return [
+        {
+            "task": index,
+            "sleep_ms": lengths.randint(SHORTEST_TASK_MS, LONGEST_TASK_MS),
+        }
+        for index in range(TASKS)
+    ]
+
+
+def _correct(tasks: Sequence[object], results: Sequence[object]) -> int:
+    """Counts the answers that belong to their tasks: a task's own body."""
+    pairs = zip(tasks, results, strict=False)
+    return sum(result == task for task, result in pairs)
+
+
+def _ideal_s(tasks: Sequence[dict[str, int]]) -> float:
+    """Returns the time of the job with no waiting, messages or retries."""
+    lengths_s = [task["sleep_ms"] / 1_000 for task in tasks]
+    return max(
+        max(lengths_s) / max(SPEEDS), sum(lengths_s) / sum(SPEEDS) / SLOTS
+    )
+
+
+async def _show_progress(
+    console: rich.console.Console,
+    submitting: asyncio.Future[host_client.HostAnswer],
+    upstreams: Sequence[upstream.Upstream],
+) -> None:
+    with rich.progress.Progress(console=console) as progress:
+        bar = progress.add_task(f"{TASKS} tasks", total=TASKS)
+        while not submitting.done():
+            progress.update(bar, completed=_ended(upstreams))
+            await asyncio.wait((submitting,), timeout=_POLL_S)
+        progress.update(bar, completed=_ended(upstreams))
+
+
+def _ended(upstreams: Sequence[upstream.Upstream]) -> int:
+    return sum(
+        start.ended_at is not None
+        for standin in upstreams
+        for start in standin.starts
+    )
+
+
+async def _stop(host: root.Host) -> None:
+    """Drains the host, then closes it."""
+    host.drain(deadline=asyncio.get_running_loop().time() + JOB_TIMEOUT_S)
+    await host.wait_drained()
+    await host.close()
+
+
+def _print_summary(console: rich.console.Console, outcome: _Outcome) -> None:
+    ratio = outcome.response_s / outcome.ideal_s
+    table = rich.table.Table(title="Summary", show_header=False)
+    table.add_row("answers that belong to their task", str(outcome.correct))
+    table.add_row("task starts, job submitted twice", str(outcome.starts))
+    for speed, share in zip(SPEEDS, outcome.shares, strict=True):
+        table.add_row(f"  at the upstream of speed {speed}", str(share))
+    table.add_row("response", f"{outcome.response_s * 1_000:.0f} ms")
+    table.add_row("ideal", f"{outcome.ideal_s * 1_000:.0f} ms")
+    table.add_row("response against ideal", f"{ratio:.2f}")
+    for reason, count in sorted(outcome.counts.items()):
+        table.add_row(f"counted for {reason}", str(count))
+    if not outcome.counts:
+        table.add_row("refusals and retries", "none")
+    console.print(table)
+    print(
+        f"outcome={outcome.answer.get('outcome')} tasks={TASKS} "
+        f"answers={outcome.correct} starts={outcome.starts} "
+        f"response_ms={outcome.response_s * 1_000:.0f} "
+        f"ideal_ms={outcome.ideal_s * 1_000:.0f} ratio={ratio:.2f}"
+    )
+
+
+def _sha256(token: str) -> str:
+    return hashlib.sha256(token.encode()).hexdigest()
--- /dev/null
+++ b/godwitnotch/live_view.py
@@ -0,0 +1,140 @@
+"""A live view of several hosts in a terminal."""
+
+import asyncio
+import itertools
+from collections import Counter
+from collections.abc import Mapping
+from collections.abc import Sequence
+from typing import Any
+
+import rich.console
+import rich.live
+import rich.table
+
+from godwitnotch import host_client
+
+_STATUS_PATH = "/v1/host"
+
+Answers = Sequence[host_client.HostAnswer | host_client.HostUnreachable]
+
+
+def run(
+    clients: Sequence[host_client.HostClient],
+    *,
+    interval_s: float,
+    updates: int,
+) -> None:
+    """Shows the hosts until a number of updates is done; 0 for no end."""
+    asyncio.run(_run(clients, interval_s, updates))
+
+
+async def _run(
+    clients: Sequence[host_client.HostClient], interval_s: float, updates: int
+) -> None:
+    rounds = range(updates) if updates else itertools.count()
+    with rich.live.Live(auto_refresh=False) as live:
+        for number in rounds:
+            if number:
+                await asyncio.sleep(interval_s)
+            answers = await host_client.gather(
+                clients, "GET", _STATUS_PATH, timeout_s=interval_s
+            )
+            live.update(render(clients, answers), refresh=True)
+
+
+def render(
+    clients: Sequence[host_client.HostClient], answers: Answers
+) -> rich.console.Group:
+    """Returns the tables of one update."""
+    states = [
+        answer.value
+        for answer in answers
+        if isinstance(answer, host_client.HostAnswer) and answer.ok
+    ]
+    return rich.console.Group(
+        _hosts(clients, answers), _upstreams(states), _reasons(states)
+    )
+
+
+def _hosts(
+    clients: Sequence[host_client.HostClient], answers: Answers
+) -> rich.table.Table:
+    table = _table(
+        "Hosts",
+        ("host", "domain", "state", "store", "workspaces"),
+        ("jobs", "running", "queued", "peers linked"),
+    )
+    for client, answer in zip(clients, answers, strict=True):
+        if isinstance(answer, host_client.HostUnreachable):
+            table.add_row(client.address, "", "no answer")
+        elif not answer.ok:
+            table.add_row(client.address, "", answer.error)
+        else:
+            table.add_row(*_host_row(answer.value))
+    return table
+
+
+def _host_row(state: Mapping[str, Any]) -> tuple[str, ...]:
+    peers = state["peers"]
+    linked = sum(peer["linked"] for peer in peers)
+    return (
+        state["host"],
+        state["domain"],
+        _state_word(state),
+        "up" if state["store_up"] else "down",
+        str(state["workspaces"]),
+        str(state["jobs"]),
+        str(state["running_tasks"]),
+        str(state["queued_tasks"]),
+        f"{linked} of {len(peers)}",
+    )
+
+
+def _state_word(state: Mapping[str, Any]) -> str:
+    if state["draining"]:
+        return "draining"
+    return "ready" if state["ready"] else "not ready"
+
+
+def _upstreams(states: Sequence[Mapping[str, Any]]) -> rich.table.Table:
+    table = _table(
+        "Upstreams, running as these hosts see them",
+        ("upstream", "domain", "state"),
+        ("running", "slots"),
+    )
+    running: Counter[str] = Counter()
+    shown: dict[str, Mapping[str, Any]] = {}
+    for state in states:
+        for upstream in state["upstreams"]:
+            running[upstream["upstream"]] += upstream["running"]
+            shown[upstream["upstream"]] = upstream
+    for name, upstream in sorted(shown.items()):
+        table.add_row(
+            name,
+            upstream["domain"],
+            "leaving" if upstream["leaving"] else "live",
+            str(running[name]),
+            str(upstream["slots"]),
+        )
+    return table
+
+
+def _reasons(states: Sequence[Mapping[str, Any]]) -> rich.table.Table:
+    table = _table("Reasons since each host started", ("reason",), ("count",))
+    counts: Counter[str] = Counter()
+    for state in states:
+        counts.update(state["counts"])
+    for reason, count in counts.most_common():
+        table.add_row(reason, str(count))
+    return table
+
+
+def _table(
+    title: str, texts: Sequence[str], numbers: Sequence[str]
+) -> rich.table.Table:
+    table = rich.table.Table(title=title, title_justify="left")
+    for name in texts:
+        table.add_column(name)
+    for name in numbers:
+        table.add_column(name, justify="right")
+    return table
--- a/godwitnotch/settings.py
+++ b/godwitnotch/settings.py
@@ -21,6 +21,7 @@
 
 MIN_SECRET_BYTES = 32
 MAX_SECRET_BYTES = 64  # The longest key of the ids' authentication tag.
+DEFAULT_POLICY = "uniform"
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 _NAME = rf"^{ids.NAME_PATTERN.pattern}$"
@@ -272,9 +273,9 @@
         json_schema_extra={"hidden": True},
     )
     policy: str = pydantic.Field(
-        default="uniform",
+        default=DEFAULT_POLICY,
         description="name of a registered scheduling policy",
-        examples=["uniform"],
+        examples=[DEFAULT_POLICY],
     )
     limits: LimitsDocument = pydantic.Field(
         default_factory=LimitsDocument,
