--- a/godwitnotch/core/membership.py
+++ b/godwitnotch/core/membership.py
@@ -47,8 +47,9 @@
         """Returns a host if it can be talked to now."""
         return self._linked.get(host)
 
-    def directory_seen(self, directory: model.Directory, *, now: float) -> None:
-        """Takes a newer list."""
+    def directory_seen(self, directory: model.Directory, *, now: float) -> bool:
+        """Takes a newer list; returns whether its upstreams changed."""
+        changed = directory.upstreams != self._directory.upstreams
         self._directory = directory
         for entry in directory.hosts:
             self._note(entry, now)
