--- a/godwitnotch/commands/hosts.py
+++ b/godwitnotch/commands/hosts.py
@@ -1,7 +1,6 @@
 """Commands that run an entry host, and look after running ones."""
 
 import asyncio
-import importlib
 import json
 import pathlib
 from typing import Annotated
@@ -37,7 +36,8 @@
             options.ExitCode.USAGE,
         )
     loaded = settings_files.load(settings)
-    root = importlib.import_module("godwitnotch.root")
+    from godwitnotch import root
+
     asyncio.run(root.run_host(loaded))
 
 
--- a/godwitnotch/demo.py
+++ b/godwitnotch/demo.py
@@ -78,7 +78,7 @@
     caller = host_client.HostClient(str(host.callers), caller_token)
     operator = host_client.HostClient(str(host.callers), operator_token)
     try:
-        await _wait_ready(caller)
+        await _wait_ready(operator)
         console.print(
             f"host ready at {host.callers}, {len(SPEEDS)} upstreams of "
             f"{SLOTS} slots and speeds {', '.join(map(str, SPEEDS))}"
@@ -121,10 +121,12 @@
     )
 
 
-async def _wait_ready(client: host_client.HostClient) -> None:
+async def _wait_ready(operator: host_client.HostClient) -> None:
+    """Waits until the host serves and knows its upstreams."""
     deadline = time.monotonic() + START_TIMEOUT_S
     while time.monotonic() < deadline:
-        if (await client.acall("GET", "/readyz")).ok:
+        state = (await operator.acall("GET", "/v1/host")).value
+        if state["ready"] and len(state["upstreams"]) == len(SPEEDS):
             return
         await asyncio.sleep(_POLL_S)
     raise DemoFailed(f"the host was not ready within {START_TIMEOUT_S:g} s")
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,353 @@
+"""Tests of the command line against a host whose decisions are a fake."""
+
+import asyncio
+import contextlib
+import hashlib
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+import threading
+import unittest
+from collections.abc import Iterator
+from typing import Any
+from unittest import mock
+
+import typer.main
+import typer.testing
+
+from godwitnotch import cli
+from godwitnotch import event_ring
+from godwitnotch import metrics
+from godwitnotch import workspace_file
+from godwitnotch.commands import options
+from godwitnotch.core import actions
+from godwitnotch.core import events
+from godwitnotch.core import ids
+from godwitnotch.core import model
+from godwitnotch.net import caller_api
+from godwitnotch.net import http_server
+from godwitnotch.net import http_types
+from tests import fake_port
+
+ACME = ids.WorkspaceId("acme")
+SUBMISSION = ids.SubmissionId("d1.h1.0a.7.tag")
+ENVIRONMENT = {
+    options.TOKEN_VARIABLE: "secret-a",
+    options.OPERATOR_TOKEN_VARIABLE: "secret-op",
+    "COLUMNS": "200",
+}
+
+
+def _sha256(token: str) -> str:
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+@contextlib.contextmanager
+def serving(handler: http_types.Handler) -> Iterator[str]:
+    """Serves a handler on a thread of its own; yields the address."""
+    loop = asyncio.new_event_loop()
+    thread = threading.Thread(target=loop.run_forever)
+    thread.start()
+
+    def run(coroutine: object) -> object:
+        return asyncio.run_coroutine_threadsafe(coroutine, loop).result(10)
+
+    server = http_server.HttpServer(handler, limits=http_types.HttpLimits())
+    port = run(server.start("127.0.0.1", 0))
+    try:
+        yield f"127.0.0.1:{port}"
+    finally:
+        run(server.stop(deadline=loop.time()))
+        loop.call_soon_threadsafe(loop.stop)
+        thread.join()
+        loop.close()
+
+
+class CommandTest(unittest.TestCase):
+    def setUp(self) -> None:
+        template = model.Template(ids.TemplateName("check"), "/check")
+        config = model.WorkspaceConfig(
+            ACME, 3, {template.name: template}, _sha256("secret-a")
+        )
+        self.port = fake_port.FakePort({ACME: config})
+        self.ring = event_ring.EventRing(max_events=10)
+        api = caller_api.CallerApi(
+            self.port,
+            operator_token_sha256=_sha256("secret-op"),
+            counts=metrics.Metrics(),
+            ring=self.ring,
+        )
+        self.address = self.enterContext(serving(api.handle))
+        self.folder = pathlib.Path(
+            self.enterContext(tempfile.TemporaryDirectory())
+        )
+        self.enterContext(mock.patch.dict(os.environ, ENVIRONMENT))
+
+    def invoke(self, *arguments: str) -> typer.testing.Result:
+        return typer.testing.CliRunner().invoke(cli.app, list(arguments))
+
+    def call(self, *arguments: str) -> typer.testing.Result:
+        return self.invoke(*arguments, "--host", self.address)
+
+    def caller(self, *arguments: str) -> typer.testing.Result:
+        return self.call(*arguments, "--workspace", "acme")
+
+    def answer(
+        self, outcome: model.Outcome, reason: model.Reason | None = None
+    ) -> None:
+        results = (b"1",) if outcome is model.Outcome.COMPLETE else ()
+        self.port.answer = fake_port.answered(
+            model.JobAnswer(
+                SUBMISSION, outcome, model.Ran.NOTHING, reason, "", results
+            )
+        )
+
+    def write(self, name: str, text: str) -> str:
+        file = self.folder / name
+        file.write_text(text)
+        return str(file)
+
+
+class CallerCommandsTest(CommandTest):
+    def submit(self, *more: str) -> typer.testing.Result:
+        tasks = self.write("tasks.json", "[1]")
+        return self.caller(
+            "submit", "--template", "check", "--tasks", tasks, *more
+        )
+
+    def test_reserve_prints_one_id_a_line(self) -> None:
+        self.port.answer = actions.ReplyReserved(
+            fake_port.CALL, (SUBMISSION, SUBMISSION), 600.0
+        )
+        result = self.caller("reserve", "--count", "2")
+        self.assertEqual(result.stdout, f"{SUBMISSION}\n{SUBMISSION}\n")
+
+    def test_submit_under_an_id_prints_the_answer(self) -> None:
+        self.answer(model.Outcome.COMPLETE)
+        result = self.submit("--id", SUBMISSION)
+        self.assertEqual(result.exit_code, 0)
+        self.assertEqual(json.loads(result.stdout)["results"], [1])
+        self.assertIn("outcome=complete ran=nothing answers=1", result.stderr)
+
+    def test_submit_under_a_key_sends_it(self) -> None:
+        self.answer(model.Outcome.COMPLETE)
+        self.submit("--key", "order-7", "--timeout-ms", "2000")
+        (asked,) = self.port.events
+        assert isinstance(asked, events.KeyedSubmitAsked)
+        self.assertEqual(asked.key, "order-7")
+        self.assertEqual(asked.deadline, 102.0)
+
+    def test_outcomes_have_their_own_exit_codes(self) -> None:
+        for outcome, code in (
+            (model.Outcome.REFUSED, options.ExitCode.REFUSED),
+            (model.Outcome.FAILED, options.ExitCode.FAILED),
+            (model.Outcome.UNKNOWN, options.ExitCode.UNKNOWN),
+        ):
+            with self.subTest(outcome=outcome):
+                self.answer(outcome, model.Reason.CANCELLED)
+                result = self.submit("--id", SUBMISSION)
+                self.assertEqual(result.exit_code, code)
+                result = self.caller("status", SUBMISSION)
+                self.assertEqual(result.exit_code, code)
+
+    def test_no_answer_is_told_as_not_known(self) -> None:
+        unused = "127.0.0.1:1"
+        result = self.invoke(
+            "status", SUBMISSION, "--workspace", "acme", "--host", unused
+        )
+        self.assertEqual(result.exit_code, options.ExitCode.UNREACHABLE)
+        self.assertIn("effect is not known", result.stderr)
+
+    def test_a_missing_token_is_told(self) -> None:
+        del os.environ[options.TOKEN_VARIABLE]
+        result = self.caller("status", SUBMISSION)
+        self.assertEqual(result.exit_code, options.ExitCode.USAGE)
+        self.assertIn(options.TOKEN_VARIABLE, result.stderr)
+
+    def test_a_wrong_token_is_refused(self) -> None:
+        token = self.write("token", "wrong\n")
+        result = self.caller("status", SUBMISSION, "--token-file", token)
+        self.assertEqual(result.exit_code, options.ExitCode.REFUSED)
+        self.assertIn("unauthorized", result.stdout)
+
+    def test_bad_usage_sends_nothing(self) -> None:
+        for more in (("--id", "a", "--key", "b"), ("--tasks", "/nonexistent")):
+            result = self.submit(*more)
+            self.assertEqual(result.exit_code, options.ExitCode.USAGE)
+        self.assertEqual(self.port.events, [])
+
+
+class WorkspaceCommandsTest(CommandTest):
+    def setUp(self) -> None:
+        super().setUp()
+        self.document = workspace_file.to_json(self.port.configs[ACME])
+        self.document["max_running_tasks"] = 7
+
+    def put(self, *more: str) -> typer.testing.Result:
+        file = self.write("acme.yaml", workspace_file.to_yaml(self.document))
+        return self.call("workspace", "put", file, *more)
+
+    def reply(
+        self,
+        recorded: bool | None,
+        *,
+        current: model.WorkspaceConfig | None = None,
+        lagging: tuple[str, ...] = (),
+    ) -> None:
+        hosts = tuple(ids.HostId(name) for name in lagging)
+        self.port.answer = actions.ReplyConfig(
+            fake_port.CALL, recorded, current, hosts, "because"
+        )
+
+    def test_a_dry_run_shows_the_change_and_sends_nothing(self) -> None:
+        result = self.put("--dry-run")
+        self.assertIn(
+            "-max_running_tasks: 1000\n+max_running_tasks: 7\n", result.stdout
+        )
+        self.assertEqual(self.port.events, [])
+
+    def test_what_get_prints_can_be_put_without_a_change(self) -> None:
+        got = self.call("workspace", "get", "acme").stdout
+        file = self.write("acme.yaml", got)
+        result = self.call("workspace", "put", file)
+        self.assertEqual(result.stdout, "no change\n")
+
+    def test_a_put_waits_until_in_force(self) -> None:
+        self.reply(True)
+        result = self.put()
+        self.assertIn("state=in_force version=4", result.stdout)
+
+    def test_lagging_hosts_are_named_with_an_exit_code(self) -> None:
+        self.reply(True, lagging=("h2", "h3"))
+        result = self.put()
+        self.assertIn("state=recorded version=4 lagging=h2,h3", result.stdout)
+        self.assertEqual(result.exit_code, options.ExitCode.NOT_IN_FORCE)
+
+    def test_a_conflict_shows_what_the_other_operator_changed(self) -> None:
+        mine = self.port.configs[ACME]
+        theirs = model.WorkspaceConfig(
+            ACME, 4, mine.templates, mine.token_sha256, 1_000, 55
+        )
+        self.reply(False, current=theirs)
+        result = self.put()
+        self.assertIn("-max_queued_tasks: 10000", result.stderr)
+        self.assertIn("+max_queued_tasks: 55", result.stderr)
+        self.assertIn("--version 4", result.stderr)
+        self.assertEqual(result.exit_code, options.ExitCode.REFUSED)
+
+    def test_an_unknown_recording_is_told(self) -> None:
+        self.reply(None)
+        self.assertEqual(self.put().exit_code, options.ExitCode.UNKNOWN)
+
+    def test_problems_of_the_file_are_told_before_anything_is_sent(
+        self,
+    ) -> None:
+        self.document["max_running_tasks"] = 0
+        result = self.put()
+        self.assertEqual(result.exit_code, options.ExitCode.USAGE)
+        self.assertIn("max_running_tasks: found 0", result.stderr)
+        self.assertEqual(self.port.events, [])
+
+    def test_list_prints_the_versions(self) -> None:
+        result = self.call("workspace", "list")
+        self.assertEqual(result.stdout, "workspace=acme version=3\n")
+
+
+class OperatorCommandsTest(CommandTest):
+    def test_drain_sets_a_deadline(self) -> None:
+        result = self.call("host", "drain", "--timeout", "7")
+        self.assertEqual(result.stdout, "state=draining timeout_s=7\n")
+        self.assertEqual(self.port.drain_deadline, 107.0)
+
+    def test_explain_puts_the_events_of_several_hosts_in_order(self) -> None:
+        for name, at in (("job_ended", 99.0), ("job_admitted", 98.0)):
+            self.ring.add(actions.Note(name, SUBMISSION), now=at)
+        result = self.call("explain", SUBMISSION, "--host", self.address)
+        events_shown = [
+            line.rsplit("event=", 1)[1] for line in result.stdout.splitlines()
+        ]
+        self.assertEqual(
+            events_shown,
+            ["job_admitted", "job_admitted", "job_ended", "job_ended"],
+        )
+
+    def test_explain_names_hosts_that_gave_no_answer(self) -> None:
+        result = self.call("explain", SUBMISSION, "--host", "127.0.0.1:1")
+        self.assertIn("host 127.0.0.1:1 gave no answer", result.stderr)
+        self.assertEqual(result.exit_code, options.ExitCode.UNREACHABLE)
+
+    def test_top_shows_hosts_that_answer_and_those_that_do_not(self) -> None:
+        result = self.call("top", "--host", "127.0.0.1:1", "--updates", "1")
+        self.assertRegex(result.stdout, r"h1 +│ d1 +│ ready")
+        self.assertRegex(result.stdout, r"127\.0\.0\.1:1 +│ +│ no answer")
+
+    def test_host_status_is_json(self) -> None:
+        result = self.call("host", "status")
+        self.assertEqual(json.loads(result.stdout)["host"], "h1")
+
+
+class SettingsCommandsTest(CommandTest):
+    def test_check_prints_every_problem(self) -> None:
+        file = self.write("host.yaml", "host: H\ndomian: d\n")
+        result = self.invoke("settings", "check", file)
+        self.assertEqual(result.exit_code, options.ExitCode.USAGE)
+        self.assertIn(f"{file}:1: host: found 'H'", result.stderr)
+        self.assertIn("write 'domain'", result.stderr)
+
+    def test_schema_is_json(self) -> None:
+        for kind in ("host", "workspace"):
+            result = self.invoke("settings", "schema", "--kind", kind)
+            self.assertIn("properties", json.loads(result.stdout))
+
+
+class HelpTest(unittest.TestCase):
+    def test_every_command_has_help_with_an_example(self) -> None:
+        commands = list(_commands(typer.main.get_command(cli.app), ()))
+        self.assertGreater(len(commands), 15)
+        for path, command in commands:
+            with self.subTest(command=" ".join(path)):
+                self.assertIn("Example: godwitnotch " + path[0], command.help)
+
+
+class ProcessTest(unittest.TestCase):
+    def test_the_demo_is_complete(self) -> None:
+        done = subprocess.run(
+            [sys.executable, "-m", "godwitnotch", "demo"],
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+        self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
+        self.assertRegex(
+            done.stdout.splitlines()[-1],
+            r"^outcome=complete tasks=48 answers=48 starts=48 ",
+        )
+
+    def test_the_callers_commands_load_no_code_of_hosts(self) -> None:
+        script = (
+            "import sys; from godwitnotch import cli; "
+            "print([name for name in sys.modules if name.startswith("
+            "('godwitnotch.core', 'godwitnotch.net', 'websockets', 'h11'))])"
+        )
+        done = subprocess.run(
+            [sys.executable, "-c", script],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=True,
+        )
+        self.assertEqual(done.stdout, "[]\n")
+
+
+def _commands(
+    command: Any, path: tuple[str, ...]
+) -> Iterator[tuple[tuple[str, ...], Any]]:
+    """Yields every command that can be run, with its words."""
+    members = getattr(command, "commands", {})
+    if not members or getattr(command, "invoke_without_command", False):
+        yield path, command
+    for name, member in members.items():
+        yield from _commands(member, (*path, name))
--- a/tests/test_differential.py
+++ b/tests/test_differential.py
@@ -4,15 +4,11 @@
 `make histories` tries more, from a seed of its own.
 """
 
-import collections
 import os
 import pathlib
-import unittest
 
-import hypothesis
 from hypothesis import strategies
 
-from godwitnotch.core import model
 from tests import naive
 from tests import scenario
 
