Let a host advertise another address than it listens on

Cause: a host that listens on all of its addresses, or behind a relay, is dialled at another one than it binds. Shared file: settings.py, one optional key listen.advertised. Shown by: the process tests, whose relays between hosts need it.

--- a/godwitnotch/root.py
+++ b/godwitnotch/root.py
@@ -167,13 +167,14 @@
         await self._platform.close()
 
     def _make_identity(self) -> model.HostEntry:
-        peers = self._settings.peers
+        ip = self._settings.peers.ip
         port = self._peer_socket.getsockname()[1]
+        bound = settings_module.Address(ip, port)
         return model.HostEntry(
             host=self._settings.host,
             domain=self._settings.domain,
             incarnation=_new_incarnation(),
-            address=str(settings_module.Address(peers.ip, port)),
+            address=str(self._settings.advertised or bound),
         )
 
     def _make_core(self) -> host_module.HostCore:
--- a/godwitnotch/settings.py
+++ b/godwitnotch/settings.py
@@ -79,6 +79,7 @@
         domain: Failure domain of the host.
         callers: Where callers and operators are served.
         peers: Where the other hosts are served.
+        advertised: Where the other hosts reach this one; None for `peers`.
         platform: Where the platform's service is reached.
         secret: Shared by all hosts; authenticates ids and peers.
         operator_token_sha256: Hex digest of the operators' bearer token.
@@ -97,6 +98,7 @@
     policy: str
     limits: Limits = field(default_factory=Limits)
     log_level: str = "info"
+    advertised: Address | None = None
 
 
 def _address_allowed(text: str) -> str:
@@ -121,6 +123,11 @@
         description="IP:PORT that serves the other hosts",
         examples=["10.0.1.11:8081"],
     )
+    advertised: AddressText | None = pydantic.Field(
+        default=None,
+        description="IP:PORT that the other hosts dial, if not that of peers",
+        examples=["10.0.1.11:8081"],
+    )
 
 
 class SecretDocument(checked_yaml.Checked):
@@ -351,6 +358,7 @@
         "listen": {
             "callers": str(settings.callers),
             "peers": str(settings.peers),
+            "advertised": str(settings.advertised or settings.peers),
         },
         "platform": str(settings.platform),
         "secret": "(set, not shown)",
@@ -376,6 +384,10 @@
     return address
 
 
+def _optional_address(text: str | None) -> Address | None:
+    return None if text is None else parse_address(text)
+
+
 def _split_address(text: str) -> Address | None:
     host, separator, port = text.rpartition(":")
     if not separator or not (port.isascii() and port.isdigit()):
@@ -415,6 +427,7 @@
             policy=document.policy,
             limits=Limits(**document.limits.model_dump()),
             log_level=document.log.level,
+            advertised=_optional_address(document.listen.advertised),
         )
     )
 
