--- /dev/null
+++ b/tests/process/cluster.py
@@ -0,0 +1,348 @@
+"""Starts real host and stand-in processes on loopback, and ends them."""
+
+import asyncio
+import hashlib
+import os
+import pathlib
+import re
+import signal
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import yaml
+
+from godwitnotch import host_client
+from tests.process import caller
+
+WAIT_S = 30.0
+POLL_S = 0.02
+OPERATOR_TOKEN = "operator-of-the-process-tests"
+ROOT = pathlib.Path(__file__).parent.parent.parent
+SECRET = "0123456789abcdef" * 3
+WORKSPACE = "orders"
+TEMPLATE = "confirm"
+
+
+async def until(
+    condition: Callable[[], Awaitable[object]],
+    what: str,
+    *,
+    wait_s: float = WAIT_S,
+) -> None:
+    """Waits for a condition, for a bounded time.
+
+    Raises:
+        AssertionError: It did not come true in time.
+    """
+    deadline = time.monotonic() + wait_s
+    while not await condition():
+        if time.monotonic() > deadline:
+            raise AssertionError(f"not within {wait_s:g} s: {what}")
+        await asyncio.sleep(POLL_S)
+
+
+class Process:
+    """One child process of the tests; only its own pid is ever signalled."""
+
+    def __init__(self, name: str, child: asyncio.subprocess.Process) -> None:
+        self.name = name
+        self.lines: list[str] = []
+        self._child = child
+        self._readers = [
+            asyncio.create_task(self._collect(stream))
+            for stream in (child.stdout, child.stderr)
+            if stream is not None
+        ]
+
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code, None while it runs."""
+        return self._child.returncode
+
+    async def _collect(self, stream: asyncio.StreamReader) -> None:
+        while line := await stream.readline():
+            self.lines.append(line.decode(errors="replace").rstrip())
+
+    async def wait_line(self, pattern: str) -> re.Match[str]:
+        """Waits for a line of output; returns the match."""
+        found: list[re.Match[str]] = []
+
+        async def seen() -> bool:
+            if self.exit_code is not None:
+                raise AssertionError(f"{self.name} ended: {self.lines}")
+            for line in self.lines:
+                if match := re.search(pattern, line):
+                    found.append(match)
+                    return True
+            return False
+
+        await until(seen, f"{self.name} prints {pattern}")
+        return found[0]
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal, unless the process has ended."""
+        if self.exit_code is None:
+            self._child.send_signal(number)
+
+    async def wait(self, *, wait_s: float = WAIT_S) -> int:
+        """Waits for the end; returns the exit code."""
+        async with asyncio.timeout(wait_s):
+            return await self._child.wait()
+
+    async def end(self) -> None:
+        """Kills the process if it still runs."""
+        self.signal(signal.SIGKILL)
+        await self._child.wait()
+        await asyncio.gather(*self._readers)
+
+    def logged(self, event: str) -> list[str]:
+        """Returns the log lines of one event."""
+        return [line for line in self.lines if f" event={event} " in f"{line} "]
+
+
+@dataclass(slots=True)
+class Upstream:
+    """A stand-in of an upstream."""
+
+    name: str
+    domain: str
+    address: str
+    process: Process
+
+    async def starts(self) -> list[dict[str, Any]]:
+        """Returns its own log of task starts."""
+        answer = await host_client.HostClient(self.address, "").acall(
+            "GET", "/starts"
+        )
+        starts: list[dict[str, Any]] = answer.value["starts"]
+        return starts
+
+
+@dataclass(slots=True)
+class Host:
+    """An entry host."""
+
+    name: str
+    domain: str
+    address: str
+    peers: str
+    process: Process
+
+    async def ready(self) -> bool:
+        """Whether it says that it is ready."""
+        try:
+            answer = await self.operator().acall("GET", "/readyz")
+        except host_client.HostUnreachable:
+            return False
+        return answer.ok
+
+    async def status(self) -> dict[str, Any]:
+        """Returns its state as operators see it."""
+        return (await self.operator().acall("GET", "/v1/host")).value
+
+    def operator(self) -> host_client.HostClient:
+        """Returns a client with the operators' token."""
+        return host_client.HostClient(self.address, OPERATOR_TOKEN)
+
+
+class Cluster:
+    """The processes of one test."""
+
+    def __init__(self) -> None:
+        self._folder = tempfile.TemporaryDirectory(prefix="godwitnotch-test-")
+        self.processes: list[Process] = []
+        self.upstreams: list[Upstream] = []
+        self.hosts: list[Host] = []
+        self.platform = ""
+        self.platform_process: Process | None = None
+        self.caller = caller.Caller(WORKSPACE, TEMPLATE)
+
+    async def close(self) -> None:
+        """Ends every process that the cluster started."""
+        await self.caller.close()
+        for process in self.processes:
+            await process.end()
+        self._folder.cleanup()
+
+    async def start_upstreams(
+        self, domains: Sequence[str], *, each: int = 2, slots: int = 8
+    ) -> None:
+        """Starts stand-ins of upstreams in some domains."""
+        names = [
+            (f"{domain}-u{number}", domain)
+            for domain in domains
+            for number in range(1, each + 1)
+        ]
+        self.upstreams += await asyncio.gather(
+            *(self._start_upstream(*name, slots) for name in names)
+        )
+
+    async def _start_upstream(
+        self, name: str, domain: str, slots: int
+    ) -> Upstream:
+        process = await self._start(
+            name, "standin", "upstream", "--slots", str(slots)
+        )
+        match = await process.wait_line(r"listening=(\S+)")
+        return Upstream(name, domain, match[1], process)
+
+    async def start_platform(
+        self,
+        *,
+        listen: str = "127.0.0.1:0",
+        addresses: Mapping[str, str] | None = None,
+    ) -> None:
+        """Starts the stand-in of the platform, which lists the upstreams.
+
+        Args:
+            listen: Where it listens.
+            addresses: Listed addresses of upstreams, where not their own.
+        """
+        listed = [
+            {
+                "upstream": upstream.name,
+                "domain": upstream.domain,
+                "rack": "r1",
+                "address": (addresses or {}).get(
+                    upstream.name, upstream.address
+                ),
+                "slots": 8,
+                "connections": 64,
+            }
+            for upstream in self.upstreams
+        ]
+        file = self._write("upstreams.yaml", listed)
+        process = await self._start(
+            "platform",
+            "standin",
+            "platform",
+            "--listen",
+            listen,
+            "--upstreams",
+            str(file),
+        )
+        match = await process.wait_line(r"listening=(\S+)")
+        self.platform = match[1]
+        self.platform_process = process
+
+    async def start_host(
+        self,
+        name: str,
+        domain: str,
+        *,
+        platform: str = "",
+        peers: str = "127.0.0.1:0",
+        advertised: str = "",
+        drain_timeout_s: float = 30.0,
+        wait_ready: bool = True,
+    ) -> Host:
+        """Starts an entry host and waits until it is ready."""
+        listen = {"callers": "127.0.0.1:0", "peers": peers}
+        if advertised:
+            listen["advertised"] = advertised
+        settings = {
+            "host": name,
+            "domain": domain,
+            "listen": listen,
+            "platform": platform or self.platform,
+            "secret": {"environment": "GODWITNOTCH_TEST_SECRET"},
+            "operator_token": {"environment": "GODWITNOTCH_TEST_OPERATOR"},
+            "limits": {"drain_timeout_s": drain_timeout_s},
+        }
+        file = self._write(f"{name}-{len(self.processes)}.yaml", settings)
+        process = await self._start(name, "host", "--settings", str(file))
+        match = await process.wait_line(
+            r"event=host_started .*callers=(\S+) peers=(\S+)"
+        )
+        host = Host(name, domain, match[1], match[2], process)
+        self.hosts.append(host)
+        if wait_ready:
+            await until(host.ready, f"{name} is ready")
+        return host
+
+    async def wait_linked(self, *hosts: Host) -> None:
+        """Waits until some hosts, else all, are linked to one another."""
+        wanted = hosts or tuple(self.hosts)
+        names = {host.name for host in wanted}
+
+        async def linked() -> bool:
+            for host in wanted:
+                peers = (await host.status())["peers"]
+                open_to = {peer["host"] for peer in peers if peer["linked"]}
+                if not names - {host.name} <= open_to:
+                    return False
+            return True
+
+        await until(linked, f"{sorted(names)} are linked")
+
+    async def put_workspace(self, host: Host) -> None:
+        """Creates the tests' workspace and waits until it is in force."""
+        answer = await self.change_workspace(host, version=0)
+        assert answer.code == 200, answer
+
+    async def change_workspace(
+        self, host: Host, *, version: int, **changes: Any
+    ) -> host_client.HostAnswer:
+        """Puts settings of the tests' workspace over a version."""
+        settings = {
+            "workspace": WORKSPACE,
+            "token_sha256": hashlib.sha256(caller.TOKEN.encode()).hexdigest(),
+            "templates": {TEMPLATE: {"path": "/confirm", "max_wait_s": 60}},
+            **changes,
+        }
+        return await host.operator().acall(
+            "PUT",
+            f"/v1/workspaces/{WORKSPACE}",
+            value=settings,
+            headers={"if-match": str(version)},
+            timeout_s=WAIT_S,
+        )
+
+    async def order_faults(self, address: str, **faults: object) -> None:
+        """Orders faults from a stand-in."""
+        answer = await host_client.HostClient(address, "").acall(
+            "POST", "/faults", value=faults
+        )
+        assert answer.ok, answer
+
+    async def starts(self) -> Counter[tuple[str, int]]:
+        """Returns how often each task started, by the upstreams' own logs."""
+        logs = await asyncio.gather(*(each.starts() for each in self.upstreams))
+        return Counter(
+            (start["submission_id"], start["task_index"])
+            for log in logs
+            for start in log
+        )
+
+    def _write(self, name: str, value: object) -> pathlib.Path:
+        path = pathlib.Path(self._folder.name) / name
+        path.write_text(yaml.safe_dump(value))
+        return path
+
+    async def _start(self, name: str, *arguments: str) -> Process:
+        child = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "godwitnotch",
+            *arguments,
+            cwd=ROOT,
+            env={
+                **os.environ,
+                "GODWITNOTCH_TEST_SECRET": SECRET,
+                "GODWITNOTCH_TEST_OPERATOR": OPERATOR_TOKEN,
+            },
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        process = Process(name, child)
+        self.processes.append(process)
+        return process
--- /dev/null
+++ b/tests/process/test_three_domains.py
@@ -0,0 +1,44 @@
+"""Three hosts in three failure domains, as separate processes."""
+
+import unittest
+
+from tests.process import cluster
+
+DOMAINS = ("north", "middle", "south")
+TASKS = 24
+
+
+class ThreeDomainsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_job_owned_by_another_host(self) -> None:
+        system = cluster.Cluster()
+        self.addAsyncCleanup(system.close)
+        await system.start_upstreams(DOMAINS)
+        await system.start_platform()
+        for domain in DOMAINS:
+            await system.start_host(f"{domain}-1", domain)
+        await system.wait_linked()
+        await system.put_workspace(system.hosts[0])
+        entry, _, owner = system.hosts
+        submission = (await system.caller.reserve(owner.address))[0]
+        payloads = [{"sleep_ms": 20, "n": n} for n in range(TASKS)]
+
+        answer = await system.caller.submit(entry.address, submission, payloads)
+
+        self.assertEqual(answer.code, 200, answer)
+        self.assertEqual(answer.submission, submission)
+        self.assertEqual(answer.outcome, "complete")
+        self.assertEqual(answer.value["results"], payloads)
+        starts = await system.starts()
+        self.assertEqual(
+            starts, {(submission, index): 1 for index in range(TASKS)}
+        )
+        for host in system.hosts:
+            again = await system.caller.submit(
+                host.address, submission, payloads
+            )
+            self.assertEqual(again.value, answer.value)
+        self.assertEqual(await system.starts(), starts)
+
+
+if __name__ == "__main__":
+    unittest.main()
