Send no empty bearer token from the commands

Cause: godwitnotch standin faults raised h11.LocalProtocolError, since a stand-in takes no token and 'Bearer ' is no legal header value. Shown by: the three-domain process test, red before, green after.

--- a/godwitnotch/host_client.py
+++ b/godwitnotch/host_client.py
@@ -104,7 +104,7 @@
             path,
             query,
             {
-                "authorization": f"Bearer {self.token}",
+                **self._authorization(),
                 "content-type": "application/json",
                 **headers,
             },
@@ -124,6 +124,12 @@
             await client.close()
         return _read(response)
 
+    def _authorization(self) -> dict[str, str]:
+        """Returns the header of the token; stand-ins take none."""
+        if not self.token:
+            return {}
+        return {"authorization": f"Bearer {self.token}"}
+
 
 def read_token(
     variable: str, file: pathlib.Path | None, environment: Mapping[str, str]
