--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -3,6 +3,7 @@
 `python -m tests.scenario [FILE ...]` runs some or all, a line for each.
 """
 
+import functools
 import operator
 import pathlib
 import sys
@@ -219,6 +220,7 @@
     return [str(token) for token in tree.children]
 
 
+@functools.cache
 def _parser() -> lark.Lark:
     grammar = (DIRECTORY / "grammar.lark").read_text()
     return lark.Lark(grammar, parser="lalr", propagate_positions=True)
@@ -421,6 +423,12 @@
     scenario.world.add_host(name, old.entry.domain)
 
 
+@step("revive")
+def _revive(scenario: Scenario, tree: lark.Tree) -> None:
+    if not scenario.host(str(tree.children[0])).alive:
+        _restart(scenario, tree)
+
+
 @step("pause")
 def _pause(scenario: Scenario, tree: lark.Tree) -> None:
     host = scenario.host(str(tree.children[0]))
@@ -444,7 +452,8 @@
 def _cut(scenario: Scenario, tree: lark.Tree) -> None:
     for one in scenario.ends(_names(tree.children[0])):
         for other in scenario.ends(_names(tree.children[1])):
-            scenario.world.cut(one, other)
+            if one != other:
+                scenario.world.cut(one, other)
 
 
 @step("heal")
