--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -152,6 +152,10 @@
                 first.attempt, model.AttemptOutcome.REFUSED_FULL
             )
         )
+        # The upstream that refused is left alone for a moment.
+        self.assertEqual(driver.count(actions.StartAttempt), 0)
+        driver.now = driver.core.next_deadline()
+        driver.feed(events.TimePassed())
         second = driver.take(actions.StartAttempt)
         driver.feed(
             events.AttemptEnded(second.attempt, model.AttemptOutcome.BROKE_OFF)
