--- a/bench/policy_trial.py
+++ b/bench/policy_trial.py
@@ -4,9 +4,12 @@
 else of a network is modelled. The upstreams refuse what exceeds their slots.
 
     python -m bench.policy_trial --load 0.7 --seeds 5 uniform credits
+
+`--set MODULE.CONSTANT=VALUE,...` overrides constants of `godwitnotch.core`.
 """
 
 import heapq
+import importlib
 import itertools
 import math
 import random
@@ -353,6 +356,11 @@
             options[word[2:]] = next(words)
         else:
             names.append(word)
+    for setting in filter(None, options.pop("set", "").split(",")):
+        place, value = setting.split("=")
+        module, constant = place.split(".")
+        found = importlib.import_module(f"godwitnotch.core.{module}")
+        setattr(found, constant, type(getattr(found, constant))(float(value)))
     share = float(options.pop("load", "0.7"))
     seeds = int(options.pop("seeds", "5"))
     seconds = float(options.pop("seconds", "40"))
--- a/godwitnotch/core/credit_scheduler.py
+++ b/godwitnotch/core/credit_scheduler.py
@@ -157,8 +157,7 @@
         self._quotas.seen(job.workspace, now=now)
         self._jobs[job.submission] = job
         self._budget.earn(len(job.declared_ms))
-        tasks = list(range(len(job.declared_ms) - 1, -1, -1))
-        self._lane(job.template).queue.push(job, tasks, now=now)
+        self._lane(job.template).queue.push(job, _in_order(job), now=now)
 
     def requeue(
         self, submission: ids.SubmissionId, task_index: int, *, now: float
@@ -553,6 +552,12 @@
         )
 
 
+def _in_order(job: scheduler.JobRequest) -> list[int]:
+    """Returns the task indices, those declared longest at the end."""
+    declared = [each or 0.0 for each in job.declared_ms]
+    return sorted(range(len(declared)), key=lambda index: declared[index])
+
+
 def _slots_message(sent: credits.Outgoing) -> scheduler.PeerMessage:
     word = sent.message
     key = ids.UpstreamId(word.key)
