Take the quota messages in the host; read a scenario's promise from its line

Cause: QuotaWanted and QuotaLent had no handler, so the first quota message of a peer raised KeyError in the loop; the scenario list took a comment's word 'promise' for the statement. Changed check: the file's promise is now matched as a whole line, stricter.

--- a/godwitnotch/core/host.py
+++ b/godwitnotch/core/host.py
@@ -311,6 +311,11 @@
 _HANDLERS: dict[type, _Handler] = {}
 
 
+def handled_kinds() -> frozenset[type]:
+    """Returns the kinds of events and peer messages that a host takes."""
+    return frozenset(_HANDLERS)
+
+
 def _handles(kind: type) -> Callable[[_Handler], _Handler]:
     """Registers the handler of one kind of event or peer message."""
 
@@ -515,6 +520,8 @@
 
 @_handles(messages.SlotsWanted)
 @_handles(messages.SlotsLent)
+@_handles(messages.QuotaWanted)
+@_handles(messages.QuotaLent)
 def _scheduler_message(
     core: HostCore, event: events.PeerSaid, now: float
 ) -> None:
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+import typing
 import unittest
 
 from godwitnotch.core import actions
@@ -272,3 +273,10 @@
         self.assertFalse(driver.core.ready)
         driver.feed(events.PeerDown(ids.HostId("h3")))
         self.assertTrue(driver.core.ready)
+
+
+class HandlersTest(unittest.TestCase):
+    def test_every_event_and_message_has_a_handler(self) -> None:
+        kinds = {*typing.get_args(events.Event)}
+        kinds |= {*typing.get_args(messages.Message)}
+        self.assertEqual(kinds - host.handled_kinds(), set())
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,6 +1,7 @@
 """One test for each scenario file, and tests of the language's errors."""
 
 import pathlib
+import re
 import unittest
 
 from tests import scenario
@@ -38,8 +39,8 @@
     def test_each_file_is_named_for_its_promise(self) -> None:
         found = dict.fromkeys(PROMISES, 0)
         for path in scenario.DIRECTORY.glob("*.scn"):
-            first = path.read_text().split("promise ")[1]
-            promise = int(first.split()[0])
+            found = re.search(r"^promise (\d+)$", path.read_text(), re.M)
+            promise = int(found[1])
             self.assertTrue(path.name.startswith(PROMISES[promise]), path)
             found[promise] += 1
         self.assertGreaterEqual(min(found.values()), SCENARIOS_PER_PROMISE)
