--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -39,8 +39,8 @@
     def test_each_file_is_named_for_its_promise(self) -> None:
         found = dict.fromkeys(PROMISES, 0)
         for path in scenario.DIRECTORY.glob("*.scn"):
-            found = re.search(r"^promise (\d+)$", path.read_text(), re.M)
-            promise = int(found[1])
+            line = re.search(r"^promise (\d+)$", path.read_text(), re.M)
+            promise = int(line[1])
             self.assertTrue(path.name.startswith(PROMISES[promise]), path)
             found[promise] += 1
         self.assertGreaterEqual(min(found.values()), SCENARIOS_PER_PROMISE)
