--- a/godwitnotch/commands/options.py
+++ b/godwitnotch/commands/options.py
@@ -131,7 +131,8 @@
         settings.parse_address(address)
     except ValueError as error:
         fail(f"--host: {error}", ExitCode.USAGE)
-    token = host_client.read_token(variable, token_file, os.environ)
-    if token is None:
-        fail(f"no token: set {variable} or give {option} FILE", ExitCode.USAGE)
+    try:
+        token = host_client.read_token(variable, token_file, os.environ)
+    except (ValueError, OSError) as error:
+        fail(f"{error}: set {variable} or give {option} FILE", ExitCode.USAGE)
     return host_client.HostClient(address, token)
--- a/godwitnotch/commands/workspaces.py
+++ b/godwitnotch/commands/workspaces.py
@@ -176,21 +176,21 @@
     from godwitnotch import workspace_file
 
     current = answer.value["error"]["current"]
-    print(
-        f"Another operator recorded version {current['version']}. "
-        "Their change:",
-        file=sys.stderr,
-    )
+    newest = current["version"]
     theirs = workspace_file.difference(
         seen,
         current["settings"],
         old_name=f"version {seen_version}",
-        new_name=f"version {current['version']}",
+        new_name=f"version {newest}",
+    )
+    print(
+        f"Nothing was changed: version {newest} is recorded already.",
+        file=sys.stderr,
     )
-    print(theirs or "(none that your host had not seen)", file=sys.stderr)
+    if theirs:
+        print(f"What it changed:\n{theirs}", end="", file=sys.stderr)
     options.fail(
-        f"Nothing was changed. Merge their change into {file} and put it "
-        f"again with --version {current['version']}.",
+        f"Merge it into {file} and put that again with --version {newest}.",
         options.ExitCode.REFUSED,
     )
 
--- a/godwitnotch/host_client.py
+++ b/godwitnotch/host_client.py
@@ -56,7 +56,7 @@
 
     Attributes:
         address: IP:PORT of the host's callers.
-        token: Bearer token.
+        token: Bearer token; none is sent if empty.
     """
 
     address: str
@@ -99,15 +99,14 @@
         timeout_s: float = DEFAULT_TIMEOUT_S,
     ) -> HostAnswer:
         """Does what `call` does, on a running loop."""
+        all_headers = {"content-type": "application/json", **headers}
+        if self.token:
+            all_headers["authorization"] = f"Bearer {self.token}"
         request = http_types.HttpRequest(
             method,
             path,
             query,
-            {
-                "authorization": f"Bearer {self.token}",
-                "content-type": "application/json",
-                **headers,
-            },
+            all_headers,
             b"" if value is None else json.dumps(value).encode(),
         )
         client = http_client.HttpClient(connections=1)
@@ -127,11 +126,19 @@
 
 def read_token(
     variable: str, file: pathlib.Path | None, environment: Mapping[str, str]
-) -> str | None:
-    """Returns a token from a file if given, else from a variable."""
-    if file is not None:
-        return file.read_text().strip() or None
-    return environment.get(variable, "").strip() or None
+) -> str:
+    """Returns a token from a file if given, else from a variable.
+
+    Raises:
+        ValueError: The token is empty or can't be sent in a header.
+    """
+    text = environment.get(variable, "") if file is None else file.read_text()
+    token = text.strip()
+    if not token:
+        raise ValueError("no token")
+    if not token.isascii() or not token.isprintable():
+        raise ValueError("the token has characters other than printable ASCII")
+    return token
 
 
 async def gather(
--- a/godwitnotch/live_view.py
+++ b/godwitnotch/live_view.py
@@ -61,8 +61,8 @@
 ) -> rich.table.Table:
     table = _table(
         "Hosts",
-        ("host", "domain", "state", "store", "workspaces"),
-        ("jobs", "running", "queued", "peers linked"),
+        ("host", "domain", "state", "store"),
+        ("configs", "jobs", "running", "queued", "peers"),
     )
     for client, answer in zip(clients, answers, strict=True):
         if isinstance(answer, host_client.HostUnreachable):
@@ -120,7 +120,7 @@
 
 
 def _reasons(states: Sequence[Mapping[str, Any]]) -> rich.table.Table:
-    table = _table("Reasons since each host started", ("reason",), ("count",))
+    table = _table("Reasons", ("reason",), ("count",))
     counts: Counter[str] = Counter()
     for state in states:
         counts.update(state["counts"])
--- a/godwitnotch/workspace_file.py
+++ b/godwitnotch/workspace_file.py
@@ -148,7 +148,9 @@
 
 
 def to_yaml(document: dict[str, Any]) -> str:
-    """Returns a document as `to_json` gives it, as YAML."""
+    """Returns a document as `to_json` gives it, as YAML; empty if empty."""
+    if not document:
+        return ""
     return yaml.safe_dump(document, sort_keys=False, allow_unicode=True)
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -167,6 +167,12 @@
         self.assertEqual(result.exit_code, options.ExitCode.USAGE)
         self.assertIn(options.TOKEN_VARIABLE, result.stderr)
 
+    def test_a_token_that_fits_no_header_is_told(self) -> None:
+        for token in ("sécret", "two\nlines"):
+            os.environ[options.TOKEN_VARIABLE] = token
+            result = self.caller("status", SUBMISSION)
+            self.assertEqual(result.exit_code, options.ExitCode.USAGE)
+
     def test_a_wrong_token_is_refused(self) -> None:
         token = self.write("token", "wrong\n")
         result = self.caller("status", SUBMISSION, "--token-file", token)
@@ -289,6 +295,27 @@
         self.assertEqual(json.loads(result.stdout)["host"], "h1")
 
 
+class StandinCommandsTest(CommandTest):
+    def test_faults_are_ordered_without_a_token(self) -> None:
+        seen: list[http_types.HttpRequest] = []
+
+        async def handle(
+            request: http_types.HttpRequest,
+        ) -> http_types.HttpResponse:
+            seen.append(request)
+            return http_types.HttpResponse(200, request.body)
+
+        with serving(handle) as address:
+            result = self.invoke(
+                "standin", "faults", address, "down=true", "not_started=full"
+            )
+        self.assertEqual(result.exit_code, 0, result.output)
+        self.assertEqual(
+            json.loads(result.stdout), {"down": True, "not_started": "full"}
+        )
+        self.assertNotIn("authorization", seen[0].headers)
+
+
 class SettingsCommandsTest(CommandTest):
     def test_check_prints_every_problem(self) -> None:
         file = self.write("host.yaml", "host: H\ndomian: d\n")
