--- a/godwitnotch/root.py
+++ b/godwitnotch/root.py
@@ -5,6 +5,7 @@
 import random
 import secrets
 import signal
+import socket
 import time
 from typing import Any
 
@@ -130,7 +131,8 @@
             domain=self._identity.domain,
             incarnation=self._identity.incarnation,
             callers=self.callers,
-            peers=self._identity.address,
+            peers=_bound(self._peer_socket, self._settings.peers.ip),
+            advertised=self._identity.address,
         )
 
     def drain(self, *, deadline: float) -> None:
@@ -167,9 +169,7 @@
         await self._platform.close()
 
     def _make_identity(self) -> model.HostEntry:
-        ip = self._settings.peers.ip
-        port = self._peer_socket.getsockname()[1]
-        bound = settings_module.Address(ip, port)
+        bound = _bound(self._peer_socket, self._settings.peers.ip)
         return model.HostEntry(
             host=self._settings.host,
             domain=self._settings.domain,
@@ -282,6 +282,10 @@
         host.log_cut("drain_deadline")
 
 
+def _bound(listener: socket.socket, ip: str) -> settings_module.Address:
+    return settings_module.Address(ip, listener.getsockname()[1])
+
+
 def _new_incarnation() -> ids.Incarnation:
     """Returns a name that no other process has, sorted by time of birth."""
     milliseconds = int(time.time() * 1000)
--- /dev/null
+++ b/tests/process/fleet.py
@@ -0,0 +1,136 @@
+"""Three hosts in three failure domains, with relays on every path."""
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+from tests.process import caller
+from tests.process import cluster
+from tests.process import evidence
+from tests.process import relay
+
+DOMAINS = ("a", "b", "c")
+
+
+class Fleet:
+    """A cluster whose hosts reach one another and all else by relays.
+
+    Attributes:
+        cluster: The processes.
+        ledger: What callers were told.
+        peers: Relays to each host, by host name.
+        upstreams: Relays to each upstream, by upstream name.
+        platform: Relay between the hosts and the platform.
+    """
+
+    def __init__(self) -> None:
+        self.cluster = cluster.Cluster()
+        self.ledger = evidence.Ledger()
+        self.peers: dict[str, relay.Relay] = {}
+        self.upstreams: dict[str, relay.Relay] = {}
+        self.platform = relay.Relay()
+
+    @property
+    def hosts(self) -> list[cluster.Host]:
+        """The hosts started so far, those that ended included."""
+        return self.cluster.hosts
+
+    async def start(self, *, upstreams_each: int = 1) -> None:
+        """Starts everything, with the tests' workspace in force."""
+        await self.cluster.start_upstreams(DOMAINS, each=upstreams_each)
+        for upstream in self.cluster.upstreams:
+            between = await relay.Relay(upstream.address).start()
+            self.upstreams[upstream.name] = between
+        await self.cluster.start_platform(
+            addresses={
+                name: between.address
+                for name, between in self.upstreams.items()
+            }
+        )
+        self.platform.target = self.cluster.platform
+        await self.platform.start()
+        await asyncio.gather(*(self.start_host(domain) for domain in DOMAINS))
+        self.hosts.sort(key=lambda host: host.name)
+        await self.cluster.wait_linked()
+        await self.cluster.put_workspace(self.hosts[0])
+
+    async def start_host(
+        self, domain: str, *, wait_ready: bool = True
+    ) -> cluster.Host:
+        """Starts the host of a domain, or its successor at its address."""
+        name = f"{domain}-1"
+        between = self.peers.get(name)
+        if between is None:
+            between = self.peers[name] = await relay.Relay().start()
+        host = await self.cluster.start_host(
+            name,
+            domain,
+            platform=self.platform.address,
+            advertised=between.address,
+            wait_ready=wait_ready,
+        )
+        between.target = host.peers
+        return host
+
+    async def close(self) -> None:
+        """Ends all processes and relays."""
+        await self.cluster.close()
+        relays = [*self.peers.values(), *self.upstreams.values(), self.platform]
+        for between in relays:
+            await between.close()
+
+    async def submit(
+        self,
+        host: cluster.Host,
+        submission: str,
+        payloads: Sequence[object],
+        *,
+        timeout_s: float = 30.0,
+    ) -> caller.Answer:
+        """Submits a job at a host and notes the answer."""
+        answer = await self.cluster.caller.submit(
+            host.address, submission, payloads, timeout_s=timeout_s
+        )
+        self.ledger.add(answer, submission, payloads)
+        return answer
+
+    async def submit_keyed(
+        self,
+        host: cluster.Host,
+        key: str,
+        payloads: Sequence[object],
+        *,
+        timeout_s: float = 30.0,
+    ) -> caller.Answer:
+        """Submits a job under a key and notes the answer, if it has an id."""
+        answer = await self.cluster.caller.submit_keyed(
+            host.address, key, payloads, timeout_s=timeout_s
+        )
+        if answer.submission:
+            self.ledger.add(answer, answer.submission, payloads)
+        return answer
+
+    async def violations(self) -> list[str]:
+        """Returns the promises broken so far."""
+        return self.ledger.violations(await self.cluster.starts())
+
+
+def jobs(
+    submissions: Sequence[str], *, tasks: int, sleep_ms: float
+) -> list[tuple[str, list[object]]]:
+    """Returns a job of like tasks for each id; no two tasks are equal."""
+    return [
+        (
+            submission,
+            [
+                {"sleep_ms": sleep_ms, "job": submission, "n": number}
+                for number in range(tasks)
+            ],
+        )
+        for submission in submissions
+    ]
+
+
+def shuffled_key(seed: int) -> str:
+    """Returns a caller key that depends on the seed alone."""
+    return f"order-{random.Random(seed).randrange(10**9)}"
--- /dev/null
+++ b/tests/process/test_failures.py
@@ -0,0 +1,233 @@
+"""Failures of real processes and sockets; start logs are the evidence."""
+
+import asyncio
+import signal
+import unittest
+
+from tests.process import caller
+from tests.process import cluster
+from tests.process import fleet
+
+# Longer than any heartbeat limit of the peer links.
+PAUSE_S = 4.5
+
+
+class FailuresTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.fleet = fleet.Fleet()
+        self.addAsyncCleanup(self.fleet.close)
+        await self.fleet.start()
+
+    async def reserve(self, host: cluster.Host, count: int) -> list[str]:
+        return await self.fleet.cluster.caller.reserve(host.address, count)
+
+    async def wait_starts(self, count: int) -> None:
+        async def started() -> bool:
+            return len(await self.fleet.cluster.starts()) >= count
+
+        await cluster.until(started, f"{count} tasks have started")
+
+    async def assert_promises_kept(self) -> None:
+        self.assertEqual(await self.fleet.violations(), [])
+
+    async def submit_all(
+        self,
+        host: cluster.Host,
+        jobs: list[tuple[str, list[object]]],
+        *,
+        timeout_s: float = 30.0,
+    ) -> list[caller.Answer]:
+        return await asyncio.gather(
+            *(
+                self.fleet.submit(host, *job, timeout_s=timeout_s)
+                for job in jobs
+            )
+        )
+
+    async def test_owner_killed_and_replaced(self) -> None:
+        first, second, owner = self.fleet.hosts
+        submissions = await self.reserve(owner, 20)
+        jobs = fleet.jobs(submissions, tasks=4, sleep_ms=100)
+        running = [
+            asyncio.create_task(self.submit_all(host, jobs[:15]))
+            for host in (first, second)
+        ]
+        await self.wait_starts(20)
+        owner.process.signal(signal.SIGKILL)
+        await asyncio.gather(*running)
+        for host in (first, second):
+            await self.submit_all(host, jobs)
+        successor = await self.fleet.start_host("c")
+        await self.fleet.cluster.wait_linked(first, second, successor)
+        for host in (first, successor):
+            answers = await self.submit_all(host, jobs)
+            self.assertNotIn("lost", {answer.outcome for answer in answers})
+        await self.assert_promises_kept()
+
+    async def test_owner_paused_beyond_the_silence_limit(self) -> None:
+        first, second, owner = self.fleet.hosts
+        submissions = await self.reserve(owner, 12)
+        jobs = fleet.jobs(submissions, tasks=3, sleep_ms=200)
+        running = asyncio.create_task(self.submit_all(first, jobs[:8]))
+        await self.wait_starts(8)
+        owner.process.signal(signal.SIGSTOP)
+        paused = asyncio.create_task(asyncio.sleep(PAUSE_S))
+        await self.submit_all(second, jobs, timeout_s=PAUSE_S)
+        await paused
+        owner.process.signal(signal.SIGCONT)
+        await running
+        await self.fleet.cluster.wait_linked()
+        for host in (first, second):
+            await self.submit_all(host, jobs)
+        answers = await self.submit_all(second, jobs[8:])
+        self.assertEqual({each.outcome for each in answers}, {"complete"})
+        await self.assert_promises_kept()
+
+    async def test_links_cut_and_silent(self) -> None:
+        first, second, owner = self.fleet.hosts
+        relays = self.fleet.peers.values()
+        for break_links in ("cut", "mute_present"):
+            submissions = await self.reserve(owner, 8)
+            jobs = fleet.jobs(submissions, tasks=3, sleep_ms=150)
+            running = asyncio.create_task(self.submit_all(first, jobs))
+            await asyncio.sleep(0.1)
+            for between in relays:
+                getattr(between, break_links)()
+            await self.submit_all(second, jobs, timeout_s=2.0)
+            await running
+            for between in relays:
+                between.heal()
+            await self.fleet.cluster.wait_linked()
+            for host in (first, second):
+                answers = await self.submit_all(host, jobs)
+                self.assertEqual(
+                    {answer.outcome for answer in answers}, {"complete"}
+                )
+        await self.assert_promises_kept()
+
+    async def test_upstream_connections_cut_and_silent(self) -> None:
+        first, second, owner = self.fleet.hosts
+        for break_paths in ("cut", "mute_present"):
+            submissions = await self.reserve(owner, 10)
+            jobs = fleet.jobs(submissions, tasks=2, sleep_ms=150)
+            running = asyncio.create_task(
+                self.submit_all(first, jobs, timeout_s=2.0)
+            )
+            await asyncio.sleep(0.1)
+            for between in self.fleet.upstreams.values():
+                getattr(between, break_paths)()
+            await self.submit_all(second, jobs, timeout_s=2.0)
+            await running
+            for between in self.fleet.upstreams.values():
+                between.heal()
+        submissions = await self.reserve(owner, 10)
+        jobs = fleet.jobs(submissions, tasks=2, sleep_ms=10)
+        await self.submit_all(first, jobs, timeout_s=5.0)
+        await self.assert_promises_kept()
+
+    async def test_platform_outage_with_keys_and_at_start(self) -> None:
+        first, second, third = self.fleet.hosts
+        system = self.fleet.cluster
+        payloads: list[object] = [{"sleep_ms": 20}]
+        known = await self.fleet.submit_keyed(first, "known", payloads)
+        self.assertEqual(known.outcome, "complete")
+
+        await system.order_faults(system.platform, lose_answers=3)
+        lost = await asyncio.gather(
+            *(
+                self.fleet.submit_keyed(host, f"lost-{number}", payloads)
+                for number in range(4)
+                for host in (first, second)
+            )
+        )
+        for one, other in zip(lost[::2], lost[1::2], strict=True):
+            if "complete" in (one.outcome, other.outcome):
+                self.assertIn(one.submission, (other.submission, ""))
+
+        await system.order_faults(system.platform, down=True, lose_answers=0)
+        again = await self.fleet.submit_keyed(first, "known", payloads)
+        self.assertEqual(again.value, known.value)
+        refused = await self.fleet.submit_keyed(
+            second, "new", payloads, timeout_s=1.0
+        )
+        self.assertEqual(
+            (refused.outcome, refused.ran), ("refused", "nothing"), refused
+        )
+        job = fleet.jobs(await self.reserve(third, 1), tasks=3, sleep_ms=10)
+        unkeyed = await self.fleet.submit(first, *job[0])
+        self.assertEqual(unkeyed.outcome, "complete")
+        third.process.signal(signal.SIGKILL)
+        successor = await self.fleet.start_host("c")
+        job = fleet.jobs(await self.reserve(first, 1), tasks=3, sleep_ms=10)
+        forwarded = await self.fleet.submit(successor, *job[0])
+        self.assertEqual(forwarded.outcome, "complete")
+
+        await system.order_faults(system.platform, down=False)
+
+        async def taken() -> bool:
+            answer = await self.fleet.submit_keyed(second, "new", payloads)
+            return answer.outcome == "complete"
+
+        await cluster.until(taken, "a new key is taken")
+        await self.assert_promises_kept()
+
+    async def test_two_operators_race(self) -> None:
+        first, second, third = self.fleet.hosts
+        system = self.fleet.cluster
+        for version in range(1, 4):
+            answers = await asyncio.gather(
+                *(
+                    system.change_workspace(
+                        host, version=version, max_queued_tasks=limit
+                    )
+                    for host, limit in ((first, 111), (second, 222))
+                )
+            )
+            codes = sorted(answer.code for answer in answers)
+            self.assertEqual(codes, [200, 409], answers)
+            winner = min(answers, key=lambda answer: answer.code)
+            loser = max(answers, key=lambda answer: answer.code)
+            self.assertEqual(winner.value["state"], "in_force")
+            shown = []
+            for host in (first, second, third):
+                seen = await host.operator().acall(
+                    "GET", f"/v1/workspaces/{cluster.WORKSPACE}"
+                )
+                self.assertEqual(seen.value["version"], version + 1)
+                shown.append(seen.value)
+            self.assertEqual(shown, [shown[0]] * 3)
+            current = loser.value["error"]["current"]
+            self.assertEqual(current, shown[0])
+
+    async def test_sigterm_in_full_flight_cuts_nothing(self) -> None:
+        first, second, owner = self.fleet.hosts
+        submissions = await self.reserve(owner, 24)
+        jobs = fleet.jobs(submissions, tasks=4, sleep_ms=150)
+        own = fleet.jobs(await self.reserve(first, 6), tasks=4, sleep_ms=150)
+        running = [
+            asyncio.create_task(self.submit_all(host, part))
+            for host, part in (
+                (first, jobs[:10]),
+                (owner, jobs[10:20]),
+                (second, own),
+            )
+        ]
+        await self.wait_starts(20)
+        owner.process.signal(signal.SIGTERM)
+        first.process.signal(signal.SIGTERM)
+        answers = [
+            answer for part in await asyncio.gather(*running) for answer in part
+        ]
+        self.assertEqual({each.outcome for each in answers}, {"complete"})
+        for host in (owner, first):
+            self.assertEqual(await host.process.wait(), 0)
+            self.assertEqual(host.process.logged("shutdown_cut"), [])
+        sealed = await self.submit_all(second, jobs[20:])
+        self.assertEqual({each.ran for each in sealed}, {"nothing"}, sealed)
+        kept = await self.submit_all(second, jobs[:20])
+        self.assertEqual({each.outcome for each in kept}, {"complete"})
+        await self.assert_promises_kept()
+
+
+if __name__ == "__main__":
+    unittest.main()
