--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -85,11 +85,6 @@
             self._check(self.callers.check())
         self._check(self.callers.settle())
 
-    def read_promise(self) -> int:
-        """Returns the number of the promise that the file is for."""
-        found = next(self._tree.find_data("promise"))
-        return int(found.children[0])
-
     def error(self, problem: str, remedy: str) -> ScenarioError:
         """Returns an error at the present line."""
         return ScenarioError(self.path, self.line, problem, remedy)
