--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,11 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.requirements-installed
 
-.PHONY: setup demo test lint types format
+.PHONY: setup demo test scenarios histories mutants lint types format
+
+# How many histories of each kind `make histories` tries, and from which seed.
+HISTORIES ?= 2000
+HISTORIES_SEED ?= 1
 
 setup: $(STAMP)
 
@@ -17,6 +21,16 @@
 test: setup
 	$(PY) -m tests
 
+scenarios: setup
+	$(PY) -m tests.scenario
+
+histories: setup
+	HISTORIES=$(HISTORIES) HISTORIES_SEED=$(HISTORIES_SEED) \
+	    $(PY) -m tests.test_differential
+
+mutants: setup
+	$(PY) -m tests.mutants
+
 lint: setup
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -279,7 +279,7 @@
             if call.reply is None
             and call.host.alive
             and not call.host.paused
-            and now > call.due + LATE_S
+            and now > max(call.due, call.host.resumed_at + ASK_S) + LATE_S
         ]
 
     def _starts(self, call: worlds.Call) -> Sequence[worlds.Start]:
--- /dev/null
+++ b/tests/mutants/__init__.py
@@ -0,0 +1,1 @@
+"""Deliberate defects, each of which some test has to catch."""
--- /dev/null
+++ b/tests/mutants/__main__.py
@@ -0,0 +1,110 @@
+"""Applies each defect of defects.yaml to a copy and runs the tests on it.
+
+`python -m tests.mutants [NAME ...]` prints a line for each defect with the
+first test that caught it; the last line is `caught=N survived=M`.
+"""
+
+import concurrent.futures
+import os
+import pathlib
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+
+import yaml
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+DEFECTS = pathlib.Path(__file__).parent / "defects.yaml"
+CORE = "godwitnotch/core"
+WORKERS = 4
+TIMEOUT_S = 240.0
+# In the order in which they are run, until one of them fails.
+TESTS = (
+    "tests.test_scenarios",
+    "tests.test_host",
+    "tests.test_ids",
+    "tests.test_credit_scheduler",
+    "tests.test_differential",
+)
+_FAILED = re.compile(r"^(?:FAIL|ERROR): (\S+)", re.MULTILINE)
+
+
+@dataclass(frozen=True, slots=True)
+class Defect:
+    """One change of the source that a test has to catch."""
+
+    name: str
+    file: str
+    old: str
+    new: str
+
+
+def load() -> list[Defect]:
+    """Reads the list, and checks that each text occurs exactly once."""
+    defects = [Defect(**each) for each in yaml.safe_load(DEFECTS.read_text())]
+    for defect in defects:
+        found = (ROOT / CORE / defect.file).read_text().count(defect.old)
+        if found != 1:
+            raise SystemExit(
+                f"{DEFECTS.name}: {defect.name}: `old` occurs {found} times "
+                f"in {defect.file}; adapt it to the present code"
+            )
+    return defects
+
+
+def catch(defect: Defect) -> str | None:
+    """Returns the first test that fails with a defect, if any does."""
+    with tempfile.TemporaryDirectory() as scratch:
+        copy = pathlib.Path(scratch)
+        for part in ("godwitnotch", "tests"):
+            shutil.copytree(ROOT / part, copy / part)
+        shutil.copy(ROOT / "KNOWN-RED.txt", copy)
+        path = copy / CORE / defect.file
+        path.write_text(path.read_text().replace(defect.old, defect.new))
+        _run(copy, ["-c", "import godwitnotch.core.host"], check=True)
+        for module in TESTS:
+            done = _run(copy, ["-m", "tests", module], check=False)
+            if done.returncode:
+                found = _FAILED.search(done.stderr)
+                return f"{module}.{found[1] if found else 'timeout'}"
+    return None
+
+
+def _run(
+    copy: pathlib.Path, arguments: list[str], *, check: bool
+) -> "subprocess.CompletedProcess[str]":
+    command = [sys.executable, *arguments]
+    environment = os.environ | {"PYTHONPATH": str(copy)}
+    try:
+        return subprocess.run(
+            command,
+            cwd=copy,
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=TIMEOUT_S,
+            check=check,
+        )
+    except subprocess.TimeoutExpired:
+        return subprocess.CompletedProcess(command, 1, "", "")
+
+
+def main(names: list[str]) -> int:
+    """Tries some or all defects."""
+    defects = [each for each in load() if not names or each.name in names]
+    survived = []
+    with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
+        results = pool.map(catch, defects)
+        for defect, test in zip(defects, results, strict=True):
+            print(f"{defect.name}: {test or 'SURVIVED'}", flush=True)
+            if test is None:
+                survived.append(defect.name)
+    print(f"caught={len(defects) - len(survived)} survived={len(survived)}")
+    return 1 if survived else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -689,6 +689,11 @@
     _count(scenario, tree, scenario.world.store.writes)
 
 
+@step("expect_peak")
+def _expect_peak(scenario: Scenario, tree: lark.Tree) -> None:
+    _count(scenario, tree, scenario.world.peak_running)
+
+
 def main(names: list[str]) -> int:
     """Runs scenario files and prints a line for each."""
     paths = [pathlib.Path(name) for name in names]
--- a/tests/world.py
+++ b/tests/world.py
@@ -157,6 +157,7 @@
         self.alive = True
         self.stopped = False
         self.paused = False
+        self.resumed_at = 0.0
         self.offset_s = 0.0
         self.drain_deadline: float | None = None
         self.attempts: dict[ids.AttemptId, Attempt] = {}
@@ -214,6 +215,7 @@
     def resume(self) -> None:
         """Lets the process go on with all that it missed."""
         self.paused = False
+        self.resumed_at = self.world.now
         self._pause_after_deciding = False
         held, self._held = self._held, []
         self._armed = None
@@ -351,7 +353,7 @@
 class World:
     """Hosts, upstreams, platform and network on one virtual clock."""
 
-    def __init__(self, *, seed: int, policy: str = "uniform") -> None:
+    def __init__(self, *, seed: int, policy: str = "credits") -> None:
         self.now = EPOCH_S
         self.chance = random.Random(seed)
         self.hosts: dict[str, SimHost] = {}
@@ -362,6 +364,7 @@
         self.notes: dict[tuple[str, object], int] = {}
         self.violations: list[str] = []
         self.directory_lag_s = 0.0
+        self.peak_running = 0
         self._policy = policy
         self._agenda: list[tuple[float, int, Callable[[], None]]] = []
         self._tick = itertools.count(1)
@@ -597,6 +600,8 @@
             return
         self._start(upstream, attempt)
         upstream.running += 1
+        running = sum(each.running for each in self.upstreams.values())
+        self.peak_running = max(self.peak_running, running)
         self.after(upstream.taking_s, lambda: self._free(upstream))
         answers = {
             Mode.FAILS: model.AttemptOutcome.TASK_FAILED,
