Start nothing for 1.5 s after a pause, until the list is fresh

Cause: a process that wakes from a pause handles what waited first: answers free slots, and queued tasks went to an upstream that had left 10 s before. A timer that runs more than 2 s late now shows the pause. Ruled out: waiting for the next list that arrives (it may have lain in a buffer during the pause), and the age of the list (in an outage of the list the host has to go on).

--- a/godwitnotch/core/host.py
+++ b/godwitnotch/core/host.py
@@ -51,6 +51,10 @@
 
 # How long outcomes and seal are still written after the drain's deadline.
 LAST_WRITES_S = 2.0
+# A timer that runs so late shows that the process was paused.
+LATE_WAKE_S = 2.0
+# By then a list of upstreams that was asked for after a pause has come.
+FRESH_LIST_WAIT_S = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +112,7 @@
         self._open_calls: set[ids.CallId] = set()
         self._overdue = False
         self._seal_settled = False
+        self._starts_resume_at = 0.0
         self._out = outbox.Outbox()
         self._timers = timers.Timers()
         self._store = store_calls.StoreCalls(self._out)
@@ -217,9 +222,11 @@
         if not self._started:
             self._started = True
             self._keeper.start(now=now)
+        self._note_late_wake(now)
         self._timers.run(now=now)
         _HANDLERS[type(event)](self, event, now)
-        self._submissions.runner.pump(now=now)
+        if now >= self._starts_resume_at:
+            self._submissions.runner.pump(now=now)
         for peer_message in self._scheduler.peer_messages(now=now):
             self._send(peer_message.host, peer_message.message)
         self._seal_when_idle(now)
@@ -228,10 +235,10 @@
 
     def next_deadline(self) -> float | None:
         """Returns when `TimePassed` is next due, if ever."""
-        deadlines = (
-            self._timers.next_deadline(),
-            self._scheduler.next_deadline(),
-        )
+        wanted = self._scheduler.next_deadline()
+        if wanted is not None:
+            wanted = max(wanted, self._starts_resume_at)
+        deadlines = (self._timers.next_deadline(), wanted)
         return min(
             (each for each in deadlines if each is not None), default=None
         )
@@ -239,6 +246,19 @@
     def _send(self, host: ids.HostId, message: messages.Message) -> None:
         self._out.add(actions.SendPeer(host, message))
 
+    def _note_late_wake(self, now: float) -> None:
+        """Starts nothing for a while after a pause.
+
+        What is known of upstreams is as old as the pause, and one that has
+        left since must get no new work.
+        """
+        due = self._timers.next_deadline()
+        if due is None or now - due <= LATE_WAKE_S:
+            return
+        self._starts_resume_at = now + FRESH_LIST_WAIT_S
+        self._timers.at(self._starts_resume_at, lambda now: None)
+        self._out.note("woke_late", detail=f"late_s={now - due:.1f}")
+
     def _replier(self, call: ids.CallId) -> jobs.Answered:
         self._open_calls.add(call)
 
