--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,339 @@
+"""Starts the processes of a whole deployment on loopback, and ends them."""
+
+import asyncio
+import hashlib
+import os
+import pathlib
+import re
+import secrets
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
+from dataclasses import asdict
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import Any
+from typing import TypeVar
+
+import yaml
+
+from godwitnotch import host_client
+from godwitnotch.core import ids
+from godwitnotch.core import model
+
+ROOT = pathlib.Path(__file__).parent.parent
+CALLER_TOKEN = "caller-of-the-bench"
+START_TIMEOUT_S = 60.0
+_POLL_S = 0.02
+_CONFIG_WAIT_S = 20.0
+_SECRET_VARIABLE = "GODWITNOTCH_BENCH_SECRET"
+_OPERATOR_VARIABLE = "GODWITNOTCH_BENCH_OPERATOR"
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+_Found = TypeVar("_Found")
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """What a process used so far.
+
+    Attributes:
+        cpu_s: Processor seconds, user and system.
+        rss_bytes: Resident memory now.
+    """
+
+    cpu_s: float
+    rss_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class MachineTime:
+    """Processor time of the whole machine since its start, in ticks.
+
+    Attributes:
+        busy: Time that ran something here.
+        stolen: Time that the machine below gave to others while work waited.
+    """
+
+    busy: int
+    stolen: int
+
+    @classmethod
+    def now(cls) -> "MachineTime":
+        """Returns the time so far."""
+        line = pathlib.Path("/proc/stat").read_text().splitlines()[0]
+        ticks = [int(field) for field in line.split()[1:]]
+        user, nice, system, _, _, irq, softirq, stolen = ticks[:8]
+        return cls(user + nice + system + irq + softirq, stolen)
+
+    def stolen_share_since(self) -> float:
+        """Returns the share of wanted time since then that was stolen."""
+        later = MachineTime.now()
+        stolen = later.stolen - self.stolen
+        return stolen / max(later.busy - self.busy + stolen, 1)
+
+
+class Process:
+    """One process that the bench started; its output goes to a file."""
+
+    def __init__(
+        self,
+        name: str,
+        arguments: Sequence[str],
+        folder: pathlib.Path,
+        environment: Mapping[str, str],
+    ) -> None:
+        self.name = name
+        self._output = folder / f"{name}.log"
+        with self._output.open("wb") as output:
+            self._child = subprocess.Popen(
+                [sys.executable, "-m", "godwitnotch", *arguments],
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                cwd=ROOT,
+                env={**os.environ, **environment},
+            )
+
+    @property
+    def pid(self) -> int:
+        """Id of the process."""
+        return self._child.pid
+
+    async def wait_line(self, pattern: str) -> re.Match[str]:
+        """Waits for a line of output and returns the match."""
+
+        async def seen() -> re.Match[str] | None:
+            if self._child.poll() is not None:
+                raise RuntimeError(
+                    f"{self.name} ended; see {self._output}: "
+                    f"{self._output.read_text()[-500:]}"
+                )
+            return re.search(pattern, self._output.read_text())
+
+        return await until(seen, f"{self.name} prints {pattern}")
+
+    def usage(self) -> Usage:
+        """Returns what the process used so far; nothing if it has ended."""
+        try:
+            stat = pathlib.Path(f"/proc/{self.pid}/stat").read_text()
+        except FileNotFoundError:
+            return Usage(0.0, 0)
+        fields = stat.rpartition(")")[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return Usage(ticks / _TICKS_PER_S, int(fields[21]) * _PAGE_BYTES)
+
+    def kill(self) -> None:
+        """Ends the process at once."""
+        if self._child.poll() is None:
+            self._child.send_signal(signal.SIGKILL)
+            self._child.wait()
+
+
+@dataclass(frozen=True, slots=True)
+class Node:
+    """A process and where it listens."""
+
+    name: str
+    address: str
+    process: Process
+
+
+class Fleet:
+    """A platform, upstreams and entry hosts.
+
+    Args:
+        folder: Where settings and outputs are written.
+        policy: Scheduling policy of the hosts.
+    """
+
+    def __init__(self, folder: pathlib.Path, policy: str) -> None:
+        self.hosts: dict[ids.HostId, Node] = {}
+        self.upstreams: dict[ids.UpstreamId, Node] = {}
+        self.platform: Node
+        self._folder = folder
+        self._policy = policy
+        self._processes: list[Process] = []
+        self._workspaces = 0
+        self._operator_token = secrets.token_urlsafe()
+        self._environment = {
+            _SECRET_VARIABLE: secrets.token_hex(32),
+            _OPERATOR_VARIABLE: self._operator_token,
+        }
+
+    async def start(
+        self,
+        hosts: Sequence[model.HostEntry],
+        upstreams: Sequence[model.UpstreamEntry],
+        speeds: Mapping[ids.UpstreamId, float],
+        workspaces: Mapping[ids.WorkspaceId, Sequence[model.Template]],
+    ) -> None:
+        """Starts all processes and waits until the hosts know each other."""
+        await asyncio.gather(
+            *(self._start_upstream(each, speeds) for each in upstreams)
+        )
+        await self._start_platform(upstreams)
+        await asyncio.gather(*(self._start_host(each) for each in hosts))
+        self._workspaces = len(workspaces)
+        for workspace, templates in workspaces.items():
+            await self._put_workspace(workspace, templates)
+        for node in self.hosts.values():
+            await until(
+                lambda node=node: self._knows_all(node),  # type: ignore[misc]
+                f"{node.name} knows all hosts, upstreams and workspaces",
+            )
+
+    def close(self) -> None:
+        """Ends every process that was started here."""
+        for process in self._processes:
+            process.kill()
+
+    def host_usage(self) -> Usage:
+        """Returns what all hosts used together."""
+        usages = [node.process.usage() for node in self.hosts.values()]
+        return Usage(
+            sum(usage.cpu_s for usage in usages),
+            max(usage.rss_bytes for usage in usages),
+        )
+
+    async def status(self, node: Node) -> dict[str, Any]:
+        """Returns a host's state as operators see it."""
+        answer = await self._operator(node).acall("GET", "/v1/host")
+        return answer.value
+
+    async def order_faults(self, node: Node, **faults: object) -> None:
+        """Orders faults from a stand-in."""
+        client = host_client.HostClient(node.address, "")
+        answer = await client.acall("POST", "/faults", value=faults)
+        if not answer.ok:
+            raise RuntimeError(f"{node.name} took no faults: {answer.error}")
+
+    async def starts(self, node: Node) -> dict[str, Any]:
+        """Returns an upstream's start log; empty if it has ended."""
+        client = host_client.HostClient(node.address, "")
+        try:
+            return (await client.acall("GET", "/starts")).value
+        except host_client.HostUnreachable:
+            return {"starts": [], "refused": 0}
+
+    async def _start_upstream(
+        self,
+        entry: model.UpstreamEntry,
+        speeds: Mapping[ids.UpstreamId, float],
+    ) -> None:
+        node = await self._start_standin(
+            entry.upstream,
+            "upstream",
+            "--slots",
+            str(entry.slots),
+            "--speed",
+            str(speeds[entry.upstream]),
+        )
+        self.upstreams[entry.upstream] = node
+
+    async def _start_platform(
+        self, upstreams: Sequence[model.UpstreamEntry]
+    ) -> None:
+        listed = [
+            asdict(replace(each, address=self.upstreams[each.upstream].address))
+            for each in upstreams
+        ]
+        file = self._folder / "upstreams.yaml"
+        file.write_text(yaml.safe_dump(listed))
+        self.platform = await self._start_standin(
+            "platform", "platform", "--upstreams", str(file)
+        )
+
+    async def _start_standin(self, name: str, *arguments: str) -> Node:
+        process = self._start(name, "standin", *arguments)
+        match = await process.wait_line(r"listening=(\S+)")
+        return Node(name, match[1], process)
+
+    async def _start_host(self, entry: model.HostEntry) -> None:
+        settings = {
+            "host": entry.host,
+            "domain": entry.domain,
+            "listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0"},
+            "platform": self.platform.address,
+            "secret": {"environment": _SECRET_VARIABLE},
+            "operator_token": {"environment": _OPERATOR_VARIABLE},
+            "policy": self._policy,
+        }
+        file = self._folder / f"{entry.host}.yaml"
+        file.write_text(yaml.safe_dump(settings))
+        process = self._start(entry.host, "host", "--settings", str(file))
+        match = await process.wait_line(r"event=host_started .*callers=(\S+)")
+        self.hosts[entry.host] = Node(entry.host, match[1], process)
+
+    def _start(self, name: str, *arguments: str) -> Process:
+        process = Process(name, arguments, self._folder, self._environment)
+        self._processes.append(process)
+        return process
+
+    async def _put_workspace(
+        self,
+        workspace: ids.WorkspaceId,
+        templates: Sequence[model.Template],
+    ) -> None:
+        settings = {
+            "workspace": workspace,
+            "token_sha256": hashlib.sha256(CALLER_TOKEN.encode()).hexdigest(),
+            "templates": {
+                template.name: {
+                    "path": template.path,
+                    "max_wait_s": template.max_wait_s,
+                }
+                for template in templates
+            },
+        }
+        node = next(iter(self.hosts.values()))
+
+        async def put() -> bool:
+            answer = await self._operator(node).acall(
+                "PUT",
+                f"/v1/workspaces/{workspace}",
+                value=settings,
+                headers={"if-match": "0"},
+                timeout_s=_CONFIG_WAIT_S,
+            )
+            # A conflict shows that an earlier try was recorded.
+            return answer.ok or answer.code in (409, 412)
+
+        await until(put, f"workspace {workspace} is recorded")
+
+    async def _knows_all(self, node: Node) -> bool:
+        status = await self.status(node)
+        linked = [peer for peer in status["peers"] if peer["linked"]]
+        listed = await self._operator(node).acall("GET", "/v1/workspaces")
+        return (
+            status["ready"]
+            and len(linked) == len(self.hosts) - 1
+            and len(status["upstreams"]) == len(self.upstreams)
+            and len(listed.value["workspaces"]) == self._workspaces
+        )
+
+    def _operator(self, node: Node) -> host_client.HostClient:
+        return host_client.HostClient(node.address, self._operator_token)
+
+
+async def until(
+    condition: Callable[[], Awaitable[_Found | None]],
+    what: str,
+    *,
+    wait_s: float = START_TIMEOUT_S,
+) -> _Found:
+    """Waits until a condition returns something true, and returns that.
+
+    Raises:
+        TimeoutError: It did not in time.
+    """
+    deadline = time.monotonic() + wait_s
+    while not (found := await condition()):
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"not within {wait_s:g} s: {what}")
+        await asyncio.sleep(_POLL_S)
+    return found
--- /dev/null
+++ b/bench/open_loop.py
@@ -0,0 +1,197 @@
+"""Sends a recorded load at its own times, however late the answers are."""
+
+import asyncio
+import json
+from collections import defaultdict
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from bench import fleet
+from bench import recorded_load
+from godwitnotch.core import ids
+from godwitnotch.net import http_client
+from godwitnotch.net import http_types
+
+RESERVE_BLOCK = 500
+CONNECTIONS = 1024
+ANSWER_GRACE_S = 5.0
+_MAX_ANSWER_BYTES = 4 * 1024 * 1024
+_NO_ANSWER = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """What became of one job.
+
+    Attributes:
+        job: The job.
+        submission: The id that it was sent under.
+        due_at: Loop time at which it had to be sent.
+        sent_at: Loop time at which it was.
+        answered_at: Loop time of the answer.
+        code: HTTP status code, 0 where there was no answer.
+        answer: The answer's JSON object.
+        correct: Whether every task has its own whole answer.
+    """
+
+    job: recorded_load.Job
+    submission: str
+    due_at: float
+    sent_at: float
+    answered_at: float
+    code: int
+    answer: Mapping[str, object]
+    correct: bool
+
+    @property
+    def response_s(self) -> float:
+        """Seconds from when the job was due to its answer."""
+        return self.answered_at - self.due_at
+
+
+class OpenLoop:
+    """Plays one load against a fleet.
+
+    Args:
+        load: The load; its times are in seconds of the load.
+        target: The processes.
+        time_scale: Seconds of the run for each second of the load.
+    """
+
+    def __init__(
+        self,
+        load: recorded_load.Load,
+        target: fleet.Fleet,
+        *,
+        time_scale: float,
+    ) -> None:
+        self._load = load
+        self._fleet = target
+        self._time_scale = time_scale
+        self._client = http_client.HttpClient(connections=CONNECTIONS)
+        self._loop = asyncio.get_running_loop()
+        self._reserved: dict[tuple[str, str], list[str]] = defaultdict(list)
+        self._running: dict[ids.SubmissionId, str] = {}
+
+    async def prepare(self) -> None:
+        """Reserves the ids of all jobs."""
+        counts: dict[tuple[ids.HostId, ids.WorkspaceId], int] = defaultdict(int)
+        for job in self._load.jobs:
+            counts[job.host, job.workspace.workspace] += 1
+        for (host, workspace), count in counts.items():
+            for first in range(0, count, RESERVE_BLOCK):
+                block = min(RESERVE_BLOCK, count - first)
+                await self._reserve(host, workspace, block)
+
+    async def play(self) -> list[Exchange]:
+        """Sends each job when it is due, and returns all exchanges."""
+        began_at = self._loop.time()
+        tasks = []
+        for job in self._load.jobs:
+            due_at = began_at + job.at * self._time_scale
+            delay = due_at - self._loop.time()
+            if delay > 0:
+                await asyncio.sleep(delay)
+            tasks.append(asyncio.create_task(self._submit(job, due_at)))
+        exchanges = await asyncio.gather(*tasks)
+        await self._client.close()
+        return exchanges
+
+    async def cancel_running(self, share: float) -> int:
+        """Cancels a share of the jobs under way; returns how many."""
+        running = list(self._running.items())
+        chosen = running[: int(len(running) * share)]
+        await asyncio.gather(*(self._cancel(*each) for each in chosen))
+        return len(chosen)
+
+    async def _reserve(
+        self, host: ids.HostId, workspace: ids.WorkspaceId, count: int
+    ) -> None:
+        response = await self._call(
+            host, "POST", f"/v1/{workspace}/reservations", {"count": count}
+        )
+        if response.status != 201:
+            raise RuntimeError(f"no ids reserved: {response.body!r}")
+        reserved = json.loads(response.body)["ids"]
+        self._reserved[host, workspace] += reserved
+
+    async def _submit(self, job: recorded_load.Job, due_at: float) -> Exchange:
+        workspace = job.workspace.workspace
+        submission = self._reserved[job.host, workspace].pop()
+        payloads = self._payloads(job)
+        self._running[job.submission] = submission
+        sent_at = self._loop.time()
+        code, body = await self._put(job, submission, payloads)
+        answered_at = self._loop.time()
+        del self._running[job.submission]
+        answer = json.loads(body) if body else {}
+        return Exchange(
+            job,
+            submission,
+            due_at,
+            sent_at,
+            answered_at,
+            code,
+            {key: value for key, value in answer.items() if key != "results"},
+            answer.get("results") == payloads,
+        )
+
+    async def _put(
+        self,
+        job: recorded_load.Job,
+        submission: str,
+        payloads: list[dict[str, object]],
+    ) -> tuple[int, bytes]:
+        tasks = [
+            {"payload": payload, "declared_ms": declared_ms * self._time_scale}
+            for payload, declared_ms in zip(
+                payloads, job.declared_ms, strict=True
+            )
+            if declared_ms is not None
+        ]
+        value = {
+            "template": job.template.name,
+            "tasks": tasks,
+            "timeout_ms": job.max_wait_s * self._time_scale * 1e3,
+        }
+        path = f"/v1/{job.workspace.workspace}/jobs/{submission}"
+        try:
+            response = await self._call(job.host, "PUT", path, value)
+        except http_client.ExchangeError:
+            return _NO_ANSWER, b""
+        return response.status, response.body
+
+    def _payloads(self, job: recorded_load.Job) -> list[dict[str, object]]:
+        return [
+            {
+                "index": index,
+                "job": job.submission,
+                "sleep_ms": round(work_s * self._time_scale * 1e3, 3),
+            }
+            for index, work_s in enumerate(self._load.work[job.submission])
+        ]
+
+    async def _cancel(self, job: ids.SubmissionId, submission: str) -> None:
+        found = next(each for each in self._load.jobs if each.submission == job)
+        path = f"/v1/{found.workspace.workspace}/jobs/{submission}"
+        try:
+            await self._call(found.host, "DELETE", path, None)
+        except http_client.ExchangeError:
+            return
+
+    async def _call(
+        self, host: ids.HostId, method: str, path: str, value: object
+    ) -> http_types.HttpResponse:
+        request = http_types.HttpRequest(
+            method,
+            path,
+            headers={"authorization": f"Bearer {fleet.CALLER_TOKEN}"},
+            body=b"" if value is None else json.dumps(value).encode(),
+        )
+        longest_s = recorded_load.MAX_WAIT_S * self._time_scale
+        return await self._client.request(
+            self._fleet.hosts[host].address,
+            request,
+            deadline=self._loop.time() + longest_s + ANSWER_GRACE_S,
+            max_body_bytes=_MAX_ANSWER_BYTES,
+        )
--- a/godwitnotch/standins/faults.py
+++ b/godwitnotch/standins/faults.py
@@ -24,7 +24,8 @@
 
     Attributes:
         down: Connections are closed at each request, which has no effect.
-        slow_s: Seconds added before each answer, after its effect.
+        slow_s: Seconds added before each answer, after its effect; an
+            upstream's slot stays taken.
         lose_answers: How many answers are lost after their effect; -1 for
             all to come.
         silent: Requests have no effect and are never answered.
@@ -77,6 +78,7 @@
     faults: Callable[[], Faults],
     *,
     exempt: frozenset[str] = frozenset(),
+    delays: bool = True,
 ) -> http_types.Handler:
     """Returns a handler that also suffers and changes the faults.
 
@@ -84,6 +86,7 @@
         handler: Answers the requests.
         faults: Returns the faults now in force.
         exempt: Paths that are served in spite of faults.
+        delays: Whether to add `slow_s`; False if the handler does.
     """
 
     async def handle(
@@ -93,7 +96,7 @@
             return _control(request, faults())
         if request.path in exempt:
             return await handler(request)
-        return await _suffer(request, handler, faults())
+        return await _suffer(request, handler, faults(), delays)
 
     return handle
 
@@ -102,13 +105,14 @@
     request: http_types.HttpRequest,
     handler: http_types.Handler,
     faults: Faults,
+    delays: bool,
 ) -> http_types.HttpResponse:
     if faults.down:
         raise http_server.DropConnection
     if faults.silent:
         await asyncio.Event().wait()
     response = await handler(request)
-    if faults.slow_s:
+    if delays and faults.slow_s:
         await asyncio.sleep(faults.slow_s)
     if faults.take_lost_answer():
         raise http_server.DropConnection
--- a/godwitnotch/standins/upstream.py
+++ b/godwitnotch/standins/upstream.py
@@ -58,6 +58,7 @@
                 self._handle,
                 lambda: self.faults,
                 exempt=frozenset((STARTS_PATH,)),
+                delays=False,
             ),
             limits=http_types.HttpLimits(),
         )
@@ -120,7 +121,8 @@
         self._running += 1
         try:
             task = json.loads(request.body)
-            await asyncio.sleep(task["sleep_ms"] / 1000 / self._speed)
+            run_s = task["sleep_ms"] / 1000 / self._speed
+            await asyncio.sleep(run_s + self.faults.slow_s)
         except (ValueError, KeyError, TypeError) as error:
             return _failed(f"sleep_ms must be a number ({error!r})")
         finally:
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -137,6 +137,20 @@
         self.assertEqual(bad.status, 400)
         await served.stop()
 
+    async def test_slow_task_keeps_its_slot(self) -> None:
+        served = upstream.Upstream(slots=1)
+        port = await served.start("127.0.0.1", 0)
+        served.faults.slow_s = 60.0
+        slow = asyncio.create_task(
+            self._request(port, "POST", "/run", {"sleep_ms": 0})
+        )
+        while not served.starts:
+            await asyncio.sleep(0.001)
+        refused = await self._request(port, "POST", "/run", {"sleep_ms": 0})
+        self.assertEqual(refused.headers["not-started"], "full")
+        slow.cancel()
+        await served.stop()
+
     async def test_fail_fast_counts_as_a_start(self) -> None:
         served = upstream.Upstream()
         port = await served.start("127.0.0.1", 0)
