Note each task sent to an upstream and how it ended

Cause: `explain` could not tell where a task was sent, and no counter showed attempts by outcome, which wasted messages are counted from.

--- a/godwitnotch/metrics.py
+++ b/godwitnotch/metrics.py
@@ -16,6 +16,8 @@
 MAX_LATENCY_S = 3_600
 SIGNIFICANT_DIGITS = 2
 MAX_EVENT_NAMES = 200
+# Event of each request to an upstream that ended, however it did.
+ATTEMPT_ENDED = "task_ended"
 
 _US_PER_S = 1_000_000
 _PREFIX = "godwitnotch"
@@ -36,6 +38,7 @@
     def __init__(self) -> None:
         self._answers: Counter[model.Outcome] = Counter()
         self._refusals: Counter[model.Reason] = Counter()
+        self._attempts: Counter[model.AttemptOutcome] = Counter()
         self._retries: Counter[model.AttemptOutcome] = Counter()
         self._events: Counter[str] = Counter()
         self._latencies = {
@@ -55,7 +58,7 @@
     def count_note(self, noted: actions.Note) -> None:
         """Counts an event, and the outcome of the attempt that it names."""
         if isinstance(noted.reason, model.AttemptOutcome):
-            self._retries[noted.reason] += 1
+            self._outcomes(noted.event)[noted.reason] += 1
         known = noted.event in self._events
         if known or len(self._events) < MAX_EVENT_NAMES:
             self._events[noted.event] += 1
@@ -79,6 +82,9 @@
         lines = [
             *_counter("answers", "outcome", model.Outcome, self._answers),
             *_counter("reasons", "reason", model.Reason, self._refusals),
+            *_counter(
+                "attempts", "outcome", model.AttemptOutcome, self._attempts
+            ),
             *_counter(
                 "retries", "outcome", model.AttemptOutcome, self._retries
             ),
@@ -91,6 +97,9 @@
             lines.append(f"{_PREFIX}_{name} {value:g}")
         return ("\n".join(lines) + "\n").encode()
 
+    def _outcomes(self, event: str) -> Counter[model.AttemptOutcome]:
+        return self._attempts if event == ATTEMPT_ENDED else self._retries
+
     def _summary(self, latency: Latency) -> Iterator[str]:
         name = f"{_PREFIX}_{latency.value}_seconds"
         recorded = self._latencies[latency]
--- a/godwitnotch/net/runtime.py
+++ b/godwitnotch/net/runtime.py
@@ -297,8 +297,18 @@
             )
         else:
             ended = task.result()
+        self._note_attempt("task_ended", action, ended.outcome)
         self.feed(ended)
 
+    def _note_attempt(
+        self,
+        event: str,
+        action: actions.StartAttempt,
+        outcome: model.AttemptOutcome | None = None,
+    ) -> None:
+        detail = f"task={action.task_index} upstream={action.upstream}"
+        self._on_note(actions.Note(event, action.submission, outcome, detail))
+
     def _spawn_store(
         self, call: ids.StoreCallId, work: Coroutine[Any, Any, events.Event]
     ) -> None:
@@ -439,6 +449,7 @@
         runtime._attempt_done(action, task)
 
     runtime._running[action.upstream] += 1
+    runtime._note_attempt("task_sent", action)
     work = runtime._upstreams.send(action)
     runtime._attempts[action.attempt] = runtime._spawn(work, done)
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -31,6 +31,18 @@
                 f'godwitnotch_retries_total{{outcome="{outcome.value}"}} 0',
                 lines,
             )
+            self.assertIn(
+                f'godwitnotch_attempts_total{{outcome="{outcome.value}"}} 0',
+                lines,
+            )
+
+    def test_attempts_are_no_retries(self) -> None:
+        self.metrics.count_note(
+            actions.Note("task_ended", FIRST, model.AttemptOutcome.ANSWERED)
+        )
+        lines = self.lines()
+        self.assertIn('godwitnotch_attempts_total{outcome="answered"} 1', lines)
+        self.assertIn('godwitnotch_retries_total{outcome="answered"} 0', lines)
 
     def test_answers_and_retries_are_counted_apart(self) -> None:
         self.metrics.count_answer(
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -228,6 +228,24 @@
         )
         await self.until(lambda: ended in self.core.seen)
 
+    async def test_each_attempt_is_noted_when_sent_and_when_ended(
+        self,
+    ) -> None:
+        self.upstreams.error = ZeroDivisionError()
+        self.on(events.TimePassed, ATTEMPT)
+        self.runtime.feed(events.TimePassed())
+        await self.until(lambda: len(self.notes) == 2)
+        self.assertEqual(
+            [(note.event, note.reason) for note in self.notes],
+            [
+                ("task_sent", None),
+                ("task_ended", model.AttemptOutcome.BROKE_OFF),
+            ],
+        )
+        self.assertEqual(
+            {note.submission for note in self.notes}, {ATTEMPT.submission}
+        )
+
     async def test_aborted_attempt_is_cancelled(self) -> None:
         self.on(events.TimePassed, ATTEMPT)
         self.runtime.feed(events.TimePassed())
