--- a/godwitnotch/demo.py
+++ b/godwitnotch/demo.py
@@ -164,7 +164,10 @@
     tasks = _tasks()
     job = {
         "template": _TEMPLATE,
-        "tasks": tasks,
+        "tasks": [
+            {"payload": task, "declared_ms": task["sleep_ms"]}
+            for task in tasks
+        ],
         "timeout_ms": JOB_TIMEOUT_S * 1_000,
     }
     started_at = time.monotonic()
--- a/godwitnotch/settings.py
+++ b/godwitnotch/settings.py
@@ -21,7 +21,7 @@
 
 MIN_SECRET_BYTES = 32
 MAX_SECRET_BYTES = 64  # The longest key of the ids' authentication tag.
-DEFAULT_POLICY = "uniform"
+DEFAULT_POLICY = "credits"
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 _NAME = rf"^{ids.NAME_PATTERN.pattern}$"
