--- a/godwitnotch/demo.py
+++ b/godwitnotch/demo.py
@@ -165,8 +165,7 @@
     job = {
         "template": _TEMPLATE,
         "tasks": [
-            {"payload": task, "declared_ms": task["sleep_ms"]}
-            for task in tasks
+            {"payload": task, "declared_ms": task["sleep_ms"]} for task in tasks
         ],
         "timeout_ms": JOB_TIMEOUT_S * 1_000,
     }
--- a/godwitnotch/root.py
+++ b/godwitnotch/root.py
@@ -16,7 +16,6 @@
 from godwitnotch.core import events
 from godwitnotch.core import host as host_module
 from godwitnotch.core import ids
-from godwitnotch.core import limits as limits_module
 from godwitnotch.core import messages
 from godwitnotch.core import model
 from godwitnotch.core import scheduler
@@ -189,7 +188,7 @@
                 chance=chance,
             ),
             chance=chance,
-            limits=limits_module.HostLimits(),
+            limits=self._settings.limits.host,
         )
 
     def _make_links(self) -> peer_link.PeerLinks:
--- a/godwitnotch/settings.py
+++ b/godwitnotch/settings.py
@@ -18,6 +18,7 @@
 
 from godwitnotch import checked_yaml
 from godwitnotch.core import ids
+from godwitnotch.core import limits as limits_module
 
 MIN_SECRET_BYTES = 32
 MAX_SECRET_BYTES = 64  # The longest key of the ids' authentication tag.
@@ -25,6 +26,7 @@
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 _NAME = rf"^{ids.NAME_PATTERN.pattern}$"
+_HOST_LIMITS = limits_module.HostLimits()
 _SHA256 = r"^[0-9a-f]{64}$"
 _NAME_ALLOWED = (
     "1 to 63 lower case letters, digits and hyphens, no hyphen first"
@@ -60,6 +62,7 @@
         idle_timeout_s: Between requests on a caller's connection.
         max_connections: Open connections of callers.
         event_ring_events: Events of submissions that are kept in memory.
+        host: Bounds of the decisions.
     """
 
     drain_timeout_s: float = 30.0
@@ -69,6 +72,9 @@
     idle_timeout_s: float = 75.0
     max_connections: int = 4_096
     event_ring_events: int = 20_000
+    host: limits_module.HostLimits = field(
+        default_factory=limits_module.HostLimits
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,57 +190,44 @@
         return self
 
 
+def _limit(default: float, least: float, most: float, unit: str) -> Any:
+    """Returns a field for a number between two bounds."""
+    return pydantic.Field(
+        default=default,
+        ge=least,
+        le=most,
+        description=f"{unit}, {least:g} to {most:.15g}",
+        examples=[default],
+    )
+
+
 class LimitsDocument(checked_yaml.Checked):
     """Bounds of the process; each has a default."""
 
-    drain_timeout_s: float = pydantic.Field(
-        default=Limits.drain_timeout_s,
-        gt=0,
-        le=3_600,
-        description="seconds above 0, at most 3600",
-        examples=[30.0],
-    )
-    max_body_bytes: int = pydantic.Field(
-        default=Limits.max_body_bytes,
-        ge=1_024,
-        le=67_108_864,
-        description="bytes, 1024 to 67108864",
-        examples=[4_194_304],
+    drain_timeout_s: float = _limit(30.0, 0.1, 3_600, "seconds")
+    max_body_bytes: int = _limit(4_194_304, 1_024, 67_108_864, "bytes")
+    max_header_bytes: int = _limit(16_384, 1_024, 65_536, "bytes")
+    receive_timeout_s: float = _limit(10.0, 0.1, 600, "seconds")
+    idle_timeout_s: float = _limit(75.0, 0.1, 3_600, "seconds")
+    max_connections: int = _limit(4_096, 1, 65_536, "a count")
+    event_ring_events: int = _limit(20_000, 1, 1_000_000, "a count")
+    max_reserve: int = _limit(
+        _HOST_LIMITS.max_reserve, 1, 100_000, "ids in one reservation"
     )
-    max_header_bytes: int = pydantic.Field(
-        default=Limits.max_header_bytes,
-        ge=1_024,
-        le=65_536,
-        description="bytes, 1024 to 65536",
-        examples=[16_384],
+    reservation_open_s: float = _limit(
+        _HOST_LIMITS.reservation_open_s, 1, 86_400, "seconds"
     )
-    receive_timeout_s: float = pydantic.Field(
-        default=Limits.receive_timeout_s,
-        gt=0,
-        le=600,
-        description="seconds above 0, at most 600",
-        examples=[10.0],
+    answer_keep_s: float = _limit(
+        _HOST_LIMITS.answer_keep_s, 1, 86_400, "seconds"
     )
-    idle_timeout_s: float = pydantic.Field(
-        default=Limits.idle_timeout_s,
-        gt=0,
-        le=3_600,
-        description="seconds above 0, at most 3600",
-        examples=[75.0],
+    max_kept_answers: int = _limit(
+        _HOST_LIMITS.max_kept_answers, 1, 10_000_000, "a count"
     )
-    max_connections: int = pydantic.Field(
-        default=Limits.max_connections,
-        ge=1,
-        le=65_536,
-        description="a count, 1 to 65536",
-        examples=[4_096],
+    max_kept_bytes: int = _limit(
+        _HOST_LIMITS.max_kept_bytes, 1_048_576, 17_179_869_184, "bytes"
     )
-    event_ring_events: int = pydantic.Field(
-        default=Limits.event_ring_events,
-        ge=1,
-        le=1_000_000,
-        description="a count, 1 to 1000000",
-        examples=[20_000],
+    outcome_retention_s: float = _limit(
+        _HOST_LIMITS.outcome_retention_s, 60, 604_800, "seconds"
     )
 
 
@@ -352,7 +345,6 @@
 
 def show(settings: HostSettings) -> str:
     """Returns the settings in force as YAML, without secrets."""
-    limits = settings.limits
     document: dict[str, Any] = {
         "host": settings.host,
         "domain": settings.domain,
@@ -365,14 +357,19 @@
         "secret": "(set, not shown)",
         "operator_token": "(set, not shown)",
         "policy": settings.policy,
-        "limits": {
-            name: getattr(limits, name) for name in Limits.__dataclass_fields__
-        },
+        "limits": _limits_shown(settings.limits),
         "log": {"level": settings.log_level},
     }
     return yaml.safe_dump(document, sort_keys=False)
 
 
+def _limits_shown(limits: Limits) -> dict[str, Any]:
+    return {
+        name: getattr(limits, name, None) or getattr(limits.host, name)
+        for name in LimitsDocument.model_fields
+    }
+
+
 def parse_address(text: str) -> Address:
     """Returns an address of the form IP:PORT.
 
@@ -426,13 +423,20 @@
             secret=secret or b"",
             operator_token_sha256=token_sha256,
             policy=document.policy,
-            limits=Limits(**document.limits.model_dump()),
+            limits=_limits(document.limits),
             log_level=document.log.level,
             advertised=_optional_address(document.listen.advertised),
         )
     )
 
 
+def _limits(document: LimitsDocument) -> Limits:
+    given = document.model_dump()
+    host_names = limits_module.HostLimits.__dataclass_fields__.keys()
+    host = {name: given.pop(name) for name in host_names & given.keys()}
+    return Limits(**given, host=limits_module.HostLimits(**host))
+
+
 def _token_sha256(document: TokenDocument, reader: "_SecretReader") -> str:
     if document.sha256 is not None:
         return document.sha256
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -68,6 +68,16 @@
         )
         self.assertEqual(read.limits, settings.Limits())
 
+    def test_defaults_of_a_file_are_those_of_the_code(self) -> None:
+        self.assertEqual(
+            self.parse(GOOD + "limits: {}\n").limits, settings.Limits()
+        )
+
+    def test_limits_of_the_decisions_are_taken_over(self) -> None:
+        read = self.parse(GOOD + "limits: {answer_keep_s: 5}\n")
+        self.assertEqual(read.limits.host.answer_keep_s, 5.0)
+        self.assertIn("answer_keep_s: 5.0", settings.show(read))
+
     def test_every_problem_is_told_at_once_with_its_line(self) -> None:
         text = GOOD.replace("127.0.0.1:8080", "localhost:8080")
         text = text.replace("domain: d1", "domain: D1")
