--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,7 +1,5 @@
 """Tests of the command line against a host whose decisions are a fake."""
 
-import asyncio
-import contextlib
 import hashlib
 import json
 import os
@@ -9,7 +7,6 @@
 import subprocess
 import sys
 import tempfile
-import threading
 import unittest
 from collections.abc import Iterator
 from typing import Any
@@ -28,9 +25,9 @@
 from godwitnotch.core import ids
 from godwitnotch.core import model
 from godwitnotch.net import caller_api
-from godwitnotch.net import http_server
 from godwitnotch.net import http_types
 from tests import fake_port
+from tests import serving
 
 ACME = ids.WorkspaceId("acme")
 SUBMISSION = ids.SubmissionId("d1.h1.0a.7.tag")
@@ -45,27 +42,6 @@
     return hashlib.sha256(token.encode()).hexdigest()
 
 
-@contextlib.contextmanager
-def serving(handler: http_types.Handler) -> Iterator[str]:
-    """Serves a handler on a thread of its own; yields the address."""
-    loop = asyncio.new_event_loop()
-    thread = threading.Thread(target=loop.run_forever)
-    thread.start()
-
-    def run(coroutine: object) -> object:
-        return asyncio.run_coroutine_threadsafe(coroutine, loop).result(10)
-
-    server = http_server.HttpServer(handler, limits=http_types.HttpLimits())
-    port = run(server.start("127.0.0.1", 0))
-    try:
-        yield f"127.0.0.1:{port}"
-    finally:
-        run(server.stop(deadline=loop.time()))
-        loop.call_soon_threadsafe(loop.stop)
-        thread.join()
-        loop.close()
-
-
 class CommandTest(unittest.TestCase):
     def setUp(self) -> None:
         template = model.Template(ids.TemplateName("check"), "/check")
@@ -80,7 +56,7 @@
             counts=metrics.Metrics(),
             ring=self.ring,
         )
-        self.address = self.enterContext(serving(api.handle))
+        self.address = self.enterContext(serving.serving(api.handle))
         self.folder = pathlib.Path(
             self.enterContext(tempfile.TemporaryDirectory())
         )
@@ -305,7 +281,7 @@
             seen.append(request)
             return http_types.HttpResponse(200, request.body)
 
-        with serving(handle) as address:
+        with serving.serving(handle) as address:
             result = self.invoke(
                 "standin", "faults", address, "down=true", "not_started=full"
             )
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,96 @@
+"""Tests that the pages are true to the code."""
+
+import asyncio
+import json
+import pathlib
+import re
+import unittest
+from typing import Any
+
+from godwitnotch.core import model
+from godwitnotch.net import http_types
+from tests import serving
+
+ROOT = pathlib.Path(__file__).parent.parent
+CALLERS = (ROOT / "docs" / "callers.md").read_text()
+REASONS = (ROOT / "docs" / "operators" / "reasons.md").read_text()
+EVENTS = (ROOT / "docs" / "operators" / "events.md").read_text()
+JOB = {"template": "t", "tasks": [1]}
+
+_EVENT_CALL = re.compile(
+    r'(?:\.event|[nN]ote|_note_attempt)\(\s*"([a-z_]+)"|"event": "([a-z_]+)"'
+)
+
+
+def _example() -> dict[str, Any]:
+    """Runs the Python example of the callers' page; returns its names."""
+    (code,) = re.findall(r"```python\n(.*?)```", CALLERS, re.DOTALL)
+    names: dict[str, Any] = {}
+    exec(code, names)
+    return names
+
+
+class CallersExampleTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.answers: list[dict[str, object] | None] = []
+        self.paths: list[str] = []
+        self.address = self.enterContext(serving.serving(self.handle))
+        self.names = _example()
+
+    async def handle(
+        self, request: http_types.HttpRequest
+    ) -> http_types.HttpResponse:
+        if request.path.endswith("/reservations"):
+            return http_types.HttpResponse(201, b'{"ids": ["a.b"]}')
+        self.paths.append(request.path)
+        answer = self.answers.pop(0)
+        if answer is None:
+            return http_types.HttpResponse(502, b"<html>")
+        await asyncio.sleep(0)
+        return http_types.HttpResponse(200, json.dumps(answer).encode())
+
+    def run_job(self) -> Any:
+        return self.names["run_job"](
+            [self.address], "acme", "t", JOB, attempts=3, pause_s=0.0
+        )
+
+    def test_it_repeats_under_the_same_id_until_the_answer_is_known(
+        self,
+    ) -> None:
+        self.answers = [
+            None,
+            {"outcome": "refused", "retry_after_s": 0.0},
+            {"outcome": "complete", "results": [1]},
+        ]
+        self.assertEqual(self.run_job()["results"], [1])
+        self.assertEqual(self.paths, ["/v1/acme/jobs/a.b"] * 3)
+
+    def test_it_returns_a_failed_job_without_repeating_it(self) -> None:
+        self.answers = [{"outcome": "failed"}]
+        self.assertEqual(self.run_job()["outcome"], "failed")
+
+    def test_it_tells_what_it_does_not_know(self) -> None:
+        self.answers = [{"outcome": "unknown"}] * 3
+        with self.assertRaises(self.names["NotKnown"]):
+            self.run_job()
+
+
+class ListsTest(unittest.TestCase):
+    def test_operators_find_every_reason(self) -> None:
+        for value in (*model.Reason, *model.AttemptOutcome):
+            with self.subTest(value=value):
+                self.assertRegex(REASONS, rf"(?m)^\| `{value.value}` \|")
+
+    def test_callers_find_every_outcome(self) -> None:
+        for outcome in model.Outcome:
+            self.assertRegex(CALLERS, rf"(?m)^\| `{outcome.value}` \|")
+
+    def test_operators_find_every_event(self) -> None:
+        named = set()
+        for file in (ROOT / "godwitnotch").rglob("*.py"):
+            for match in _EVENT_CALL.finditer(file.read_text()):
+                named.add(match[1] or match[2])
+        self.assertGreater(len(named), 20)
+        for name in sorted(named):
+            with self.subTest(name=name):
+                self.assertIn(f"| `{name}` |", EVENTS)
