--- a/godwitnotch/core/host.py
+++ b/godwitnotch/core/host.py
@@ -67,6 +67,7 @@
         open_ids: Reserved ids that have not expired.
         unwritten_outcomes: Outcomes not yet recorded.
         linked_hosts: Other hosts that can be talked to.
+        queued_tasks: Tasks that wait for a slot.
     """
 
     state: HostState
@@ -78,6 +79,7 @@
     open_ids: int
     unwritten_outcomes: int
     linked_hosts: tuple[ids.HostId, ...]
+    queued_tasks: int = 0
 
 
 class HostCore:
@@ -197,6 +199,7 @@
             open_ids=self._reservations.open_count,
             unwritten_outcomes=self._outcome_log.unwritten_count,
             linked_hosts=tuple(entry.host for entry in self._membership.linked),
+            queued_tasks=runner.queued_task_count,
         )
 
     @property
--- a/godwitnotch/core/jobs.py
+++ b/godwitnotch/core/jobs.py
@@ -135,6 +135,13 @@
         self._attempts: dict[ids.AttemptId, _Attempt] = {}
         self._numbers = itertools.count(1)
 
+    @property
+    def queued_task_count(self) -> int:
+        """Tasks that wait for a slot; counted anew at each call."""
+        return sum(
+            len(job.body.tasks) - job.started for job in self._jobs.values()
+        )
+
     @property
     def job_count(self) -> int:
         """Jobs under way."""
--- a/godwitnotch/net/runtime.py
+++ b/godwitnotch/net/runtime.py
@@ -191,6 +191,7 @@
             store_up=self._store_up,
             jobs=status.jobs,
             running_tasks=len(self._attempts),
+            queued_tasks=status.queued_tasks,
             peers=self._peer_statuses(),
             upstreams=self._upstream_statuses(),
         )
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -123,6 +123,13 @@
         self.assertIs(answer.outcome, model.Outcome.COMPLETE)
         self.assertEqual(answer.results, (b"0", b"1", b"2"))
 
+    def test_the_status_counts_the_tasks_that_wait_for_a_slot(self) -> None:
+        driver = self.driver
+        driver.submit(1, driver.reserve(), body(5))
+        self.assertEqual(driver.core.status.queued_tasks, 3)
+        driver.answer(driver.take(actions.StartAttempt))
+        self.assertEqual(driver.core.status.queued_tasks, 2)
+
     def test_a_resubmission_joins_and_then_gets_the_kept_answer(self) -> None:
         driver = self.driver
         submission = driver.reserve()
