--- a/godwitnotch/net/routes.py
+++ b/godwitnotch/net/routes.py
@@ -20,6 +20,7 @@
 
 _JSON = "application/json"
 _BEARER = "bearer "
+_NO_DIGEST = "-" * 64
 
 
 class Access(enum.Enum):
@@ -111,6 +112,7 @@
 
 def token_matches(request: http_types.HttpRequest, sha256: str) -> bool:
     """Compares in constant time; an empty digest matches no token."""
+    sha256 = sha256 or _NO_DIGEST
     given = request.headers.get("authorization", "")
     scheme, token = given[: len(_BEARER)], given[len(_BEARER) :].strip()
     if scheme.lower() != _BEARER or not token:
