--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -6,6 +6,10 @@
 import unittest
 from typing import Any
 
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
+
 from godwitnotch import event_ring
 from godwitnotch import metrics
 from godwitnotch import workspace_file
@@ -288,6 +292,53 @@
         self.assertIn(b"can't tell what ran", response.body)
 
 
+class AnyInputTest(RoutesTest):
+    @hypothesis_settings(derandomize=True, deadline=None, max_examples=300)
+    @given(
+        strategies.recursive(
+            strategies.none()
+            | strategies.booleans()
+            | strategies.integers()
+            | strategies.floats()
+            | strategies.text(max_size=5),
+            lambda inner: (
+                strategies.lists(inner, max_size=3)
+                | strategies.dictionaries(
+                    strategies.sampled_from(
+                        ("template", "tasks", "timeout_ms", "payload", "count")
+                    ),
+                    inner,
+                )
+            ),
+        )
+    )
+    def test_every_body_is_a_job_or_a_bad_request(self, value: object) -> None:
+        self.port.answer = _answer(model.Outcome.RUNNING)
+        for method, path in (
+            ("PUT", JOB_PATH),
+            ("POST", "/v1/acme/reservations"),
+        ):
+            response = self.send(method, path, value)
+            self.assertIn(response.status, (202, 400))
+
+    @hypothesis_settings(derandomize=True, deadline=None, max_examples=300)
+    @given(strategies.binary(max_size=50), strategies.text(max_size=20))
+    def test_no_bytes_and_no_path_are_a_defect(
+        self, body: bytes, part: str
+    ) -> None:
+        self.port.answer = _answer(model.Outcome.RUNNING)
+        for method, path, token in (
+            ("PUT", JOB_PATH, "secret-a"),
+            ("GET", f"/v1/acme/jobs/{part}", "secret-a"),
+            ("PUT", f"/v1/workspaces/{part}", "secret-op"),
+            ("GET", f"/v1/explain/{part}", "secret-op"),
+        ):
+            response = self.send(
+                method, path, body, token=token, headers={"if-match": "1"}
+            )
+            self.assertNotEqual(response.status, 500)
+
+
 class AccessTest(RoutesTest):
     def test_no_other_token_opens_a_workspace(self) -> None:
         for token in ("secret-o", "secret-op", "", "secret-a2", "é"):
