--- a/godwitnotch/metrics.py
+++ b/godwitnotch/metrics.py
@@ -19,6 +19,7 @@
 # Event of each request to an upstream that ended, however it did.
 ATTEMPT_ENDED = "task_ended"
 
+_PERCENTILES = [quantile * 100 for quantile in QUANTILES]
 _US_PER_S = 1_000_000
 _PREFIX = "godwitnotch"
 _Member = TypeVar("_Member", bound=enum.Enum)
@@ -104,11 +105,16 @@
         name = f"{_PREFIX}_{latency.value}_seconds"
         recorded = self._latencies[latency]
         yield f"# TYPE {name} summary"
-        for quantile in QUANTILES:
-            micros = recorded.get_value_at_percentile(quantile * 100)
-            yield f'{name}{{quantile="{quantile:g}"}} {micros / _US_PER_S:g}'
+        count = recorded.get_total_count()
+        # One pass over the histogram for all quantiles, none if it is empty.
+        values = {}
+        if count:
+            values = recorded.get_percentile_to_value_dict(_PERCENTILES)
+        for quantile, percentile in zip(QUANTILES, _PERCENTILES, strict=True):
+            seconds = values.get(percentile, 0) / _US_PER_S
+            yield f'{name}{{quantile="{quantile:g}"}} {seconds:g}'
         yield f"{name}_sum {self._sums_s[latency]:g}"
-        yield f"{name}_count {recorded.get_total_count()}"
+        yield f"{name}_count {count}"
 
 
 def _counter(
