--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -322,6 +322,15 @@
         logs = await asyncio.gather(*(each.starts() for each in self.upstreams))
         return [start for log in logs for start in log]
 
+    def faults_logged(self) -> list[str]:
+        """Returns the log lines of exceptions that no host expected."""
+        return [
+            f"{process.name}: {line}"
+            for process in self.processes
+            for event in ("internal_fault", "request_failed")
+            for line in process.logged(event)
+        ]
+
     def _write(self, name: str, value: object) -> pathlib.Path:
         path = pathlib.Path(self._folder.name) / name
         path.write_text(yaml.safe_dump(value))
--- /dev/null
+++ b/tests/process/volume.py
@@ -0,0 +1,344 @@
+"""Thousands of jobs, resubmitted to other hosts, while faults come and go.
+
+`make failures` runs this; the upstreams' start logs are the evidence. The seed
+fixes the jobs and the order of the faults, not how they interleave.
+"""
+
+import argparse
+import asyncio
+import random
+import signal
+import sys
+import time
+from collections import Counter
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from tests.process import caller
+from tests.process import cluster
+from tests.process import fleet
+
+PAUSE_BEYOND_SILENCE_S = 3.8
+CALM_S = 0.4
+JOB_TIMEOUT_S = 5.0
+FULL_STOP_WAIT_S = 60.0
+MAX_TASKS = 4
+MAX_SLEEP_MS = 40
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Size and seed of a run."""
+
+    jobs: int
+    callers: int
+    seed: int
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """What a run found."""
+
+    jobs: int
+    answers: int
+    starts: int
+    outcomes: dict[str, int]
+    faults: dict[str, int]
+    violations: list[str]
+
+    @property
+    def last_line(self) -> str:
+        """The summary in one line."""
+        return (
+            f"jobs={self.jobs} answers={self.answers} starts={self.starts} "
+            f"faults={sum(self.faults.values())} "
+            f"violations={len(self.violations)}"
+        )
+
+
+Fault = Callable[["Run"], Awaitable[None]]
+_FAULTS: dict[str, Fault] = {}
+
+
+def fault(name: str) -> Callable[[Fault], Fault]:
+    """Registers a fault under a name."""
+
+    def register(function: Fault) -> Fault:
+        _FAULTS[name] = function
+        return function
+
+    return register
+
+
+class Run:
+    """One run: its fleet, its load and its faults."""
+
+    def __init__(self, plan: Plan) -> None:
+        self.fleet = fleet.Fleet()
+        self.chance = random.Random(plan.seed)
+        self.stopped: list[cluster.Host] = []
+        self._plan = plan
+        self._loads = random.Random(plan.seed + 1)
+        self._live: list[cluster.Host] = []
+        self._faults: Counter[str] = Counter()
+        self._submitted: list[tuple[str, list[object]]] = []
+        self._left = plan.jobs
+
+    async def run(self) -> Report:
+        """Runs the load under faults, then asks again about every job."""
+        await self.fleet.start(upstreams_each=2)
+        self._live = list(self.fleet.hosts)
+        faults = asyncio.create_task(self._break_things())
+        callers = [
+            asyncio.create_task(self._call()) for _ in range(self._plan.callers)
+        ]
+        await asyncio.gather(*callers)
+        self._left = -1
+        await faults
+        await self.fleet.cluster.wait_linked(*self._live)
+        await self._ask_again()
+        return await self._report()
+
+    def any_host(self) -> cluster.Host:
+        """Returns a host for a fault to hit."""
+        return self.chance.choice(self._live)
+
+    async def replace(self, host: cluster.Host) -> None:
+        """Starts the successor of a host that has ended."""
+        self._live.remove(host)
+        successor = await self.fleet.start_host(host.domain)
+        self._live.append(successor)
+
+    async def _break_things(self) -> None:
+        names = sorted(_FAULTS)
+        while self._left >= 0:
+            self.chance.shuffle(names)
+            for name in names:
+                if self._left < 0:
+                    return
+                await asyncio.sleep(CALM_S)
+                await _FAULTS[name](self)
+                self._faults[name] += 1
+
+    async def _call(self) -> None:
+        while self._left > 0:
+            self._left -= 1
+            if self._loads.random() < 0.25:
+                await self._keyed_job(self._left)
+            else:
+                await self._reserved_job()
+
+    async def _reserved_job(self) -> None:
+        reserved = await self._reserve()
+        if reserved is None:
+            return
+        payloads = self._payloads(reserved)
+        self._submitted.append((reserved, payloads))
+        first = self._submit(reserved, payloads)
+        if self._loads.random() < 0.5:
+            await asyncio.gather(first, self._submit(reserved, payloads))
+            return
+        answer = await first
+        if answer.outcome != "complete" or self._loads.random() < 0.3:
+            await self._submit(reserved, payloads)
+
+    async def _keyed_job(self, number: int) -> None:
+        key = f"order-{number}"
+        payloads = self._payloads(key)
+        answers = await asyncio.gather(
+            *(self._submit_keyed(key, payloads) for _ in range(2))
+        )
+        if any(answer.outcome != "complete" for answer in answers):
+            await self._submit_keyed(key, payloads)
+
+    async def _reserve(self) -> str | None:
+        for _ in range(10):
+            host = self._loads.choice(self._live)
+            answer = await self.fleet.cluster.caller.try_reserve(host.address)
+            if answer.code == 201:
+                return str(answer.value["ids"][0])
+            await asyncio.sleep(0.05)
+        return None
+
+    async def _submit(
+        self, submission: str, payloads: list[object]
+    ) -> caller.Answer:
+        return await self.fleet.submit(
+            self._loads.choice(self._live),
+            submission,
+            payloads,
+            timeout_s=JOB_TIMEOUT_S,
+        )
+
+    async def _submit_keyed(
+        self, key: str, payloads: list[object]
+    ) -> caller.Answer:
+        return await self.fleet.submit_keyed(
+            self._loads.choice(self._live),
+            key,
+            payloads,
+            timeout_s=JOB_TIMEOUT_S,
+        )
+
+    def _payloads(self, name: str) -> list[object]:
+        return [
+            {
+                "sleep_ms": self._loads.randrange(5, MAX_SLEEP_MS),
+                "job": name,
+                "n": number,
+            }
+            for number in range(self._loads.randrange(1, MAX_TASKS + 1))
+        ]
+
+    async def _ask_again(self) -> None:
+        """Submits every job once more, at a host picked at random."""
+        limit = asyncio.Semaphore(self._plan.callers)
+
+        async def again(job: tuple[str, list[object]]) -> None:
+            async with limit:
+                await self._submit(*job)
+
+        await asyncio.gather(*(again(job) for job in self._submitted))
+
+    async def _report(self) -> Report:
+        outcomes = self.fleet.ledger.outcomes()
+        violations = await self.fleet.violations()
+        violations += self.fleet.cluster.faults_logged()
+        violations += _unclean_ends(self.stopped)
+        return Report(
+            jobs=self._plan.jobs,
+            answers=sum(outcomes.values()),
+            starts=len(await self.fleet.cluster.starts()),
+            outcomes=outcomes,
+            faults=dict(sorted(self._faults.items())),
+            violations=violations,
+        )
+
+
+@fault("host_killed")
+async def _kill(run: Run) -> None:
+    host = run.any_host()
+    host.process.signal(signal.SIGKILL)
+    await host.process.wait()
+    await run.replace(host)
+
+
+@fault("host_paused")
+async def _pause(run: Run) -> None:
+    host = run.any_host()
+    host.process.signal(signal.SIGSTOP)
+    await asyncio.sleep(PAUSE_BEYOND_SILENCE_S)
+    host.process.signal(signal.SIGCONT)
+
+
+@fault("host_terminated")
+async def _terminate(run: Run) -> None:
+    host = run.any_host()
+    host.process.signal(signal.SIGTERM)
+    await host.process.wait(wait_s=FULL_STOP_WAIT_S)
+    run.stopped.append(host)
+    await run.replace(host)
+
+
+@fault("links_cut")
+async def _cut_links(run: Run) -> None:
+    relays = run.fleet.peers.values()
+    for between in relays:
+        between.cut()
+    await asyncio.sleep(1.0)
+    for between in relays:
+        between.heal()
+
+
+@fault("links_silent")
+async def _silence_links(run: Run) -> None:
+    for between in run.fleet.peers.values():
+        between.mute_present()
+
+
+@fault("upstream_connections_cut")
+async def _cut_upstreams(run: Run) -> None:
+    relays = run.fleet.upstreams.values()
+    for between in relays:
+        between.cut()
+    await asyncio.sleep(0.2)
+    for between in relays:
+        between.heal()
+
+
+@fault("upstream_connections_silent")
+async def _silence_upstreams(run: Run) -> None:
+    for between in run.fleet.upstreams.values():
+        between.mute_present()
+
+
+@fault("upstreams_refuse")
+async def _refuse(run: Run) -> None:
+    system = run.fleet.cluster
+    upstream = run.chance.choice(system.upstreams)
+    await system.order_faults(upstream.address, not_started="full")
+    await asyncio.sleep(0.5)
+    await system.order_faults(upstream.address, not_started="")
+
+
+@fault("platform_down")
+async def _stop_platform(run: Run) -> None:
+    system = run.fleet.cluster
+    await system.order_faults(system.platform, down=True)
+    await asyncio.sleep(1.5)
+    await system.order_faults(system.platform, down=False)
+
+
+@fault("platform_loses_answers")
+async def _lose_answers(run: Run) -> None:
+    system = run.fleet.cluster
+    await system.order_faults(system.platform, lose_answers=8)
+
+
+@fault("platform_connections_silent")
+async def _silence_platform(run: Run) -> None:
+    run.fleet.platform.mute_present()
+
+
+def _unclean_ends(hosts: list[cluster.Host]) -> list[str]:
+    """Returns the hosts whose graceful shutdown cut something."""
+    return [
+        f"{host.name} exit={host.process.exit_code} {cut}"
+        for host in hosts
+        for cut in host.process.logged("shutdown_cut")
+        + host.process.logged("job_cut")
+        + ([] if host.process.exit_code == 0 else ["exit code not 0"])
+    ]
+
+
+async def run_plan(plan: Plan) -> Report:
+    """Runs a plan and ends everything that it started."""
+    run = Run(plan)
+    try:
+        return await run.run()
+    finally:
+        await run.fleet.close()
+
+
+def main() -> int:
+    """Runs the plan that the command line gives; returns the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--jobs", type=int, default=4_000)
+    parser.add_argument("--callers", type=int, default=24)
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+    plan = Plan(arguments.jobs, arguments.callers, arguments.seed)
+    begun_at = time.monotonic()
+    report = asyncio.run(run_plan(plan))
+    for name, count in {**report.outcomes, **report.faults}.items():
+        print(f"{name}={count}")
+    for violation in report.violations:
+        print(f"violation: {violation}")
+    print(f"seed={plan.seed} seconds={time.monotonic() - begun_at:.0f}")
+    print(report.last_line)
+    return 1 if report.violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
