--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,9 @@
 test: setup
 	$(PY) -m tests
 
+failures: setup
+	$(PY) -m tests.process.volume --jobs 4000 --seed 1
+
 scenarios: setup
 	$(PY) -m tests.scenario
 
