--- a/bench/core_path.py
+++ b/bench/core_path.py
@@ -4,25 +4,21 @@
 are answered at once; no socket, clock or codec takes part.
 """
 
-import random
 import resource
 import sys
 import time
 from collections import deque
 
+from bench import core_setup
 from godwitnotch.core import actions
 from godwitnotch.core import events
 from godwitnotch.core import host
 from godwitnotch.core import ids
-from godwitnotch.core import limits
 from godwitnotch.core import model
-from godwitnotch.core import records
-from godwitnotch.core import scheduler
 
-WORKSPACE = ids.WorkspaceId("acme")
-TEMPLATE = ids.TemplateName("check")
+WORKSPACE = core_setup.workspace(0)
+TEMPLATE = core_setup.TEMPLATE
 UPSTREAM_COUNT = 24
-SLOTS = 8
 TASKS_PER_JOB = 20
 JOB_COUNT = 5_000
 SPREAD_RUNS = 5
@@ -33,7 +29,7 @@
     policy = sys.argv[1] if len(sys.argv) > 1 else "uniform"
     costs_us = []
     for seed in range(SPREAD_RUNS):
-        core = _configured_core(policy, seed)
+        core = core_setup.create(policy, seed=seed, upstreams=UPSTREAM_COUNT)
         started = time.process_time()
         _run_jobs(core)
         spent_s = time.process_time() - started
@@ -47,51 +43,6 @@
     )
 
 
-def _configured_core(policy: str, seed: int) -> host.HostCore:
-    chance = random.Random(seed)
-    identity = model.HostEntry(
-        ids.HostId("h1"), ids.DomainId("d1"), ids.Incarnation("0a"), ""
-    )
-    core = host.HostCore(
-        identity=identity,
-        mint=ids.IdMint(secret=b"s" * 32),
-        scheduler=scheduler.create(
-            policy, host=identity.host, domain=identity.domain, chance=chance
-        ),
-        chance=chance,
-        limits=limits.HostLimits(),
-    )
-    _configure(core)
-    return core
-
-
-def _configure(core: host.HostCore) -> None:
-    upstreams = tuple(
-        model.UpstreamEntry(
-            ids.UpstreamId(f"u{index}"),
-            ids.DomainId("d1"),
-            "r1",
-            f"127.0.0.1:{index}",
-            SLOTS,
-            64,
-        )
-        for index in range(UPSTREAM_COUNT)
-    )
-    directory = model.Directory((), upstreams)
-    first = core.handle(events.DirectorySeen(directory), now=0.0)
-    read = next(each for each in first if isinstance(each, actions.StoreRead))
-    change = records.LoggedChange(WORKSPACE, 1, "n")
-    log = model.Row(records.CONFIG_LOG_KEY, 1, records.encode_log([change]))
-    second = core.handle(events.StoreRows(read.call, (log,)), now=0.0)
-    scan = next(each for each in second if isinstance(each, actions.StoreScan))
-    config = model.WorkspaceConfig(
-        WORKSPACE, 1, {TEMPLATE: model.Template(TEMPLATE, "/check")}
-    )
-    value = records.encode_config(config, nonce="n")
-    row = model.Row(records.config_key(WORKSPACE), 1, value)
-    core.handle(events.StoreRows(scan.call, (row,)), now=0.0)
-
-
 def _run_jobs(core: host.HostCore) -> None:
     body = model.JobBody(TEMPLATE, (model.TaskSpec(b"1"),) * TASKS_PER_JOB)
     now = 0.0
