--- a/bench/core_path.py
+++ b/bench/core_path.py
@@ -29,7 +29,9 @@
     policy = sys.argv[1] if len(sys.argv) > 1 else "uniform"
     costs_us = []
     for seed in range(SPREAD_RUNS):
-        core = core_setup.create(policy, seed=seed, upstreams=UPSTREAM_COUNT)
+        core = core_setup.create(
+            policy, seed=seed, upstream_count=UPSTREAM_COUNT
+        )
         started = time.process_time()
         _run_jobs(core)
         spent_s = time.process_time() - started
--- a/bench/core_setup.py
+++ b/bench/core_setup.py
@@ -29,11 +29,16 @@
     return ids.DomainId(f"d{number % DOMAINS}")
 
 
+def upstreams(count: int) -> tuple[model.UpstreamEntry, ...]:
+    """Returns entries of upstreams that don't run."""
+    return tuple(_upstream(number) for number in range(count))
+
+
 def create(
     policy: str,
     *,
     seed: int = 0,
-    upstreams: int = 24,
+    upstream_count: int = 24,
     hosts: int = 1,
     workspaces: int = 1,
 ) -> host.HostCore:
@@ -51,7 +56,7 @@
         chance=chance,
         limits=limits.HostLimits(),
     )
-    _configure(core, upstreams, workspaces)
+    _configure(core, upstream_count, workspaces)
     for number in range(1, hosts):
         up = events.PeerUp(
             ids.HostId(f"h{number}"),
@@ -62,9 +67,10 @@
     return core
 
 
-def _configure(core: host.HostCore, upstreams: int, workspaces: int) -> None:
-    listed = tuple(_upstream(number) for number in range(upstreams))
-    directory = model.Directory((), listed)
+def _configure(
+    core: host.HostCore, upstream_count: int, workspaces: int
+) -> None:
+    directory = model.Directory((), upstreams(upstream_count))
     first = core.handle(events.DirectorySeen(directory), now=0.0)
     read = next(each for each in first if isinstance(each, actions.StoreRead))
     change = records.LoggedChange(workspace(0), 1, "n")
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -159,6 +159,7 @@
         self._policy = policy
         self._processes: list[Process] = []
         self._workspaces = 0
+        self._only_listed: tuple[model.UpstreamEntry, ...] = ()
         self._operator_token = secrets.token_urlsafe()
         self._environment = {
             _SECRET_VARIABLE: secrets.token_hex(32),
@@ -171,8 +172,19 @@
         upstreams: Sequence[model.UpstreamEntry],
         speeds: Mapping[ids.UpstreamId, float],
         workspaces: Mapping[ids.WorkspaceId, Sequence[model.Template]],
+        *,
+        only_listed: Sequence[model.UpstreamEntry] = (),
     ) -> None:
-        """Starts all processes and waits until the hosts know each other."""
+        """Starts all processes and waits until the hosts know each other.
+
+        Args:
+            hosts: The entry hosts.
+            upstreams: Upstreams that run as processes.
+            speeds: Speed factor of each of them.
+            workspaces: Templates of each workspace.
+            only_listed: Upstreams that the platform lists and that don't run.
+        """
+        self._only_listed = tuple(only_listed)
         await asyncio.gather(
             *(self._start_upstream(each, speeds) for each in upstreams)
         )
@@ -180,7 +192,7 @@
         await asyncio.gather(*(self._start_host(each) for each in hosts))
         self._workspaces = len(workspaces)
         for workspace, templates in workspaces.items():
-            await self._put_workspace(workspace, templates)
+            await self.put_workspace(workspace, templates, version=0)
         for node in self.hosts.values():
             await until(
                 lambda node=node: self._knows_all(node),  # type: ignore[misc]
@@ -242,6 +254,7 @@
             asdict(replace(each, address=self.upstreams[each.upstream].address))
             for each in upstreams
         ]
+        listed += [asdict(each) for each in self._only_listed]
         file = self._folder / "upstreams.yaml"
         file.write_text(yaml.safe_dump(listed))
         self.platform = await self._start_standin(
@@ -274,11 +287,14 @@
         self._processes.append(process)
         return process
 
-    async def _put_workspace(
+    async def put_workspace(
         self,
         workspace: ids.WorkspaceId,
         templates: Sequence[model.Template],
+        *,
+        version: int,
     ) -> None:
+        """Replaces a version of a workspace's settings, until in force."""
         settings = {
             "workspace": workspace,
             "token_sha256": hashlib.sha256(CALLER_TOKEN.encode()).hexdigest(),
@@ -297,7 +313,7 @@
                 "PUT",
                 f"/v1/workspaces/{workspace}",
                 value=settings,
-                headers={"if-match": "0"},
+                headers={"if-match": str(version)},
                 timeout_s=_CONFIG_WAIT_S,
             )
             # A conflict shows that an earlier try was recorded.
@@ -312,7 +328,8 @@
         return (
             status["ready"]
             and len(linked) == len(self.hosts) - 1
-            and len(status["upstreams"]) == len(self.upstreams)
+            and len(status["upstreams"])
+            == len(self.upstreams) + len(self._only_listed)
             and len(listed.value["workspaces"]) == self._workspaces
         )
 
--- a/bench/state_slopes.py
+++ b/bench/state_slopes.py
@@ -62,12 +62,12 @@
 
 @dimension("upstreams", 100, 500, 1_000, 2_000)
 def _upstreams(size: int) -> host.HostCore:
-    return core_setup.create(POLICY, upstreams=size)
+    return core_setup.create(POLICY, upstream_count=size)
 
 
 @dimension("linked_hosts", 2, 10, 30, 60)
 def _hosts(size: int) -> host.HostCore:
-    return core_setup.create(POLICY, upstreams=100, hosts=size)
+    return core_setup.create(POLICY, upstream_count=100, hosts=size)
 
 
 @dimension("workspaces", 100, 300, 760)
@@ -86,7 +86,7 @@
 
 @dimension("jobs_under_way", 100, 200, 400)
 def _jobs(size: int) -> host.HostCore:
-    core = core_setup.create(POLICY, upstreams=2_000)
+    core = core_setup.create(POLICY, upstream_count=2_000)
     for number in range(size):
         _submit(core, number)
     return core
@@ -180,7 +180,7 @@
 
 
 def _measure_heartbeat() -> None:
-    core = core_setup.create(POLICY, upstreams=2_000, hosts=60)
+    core = core_setup.create(POLICY, upstream_count=2_000, hosts=60)
     said = events.PeerSaid(ids.HostId("h1"), messages.Heartbeat(1, False))
     count = 20_000
     started = time.process_time()
