Heal upstream paths at once in the failure test

Cause: a deliberate defect (BROKE_OFF taken as not started) passed the test, since the retries met paths that were still cut. Shown by: the defect in a scratch copy: green before, red after. This makes the test stricter.

--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -108,19 +108,19 @@
 
     async def test_upstream_connections_cut_and_silent(self) -> None:
         first, second, owner = self.fleet.hosts
-        for break_paths in ("cut", "mute_present"):
+        for count, break_paths in enumerate(("cut", "mute_present"), 1):
             submissions = await self.reserve(owner, 10)
             jobs = fleet.jobs(submissions, tasks=2, sleep_ms=150)
             running = asyncio.create_task(
                 self.submit_all(first, jobs, timeout_s=2.0)
             )
-            await asyncio.sleep(0.1)
+            await self.wait_starts(count * 10)
+            # Healed at once, so that a task sent again would be seen.
             for between in self.fleet.upstreams.values():
                 getattr(between, break_paths)()
+                between.heal()
             await self.submit_all(second, jobs, timeout_s=2.0)
             await running
-            for between in self.fleet.upstreams.values():
-                between.heal()
         submissions = await self.reserve(owner, 10)
         jobs = fleet.jobs(submissions, tasks=2, sleep_ms=10)
         await self.submit_all(first, jobs, timeout_s=5.0)
