--- a/tests/test_process_evidence.py
+++ b/tests/test_process_evidence.py
@@ -60,6 +60,14 @@
         self.tell("failed", "something", 1)
         self.assert_found("with results")
 
+    def test_key_that_started_under_two_ids(self) -> None:
+        for submission in ("s", "t"):
+            value = {"id": submission, "outcome": "unknown", "ran": "possibly"}
+            self.ledger.add_keyed(caller.Answer(504, value), "key", [1])
+        self.assertEqual(self.ledger.violations(self.starts), [])
+        self.starts.append(evidence.Start("t", 0, time.monotonic()))
+        self.assert_found("key key started as")
+
     def test_answer_taken_back(self) -> None:
         self.tell("complete", "something", 1, 2)
         self.tell("failed", "something")
