--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,11 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.requirements-installed
 
-.PHONY: setup demo test failures lint types format
+.PHONY: setup demo test failures scenarios histories mutants bench binary lint types format
+
+# How many histories of each kind `make histories` tries, and from which seed.
+HISTORIES ?= 2000
+HISTORIES_SEED ?= 1
 
 setup: $(STAMP)
 
@@ -20,6 +24,16 @@
 failures: setup
 	$(PY) -m tests.process.volume --jobs 4000 --seed 1
 
+scenarios: setup
+	$(PY) -m tests.scenario
+
+histories: setup
+	HISTORIES=$(HISTORIES) HISTORIES_SEED=$(HISTORIES_SEED) \
+	    $(PY) -m tests.test_differential
+
+mutants: setup
+	$(PY) -m tests.mutants
+
 lint: setup
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
@@ -30,3 +44,14 @@
 format: setup
 	$(VENV)/bin/ruff format .
 	$(VENV)/bin/ruff check --fix .
+
+# One file that runs with the host's own CPython 3.11.
+binary: setup
+	rm -rf build/binary
+	mkdir -p build/binary dist
+	cp -r godwitnotch build/binary/
+	find build/binary -name __pycache__ -prune -exec rm -r {} +
+	$(VENV)/bin/pex --requirement requirements.txt \
+		--sources-directory build/binary --module godwitnotch \
+		--venv prepend --output-file dist/godwitnotch
+	@echo "binary=dist/godwitnotch bytes=$$(stat -c %s dist/godwitnotch)"
--- a/godwitnotch/net/runtime.py
+++ b/godwitnotch/net/runtime.py
@@ -191,6 +191,7 @@
             store_up=self._store_up,
             jobs=status.jobs,
             running_tasks=len(self._attempts),
+            queued_tasks=status.queued_tasks,
             peers=self._peer_statuses(),
             upstreams=self._upstream_statuses(),
         )
@@ -297,8 +298,18 @@
             )
         else:
             ended = task.result()
+        self._note_attempt("task_ended", action, ended.outcome)
         self.feed(ended)
 
+    def _note_attempt(
+        self,
+        event: str,
+        action: actions.StartAttempt,
+        outcome: model.AttemptOutcome | None = None,
+    ) -> None:
+        detail = f"task={action.task_index} upstream={action.upstream}"
+        self._on_note(actions.Note(event, action.submission, outcome, detail))
+
     def _spawn_store(
         self, call: ids.StoreCallId, work: Coroutine[Any, Any, events.Event]
     ) -> None:
@@ -439,6 +450,7 @@
         runtime._attempt_done(action, task)
 
     runtime._running[action.upstream] += 1
+    runtime._note_attempt("task_sent", action)
     work = runtime._upstreams.send(action)
     runtime._attempts[action.attempt] = runtime._spawn(work, done)
 
