--- a/godwitnotch/net/runtime.py
+++ b/godwitnotch/net/runtime.py
@@ -244,14 +244,15 @@
             self._on_fault(f"performing {type(action).__name__}", error)
 
     def _set_timer(self) -> None:
+        """Wakes by the next deadline; an earlier timer is left to go off."""
         deadline = self._core.next_deadline()
+        if deadline is None or self._stopped.is_set():
+            return
         if self._timer is not None:
-            if self._timer.when() == deadline and not self._timer.cancelled():
+            if self._timer.when() <= deadline:
                 return
             self._timer.cancel()
-            self._timer = None
-        if deadline is not None and not self._stopped.is_set():
-            self._timer = self._loop.call_at(deadline, self._time_passed)
+        self._timer = self._loop.call_at(deadline, self._time_passed)
 
     def _time_passed(self) -> None:
         self._timer = None
--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -165,6 +165,7 @@
         self.assertEqual(unkeyed.outcome, "complete")
         third.process.signal(signal.SIGKILL)
         successor = await self.fleet.start_host("c")
+        await system.wait_linked(first, second, successor)
         job = fleet.jobs(await self.reserve(first, 1), tasks=3, sleep_ms=10)
         forwarded = await self.fleet.submit(successor, *job[0])
         self.assertEqual(forwarded.outcome, "complete")
