Pace heartbeats over all links, and probe links that owe an answer

Ruled out: the codec and the core (8 us a heartbeat); a longer fixed interval (a call into a silent link would wait for it). Change: heartbeats are bounded to 8 a second over all links and announce the next one; a link that owes an answer for a second is probed each second. Conclusion: the cost no longer grows with the number of idle links.

--- a/godwitnotch/core/messages.py
+++ b/godwitnotch/core/messages.py
@@ -24,10 +24,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Shows that the sender's loop still turns."""
+    """Shows that the sender's loop still turns.
+
+    Attributes:
+        config_counter: Changes of configuration in force at the sender.
+        draining: Whether the sender takes no new jobs.
+        interval_s: The sender's next heartbeat comes within this time.
+        probe: Whether the receiver is to send one back at once.
+    """
 
     config_counter: int
     draining: bool
+    interval_s: float = 1.0
+    probe: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/godwitnotch/net/peer_link.py
+++ b/godwitnotch/net/peer_link.py
@@ -15,6 +15,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 
 import websockets
 import websockets.asyncio.client
@@ -37,8 +38,10 @@
     """Bounds of the links of one host.
 
     Attributes:
-        heartbeat_interval_s: Between heartbeats on a link.
-        silence_timeout_s: A link that brings nothing for so long is down.
+        heartbeat_interval_s: Between heartbeats on a link, if links are few.
+        max_heartbeats_per_s: Over all links; with many links each has fewer.
+        silence_timeout_s: A link is down if it brings nothing for so long
+            after something was sent, or for three heartbeats if longer.
         handshake_timeout_s: From dialling to an open link.
         min_backoff_s: First pause after a failed dial.
         max_backoff_s: Longest pause between dials.
@@ -52,6 +55,7 @@
     """
 
     heartbeat_interval_s: float = 1.0
+    max_heartbeats_per_s: float = 8.0
     silence_timeout_s: float = 3.0
     handshake_timeout_s: float = 2.0
     min_backoff_s: float = 0.1
@@ -101,6 +105,7 @@
     }
 )
 _MAX_DOUBLINGS = 16
+_HEARTBEATS_MISSED = 3
 
 _Connection = websockets.asyncio.connection.Connection
 OnEvent = Callable[[events.Event], None]
@@ -155,6 +160,7 @@
         self._dials: dict[ids.HostId, asyncio.Task[None]] = {}
         self._handshakes = 0
         self._closing = False
+        self._watch_task: asyncio.Task[None] | None = None
 
     @property
     def linked(self) -> Mapping[ids.HostId, messages.Hello]:
@@ -162,7 +168,8 @@
         return {host: link.hello for host, link in self._links.items()}
 
     async def start(self, listener: socket.socket) -> None:
-        """Accepts links on a listening socket."""
+        """Accepts links on a listening socket, and watches them all."""
+        self._watch_task = asyncio.create_task(self._watch())
         self._server = await websockets.asyncio.server.serve(
             self._accepted,
             sock=listener,
@@ -201,10 +208,32 @@
         await asyncio.gather(*(link.finish() for link in links))
         for task in self._dials.values():
             task.cancel()
+        if self._watch_task is not None:
+            self._watch_task.cancel()
         if self._server is not None:
             self._server.close()
             await self._server.wait_closed()
 
+    async def _watch(self) -> None:
+        """Sends heartbeats, and ends the links that have gone silent."""
+        loop = asyncio.get_running_loop()
+        limits = self._limits
+        looked_at = loop.time()
+        while True:
+            await asyncio.sleep(limits.heartbeat_interval_s)
+            now = loop.time()
+            paused = now - looked_at > 2 * limits.heartbeat_interval_s
+            looked_at = now
+            interval_s = max(
+                limits.heartbeat_interval_s,
+                len(self._links) / limits.max_heartbeats_per_s,
+            )
+            for link in list(self._links.values()):
+                if paused:
+                    # What arrived meanwhile is still unread.
+                    link.hear(now=now)
+                link.watch(interval_s, now=now)
+
     def _dialled(self, host: ids.HostId, task: asyncio.Task[None]) -> None:
         self._dials.pop(host, None)
         if not task.cancelled() and task.exception() is not None:
@@ -416,13 +445,63 @@
         self._end: asyncio.Future[LinkEnd] = (
             asyncio.get_running_loop().create_future()
         )
-        self._heard_at = 0.0
+        self._heard_at = asyncio.get_running_loop().time()
+        self._peer_interval_s = limits.heartbeat_interval_s
+        self._interval_s = limits.heartbeat_interval_s
+        self._heartbeat_at = 0.0
+        self._unheard_since: float | None = None
+
+    def hear(self, *, now: float) -> None:
+        """Notes that the peer is alive."""
+        self._heard_at = now
+        self._unheard_since = None
+
+    def watch(self, interval_s: float, *, now: float) -> None:
+        """Sends a heartbeat if one is due; ends a link that is silent.
+
+        A peer that has said nothing since a message went to it is probed, so
+        that a call waiting for its answer learns soon that the link is dead.
+        """
+        if now > self._silent_at():
+            self.stop(LinkEnd.SILENT)
+            return
+        waits = self._waits_since(now - self._limits.heartbeat_interval_s)
+        # Half a tick of slack, since ticks and intervals never align.
+        slack_s = self._limits.heartbeat_interval_s / 2
+        due = now >= self._heartbeat_at + interval_s - slack_s
+        self._interval_s = interval_s
+        if waits or due:
+            self._heartbeat_at = now
+            self._send_heartbeat(interval_s, probe=waits)
+
+    def _waits_since(self, then: float) -> bool:
+        return self._unheard_since is not None and self._unheard_since <= then
+
+    def _silent_at(self) -> float:
+        """Returns when the link counts as dead if nothing arrives."""
+        timeout_s = self._limits.silence_timeout_s
+        idle_s = max(timeout_s, _HEARTBEATS_MISSED * self._peer_interval_s)
+        silent_at = self._heard_at + idle_s
+        if self._unheard_since is not None:
+            silent_at = min(silent_at, self._unheard_since + timeout_s)
+        return silent_at
+
+    def _send_heartbeat(self, interval_s: float, *, probe: bool) -> None:
+        heartbeat = replace(
+            self._heartbeat(), interval_s=interval_s, probe=probe
+        )
+        self._push(codec.MESSAGES.encode(heartbeat))
 
     def send(self, message: messages.Message) -> bool:
         """Queues a message; False if the link has ended or can't take it."""
         data = codec.MESSAGES.encode(message)
         if self._end.done() or len(data) > self._limits.max_message_bytes:
             return False
+        if self._unheard_since is None:
+            self._unheard_since = asyncio.get_running_loop().time()
+        return self._push(data)
+
+    def _push(self, data: bytes) -> bool:
         self._queue.push(data)
         if (
             len(self._queue.messages) > self._limits.max_queued_messages
@@ -452,8 +531,7 @@
     async def run(self) -> LinkEnd:
         """Carries messages both ways until the link ends; returns why."""
         tasks = [
-            asyncio.create_task(part())
-            for part in (self._read, self._write, self._watch)
+            asyncio.create_task(part()) for part in (self._read, self._write)
         ]
         for task in tasks:
             task.add_done_callback(self._part_done)
@@ -485,8 +563,15 @@
                 return LinkEnd.CLOSED
             if isinstance(result, Failure):
                 return LinkEnd.BAD_MESSAGE
-            self._heard_at = loop.time()
-            self._on_event(events.PeerSaid(self.hello.host, result.unwrap()))
+            self.hear(now=loop.time())
+            self._take(result.unwrap())
+
+    def _take(self, message: messages.Message) -> None:
+        if isinstance(message, messages.Heartbeat):
+            self._peer_interval_s = message.interval_s
+            if message.probe:
+                self._send_heartbeat(self._interval_s, probe=False)
+        self._on_event(events.PeerSaid(self.hello.host, message))
 
     async def _write(self) -> LinkEnd:
         queue = self._queue
@@ -497,22 +582,6 @@
             queue.filled.clear()
             await queue.filled.wait()
 
-    async def _watch(self) -> LinkEnd:
-        """Sends heartbeats, and ends the link when none arrive."""
-        loop = asyncio.get_running_loop()
-        interval_s = self._limits.heartbeat_interval_s
-        self._heard_at = looked_at = loop.time()
-        while True:
-            self.send(self._heartbeat())
-            await asyncio.sleep(interval_s)
-            now = loop.time()
-            if now - looked_at > 2 * interval_s:
-                # This process was paused; what has arrived is still unread.
-                self._heard_at = now
-            looked_at = now
-            if now - self._heard_at > self._limits.silence_timeout_s:
-                return LinkEnd.SILENT
-
 
 def _wire(connection: _Connection) -> peer_auth.Wire:
     async def receive() -> bytes:
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -1,6 +1,7 @@
 """Tests of the links between hosts, over loopback sockets."""
 
 import asyncio
+import dataclasses
 import random
 import unittest
 from collections.abc import Callable
@@ -37,13 +38,19 @@
         results=(b"1" * 90_000,),
     ),
 )
+# Ten seconds between heartbeats on a single link.
+RARE = dataclasses.replace(LIMITS, max_heartbeats_per_s=0.1)
 
 
 class Host:
     """One end: its links, and what they reported."""
 
     def __init__(
-        self, name: str, incarnation: str = "1", secret: bytes = SECRET
+        self,
+        name: str,
+        incarnation: str = "1",
+        secret: bytes = SECRET,
+        limits: peer_link.PeerLimits = LIMITS,
     ) -> None:
         self.name = ids.HostId(name)
         self.events: list[events.Event] = []
@@ -61,7 +68,7 @@
             on_event=self.events.append,
             on_note=self.notes.append,
             chance=random.Random(1),
-            limits=LIMITS,
+            limits=limits,
         )
         self.address = ""
 
@@ -112,8 +119,9 @@
         incarnation: str = "1",
         secret: bytes = SECRET,
         port: int = 0,
+        limits: peer_link.PeerLimits = LIMITS,
     ) -> Host:
-        host = await Host(name, incarnation, secret).start(port)
+        host = await Host(name, incarnation, secret, limits).start(port)
         self.addAsyncCleanup(host.links.close)
         return host
 
@@ -172,6 +180,32 @@
         self.assertTrue(low.links.send(high.name, messages.ConfigChanged(1)))
         await until(lambda: high.said(messages.ConfigChanged))
 
+    async def test_rare_heartbeats_keep_a_link_and_say_when_the_next_comes(
+        self,
+    ) -> None:
+        low, high = await self.host("a"), await self.host("b", limits=RARE)
+        low.see(high)
+        await until(lambda: low.said(messages.Heartbeat))
+        await asyncio.sleep(3 * LIMITS.silence_timeout_s)
+        self.assertEqual(low.downs(), 0)
+        self.assertEqual(
+            {each.interval_s for each in low.said(messages.Heartbeat)}, {10.0}
+        )
+
+    async def test_a_message_into_a_silent_link_is_noticed_between_heartbeats(
+        self,
+    ) -> None:
+        low = await self.host("a", limits=RARE)
+        high = await self.host("b", limits=RARE)
+        between = await self.relay_to(high.address)
+        low.see(high, between.address)
+        await until(lambda: high.said(messages.Heartbeat))
+        await until(lambda: low.said(messages.Heartbeat))
+        between.silence()
+        low.links.send(high.name, messages.ConfigChanged(1))
+        await until(lambda: low.downs() == 1)
+        self.assertEqual(low.noted("peer_link_silent"), 1)
+
     async def test_wrong_secret_is_refused(self) -> None:
         low = await self.host("a", secret=b"x" * 32)
         high = await self.host("b")
