Decode the JSON of answers with one decoder

json.loads builds a decoder for each call that gives parse_constant. Least of 15 repeats of 5,000 calls on a 24-byte answer: 3.94 us before, 1.64 us after. A whole exchange showed no difference in five paired runs of 8,000 exchanges (343 to 457 us before, 339 to 471 us after): the machine's noise is larger than the gain. h11 alone took 101 us of an exchange in the same minute.

--- a/godwitnotch/net/upstream_client.py
+++ b/godwitnotch/net/upstream_client.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+from typing import NoReturn
 
 from godwitnotch.core import actions
 from godwitnotch.core import events
@@ -39,6 +40,13 @@
 }
 
 
+def _reject_constant(name: str) -> NoReturn:
+    raise ValueError(f"{name} is not JSON")
+
+
+_DECODER = json.JSONDecoder(parse_constant=_reject_constant)
+
+
 class UpstreamClient:
     """Sends each task once and tells how the attempt ended.
 
@@ -126,16 +134,12 @@
 
 def _is_json(body: bytes) -> bool:
     try:
-        json.loads(body.decode(), parse_constant=_reject_constant)
+        _DECODER.decode(body.decode())
     except (ValueError, RecursionError):
         return False
     return True
 
 
-def _reject_constant(name: str) -> None:
-    raise ValueError(f"{name} is not JSON")
-
-
 def _seconds(headers: Mapping[str, str]) -> float | None:
     seconds = _parsed(float, headers.get(RETRY_AFTER_HEADER, ""))
     if seconds is None or not 0 <= seconds < float("inf"):
