--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,10 @@
 mutants: setup
 	$(PY) -m tests.mutants
 
+# The chosen policy comes last; a few minutes.
+bench: setup
+	$(PY) -m bench.fleet_bench --seeds 2 --load 0.7
+
 lint: setup
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
