--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -320,6 +320,11 @@
         return host_client.HostClient(node.address, self._operator_token)
 
 
+def end_on_sigterm() -> None:
+    """Lets SIGTERM unwind the bench, so that it ends its processes."""
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))
+
+
 async def until(
     condition: Callable[[], Awaitable[_Found | None]],
     what: str,
--- a/bench/fleet_bench.py
+++ b/bench/fleet_bench.py
@@ -118,6 +118,7 @@
         out or pathlib.Path(tempfile.mkdtemp(prefix="godwitnotch-bench-")),
     )
     plan.folder.mkdir(parents=True, exist_ok=True)
+    fleet.end_on_sigterm()
     runs = asyncio.run(_run_all(plan))
     _print_table(plan, runs)
     for name in plan.policies:
--- a/bench/thin_path.py
+++ b/bench/thin_path.py
@@ -70,6 +70,7 @@
     ] = TASKS_EACH_SIZE,
 ) -> None:
     """Prints jobs/s, tasks/s, cost for each job and task, and memory."""
+    fleet.end_on_sigterm()
     asyncio.run(_measure(policy, tasks))
 
 
