--- a/godwitnotch/net/job_json.py
+++ b/godwitnotch/net/job_json.py
@@ -22,6 +22,10 @@
 KEY_PATTERN = re.compile(r"[!#-\[\]-~]{1,200}")
 KEY_ALLOWED = '1 to 200 printable ASCII characters, no blank, " or \\'
 
+_encode = json.JSONEncoder(
+    allow_nan=False, sort_keys=True, separators=(",", ":")
+).encode
+
 _JOB_KEYS = ("template", "tasks", "timeout_ms")
 _TASK_KEYS = ("payload", "declared_ms")
 _RESERVATION_KEYS = ("count", "key")
@@ -189,9 +193,7 @@
 def _payload(index: int, value: object) -> bytes:
     """Returns one text for equal values, so that a resubmission matches."""
     try:
-        text = json.dumps(
-            value, allow_nan=False, sort_keys=True, separators=(",", ":")
-        )
+        text = _encode(value)
     except ValueError as error:
         raise _Refused(
             f"the payload of task {index} has a number out of range; send it "
