--- a/godwitnotch/net/caller_api.py
+++ b/godwitnotch/net/caller_api.py
@@ -1,6 +1,7 @@
 """Answers HTTP requests by the table of routes."""
 
 import asyncio
+import logging
 
 from godwitnotch import event_ring
 from godwitnotch import log
@@ -99,6 +100,11 @@
         wanted = self._host.operator_token_sha256
         if routes.token_matches(call.request, wanted):
             return None
+        log.event(
+            "operator_unauthorized",
+            severity=logging.WARNING,
+            path=call.request.path,
+        )
         return _unauthorized(
             routes.error(
                 401,
--- a/godwitnotch/net/operator_routes.py
+++ b/godwitnotch/net/operator_routes.py
@@ -86,6 +86,9 @@
 async def _ask_to_put(
     host: routes.Host, config: model.WorkspaceConfig, wait_s: float
 ) -> http_types.HttpResponse:
+    log.event(
+        "config_put_asked", workspace=config.workspace, version=config.version
+    )
     started_at = host.port.now()
     answer = await host.port.ask(
         lambda call_id: events.ConfigPutAsked(
@@ -131,6 +134,7 @@
             "timeout_s is no number of seconds from 0 to "
             f"{MAX_DRAIN_TIMEOUT_S:g}",
         )
+    log.event("drain_asked", timeout_s=timeout_s)
     host.port.drain(deadline=host.port.now() + timeout_s)
     return routes.json_response(
         202, {"state": "draining", "timeout_s": timeout_s}
@@ -146,6 +150,7 @@
         log.set_level(wanted)
     except ValueError as error:
         return routes.error(400, "bad_request", str(error))
+    log.event("log_level_set", log_level=wanted)
     return routes.json_response(200, {"log_level": wanted})
 
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -9,6 +9,7 @@
 
 from godwitnotch.core import model
 from godwitnotch.net import http_types
+from godwitnotch.net import peer_link
 from tests import serving
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -94,3 +95,7 @@
         for name in sorted(named):
             with self.subTest(name=name):
                 self.assertIn(f"| `{name}` |", EVENTS)
+
+    def test_operators_find_every_end_of_a_link(self) -> None:
+        for end in peer_link.LinkEnd:
+            self.assertIn(f"`peer_link_{end.value}`", EVENTS)
