--- a/godwitnotch/cli.py
+++ b/godwitnotch/cli.py
@@ -1,7 +1,10 @@
 """The command line; each command loads only what it needs."""
 
+from typing import Annotated
+
 import typer
 
+import godwitnotch
 from godwitnotch.commands import callers
 from godwitnotch.commands import hosts
 from godwitnotch.commands import settings_files
@@ -11,7 +14,6 @@
 
 app = typer.Typer(
     name="godwitnotch",
-    help="A dispatcher for jobs of sub-second tasks.",
     no_args_is_help=True,
     add_completion=False,
     pretty_exceptions_show_locals=False,
@@ -24,6 +26,27 @@
 views.register(app)
 
 
+def _print_version(wanted: bool) -> None:
+    if wanted:
+        print(f"godwitnotch {godwitnotch.__version__}")
+        raise typer.Exit
+
+
+@app.callback()
+def options(
+    version: Annotated[
+        bool,
+        typer.Option(
+            "--version",
+            callback=_print_version,
+            is_eager=True,
+            help="Print the version and exit.",
+        ),
+    ] = False,
+) -> None:
+    """A dispatcher for jobs of sub-second tasks."""
+
+
 def main() -> None:
     """Runs the command that the arguments name."""
     app()
--- a/godwitnotch/commands/hosts.py
+++ b/godwitnotch/commands/hosts.py
@@ -38,7 +38,14 @@
     loaded = settings_files.load(settings)
     from godwitnotch import root
 
-    asyncio.run(root.run_host(loaded))
+    try:
+        asyncio.run(root.run_host(loaded))
+    except OSError as error:
+        options.fail(
+            f"the host can't start: {error}; free the address, or change "
+            f"listen in {settings}",
+            options.ExitCode.FAILED,
+        )
 
 
 @app.command()
--- a/godwitnotch/commands/settings_files.py
+++ b/godwitnotch/commands/settings_files.py
@@ -29,13 +29,34 @@
 
 
 @app.command()
-def check(file: File) -> None:
-    """Checks a file and the secrets it names; prints every problem.
+def check(
+    files: Annotated[list[pathlib.Path], typer.Argument(metavar="FILE...")],
+) -> None:
+    """Checks files and the secrets they name; prints every problem.
+
+    Several files are also checked against each other, as those of one
+    deployment: names and addresses differ, secret and platform are the same.
 
-    Example: godwitnotch settings check /etc/godwitnotch/host.yaml
+    Example: godwitnotch settings check lucerne-1.yaml lucerne-2.yaml
     """
-    loaded = load(file)
-    print(f"{file}: no problem; host={loaded.host} domain={loaded.domain}")
+    from godwitnotch import settings
+
+    loaded = {str(file): settings.load(file) for file in files}
+    good = {
+        file: result.unwrap()
+        for file, result in loaded.items()
+        if not isinstance(result, Failure)
+    }
+    problems = [
+        str(result.failure())
+        for result in loaded.values()
+        if isinstance(result, Failure)
+    ]
+    problems += [str(problem) for problem in settings.check_together(good)]
+    if problems:
+        options.fail("\n".join(problems), options.ExitCode.USAGE)
+    for file, host in good.items():
+        print(f"{file}: no problem; host={host.host} domain={host.domain}")
 
 
 @app.command()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import tempfile
+import tomllib
 import unittest
 from collections.abc import Iterator
 from typing import Any
@@ -306,7 +307,32 @@
             self.assertIn("properties", json.loads(result.stdout))
 
 
+class StartTest(CommandTest):
+    def test_an_address_in_use_is_told_with_the_remedy(self) -> None:
+        file = self.write(
+            "host.yaml",
+            f"""
+            host: h1
+            domain: d1
+            listen: {{callers: "{self.address}", peers: "127.0.0.1:0"}}
+            platform: 127.0.0.1:1
+            secret: {{environment: SECRET}}
+            operator_token: {{environment: SECRET}}
+            """,
+        )
+        os.environ["SECRET"] = "s" * 32
+        result = self.invoke("host", "--settings", file)
+        self.assertEqual(result.exit_code, options.ExitCode.FAILED)
+        self.assertIn("free the address", result.stderr)
+
+
 class HelpTest(unittest.TestCase):
+    def test_the_version_is_that_of_the_package(self) -> None:
+        text = pathlib.Path("pyproject.toml").read_text()
+        version = tomllib.loads(text)["project"]["version"]
+        result = typer.testing.CliRunner().invoke(cli.app, ["--version"])
+        self.assertEqual(result.stdout, f"godwitnotch {version}\n")
+
     def test_every_command_has_help_with_an_example(self) -> None:
         commands = list(_commands(typer.main.get_command(cli.app), ()))
         self.assertGreater(len(commands), 15)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -183,6 +183,32 @@
                 settings.parse_address(text)
 
 
+class DeploymentTest(unittest.TestCase):
+    def check(self, text: str, secret: str = SECRET) -> list[str]:
+        hosts = {
+            name: settings.parse(
+                each, source=name, environment={**ENVIRONMENT, "SECRET": key}
+            ).unwrap()
+            for name, each, key in (("a", GOOD, SECRET), ("b", text, secret))
+        }
+        problems = settings.check_together(hosts)
+        self.assertNotIn(secret, str(problems))
+        return [f"{problem.source} {problem.key}" for problem in problems]
+
+    def test_hosts_of_one_deployment_fit(self) -> None:
+        text = GOOD.replace("h1", "h2").replace("8080", "8090")
+        self.assertEqual(self.check(text), [])
+
+    def test_what_must_differ_and_what_must_not(self) -> None:
+        text = GOOD.replace("9000", "9001").replace("h1", "h2")
+        self.assertEqual(
+            self.check(text, "t" * 32),
+            ["b listen.callers", "b secret", "b platform"],
+        )
+        text = GOOD.replace("8080", "8090")
+        self.assertEqual(self.check(text), ["b host"])
+
+
 class WorkspaceFileTest(unittest.TestCase):
     def check(self, text: str) -> list[checked_yaml.Problem]:
         checked = checked_yaml.check_text(
