Run the trial of the install page as a test; warn of unlisted upstreams; host ready

The page needed curl and openssl, which a fresh machine may lack, and a copied block raced with the start of the host: `host ready` waits for it.

--- a/godwitnotch/commands/hosts.py
+++ b/godwitnotch/commands/hosts.py
@@ -3,15 +3,23 @@
 import asyncio
 import json
 import pathlib
+import time
 from typing import Annotated
+from typing import TYPE_CHECKING
 
 import typer
 
 from godwitnotch.commands import options
 from godwitnotch.commands import settings_files
 
+if TYPE_CHECKING:
+    from godwitnotch import host_client
+
 app = typer.Typer(invoke_without_command=True)
 
+_READY_POLL_S = 0.2
+_READY_TIMEOUT_S = 2.0
+
 
 @app.callback()
 def run(
@@ -63,6 +71,40 @@
     print(json.dumps(answer.value, indent=2))
 
 
+@app.command()
+def ready(
+    host: options.Host,
+    wait: Annotated[
+        float, typer.Option(min=0, help="Seconds to wait for it.")
+    ] = 30.0,
+) -> None:
+    """Waits until a host takes new work; exit code 1 if it doesn't in time.
+
+    Example: godwitnotch host ready --host 127.0.0.1:8080 --wait 10
+    """
+    from godwitnotch import host_client
+
+    client = host_client.HostClient(host, "")
+    deadline = time.monotonic() + wait
+    while not _is_ready(client):
+        if time.monotonic() >= deadline:
+            options.fail(
+                f"host {host} was not ready within {wait:g} s; see its log",
+                options.ExitCode.REFUSED,
+            )
+        time.sleep(_READY_POLL_S)
+    print("state=ready")
+
+
+def _is_ready(client: "host_client.HostClient") -> bool:
+    from godwitnotch import host_client
+
+    try:
+        return client.call("GET", "/readyz", timeout_s=_READY_TIMEOUT_S).ok
+    except host_client.HostUnreachable:
+        return False
+
+
 @app.command()
 def drain(
     host: options.Host,
--- a/godwitnotch/commands/workspaces.py
+++ b/godwitnotch/commands/workspaces.py
@@ -1,7 +1,9 @@
 """Commands for the settings of workspaces."""
 
+import difflib
 import pathlib
 import sys
+from collections.abc import Iterator
 from typing import Annotated
 from typing import Any
 from typing import NoReturn
@@ -111,6 +113,8 @@
         seen, wanted, old_name=f"version {seen_version}", new_name=str(file)
     )
     print(change or "no change", end="" if change else "\n")
+    for warning in _unlisted_upstreams(client, wanted):
+        print(f"warning: {warning}", file=sys.stderr)
     if dry_run or not change:
         return
     answer = options.call(
@@ -146,6 +150,28 @@
     return int(answer.value["version"]), answer.value["settings"]
 
 
+def _unlisted_upstreams(
+    client: "host_client.HostClient", wanted: dict[str, Any]
+) -> Iterator[str]:
+    """Yields a warning for each upstream that the platform doesn't list.
+
+    The list lags, so these are no problems of the file.
+    """
+    answer = options.call(client, "GET", "/v1/host")
+    _expect_ok(answer)
+    listed = [str(each["upstream"]) for each in answer.value["upstreams"]]
+    for name, template in wanted["templates"].items():
+        for upstream in template["upstreams"]:
+            if upstream in listed:
+                continue
+            nearest = difflib.get_close_matches(upstream, listed, n=1)
+            hint = f"; did you mean {nearest[0]!r}?" if nearest else ""
+            yield (
+                f"template {name!r} names upstream {upstream!r}, which is not "
+                f"in the platform's list{hint}"
+            )
+
+
 def _finish_put(
     answer: "host_client.HostAnswer",
     seen: dict[str, Any],
--- a/godwitnotch/settings.py
+++ b/godwitnotch/settings.py
@@ -545,7 +545,7 @@
             "secret",
             f"a secret of {len(secret)} bytes (not shown)",
             f"{MIN_SECRET_BYTES} to {MAX_SECRET_BYTES} bytes",
-            "make one with `openssl rand -hex 32`, the same on all hosts",
+            "make one of 64 random hex digits, the same on all hosts",
         )
 
     def _read_file(self, key: str, file: str) -> bytes | None:
--- a/tests/fake_port.py
+++ b/tests/fake_port.py
@@ -32,6 +32,7 @@
         self.ready = True
         self.configs = configs
         self.time = 100.0
+        self.upstreams: tuple[core_port.UpstreamStatus, ...] = ()
         self.answer: core_port.Answer | Exception | None = None
         self.events: list[events.Event] = []
         self.drain_deadline: float | None = None
@@ -41,7 +42,9 @@
         return self.time
 
     def status(self) -> core_port.HostStatus:
-        return core_port.HostStatus(HOST, ready=self.ready, draining=False)
+        return core_port.HostStatus(
+            HOST, ready=self.ready, draining=False, upstreams=self.upstreams
+        )
 
     async def ask(self, make_event: core_port.MakeEvent) -> core_port.Answer:
         self.events.append(make_event(CALL))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -26,6 +26,7 @@
 from godwitnotch.core import ids
 from godwitnotch.core import model
 from godwitnotch.net import caller_api
+from godwitnotch.net import core_port
 from godwitnotch.net import http_types
 from tests import fake_port
 from tests import serving
@@ -192,6 +193,20 @@
         )
         self.assertEqual(self.port.events, [])
 
+    def test_upstreams_that_the_platform_does_not_list_are_warned_of(
+        self,
+    ) -> None:
+        self.port.upstreams = (
+            core_port.UpstreamStatus(
+                ids.UpstreamId("w01"), ids.DomainId("d1"), 8, 0, False
+            ),
+        )
+        self.document["templates"]["check"]["upstreams"] = ["w01", "w1"]
+        result = self.put("--dry-run")
+        self.assertEqual(result.stderr.count("warning:"), 1)
+        self.assertIn("'w1'", result.stderr)
+        self.assertIn("did you mean 'w01'?", result.stderr)
+
     def test_what_get_prints_can_be_put_without_a_change(self) -> None:
         got = self.call("workspace", "get", "acme").stdout
         file = self.write("acme.yaml", got)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,9 +1,15 @@
 """Tests that the pages are true to the code."""
 
 import asyncio
+import contextlib
 import json
+import os
 import pathlib
 import re
+import socket
+import subprocess
+import sys
+import tempfile
 import unittest
 from typing import Any
 
@@ -18,6 +24,14 @@
 EVENTS = (ROOT / "docs" / "operators" / "events.md").read_text()
 JOB = {"template": "t", "tasks": [1]}
 
+# Ends the processes that the page starts, by their ids; first the host, which
+# drains and for that needs the platform.
+_TRIAL_START = """
+set -e
+trap 'kill $!; wait $!; kill $(jobs -p); wait' EXIT
+"""
+_TRIAL_PORTS = ("9101", "9000", "8080", "8081")
+
 _EVENT_CALL = re.compile(
     r'(?:\.event|[nN]ote|_note_attempt)\(\s*"([a-z_]+)"|"event": "([a-z_]+)"'
 )
@@ -31,6 +45,16 @@
     return names
 
 
+def _with_free_ports(text: str) -> str:
+    """Returns the page's text with its ports replaced by free ones."""
+    with contextlib.ExitStack() as stack:
+        for port in _TRIAL_PORTS:
+            probe = stack.enter_context(socket.socket())
+            probe.bind(("127.0.0.1", 0))
+            text = text.replace(f":{port}", f":{probe.getsockname()[1]}")
+    return text
+
+
 class CallersExampleTest(unittest.TestCase):
     def setUp(self) -> None:
         self.answers: list[dict[str, object] | None] = []
@@ -76,6 +100,35 @@
             self.run_job()
 
 
+class InstallPageTest(unittest.TestCase):
+    def test_the_trial_of_the_page_ends_complete(self) -> None:
+        page = (ROOT / "docs" / "operators" / "install.md").read_text()
+        trial = page.split("## A trial on one machine")[1]
+        trial = _with_free_ports(trial.split("## In production")[0])
+        lines = re.findall(r"(?m)^    (.*)$", trial)
+        with tempfile.TemporaryDirectory() as folder:
+            command = pathlib.Path(folder, "godwitnotch")
+            command.write_text(
+                f'#!/bin/sh\nexec {sys.executable} -m godwitnotch "$@"\n'
+            )
+            command.chmod(0o755)
+            path = f"{folder}:{pathlib.Path(sys.executable).parent}"
+            done = subprocess.run(
+                ["bash", "-c", "\n".join((_TRIAL_START, *lines))],
+                cwd=folder,
+                env={
+                    "PATH": f"{path}:{os.environ['PATH']}",
+                    "PYTHONPATH": str(ROOT),
+                },
+                capture_output=True,
+                text=True,
+                timeout=60,
+            )
+        output = done.stdout + done.stderr
+        self.assertEqual(done.returncode, 0, output)
+        self.assertIn("outcome=complete ran=something answers=2", output)
+
+
 class ListsTest(unittest.TestCase):
     def test_operators_find_every_reason(self) -> None:
         for value in (*model.Reason, *model.AttemptOutcome):
