--- a/godwitnotch/checked_yaml.py
+++ b/godwitnotch/checked_yaml.py
@@ -1,6 +1,7 @@
 """Checks YAML documents against pydantic models, all problems at once."""
 
 import difflib
+import pathlib
 import types
 import typing
 from collections.abc import Iterator
@@ -79,6 +80,24 @@
         return "\n".join(str(problem) for problem in self.problems)
 
 
+def read_text(
+    path: pathlib.Path,
+) -> Result[str, InvalidDocument]:
+    """Reads a file, or returns the problem of reading it."""
+    try:
+        return Success(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        problem = Problem(
+            str(path),
+            None,
+            "",
+            str(error),
+            "a readable file in UTF-8",
+            "check the path and its permissions",
+        )
+        return Failure(InvalidDocument((problem,)))
+
+
 def check_text(
     text: str, kind: type[Model], *, source: str
 ) -> Result[Model, InvalidDocument]:
--- a/godwitnotch/commands/settings_files.py
+++ b/godwitnotch/commands/settings_files.py
@@ -39,9 +39,10 @@
 
     Example: godwitnotch settings check lucerne-1.yaml lucerne-2.yaml
     """
-    from godwitnotch import settings
+    from godwitnotch import deployment
+    from godwitnotch import settings_file
 
-    loaded = {str(file): settings.load(file) for file in files}
+    loaded = {str(file): settings_file.load(file) for file in files}
     good = {
         file: result.unwrap()
         for file, result in loaded.items()
@@ -52,7 +53,7 @@
         for result in loaded.values()
         if isinstance(result, Failure)
     ]
-    problems += [str(problem) for problem in settings.check_together(good)]
+    problems += [str(problem) for problem in deployment.check(good)]
     if problems:
         options.fail("\n".join(problems), options.ExitCode.USAGE)
     for file, host in good.items():
@@ -65,9 +66,9 @@
 
     Example: godwitnotch settings show /etc/godwitnotch/host.yaml
     """
-    from godwitnotch import settings
+    from godwitnotch import settings_file
 
-    print(settings.show(load(file)), end="")
+    print(settings_file.show(load(file)), end="")
 
 
 @app.command()
@@ -79,11 +80,11 @@
     Example: godwitnotch settings schema --kind workspace
     """
     from godwitnotch import checked_yaml
-    from godwitnotch import settings
+    from godwitnotch import settings_document
     from godwitnotch import workspace_file
 
     models: dict[Kind, type[checked_yaml.Checked]] = {
-        Kind.HOST: settings.HostDocument,
+        Kind.HOST: settings_document.HostDocument,
         Kind.WORKSPACE: workspace_file.WorkspaceDocument,
     }
     print(json.dumps(models[kind].model_json_schema(), indent=2))
@@ -91,9 +92,9 @@
 
 def load(file: pathlib.Path) -> "settings.HostSettings":
     """Returns the settings of a host, or prints the problems and exits."""
-    from godwitnotch import settings
+    from godwitnotch import settings_file
 
-    loaded = settings.load(file)
+    loaded = settings_file.load(file)
     if isinstance(loaded, Failure):
         options.fail(str(loaded.failure()), options.ExitCode.USAGE)
     return loaded.unwrap()
--- /dev/null
+++ b/godwitnotch/settings_document.py
@@ -0,0 +1,210 @@
+"""The settings file of a host: its keys and what is allowed in each."""
+
+from typing import Annotated
+from typing import Any
+
+import pydantic
+
+from godwitnotch import checked_yaml
+from godwitnotch import settings
+from godwitnotch.core import ids
+from godwitnotch.core import limits as limits_module
+
+_NAME = rf"^{ids.NAME_PATTERN.pattern}$"
+_HOST_LIMITS = limits_module.HostLimits()
+_SHA256 = r"^[0-9a-f]{64}$"
+_NAME_ALLOWED = (
+    "1 to 63 lower case letters, digits and hyphens, no hyphen first"
+)
+
+
+def _address_allowed(text: str) -> str:
+    try:
+        settings.parse_address(text)
+    except ValueError as error:
+        raise checked_yaml.custom_problem(
+            "an IP number and a port, as 10.0.1.11:8080 or [fd00::1]:8080"
+        ) from error
+    return text
+
+
+AddressText = Annotated[str, pydantic.AfterValidator(_address_allowed)]
+
+
+class ListenDocument(checked_yaml.Checked):
+    """Addresses that the host listens on."""
+
+    callers: AddressText = pydantic.Field(
+        description="IP:PORT that serves callers and operators over HTTP",
+        examples=["10.0.1.11:8080"],
+    )
+    peers: AddressText = pydantic.Field(
+        description="IP:PORT that serves the other hosts",
+        examples=["10.0.1.11:8081"],
+    )
+    advertised: AddressText | None = pydantic.Field(
+        default=None,
+        description="IP:PORT that the other hosts dial, if not that of peers",
+        examples=["10.0.1.11:8081"],
+    )
+
+
+class SecretDocument(checked_yaml.Checked):
+    """Where a secret is read from: exactly one of the keys."""
+
+    file: str | None = pydantic.Field(
+        default=None,
+        description="path of a file that holds nothing but the secret",
+        examples=["/run/secrets/godwitnotch"],
+    )
+    environment: str | None = pydantic.Field(
+        default=None,
+        description="name of an environment variable that holds the secret",
+        examples=["GODWITNOTCH_SECRET"],
+    )
+
+    @pydantic.model_validator(mode="after")
+    def _exactly_one(self) -> "SecretDocument":
+        if (self.file is None) == (self.environment is None):
+            raise checked_yaml.custom_problem(
+                "exactly one of the keys file and environment"
+            )
+        return self
+
+
+class TokenDocument(checked_yaml.Checked):
+    """Operators' bearer token, as digest or by its place: one of the keys."""
+
+    sha256: str | None = pydantic.Field(
+        default=None,
+        pattern=_SHA256,
+        description="SHA-256 of the token, 64 lower case hex digits",
+        examples=["see `printf %s TOKEN | sha256sum`"],
+    )
+    file: str | None = pydantic.Field(
+        default=None,
+        description="path of a file that holds nothing but the token",
+        examples=["/run/secrets/godwitnotch-operator"],
+    )
+    environment: str | None = pydantic.Field(
+        default=None,
+        description="name of an environment variable that holds the token",
+        examples=["GODWITNOTCH_OPERATOR_TOKEN"],
+    )
+
+    @pydantic.model_validator(mode="after")
+    def _exactly_one(self) -> "TokenDocument":
+        given = (self.sha256, self.file, self.environment)
+        if sum(value is not None for value in given) != 1:
+            raise checked_yaml.custom_problem(
+                "exactly one of the keys sha256, file and environment"
+            )
+        return self
+
+
+def _limit(default: float, least: float, most: float, unit: str) -> Any:
+    """Returns a field for a number between two bounds."""
+    return pydantic.Field(
+        default=default,
+        ge=least,
+        le=most,
+        description=f"{unit}, {least:g} to {most:.15g}",
+        examples=[default],
+    )
+
+
+class LimitsDocument(checked_yaml.Checked):
+    """Bounds of the process; each has a default."""
+
+    drain_timeout_s: float = _limit(30.0, 0.1, 3_600, "seconds")
+    max_body_bytes: int = _limit(4_194_304, 1_024, 67_108_864, "bytes")
+    max_header_bytes: int = _limit(16_384, 1_024, 65_536, "bytes")
+    receive_timeout_s: float = _limit(10.0, 0.1, 600, "seconds")
+    idle_timeout_s: float = _limit(75.0, 0.1, 3_600, "seconds")
+    max_connections: int = _limit(4_096, 1, 65_536, "a count")
+    event_ring_events: int = _limit(20_000, 1, 1_000_000, "a count")
+    max_reserve: int = _limit(
+        _HOST_LIMITS.max_reserve, 1, 100_000, "ids in one reservation"
+    )
+    reservation_open_s: float = _limit(
+        _HOST_LIMITS.reservation_open_s, 1, 86_400, "seconds"
+    )
+    answer_keep_s: float = _limit(
+        _HOST_LIMITS.answer_keep_s, 1, 86_400, "seconds"
+    )
+    max_kept_answers: int = _limit(
+        _HOST_LIMITS.max_kept_answers, 1, 10_000_000, "a count"
+    )
+    max_kept_bytes: int = _limit(
+        _HOST_LIMITS.max_kept_bytes, 1_048_576, 17_179_869_184, "bytes"
+    )
+    outcome_retention_s: float = _limit(
+        _HOST_LIMITS.outcome_retention_s, 60, 604_800, "seconds"
+    )
+
+
+class LogDocument(checked_yaml.Checked):
+    """What is logged at start; operators may change it at run time."""
+
+    level: str = pydantic.Field(
+        default="info",
+        pattern=f"^({'|'.join(settings.LOG_LEVELS)})$",
+        description=f"one of {', '.join(settings.LOG_LEVELS)}",
+        examples=["info"],
+    )
+
+
+class HostDocument(checked_yaml.Checked):
+    """The settings file of a host."""
+
+    host: str = pydantic.Field(
+        pattern=_NAME,
+        description=f"name of this host: {_NAME_ALLOWED}",
+        examples=["lucerne-1"],
+    )
+    domain: str = pydantic.Field(
+        pattern=_NAME,
+        description=f"failure domain of this host: {_NAME_ALLOWED}",
+        examples=["lucerne"],
+    )
+    listen: ListenDocument = pydantic.Field(
+        description="a mapping with the keys callers and peers"
+    )
+    platform: AddressText = pydantic.Field(
+        description="IP:PORT of the platform's service",
+        examples=["10.0.0.2:9000"],
+    )
+    secret: SecretDocument = pydantic.Field(
+        description="a mapping with one of the keys file and environment",
+        examples=[{"file": "/run/secrets/godwitnotch"}],
+        json_schema_extra={"hidden": True},
+    )
+    operator_token: TokenDocument = pydantic.Field(
+        description="a mapping with one of sha256, file and environment",
+        examples=[{"file": "/run/secrets/godwitnotch-operator"}],
+        json_schema_extra={"hidden": True},
+    )
+    policy: str = pydantic.Field(
+        default=settings.DEFAULT_POLICY,
+        description="name of a registered scheduling policy",
+        examples=[settings.DEFAULT_POLICY],
+    )
+    limits: LimitsDocument = pydantic.Field(
+        default_factory=LimitsDocument,
+        description="a mapping of limits",
+    )
+    log: LogDocument = pydantic.Field(
+        default_factory=LogDocument,
+        description="a mapping with the key level",
+    )
+
+    @pydantic.field_validator("policy")
+    @classmethod
+    def _registered(cls, name: str) -> str:
+        # Loaded here, since the policies are no part of the callers' commands.
+        from godwitnotch.core import scheduler
+
+        if name not in scheduler.policy_names():
+            names = ", ".join(scheduler.policy_names())
+            raise checked_yaml.custom_problem(f"one of {names}")
+        return name
--- a/godwitnotch/workspace_file.py
+++ b/godwitnotch/workspace_file.py
@@ -10,7 +10,6 @@
 from returns.result import Result
 
 from godwitnotch import checked_yaml
-from godwitnotch import settings
 from godwitnotch.core import ids
 from godwitnotch.core import model
 
@@ -102,7 +101,7 @@
     path: pathlib.Path,
 ) -> Result[WorkspaceDocument, checked_yaml.InvalidDocument]:
     """Reads and checks a workspace file."""
-    return settings.read_text(path).bind(
+    return checked_yaml.read_text(path).bind(
         lambda text: checked_yaml.check_text(
             text, WorkspaceDocument, source=str(path)
         )
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -11,7 +11,9 @@
 from returns.result import Failure
 
 from godwitnotch import checked_yaml
+from godwitnotch import deployment
 from godwitnotch import settings
+from godwitnotch import settings_file
 from godwitnotch import workspace_file
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
@@ -38,7 +40,7 @@
 def _problems(
     text: str, environment: dict[str, str] | None = None
 ) -> list[checked_yaml.Problem]:
-    parsed = settings.parse(
+    parsed = settings_file.parse(
         text,
         source="host.yaml",
         environment=ENVIRONMENT if environment is None else environment,
@@ -53,7 +55,7 @@
 
 class HostSettingsTest(unittest.TestCase):
     def parse(self, text: str) -> settings.HostSettings:
-        return settings.parse(
+        return settings_file.parse(
             text, source="host.yaml", environment=ENVIRONMENT
         ).unwrap()
 
@@ -76,7 +78,7 @@
     def test_limits_of_the_decisions_are_taken_over(self) -> None:
         read = self.parse(GOOD + "limits: {answer_keep_s: 5}\n")
         self.assertEqual(read.limits.host.answer_keep_s, 5.0)
-        self.assertIn("answer_keep_s: 5.0", settings.show(read))
+        self.assertIn("answer_keep_s: 5.0", settings_file.show(read))
 
     def test_every_problem_is_told_at_once_with_its_line(self) -> None:
         text = GOOD.replace("127.0.0.1:8080", "localhost:8080")
@@ -133,7 +135,7 @@
             for problem in _problems(text):
                 self.assertNotIn("hunter2", str(problem))
         read = self.parse(GOOD)
-        self.assertNotIn(SECRET, settings.show(read) + repr(read))
+        self.assertNotIn(SECRET, settings_file.show(read) + repr(read))
 
     def test_missing_and_short_secrets_are_told(self) -> None:
         self.assertEqual(
@@ -162,13 +164,13 @@
                 self.assertTrue(_problems(text))
 
     def test_an_unreadable_file_is_told(self) -> None:
-        loaded = settings.load(pathlib.Path("/nonexistent/host.yaml"))
+        loaded = settings_file.load(pathlib.Path("/nonexistent/host.yaml"))
         self.assertIn("nonexistent", str(loaded.failure()))
 
     @hypothesis_settings(derandomize=True, deadline=None)
     @given(strategies.text(max_size=200))
     def test_no_text_raises(self, text: str) -> None:
-        parsed = settings.parse(text, source="x", environment={})
+        parsed = settings_file.parse(text, source="x", environment={})
         self.assertIsInstance(parsed, Failure)
 
     def test_addresses_are_ip_numbers_with_ports(self) -> None:
@@ -186,12 +188,12 @@
 class DeploymentTest(unittest.TestCase):
     def check(self, text: str, secret: str = SECRET) -> list[str]:
         hosts = {
-            name: settings.parse(
+            name: settings_file.parse(
                 each, source=name, environment={**ENVIRONMENT, "SECRET": key}
             ).unwrap()
             for name, each, key in (("a", GOOD, SECRET), ("b", text, secret))
         }
-        problems = settings.check_together(hosts)
+        problems = deployment.check(hosts)
         self.assertNotIn(secret, str(problems))
         return [f"{problem.source} {problem.key}" for problem in problems]
 
@@ -265,7 +267,7 @@
                 text = file.read_text().replace("/run/secrets", folder)
                 environment = {"GODWITNOTCH_SECRET": SECRET}
                 with self.subTest(file=file):
-                    settings.parse(
+                    settings_file.parse(
                         text, source=str(file), environment=environment
                     ).unwrap()
 
