--- a/bench/policy_trial.py
+++ b/bench/policy_trial.py
@@ -99,11 +99,11 @@
             trial.send(self, send)
         if wake_at is not None and wake_at < self._wake_at:
             self._wake_at = max(wake_at, now + 1e-4)
-            trial.after(self._wake_at - now, self._wake)
+            trial.after(self._wake_at - now, self._wake, self._wake_at)
 
-    def _wake(self) -> None:
-        self._wake_at = math.inf
-        if self.alive:
+    def _wake(self, at: float) -> None:
+        if self.alive and at == self._wake_at:
+            self._wake_at = math.inf
             self.turn()
 
 
--- a/godwitnotch/core/credit_scheduler.py
+++ b/godwitnotch/core/credit_scheduler.py
@@ -27,6 +27,8 @@
 # A slower slot is taken only if the time lost on it is at most this share of
 # the time that the queue takes to drain.
 PATIENCE = 1.0
+# A task that has waited takes a slower slot that loses so many times the wait.
+WAITED_WEIGHT = 10.0
 # A waiting task reconsiders a slower slot after so long.
 PATIENCE_S = 0.01
 # Pauses of an upstream that refused, doubling.
@@ -47,6 +49,7 @@
 
 _Allowed = frozenset[ids.UpstreamId]
 _Task = tuple[ids.SubmissionId, int]
+_Offer = tuple[float, int, "_Upstream"]
 
 
 @dataclass(slots=True, eq=False)
@@ -357,7 +360,7 @@
     def _assign_lane(
         self, lane: _Lane, started: list[scheduler.Assignment], now: float
     ) -> None:
-        offers: dict[ids.TemplateName, list[tuple[float, int, _Upstream]]] = {}
+        offers: dict[ids.TemplateName, list[_Offer]] = {}
         while True:
             job = lane.queue.head(self._quotas.may_run, now=now)
             if job is None:
@@ -369,8 +372,10 @@
             if found is None:
                 break
             if not self._worth(lane, job, found, now):
-                self._reconsider_at = now + PATIENCE_S
-                break
+                job = lane.queue.longest()
+                if not self._worth_last(lane, job, found, now):
+                    self._reconsider_at = now + PATIENCE_S
+                    break
             started.append(self._start(lane, job, found[2], now))
         for workspace in lane.queue.blocked:
             queued = lane.queue.queued(workspace)
@@ -378,7 +383,7 @@
 
     def _offers(
         self, lane: _Lane, template: ids.TemplateName, now: float
-    ) -> list[tuple[float, int, _Upstream]]:
+    ) -> list[_Offer]:
         offers = [
             (self._expect_s(upstream, template, now), order, upstream)
             for order, upstream in enumerate(self._free.values())
@@ -387,9 +392,7 @@
         heapq.heapify(offers)
         return offers
 
-    def _best_offer(
-        self, offers: list[tuple[float, int, _Upstream]], now: float
-    ) -> tuple[float, int, _Upstream] | None:
+    def _best_offer(self, offers: list[_Offer], now: float) -> _Offer | None:
         while offers:
             if self._is_free(offers[0][2], now):
                 return offers[0]
@@ -412,18 +415,39 @@
         self,
         lane: _Lane,
         job: fair_queue.QueuedJob,
-        offer: tuple[float, int, _Upstream],
+        offer: _Offer,
+        now: float,
+    ) -> bool:
+        """Returns whether a slot beats the wait of the head job."""
+        tasks = len(job.tasks) * lane.queue.workspaces
+        return self._beats(lane, job, offer, tasks, now)
+
+    def _worth_last(
+        self,
+        lane: _Lane,
+        job: fair_queue.QueuedJob,
+        offer: _Offer,
+        now: float,
+    ) -> bool:
+        """Returns whether a slot beats the wait of the longest job."""
+        return self._beats(lane, job, offer, len(lane.queue), now)
+
+    def _beats(
+        self,
+        lane: _Lane,
+        job: fair_queue.QueuedJob,
+        offer: _Offer,
+        tasks: int,
         now: float,
     ) -> bool:
-        """Returns whether a slot is better than waiting for a faster one."""
         template = job.request.template.name
         lost_s = offer[0] - self._fastest_s(lane, template, now)
         if lost_s <= 0:
             return True
         slots = max(lane.slots / self._hosts, len(self._running), 1.0)
-        drain_s = len(lane.queue) * self._speeds.mean_s(template) / slots
+        drain_s = tasks * self._speeds.mean_s(template) / slots
         waited_s = now - job.enqueued_at
-        return lost_s <= PATIENCE * max(drain_s, waited_s)
+        return lost_s <= max(PATIENCE * drain_s, WAITED_WEIGHT * waited_s)
 
     def _fastest_s(
         self, lane: _Lane, template: ids.TemplateName, now: float
--- a/godwitnotch/core/credits.py
+++ b/godwitnotch/core/credits.py
@@ -23,8 +23,10 @@
 
 # How long a request stands; it is asked anew if still needed.
 ASK_S = 1.0
+# How long an answer may take; until then what was asked for is counted on.
+ANSWER_S = 0.005
 # How long a lent part may lie idle before it is given back.
-IDLE_S = 0.02
+IDLE_S = 0.005
 # How long a new holder gathers before it lends.
 GATHER_S = 0.5
 # How long the loan of a host that is no longer linked is kept.
@@ -35,8 +37,8 @@
 LOAN_S = 35.0
 # How often the slow work of the ledger is done.
 TICK_S = 0.1
-# Bound of messages; a message takes some 36 bytes on the wire.
-MESSAGES_PER_S = 100.0
+# Bound of messages; a message takes some 20 bytes as CBOR.
+MESSAGES_PER_S = 150.0
 MESSAGE_BURST = 300.0
 
 
@@ -152,6 +154,7 @@
         self._scores: dict[str, dict[ids.HostId, int]] = {}
         self._asks: dict[str, float] = {}
         self._asked = 0
+        self._counted: dict[str, float] = {}
         self._idle: dict[str, float] = {}
         self._dirty: dict[str, None] = {}
         self._dirty_loans: dict[tuple[str, ids.HostId], None] = {}
@@ -162,7 +165,7 @@
 
     @property
     def asked(self) -> int:
-        """How much this host has asked for and not been answered."""
+        """How much this host has asked for and can count on."""
         return self._asked
 
     def credit(self, key: str) -> Credit | None:
@@ -234,6 +237,7 @@
         credit.asked = count
         self._asked += count
         self._asks[key] = now + ASK_S
+        self._counted[key] = now + ANSWER_S
         self._dirty[key] = None
 
     def is_asked(self, key: str) -> bool:
@@ -295,6 +299,11 @@
                 break
             del self._idle[key]
             self._give_back(self._credits[key])
+        while self._counted:
+            key, at = next(iter(self._counted.items()))
+            if at > now:
+                break
+            self._count_off(key)
         while self._asks:
             key, at = next(iter(self._asks.items()))
             if at > now:
@@ -327,7 +336,9 @@
         times = []
         if self._idle:
             times.append(next(iter(self._idle.values())))
-        if self._asks:
+        if self._counted:
+            times.append(next(iter(self._counted.values())))
+        elif self._asks:
             times.append(next(iter(self._asks.values())))
         if self._dirty or self._dirty_loans:
             times.append(self._tokens_at + 1.5 / MESSAGES_PER_S)
@@ -382,10 +393,14 @@
         del self._credits[key]
 
     def _end_ask(self, key: str) -> None:
+        self._count_off(key)
         if self._asks.pop(key, None) is not None:
-            self._asked -= self._credits[key].asked
             self._credits[key].asked = 0
 
+    def _count_off(self, key: str) -> None:
+        if self._counted.pop(key, None) is not None:
+            self._asked -= self._credits[key].asked
+
     def _note_idle(self, credit: Credit, now: float) -> None:
         key = credit.resource.key
         if key not in self._idle:
--- a/godwitnotch/core/fair_queue.py
+++ b/godwitnotch/core/fair_queue.py
@@ -161,8 +161,15 @@
             return backlog.head(now)
         return None
 
+    def longest(self) -> QueuedJob:
+        """Returns the job with most tasks left of the workspace at turn.
+
+        Call it only after `head` returned a job.
+        """
+        return self._backlogs[self._turns[0][2]].longest()
+
     def take(self, job: QueuedJob, cost_s: float) -> int:
-        """Removes the next task of the head job and returns its index."""
+        """Removes the next task of a job and returns its index."""
         workspace = job.request.workspace.workspace
         index = job.tasks.pop()
         self._count -= 1
@@ -215,6 +222,7 @@
     turn: int = -1
     by_size: list[int] = field(default_factory=lambda: [0] * _SIZE_CLASSES)
     short: list[tuple[int, int, QueuedJob]] = field(default_factory=list)
+    long: list[tuple[int, int, QueuedJob]] = field(default_factory=list)
     waits: list[tuple[float, int, QueuedJob]] = field(default_factory=list)
     urgent: list[tuple[float, int, QueuedJob]] = field(default_factory=list)
 
@@ -225,6 +233,7 @@
             return
         job.listed = True
         heapq.heappush(self.short, (len(job.tasks), job.order, job))
+        heapq.heappush(self.long, (-len(job.tasks), job.order, job))
         heapq.heappush(self.waits, (job.urgent_at, job.order, job))
 
     def removed(self, job: QueuedJob, count: int) -> None:
@@ -236,6 +245,20 @@
         if len(self.short) > 2 * self.count + 16:
             self.short = [each for each in self.short if each[2].tasks]
             heapq.heapify(self.short)
+        if len(self.long) > 2 * self.count + 16:
+            self.long = [each for each in self.long if each[2].tasks]
+            heapq.heapify(self.long)
+
+    def longest(self) -> QueuedJob:
+        while True:
+            left, order, job = self.long[0]
+            if not job.tasks:
+                heapq.heappop(self.long)
+            elif len(job.tasks) != -left:
+                entry = (-len(job.tasks), order, job)
+                heapq.heapreplace(self.long, entry)
+            else:
+                return job
 
     def head(self, now: float) -> QueuedJob:
         while self.waits and self.waits[0][0] <= now:
