Ask whole holders for slots instead of single upstreams

A holder knows which of its upstreams have free slots; a borrower that asks for one upstream asks blindly. Asks name the slowest upstream that is of use, and what goes to one peer at once is one message. Ruled out: asking without the bound on slowness gave 1.69, as slow slots were lent, not used, and given back.

--- a/bench/policy_trial.py
+++ b/bench/policy_trial.py
@@ -167,10 +167,7 @@
     def send(self, sender: _Host, send: scheduler.PeerMessage) -> None:
         """Carries a message to a peer."""
         self.figures.counts["peer"] += 1
-        values = [
-            getattr(send.message, name) for name in send.message.__slots__
-        ]
-        self.figures.peer_bytes += len(cbor2.dumps([20, *values])) + 6
+        self.figures.peer_bytes += len(cbor2.dumps(_fields(send.message))) + 6
         self.after(DELAY_S, self._hear, sender, send)
 
     def arrive(
@@ -312,6 +309,16 @@
             host.turn()
 
 
+def _fields(value: object) -> object:
+    """Returns a message as the arrays that go on the wire."""
+    if isinstance(value, tuple):
+        return [_fields(each) for each in value]
+    names = getattr(type(value), "__slots__", None)
+    if names is None:
+        return value
+    return [20, *(_fields(getattr(value, name)) for name in names)]
+
+
 def summary(runs: Sequence[Figures], load: recorded_load.Load) -> str:
     """Returns one line of medians over runs, with their range."""
     means = [statistics.fmean(run.ratios) for run in runs if run.ratios]
--- a/godwitnotch/core/credit_scheduler.py
+++ b/godwitnotch/core/credit_scheduler.py
@@ -229,6 +229,13 @@
             case messages.SlotsLent(key, allowed, serial):
                 loan = credits.Lent(key, allowed, serial)
                 self._slots.lent(host, loan, now=now)
+            case messages.SlotsAsked(count, slowest):
+                self._asked(host, credits.Asked(count, slowest), now)
+            case messages.SlotsBatch(wants, loans):
+                for want in wants:
+                    self.peer_said(host, want, now=now)
+                for grant in loans:
+                    self.peer_said(host, grant, now=now)
             case messages.QuotaWanted(workspace, held, wanted, serial):
                 word = credits.Wanted(workspace, held, wanted, serial)
                 self._quotas.ledger.wanted(host, word, now=now)
@@ -240,9 +247,9 @@
         """Returns the messages to send now."""
         slots = self._slots.outgoing(now=now)
         shares = self._quotas.ledger.outgoing(now=now)
-        return [_slots_message(each) for each in slots] + [
-            _quota_message(each) for each in shares
-        ]
+        if not slots and not shares:
+            return []
+        return _batched(slots) + [_quota_message(each) for each in shares]
 
     def next_deadline(self) -> float | None:
         """Returns when the policy next wants to be asked, if ever."""
@@ -444,8 +451,7 @@
         lost_s = offer[0] - self._fastest_s(lane, template, now)
         if lost_s <= 0:
             return True
-        slots = max(lane.slots / self._hosts, len(self._running), 1.0)
-        drain_s = tasks * self._speeds.mean_s(template) / slots
+        drain_s = self._drain_s(lane, tasks, template)
         waited_s = now - job.enqueued_at
         return lost_s <= max(PATIENCE * drain_s, WAITED_WEIGHT * waited_s)
 
@@ -514,6 +520,8 @@
             case model.AttemptOutcome.ANSWERED:
                 took_s = now - started_at
                 self._speeds.learn(running.template, name, took_s)
+                slowness = round(100 * self._speeds.deviation(name))
+                upstream.credit.slowness = slowness
                 upstream.pause_s = FIRST_PAUSE_S
             case model.AttemptOutcome.REFUSED_LEAVING:
                 upstream.leaving_until = now + LEAVING_S
@@ -536,16 +544,62 @@
         need = queued - self._slots.asked
         if need <= 0:
             return
+        slowest = self._slowest(now)
         candidates = sorted(
-            (self._speeds.deviation(each.entry.upstream), order, each)
+            (each.credit.slowness, order, each)
             for order, each in enumerate(self._candidates(now))
+            if each.credit.slowness <= slowest
         )
-        for _, _, upstream in candidates[:ASKS_AT_ONCE]:
-            if need <= 0:
-                return
+        asked: set[ids.HostId] = set()
+        for _, _, upstream in candidates:
+            holder = upstream.credit.holder
             block = min(need, ASK_BLOCK)
-            self._slots.ask(upstream.credit, block, now=now)
+            if holder in asked or self._slots.requested(holder) >= block:
+                continue
+            asked.add(holder)
+            asked_for = credits.Asked(block, slowest)
+            self._slots.ask_holder(holder, asked_for, now=now)
             need -= block
+            if need <= 0 or len(asked) >= ASKS_AT_ONCE:
+                return
+
+    def _slowest(self, now: float) -> int:
+        """Returns the slowness up to which a slot beats waiting."""
+        slowest = -math.inf
+        for lane in self._lanes.values():
+            if not len(lane.queue):
+                continue
+            job = lane.queue.head(self._quotas.may_run, now=now)
+            if job is None:
+                continue
+            template = job.request.template.name
+            waited_s = now - job.enqueued_at
+            lost_s = max(
+                PATIENCE * self._drain_s(lane, len(lane.queue), template),
+                WAITED_WEIGHT * waited_s,
+            )
+            fastest_s = self._fastest_s(lane, template, now)
+            ratio = (fastest_s + lost_s) / self._speeds.typical_s(template)
+            slowest = max(slowest, math.log(ratio))
+        return round(100 * slowest) if slowest > -math.inf else -10_000
+
+    def _drain_s(
+        self, lane: _Lane, tasks: int, template: ids.TemplateName
+    ) -> float:
+        slots = max(lane.slots / self._hosts, len(self._running), 1.0)
+        return tasks * self._speeds.mean_s(template) / slots
+
+    def _asked(
+        self, host: ids.HostId, asked: credits.Asked, now: float
+    ) -> None:
+        """Lends what is free, the fastest upstreams first."""
+        free = sorted(
+            (self._speeds.deviation(name), name)
+            for name, each in self._free.items()
+            if each.credit.mine
+        )
+        order = [name for _, name in free]
+        self._slots.asked_of_me(host, asked, order, now=now)
 
     def _candidates(self, now: float) -> list[_Upstream]:
         if len(self._names) <= ASK_CANDIDATES:
@@ -563,7 +617,6 @@
             if upstream is not None
             and not upstream.credit.mine
             and upstream.credit.held < upstream.entry.slots
-            and not self._slots.is_asked(name)
             and not upstream.leaving(now)
             and self._health.state(name) is health.State.HEALTHY
             and self._may_serve(name)
@@ -582,21 +635,41 @@
     return sorted(range(len(declared)), key=lambda index: declared[index])
 
 
-def _slots_message(sent: credits.Outgoing) -> scheduler.PeerMessage:
-    word = sent.message
+def _batched(sent: list[credits.Outgoing]) -> list[scheduler.PeerMessage]:
+    """Returns one message for each peer and kind."""
+    by_host: dict[ids.HostId, list[messages.SlotsWanted | messages.SlotsLent]]
+    by_host = {}
+    out = []
+    for each in sent:
+        word = each.message
+        if isinstance(word, credits.Asked):
+            ask = messages.SlotsAsked(word.count, word.slowest)
+            out.append(scheduler.PeerMessage(each.host, ask))
+            continue
+        by_host.setdefault(each.host, []).append(_slots_message(word))
+    for host, words in by_host.items():
+        if len(words) == 1:
+            out.append(scheduler.PeerMessage(host, words[0]))
+            continue
+        wanted = [w for w in words if isinstance(w, messages.SlotsWanted)]
+        lent = [w for w in words if isinstance(w, messages.SlotsLent)]
+        batch = messages.SlotsBatch(tuple(wanted), tuple(lent))
+        out.append(scheduler.PeerMessage(host, batch))
+    return out
+
+
+def _slots_message(
+    word: credits.Wanted | credits.Lent,
+) -> messages.SlotsWanted | messages.SlotsLent:
     key = ids.UpstreamId(word.key)
     if isinstance(word, credits.Wanted):
-        return scheduler.PeerMessage(
-            sent.host,
-            messages.SlotsWanted(key, word.held, word.wanted, word.serial),
-        )
-    return scheduler.PeerMessage(
-        sent.host, messages.SlotsLent(key, word.allowed, word.serial)
-    )
+        return messages.SlotsWanted(key, word.held, word.wanted, word.serial)
+    return messages.SlotsLent(key, word.allowed, word.serial)
 
 
 def _quota_message(sent: credits.Outgoing) -> scheduler.PeerMessage:
     word = sent.message
+    assert not isinstance(word, credits.Asked)
     key = ids.WorkspaceId(word.key)
     if isinstance(word, credits.Wanted):
         return scheduler.PeerMessage(
--- a/godwitnotch/core/credits.py
+++ b/godwitnotch/core/credits.py
@@ -70,12 +70,35 @@
     serial: int
 
 
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """From a host to a holder: it would use more of any of its resources.
+
+    Attributes:
+        count: How much more.
+        slowest: Highest `slowness` of a resource that is of use.
+    """
+
+    count: int
+    slowest: int
+
+
 @dataclass(frozen=True, slots=True)
 class Outgoing:
     """A message to a peer."""
 
     host: ids.HostId
-    message: Wanted | Lent
+    message: Wanted | Lent | Asked
+
+
+@dataclass(slots=True)
+class _Request:
+    """A standing request for some of any resources of one holder."""
+
+    count: int
+    slowest: int
+    until: float
+    counted: bool = True
 
 
 @dataclass(slots=True)
@@ -113,6 +136,7 @@
         in_use: What this host uses.
         held: What it may use, unless it is the holder.
         lent: What its borrowers may be using, if it is the holder.
+        slowness: What a request's `slowest` is compared with.
     """
 
     resource: Resource
@@ -121,6 +145,7 @@
     in_use: int = 0
     held: int = 0
     lent: int = 0
+    slowness: int = 0
     gathering: bool = False
     gather_until: float = 0.0
     ceiling: int | None = None
@@ -155,6 +180,9 @@
         self._asks: dict[str, float] = {}
         self._asked = 0
         self._counted: dict[str, float] = {}
+        self._requests: dict[ids.HostId, _Request] = {}
+        self._requested: dict[ids.HostId, _Request] = {}
+        self._dirty_requests: dict[ids.HostId, None] = {}
         self._idle: dict[str, float] = {}
         self._dirty: dict[str, None] = {}
         self._dirty_loans: dict[tuple[str, ids.HostId], None] = {}
@@ -202,6 +230,9 @@
         own = {self._host: self._domains[self._host]}
         gone = self._domains.keys() - domains.keys() - own.keys()
         self._domains = {**domains, **own}
+        for host in gone:
+            self._drop_request(host)
+            self._requested.pop(host, None)
         for credit in self._credits.values():
             holder = self._choose(credit.resource)
             if holder != credit.holder:
@@ -220,7 +251,7 @@
         """Stops using one."""
         credit.in_use -= 1
         if credit.mine:
-            if credit.loans:
+            if credit.loans or self._requested:
                 self._serve(credit, now)
             return
         if credit.ceiling is not None and credit.held > credit.ceiling:
@@ -244,6 +275,37 @@
         """Returns whether a request of this host stands."""
         return key in self._asks
 
+    def ask_holder(
+        self, holder: ids.HostId, asked: Asked, *, now: float
+    ) -> None:
+        """Asks a holder for some of any of its resources."""
+        self._drop_request(holder)
+        request = _Request(asked.count, asked.slowest, now + ASK_S)
+        self._requests[holder] = request
+        self._asked += asked.count
+        self._dirty_requests[holder] = None
+
+    def requested(self, holder: ids.HostId) -> int:
+        """Returns how much a standing request asks of a holder."""
+        request = self._requests.get(holder)
+        return request.count if request else 0
+
+    def asked_of_me(
+        self,
+        host: ids.HostId,
+        message: Asked,
+        order: Iterable[str],
+        *,
+        now: float,
+    ) -> None:
+        """Takes a request; what this host holds is lent in the given order."""
+        request = _Request(message.count, message.slowest, now + ASK_S)
+        self._requested[host] = request
+        for key in order:
+            credit = self._credits.get(key)
+            if request.count > 0 and credit is not None and credit.mine:
+                self._serve(credit, now)
+
     def wanted(self, host: ids.HostId, message: Wanted, *, now: float) -> None:
         """Takes a borrower's word."""
         credit = self._credits.get(message.key)
@@ -281,6 +343,7 @@
         credit.serial = message.serial
         if message.allowed > credit.held:
             self._end_ask(message.key)
+            self._answered(host, message.allowed - credit.held)
             credit.held = message.allowed
             credit.ceiling = None
             credit.refresh_at = now + REFRESH_S
@@ -309,13 +372,19 @@
             if at > now:
                 break
             self._end_ask(key)
+        for holder, request in list(self._requests.items()):
+            if request.counted and request.until - ASK_S + ANSWER_S <= now:
+                request.counted = False
+                self._asked -= request.count
+            if request.until <= now:
+                self._drop_request(holder)
         if now >= self._tick_at:
             self._tick_at = now + TICK_S
             self._tick(now)
 
     def outgoing(self, *, now: float) -> list[Outgoing]:
         """Returns the messages to send now, as many as the budget allows."""
-        if not self._dirty and not self._dirty_loans:
+        if not (self._dirty or self._dirty_loans or self._dirty_requests):
             return []
         gained = (now - self._tokens_at) * MESSAGES_PER_S
         self._tokens = min(self._tokens + gained, MESSAGE_BURST)
@@ -325,6 +394,14 @@
             key, host = next(iter(self._dirty_loans))
             del self._dirty_loans[key, host]
             self._tell(self._credits.get(key), host, sent, now)
+        while self._tokens >= 1 and self._dirty_requests:
+            holder = next(iter(self._dirty_requests))
+            del self._dirty_requests[holder]
+            request = self._requests.get(holder)
+            if request is not None:
+                self._tokens -= 1
+                asked = Asked(request.count, request.slowest)
+                sent.append(Outgoing(holder, asked))
         while self._tokens >= 1 and self._dirty:
             key = next(iter(self._dirty))
             del self._dirty[key]
@@ -340,7 +417,12 @@
             times.append(next(iter(self._counted.values())))
         elif self._asks:
             times.append(next(iter(self._asks.values())))
-        if self._dirty or self._dirty_loans:
+        if self._requests:
+            request = next(iter(self._requests.values()))
+            started = request.until - ASK_S
+            due = started + ANSWER_S if request.counted else request.until
+            times.append(due)
+        if self._dirty or self._dirty_loans or self._dirty_requests:
             times.append(self._tokens_at + 1.5 / MESSAGES_PER_S)
         if self._gathering or self.hungry:
             times.append(self._tick_at)
@@ -380,6 +462,22 @@
             credit.refresh_at = now + REFRESH_S
             self._dirty[credit.resource.key] = None
 
+    def _answered(self, holder: ids.HostId, count: int) -> None:
+        request = self._requests.get(holder)
+        if request is None:
+            return
+        count = min(count, request.count)
+        request.count -= count
+        if request.counted:
+            self._asked -= count
+        if not request.count:
+            del self._requests[holder]
+
+    def _drop_request(self, holder: ids.HostId) -> None:
+        request = self._requests.pop(holder, None)
+        if request is not None and request.counted:
+            self._asked -= request.count
+
     def _gather(self, credit: Credit, now: float) -> None:
         if len(self._domains) > 1:
             credit.gathering = self._gathering = True
@@ -414,29 +512,36 @@
     def _serve(self, credit: Credit, now: float) -> None:
         """Lends what is free to those that have least of what they want."""
         while not credit.gathering and credit.free > 0:
-            needy = self._neediest(credit, now)
-            if needy is None:
+            host = self._neediest(credit, now)
+            if host is None:
                 return
-            host, loan = needy
+            loan = credit.loans.get(host)
+            if loan is None:
+                loan = credit.loans[host] = _Loan(now + LOAN_S)
             if self.hungry and loan.reserved >= credit.in_use:
                 return
+            if not loan.short(now):
+                self._requested[host].count -= 1
             loan.reserved += 1
             loan.allowed = loan.reserved
             credit.lent += 1
             self._change(credit, host, loan)
 
-    def _neediest(
-        self, credit: Credit, now: float
-    ) -> tuple[ids.HostId, _Loan] | None:
+    def _neediest(self, credit: Credit, now: float) -> ids.HostId | None:
         short = [
             (loan.reserved, host)
             for host, loan in credit.loans.items()
             if loan.short(now)
         ]
-        if not short:
-            return None
-        host = min(short)[1]
-        return host, credit.loans[host]
+        for host, request in list(self._requested.items()):
+            if request.until <= now or request.count <= 0:
+                del self._requested[host]
+                continue
+            if credit.slowness > request.slowest:
+                continue
+            loan = credit.loans.get(host)
+            short.append((loan.reserved if loan else 0, host))
+        return min(short)[1] if short else None
 
     def _change(self, credit: Credit, host: ids.HostId, loan: _Loan) -> None:
         if (credit.resource.key, host) not in self._dirty_loans:
--- a/godwitnotch/core/messages.py
+++ b/godwitnotch/core/messages.py
@@ -126,6 +126,28 @@
     serial: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class SlotsAsked:
+    """A borrower would use more slots of any upstreams that the peer holds.
+
+    Attributes:
+        count: Number of slots.
+        slowest: How much slower than the average an upstream may be, as the
+            natural logarithm of the ratio of run times, in hundredths.
+    """
+
+    count: int
+    slowest: int
+
+
+@dataclass(frozen=True, slots=True)
+class SlotsBatch:
+    """Several messages about slots in one."""
+
+    wanted: tuple[SlotsWanted, ...]
+    lent: tuple[SlotsLent, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class QuotaWanted:
     """The same as `SlotsWanted`, of a workspace's quota of running tasks."""
@@ -158,6 +180,8 @@
     | ConfigSnapshot
     | SlotsWanted
     | SlotsLent
+    | SlotsAsked
+    | SlotsBatch
     | QuotaWanted
     | QuotaLent
 )
