--- a/godwitnotch/core/credit_scheduler.py
+++ b/godwitnotch/core/credit_scheduler.py
@@ -554,11 +554,11 @@
         for _, _, upstream in candidates:
             holder = upstream.credit.holder
             block = min(need, ASK_BLOCK)
-            if holder in asked or self._slots.requested(holder) >= block:
+            request = credits.Asked(block, slowest)
+            if holder in asked or self._slots.covers(holder, request):
                 continue
             asked.add(holder)
-            asked_for = credits.Asked(block, slowest)
-            self._slots.ask_holder(holder, asked_for, now=now)
+            self._slots.ask_holder(holder, request, now=now)
             need -= block
             if need <= 0 or len(asked) >= ASKS_AT_ONCE:
                 return
--- a/godwitnotch/core/credits.py
+++ b/godwitnotch/core/credits.py
@@ -25,6 +25,8 @@
 ASK_S = 1.0
 # How long an answer may take; until then what was asked for is counted on.
 ANSWER_S = 0.005
+# A request is repeated once a resource slower by so much would be of use.
+SLOWNESS_STEP = 30
 # How long a lent part may lie idle before it is given back.
 IDLE_S = 0.005
 # How long a new holder gathers before it lends.
@@ -285,10 +287,14 @@
         self._asked += asked.count
         self._dirty_requests[holder] = None
 
-    def requested(self, holder: ids.HostId) -> int:
-        """Returns how much a standing request asks of a holder."""
+    def covers(self, holder: ids.HostId, asked: Asked) -> bool:
+        """Returns whether a standing request asks for nearly as much."""
         request = self._requests.get(holder)
-        return request.count if request else 0
+        return (
+            request is not None
+            and request.count >= asked.count
+            and request.slowest >= asked.slowest - SLOWNESS_STEP
+        )
 
     def asked_of_me(
         self,
