Learn how much declared run times are worth, and order jobs by work left

The slope of true on declared times is learnt for each template and shrunk to zero, so that noise does no harm.

--- a/godwitnotch/core/credit_scheduler.py
+++ b/godwitnotch/core/credit_scheduler.py
@@ -22,6 +22,7 @@
 from godwitnotch.core import quotas
 from godwitnotch.core import retry_budget
 from godwitnotch.core import scheduler
+from godwitnotch.core import sizes
 from godwitnotch.core import speeds
 
 # A slower slot is taken only if the time lost on it is at most this share of
@@ -67,10 +68,21 @@
         return self.gone or self.entry.leaving or self.leaving_until > now
 
 
+@dataclass(frozen=True, slots=True)
+class _Admitted:
+    """A job, and the sizes of its tasks relative to a typical one."""
+
+    request: scheduler.JobRequest
+    factors: tuple[float, ...]
+    costs: tuple[float, ...]
+
+
 @dataclass(slots=True)
 class _Running:
     workspace: ids.WorkspaceId
     template: ids.TemplateName
+    declared_ms: float | None
+    factor: float
 
 
 @dataclass(slots=True)
@@ -98,6 +110,7 @@
         self._slots = credits.CreditLedger(host, domain)
         self._quotas = quotas.QuotaShares(host, domain)
         self._speeds = speeds.SpeedModel()
+        self._sizes = sizes.SizeModel()
         self._health = health.HealthTracker()
         self._budget = retry_budget.RetryBudget()
         self._admission = admission.Admission(chance)
@@ -107,7 +120,7 @@
         self._names: list[ids.UpstreamId] = []
         self._free: dict[ids.UpstreamId, _Upstream] = {}
         self._paused: dict[ids.UpstreamId, _Upstream] = {}
-        self._jobs: dict[ids.SubmissionId, scheduler.JobRequest] = {}
+        self._jobs: dict[ids.SubmissionId, _Admitted] = {}
         self._running: dict[_Task, _Running] = {}
         self._reconsider_at = math.inf
         self._ask_at = 0.0
@@ -158,9 +171,13 @@
     def enqueue(self, job: scheduler.JobRequest, *, now: float) -> None:
         """Queues all tasks of an admitted job."""
         self._quotas.seen(job.workspace, now=now)
-        self._jobs[job.submission] = job
-        self._budget.earn(len(job.declared_ms))
-        self._lane(job.template).queue.push(job, _in_order(job), now=now)
+        factors = self._sizes.factors(job.template.name, job.declared_ms)
+        mean_s = self._speeds.mean_s(job.template.name)
+        costs = tuple(mean_s * each for each in factors)
+        self._jobs[job.submission] = _Admitted(job, factors, costs)
+        self._budget.earn(len(costs))
+        queue = self._lane(job.template).queue
+        queue.push(job, _in_order(job), costs, now=now)
 
     def requeue(
         self, submission: ids.SubmissionId, task_index: int, *, now: float
@@ -169,14 +186,15 @@
         job = self._jobs.get(submission)
         if job is None or not self._budget.spend():
             return False
-        self._lane(job.template).queue.push(job, [task_index], now=now)
+        queue = self._lane(job.request.template).queue
+        queue.push(job.request, [task_index], job.costs, now=now)
         return True
 
     def withdraw(self, submission: ids.SubmissionId, *, now: float) -> None:
         """Drops the queued tasks of a job that has ended."""
         job = self._jobs.pop(submission, None)
         if job is not None:
-            self._lane(job.template).queue.withdraw(submission)
+            self._lane(job.request.template).queue.withdraw(submission)
 
     def assign(self, *, now: float) -> list[scheduler.Assignment]:
         """Returns the tasks that start now."""
@@ -426,8 +444,8 @@
         now: float,
     ) -> bool:
         """Returns whether a slot beats the wait of the head job."""
-        tasks = len(job.tasks) * lane.queue.workspaces
-        return self._beats(lane, job, offer, tasks, now)
+        work_s = job.left_s * lane.queue.workspaces
+        return self._beats(lane, job, offer, work_s, now)
 
     def _worth_last(
         self,
@@ -437,23 +455,34 @@
         now: float,
     ) -> bool:
         """Returns whether a slot beats the wait of the longest job."""
-        return self._beats(lane, job, offer, len(lane.queue), now)
+        return self._beats(lane, job, offer, lane.queue.work_s, now)
 
     def _beats(
         self,
         lane: _Lane,
         job: fair_queue.QueuedJob,
         offer: _Offer,
-        tasks: int,
+        work_s: float,
         now: float,
     ) -> bool:
         template = job.request.template.name
+        factor = self._jobs[job.request.submission].factors[job.tasks[-1]]
         lost_s = offer[0] - self._fastest_s(lane, template, now)
         if lost_s <= 0:
             return True
-        drain_s = self._drain_s(lane, tasks, template)
+        return factor * lost_s <= self._patience_s(lane, job, work_s, now)
+
+    def _patience_s(
+        self,
+        lane: _Lane,
+        job: fair_queue.QueuedJob,
+        work_s: float,
+        now: float,
+    ) -> float:
+        """Returns how much a slot may lose and still beat waiting."""
+        slots = max(lane.slots / self._hosts, len(self._running), 1.0)
         waited_s = now - job.enqueued_at
-        return lost_s <= max(PATIENCE * drain_s, WAITED_WEIGHT * waited_s)
+        return max(PATIENCE * work_s / slots, WAITED_WEIGHT * waited_s)
 
     def _fastest_s(
         self, lane: _Lane, template: ids.TemplateName, now: float
@@ -486,15 +515,19 @@
         request = job.request
         workspace = request.workspace.workspace
         template = request.template.name
-        cost_s = self._speeds.mean_s(template)
-        index = lane.queue.take(job, cost_s)
+        index = lane.queue.take(job)
         task = (request.submission, index)
         self._slots.take(upstream.credit)
         self._quotas.started(workspace)
         self._health.started(upstream.entry.upstream)
         upstream.starts[task] = now
         upstream.starts_sum += now
-        self._running[task] = _Running(workspace, template)
+        self._running[task] = _Running(
+            workspace,
+            template,
+            request.declared_ms[index],
+            self._jobs[request.submission].factors[index],
+        )
         return scheduler.Assignment(request.submission, index, upstream.entry)
 
     def _end_quota(self, workspace: ids.WorkspaceId, now: float) -> None:
@@ -519,7 +552,12 @@
         match outcome:
             case model.AttemptOutcome.ANSWERED:
                 took_s = now - started_at
-                self._speeds.learn(running.template, name, took_s)
+                expected_s = self._speeds.expect_s(running.template, name)
+                self._sizes.learn(
+                    running.template, running.declared_ms, took_s / expected_s
+                )
+                usual_s = took_s / running.factor
+                self._speeds.learn(running.template, name, usual_s)
                 slowness = round(100 * self._speeds.deviation(name))
                 upstream.credit.slowness = slowness
                 upstream.pause_s = FIRST_PAUSE_S
@@ -573,22 +611,12 @@
             if job is None:
                 continue
             template = job.request.template.name
-            waited_s = now - job.enqueued_at
-            lost_s = max(
-                PATIENCE * self._drain_s(lane, len(lane.queue), template),
-                WAITED_WEIGHT * waited_s,
-            )
+            lost_s = self._patience_s(lane, job, lane.queue.work_s, now)
             fastest_s = self._fastest_s(lane, template, now)
             ratio = (fastest_s + lost_s) / self._speeds.typical_s(template)
             slowest = max(slowest, math.log(ratio))
         return round(100 * slowest) if slowest > -math.inf else -10_000
 
-    def _drain_s(
-        self, lane: _Lane, tasks: int, template: ids.TemplateName
-    ) -> float:
-        slots = max(lane.slots / self._hosts, len(self._running), 1.0)
-        return tasks * self._speeds.mean_s(template) / slots
-
     def _asked(
         self, host: ids.HostId, asked: credits.Asked, now: float
     ) -> None:
--- a/godwitnotch/core/fair_queue.py
+++ b/godwitnotch/core/fair_queue.py
@@ -1,7 +1,7 @@
 """Queues tasks: fair shares of workspaces, short jobs first inside each.
 
 A workspace is charged for the run time that its tasks are expected to take,
-and the one charged least goes next. Inside it the job with the fewest tasks
+and the one charged least goes next. Inside it the job with the least work
 left goes first, until a job has waited for a share of its time: from then on
 it goes before the others, the earliest deadline first.
 """
@@ -28,15 +28,19 @@
     Attributes:
         request: The job.
         tasks: Indices of the waiting tasks; the last goes first.
+        costs: Expected run times of all its tasks, in seconds.
+        left_s: Expected run time of the waiting tasks.
         enqueued_at: When it was queued.
         urgent_at: When it goes before shorter jobs.
     """
 
     request: scheduler.JobRequest
     tasks: list[int]
+    costs: tuple[float, ...]
     order: int
     enqueued_at: float
     urgent_at: float
+    left_s: float = 0.0
     listed: bool = False
     urgent: bool = False
 
@@ -77,6 +81,7 @@
     def __init__(self, shares: Shares) -> None:
         self._shares = shares
         self._count = 0
+        self._work_s = 0.0
         self._order = itertools.count()
         self._jobs: dict[ids.SubmissionId, QueuedJob] = {}
         self._backlogs: dict[ids.WorkspaceId, _Backlog] = {}
@@ -86,6 +91,11 @@
     def __len__(self) -> int:
         return self._count
 
+    @property
+    def work_s(self) -> float:
+        """Expected run time of all waiting tasks, in seconds."""
+        return self._work_s
+
     @property
     def workspaces(self) -> int:
         """Number of workspaces with waiting tasks."""
@@ -104,21 +114,37 @@
         return sum(backlog.by_size[: _size_class(tasks) + 1])
 
     def push(
-        self, request: scheduler.JobRequest, tasks: list[int], *, now: float
+        self,
+        request: scheduler.JobRequest,
+        tasks: list[int],
+        costs: tuple[float, ...],
+        *,
+        now: float,
     ) -> None:
-        """Queues tasks of a job; the last of the list goes first."""
+        """Queues tasks of a job.
+
+        Args:
+            request: The job.
+            tasks: Indices of the tasks; the last goes first.
+            costs: Expected run times of all tasks of the job, in seconds.
+            now: The present time.
+        """
         job = self._jobs.get(request.submission)
         if job is None:
             wait_s = max(request.deadline - now, 0.0)
             job = QueuedJob(
                 request,
                 [],
+                costs,
                 next(self._order),
                 now,
                 now + URGENT_SHARE * wait_s,
             )
             self._jobs[request.submission] = job
         job.tasks.extend(tasks)
+        work_s = sum(costs[index] for index in tasks)
+        job.left_s += work_s
+        self._work_s += work_s
         self._count += len(tasks)
         self._backlog(request.workspace.workspace).push(job, len(tasks))
 
@@ -131,6 +157,7 @@
         count = len(job.tasks)
         job.tasks.clear()
         self._count -= count
+        self._work_s -= job.left_s
         self._backlogs[workspace].removed(job, count)
         self._close_if_empty(workspace)
 
@@ -162,21 +189,26 @@
         return None
 
     def longest(self) -> QueuedJob:
-        """Returns the job with most tasks left of the workspace at turn.
+        """Returns the job with most work left of the workspace at turn.
 
         Call it only after `head` returned a job.
         """
         return self._backlogs[self._turns[0][2]].longest()
 
-    def take(self, job: QueuedJob, cost_s: float) -> int:
+    def take(self, job: QueuedJob) -> int:
         """Removes the next task of a job and returns its index."""
         workspace = job.request.workspace.workspace
         index = job.tasks.pop()
+        cost_s = job.costs[index]
+        job.left_s -= cost_s
+        self._work_s -= cost_s
         self._count -= 1
         self._backlogs[workspace].removed(job, 1)
         self._shares.charge(workspace, cost_s)
         if not job.tasks:
             del self._jobs[job.request.submission]
+        if not self._count:
+            self._work_s = 0.0
         self._close_if_empty(workspace)
         return index
 
@@ -221,8 +253,8 @@
     count: int = 0
     turn: int = -1
     by_size: list[int] = field(default_factory=lambda: [0] * _SIZE_CLASSES)
-    short: list[tuple[int, int, QueuedJob]] = field(default_factory=list)
-    long: list[tuple[int, int, QueuedJob]] = field(default_factory=list)
+    short: list[tuple[float, int, QueuedJob]] = field(default_factory=list)
+    long: list[tuple[float, int, QueuedJob]] = field(default_factory=list)
     waits: list[tuple[float, int, QueuedJob]] = field(default_factory=list)
     urgent: list[tuple[float, int, QueuedJob]] = field(default_factory=list)
 
@@ -232,8 +264,8 @@
         if job.listed:
             return
         job.listed = True
-        heapq.heappush(self.short, (len(job.tasks), job.order, job))
-        heapq.heappush(self.long, (-len(job.tasks), job.order, job))
+        heapq.heappush(self.short, (job.left_s, job.order, job))
+        heapq.heappush(self.long, (-job.left_s, job.order, job))
         heapq.heappush(self.waits, (job.urgent_at, job.order, job))
 
     def removed(self, job: QueuedJob, count: int) -> None:
@@ -254,8 +286,8 @@
             left, order, job = self.long[0]
             if not job.tasks:
                 heapq.heappop(self.long)
-            elif len(job.tasks) != -left:
-                entry = (-len(job.tasks), order, job)
+            elif job.left_s != -left:
+                entry = (-job.left_s, order, job)
                 heapq.heapreplace(self.long, entry)
             else:
                 return job
@@ -277,8 +309,8 @@
             left, order, job = self.short[0]
             if not job.tasks:
                 heapq.heappop(self.short)
-            elif len(job.tasks) != left:
-                entry = (len(job.tasks), order, job)
+            elif job.left_s != left:
+                entry = (job.left_s, order, job)
                 heapq.heapreplace(self.short, entry)
             else:
                 return job
