--- a/godwitnotch/core/credit_scheduler.py
+++ b/godwitnotch/core/credit_scheduler.py
@@ -27,9 +27,9 @@
 
 # A slower slot is taken only if the time lost on it is at most this share of
 # the time that the queue takes to drain.
-PATIENCE = 1.0
+PATIENCE = 0.3
 # A task that has waited takes a slower slot that loses so many times the wait.
-WAITED_WEIGHT = 10.0
+WAITED_WEIGHT = 3.0
 # A waiting task reconsiders a slower slot after so long.
 PATIENCE_S = 0.01
 # Pauses of an upstream that refused, doubling.
--- a/godwitnotch/core/credits.py
+++ b/godwitnotch/core/credits.py
@@ -40,8 +40,8 @@
 # How often the slow work of the ledger is done.
 TICK_S = 0.1
 # Bound of messages; a message takes some 20 bytes as CBOR.
-MESSAGES_PER_S = 150.0
-MESSAGE_BURST = 300.0
+MESSAGES_PER_S = 200.0
+MESSAGE_BURST = 600.0
 
 
 @dataclass(frozen=True, slots=True)
