--- a/bench/policy_trial.py
+++ b/bench/policy_trial.py
@@ -88,11 +88,11 @@
     def turn(self) -> None:
         """Carries out what the policy wants now."""
         trial, now = self.trial, self.trial.now
-        began = time.perf_counter()
+        began = time.thread_time()
         starts = self.policy.assign(now=now)
         sends = self.policy.peer_messages(now=now)
         wake_at = self.policy.next_deadline()
-        trial.figures.decide_s += time.perf_counter() - began
+        trial.figures.decide_s += time.thread_time() - began
         for start in starts:
             trial.after(DELAY_S, trial.arrive, self, start, now)
         for send in sends:
@@ -203,9 +203,9 @@
     def _hear(self, sender: _Host, send: scheduler.PeerMessage) -> None:
         host = self._hosts[send.host]
         if host.alive:
-            began = time.perf_counter()
+            began = time.thread_time()
             host.policy.peer_said(sender.entry.host, send.message, now=self.now)
-            self.figures.decide_s += time.perf_counter() - began
+            self.figures.decide_s += time.thread_time() - began
             host.turn()
 
     def _submit(self, load: recorded_load.Job, visits: int) -> None:
@@ -221,11 +221,11 @@
             load.declared_ms,
             self.now + load.template.max_wait_s,
         )
-        began = time.perf_counter()
+        began = time.thread_time()
         refusal = host.policy.admit(request, now=self.now)
         if refusal is None:
             host.policy.enqueue(request, now=self.now)
-        self.figures.decide_s += time.perf_counter() - began
+        self.figures.decide_s += time.thread_time() - began
         if refusal is not None:
             self._refused(load, refusal, visits)
             return
@@ -260,9 +260,9 @@
         if not host.alive:
             return
         self.figures.counts["attempts"] += 1
-        clock = time.perf_counter()
+        clock = time.thread_time()
         host.policy.ended(start, outcome, started_at=began, now=self.now)
-        self.figures.decide_s += time.perf_counter() - clock
+        self.figures.decide_s += time.thread_time() - clock
         job = host.jobs.get(start.submission)
         if job is not None:
             self._settle(job, start, outcome)
--- a/godwitnotch/core/admission.py
+++ b/godwitnotch/core/admission.py
@@ -26,14 +26,14 @@
     """What the queue looks like to a new job.
 
     Attributes:
-        upstreams: Upstreams that may serve it.
+        served: Whether any upstream may serve it.
         slots: Slots that the host can count on for it.
         mean_s: Mean run time of its template.
         before: Tasks that are expected to go before its last one.
         queued: Tasks of its workspace that wait on this host.
     """
 
-    upstreams: int
+    served: bool
     slots: float
     mean_s: float
     before: int
@@ -56,7 +56,7 @@
     ) -> scheduler.Refusal | None:
         """Returns why a job is refused; None admits it."""
         tasks = len(job.declared_ms)
-        if not situation.upstreams:
+        if not situation.served:
             return scheduler.Refusal(
                 model.Reason.NO_UPSTREAM,
                 f"no live upstream may serve template {job.template.name!r}; "
--- a/godwitnotch/core/credit_scheduler.py
+++ b/godwitnotch/core/credit_scheduler.py
@@ -41,6 +41,8 @@
 STALL_TASKS = 3
 # An upstream's own word that it leaves is kept against a lagging list.
 LEAVING_S = 60.0
+# An upstream ranked before others by less than this is looked at no further.
+RANK_SLACK = 0.05
 # Slots asked of one upstream at once, and upstreams asked at once.
 ASK_BLOCK = 4
 ASKS_AT_ONCE = 12
@@ -50,7 +52,8 @@
 
 _Allowed = frozenset[ids.UpstreamId]
 _Task = tuple[ids.SubmissionId, int]
-_Offer = tuple[float, int, "_Upstream"]
+_Offer = tuple[float, "_Upstream"]
+_Ranked = tuple[float, ids.UpstreamId, "_Upstream"]
 
 
 @dataclass(slots=True, eq=False)
@@ -117,12 +120,14 @@
         self._shares = fair_queue.Shares()
         self._lanes: dict[_Allowed, _Lane] = {}
         self._upstreams: dict[ids.UpstreamId, _Upstream] = {}
+        self._list: tuple[model.UpstreamEntry, ...] = ()
         self._names: list[ids.UpstreamId] = []
+        self._fresh: dict[ids.UpstreamId, _Upstream] = {}
+        self._look_at = 0.0
         self._free: dict[ids.UpstreamId, _Upstream] = {}
         self._paused: dict[ids.UpstreamId, _Upstream] = {}
         self._jobs: dict[ids.SubmissionId, _Admitted] = {}
         self._running: dict[_Task, _Running] = {}
-        self._reconsider_at = math.inf
         self._ask_at = 0.0
         self._best = 0.0
         self._best_until = -math.inf
@@ -131,6 +136,9 @@
         self, upstreams: Sequence[model.UpstreamEntry], *, now: float
     ) -> None:
         """Takes a newer list of upstreams, leaving ones included."""
+        if tuple(upstreams) == self._list:
+            return
+        self._list = tuple(upstreams)
         self._health.upstreams_seen(upstreams)
         self._slots.resources_seen(
             [
@@ -176,6 +184,7 @@
         costs = tuple(mean_s * each for each in factors)
         self._jobs[job.submission] = _Admitted(job, factors, costs)
         self._budget.earn(len(costs))
+        self._look_at = now
         queue = self._lane(job.template).queue
         queue.push(job, _in_order(job), costs, now=now)
 
@@ -186,6 +195,7 @@
         job = self._jobs.get(submission)
         if job is None or not self._budget.spend():
             return False
+        self._look_at = now
         queue = self._lane(job.request.template).queue
         queue.push(job.request, [task_index], job.costs, now=now)
         return True
@@ -199,13 +209,18 @@
     def assign(self, *, now: float) -> list[scheduler.Assignment]:
         """Returns the tasks that start now."""
         self._advance(now)
-        self._reconsider_at = math.inf
+        # Slots that were looked at already are so again after a while only.
+        look = now >= self._look_at
+        offered = self._free if look else self._fresh
+        if look:
+            self._look_at = math.inf
         started: list[scheduler.Assignment] = []
         queued = 0
         for lane in self._lanes.values():
             if len(lane.queue):
-                self._assign_lane(lane, started, now)
+                self._assign_lane(lane, offered, started, now)
                 queued += len(lane.queue)
+        self._fresh.clear()
         self._slots.hungry = queued > 0
         if queued and now >= self._ask_at:
             self._ask_at = now + ASK_EVERY_S
@@ -271,7 +286,7 @@
 
     def next_deadline(self) -> float | None:
         """Returns when the policy next wants to be asked, if ever."""
-        times = [self._reconsider_at]
+        times = [self._look_at]
         for each in (
             self._slots.next_deadline(),
             self._quotas.ledger.next_deadline(),
@@ -294,11 +309,13 @@
         upstream.credit = credit
         upstream.gone = False
         self._free[entry.upstream] = upstream
+        self._look_at = -math.inf
 
     def _lose(self, upstream: _Upstream) -> None:
         name = upstream.entry.upstream
         upstream.gone = True
         self._free.pop(name, None)
+        self._fresh.pop(name, None)
         self._paused.pop(name, None)
         self._speeds.forget(name)
         if not upstream.starts:
@@ -339,7 +356,7 @@
         if not lane.allowed:
             slots = max(slots, len(self._running))
         return admission.Situation(
-            upstreams=sum(not each.leaving(now) for each in lane.upstreams),
+            served=any(not each.leaving(now) for each in lane.upstreams),
             slots=min(slots, self._quotas.part(workspace)),
             mean_s=self._speeds.mean_s(job.template.name),
             before=own + min(others, rivals * (own + tasks)),
@@ -371,8 +388,10 @@
         name = upstream.entry.upstream
         if self._is_free(upstream, now):
             self._free[name] = upstream
+            self._fresh[name] = upstream
         else:
             self._free.pop(name, None)
+            self._fresh.pop(name, None)
 
     def _is_free(self, upstream: _Upstream, now: float) -> bool:
         return (
@@ -383,46 +402,64 @@
         )
 
     def _assign_lane(
-        self, lane: _Lane, started: list[scheduler.Assignment], now: float
+        self,
+        lane: _Lane,
+        offered: dict[ids.UpstreamId, _Upstream],
+        started: list[scheduler.Assignment],
+        now: float,
     ) -> None:
-        offers: dict[ids.TemplateName, list[_Offer]] = {}
+        offers: dict[ids.TemplateName, list[_Ranked]] = {}
         while True:
             job = lane.queue.head(self._quotas.may_run, now=now)
             if job is None:
                 break
             template = job.request.template.name
             if template not in offers:
-                offers[template] = self._offers(lane, template, now)
-            found = self._best_offer(offers[template], now)
+                offers[template] = self._offers(lane, template, offered)
+            found = self._best_offer(offers[template], template, now)
             if found is None:
                 break
             if not self._worth(lane, job, found, now):
                 job = lane.queue.longest()
                 if not self._worth_last(lane, job, found, now):
-                    self._reconsider_at = now + PATIENCE_S
+                    self._look_at = min(self._look_at, now + PATIENCE_S)
                     break
-            started.append(self._start(lane, job, found[2], now))
+            started.append(self._start(lane, job, found[1], now))
         for workspace in lane.queue.blocked:
             queued = lane.queue.queued(workspace)
             self._quotas.ask(workspace, queued, now=now)
 
     def _offers(
-        self, lane: _Lane, template: ids.TemplateName, now: float
-    ) -> list[_Offer]:
+        self,
+        lane: _Lane,
+        template: ids.TemplateName,
+        offered: dict[ids.UpstreamId, _Upstream],
+    ) -> list[_Ranked]:
+        """Returns a heap of upstreams, the fastest for a template first."""
+        ranks = self._speeds.ranks(template)
         offers = [
-            (self._expect_s(upstream, template, now), order, upstream)
-            for order, upstream in enumerate(self._free.values())
-            if not lane.allowed or upstream.entry.upstream in lane.allowed
+            (ranks.get(name, upstream.credit.slowness / 100), name, upstream)
+            for name, upstream in offered.items()
+            if not lane.allowed or name in lane.allowed
         ]
         heapq.heapify(offers)
         return offers
 
-    def _best_offer(self, offers: list[_Offer], now: float) -> _Offer | None:
+    def _best_offer(
+        self, offers: list[_Ranked], template: ids.TemplateName, now: float
+    ) -> _Offer | None:
         while offers:
-            if self._is_free(offers[0][2], now):
-                return offers[0]
-            self._free.pop(offers[0][2].entry.upstream, None)
-            heapq.heappop(offers)
+            rank, name, upstream = offers[0]
+            if not self._is_free(upstream, now):
+                self._free.pop(name, None)
+                heapq.heappop(offers)
+                continue
+            expected_s = self._expect_s(upstream, template, now)
+            typical_s = self._speeds.typical_s(template)
+            true_rank = math.log(expected_s / typical_s)
+            if true_rank <= rank + RANK_SLACK:
+                return expected_s, upstream
+            heapq.heapreplace(offers, (true_rank, name, upstream))
         return None
 
     def _expect_s(
@@ -536,7 +573,9 @@
 
     def _unblock(self, workspace: ids.WorkspaceId) -> None:
         for lane in self._lanes.values():
-            lane.queue.unblock(workspace)
+            if workspace in lane.queue.blocked:
+                lane.queue.unblock(workspace)
+                self._look_at = -math.inf
 
     def _learn(
         self,
--- a/godwitnotch/core/credits.py
+++ b/godwitnotch/core/credits.py
@@ -153,7 +153,6 @@
     ceiling: int | None = None
     serial: int = 0
     asked: int = 0
-    refresh_at: float = math.inf
     loans: dict[ids.HostId, _Loan] = field(default_factory=dict)
 
     @property
@@ -178,6 +177,9 @@
         self._host = host
         self._domains: dict[ids.HostId, ids.DomainId] = {host: domain}
         self._credits: dict[str, Credit] = {}
+        self._mine: dict[str, Credit] = {}
+        self._refresh: dict[str, float] = {}
+        self._near: dict[ids.DomainId | None, list[ids.HostId]] = {}
         self._scores: dict[str, dict[ids.HostId, int]] = {}
         self._asks: dict[str, float] = {}
         self._asked = 0
@@ -222,6 +224,7 @@
         credit = Credit(resource, holder, holder == self._host)
         self._credits[resource.key] = credit
         if credit.mine:
+            self._mine[resource.key] = credit
             self._gather(credit, now)
         return credit
 
@@ -232,6 +235,7 @@
         own = {self._host: self._domains[self._host]}
         gone = self._domains.keys() - domains.keys() - own.keys()
         self._domains = {**domains, **own}
+        self._near.clear()
         for host in gone:
             self._drop_request(host)
             self._requested.pop(host, None)
@@ -273,10 +277,6 @@
         self._counted[key] = now + ANSWER_S
         self._dirty[key] = None
 
-    def is_asked(self, key: str) -> bool:
-        """Returns whether a request of this host stands."""
-        return key in self._asks
-
     def ask_holder(
         self, holder: ids.HostId, asked: Asked, *, now: float
     ) -> None:
@@ -352,7 +352,7 @@
             self._answered(host, message.allowed - credit.held)
             credit.held = message.allowed
             credit.ceiling = None
-            credit.refresh_at = now + REFRESH_S
+            self._refresh.setdefault(message.key, now + REFRESH_S)
             self.changed.add(message.key)
             self._note_idle(credit, now)
         else:
@@ -411,7 +411,7 @@
         while self._tokens >= 1 and self._dirty:
             key = next(iter(self._dirty))
             del self._dirty[key]
-            self._report(self._credits.get(key), sent, now)
+            self._report(self._credits.get(key), sent)
         return sent
 
     def next_deadline(self) -> float | None:
@@ -435,14 +435,9 @@
         return min(times, default=None)
 
     def _choose(self, resource: Resource) -> ids.HostId:
-        near = [
-            host
-            for host, domain in self._domains.items()
-            if domain == resource.domain
-        ]
         scores = self._scores.setdefault(resource.key, {})
         best, best_score = self._host, -1
-        for host in near or self._domains:
+        for host in self._candidates(resource.domain):
             score = scores.get(host)
             if score is None:
                 score = scores[host] = _score(resource.key, host)
@@ -450,6 +445,13 @@
                 best, best_score = host, score
         return best
 
+    def _candidates(self, domain: ids.DomainId | None) -> list[ids.HostId]:
+        near = self._near.get(domain)
+        if near is None:
+            near = [h for h, each in self._domains.items() if each == domain]
+            self._near[domain] = near = near or list(self._domains)
+        return near
+
     def _move(self, credit: Credit, holder: ids.HostId, now: float) -> None:
         was_mine, credit.mine = credit.mine, holder == self._host
         credit.holder = holder
@@ -459,13 +461,15 @@
         credit.ceiling = None
         credit.serial = 0
         if credit.mine:
+            self._mine[credit.resource.key] = credit
             self._gather(credit, now)
             return
         if was_mine:
+            del self._mine[credit.resource.key]
             credit.loans.clear()
             credit.lent = 0
         if credit.held:
-            credit.refresh_at = now + REFRESH_S
+            self._refresh.setdefault(credit.resource.key, now + REFRESH_S)
             self._dirty[credit.resource.key] = None
 
     def _answered(self, holder: ids.HostId, count: int) -> None:
@@ -494,6 +498,8 @@
         self._idle.pop(key, None)
         self._dirty.pop(key, None)
         self._scores.pop(key, None)
+        self._mine.pop(key, None)
+        self._refresh.pop(key, None)
         del self._credits[key]
 
     def _end_ask(self, key: str) -> None:
@@ -579,11 +585,16 @@
 
     def _tick(self, now: float) -> None:
         self._gathering = False
-        for key, credit in self._credits.items():
-            if credit.mine:
-                self._tick_holder(key, credit, now)
-            elif credit.held and credit.refresh_at <= now:
-                credit.refresh_at = now + REFRESH_S
+        for key, credit in self._mine.items():
+            self._tick_holder(key, credit, now)
+        while self._refresh:
+            key, at = next(iter(self._refresh.items()))
+            if at > now:
+                break
+            del self._refresh[key]
+            credit = self._credits[key]
+            if credit.held and not credit.mine:
+                self._refresh[key] = now + REFRESH_S
                 self._dirty[key] = None
 
     def _tick_holder(self, key: str, credit: Credit, now: float) -> None:
@@ -617,12 +628,9 @@
         self._tokens -= 1
         sent.append(Outgoing(host, Lent(key, loan.allowed, loan.serial)))
 
-    def _report(
-        self, credit: Credit | None, sent: list[Outgoing], now: float
-    ) -> None:
+    def _report(self, credit: Credit | None, sent: list[Outgoing]) -> None:
         if credit is None or credit.mine:
             return
-        credit.refresh_at = now + REFRESH_S
         wanted = credit.held + credit.asked
         message = Wanted(
             credit.resource.key, credit.held, wanted, credit.serial
--- a/godwitnotch/core/fair_queue.py
+++ b/godwitnotch/core/fair_queue.py
@@ -219,9 +219,9 @@
             self._join(workspace)
 
     @property
-    def blocked(self) -> frozenset[ids.WorkspaceId]:
-        """Workspaces that were passed over for their quota."""
-        return frozenset(self._blocked)
+    def blocked(self) -> set[ids.WorkspaceId]:
+        """Workspaces that were passed over for their quota; don't change."""
+        return self._blocked
 
     def _backlog(self, workspace: ids.WorkspaceId) -> "_Backlog":
         backlog = self._backlogs.get(workspace)
--- a/godwitnotch/core/speeds.py
+++ b/godwitnotch/core/speeds.py
@@ -37,6 +37,7 @@
     """Expected run times by template and upstream."""
 
     def __init__(self) -> None:
+        self._ranks: dict[ids.TemplateName, dict[ids.UpstreamId, float]] = {}
         self._templates: dict[ids.TemplateName, _Term] = {}
         self._means: dict[ids.TemplateName, float] = {}
         self._upstreams: dict[ids.UpstreamId, _Term] = {}
@@ -67,6 +68,13 @@
         term = self._templates.get(template)
         return math.exp(term.value) if term else PRIOR_S
 
+    def ranks(self, template: ids.TemplateName) -> dict[ids.UpstreamId, float]:
+        """Returns how slow upstreams are for a template, log scale.
+
+        Upstreams that never ran it are left out; use their `deviation`.
+        """
+        return self._ranks.setdefault(template, {})
+
     def deviation(self, upstream: ids.UpstreamId) -> float:
         """Returns an upstream's slowness on a logarithmic scale."""
         term = self._upstreams.get(upstream)
@@ -88,7 +96,10 @@
         term = self._upstreams.setdefault(upstream, _Term(0.0))
         term.correct(error, _UPSTREAM_GAIN, 5)
         pairs = self._pairs.setdefault(template, {})
-        pairs.setdefault(upstream, _Term(0.0)).correct(error, _PAIR_GAIN, 12)
+        pair = pairs.setdefault(upstream, _Term(0.0))
+        pair.correct(error, _PAIR_GAIN, 12)
+        ranks = self._ranks.setdefault(template, {})
+        ranks[upstream] = term.value + pair.value
         mean = self._means.get(template, took_s)
         self._means[template] = mean + _TEMPLATE_GAIN * (took_s - mean)
 
@@ -97,3 +108,5 @@
         self._upstreams.pop(upstream, None)
         for pairs in self._pairs.values():
             pairs.pop(upstream, None)
+        for ranks in self._ranks.values():
+            ranks.pop(upstream, None)
