--- a/godwitnotch/commands/callers.py
+++ b/godwitnotch/commands/callers.py
@@ -2,6 +2,7 @@
 
 import json
 import sys
+from collections.abc import Sequence
 from typing import Annotated
 from typing import Any
 from typing import TYPE_CHECKING
@@ -38,7 +39,7 @@
 
 
 def reserve(
-    host: options.Host,
+    host: options.CallerHosts,
     workspace: options.Workspace,
     count: Annotated[int, typer.Option(min=1, help="Number of ids.")] = 1,
     key: Annotated[
@@ -52,16 +53,16 @@
     Example: godwitnotch reserve --host 127.0.0.1:8080 --workspace chutney
     --count 10
     """
-    client = options.caller_client(host, token_file)
+    clients = options.caller_clients(host, token_file)
     wanted: dict[str, Any] = {"count": count}
     if key is not None:
         wanted["key"] = key
-    for submission in _reserve(client, workspace, wanted):
+    for submission in _reserve(clients, workspace, wanted):
         print(submission)
 
 
 def submit(
-    host: options.Host,
+    host: options.CallerHosts,
     workspace: options.Workspace,
     template: Annotated[
         str, typer.Option(metavar="NAME", help="Template of the tasks.")
@@ -100,25 +101,25 @@
         "tasks": _read_tasks(tasks),
         "timeout_ms": timeout_ms,
     }
-    client = options.caller_client(host, token_file)
+    clients = options.caller_clients(host, token_file)
     wait_s = timeout_ms / 1_000 + _ANSWER_GRACE_S
     if key is not None:
         headers = {"idempotency-key": key}
         path = f"/v1/{workspace}/jobs"
-        answer = options.call(
-            client, "POST", path, value=job, headers=headers, timeout_s=wait_s
+        answer = options.call_any(
+            clients, "POST", path, value=job, headers=headers, timeout_s=wait_s
         )
         _finish(answer)
     if submission is None:
-        submission = _reserve(client, workspace, {"count": 1})[0]
+        submission = _reserve(clients, workspace, {"count": 1})[0]
         print(f"id={submission}", file=sys.stderr)
     path = f"/v1/{workspace}/jobs/{submission}"
-    _finish(options.call(client, "PUT", path, value=job, timeout_s=wait_s))
+    _finish(options.call_any(clients, "PUT", path, value=job, timeout_s=wait_s))
 
 
 def status(
     submission: Submission,
-    host: options.Host,
+    host: options.CallerHosts,
     workspace: options.Workspace,
     token_file: options.TokenFile = None,
 ) -> None:
@@ -126,14 +127,14 @@
 
     Example: godwitnotch status ID --host 127.0.0.1:8080 --workspace chutney
     """
-    client = options.caller_client(host, token_file)
+    clients = options.caller_clients(host, token_file)
     path = f"/v1/{workspace}/jobs/{submission}"
-    _finish(options.call(client, "GET", path))
+    _finish(options.call_any(clients, "GET", path))
 
 
 def cancel(
     submission: Submission,
-    host: options.Host,
+    host: options.CallerHosts,
     workspace: options.Workspace,
     token_file: options.TokenFile = None,
 ) -> None:
@@ -143,16 +144,18 @@
 
     Example: godwitnotch cancel ID --host 127.0.0.1:8080 --workspace chutney
     """
-    client = options.caller_client(host, token_file)
+    clients = options.caller_clients(host, token_file)
     path = f"/v1/{workspace}/jobs/{submission}"
-    _finish(options.call(client, "DELETE", path))
+    _finish(options.call_any(clients, "DELETE", path))
 
 
 def _reserve(
-    client: "host_client.HostClient", workspace: str, wanted: dict[str, Any]
+    clients: Sequence["host_client.HostClient"],
+    workspace: str,
+    wanted: dict[str, Any],
 ) -> list[str]:
     path = f"/v1/{workspace}/reservations"
-    answer = options.call(client, "POST", path, value=wanted)
+    answer = options.call_any(clients, "POST", path, value=wanted)
     if "ids" not in answer.value:
         _finish(answer)
     return [str(submission) for submission in answer.value["ids"]]
--- a/godwitnotch/commands/options.py
+++ b/godwitnotch/commands/options.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import sys
+from collections.abc import Sequence
 from typing import Annotated
 from typing import NoReturn
 from typing import TYPE_CHECKING
@@ -15,7 +16,8 @@
 
 TOKEN_VARIABLE = "GODWITNOTCH_TOKEN"
 OPERATOR_TOKEN_VARIABLE = "GODWITNOTCH_OPERATOR_TOKEN"
-_EXAMPLE_ADDRESS = "127.0.0.1:8080"
+# A host refuses for these without a look at what another may have run.
+_OWN_REFUSALS = frozenset({"draining", "no_configuration"})
 
 
 class ExitCode(enum.IntEnum):
@@ -47,6 +49,16 @@
         help="Callers' address of a host; repeat for several.",
     ),
 ]
+CallerHosts = Annotated[
+    list[str],
+    typer.Option(
+        "--host",
+        envvar="GODWITNOTCH_HOST",
+        metavar="IP:PORT",
+        help="Callers' address of an entry host; repeat it to name others "
+        "that are tried in turn where one gives no answer.",
+    ),
+]
 Workspace = Annotated[
     str,
     typer.Option(
@@ -76,11 +88,14 @@
 ]
 
 
-def caller_client(
-    address: str, token_file: pathlib.Path | None
-) -> "host_client.HostClient":
-    """Returns a client with the workspace's token, or exits."""
-    return _client(address, TOKEN_VARIABLE, "--token-file", token_file)
+def caller_clients(
+    addresses: Sequence[str], token_file: pathlib.Path | None
+) -> list["host_client.HostClient"]:
+    """Returns clients with the workspace's token, or exits."""
+    return [
+        _client(address, TOKEN_VARIABLE, "--token-file", token_file)
+        for address in addresses
+    ]
 
 
 def operator_client(
@@ -112,6 +127,39 @@
         )
 
 
+def call_any(
+    clients: Sequence["host_client.HostClient"],
+    method: str,
+    path: str,
+    **more: object,
+) -> "host_client.HostAnswer":
+    """Sends a request to the hosts in turn, until one can tell of it.
+
+    Only for requests that are safe to repeat. Exits with a message if a host
+    gave no answer and no other could tell whether it ran anything.
+    """
+    from godwitnotch import host_client
+
+    refused = None
+    unreachable = []
+    for client in clients:
+        try:
+            answer = client.call(method, path, **more)  # type: ignore[arg-type]
+        except host_client.HostUnreachable as error:
+            unreachable.append(str(error))
+            continue
+        if answer.value.get("reason") not in _OWN_REFUSALS:
+            return answer
+        refused = answer
+    if refused is None or unreachable:
+        fail(
+            "the effect is not known, as hosts gave no answer; send the "
+            "request again unchanged: " + "; ".join(unreachable),
+            ExitCode.UNREACHABLE,
+        )
+    return refused
+
+
 def fail(message: str, code: ExitCode) -> NoReturn:
     """Prints a message to standard error and exits."""
     print(message, file=sys.stderr)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -139,6 +139,34 @@
         self.assertEqual(result.exit_code, options.ExitCode.UNREACHABLE)
         self.assertIn("effect is not known", result.stderr)
 
+    def test_another_host_is_asked_where_one_gives_no_answer(self) -> None:
+        self.answer(model.Outcome.COMPLETE)
+        result = self.invoke(
+            "status",
+            SUBMISSION,
+            "--workspace",
+            "acme",
+            "--host",
+            "127.0.0.1:1",
+            "--host",
+            self.address,
+        )
+        self.assertEqual(result.exit_code, 0, result.output)
+
+    def test_another_host_is_asked_where_one_is_draining(self) -> None:
+        self.answer(model.Outcome.REFUSED, model.Reason.DRAINING)
+        result = self.submit("--id", SUBMISSION, "--host", self.address)
+        self.assertEqual(len(self.port.events), 2)
+        self.assertEqual(result.exit_code, options.ExitCode.REFUSED)
+
+    def test_a_refusal_for_itself_does_not_speak_for_a_silent_host(
+        self,
+    ) -> None:
+        self.answer(model.Outcome.REFUSED, model.Reason.DRAINING)
+        result = self.submit("--id", SUBMISSION, "--host", "127.0.0.1:1")
+        self.assertEqual(result.exit_code, options.ExitCode.UNREACHABLE)
+        self.assertIn("effect is not known", result.stderr)
+
     def test_a_missing_token_is_told(self) -> None:
         del os.environ[options.TOKEN_VARIABLE]
         result = self.caller("status", SUBMISSION)
