--- a/godwitnotch/commands/hosts.py
+++ b/godwitnotch/commands/hosts.py
@@ -44,6 +44,7 @@
             options.ExitCode.USAGE,
         )
     loaded = settings_files.load(settings)
+    from godwitnotch import log
     from godwitnotch import root
 
     try:
@@ -54,6 +55,9 @@
             f"listen in {settings}",
             options.ExitCode.FAILED,
         )
+    except Exception as error:
+        log.logger.exception("", extra={"event": "host_failed"})
+        raise typer.Exit(options.ExitCode.FAILED) from error
 
 
 @app.command()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+import logging
 import os
 import pathlib
 import subprocess
@@ -351,23 +352,40 @@
 
 
 class StartTest(CommandTest):
-    def test_an_address_in_use_is_told_with_the_remedy(self) -> None:
+    def setUp(self) -> None:
+        super().setUp()
+        os.environ["SECRET"] = "s" * 32
+
+    def run_host(self, callers: str) -> typer.testing.Result:
         file = self.write(
             "host.yaml",
             f"""
             host: h1
             domain: d1
-            listen: {{callers: "{self.address}", peers: "127.0.0.1:0"}}
+            listen: {{callers: "{callers}", peers: "127.0.0.1:0"}}
             platform: 127.0.0.1:1
             secret: {{environment: SECRET}}
             operator_token: {{environment: SECRET}}
             """,
         )
-        os.environ["SECRET"] = "s" * 32
-        result = self.invoke("host", "--settings", file)
+        return self.invoke("host", "--settings", file)
+
+    def test_an_address_in_use_is_told_with_the_remedy(self) -> None:
+        result = self.run_host(self.address)
         self.assertEqual(result.exit_code, options.ExitCode.FAILED)
         self.assertIn("free the address", result.stderr)
 
+    def test_an_unforeseen_end_is_one_line_of_the_log(self) -> None:
+        disabled = logging.root.manager.disable
+        logging.disable(logging.NOTSET)
+        self.addCleanup(logging.disable, disabled)
+        broken = mock.patch("godwitnotch.root.run_host", side_effect=KeyError)
+        with broken, self.assertLogs("godwitnotch") as logs:
+            result = self.run_host("127.0.0.1:0")
+        self.assertEqual(result.exit_code, options.ExitCode.FAILED)
+        (record,) = logs.records
+        self.assertEqual(record.event, "host_failed")
+
 
 class HelpTest(unittest.TestCase):
     def test_the_version_is_that_of_the_package(self) -> None:
