Hand every message of the schedulers to the scheduler

Ruled out: listing each message in the host (it was forgotten twice). Change: messages.SchedulerMessage is the one list; the host takes all of it.

--- a/godwitnotch/core/host.py
+++ b/godwitnotch/core/host.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
+from typing import get_args
 
 from godwitnotch.core import actions
 from godwitnotch.core import bindings
@@ -319,11 +320,11 @@
     return frozenset(_HANDLERS)
 
 
-def _handles(kind: type) -> Callable[[_Handler], _Handler]:
-    """Registers the handler of one kind of event or peer message."""
+def _handles(*kinds: type) -> Callable[[_Handler], _Handler]:
+    """Registers the handler of some kinds of events or peer messages."""
 
     def register(handler: _Handler) -> _Handler:
-        _HANDLERS[kind] = handler
+        _HANDLERS.update(dict.fromkeys(kinds, handler))
         return handler
 
     return register
@@ -514,17 +515,14 @@
     core._changes.peer_confirmed(event.host, message.counter, now=now)
 
 
-@_handles(messages.ConfigChanged)
-@_handles(messages.ConfigWanted)
-@_handles(messages.ConfigSnapshot)
+@_handles(
+    messages.ConfigChanged, messages.ConfigWanted, messages.ConfigSnapshot
+)
 def _config_message(core: HostCore, event: events.PeerSaid, now: float) -> None:
     core._keeper.peer_said(event.host, event.message, now=now)
 
 
-@_handles(messages.SlotsWanted)
-@_handles(messages.SlotsLent)
-@_handles(messages.QuotaWanted)
-@_handles(messages.QuotaLent)
+@_handles(*get_args(messages.SchedulerMessage))
 def _scheduler_message(
     core: HostCore, event: events.PeerSaid, now: float
 ) -> None:
@@ -538,10 +536,7 @@
     core._submissions.runner.attempt_ended(event, now=now)
 
 
-@_handles(events.StoreCommitted)
-@_handles(events.StoreConflict)
-@_handles(events.StoreRows)
-@_handles(events.StoreFailed)
+@_handles(*get_args(store_calls.StoreEvent))
 def _store_ended(
     core: HostCore, event: store_calls.StoreEvent, now: float
 ) -> None:
@@ -573,7 +568,6 @@
     core._timers.at(event.deadline, core._stop_waiting)
 
 
-@_handles(events.CallerGone)
-@_handles(events.TimePassed)
+@_handles(events.CallerGone, events.TimePassed)
 def _nothing(core: HostCore, event: events.Event, now: float) -> None:
     """Does nothing: the reply to a gone caller is dropped by the runtime."""
--- a/godwitnotch/core/messages.py
+++ b/godwitnotch/core/messages.py
@@ -176,6 +176,10 @@
     serial: int = 0
 
 
+# What the schedulers of two hosts say to each other.
+SchedulerMessage = (
+    SlotsWanted | SlotsLent | SlotsAsked | SlotsBatch | QuotaWanted | QuotaLent
+)
 Message = (
     Hello
     | Heartbeat
@@ -187,10 +191,5 @@
     | ConfigApplied
     | ConfigWanted
     | ConfigSnapshot
-    | SlotsWanted
-    | SlotsLent
-    | SlotsAsked
-    | SlotsBatch
-    | QuotaWanted
-    | QuotaLent
+    | SchedulerMessage
 )
