--- a/bench/fleet_bench.py
+++ b/bench/fleet_bench.py
@@ -41,6 +41,7 @@
 BURST_SHARE = 0.05  # Of all jobs, in each burst.
 BURST_S = 0.5
 FAULT_AT = 0.4  # Of the load's time.
+TABLE_COLUMNS = 260
 _CLEAN = "none"
 
 
@@ -280,7 +281,7 @@
         grouped[run.policy, run.share].append(run)
     for (policy, share), group in grouped.items():
         table.add_row(policy, f"{share:g}", *_cells(group))
-    rich.console.Console(width=180).print(table)
+    rich.console.Console(width=TABLE_COLUMNS).print(table)
 
 
 def _cells(group: Sequence[Run]) -> list[str]:
