Send nothing after the deadline, and let no exchange hang or leak

Found by reading; each has a test that failed before. A request whose deadline had passed (after a pause of the process, say) was still sent, so its task could start for nobody. A header that h11 won't write raised an untyped error in the client, and in the server left the connection open with no timer. An address with a name was looked up on another thread. Pools of addresses that left the list were kept for ever, idle connections included.

--- a/godwitnotch/net/http_client.py
+++ b/godwitnotch/net/http_client.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import enum
+import ipaddress
 import socket
 import urllib.parse
 from collections import deque
@@ -94,6 +95,15 @@
         """Sets the connections for one address."""
         self._pool(address).set_limit(connections)
 
+    def forget(self, address: str) -> bool:
+        """Drops what is kept for an address; returns False while in use."""
+        pool = self._pool(address)
+        pool.close_idle()
+        if pool.in_use or pool.waiters:
+            return False
+        del self._pools[address]
+        return True
+
     def idle_connections(self, address: str) -> int:
         """Returns how many connections to an address wait for reuse."""
         return len(self._pool(address).idle)
@@ -124,7 +134,10 @@
         try:
             return await self._exchange(pool, request, deadline, max_body_bytes)
         except ExchangeError as error:
-            if error.cause is Cause.TIMED_OUT:
+            if (
+                error.cause is Cause.TIMED_OUT
+                and error.progress is Progress.SENT
+            ):
                 pool.close_idle()
             raise
         finally:
@@ -202,12 +215,13 @@
                 Cause.TIMED_OUT,
                 "the server does not accept connections; check that it runs",
             ) from None
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
             raise ExchangeError(
                 pool.address,
                 Progress.CONNECT_REFUSED,
                 Cause.CONNECT_FAILED,
-                f"check that the server runs and listens there ({error})",
+                "check that the address is an IP number and port, and that "
+                f"the server runs and listens there ({error})",
             ) from error
 
     def _arm_sweep(self) -> None:
@@ -299,14 +313,15 @@
 
 async def _open(address: str) -> "_Connection":
     host, _, port = address.rpartition(":")
-    host = host.strip("[]")
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    # A name would be looked up on another thread, and is refused here.
+    ip = ipaddress.ip_address(host.strip("[]"))
+    family = socket.AF_INET6 if ip.version == 6 else socket.AF_INET
     loop = asyncio.get_running_loop()
     sock = socket.socket(family, socket.SOCK_STREAM)
     try:
         sock.setblocking(False)
         _set_options(sock)
-        await loop.sock_connect(sock, (host, int(port)))
+        await loop.sock_connect(sock, (str(ip), int(port)))
     except BaseException:
         sock.close()
         raise
@@ -405,7 +420,7 @@
         self._max_body_bytes = max_body_bytes
         timer = self._loop.call_at(deadline, self._time_out)
         try:
-            self._write(self._encode(request))
+            self._send(request, deadline)
             response = await self._answer
         finally:
             timer.cancel()
@@ -415,6 +430,25 @@
         self.idle_since = self._loop.time()
         return response
 
+    def _send(self, request: http_types.HttpRequest, deadline: float) -> None:
+        if self._loop.time() >= deadline:
+            self._fail(
+                Cause.TIMED_OUT,
+                "the deadline passed before the request; allow more time",
+                Progress.NOTHING_SENT,
+            )
+            return
+        try:
+            data = self._encode(request)
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            self._fail(
+                Cause.MALFORMED,
+                f"correct the path or headers of the request ({error})",
+                Progress.NOTHING_SENT,
+            )
+            return
+        self._write(data)
+
     def _encode(self, request: http_types.HttpRequest) -> bytes:
         headers = [("host", self._address), *request.headers.items()]
         if request.body or request.method not in ("GET", "HEAD", "DELETE"):
--- a/godwitnotch/net/http_server.py
+++ b/godwitnotch/net/http_server.py
@@ -314,12 +314,24 @@
                 500, "internal", "the handler failed; see the log of this host"
             )
         self._task = None
-        self._respond(response)
+        self._respond(request, response)
 
-    def _respond(self, response: http_types.HttpResponse) -> None:
-        self._transport.write(
-            self._encode(response, close=self._shared.stopping)
-        )
+    def _respond(
+        self,
+        request: http_types.HttpRequest,
+        response: http_types.HttpResponse,
+    ) -> None:
+        try:
+            data = self._encode(response, close=self._shared.stopping)
+        except (h11.LocalProtocolError, UnicodeEncodeError):
+            _LOG.exception(
+                "event=answer_not_writable method=%s path=%s",
+                request.method,
+                request.path,
+            )
+            self.abort()
+            return
+        self._transport.write(data)
         if self._http.our_state is not h11.DONE:
             self._phase = _Phase.LINGERING
             self._transport.close()
--- a/godwitnotch/net/upstream_client.py
+++ b/godwitnotch/net/upstream_client.py
@@ -56,11 +56,20 @@
 
     def __init__(self, client: http_client.HttpClient | None = None) -> None:
         self._client = client or http_client.HttpClient()
+        self._addresses: set[str] = set()
 
     def upstreams_seen(self, upstreams: Iterable[model.UpstreamEntry]) -> None:
         """Applies the connections that the platform's list allows."""
+        listed = set()
         for entry in upstreams:
+            listed.add(entry.address)
             self._client.limit(entry.address, entry.connections)
+        in_use = {
+            address
+            for address in self._addresses - listed
+            if not self._client.forget(address)
+        }
+        self._addresses = listed | in_use
 
     async def send(self, action: actions.StartAttempt) -> events.AttemptEnded:
         """Sends one task; cancelling this closes its connection."""
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -227,6 +227,49 @@
             http_client.Cause.CONNECT_FAILED,
         )
 
+    async def test_nothing_is_sent_after_the_deadline(self) -> None:
+        await self._get("/1")
+        for timeout_s in (0.0, -1.0):
+            await self._fails(
+                "/late",
+                http_client.Progress.NOTHING_SENT,
+                http_client.Cause.TIMED_OUT,
+                timeout_s=timeout_s,
+            )
+        await self._get("/2")
+        self.assertEqual(self.requests, [b"/1", b"/2"])
+
+    async def test_malformed_request_sends_nothing(self) -> None:
+        for path in ("/a b", "/\xe9"):
+            await self._fails(
+                path,
+                http_client.Progress.NOTHING_SENT,
+                http_client.Cause.MALFORMED,
+            )
+        self.assertEqual(self.requests, [])
+        await self._get("/next")
+
+    async def test_address_must_be_an_ip_number_and_port(self) -> None:
+        for address in ("localhost:80", "127.0.0.1", "127.0.0.1:99999", ""):
+            self.address = address
+            await self._fails(
+                "/",
+                http_client.Progress.CONNECT_REFUSED,
+                http_client.Cause.CONNECT_FAILED,
+            )
+
+    async def test_forgotten_address_keeps_nothing(self) -> None:
+        await self._get("/1")
+        self.assertTrue(self.client.forget(self.address))
+        await self._get("/2")
+        self.assertEqual(self.connections, 2)
+
+    async def test_address_in_use_is_not_forgotten(self) -> None:
+        running = asyncio.create_task(self._get("/1"))
+        await asyncio.sleep(0)
+        self.assertFalse(self.client.forget(self.address))
+        self.assertEqual(await running, b"/1")
+
     async def test_body_of_unknown_length_ends_at_the_close(self) -> None:
         async def unframed(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -38,6 +38,8 @@
         self.seen.append(request)
         if request.path == "/drop":
             raise http_server.DropConnection
+        if request.path == "/bad-header":
+            return http_types.HttpResponse(200, b"", {"a": "b\nc"})
         if request.path == "/broken":
             raise RuntimeError("broken")
         if request.path == "/wait":
@@ -171,6 +173,13 @@
         )
         self._assert_error(answer, 500, "internal")
 
+    async def test_answer_that_cannot_be_written_closes(self) -> None:
+        reader, writer = await self._open()
+        writer.write(b"GET /bad-header HTTP/1.1\r\nhost: h\r\n\r\n")
+        async with asyncio.timeout(_FAR_S):
+            self.assertEqual(await reader.read(), b"")
+        writer.close()
+
     async def test_dropped_connection_has_no_answer(self) -> None:
         reader, writer = await self._open()
         writer.write(b"GET /drop HTTP/1.1\r\nhost: h\r\n\r\n")
--- a/tests/test_upstream_client.py
+++ b/tests/test_upstream_client.py
@@ -8,6 +8,7 @@
 from godwitnotch.core import events
 from godwitnotch.core import ids
 from godwitnotch.core import model
+from godwitnotch.net import http_client
 from godwitnotch.net import upstream_client
 from godwitnotch.standins import upstream
 
@@ -121,6 +122,23 @@
         await first
         self.assertEqual(len(self.upstream.starts), 1)
 
+    async def test_connections_to_a_removed_upstream_are_closed(self) -> None:
+        entry = model.UpstreamEntry(
+            ids.UpstreamId("u1"),
+            ids.DomainId("d1"),
+            "r1",
+            self.address,
+            slots=2,
+            connections=64,
+        )
+        pool = http_client.HttpClient(max_idle_s=60.0)
+        self.client = upstream_client.UpstreamClient(pool)
+        self.client.upstreams_seen([entry])
+        await self._send()
+        self.assertEqual(pool.idle_connections(self.address), 1)
+        self.client.upstreams_seen([])
+        self.assertEqual(pool.idle_connections(self.address), 0)
+
     async def test_cancel_closes_the_connection(self) -> None:
         task = asyncio.create_task(self._send(payload=b'{"sleep_ms": 60000}'))
         while not self.upstream.running:
