Share the list of hosts and upstreams with a peer that has none

Cause: a host replaced in an outage of the platform became ready, but knew no upstream and refused all jobs under its own ids. Ruled out: keeping the list in the table service (down as well); gossip of the list while the platform answers (more messages for no gain). Shown by: the outage process test, red before ('not within 30 s: the successor has a list of upstreams'), green after; test_runtime.

--- a/godwitnotch/core/messages.py
+++ b/godwitnotch/core/messages.py
@@ -94,6 +94,18 @@
     configs: tuple[model.WorkspaceConfig, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class DirectoryWanted:
+    """A host that can't reach the platform asks for the list of hosts."""
+
+
+@dataclass(frozen=True, slots=True)
+class DirectorySnapshot:
+    """The latest list of hosts and upstreams that the peer has."""
+
+    directory: model.Directory
+
+
 @dataclass(frozen=True, slots=True)
 class SlotsWanted:
     """A borrower tells a holder what it uses and would use of an upstream.
@@ -156,6 +168,8 @@
     | ConfigApplied
     | ConfigWanted
     | ConfigSnapshot
+    | DirectoryWanted
+    | DirectorySnapshot
     | SlotsWanted
     | SlotsLent
     | QuotaWanted
--- /dev/null
+++ b/godwitnotch/net/directory_watch.py
@@ -0,0 +1,117 @@
+"""Keeps the list of hosts and upstreams fresh, and this host in it.
+
+The platform gives the list. A host that has had none from the platform takes
+that of its peers, so that one replaced in an outage of the platform can serve.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from godwitnotch.core import actions
+from godwitnotch.core import events
+from godwitnotch.core import ids
+from godwitnotch.core import messages
+from godwitnotch.core import model
+from godwitnotch.net import platform_client
+
+READ_INTERVAL_S = 1.0
+REGISTER_INTERVAL_S = 2.0
+TIMEOUT_S = 1.5
+
+OnDirectory = Callable[[model.Directory], None]
+OnNote = Callable[[actions.Note], None]
+SendPeer = Callable[[ids.HostId, messages.Message], object]
+
+
+class DirectoryWatch:
+    """Reads the list, registers this host, and shares the list with peers.
+
+    Args:
+        identity: This host, as it is to be listed.
+        platform: Where the list is read.
+        send_peer: Sends a message to a linked peer.
+        on_directory: Takes each list that was read.
+        on_note: Takes notes for the log and the counters.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: model.HostEntry,
+        platform: platform_client.Platform,
+        send_peer: SendPeer,
+        on_directory: OnDirectory,
+        on_note: OnNote,
+    ) -> None:
+        self._identity = identity
+        self._platform = platform
+        self._send_peer = send_peer
+        self._on_directory = on_directory
+        self._on_note = on_note
+        self._directory: model.Directory | None = None
+        self._from_platform = False
+
+    @property
+    def directory(self) -> model.Directory:
+        """The latest list; empty before the first."""
+        return self._directory or model.Directory()
+
+    async def read(self) -> None:
+        """Reads the list from the platform, if it answers."""
+        try:
+            directory = await self._platform.directory(deadline=_deadline())
+        except platform_client.PlatformUnavailable:
+            self._on_note(actions.Note("directory_unavailable"))
+        else:
+            self._from_platform = True
+            self._take(directory)
+
+    async def register(self) -> None:
+        """Keeps this host in the list, if the platform answers."""
+        try:
+            await self._platform.register(self._identity, deadline=_deadline())
+        except platform_client.PlatformUnavailable:
+            self._on_note(actions.Note("registration_failed"))
+
+    async def leave(self, identity: model.HostEntry) -> None:
+        """Registers this host as leaving."""
+        self._identity = identity
+        await self.register()
+
+    def take_peer_event(self, event: events.Event) -> bool:
+        """Takes what is about the list; returns whether the event was."""
+        match event:
+            case (
+                events.PeerUp(host=host)
+                | events.PeerSaid(host=host, message=messages.Heartbeat())
+            ) if self._directory is None:
+                self._send_peer(host, messages.DirectoryWanted())
+                return False
+            case events.PeerSaid(host=host, message=messages.DirectoryWanted()):
+                self._share(host)
+                return True
+            case events.PeerSaid(
+                message=messages.DirectorySnapshot(directory=directory)
+            ):
+                self._take_shared(directory)
+                return True
+        return False
+
+    def _share(self, host: ids.HostId) -> None:
+        if self._directory is not None:
+            snapshot = messages.DirectorySnapshot(self._directory)
+            self._send_peer(host, snapshot)
+
+    def _take_shared(self, directory: model.Directory) -> None:
+        if self._from_platform:
+            return
+        self._on_note(actions.Note("directory_from_peer"))
+        self._take(directory)
+
+    def _take(self, directory: model.Directory) -> None:
+        self._directory = directory
+        self._on_directory(directory)
+
+
+def _deadline() -> float:
+    return asyncio.get_running_loop().time() + TIMEOUT_S
--- a/godwitnotch/net/runtime.py
+++ b/godwitnotch/net/runtime.py
@@ -19,14 +19,12 @@
 from godwitnotch.core import messages
 from godwitnotch.core import model
 from godwitnotch.net import core_port
+from godwitnotch.net import directory_watch
 from godwitnotch.net import platform_client
 
 ANSWER_GRACE_S = 5.0  # For the decisions to answer after a deadline.
 ANSWER_LIMIT_S = 15.0  # For calls without a deadline.
 STORE_TIMEOUT_S = 2.0
-DIRECTORY_INTERVAL_S = 1.0
-DIRECTORY_TIMEOUT_S = 1.5
-REGISTER_INTERVAL_S = 2.0
 
 OnNote = Callable[[actions.Note], None]
 OnFault = Callable[[str, BaseException], None]
@@ -123,7 +121,13 @@
         self._running: Counter[ids.UpstreamId] = Counter()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._timer: asyncio.TimerHandle | None = None
-        self._directory = model.Directory()
+        self._watch = directory_watch.DirectoryWatch(
+            identity=identity,
+            platform=connections.platform,
+            send_peer=connections.peers.send,
+            on_directory=self._directory_seen,
+            on_note=on_note,
+        )
         self._store_up = True
         self._draining: asyncio.Future[float] = self._loop.create_future()
         self._stopped = asyncio.Event()
@@ -146,8 +150,8 @@
         """Begins to decide, to watch the platform's list and to be in it."""
         self.feed(events.TimePassed())
         for interval_s, work in (
-            (DIRECTORY_INTERVAL_S, self._read_directory),
-            (REGISTER_INTERVAL_S, self._register),
+            (directory_watch.READ_INTERVAL_S, self._watch.read),
+            (directory_watch.REGISTER_INTERVAL_S, self._watch.register),
         ):
             self._spawn(self._repeat(interval_s, work), self._unexpected)
 
@@ -174,7 +178,7 @@
             return
         self._draining.set_result(deadline)
         self._identity = replace(self._identity, leaving=True)
-        self._spawn(self._register(), self._unexpected)
+        self._spawn(self._watch.leave(self._identity), self._unexpected)
         self.feed(events.DrainAsked(deadline))
 
     def status(self) -> core_port.HostStatus:
@@ -214,6 +218,11 @@
             if not answered.done() or answered.cancelled():
                 self.feed(events.CallerGone(call))
 
+    def feed_peer(self, event: events.Event) -> None:
+        """Decides on an event of a peer link."""
+        if not self._watch.take_peer_event(event):
+            self.feed(event)
+
     def feed(self, event: events.Event) -> None:
         """Decides on an event and performs what follows from it."""
         try:
@@ -371,33 +380,16 @@
             elapsed_s = self._loop.time() - begun_at
             await asyncio.sleep(max(0.0, interval_s - elapsed_s))
 
-    async def _read_directory(self) -> None:
-        deadline = self._loop.time() + DIRECTORY_TIMEOUT_S
-        try:
-            directory = await self._platform.directory(deadline=deadline)
-        except platform_client.PlatformUnavailable:
-            self._on_note(actions.Note("directory_unavailable"))
-        else:
-            self._directory_seen(directory)
-
     def _directory_seen(self, directory: model.Directory) -> None:
-        self._directory = directory
         self._upstreams.upstreams_seen(directory.upstreams)
         self._peers.hosts_seen(directory.hosts)
         self.feed(events.DirectorySeen(directory))
 
-    async def _register(self) -> None:
-        deadline = self._loop.time() + DIRECTORY_TIMEOUT_S
-        try:
-            await self._platform.register(self._identity, deadline=deadline)
-        except platform_client.PlatformUnavailable:
-            self._on_note(actions.Note("registration_failed"))
-
     def _peer_statuses(self) -> tuple[core_port.PeerStatus, ...]:
         linked = self._peers.linked
         domains = {
             entry.host: entry.domain
-            for entry in self._directory.hosts
+            for entry in self._watch.directory.hosts
             if entry.host != self._identity.host
         }
         domains |= {host: hello.domain for host, hello in linked.items()}
@@ -415,7 +407,7 @@
                 self._running[entry.upstream],
                 entry.leaving,
             )
-            for entry in self._directory.upstreams
+            for entry in self._watch.directory.upstreams
         )
 
 
--- a/godwitnotch/root.py
+++ b/godwitnotch/root.py
@@ -227,7 +227,7 @@
         )
 
     def _peer_event(self, event: events.Event) -> None:
-        self._runtime.feed(event)
+        self._runtime.feed_peer(event)
 
     def _note(self, note: actions.Note) -> None:
         log.note(note)
--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -170,6 +170,14 @@
         forwarded = await self.fleet.submit(successor, *job[0])
         self.assertEqual(forwarded.outcome, "complete")
 
+        async def listed() -> bool:
+            return len((await successor.status())["upstreams"]) > 0
+
+        await cluster.until(listed, "the successor has a list of upstreams")
+        job = fleet.jobs(await self.reserve(successor, 1), tasks=3, sleep_ms=10)
+        own = await self.fleet.submit(successor, *job[0])
+        self.assertEqual(own.outcome, "complete", own)
+
         await system.order_faults(system.platform, down=False)
 
         async def taken() -> bool:
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -57,6 +57,30 @@
             ),
         ),
     ),
+    messages.DirectoryWanted(),
+    messages.DirectorySnapshot(
+        model.Directory(
+            (
+                model.HostEntry(
+                    ids.HostId("h"),
+                    ids.DomainId("d"),
+                    ids.Incarnation("i"),
+                    "127.0.0.1:1",
+                ),
+            ),
+            (
+                model.UpstreamEntry(
+                    ids.UpstreamId("u1"),
+                    ids.DomainId("d"),
+                    "r1",
+                    "127.0.0.1:2",
+                    8,
+                    64,
+                    True,
+                ),
+            ),
+        )
+    ),
     messages.SlotsWanted(ids.UpstreamId("u1"), 1, 2, 3),
     messages.SlotsLent(ids.UpstreamId("u1"), 1, 3),
     messages.QuotaWanted(SUBMIT.workspace, 1, 2, 3),
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -300,6 +300,33 @@
         self.assertEqual(self.peers.hosts, [IDENTITY])
         await self.until(lambda: self.platform.registered == [IDENTITY])
 
+    async def test_list_of_a_peer_serves_until_the_platform_answers(
+        self,
+    ) -> None:
+        unavailable = platform_client.PlatformUnavailable("x", uncertain=False)
+        self.platform.error = unavailable
+        self.runtime.start()
+        peer = ids.HostId("h2")
+        up = events.PeerUp(peer, ids.DomainId("d"), ids.Incarnation("i"))
+        self.runtime.feed_peer(up)
+        self.assertIn(up, self.core.seen)
+        self.assertEqual(self.peers.sent, [messages.DirectoryWanted()])
+        shared = model.Directory(hosts=(IDENTITY,))
+        snapshot = messages.DirectorySnapshot(shared)
+        self.runtime.feed_peer(events.PeerSaid(peer, snapshot))
+        self.assertIn(events.DirectorySeen(shared), self.core.seen)
+
+        self.platform.error = None
+        newer = events.DirectorySeen(self.platform.listed)
+        await self.until(lambda: newer in self.core.seen)
+        self.core.seen.clear()
+        self.runtime.feed_peer(events.PeerSaid(peer, snapshot))
+        self.assertNotIn(events.DirectorySeen(shared), self.core.seen)
+        wanted = events.PeerSaid(peer, messages.DirectoryWanted())
+        self.runtime.feed_peer(wanted)
+        answer = messages.DirectorySnapshot(self.platform.listed)
+        self.assertEqual(self.peers.sent[-1], answer)
+
     async def test_unexpected_fault_does_not_end_the_watch(self) -> None:
         self.platform.error = ZeroDivisionError()
         self.runtime.start()
