--- a/godwitnotch/core/credit_scheduler.py
+++ b/godwitnotch/core/credit_scheduler.py
@@ -22,11 +22,14 @@
 from godwitnotch.core import quotas
 from godwitnotch.core import retry_budget
 from godwitnotch.core import scheduler
+from godwitnotch.core import sizes
 from godwitnotch.core import speeds
 
 # A slower slot is taken only if the time lost on it is at most this share of
 # the time that the queue takes to drain.
-PATIENCE = 1.0
+PATIENCE = 0.3
+# A task that has waited takes a slower slot that loses so many times the wait.
+WAITED_WEIGHT = 3.0
 # A waiting task reconsiders a slower slot after so long.
 PATIENCE_S = 0.01
 # Pauses of an upstream that refused, doubling.
@@ -38,6 +41,8 @@
 STALL_TASKS = 3
 # An upstream's own word that it leaves is kept against a lagging list.
 LEAVING_S = 60.0
+# An upstream ranked before others by less than this is looked at no further.
+RANK_SLACK = 0.05
 # Slots asked of one upstream at once, and upstreams asked at once.
 ASK_BLOCK = 4
 ASKS_AT_ONCE = 12
@@ -47,6 +52,8 @@
 
 _Allowed = frozenset[ids.UpstreamId]
 _Task = tuple[ids.SubmissionId, int]
+_Offer = tuple[float, "_Upstream"]
+_Ranked = tuple[float, ids.UpstreamId, "_Upstream"]
 
 
 @dataclass(slots=True, eq=False)
@@ -64,10 +71,21 @@
         return self.gone or self.entry.leaving or self.leaving_until > now
 
 
+@dataclass(frozen=True, slots=True)
+class _Admitted:
+    """A job, and the sizes of its tasks relative to a typical one."""
+
+    request: scheduler.JobRequest
+    factors: tuple[float, ...]
+    costs: tuple[float, ...]
+
+
 @dataclass(slots=True)
 class _Running:
     workspace: ids.WorkspaceId
     template: ids.TemplateName
+    declared_ms: float | None
+    factor: float
 
 
 @dataclass(slots=True)
@@ -95,18 +113,21 @@
         self._slots = credits.CreditLedger(host, domain)
         self._quotas = quotas.QuotaShares(host, domain)
         self._speeds = speeds.SpeedModel()
+        self._sizes = sizes.SizeModel()
         self._health = health.HealthTracker()
         self._budget = retry_budget.RetryBudget()
         self._admission = admission.Admission(chance)
         self._shares = fair_queue.Shares()
         self._lanes: dict[_Allowed, _Lane] = {}
         self._upstreams: dict[ids.UpstreamId, _Upstream] = {}
+        self._list: tuple[model.UpstreamEntry, ...] = ()
         self._names: list[ids.UpstreamId] = []
+        self._fresh: dict[ids.UpstreamId, _Upstream] = {}
+        self._look_at = 0.0
         self._free: dict[ids.UpstreamId, _Upstream] = {}
         self._paused: dict[ids.UpstreamId, _Upstream] = {}
-        self._jobs: dict[ids.SubmissionId, scheduler.JobRequest] = {}
+        self._jobs: dict[ids.SubmissionId, _Admitted] = {}
         self._running: dict[_Task, _Running] = {}
-        self._reconsider_at = math.inf
         self._ask_at = 0.0
         self._best = 0.0
         self._best_until = -math.inf
@@ -115,6 +136,9 @@
         self, upstreams: Sequence[model.UpstreamEntry], *, now: float
     ) -> None:
         """Takes a newer list of upstreams, leaving ones included."""
+        if tuple(upstreams) == self._list:
+            return
+        self._list = tuple(upstreams)
         self._health.upstreams_seen(upstreams)
         self._slots.resources_seen(
             [
@@ -155,9 +179,14 @@
     def enqueue(self, job: scheduler.JobRequest, *, now: float) -> None:
         """Queues all tasks of an admitted job."""
         self._quotas.seen(job.workspace, now=now)
-        self._jobs[job.submission] = job
-        self._budget.earn(len(job.declared_ms))
-        self._lane(job.template).queue.push(job, _in_order(job), now=now)
+        factors = self._sizes.factors(job.template.name, job.declared_ms)
+        mean_s = self._speeds.mean_s(job.template.name)
+        costs = tuple(mean_s * each for each in factors)
+        self._jobs[job.submission] = _Admitted(job, factors, costs)
+        self._budget.earn(len(costs))
+        self._look_at = now
+        queue = self._lane(job.template).queue
+        queue.push(job, _in_order(job), costs, now=now)
 
     def requeue(
         self, submission: ids.SubmissionId, task_index: int, *, now: float
@@ -166,25 +195,32 @@
         job = self._jobs.get(submission)
         if job is None or not self._budget.spend():
             return False
-        self._lane(job.template).queue.push(job, [task_index], now=now)
+        self._look_at = now
+        queue = self._lane(job.request.template).queue
+        queue.push(job.request, [task_index], job.costs, now=now)
         return True
 
     def withdraw(self, submission: ids.SubmissionId, *, now: float) -> None:
         """Drops the queued tasks of a job that has ended."""
         job = self._jobs.pop(submission, None)
         if job is not None:
-            self._lane(job.template).queue.withdraw(submission)
+            self._lane(job.request.template).queue.withdraw(submission)
 
     def assign(self, *, now: float) -> list[scheduler.Assignment]:
         """Returns the tasks that start now."""
         self._advance(now)
-        self._reconsider_at = math.inf
+        # Slots that were looked at already are so again after a while only.
+        look = now >= self._look_at
+        offered = self._free if look else self._fresh
+        if look:
+            self._look_at = math.inf
         started: list[scheduler.Assignment] = []
         queued = 0
         for lane in self._lanes.values():
             if len(lane.queue):
-                self._assign_lane(lane, started, now)
+                self._assign_lane(lane, offered, started, now)
                 queued += len(lane.queue)
+        self._fresh.clear()
         self._slots.hungry = queued > 0
         if queued and now >= self._ask_at:
             self._ask_at = now + ASK_EVERY_S
@@ -226,6 +262,13 @@
             case messages.SlotsLent(key, allowed, serial):
                 loan = credits.Lent(key, allowed, serial)
                 self._slots.lent(host, loan, now=now)
+            case messages.SlotsAsked(count, slowest):
+                self._asked(host, credits.Asked(count, slowest), now)
+            case messages.SlotsBatch(wants, loans):
+                for want in wants:
+                    self.peer_said(host, want, now=now)
+                for grant in loans:
+                    self.peer_said(host, grant, now=now)
             case messages.QuotaWanted(workspace, held, wanted, serial):
                 word = credits.Wanted(workspace, held, wanted, serial)
                 self._quotas.ledger.wanted(host, word, now=now)
@@ -237,13 +280,13 @@
         """Returns the messages to send now."""
         slots = self._slots.outgoing(now=now)
         shares = self._quotas.ledger.outgoing(now=now)
-        return [_slots_message(each) for each in slots] + [
-            _quota_message(each) for each in shares
-        ]
+        if not slots and not shares:
+            return []
+        return _batched(slots) + [_quota_message(each) for each in shares]
 
     def next_deadline(self) -> float | None:
         """Returns when the policy next wants to be asked, if ever."""
-        times = [self._reconsider_at]
+        times = [self._look_at]
         for each in (
             self._slots.next_deadline(),
             self._quotas.ledger.next_deadline(),
@@ -266,11 +309,13 @@
         upstream.credit = credit
         upstream.gone = False
         self._free[entry.upstream] = upstream
+        self._look_at = -math.inf
 
     def _lose(self, upstream: _Upstream) -> None:
         name = upstream.entry.upstream
         upstream.gone = True
         self._free.pop(name, None)
+        self._fresh.pop(name, None)
         self._paused.pop(name, None)
         self._speeds.forget(name)
         if not upstream.starts:
@@ -311,7 +356,7 @@
         if not lane.allowed:
             slots = max(slots, len(self._running))
         return admission.Situation(
-            upstreams=sum(not each.leaving(now) for each in lane.upstreams),
+            served=any(not each.leaving(now) for each in lane.upstreams),
             slots=min(slots, self._quotas.part(workspace)),
             mean_s=self._speeds.mean_s(job.template.name),
             before=own + min(others, rivals * (own + tasks)),
@@ -343,8 +388,10 @@
         name = upstream.entry.upstream
         if self._is_free(upstream, now):
             self._free[name] = upstream
+            self._fresh[name] = upstream
         else:
             self._free.pop(name, None)
+            self._fresh.pop(name, None)
 
     def _is_free(self, upstream: _Upstream, now: float) -> bool:
         return (
@@ -355,46 +402,64 @@
         )
 
     def _assign_lane(
-        self, lane: _Lane, started: list[scheduler.Assignment], now: float
+        self,
+        lane: _Lane,
+        offered: dict[ids.UpstreamId, _Upstream],
+        started: list[scheduler.Assignment],
+        now: float,
     ) -> None:
-        offers: dict[ids.TemplateName, list[tuple[float, int, _Upstream]]] = {}
+        offers: dict[ids.TemplateName, list[_Ranked]] = {}
         while True:
             job = lane.queue.head(self._quotas.may_run, now=now)
             if job is None:
                 break
             template = job.request.template.name
             if template not in offers:
-                offers[template] = self._offers(lane, template, now)
-            found = self._best_offer(offers[template], now)
+                offers[template] = self._offers(lane, template, offered)
+            found = self._best_offer(offers[template], template, now)
             if found is None:
                 break
             if not self._worth(lane, job, found, now):
-                self._reconsider_at = now + PATIENCE_S
-                break
-            started.append(self._start(lane, job, found[2], now))
+                job = lane.queue.longest()
+                if not self._worth_last(lane, job, found, now):
+                    self._look_at = min(self._look_at, now + PATIENCE_S)
+                    break
+            started.append(self._start(lane, job, found[1], now))
         for workspace in lane.queue.blocked:
             queued = lane.queue.queued(workspace)
             self._quotas.ask(workspace, queued, now=now)
 
     def _offers(
-        self, lane: _Lane, template: ids.TemplateName, now: float
-    ) -> list[tuple[float, int, _Upstream]]:
+        self,
+        lane: _Lane,
+        template: ids.TemplateName,
+        offered: dict[ids.UpstreamId, _Upstream],
+    ) -> list[_Ranked]:
+        """Returns a heap of upstreams, the fastest for a template first."""
+        ranks = self._speeds.ranks(template)
         offers = [
-            (self._expect_s(upstream, template, now), order, upstream)
-            for order, upstream in enumerate(self._free.values())
-            if not lane.allowed or upstream.entry.upstream in lane.allowed
+            (ranks.get(name, upstream.credit.slowness / 100), name, upstream)
+            for name, upstream in offered.items()
+            if not lane.allowed or name in lane.allowed
         ]
         heapq.heapify(offers)
         return offers
 
     def _best_offer(
-        self, offers: list[tuple[float, int, _Upstream]], now: float
-    ) -> tuple[float, int, _Upstream] | None:
+        self, offers: list[_Ranked], template: ids.TemplateName, now: float
+    ) -> _Offer | None:
         while offers:
-            if self._is_free(offers[0][2], now):
-                return offers[0]
-            self._free.pop(offers[0][2].entry.upstream, None)
-            heapq.heappop(offers)
+            rank, name, upstream = offers[0]
+            if not self._is_free(upstream, now):
+                self._free.pop(name, None)
+                heapq.heappop(offers)
+                continue
+            expected_s = self._expect_s(upstream, template, now)
+            typical_s = self._speeds.typical_s(template)
+            true_rank = math.log(expected_s / typical_s)
+            if true_rank <= rank + RANK_SLACK:
+                return expected_s, upstream
+            heapq.heapreplace(offers, (true_rank, name, upstream))
         return None
 
     def _expect_s(
@@ -412,18 +477,49 @@
         self,
         lane: _Lane,
         job: fair_queue.QueuedJob,
-        offer: tuple[float, int, _Upstream],
+        offer: _Offer,
+        now: float,
+    ) -> bool:
+        """Returns whether a slot beats the wait of the head job."""
+        work_s = job.left_s * lane.queue.workspaces
+        return self._beats(lane, job, offer, work_s, now)
+
+    def _worth_last(
+        self,
+        lane: _Lane,
+        job: fair_queue.QueuedJob,
+        offer: _Offer,
+        now: float,
+    ) -> bool:
+        """Returns whether a slot beats the wait of the longest job."""
+        return self._beats(lane, job, offer, lane.queue.work_s, now)
+
+    def _beats(
+        self,
+        lane: _Lane,
+        job: fair_queue.QueuedJob,
+        offer: _Offer,
+        work_s: float,
         now: float,
     ) -> bool:
-        """Returns whether a slot is better than waiting for a faster one."""
         template = job.request.template.name
+        factor = self._jobs[job.request.submission].factors[job.tasks[-1]]
         lost_s = offer[0] - self._fastest_s(lane, template, now)
         if lost_s <= 0:
             return True
+        return factor * lost_s <= self._patience_s(lane, job, work_s, now)
+
+    def _patience_s(
+        self,
+        lane: _Lane,
+        job: fair_queue.QueuedJob,
+        work_s: float,
+        now: float,
+    ) -> float:
+        """Returns how much a slot may lose and still beat waiting."""
         slots = max(lane.slots / self._hosts, len(self._running), 1.0)
-        drain_s = len(lane.queue) * self._speeds.mean_s(template) / slots
         waited_s = now - job.enqueued_at
-        return lost_s <= PATIENCE * max(drain_s, waited_s)
+        return max(PATIENCE * work_s / slots, WAITED_WEIGHT * waited_s)
 
     def _fastest_s(
         self, lane: _Lane, template: ids.TemplateName, now: float
@@ -456,15 +552,19 @@
         request = job.request
         workspace = request.workspace.workspace
         template = request.template.name
-        cost_s = self._speeds.mean_s(template)
-        index = lane.queue.take(job, cost_s)
+        index = lane.queue.take(job)
         task = (request.submission, index)
         self._slots.take(upstream.credit)
         self._quotas.started(workspace)
         self._health.started(upstream.entry.upstream)
         upstream.starts[task] = now
         upstream.starts_sum += now
-        self._running[task] = _Running(workspace, template)
+        self._running[task] = _Running(
+            workspace,
+            template,
+            request.declared_ms[index],
+            self._jobs[request.submission].factors[index],
+        )
         return scheduler.Assignment(request.submission, index, upstream.entry)
 
     def _end_quota(self, workspace: ids.WorkspaceId, now: float) -> None:
@@ -473,7 +573,9 @@
 
     def _unblock(self, workspace: ids.WorkspaceId) -> None:
         for lane in self._lanes.values():
-            lane.queue.unblock(workspace)
+            if workspace in lane.queue.blocked:
+                lane.queue.unblock(workspace)
+                self._look_at = -math.inf
 
     def _learn(
         self,
@@ -489,7 +591,14 @@
         match outcome:
             case model.AttemptOutcome.ANSWERED:
                 took_s = now - started_at
-                self._speeds.learn(running.template, name, took_s)
+                expected_s = self._speeds.expect_s(running.template, name)
+                self._sizes.learn(
+                    running.template, running.declared_ms, took_s / expected_s
+                )
+                usual_s = took_s / running.factor
+                self._speeds.learn(running.template, name, usual_s)
+                slowness = round(100 * self._speeds.deviation(name))
+                upstream.credit.slowness = slowness
                 upstream.pause_s = FIRST_PAUSE_S
             case model.AttemptOutcome.REFUSED_LEAVING:
                 upstream.leaving_until = now + LEAVING_S
@@ -512,16 +621,52 @@
         need = queued - self._slots.asked
         if need <= 0:
             return
+        slowest = self._slowest(now)
         candidates = sorted(
-            (self._speeds.deviation(each.entry.upstream), order, each)
+            (each.credit.slowness, order, each)
             for order, each in enumerate(self._candidates(now))
+            if each.credit.slowness <= slowest
         )
-        for _, _, upstream in candidates[:ASKS_AT_ONCE]:
-            if need <= 0:
-                return
+        asked: set[ids.HostId] = set()
+        for _, _, upstream in candidates:
+            holder = upstream.credit.holder
             block = min(need, ASK_BLOCK)
-            self._slots.ask(upstream.credit, block, now=now)
+            request = credits.Asked(block, slowest)
+            if holder in asked or self._slots.covers(holder, request):
+                continue
+            asked.add(holder)
+            self._slots.ask_holder(holder, request, now=now)
             need -= block
+            if need <= 0 or len(asked) >= ASKS_AT_ONCE:
+                return
+
+    def _slowest(self, now: float) -> int:
+        """Returns the slowness up to which a slot beats waiting."""
+        slowest = -math.inf
+        for lane in self._lanes.values():
+            if not len(lane.queue):
+                continue
+            job = lane.queue.head(self._quotas.may_run, now=now)
+            if job is None:
+                continue
+            template = job.request.template.name
+            lost_s = self._patience_s(lane, job, lane.queue.work_s, now)
+            fastest_s = self._fastest_s(lane, template, now)
+            ratio = (fastest_s + lost_s) / self._speeds.typical_s(template)
+            slowest = max(slowest, math.log(ratio))
+        return round(100 * slowest) if slowest > -math.inf else -10_000
+
+    def _asked(
+        self, host: ids.HostId, asked: credits.Asked, now: float
+    ) -> None:
+        """Lends what is free, the fastest upstreams first."""
+        free = sorted(
+            (self._speeds.deviation(name), name)
+            for name, each in self._free.items()
+            if each.credit.mine
+        )
+        order = [name for _, name in free]
+        self._slots.asked_of_me(host, asked, order, now=now)
 
     def _candidates(self, now: float) -> list[_Upstream]:
         if len(self._names) <= ASK_CANDIDATES:
@@ -539,7 +684,6 @@
             if upstream is not None
             and not upstream.credit.mine
             and upstream.credit.held < upstream.entry.slots
-            and not self._slots.is_asked(name)
             and not upstream.leaving(now)
             and self._health.state(name) is health.State.HEALTHY
             and self._may_serve(name)
@@ -558,21 +702,41 @@
     return sorted(range(len(declared)), key=lambda index: declared[index])
 
 
-def _slots_message(sent: credits.Outgoing) -> scheduler.PeerMessage:
-    word = sent.message
+def _batched(sent: list[credits.Outgoing]) -> list[scheduler.PeerMessage]:
+    """Returns one message for each peer and kind."""
+    by_host: dict[ids.HostId, list[messages.SlotsWanted | messages.SlotsLent]]
+    by_host = {}
+    out = []
+    for each in sent:
+        word = each.message
+        if isinstance(word, credits.Asked):
+            ask = messages.SlotsAsked(word.count, word.slowest)
+            out.append(scheduler.PeerMessage(each.host, ask))
+            continue
+        by_host.setdefault(each.host, []).append(_slots_message(word))
+    for host, words in by_host.items():
+        if len(words) == 1:
+            out.append(scheduler.PeerMessage(host, words[0]))
+            continue
+        wanted = [w for w in words if isinstance(w, messages.SlotsWanted)]
+        lent = [w for w in words if isinstance(w, messages.SlotsLent)]
+        batch = messages.SlotsBatch(tuple(wanted), tuple(lent))
+        out.append(scheduler.PeerMessage(host, batch))
+    return out
+
+
+def _slots_message(
+    word: credits.Wanted | credits.Lent,
+) -> messages.SlotsWanted | messages.SlotsLent:
     key = ids.UpstreamId(word.key)
     if isinstance(word, credits.Wanted):
-        return scheduler.PeerMessage(
-            sent.host,
-            messages.SlotsWanted(key, word.held, word.wanted, word.serial),
-        )
-    return scheduler.PeerMessage(
-        sent.host, messages.SlotsLent(key, word.allowed, word.serial)
-    )
+        return messages.SlotsWanted(key, word.held, word.wanted, word.serial)
+    return messages.SlotsLent(key, word.allowed, word.serial)
 
 
 def _quota_message(sent: credits.Outgoing) -> scheduler.PeerMessage:
     word = sent.message
+    assert not isinstance(word, credits.Asked)
     key = ids.WorkspaceId(word.key)
     if isinstance(word, credits.Wanted):
         return scheduler.PeerMessage(
--- a/godwitnotch/core/credits.py
+++ b/godwitnotch/core/credits.py
@@ -23,8 +23,12 @@
 
 # How long a request stands; it is asked anew if still needed.
 ASK_S = 1.0
+# How long an answer may take; until then what was asked for is counted on.
+ANSWER_S = 0.005
+# A request is repeated once a resource slower by so much would be of use.
+SLOWNESS_STEP = 30
 # How long a lent part may lie idle before it is given back.
-IDLE_S = 0.02
+IDLE_S = 0.005
 # How long a new holder gathers before it lends.
 GATHER_S = 0.5
 # How long the loan of a host that is no longer linked is kept.
@@ -35,9 +39,9 @@
 LOAN_S = 35.0
 # How often the slow work of the ledger is done.
 TICK_S = 0.1
-# Bound of messages; a message takes some 36 bytes on the wire.
-MESSAGES_PER_S = 100.0
-MESSAGE_BURST = 300.0
+# Bound of messages; a message takes some 20 bytes as CBOR.
+MESSAGES_PER_S = 200.0
+MESSAGE_BURST = 600.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,12 +72,35 @@
     serial: int
 
 
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """From a host to a holder: it would use more of any of its resources.
+
+    Attributes:
+        count: How much more.
+        slowest: Highest `slowness` of a resource that is of use.
+    """
+
+    count: int
+    slowest: int
+
+
 @dataclass(frozen=True, slots=True)
 class Outgoing:
     """A message to a peer."""
 
     host: ids.HostId
-    message: Wanted | Lent
+    message: Wanted | Lent | Asked
+
+
+@dataclass(slots=True)
+class _Request:
+    """A standing request for some of any resources of one holder."""
+
+    count: int
+    slowest: int
+    until: float
+    counted: bool = True
 
 
 @dataclass(slots=True)
@@ -111,6 +138,7 @@
         in_use: What this host uses.
         held: What it may use, unless it is the holder.
         lent: What its borrowers may be using, if it is the holder.
+        slowness: What a request's `slowest` is compared with.
     """
 
     resource: Resource
@@ -119,12 +147,12 @@
     in_use: int = 0
     held: int = 0
     lent: int = 0
+    slowness: int = 0
     gathering: bool = False
     gather_until: float = 0.0
     ceiling: int | None = None
     serial: int = 0
     asked: int = 0
-    refresh_at: float = math.inf
     loans: dict[ids.HostId, _Loan] = field(default_factory=dict)
 
     @property
@@ -149,9 +177,16 @@
         self._host = host
         self._domains: dict[ids.HostId, ids.DomainId] = {host: domain}
         self._credits: dict[str, Credit] = {}
+        self._mine: dict[str, Credit] = {}
+        self._refresh: dict[str, float] = {}
+        self._near: dict[ids.DomainId | None, list[ids.HostId]] = {}
         self._scores: dict[str, dict[ids.HostId, int]] = {}
         self._asks: dict[str, float] = {}
         self._asked = 0
+        self._counted: dict[str, float] = {}
+        self._requests: dict[ids.HostId, _Request] = {}
+        self._requested: dict[ids.HostId, _Request] = {}
+        self._dirty_requests: dict[ids.HostId, None] = {}
         self._idle: dict[str, float] = {}
         self._dirty: dict[str, None] = {}
         self._dirty_loans: dict[tuple[str, ids.HostId], None] = {}
@@ -162,7 +197,7 @@
 
     @property
     def asked(self) -> int:
-        """How much this host has asked for and not been answered."""
+        """How much this host has asked for and can count on."""
         return self._asked
 
     def credit(self, key: str) -> Credit | None:
@@ -189,6 +224,7 @@
         credit = Credit(resource, holder, holder == self._host)
         self._credits[resource.key] = credit
         if credit.mine:
+            self._mine[resource.key] = credit
             self._gather(credit, now)
         return credit
 
@@ -199,6 +235,10 @@
         own = {self._host: self._domains[self._host]}
         gone = self._domains.keys() - domains.keys() - own.keys()
         self._domains = {**domains, **own}
+        self._near.clear()
+        for host in gone:
+            self._drop_request(host)
+            self._requested.pop(host, None)
         for credit in self._credits.values():
             holder = self._choose(credit.resource)
             if holder != credit.holder:
@@ -217,7 +257,7 @@
         """Stops using one."""
         credit.in_use -= 1
         if credit.mine:
-            if credit.loans:
+            if credit.loans or self._requested:
                 self._serve(credit, now)
             return
         if credit.ceiling is not None and credit.held > credit.ceiling:
@@ -234,11 +274,43 @@
         credit.asked = count
         self._asked += count
         self._asks[key] = now + ASK_S
+        self._counted[key] = now + ANSWER_S
         self._dirty[key] = None
 
-    def is_asked(self, key: str) -> bool:
-        """Returns whether a request of this host stands."""
-        return key in self._asks
+    def ask_holder(
+        self, holder: ids.HostId, asked: Asked, *, now: float
+    ) -> None:
+        """Asks a holder for some of any of its resources."""
+        self._drop_request(holder)
+        request = _Request(asked.count, asked.slowest, now + ASK_S)
+        self._requests[holder] = request
+        self._asked += asked.count
+        self._dirty_requests[holder] = None
+
+    def covers(self, holder: ids.HostId, asked: Asked) -> bool:
+        """Returns whether a standing request asks for nearly as much."""
+        request = self._requests.get(holder)
+        return (
+            request is not None
+            and request.count >= asked.count
+            and request.slowest >= asked.slowest - SLOWNESS_STEP
+        )
+
+    def asked_of_me(
+        self,
+        host: ids.HostId,
+        message: Asked,
+        order: Iterable[str],
+        *,
+        now: float,
+    ) -> None:
+        """Takes a request; what this host holds is lent in the given order."""
+        request = _Request(message.count, message.slowest, now + ASK_S)
+        self._requested[host] = request
+        for key in order:
+            credit = self._credits.get(key)
+            if request.count > 0 and credit is not None and credit.mine:
+                self._serve(credit, now)
 
     def wanted(self, host: ids.HostId, message: Wanted, *, now: float) -> None:
         """Takes a borrower's word."""
@@ -277,9 +349,10 @@
         credit.serial = message.serial
         if message.allowed > credit.held:
             self._end_ask(message.key)
+            self._answered(host, message.allowed - credit.held)
             credit.held = message.allowed
             credit.ceiling = None
-            credit.refresh_at = now + REFRESH_S
+            self._refresh.setdefault(message.key, now + REFRESH_S)
             self.changed.add(message.key)
             self._note_idle(credit, now)
         else:
@@ -295,18 +368,29 @@
                 break
             del self._idle[key]
             self._give_back(self._credits[key])
+        while self._counted:
+            key, at = next(iter(self._counted.items()))
+            if at > now:
+                break
+            self._count_off(key)
         while self._asks:
             key, at = next(iter(self._asks.items()))
             if at > now:
                 break
             self._end_ask(key)
+        for holder, request in list(self._requests.items()):
+            if request.counted and request.until - ASK_S + ANSWER_S <= now:
+                request.counted = False
+                self._asked -= request.count
+            if request.until <= now:
+                self._drop_request(holder)
         if now >= self._tick_at:
             self._tick_at = now + TICK_S
             self._tick(now)
 
     def outgoing(self, *, now: float) -> list[Outgoing]:
         """Returns the messages to send now, as many as the budget allows."""
-        if not self._dirty and not self._dirty_loans:
+        if not (self._dirty or self._dirty_loans or self._dirty_requests):
             return []
         gained = (now - self._tokens_at) * MESSAGES_PER_S
         self._tokens = min(self._tokens + gained, MESSAGE_BURST)
@@ -316,10 +400,18 @@
             key, host = next(iter(self._dirty_loans))
             del self._dirty_loans[key, host]
             self._tell(self._credits.get(key), host, sent, now)
+        while self._tokens >= 1 and self._dirty_requests:
+            holder = next(iter(self._dirty_requests))
+            del self._dirty_requests[holder]
+            request = self._requests.get(holder)
+            if request is not None:
+                self._tokens -= 1
+                asked = Asked(request.count, request.slowest)
+                sent.append(Outgoing(holder, asked))
         while self._tokens >= 1 and self._dirty:
             key = next(iter(self._dirty))
             del self._dirty[key]
-            self._report(self._credits.get(key), sent, now)
+            self._report(self._credits.get(key), sent)
         return sent
 
     def next_deadline(self) -> float | None:
@@ -327,23 +419,25 @@
         times = []
         if self._idle:
             times.append(next(iter(self._idle.values())))
-        if self._asks:
+        if self._counted:
+            times.append(next(iter(self._counted.values())))
+        elif self._asks:
             times.append(next(iter(self._asks.values())))
-        if self._dirty or self._dirty_loans:
+        if self._requests:
+            request = next(iter(self._requests.values()))
+            started = request.until - ASK_S
+            due = started + ANSWER_S if request.counted else request.until
+            times.append(due)
+        if self._dirty or self._dirty_loans or self._dirty_requests:
             times.append(self._tokens_at + 1.5 / MESSAGES_PER_S)
         if self._gathering or self.hungry:
             times.append(self._tick_at)
         return min(times, default=None)
 
     def _choose(self, resource: Resource) -> ids.HostId:
-        near = [
-            host
-            for host, domain in self._domains.items()
-            if domain == resource.domain
-        ]
         scores = self._scores.setdefault(resource.key, {})
         best, best_score = self._host, -1
-        for host in near or self._domains:
+        for host in self._candidates(resource.domain):
             score = scores.get(host)
             if score is None:
                 score = scores[host] = _score(resource.key, host)
@@ -351,6 +445,13 @@
                 best, best_score = host, score
         return best
 
+    def _candidates(self, domain: ids.DomainId | None) -> list[ids.HostId]:
+        near = self._near.get(domain)
+        if near is None:
+            near = [h for h, each in self._domains.items() if each == domain]
+            self._near[domain] = near = near or list(self._domains)
+        return near
+
     def _move(self, credit: Credit, holder: ids.HostId, now: float) -> None:
         was_mine, credit.mine = credit.mine, holder == self._host
         credit.holder = holder
@@ -360,15 +461,33 @@
         credit.ceiling = None
         credit.serial = 0
         if credit.mine:
+            self._mine[credit.resource.key] = credit
             self._gather(credit, now)
             return
         if was_mine:
+            del self._mine[credit.resource.key]
             credit.loans.clear()
             credit.lent = 0
         if credit.held:
-            credit.refresh_at = now + REFRESH_S
+            self._refresh.setdefault(credit.resource.key, now + REFRESH_S)
             self._dirty[credit.resource.key] = None
 
+    def _answered(self, holder: ids.HostId, count: int) -> None:
+        request = self._requests.get(holder)
+        if request is None:
+            return
+        count = min(count, request.count)
+        request.count -= count
+        if request.counted:
+            self._asked -= count
+        if not request.count:
+            del self._requests[holder]
+
+    def _drop_request(self, holder: ids.HostId) -> None:
+        request = self._requests.pop(holder, None)
+        if request is not None and request.counted:
+            self._asked -= request.count
+
     def _gather(self, credit: Credit, now: float) -> None:
         if len(self._domains) > 1:
             credit.gathering = self._gathering = True
@@ -379,13 +498,19 @@
         self._idle.pop(key, None)
         self._dirty.pop(key, None)
         self._scores.pop(key, None)
+        self._mine.pop(key, None)
+        self._refresh.pop(key, None)
         del self._credits[key]
 
     def _end_ask(self, key: str) -> None:
+        self._count_off(key)
         if self._asks.pop(key, None) is not None:
-            self._asked -= self._credits[key].asked
             self._credits[key].asked = 0
 
+    def _count_off(self, key: str) -> None:
+        if self._counted.pop(key, None) is not None:
+            self._asked -= self._credits[key].asked
+
     def _note_idle(self, credit: Credit, now: float) -> None:
         key = credit.resource.key
         if key not in self._idle:
@@ -399,29 +524,36 @@
     def _serve(self, credit: Credit, now: float) -> None:
         """Lends what is free to those that have least of what they want."""
         while not credit.gathering and credit.free > 0:
-            needy = self._neediest(credit, now)
-            if needy is None:
+            host = self._neediest(credit, now)
+            if host is None:
                 return
-            host, loan = needy
+            loan = credit.loans.get(host)
+            if loan is None:
+                loan = credit.loans[host] = _Loan(now + LOAN_S)
             if self.hungry and loan.reserved >= credit.in_use:
                 return
+            if not loan.short(now):
+                self._requested[host].count -= 1
             loan.reserved += 1
             loan.allowed = loan.reserved
             credit.lent += 1
             self._change(credit, host, loan)
 
-    def _neediest(
-        self, credit: Credit, now: float
-    ) -> tuple[ids.HostId, _Loan] | None:
+    def _neediest(self, credit: Credit, now: float) -> ids.HostId | None:
         short = [
             (loan.reserved, host)
             for host, loan in credit.loans.items()
             if loan.short(now)
         ]
-        if not short:
-            return None
-        host = min(short)[1]
-        return host, credit.loans[host]
+        for host, request in list(self._requested.items()):
+            if request.until <= now or request.count <= 0:
+                del self._requested[host]
+                continue
+            if credit.slowness > request.slowest:
+                continue
+            loan = credit.loans.get(host)
+            short.append((loan.reserved if loan else 0, host))
+        return min(short)[1] if short else None
 
     def _change(self, credit: Credit, host: ids.HostId, loan: _Loan) -> None:
         if (credit.resource.key, host) not in self._dirty_loans:
@@ -453,11 +585,16 @@
 
     def _tick(self, now: float) -> None:
         self._gathering = False
-        for key, credit in self._credits.items():
-            if credit.mine:
-                self._tick_holder(key, credit, now)
-            elif credit.held and credit.refresh_at <= now:
-                credit.refresh_at = now + REFRESH_S
+        for key, credit in self._mine.items():
+            self._tick_holder(key, credit, now)
+        while self._refresh:
+            key, at = next(iter(self._refresh.items()))
+            if at > now:
+                break
+            del self._refresh[key]
+            credit = self._credits[key]
+            if credit.held and not credit.mine:
+                self._refresh[key] = now + REFRESH_S
                 self._dirty[key] = None
 
     def _tick_holder(self, key: str, credit: Credit, now: float) -> None:
@@ -491,12 +628,9 @@
         self._tokens -= 1
         sent.append(Outgoing(host, Lent(key, loan.allowed, loan.serial)))
 
-    def _report(
-        self, credit: Credit | None, sent: list[Outgoing], now: float
-    ) -> None:
+    def _report(self, credit: Credit | None, sent: list[Outgoing]) -> None:
         if credit is None or credit.mine:
             return
-        credit.refresh_at = now + REFRESH_S
         wanted = credit.held + credit.asked
         message = Wanted(
             credit.resource.key, credit.held, wanted, credit.serial
--- a/godwitnotch/core/messages.py
+++ b/godwitnotch/core/messages.py
@@ -24,10 +24,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Shows that the sender's loop still turns."""
+    """Shows that the sender's loop still turns.
+
+    Attributes:
+        config_counter: Changes of configuration in force at the sender.
+        draining: Whether the sender takes no new jobs.
+        interval_s: The sender's next heartbeat comes within this time.
+        probe: Whether the receiver is to send one back at once.
+    """
 
     config_counter: int
     draining: bool
+    interval_s: float = 1.0
+    probe: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +147,28 @@
     serial: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class SlotsAsked:
+    """A borrower would use more slots of any upstreams that the peer holds.
+
+    Attributes:
+        count: Number of slots.
+        slowest: How much slower than the average an upstream may be, as the
+            natural logarithm of the ratio of run times, in hundredths.
+    """
+
+    count: int
+    slowest: int
+
+
+@dataclass(frozen=True, slots=True)
+class SlotsBatch:
+    """Several messages about slots in one."""
+
+    wanted: tuple[SlotsWanted, ...]
+    lent: tuple[SlotsLent, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class QuotaWanted:
     """The same as `SlotsWanted`, of a workspace's quota of running tasks."""
@@ -172,6 +203,8 @@
     | DirectorySnapshot
     | SlotsWanted
     | SlotsLent
+    | SlotsAsked
+    | SlotsBatch
     | QuotaWanted
     | QuotaLent
 )
