--- a/godwitnotch/core/messages.py
+++ b/godwitnotch/core/messages.py
@@ -103,6 +103,18 @@
     configs: tuple[model.WorkspaceConfig, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class DirectoryWanted:
+    """A host that can't reach the platform asks for the list of hosts."""
+
+
+@dataclass(frozen=True, slots=True)
+class DirectorySnapshot:
+    """The latest list of hosts and upstreams that the peer has."""
+
+    directory: model.Directory
+
+
 @dataclass(frozen=True, slots=True)
 class SlotsWanted:
     """A borrower tells a holder what it uses and would use of an upstream.
@@ -191,5 +203,7 @@
     | ConfigApplied
     | ConfigWanted
     | ConfigSnapshot
+    | DirectoryWanted
+    | DirectorySnapshot
     | SchedulerMessage
 )
