Bound the ledger's work at each turn

Standing requests were walked at each turn, some 48 at the target's size. No measurable gain beyond the machine's noise: 86 -> 83 us a task at 2,500/s.

--- a/godwitnotch/core/credits.py
+++ b/godwitnotch/core/credits.py
@@ -100,7 +100,6 @@
     count: int
     slowest: int
     until: float
-    counted: bool = True
 
 
 @dataclass(slots=True)
@@ -185,6 +184,7 @@
         self._asked = 0
         self._counted: dict[str, float] = {}
         self._requests: dict[ids.HostId, _Request] = {}
+        self._unanswered: dict[ids.HostId, float] = {}
         self._requested: dict[ids.HostId, _Request] = {}
         self._dirty_requests: dict[ids.HostId, None] = {}
         self._idle: dict[str, float] = {}
@@ -284,6 +284,7 @@
         self._drop_request(holder)
         request = _Request(asked.count, asked.slowest, now + ASK_S)
         self._requests[holder] = request
+        self._unanswered[holder] = now + ANSWER_S
         self._asked += asked.count
         self._dirty_requests[holder] = None
 
@@ -378,12 +379,17 @@
             if at > now:
                 break
             self._end_ask(key)
-        for holder, request in list(self._requests.items()):
-            if request.counted and request.until - ASK_S + ANSWER_S <= now:
-                request.counted = False
-                self._asked -= request.count
-            if request.until <= now:
-                self._drop_request(holder)
+        while self._unanswered:
+            holder, at = next(iter(self._unanswered.items()))
+            if at > now:
+                break
+            del self._unanswered[holder]
+            self._asked -= self._requests[holder].count
+        while self._requests:
+            holder, request = next(iter(self._requests.items()))
+            if request.until > now:
+                break
+            self._drop_request(holder)
         if now >= self._tick_at:
             self._tick_at = now + TICK_S
             self._tick(now)
@@ -423,11 +429,10 @@
             times.append(next(iter(self._counted.values())))
         elif self._asks:
             times.append(next(iter(self._asks.values())))
-        if self._requests:
-            request = next(iter(self._requests.values()))
-            started = request.until - ASK_S
-            due = started + ANSWER_S if request.counted else request.until
-            times.append(due)
+        if self._unanswered:
+            times.append(next(iter(self._unanswered.values())))
+        elif self._requests:
+            times.append(next(iter(self._requests.values())).until)
         if self._dirty or self._dirty_loans or self._dirty_requests:
             times.append(self._tokens_at + 1.5 / MESSAGES_PER_S)
         if self._gathering or self.hungry:
@@ -478,14 +483,14 @@
             return
         count = min(count, request.count)
         request.count -= count
-        if request.counted:
+        if holder in self._unanswered:
             self._asked -= count
         if not request.count:
-            del self._requests[holder]
+            self._drop_request(holder)
 
     def _drop_request(self, holder: ids.HostId) -> None:
         request = self._requests.pop(holder, None)
-        if request is not None and request.counted:
+        if self._unanswered.pop(holder, None) is not None and request:
             self._asked -= request.count
 
     def _gather(self, credit: Credit, now: float) -> None:
