--- a/godwitnotch/core/admission.py
+++ b/godwitnotch/core/admission.py
@@ -30,6 +30,8 @@
         slots: Slots that the host can count on for it.
         mean_s: Mean run time of its template.
         before: Tasks that are expected to go before its last one.
+        ahead: Tasks that go before, were it served last.
+        horizon_s: Longest time that callers of the queued jobs wait.
         queued: Tasks of its workspace that wait on this host.
     """
 
@@ -37,6 +39,8 @@
     slots: float
     mean_s: float
     before: int
+    ahead: int
+    horizon_s: float
     queued: int
 
 
@@ -74,17 +78,21 @@
         if situation.queued + tasks > job.workspace.max_queued_tasks:
             return self._full(job, situation, task_s, now)
         wait_s = job.deadline - now
-        need_s = (situation.before + tasks) * task_s
-        need_s += LEAST_RUNS * situation.mean_s
-        if need_s <= FILL_SHARE * wait_s:
-            return None
+        own_s = tasks * task_s + LEAST_RUNS * situation.mean_s
+        need_s = situation.before * task_s + own_s
         over_s = need_s - FILL_SHARE * wait_s
-        possible = need_s - situation.before * task_s <= FILL_SHARE * wait_s
+        # What is queued has been promised to its callers already.
+        all_s = situation.ahead * task_s + own_s
+        horizon_s = max(situation.horizon_s, wait_s)
+        over_s = max(over_s, all_s - FILL_SHARE * horizon_s)
+        if over_s <= 0:
+            return None
+        possible = own_s <= FILL_SHARE * wait_s
         retry_s = self._retry(over_s, tasks * task_s, now)
         return scheduler.Refusal(
             model.Reason.DEADLINE_UNREACHABLE,
-            f"{situation.before} tasks wait before this job, which would take "
-            f"some {need_s:.1f} s of the {wait_s:.1f} s left; come back when "
+            f"{situation.ahead} tasks wait on this host; this job would take "
+            f"some {all_s:.1f} s, with {wait_s:.1f} s left; come back when "
             "the queue is shorter, or allow more time",
             retry_s if possible else None,
         )
--- a/godwitnotch/core/credit_scheduler.py
+++ b/godwitnotch/core/credit_scheduler.py
@@ -43,6 +43,8 @@
 LEAVING_S = 60.0
 # An upstream ranked before others by less than this is looked at no further.
 RANK_SLACK = 0.05
+# Share of a new count of running tasks in their learnt mean.
+PACE_GAIN = 0.005
 # Slots asked of one upstream at once, and upstreams asked at once.
 ASK_BLOCK = 4
 ASKS_AT_ONCE = 12
@@ -95,6 +97,7 @@
     allowed: _Allowed
     queue: fair_queue.FairQueue
     slots: int = 0
+    horizon_s: float = 0.0
     upstreams: list[_Upstream] = field(default_factory=list)
 
 
@@ -129,6 +132,7 @@
         self._jobs: dict[ids.SubmissionId, _Admitted] = {}
         self._running: dict[_Task, _Running] = {}
         self._ask_at = 0.0
+        self._pace = 0.0
         self._best = 0.0
         self._best_until = -math.inf
 
@@ -185,8 +189,10 @@
         self._jobs[job.submission] = _Admitted(job, factors, costs)
         self._budget.earn(len(costs))
         self._look_at = now
-        queue = self._lane(job.template).queue
-        queue.push(job, _in_order(job), costs, now=now)
+        lane = self._lane(job.template)
+        horizon_s = lane.horizon_s if len(lane.queue) else 0.0
+        lane.horizon_s = max(horizon_s, job.deadline - now)
+        lane.queue.push(job, _in_order(job), costs, now=now)
 
     def requeue(
         self, submission: ids.SubmissionId, task_index: int, *, now: float
@@ -240,6 +246,7 @@
         running = self._running.pop(task, None)
         if running is None:
             return
+        self._pace += PACE_GAIN * (len(self._running) - self._pace)
         self._end_quota(running.workspace, now)
         upstream = self._upstreams.get(assignment.upstream.upstream)
         if upstream is None:
@@ -350,17 +357,20 @@
         workspace = job.workspace.workspace
         tasks = len(job.declared_ms)
         own = queue.queued_before(workspace, tasks)
-        others = len(queue) - queue.queued(workspace)
-        rivals = queue.workspaces - (queue.queued(workspace) > 0)
+        queued = queue.queued(workspace)
+        others = len(queue) - queued
+        rivals = queue.workspaces - (queued > 0)
         slots = max(lane.slots / self._hosts, 1.0)
         if not lane.allowed:
-            slots = max(slots, len(self._running))
+            slots = max(slots, self._pace)
         return admission.Situation(
             served=any(not each.leaving(now) for each in lane.upstreams),
             slots=min(slots, self._quotas.part(workspace)),
             mean_s=self._speeds.mean_s(job.template.name),
             before=own + min(others, rivals * (own + tasks)),
-            queued=queue.queued(workspace),
+            ahead=queued + min(others, rivals * (queued + tasks)),
+            horizon_s=lane.horizon_s,
+            queued=queued,
         )
 
     def _advance(self, now: float) -> None:
--- a/godwitnotch/core/credits.py
+++ b/godwitnotch/core/credits.py
@@ -440,15 +440,17 @@
         return min(times, default=None)
 
     def _choose(self, resource: Resource) -> ids.HostId:
-        scores = self._scores.setdefault(resource.key, {})
-        best, best_score = self._host, -1
-        for host in self._candidates(resource.domain):
-            score = scores.get(host)
-            if score is None:
-                score = scores[host] = _score(resource.key, host)
-            if score > best_score:
-                best, best_score = host, score
-        return best
+        return max(
+            self._candidates(resource.domain),
+            key=lambda host: self._score(resource.key, host),
+        )
+
+    def _score(self, key: str, host: ids.HostId) -> int:
+        scores = self._scores.setdefault(key, {})
+        score = scores.get(host)
+        if score is None:
+            score = scores[host] = _score(key, host)
+        return score
 
     def _candidates(self, domain: ids.DomainId | None) -> list[ids.HostId]:
         near = self._near.get(domain)
@@ -545,20 +547,25 @@
             self._change(credit, host, loan)
 
     def _neediest(self, credit: Credit, now: float) -> ids.HostId | None:
-        short = [
-            (loan.reserved, host)
-            for host, loan in credit.loans.items()
-            if loan.short(now)
-        ]
+        """Returns who has least of a resource that it wants more of."""
+        short = [host for host, loan in credit.loans.items() if loan.short(now)]
         for host, request in list(self._requested.items()):
             if request.until <= now or request.count <= 0:
                 del self._requested[host]
-                continue
-            if credit.slowness > request.slowest:
-                continue
-            loan = credit.loans.get(host)
-            short.append((loan.reserved if loan else 0, host))
-        return min(short)[1] if short else None
+            elif credit.slowness <= request.slowest:
+                short.append(host)
+        if not short:
+            return None
+        if len(short) == 1:
+            return short[0]
+        return min(short, key=lambda host: self._need_order(credit, host))
+
+    def _need_order(self, credit: Credit, host: ids.HostId) -> tuple[int, int]:
+        # Equals are ranked differently at each resource, so that none of
+        # them comes last everywhere.
+        loan = credit.loans.get(host)
+        reserved = loan.reserved if loan else 0
+        return reserved, self._score(credit.resource.key, host)
 
     def _change(self, credit: Credit, host: ids.HostId, loan: _Loan) -> None:
         if (credit.resource.key, host) not in self._dirty_loans:
