--- a/godwitnotch/core/admission.py
+++ b/godwitnotch/core/admission.py
@@ -15,7 +15,7 @@
 # A job takes at least so many mean run times.
 LEAST_RUNS = 1.5
 # Share of a job's time that the estimate may fill.
-FILL_SHARE = 0.8
+FILL_SHARE = 0.5
 LEAST_RETRY_S = 0.05
 MOST_RETRY_S = 60.0
 NO_UPSTREAM_RETRY_S = 2.0
