Test the policy; mend quotas and asks of restricted templates

Two tests failed first for real faults: the holder of a quota ignored hosts that asked for a workspace that it had not seen (the message now carries the limit), and a template restricted to upstreams of other holders was lent slots of any upstream (such a queue now asks for each of its upstreams). A single host could use only half a quota and more; now three quarters.

--- a/godwitnotch/core/credit_scheduler.py
+++ b/godwitnotch/core/credit_scheduler.py
@@ -49,6 +49,8 @@
 ASK_BLOCK = 4
 ASKS_AT_ONCE = 12
 ASK_CANDIDATES = 24
+# A slowness that no upstream has.
+NOTHING_IS_OF_USE = -10_000
 # Time between two looks for upstreams to ask.
 ASK_EVERY_S = 0.005
 
@@ -177,12 +179,14 @@
         self, job: scheduler.JobRequest, *, now: float
     ) -> scheduler.Refusal | None:
         """Refuses a job that can't be done in time; takes no note of it."""
-        self._quotas.seen(job.workspace, now=now)
+        config = job.workspace
+        self._quotas.seen(config.workspace, config.max_running_tasks, now=now)
         return self._admission.check(job, self._situation(job, now), now=now)
 
     def enqueue(self, job: scheduler.JobRequest, *, now: float) -> None:
         """Queues all tasks of an admitted job."""
-        self._quotas.seen(job.workspace, now=now)
+        config = job.workspace
+        self._quotas.seen(config.workspace, config.max_running_tasks, now=now)
         factors = self._sizes.factors(job.template.name, job.declared_ms)
         mean_s = self._speeds.mean_s(job.template.name)
         costs = tuple(mean_s * each for each in factors)
@@ -230,7 +234,7 @@
         self._slots.hungry = queued > 0
         if queued and now >= self._ask_at:
             self._ask_at = now + ASK_EVERY_S
-            self._ask(queued, now)
+            self._ask(now)
         return started
 
     def ended(
@@ -276,7 +280,8 @@
                     self.peer_said(host, want, now=now)
                 for grant in loans:
                     self.peer_said(host, grant, now=now)
-            case messages.QuotaWanted(workspace, held, wanted, serial):
+            case messages.QuotaWanted(workspace, held, wanted, serial, limit):
+                self._quotas.seen(workspace, limit, now=now)
                 word = credits.Wanted(workspace, held, wanted, serial)
                 self._quotas.ledger.wanted(host, word, now=now)
             case messages.QuotaLent(workspace, allowed, serial):
@@ -289,7 +294,7 @@
         shares = self._quotas.ledger.outgoing(now=now)
         if not slots and not shares:
             return []
-        return _batched(slots) + [_quota_message(each) for each in shares]
+        return _batched(slots) + [self._quota_message(each) for each in shares]
 
     def next_deadline(self) -> float | None:
         """Returns when the policy next wants to be asked, if ever."""
@@ -305,6 +310,22 @@
         earliest = min(times)
         return None if earliest == math.inf else earliest
 
+    def _quota_message(self, sent: credits.Outgoing) -> scheduler.PeerMessage:
+        word = sent.message
+        assert not isinstance(word, credits.Asked)
+        workspace = ids.WorkspaceId(word.key)
+        if isinstance(word, credits.Lent):
+            lent = messages.QuotaLent(workspace, word.allowed, word.serial)
+            return scheduler.PeerMessage(sent.host, lent)
+        wanted = messages.QuotaWanted(
+            workspace,
+            word.held,
+            word.wanted,
+            word.serial,
+            self._quotas.limit(workspace),
+        )
+        return scheduler.PeerMessage(sent.host, wanted)
+
     def _meet(self, entry: model.UpstreamEntry) -> None:
         credit = self._slots.credit(entry.upstream)
         assert credit is not None
@@ -626,12 +647,29 @@
         upstream.pause_s = min(2 * upstream.pause_s, LONGEST_PAUSE_S)
         self._paused[upstream.entry.upstream] = upstream
 
-    def _ask(self, queued: int, now: float) -> None:
-        """Asks other holders for slots, the fastest upstreams first."""
-        need = queued - self._slots.asked
+    def _ask(self, now: float) -> None:
+        """Asks other holders for slots."""
+        for lane in self._lanes.values():
+            if not len(lane.queue):
+                continue
+            if lane.allowed:
+                self._ask_for_each(lane, now)
+            else:
+                self._ask_holders(lane, now)
+
+    def _ask_for_each(self, lane: _Lane, now: float) -> None:
+        """Asks for slots of just the upstreams that a lane may use."""
+        block = min(len(lane.queue), ASK_BLOCK)
+        for upstream in lane.upstreams:
+            if self._worth_asking(upstream, now):
+                self._slots.ask(upstream.credit, block, now=now)
+
+    def _ask_holders(self, lane: _Lane, now: float) -> None:
+        """Asks for slots of any upstreams, holders of fast ones first."""
+        need = len(lane.queue) - self._slots.asked
         if need <= 0:
             return
-        slowest = self._slowest(now)
+        slowest = self._slowest(lane, now)
         candidates = sorted(
             (each.credit.slowness, order, each)
             for order, each in enumerate(self._candidates(now))
@@ -650,21 +688,16 @@
             if need <= 0 or len(asked) >= ASKS_AT_ONCE:
                 return
 
-    def _slowest(self, now: float) -> int:
+    def _slowest(self, lane: _Lane, now: float) -> int:
         """Returns the slowness up to which a slot beats waiting."""
-        slowest = -math.inf
-        for lane in self._lanes.values():
-            if not len(lane.queue):
-                continue
-            job = lane.queue.head(self._quotas.may_run, now=now)
-            if job is None:
-                continue
-            template = job.request.template.name
-            lost_s = self._patience_s(lane, job, lane.queue.work_s, now)
-            fastest_s = self._fastest_s(lane, template, now)
-            ratio = (fastest_s + lost_s) / self._speeds.typical_s(template)
-            slowest = max(slowest, math.log(ratio))
-        return round(100 * slowest) if slowest > -math.inf else -10_000
+        job = lane.queue.head(self._quotas.may_run, now=now)
+        if job is None:
+            return NOTHING_IS_OF_USE
+        template = job.request.template.name
+        lost_s = self._patience_s(lane, job, lane.queue.work_s, now)
+        fastest_s = self._fastest_s(lane, template, now)
+        ratio = (fastest_s + lost_s) / self._speeds.typical_s(template)
+        return round(100 * math.log(ratio))
 
     def _asked(
         self, host: ids.HostId, asked: credits.Asked, now: float
@@ -690,19 +723,18 @@
         found = {name: self._upstreams.get(name) for name in names}
         return [
             upstream
-            for name, upstream in found.items()
-            if upstream is not None
-            and not upstream.credit.mine
-            and upstream.credit.held < upstream.entry.slots
-            and not upstream.leaving(now)
-            and self._health.state(name) is health.State.HEALTHY
-            and self._may_serve(name)
+            for upstream in found.values()
+            if upstream is not None and self._worth_asking(upstream, now)
         ]
 
-    def _may_serve(self, upstream: ids.UpstreamId) -> bool:
-        return any(
-            len(lane.queue) and (not lane.allowed or upstream in lane.allowed)
-            for lane in self._lanes.values()
+    def _worth_asking(self, upstream: _Upstream, now: float) -> bool:
+        credit = upstream.credit
+        name = upstream.entry.upstream
+        return (
+            not credit.mine
+            and credit.held < upstream.entry.slots
+            and not upstream.leaving(now)
+            and self._health.state(name) is health.State.HEALTHY
         )
 
 
@@ -742,17 +774,3 @@
     if isinstance(word, credits.Wanted):
         return messages.SlotsWanted(key, word.held, word.wanted, word.serial)
     return messages.SlotsLent(key, word.allowed, word.serial)
-
-
-def _quota_message(sent: credits.Outgoing) -> scheduler.PeerMessage:
-    word = sent.message
-    assert not isinstance(word, credits.Asked)
-    key = ids.WorkspaceId(word.key)
-    if isinstance(word, credits.Wanted):
-        return scheduler.PeerMessage(
-            sent.host,
-            messages.QuotaWanted(key, word.held, word.wanted, word.serial),
-        )
-    return scheduler.PeerMessage(
-        sent.host, messages.QuotaLent(key, word.allowed, word.serial)
-    )
--- a/godwitnotch/core/messages.py
+++ b/godwitnotch/core/messages.py
@@ -150,12 +150,21 @@
 
 @dataclass(frozen=True, slots=True)
 class QuotaWanted:
-    """The same as `SlotsWanted`, of a workspace's quota of running tasks."""
+    """The same as `SlotsWanted`, of a workspace's quota of running tasks.
+
+    Attributes:
+        workspace: The workspace.
+        in_use: Part of the quota that the borrower may use.
+        wanted: Part that it would use.
+        serial: Serial of the last `QuotaLent` that it saw.
+        limit: The whole quota, as the holder may not know the workspace.
+    """
 
     workspace: ids.WorkspaceId
     in_use: int
     wanted: int
-    serial: int = 0
+    serial: int
+    limit: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/godwitnotch/core/quotas.py
+++ b/godwitnotch/core/quotas.py
@@ -1,8 +1,8 @@
 """Shares each workspace's quota of running tasks among the hosts.
 
-Half of a quota is split evenly, so that a host starts tasks without asking;
-the rest is lent where it is wanted. During a cut each side takes the hosts
-that it reaches for all of them, so that each side may run the whole quota.
+A quarter of a quota is split evenly, so that a host starts tasks without
+asking; the rest is lent where it is wanted. During a cut each side takes the
+hosts that it reaches for all of them, so that each may run the whole quota.
 """
 
 from collections.abc import Mapping
@@ -10,8 +10,9 @@
 
 from godwitnotch.core import credits
 from godwitnotch.core import ids
-from godwitnotch.core import model
 
+# One part in so many of a quota is split evenly.
+SPLIT_PART = 4
 # Largest part of a quota that is asked for at once.
 BLOCK = 16
 
@@ -52,16 +53,22 @@
         for workspace, quota in self._quotas.items():
             self._resize(workspace, quota, quota.limit)
 
-    def seen(self, config: model.WorkspaceConfig, *, now: float) -> None:
-        """Takes the settings of a workspace that has a task here."""
-        quota = self._quotas.get(config.workspace)
+    def seen(
+        self, workspace: ids.WorkspaceId, limit: int, *, now: float
+    ) -> None:
+        """Takes the quota of a workspace that has tasks here or at a peer."""
+        quota = self._quotas.get(workspace)
         if quota is None:
-            resource = credits.Resource(config.workspace, 0, None)
+            resource = credits.Resource(workspace, 0, None)
             credit = self._ledger.add(resource, now=now)
             quota = _Quota(0, 0, credit)
-            self._quotas[config.workspace] = quota
-        if quota.limit != config.max_running_tasks:
-            self._resize(config.workspace, quota, config.max_running_tasks)
+            self._quotas[workspace] = quota
+        if quota.limit != limit:
+            self._resize(workspace, quota, limit)
+
+    def limit(self, workspace: ids.WorkspaceId) -> int:
+        """Returns the quota of a workspace, over all hosts."""
+        return self._quotas[workspace].limit
 
     def part(self, workspace: ids.WorkspaceId) -> int:
         """Returns how many tasks this host may count on running."""
@@ -106,7 +113,7 @@
         self, workspace: ids.WorkspaceId, quota: _Quota, limit: int
     ) -> None:
         quota.limit = limit
-        quota.base = limit // (2 * self._hosts)
+        quota.base = limit // (SPLIT_PART * self._hosts)
         lendable = limit - quota.base * self._hosts
         quota.credit.resource = credits.Resource(workspace, lendable, None)
         self._ledger.changed.add(workspace)
--- /dev/null
+++ b/tests/scheduler_cluster.py
@@ -0,0 +1,122 @@
+"""Several schedulers whose messages a test delivers by hand."""
+
+import random
+from collections import Counter
+from collections import deque
+from collections.abc import Sequence
+
+from godwitnotch.core import ids
+from godwitnotch.core import messages
+from godwitnotch.core import model
+from godwitnotch.core import scheduler
+from tests import scheduler_fixtures as fixtures
+
+
+class Cluster:
+    """Hosts in one view, upstreams, and links that keep the order.
+
+    Attributes:
+        running: Attempts under way, with the host of each.
+        started: How often each task was started.
+        sent: How many messages were sent.
+    """
+
+    def __init__(
+        self,
+        hosts: Sequence[model.HostEntry],
+        upstreams: Sequence[model.UpstreamEntry],
+        *,
+        policy: str = "credits",
+    ) -> None:
+        self.now = 0.0
+        self.upstreams = list(upstreams)
+        self.running: list[tuple[ids.HostId, scheduler.Assignment]] = []
+        self.started: Counter[tuple[ids.SubmissionId, int]] = Counter()
+        self.sent = 0
+        self.links: dict[
+            tuple[ids.HostId, ids.HostId], deque[messages.Message]
+        ] = {}
+        self.entries = {each.host: each for each in hosts}
+        self.policies = {
+            each.host: scheduler.create(
+                policy,
+                host=each.host,
+                domain=each.domain,
+                chance=random.Random(1),
+            )
+            for each in hosts
+        }
+        self.see(self.policies)
+        for each in self.policies.values():
+            each.upstreams_seen(self.upstreams, now=self.now)
+        self.settle()
+
+    def see(
+        self, hosts: Sequence[ids.HostId] | dict[ids.HostId, object]
+    ) -> None:
+        """Lets some hosts see just each other."""
+        for host in hosts:
+            others = [self.entries[other] for other in hosts if other != host]
+            self.policies[host].hosts_seen(others, now=self.now)
+
+    def turn(self, host: ids.HostId) -> list[scheduler.Assignment]:
+        """Starts what a host would start, and queues its messages."""
+        policy = self.policies[host]
+        starts = policy.assign(now=self.now)
+        for start in starts:
+            self.running.append((host, start))
+            self.started[start.submission, start.task_index] += 1
+        for sent in policy.peer_messages(now=self.now):
+            self.sent += 1
+            link = self.links.setdefault((host, sent.host), deque())
+            link.append(sent.message)
+        return starts
+
+    def deliver(self, link: tuple[ids.HostId, ids.HostId]) -> None:
+        """Delivers the oldest message of a link."""
+        message = self.links[link].popleft()
+        self.policies[link[1]].peer_said(link[0], message, now=self.now)
+        self.turn(link[1])
+
+    def exchange(self) -> None:
+        """Lets all act and delivers until nothing is under way."""
+        for host in self.policies:
+            self.turn(host)
+        while busy := [link for link, queue in self.links.items() if queue]:
+            for link in busy:
+                self.deliver(link)
+
+    def settle(self, seconds: float = 3.0) -> None:
+        """Lets time pass, with all messages delivered."""
+        until = self.now + seconds
+        while self.now < until:
+            self.now += 0.05
+            self.exchange()
+
+    def end(
+        self,
+        index: int,
+        outcome: model.AttemptOutcome = model.AttemptOutcome.ANSWERED,
+    ) -> scheduler.Assignment:
+        """Ends one attempt."""
+        host, start = self.running.pop(index)
+        self.policies[host].ended(
+            start, outcome, started_at=self.now - 0.1, now=self.now
+        )
+        return start
+
+    def use(self) -> Counter[ids.UpstreamId]:
+        """Returns the running attempts by upstream."""
+        return Counter(start.upstream.upstream for _, start in self.running)
+
+
+def domain(name: str, hosts: int) -> list[model.HostEntry]:
+    """Returns the hosts of a domain."""
+    return [fixtures.host(f"{name}-h{each}", name) for each in range(hosts)]
+
+
+def rack(name: str, upstreams: int) -> list[model.UpstreamEntry]:
+    """Returns the upstreams of a domain."""
+    return [
+        fixtures.upstream(f"{name}-u{each}", name) for each in range(upstreams)
+    ]
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,102 @@
+"""Tests of admission and of the budget of repeats."""
+
+import random
+import unittest
+from dataclasses import replace
+
+from godwitnotch.core import admission
+from godwitnotch.core import model
+from godwitnotch.core import retry_budget
+from tests import scheduler_fixtures as fixtures
+
+IDLE = admission.Situation(
+    served=True,
+    slots=10.0,
+    mean_s=0.5,
+    before=0,
+    ahead=0,
+    horizon_s=0.0,
+    queued=0,
+)
+
+
+class AdmissionTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.admission = admission.Admission(random.Random(1))
+
+    def test_a_job_that_fits_is_admitted(self) -> None:
+        job = fixtures.job("s", 10)
+        self.assertIsNone(self.admission.check(job, IDLE, now=0.0))
+
+    def test_a_job_behind_a_long_queue_is_told_when_it_would_fit(self) -> None:
+        job = fixtures.job("s", 10)
+        # 600 tasks at 20 a second: 30 s, of which 15 s may be filled.
+        busy = replace(IDLE, before=600, ahead=600, queued=600)
+        refusal = self.admission.check(job, busy, now=0.0)
+        assert refusal is not None
+        self.assertIs(refusal.reason, model.Reason.DEADLINE_UNREACHABLE)
+        assert refusal.retry_after_s is not None
+        drained = round(600 - 20 * refusal.retry_after_s)
+        later = replace(busy, before=drained, ahead=drained)
+        self.assertIsNone(self.admission.check(job, later, now=0.0))
+
+    def test_refused_callers_come_back_one_after_the_other(self) -> None:
+        job = fixtures.job("s", 10)
+        busy = replace(IDLE, before=600, ahead=600)
+        times = []
+        for _ in range(5):
+            refusal = self.admission.check(job, busy, now=0.0)
+            assert refusal is not None
+            assert refusal.retry_after_s is not None
+            times.append(refusal.retry_after_s)
+        steps = [b - a for a, b in zip(times, times[1:], strict=False)]
+        for step in steps:
+            self.assertAlmostEqual(step, 10 * 0.5 / 10)
+
+    def test_a_job_that_never_fits_is_not_told_to_come_back(self) -> None:
+        job = fixtures.job("s", 100, deadline=1.0)
+        refusal = self.admission.check(job, IDLE, now=0.0)
+        assert refusal is not None
+        self.assertIsNone(refusal.retry_after_s)
+
+    def test_a_short_job_may_not_break_what_long_ones_were_promised(
+        self,
+    ) -> None:
+        short = fixtures.job("s", 1)
+        busy = replace(IDLE, before=0, ahead=1_000, horizon_s=30.0)
+        self.assertIsNotNone(self.admission.check(short, busy, now=0.0))
+
+    def test_the_bound_of_the_queue_holds(self) -> None:
+        job = fixtures.job("s", 10, max_queued=100)
+        near = replace(IDLE, queued=90)
+        self.assertIsNone(self.admission.check(job, near, now=0.0))
+        refusal = self.admission.check(job, replace(IDLE, queued=91), now=0.0)
+        assert refusal is not None
+        self.assertIs(refusal.reason, model.Reason.QUEUE_FULL)
+
+    def test_no_upstream_and_no_quota_are_refused(self) -> None:
+        job = fixtures.job("s", 1)
+        refusal = self.admission.check(
+            job, replace(IDLE, served=False), now=0.0
+        )
+        assert refusal is not None
+        self.assertIs(refusal.reason, model.Reason.NO_UPSTREAM)
+        none = fixtures.job("s", 1, max_running=0)
+        refusal = self.admission.check(none, IDLE, now=0.0)
+        assert refusal is not None
+        self.assertIs(refusal.reason, model.Reason.QUOTA_EXCEEDED)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_repeats_are_a_share_of_the_tasks(self) -> None:
+        budget = retry_budget.RetryBudget(share=0.1, least=0.0, most=50.0)
+        self.assertFalse(budget.spend())
+        budget.earn(20)
+        self.assertEqual(
+            [budget.spend() for _ in range(3)], [True, True, False]
+        )
+
+    def test_no_more_than_the_bound_is_saved_up(self) -> None:
+        budget = retry_budget.RetryBudget(share=0.1, least=0.0, most=2.0)
+        budget.earn(1_000)
+        self.assertEqual(sum(budget.spend() for _ in range(10)), 2)
--- /dev/null
+++ b/tests/test_scheduler_credits.py
@@ -0,0 +1,285 @@
+"""Tests of the policy of slot credits, on several hosts."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from godwitnotch.core import ids
+from godwitnotch.core import model
+from tests import scheduler_cluster
+from tests import scheduler_fixtures as fixtures
+
+FULL = model.AttemptOutcome.REFUSED_FULL
+LEAVING = model.AttemptOutcome.REFUSED_LEAVING
+REFUSED = model.AttemptOutcome.CONNECT_REFUSED
+
+
+class CreditsTest(unittest.TestCase):
+    def cluster(
+        self, hosts: int = 3, upstreams: int = 4
+    ) -> scheduler_cluster.Cluster:
+        return scheduler_cluster.Cluster(
+            scheduler_cluster.domain("d0", hosts),
+            scheduler_cluster.rack("d0", upstreams),
+        )
+
+    def test_one_host_borrows_all_slots_when_the_others_are_idle(self) -> None:
+        cluster = self.cluster()
+        first = ids.HostId("d0-h0")
+        cluster.policies[first].enqueue(fixtures.job("s", 40), now=cluster.now)
+        cluster.settle()
+        self.assertEqual(len(cluster.running), 32)
+        self.assertEqual(set(cluster.use().values()), {8})
+
+    def test_what_was_lent_comes_back_to_hosts_with_work(self) -> None:
+        cluster = self.cluster()
+        hosts = list(cluster.policies)
+        cluster.policies[hosts[0]].enqueue(
+            fixtures.job("big", 110), now=cluster.now
+        )
+        cluster.settle()
+        for host in hosts[1:]:
+            cluster.policies[host].enqueue(
+                fixtures.job(f"s-{host}", 110), now=cluster.now
+            )
+        for _ in range(120):
+            cluster.end(0)
+            cluster.settle(0.05)
+        by_host = [
+            sum(owner == host for owner, _ in cluster.running) for host in hosts
+        ]
+        self.assertEqual(sum(by_host), 32)
+        self.assertGreaterEqual(min(by_host), 7)
+
+    def test_an_idle_cluster_sends_no_messages(self) -> None:
+        cluster = self.cluster()
+        sent = cluster.sent
+        cluster.settle(30.0)
+        self.assertEqual(cluster.sent, sent)
+
+    def test_idle_slots_go_back(self) -> None:
+        cluster = self.cluster()
+        first, second, _ = cluster.policies
+        cluster.policies[first].enqueue(fixtures.job("a", 40), now=cluster.now)
+        cluster.settle()
+        while cluster.running:
+            cluster.end(0)
+            cluster.settle(0.05)
+        cluster.policies[second].enqueue(fixtures.job("b", 32), now=cluster.now)
+        cluster.settle()
+        self.assertEqual(len(cluster.running), 32)
+
+    def test_a_new_holder_counts_what_is_in_use(self) -> None:
+        cluster = self.cluster()
+        hosts = list(cluster.policies)
+        cluster.policies[hosts[0]].enqueue(
+            fixtures.job("a", 32), now=cluster.now
+        )
+        cluster.settle()
+        self.assertEqual(len(cluster.running), 32)
+        cluster.policies.pop(hosts[2])
+        cluster.links.clear()
+        cluster.see(hosts[:2])
+        cluster.policies[hosts[1]].enqueue(
+            fixtures.job("b", 32), now=cluster.now
+        )
+        cluster.settle()
+        self.assertEqual(len(cluster.running), 32)
+        self.assertEqual(max(cluster.use().values()), 8)
+
+    def test_a_cut_off_host_goes_on_with_its_domain(self) -> None:
+        cluster = scheduler_cluster.Cluster(
+            scheduler_cluster.domain("d0", 2)
+            + scheduler_cluster.domain("d1", 2),
+            scheduler_cluster.rack("d0", 2) + scheduler_cluster.rack("d1", 2),
+        )
+        cluster.see([ids.HostId("d0-h0"), ids.HostId("d0-h1")])
+        cluster.see([ids.HostId("d1-h0"), ids.HostId("d1-h1")])
+        host = ids.HostId("d0-h0")
+        cluster.policies[host].enqueue(fixtures.job("s", 40), now=cluster.now)
+        cluster.settle()
+        use = cluster.use()
+        self.assertEqual(use[ids.UpstreamId("d0-u0")], 8)
+        self.assertEqual(use[ids.UpstreamId("d0-u1")], 8)
+
+    def test_a_refusal_as_full_is_not_repeated_at_once(self) -> None:
+        cluster = self.cluster(1, 1)
+        [host] = cluster.policies
+        policy = cluster.policies[host]
+        policy.enqueue(fixtures.job("s", 1), now=cluster.now)
+        cluster.turn(host)
+        cluster.end(0, FULL)
+        self.assertTrue(
+            policy.requeue(ids.SubmissionId("s"), 0, now=cluster.now)
+        )
+        self.assertEqual(cluster.turn(host), [])
+        again = policy.next_deadline()
+        assert again is not None
+        self.assertGreater(again, cluster.now)
+        cluster.now = again
+        self.assertEqual(len(cluster.turn(host)), 1)
+
+    def test_an_upstream_that_says_it_leaves_gets_no_more(self) -> None:
+        cluster = self.cluster(1, 2)
+        [host] = cluster.policies
+        policy = cluster.policies[host]
+        policy.enqueue(fixtures.job("s", 50), now=cluster.now)
+        cluster.turn(host)
+        left = cluster.end(0, LEAVING).upstream.upstream
+        for _ in range(30):
+            cluster.end(0)
+            cluster.now += 0.05
+            for start in cluster.turn(host):
+                self.assertNotEqual(start.upstream.upstream, left)
+            policy.upstreams_seen(cluster.upstreams, now=cluster.now)
+
+    def test_repeats_end_with_the_budget(self) -> None:
+        cluster = self.cluster(1, 1)
+        [host] = cluster.policies
+        policy = cluster.policies[host]
+        policy.enqueue(fixtures.job("s", 1), now=cluster.now)
+        name = ids.SubmissionId("s")
+        repeats = 0
+        while repeats < 100 and policy.requeue(name, 0, now=cluster.now):
+            repeats += 1
+        self.assertLess(repeats, 30)
+
+    def test_an_unreachable_upstream_is_left_alone(self) -> None:
+        cluster = self.cluster(1, 4)
+        [host] = cluster.policies
+        policy = cluster.policies[host]
+        tries = 0
+        for index in range(60):
+            policy.enqueue(fixtures.job(f"s{index}", 4), now=cluster.now)
+            cluster.turn(host)
+            while cluster.running:
+                dead = cluster.running[0][1].upstream.upstream == "d0-u1"
+                tries += dead
+                cluster.end(
+                    0, REFUSED if dead else model.AttemptOutcome.ANSWERED
+                )
+            cluster.now += 0.01
+        self.assertLess(tries, 12)
+
+    def test_the_faster_upstream_is_learnt_and_preferred(self) -> None:
+        cluster = self.cluster(1, 2)
+        [host] = cluster.policies
+        policy = cluster.policies[host]
+        fast = "d0-u0"
+        for index in range(80):
+            policy.enqueue(fixtures.job(f"s{index}", 4), now=cluster.now)
+            cluster.now += 1.0
+            cluster.turn(host)
+            while cluster.running:
+                _, start = cluster.running.pop()
+                took = 0.1 if start.upstream.upstream == fast else 0.4
+                policy.ended(
+                    start,
+                    model.AttemptOutcome.ANSWERED,
+                    started_at=cluster.now - took,
+                    now=cluster.now,
+                )
+        policy.enqueue(fixtures.job("last", 8), now=cluster.now)
+        used = {each.upstream.upstream for each in cluster.turn(host)}
+        self.assertEqual(used, {fast})
+
+    def test_a_template_keeps_to_its_upstreams(self) -> None:
+        cluster = self.cluster(2, 4)
+        host = ids.HostId("d0-h0")
+        cluster.policies[host].enqueue(
+            fixtures.job("s", 30, upstreams=["d0-u2"]), now=cluster.now
+        )
+        cluster.settle()
+        self.assertEqual(cluster.use(), {"d0-u2": 8})
+
+    def test_a_quota_holds_over_all_hosts_and_moves_between_them(self) -> None:
+        for busy in (["d0-h0"], ["d0-h0", "d0-h1", "d0-h2"]):
+            with self.subTest(busy=busy):
+                cluster = self.cluster()
+                for name in busy:
+                    cluster.policies[ids.HostId(name)].enqueue(
+                        fixtures.job(f"s-{name}", 30, max_running=10),
+                        now=cluster.now,
+                    )
+                cluster.settle(6.0)
+                self.assertEqual(len(cluster.running), 10)
+
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    @given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(
+                    ["job", "end", "end", "deliver", "deliver", "wait"]
+                    + ["withdraw", "refuse", "turn"]
+                ),
+                strategies.integers(0, 30),
+                strategies.integers(1, 24),
+            ),
+            max_size=150,
+        )
+    )
+    def test_one_view_never_exceeds_slots_nor_starts_a_task_twice(
+        self, steps: list[tuple[str, int, int]]
+    ) -> None:
+        cluster = self.cluster(3, 3)
+        hosts = list(cluster.policies)
+        owners: dict[ids.SubmissionId, ids.HostId] = {}
+        sizes: dict[ids.SubmissionId, int] = {}
+        refused = 0
+        for count, (step, which, size) in enumerate(steps):
+            host = hosts[which % len(hosts)]
+            policy = cluster.policies[host]
+            if step == "job":
+                job = fixtures.job(f"s{count}", size, deadline=1e9)
+                policy.enqueue(job, now=cluster.now)
+                owners[job.submission] = host
+                sizes[job.submission] = size
+            elif step == "end" and cluster.running:
+                cluster.end(which % len(cluster.running))
+            elif step == "refuse" and cluster.running and refused < 15:
+                refused += 1
+                start = cluster.end(which % len(cluster.running), FULL)
+                owner = owners.get(start.submission)
+                if owner is not None:
+                    self.assertTrue(
+                        cluster.policies[owner].requeue(
+                            start.submission, start.task_index, now=cluster.now
+                        )
+                    )
+                    task = (start.submission, start.task_index)
+                    cluster.started[task] -= 1
+            elif step == "withdraw" and owners:
+                name = sorted(owners)[which % len(owners)]
+                cluster.policies[owners.pop(name)].withdraw(
+                    name, now=cluster.now
+                )
+                before = cluster.started.copy()
+                del sizes[name]
+                cluster.exchange()
+                fresh = cluster.started - before
+                self.assertNotIn(name, {task[0] for task in fresh})
+            elif step == "deliver":
+                busy = [link for link, q in cluster.links.items() if q]
+                if busy:
+                    cluster.deliver(busy[which % len(busy)])
+            elif step == "wait":
+                cluster.now += size / 100
+            if step in ("turn", "job", "end", "wait"):
+                cluster.turn(host)
+            self.assertLessEqual(max(cluster.use().values(), default=0), 8)
+        for _ in range(400):
+            cluster.settle(0.1)
+            self.assertLessEqual(max(cluster.use().values(), default=0), 8)
+            if not cluster.running:
+                break
+            while cluster.running:
+                cluster.end(0)
+        for name, size in sizes.items():
+            starts = [cluster.started[name, index] for index in range(size)]
+            self.assertEqual(starts, [1] * size)
+
+
+if __name__ == "__main__":
+    unittest.main()
