--- /dev/null
+++ b/godwitnotch/commands/settings_files.py
@@ -0,0 +1,100 @@
+"""Commands for settings files of hosts."""
+
+import enum
+import json
+import pathlib
+from typing import Annotated
+from typing import TYPE_CHECKING
+
+import typer
+from returns.result import Failure
+
+from godwitnotch.commands import options
+
+if TYPE_CHECKING:
+    from godwitnotch import settings
+
+app = typer.Typer(
+    no_args_is_help=True, help="Checks and shows settings files of hosts."
+)
+
+File = Annotated[pathlib.Path, typer.Argument(metavar="FILE")]
+
+
+class Kind(enum.Enum):
+    """A kind of file."""
+
+    HOST = "host"
+    WORKSPACE = "workspace"
+
+
+@app.command()
+def check(
+    files: Annotated[list[pathlib.Path], typer.Argument(metavar="FILE...")],
+) -> None:
+    """Checks files and the secrets they name; prints every problem.
+
+    Several files are also checked against each other, as those of one
+    deployment: names and addresses differ, secret and platform are the same.
+
+    Example: godwitnotch settings check lucerne-1.yaml lucerne-2.yaml
+    """
+    from godwitnotch import deployment
+    from godwitnotch import settings_file
+
+    loaded = {str(file): settings_file.load(file) for file in files}
+    good = {
+        file: result.unwrap()
+        for file, result in loaded.items()
+        if not isinstance(result, Failure)
+    }
+    problems = [
+        str(result.failure())
+        for result in loaded.values()
+        if isinstance(result, Failure)
+    ]
+    problems += [str(problem) for problem in deployment.check(good)]
+    if problems:
+        options.fail("\n".join(problems), options.ExitCode.USAGE)
+    for file, host in good.items():
+        print(f"{file}: no problem; host={host.host} domain={host.domain}")
+
+
+@app.command()
+def show(file: File) -> None:
+    """Prints the settings with all defaults, and without secrets.
+
+    Example: godwitnotch settings show /etc/godwitnotch/host.yaml
+    """
+    from godwitnotch import settings_file
+
+    print(settings_file.show(load(file)), end="")
+
+
+@app.command()
+def schema(
+    kind: Annotated[Kind, typer.Option(help="Kind of file.")] = Kind.HOST,
+) -> None:
+    """Prints the JSON schema of a kind of file.
+
+    Example: godwitnotch settings schema --kind workspace
+    """
+    from godwitnotch import checked_yaml
+    from godwitnotch import settings_document
+    from godwitnotch import workspace_file
+
+    models: dict[Kind, type[checked_yaml.Checked]] = {
+        Kind.HOST: settings_document.HostDocument,
+        Kind.WORKSPACE: workspace_file.WorkspaceDocument,
+    }
+    print(json.dumps(models[kind].model_json_schema(), indent=2))
+
+
+def load(file: pathlib.Path) -> "settings.HostSettings":
+    """Returns the settings of a host, or prints the problems and exits."""
+    from godwitnotch import settings_file
+
+    loaded = settings_file.load(file)
+    if isinstance(loaded, Failure):
+        options.fail(str(loaded.failure()), options.ExitCode.USAGE)
+    return loaded.unwrap()
--- /dev/null
+++ b/tests/naive.py
@@ -0,0 +1,25 @@
+"""The plainest dispatcher: one process, one table, no faults, no waiting."""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from tests import world
+
+Payloads = tuple[bytes, ...]
+
+
+@dataclass(slots=True)
+class NaiveDispatcher:
+    """Runs a job when it first comes, and repeats the answer afterwards."""
+
+    starts: list[bytes] = field(default_factory=list)
+    _jobs: dict[str, Payloads] = field(default_factory=dict)
+
+    def submit(self, identity: str, payloads: Payloads) -> Payloads:
+        """Returns the results; none where the identity has another body."""
+        if identity not in self._jobs:
+            self._jobs[identity] = payloads
+            self.starts += payloads
+        if self._jobs[identity] != payloads:
+            return ()
+        return tuple(map(world.result_of, payloads))
