--- a/godwitnotch/core/messages.py
+++ b/godwitnotch/core/messages.py
@@ -103,6 +103,18 @@
     configs: tuple[model.WorkspaceConfig, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class DirectoryWanted:
+    """A host that can't reach the platform asks for the list of hosts."""
+
+
+@dataclass(frozen=True, slots=True)
+class DirectorySnapshot:
+    """The latest list of hosts and upstreams that the peer has."""
+
+    directory: model.Directory
+
+
 @dataclass(frozen=True, slots=True)
 class SlotsWanted:
     """A borrower tells a holder what it uses and would use of an upstream.
@@ -159,12 +171,21 @@
 
 @dataclass(frozen=True, slots=True)
 class QuotaWanted:
-    """The same as `SlotsWanted`, of a workspace's quota of running tasks."""
+    """The same as `SlotsWanted`, of a workspace's quota of running tasks.
+
+    Attributes:
+        workspace: The workspace.
+        in_use: Part of the quota that the borrower may use.
+        wanted: Part that it would use.
+        serial: Serial of the last `QuotaLent` that it saw.
+        limit: The whole quota, as the holder may not know the workspace.
+    """
 
     workspace: ids.WorkspaceId
     in_use: int
     wanted: int
-    serial: int = 0
+    serial: int
+    limit: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,6 +197,10 @@
     serial: int = 0
 
 
+# What the schedulers of two hosts say to each other.
+SchedulerMessage = (
+    SlotsWanted | SlotsLent | SlotsAsked | SlotsBatch | QuotaWanted | QuotaLent
+)
 Message = (
     Hello
     | Heartbeat
@@ -187,10 +212,7 @@
     | ConfigApplied
     | ConfigWanted
     | ConfigSnapshot
-    | SlotsWanted
-    | SlotsLent
-    | SlotsAsked
-    | SlotsBatch
-    | QuotaWanted
-    | QuotaLent
+    | DirectoryWanted
+    | DirectorySnapshot
+    | SchedulerMessage
 )
