--- a/godwitnotch/core/host.py
+++ b/godwitnotch/core/host.py
@@ -450,9 +450,11 @@
     _HANDLERS[type(event.message)](core, event, now)
 
 
-@_handles(messages.Hello)
-def _hello(core: HostCore, event: events.PeerSaid, now: float) -> None:
-    """Ignores a greeting: the link has dealt with it."""
+@_handles(*get_args(messages.TransportMessage))
+def _transport_message(
+    core: HostCore, event: events.PeerSaid, now: float
+) -> None:
+    """Does nothing: the link or the runtime has dealt with it."""
 
 
 @_handles(messages.Heartbeat)
--- a/godwitnotch/core/messages.py
+++ b/godwitnotch/core/messages.py
@@ -197,12 +197,14 @@
     serial: int = 0
 
 
+# What links and runtimes deal with themselves.
+TransportMessage = Hello | DirectoryWanted | DirectorySnapshot
 # What the schedulers of two hosts say to each other.
 SchedulerMessage = (
     SlotsWanted | SlotsLent | SlotsAsked | SlotsBatch | QuotaWanted | QuotaLent
 )
 Message = (
-    Hello
+    TransportMessage
     | Heartbeat
     | ForwardSubmit
     | ForwardStatus
@@ -212,7 +214,5 @@
     | ConfigApplied
     | ConfigWanted
     | ConfigSnapshot
-    | DirectoryWanted
-    | DirectorySnapshot
     | SchedulerMessage
 )
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -88,7 +88,7 @@
         (messages.SlotsWanted(ids.UpstreamId("u1"), 1, 2, 3),),
         (messages.SlotsLent(ids.UpstreamId("u1"), 1, 3),),
     ),
-    messages.QuotaWanted(SUBMIT.workspace, 1, 2, 3),
+    messages.QuotaWanted(SUBMIT.workspace, 1, 2, 3, 9),
     messages.QuotaLent(SUBMIT.workspace, 1, 3),
 )
 
