Keep watching the other links when a heartbeat can't be made

Cause: the one task that watches all links ended with the first exception, unseen, and no link was ever found silent again.

--- a/godwitnotch/net/peer_link.py
+++ b/godwitnotch/net/peer_link.py
@@ -224,15 +224,23 @@
             now = loop.time()
             paused = now - looked_at > 2 * limits.heartbeat_interval_s
             looked_at = now
-            interval_s = max(
-                limits.heartbeat_interval_s,
-                len(self._links) / limits.max_heartbeats_per_s,
-            )
             for link in list(self._links.values()):
                 if paused:
                     # What arrived meanwhile is still unread.
                     link.hear(now=now)
-                link.watch(interval_s, now=now)
+                self._watch_link(link, now)
+
+    def _watch_link(self, link: "_Link", now: float) -> None:
+        limits = self._limits
+        interval_s = max(
+            limits.heartbeat_interval_s,
+            len(self._links) / limits.max_heartbeats_per_s,
+        )
+        try:
+            link.watch(interval_s, now=now)
+        except Exception:  # The other links are watched all the same.
+            self._on_note(_note("peer_watch_fault", link.hello.host))
+            link.stop(LinkEnd.CLOSED)
 
     def _dialled(self, host: ids.HostId, task: asyncio.Task[None]) -> None:
         self._dials.pop(host, None)
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -64,13 +64,14 @@
         self.links = peer_link.PeerLinks(
             hello=hello,
             secret=secret,
-            heartbeat=lambda: messages.Heartbeat(1, False),
+            heartbeat=lambda: self.heartbeat(),
             on_event=self.events.append,
             on_note=self.notes.append,
             chance=random.Random(1),
             limits=limits,
         )
         self.address = ""
+        self.heartbeat = lambda: messages.Heartbeat(1, False)
 
     async def start(self, port: int = 0) -> "Host":
         listener = peer_link.bind("127.0.0.1", port)
@@ -273,6 +274,18 @@
         self.assertEqual(high.links.linked[new.name].incarnation, "2")
         self.assertEqual(high.ups(), 1)
 
+    async def test_fault_at_one_watch_does_not_end_the_watching(self) -> None:
+        low, high = await self.host("a"), await self.host("b")
+        low.see(high)
+        await until(lambda: low.links.linked and high.links.linked)
+        working = high.heartbeat
+        high.heartbeat = lambda: [][1]
+        await until(lambda: high.noted("peer_watch_fault"))
+        high.heartbeat = working
+        await until(lambda: low.links.linked and high.links.linked)
+        heard = len(low.said(messages.Heartbeat))
+        await until(lambda: len(low.said(messages.Heartbeat)) > heard + 2)
+
     async def test_full_send_queue_ends_the_link(self) -> None:
         low, high = await self.host("a"), await self.host("b")
         low.see(high)
