--- a/godwitnotch/core/messages.py
+++ b/godwitnotch/core/messages.py
@@ -171,12 +171,21 @@
 
 @dataclass(frozen=True, slots=True)
 class QuotaWanted:
-    """The same as `SlotsWanted`, of a workspace's quota of running tasks."""
+    """The same as `SlotsWanted`, of a workspace's quota of running tasks.
+
+    Attributes:
+        workspace: The workspace.
+        in_use: Part of the quota that the borrower may use.
+        wanted: Part that it would use.
+        serial: Serial of the last `QuotaLent` that it saw.
+        limit: The whole quota, as the holder may not know the workspace.
+    """
 
     workspace: ids.WorkspaceId
     in_use: int
     wanted: int
-    serial: int = 0
+    serial: int
+    limit: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,8 +197,14 @@
     serial: int = 0
 
 
+# What links and runtimes deal with themselves.
+TransportMessage = Hello | DirectoryWanted | DirectorySnapshot
+# What the schedulers of two hosts say to each other.
+SchedulerMessage = (
+    SlotsWanted | SlotsLent | SlotsAsked | SlotsBatch | QuotaWanted | QuotaLent
+)
 Message = (
-    Hello
+    TransportMessage
     | Heartbeat
     | ForwardSubmit
     | ForwardStatus
@@ -199,12 +214,5 @@
     | ConfigApplied
     | ConfigWanted
     | ConfigSnapshot
-    | DirectoryWanted
-    | DirectorySnapshot
-    | SlotsWanted
-    | SlotsLent
-    | SlotsAsked
-    | SlotsBatch
-    | QuotaWanted
-    | QuotaLent
+    | SchedulerMessage
 )
