--- a/bench/policy_trial.py
+++ b/bench/policy_trial.py
@@ -5,6 +5,7 @@
 
     python -m bench.policy_trial --load 0.7 --seeds 5 uniform credits
 
+`--sizes DxHxU` gives domains, hosts and upstreams a domain.
 `--set MODULE.CONSTANT=VALUE,...` overrides constants of `godwitnotch.core`.
 """
 
@@ -371,11 +372,19 @@
     share = float(options.pop("load", "0.7"))
     seeds = int(options.pop("seeds", "5"))
     seconds = float(options.pop("seconds", "40"))
+    sizes = [int(each) for each in options.pop("sizes", "3x3x8").split("x")]
     faults = replace(Faults(), **options)  # type: ignore[arg-type]
     for name in names:
         runs = []
         for seed in range(1, seeds + 1):
-            load = recorded_load.record(seed, share=share, seconds=seconds)
+            load = recorded_load.record(
+                seed,
+                share=share,
+                seconds=seconds,
+                domains=sizes[0],
+                hosts_per_domain=sizes[1],
+                upstreams_per_domain=sizes[2],
+            )
             runs.append(Trial(name, load, faults).run())
         print(f"{name:12} load={share} {summary(runs, load)}", flush=True)
 
--- a/bench/recorded_load.py
+++ b/bench/recorded_load.py
@@ -88,7 +88,14 @@
     capacity = sum(speeds[each.upstream] * SLOTS for each in upstreams)
     jobs, work = _jobs(draw, hosts, share * capacity, seconds)
     return Load(
-        seed, hosts, upstreams, speeds, jobs, work, WARM_UP_S, seconds + 5.0
+        seed,
+        hosts,
+        upstreams,
+        speeds,
+        jobs,
+        work,
+        min(WARM_UP_S, seconds / 4),
+        seconds + 5.0,
     )
 
 
--- a/godwitnotch/core/credit_scheduler.py
+++ b/godwitnotch/core/credit_scheduler.py
@@ -298,16 +298,16 @@
 
     def next_deadline(self) -> float | None:
         """Returns when the policy next wants to be asked, if ever."""
-        times = [self._look_at]
+        earliest = self._look_at
         for each in (
             self._slots.next_deadline(),
             self._quotas.ledger.next_deadline(),
             self._health.next_deadline(),
         ):
-            if each is not None:
-                times.append(each)
-        times += [each.paused_until for each in self._paused.values()]
-        earliest = min(times)
+            if each is not None and each < earliest:
+                earliest = each
+        for upstream in self._paused.values():
+            earliest = min(earliest, upstream.paused_until)
         return None if earliest == math.inf else earliest
 
     def _quota_message(self, sent: credits.Outgoing) -> scheduler.PeerMessage:
@@ -440,7 +440,7 @@
         now: float,
     ) -> None:
         offers: dict[ids.TemplateName, list[_Ranked]] = {}
-        while True:
+        while offered:
             job = lane.queue.head(self._quotas.may_run, now=now)
             if job is None:
                 break
@@ -455,7 +455,10 @@
                 if not self._worth_last(lane, job, found, now):
                     self._look_at = min(self._look_at, now + PATIENCE_S)
                     break
-            started.append(self._start(lane, job, found[1], now))
+            upstream = found[1]
+            started.append(self._start(lane, job, upstream, now))
+            if upstream.credit.free <= 0:
+                offered.pop(upstream.entry.upstream, None)
         for workspace in lane.queue.blocked:
             queued = lane.queue.queued(workspace)
             self._quotas.ask(workspace, queued, now=now)
@@ -622,12 +625,10 @@
         match outcome:
             case model.AttemptOutcome.ANSWERED:
                 took_s = now - started_at
-                expected_s = self._speeds.expect_s(running.template, name)
-                self._sizes.learn(
-                    running.template, running.declared_ms, took_s / expected_s
-                )
                 usual_s = took_s / running.factor
-                self._speeds.learn(running.template, name, usual_s)
+                error = self._speeds.learn(running.template, name, usual_s)
+                ratio = running.factor * math.exp(error)
+                self._sizes.learn(running.template, running.declared_ms, ratio)
                 slowness = round(100 * self._speeds.deviation(name))
                 upstream.credit.slowness = slowness
                 upstream.pause_s = FIRST_PAUSE_S
--- a/godwitnotch/core/credits.py
+++ b/godwitnotch/core/credits.py
@@ -422,22 +422,19 @@
 
     def next_deadline(self) -> float | None:
         """Returns when something falls due."""
-        times = []
-        if self._idle:
-            times.append(next(iter(self._idle.values())))
-        if self._counted:
-            times.append(next(iter(self._counted.values())))
-        elif self._asks:
-            times.append(next(iter(self._asks.values())))
-        if self._unanswered:
-            times.append(next(iter(self._unanswered.values())))
-        elif self._requests:
-            times.append(next(iter(self._requests.values())).until)
+        earliest = math.inf
+        for due in (self._idle, self._counted, self._unanswered, self._asks):
+            if due:
+                earliest = min(earliest, next(iter(due.values())))
+        if self._requests:
+            until = next(iter(self._requests.values())).until
+            earliest = min(earliest, until)
         if self._dirty or self._dirty_loans or self._dirty_requests:
-            times.append(self._tokens_at + 1.5 / MESSAGES_PER_S)
+            at = self._tokens_at + 1.5 / MESSAGES_PER_S
+            earliest = min(earliest, at)
         if self._gathering or self.hungry:
-            times.append(self._tick_at)
-        return min(times, default=None)
+            earliest = min(earliest, self._tick_at)
+        return None if earliest == math.inf else earliest
 
     def _choose(self, resource: Resource) -> ids.HostId:
         return max(
--- a/godwitnotch/core/health.py
+++ b/godwitnotch/core/health.py
@@ -182,6 +182,8 @@
 
     def advance(self, *, now: float) -> list[ids.UpstreamId]:
         """Returns the upstreams whose probe fell due."""
+        if not self._waiting:
+            return []
         due = [
             upstream
             for upstream in self._waiting
@@ -196,6 +198,8 @@
 
     def next_deadline(self) -> float | None:
         """Returns when the next probe falls due."""
+        if not self._waiting:
+            return None
         return min(
             (self._records[each].probe_at for each in self._waiting),
             default=None,
--- a/godwitnotch/core/speeds.py
+++ b/godwitnotch/core/speeds.py
@@ -85,8 +85,12 @@
         template: ids.TemplateName,
         upstream: ids.UpstreamId,
         took_s: float,
-    ) -> None:
-        """Takes the run time of a task that was answered."""
+    ) -> float:
+        """Takes the run time of a task that was answered.
+
+        Returns:
+            The logarithm of the run time over the one expected.
+        """
         took_s = max(took_s, _SHORTEST_S)
         expected_s = self.expect_s(template, upstream)
         error = math.log(took_s / expected_s)
@@ -102,6 +106,7 @@
         ranks[upstream] = term.value + pair.value
         mean = self._means.get(template, took_s)
         self._means[template] = mean + _TEMPLATE_GAIN * (took_s - mean)
+        return error
 
     def forget(self, upstream: ids.UpstreamId) -> None:
         """Drops what was learnt of an upstream that is gone."""
