Pace the writes that bind keys, and forget keys that nobody waits for

Cause: one transaction in flight bounds nothing when the store is fast: at 5 ms a write each host would make up to 200 transactions a second, 8,000 at 40 hosts, against several hundred that the store takes. And a key whose callers gave up before its write stayed in memory for good. Ruled out: a fixed gap between writes (it delays single keys, too). Change: 200 such transactions a second are shared by the linked hosts; a burst of 6 a host goes at once. Conclusion: at 40 hosts a key waits up to 0.2 s under load, and not else.

--- a/godwitnotch/core/bindings.py
+++ b/godwitnotch/core/bindings.py
@@ -19,6 +19,7 @@
 from godwitnotch.core import records
 from godwitnotch.core import store_calls
 from godwitnotch.core import timers as timers_module
+from godwitnotch.core import token_bucket
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +77,20 @@
         )
         self._pending: dict[str, _Pending] = {}
         self._flight: list[_Pending] = []
+        self._pace = token_bucket.TokenBucket(
+            rate_per_s=limits.key_writes_per_s, burst=limits.key_write_burst
+        )
+        self._pause: timers_module.Timer | None = None
+
+    @property
+    def pending_count(self) -> int:
+        """Keys that are being bound, or whose write may have taken effect."""
+        return len(self._pending)
+
+    def hosts_seen(self, count: int, *, now: float) -> None:
+        """Takes this host's part of the pace when so many hosts share it."""
+        rate_per_s = self._limits.key_writes_per_s / count
+        self._pace.set_rate(rate_per_s, now=now)
 
     def known(self, row_key: str) -> records.Binding | None:
         """Returns a binding that needs no look at the table service."""
@@ -113,7 +128,7 @@
             )
             self._pending[request.row_key] = pending
         self._add_waiter(pending, request, done)
-        self._pump()
+        self._pump(now)
 
     def rebind(
         self,
@@ -149,12 +164,16 @@
 
         waiter.timer = self._timers.at(request.deadline, give_up)
 
-    def _pump(self) -> None:
-        if self._flight:
+    def _pump(self, now: float) -> None:
+        if self._flight or self._pause is not None:
             return
+        self._drop_abandoned()
         waiting = [each for each in self._pending.values() if each.waiters]
         if not waiting:
             return
+        if not self._pace.take(now=now):
+            self._pump_later(now)
+            return
         uncertain = [each for each in waiting if each.uncertain]
         batch = (uncertain or waiting)[: self._limits.max_batch_rows]
         self._flight = batch
@@ -167,6 +186,18 @@
         writes = [each.write() for each in batch]
         self._store.transact(writes, self._on_write)
 
+    def _drop_abandoned(self) -> None:
+        for pending in list(self._pending.values()):
+            if not pending.waiters and not pending.uncertain:
+                del self._pending[pending.row_key]
+
+    def _pump_later(self, now: float) -> None:
+        def resume(now: float) -> None:
+            self._pause = None
+            self._pump(now)
+
+        self._pause = self._timers.at(self._pace.ready_at(now=now), resume)
+
     def _on_read(self, event: store_calls.StoreEvent, now: float) -> None:
         if not isinstance(event, events.StoreRows):
             self._failed(now)
@@ -179,7 +210,7 @@
                 self._bound(pending, records.decode_binding(row), now)
             else:
                 pending.prepare_again(row.version)
-        self._pump()
+        self._pump(now)
 
     def _on_write(self, event: store_calls.StoreEvent, now: float) -> None:
         match event:
@@ -197,7 +228,7 @@
                 return
             case _:
                 raise TypeError(f"a write can't end with {event}")
-        self._pump()
+        self._pump(now)
 
     def _on_conflict(self, rows: tuple[model.Row, ...], now: float) -> None:
         batch = self._take_flight()
--- a/godwitnotch/core/host.py
+++ b/godwitnotch/core/host.py
@@ -143,14 +143,16 @@
             chance=chance,
             limits=limits,
         )
-        self._submissions = submissions.Submissions(
-            self._collaborators(mint, chance)
+        self._binder = bindings.KeyBinder(
+            store=self._store,
+            timers=self._timers,
+            chance=chance,
+            limits=limits,
         )
+        self._submissions = submissions.Submissions(self._collaborators(mint))
         self._keeper.on_applied(self._configured)
 
-    def _collaborators(
-        self, mint: ids.IdMint, chance: chance_module.Chance
-    ) -> submissions.Collaborators:
+    def _collaborators(self, mint: ids.IdMint) -> submissions.Collaborators:
         return submissions.Collaborators(
             identity=self._identity,
             mint=mint,
@@ -158,12 +160,7 @@
             reservations=self._reservations,
             keeper=self._keeper,
             membership=self._membership,
-            binder=bindings.KeyBinder(
-                store=self._store,
-                timers=self._timers,
-                chance=chance,
-                limits=self._limits,
-            ),
+            binder=self._binder,
             outcome_log=self._outcome_log,
             outcome_reader=outcomes.OutcomeReader(
                 store=self._store, limits=self._limits
@@ -287,6 +284,11 @@
         self._change(HostChange.IDLE)
         self._outcome_log.seal(self._sealed, now=now)
 
+    def _share_with_linked(self, now: float) -> None:
+        linked = self._membership.linked
+        self._scheduler.hosts_seen(linked, now=now)
+        self._binder.hosts_seen(len(linked) + 1, now=now)
+
     def _stop_waiting(self, now: float) -> None:
         self._overdue = True
         self._submissions.runner.cut_all(now=now)
@@ -432,7 +434,7 @@
 def _peer_up(core: HostCore, event: events.PeerUp, now: float) -> None:
     core._submissions.peer_down(event.host, now=now)
     core._membership.peer_up(event, now=now)
-    core._scheduler.hosts_seen(core._membership.linked, now=now)
+    core._share_with_linked(now)
     core._keeper.peer_up(event.host)
     core._changes.peer_up(event.host)
 
@@ -440,7 +442,7 @@
 @_handles(events.PeerDown)
 def _peer_down(core: HostCore, event: events.PeerDown, now: float) -> None:
     core._membership.peer_down(event.host, now=now)
-    core._scheduler.hosts_seen(core._membership.linked, now=now)
+    core._share_with_linked(now)
     core._keeper.peer_down(event.host, now=now)
     core._submissions.peer_down(event.host, now=now)
 
--- a/godwitnotch/core/limits.py
+++ b/godwitnotch/core/limits.py
@@ -17,6 +17,8 @@
         config_poll_s: Interval of looking for configuration changes.
         store_backoff_s: First pause after a failed store exchange.
         max_store_backoff_s: Longest pause after failed store exchanges.
+        key_writes_per_s: Transactions that bind keys, over all linked hosts.
+        key_write_burst: Such transactions of one host that need not wait.
         max_known_keys: Bindings of caller keys remembered.
         max_batch_rows: Rows in one transaction.
         outcome_flush_s: How long outcomes gather before they are written.
@@ -38,6 +40,8 @@
     config_poll_s: float = 1.0
     store_backoff_s: float = 0.25
     max_store_backoff_s: float = 5.0
+    key_writes_per_s: float = 200.0
+    key_write_burst: int = 6
     max_known_keys: int = 100_000
     max_batch_rows: int = 200
     outcome_flush_s: float = 0.2
--- /dev/null
+++ b/godwitnotch/core/token_bucket.py
@@ -0,0 +1,42 @@
+"""Bounds how often something is done, letting short bursts through."""
+
+# Spares a token that is short only by the rounding of times.
+_ROUNDING = 1e-6
+
+
+class TokenBucket:
+    """Tokens that come at a rate and gather up to a burst.
+
+    Args:
+        rate_per_s: Tokens gained each second.
+        burst: Most tokens that gather.
+    """
+
+    def __init__(self, *, rate_per_s: float, burst: float) -> None:
+        self._rate_per_s = rate_per_s
+        self._burst = burst
+        self._tokens = burst
+        self._counted_at = 0.0
+
+    def set_rate(self, rate_per_s: float, *, now: float) -> None:
+        """Changes the rate from now on."""
+        self._gain(now)
+        self._rate_per_s = rate_per_s
+
+    def take(self, *, now: float) -> bool:
+        """Takes one token; False if there is none."""
+        self._gain(now)
+        if self._tokens < 1.0 - _ROUNDING:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def ready_at(self, *, now: float) -> float:
+        """Returns when a token can be taken."""
+        self._gain(now)
+        return now + max(0.0, 1.0 - self._tokens) / self._rate_per_s
+
+    def _gain(self, now: float) -> None:
+        gained = (now - self._counted_at) * self._rate_per_s
+        self._tokens = min(self._tokens + gained, self._burst)
+        self._counted_at = now
