--- a/godwitnotch/commands/settings_files.py
+++ b/godwitnotch/commands/settings_files.py
@@ -29,13 +29,35 @@
 
 
 @app.command()
-def check(file: File) -> None:
-    """Checks a file and the secrets it names; prints every problem.
+def check(
+    files: Annotated[list[pathlib.Path], typer.Argument(metavar="FILE...")],
+) -> None:
+    """Checks files and the secrets they name; prints every problem.
+
+    Several files are also checked against each other, as those of one
+    deployment: names and addresses differ, secret and platform are the same.
 
-    Example: godwitnotch settings check /etc/godwitnotch/host.yaml
+    Example: godwitnotch settings check lucerne-1.yaml lucerne-2.yaml
     """
-    loaded = load(file)
-    print(f"{file}: no problem; host={loaded.host} domain={loaded.domain}")
+    from godwitnotch import deployment
+    from godwitnotch import settings_file
+
+    loaded = {str(file): settings_file.load(file) for file in files}
+    good = {
+        file: result.unwrap()
+        for file, result in loaded.items()
+        if not isinstance(result, Failure)
+    }
+    problems = [
+        str(result.failure())
+        for result in loaded.values()
+        if isinstance(result, Failure)
+    ]
+    problems += [str(problem) for problem in deployment.check(good)]
+    if problems:
+        options.fail("\n".join(problems), options.ExitCode.USAGE)
+    for file, host in good.items():
+        print(f"{file}: no problem; host={host.host} domain={host.domain}")
 
 
 @app.command()
@@ -44,9 +66,9 @@
 
     Example: godwitnotch settings show /etc/godwitnotch/host.yaml
     """
-    from godwitnotch import settings
+    from godwitnotch import settings_file
 
-    print(settings.show(load(file)), end="")
+    print(settings_file.show(load(file)), end="")
 
 
 @app.command()
@@ -58,11 +80,11 @@
     Example: godwitnotch settings schema --kind workspace
     """
     from godwitnotch import checked_yaml
-    from godwitnotch import settings
+    from godwitnotch import settings_document
     from godwitnotch import workspace_file
 
     models: dict[Kind, type[checked_yaml.Checked]] = {
-        Kind.HOST: settings.HostDocument,
+        Kind.HOST: settings_document.HostDocument,
         Kind.WORKSPACE: workspace_file.WorkspaceDocument,
     }
     print(json.dumps(models[kind].model_json_schema(), indent=2))
@@ -70,9 +92,9 @@
 
 def load(file: pathlib.Path) -> "settings.HostSettings":
     """Returns the settings of a host, or prints the problems and exits."""
-    from godwitnotch import settings
+    from godwitnotch import settings_file
 
-    loaded = settings.load(file)
+    loaded = settings_file.load(file)
     if isinstance(loaded, Failure):
         options.fail(str(loaded.failure()), options.ExitCode.USAGE)
     return loaded.unwrap()
--- a/godwitnotch/core/host.py
+++ b/godwitnotch/core/host.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
+from typing import get_args
 
 from godwitnotch.core import actions
 from godwitnotch.core import bindings
@@ -71,6 +72,7 @@
         open_ids: Reserved ids that have not expired.
         unwritten_outcomes: Outcomes not yet recorded.
         linked_hosts: Other hosts that can be talked to.
+        queued_tasks: Tasks that wait for a slot.
     """
 
     state: HostState
@@ -82,6 +84,7 @@
     open_ids: int
     unwritten_outcomes: int
     linked_hosts: tuple[ids.HostId, ...]
+    queued_tasks: int = 0
 
 
 class HostCore:
@@ -145,14 +148,16 @@
             chance=chance,
             limits=limits,
         )
-        self._submissions = submissions.Submissions(
-            self._collaborators(mint, chance)
+        self._binder = bindings.KeyBinder(
+            store=self._store,
+            timers=self._timers,
+            chance=chance,
+            limits=limits,
         )
+        self._submissions = submissions.Submissions(self._collaborators(mint))
         self._keeper.on_applied(self._configured)
 
-    def _collaborators(
-        self, mint: ids.IdMint, chance: chance_module.Chance
-    ) -> submissions.Collaborators:
+    def _collaborators(self, mint: ids.IdMint) -> submissions.Collaborators:
         return submissions.Collaborators(
             identity=self._identity,
             mint=mint,
@@ -160,12 +165,7 @@
             reservations=self._reservations,
             keeper=self._keeper,
             membership=self._membership,
-            binder=bindings.KeyBinder(
-                store=self._store,
-                timers=self._timers,
-                chance=chance,
-                limits=self._limits,
-            ),
+            binder=self._binder,
             outcome_log=self._outcome_log,
             outcome_reader=outcomes.OutcomeReader(
                 store=self._store, limits=self._limits
@@ -202,6 +202,7 @@
             open_ids=self._reservations.open_count,
             unwritten_outcomes=self._outcome_log.unwritten_count,
             linked_hosts=tuple(entry.host for entry in self._membership.linked),
+            queued_tasks=runner.queued_task_count,
         )
 
     @property
@@ -303,6 +304,11 @@
         self._change(HostChange.IDLE)
         self._outcome_log.seal(self._sealed, now=now)
 
+    def _share_with_linked(self, now: float) -> None:
+        linked = self._membership.linked
+        self._scheduler.hosts_seen(linked, now=now)
+        self._binder.hosts_seen(len(linked) + 1, now=now)
+
     def _stop_waiting(self, now: float) -> None:
         self._overdue = True
         self._submissions.runner.cut_all(now=now)
@@ -336,11 +342,11 @@
     return frozenset(_HANDLERS)
 
 
-def _handles(kind: type) -> Callable[[_Handler], _Handler]:
-    """Registers the handler of one kind of event or peer message."""
+def _handles(*kinds: type) -> Callable[[_Handler], _Handler]:
+    """Registers the handler of some kinds of events or peer messages."""
 
     def register(handler: _Handler) -> _Handler:
-        _HANDLERS[kind] = handler
+        _HANDLERS.update(dict.fromkeys(kinds, handler))
         return handler
 
     return register
@@ -448,7 +454,7 @@
 def _peer_up(core: HostCore, event: events.PeerUp, now: float) -> None:
     core._submissions.peer_down(event.host, now=now)
     core._membership.peer_up(event, now=now)
-    core._scheduler.hosts_seen(core._membership.linked, now=now)
+    core._share_with_linked(now)
     core._keeper.peer_up(event.host)
     core._changes.peer_up(event.host)
 
@@ -456,7 +462,7 @@
 @_handles(events.PeerDown)
 def _peer_down(core: HostCore, event: events.PeerDown, now: float) -> None:
     core._membership.peer_down(event.host, now=now)
-    core._scheduler.hosts_seen(core._membership.linked, now=now)
+    core._share_with_linked(now)
     core._keeper.peer_down(event.host, now=now)
     core._submissions.peer_down(event.host, now=now)
 
@@ -466,9 +472,11 @@
     _HANDLERS[type(event.message)](core, event, now)
 
 
-@_handles(messages.Hello)
-def _hello(core: HostCore, event: events.PeerSaid, now: float) -> None:
-    """Ignores a greeting: the link has dealt with it."""
+@_handles(*get_args(messages.TransportMessage))
+def _transport_message(
+    core: HostCore, event: events.PeerSaid, now: float
+) -> None:
+    """Does nothing: the link or the runtime has dealt with it."""
 
 
 @_handles(messages.Heartbeat)
@@ -531,17 +539,14 @@
     core._changes.peer_confirmed(event.host, message.counter, now=now)
 
 
-@_handles(messages.ConfigChanged)
-@_handles(messages.ConfigWanted)
-@_handles(messages.ConfigSnapshot)
+@_handles(
+    messages.ConfigChanged, messages.ConfigWanted, messages.ConfigSnapshot
+)
 def _config_message(core: HostCore, event: events.PeerSaid, now: float) -> None:
     core._keeper.peer_said(event.host, event.message, now=now)
 
 
-@_handles(messages.SlotsWanted)
-@_handles(messages.SlotsLent)
-@_handles(messages.QuotaWanted)
-@_handles(messages.QuotaLent)
+@_handles(*get_args(messages.SchedulerMessage))
 def _scheduler_message(
     core: HostCore, event: events.PeerSaid, now: float
 ) -> None:
@@ -555,10 +560,7 @@
     core._submissions.runner.attempt_ended(event, now=now)
 
 
-@_handles(events.StoreCommitted)
-@_handles(events.StoreConflict)
-@_handles(events.StoreRows)
-@_handles(events.StoreFailed)
+@_handles(*get_args(store_calls.StoreEvent))
 def _store_ended(
     core: HostCore, event: store_calls.StoreEvent, now: float
 ) -> None:
@@ -590,7 +592,6 @@
     core._timers.at(event.deadline, core._stop_waiting)
 
 
-@_handles(events.CallerGone)
-@_handles(events.TimePassed)
+@_handles(events.CallerGone, events.TimePassed)
 def _nothing(core: HostCore, event: events.Event, now: float) -> None:
     """Does nothing: the reply to a gone caller is dropped by the runtime."""
--- a/godwitnotch/core/messages.py
+++ b/godwitnotch/core/messages.py
@@ -24,10 +24,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Shows that the sender's loop still turns."""
+    """Shows that the sender's loop still turns.
+
+    Attributes:
+        config_counter: Changes of configuration in force at the sender.
+        draining: Whether the sender takes no new jobs.
+        interval_s: The sender's next heartbeat comes within this time.
+        probe: Whether the receiver is to send one back at once.
+    """
 
     config_counter: int
     draining: bool
+    interval_s: float = 1.0
+    probe: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +103,18 @@
     configs: tuple[model.WorkspaceConfig, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class DirectoryWanted:
+    """A host that can't reach the platform asks for the list of hosts."""
+
+
+@dataclass(frozen=True, slots=True)
+class DirectorySnapshot:
+    """The latest list of hosts and upstreams that the peer has."""
+
+    directory: model.Directory
+
+
 @dataclass(frozen=True, slots=True)
 class SlotsWanted:
     """A borrower tells a holder what it uses and would use of an upstream.
@@ -126,14 +147,45 @@
     serial: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class SlotsAsked:
+    """A borrower would use more slots of any upstreams that the peer holds.
+
+    Attributes:
+        count: Number of slots.
+        slowest: How much slower than the average an upstream may be, as the
+            natural logarithm of the ratio of run times, in hundredths.
+    """
+
+    count: int
+    slowest: int
+
+
+@dataclass(frozen=True, slots=True)
+class SlotsBatch:
+    """Several messages about slots in one."""
+
+    wanted: tuple[SlotsWanted, ...]
+    lent: tuple[SlotsLent, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class QuotaWanted:
-    """The same as `SlotsWanted`, of a workspace's quota of running tasks."""
+    """The same as `SlotsWanted`, of a workspace's quota of running tasks.
+
+    Attributes:
+        workspace: The workspace.
+        in_use: Part of the quota that the borrower may use.
+        wanted: Part that it would use.
+        serial: Serial of the last `QuotaLent` that it saw.
+        limit: The whole quota, as the holder may not know the workspace.
+    """
 
     workspace: ids.WorkspaceId
     in_use: int
     wanted: int
-    serial: int = 0
+    serial: int
+    limit: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,8 +197,14 @@
     serial: int = 0
 
 
+# What links and runtimes deal with themselves.
+TransportMessage = Hello | DirectoryWanted | DirectorySnapshot
+# What the schedulers of two hosts say to each other.
+SchedulerMessage = (
+    SlotsWanted | SlotsLent | SlotsAsked | SlotsBatch | QuotaWanted | QuotaLent
+)
 Message = (
-    Hello
+    TransportMessage
     | Heartbeat
     | ForwardSubmit
     | ForwardStatus
@@ -156,8 +214,5 @@
     | ConfigApplied
     | ConfigWanted
     | ConfigSnapshot
-    | SlotsWanted
-    | SlotsLent
-    | QuotaWanted
-    | QuotaLent
+    | SchedulerMessage
 )
--- a/godwitnotch/net/upstream_client.py
+++ b/godwitnotch/net/upstream_client.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+from typing import NoReturn
 
 from godwitnotch.core import actions
 from godwitnotch.core import events
@@ -39,6 +40,13 @@
 }
 
 
+def _reject_constant(name: str) -> NoReturn:
+    raise ValueError(f"{name} is not JSON")
+
+
+_DECODER = json.JSONDecoder(parse_constant=_reject_constant)
+
+
 class UpstreamClient:
     """Sends each task once and tells how the attempt ended.
 
@@ -48,11 +56,20 @@
 
     def __init__(self, client: http_client.HttpClient | None = None) -> None:
         self._client = client or http_client.HttpClient()
+        self._addresses: set[str] = set()
 
     def upstreams_seen(self, upstreams: Iterable[model.UpstreamEntry]) -> None:
         """Applies the connections that the platform's list allows."""
+        listed = set()
         for entry in upstreams:
+            listed.add(entry.address)
             self._client.limit(entry.address, entry.connections)
+        in_use = {
+            address
+            for address in self._addresses - listed
+            if not self._client.forget(address)
+        }
+        self._addresses = listed | in_use
 
     async def send(self, action: actions.StartAttempt) -> events.AttemptEnded:
         """Sends one task; cancelling this closes its connection."""
@@ -126,16 +143,12 @@
 
 def _is_json(body: bytes) -> bool:
     try:
-        json.loads(body.decode(), parse_constant=_reject_constant)
+        _DECODER.decode(body.decode())
     except (ValueError, RecursionError):
         return False
     return True
 
 
-def _reject_constant(name: str) -> None:
-    raise ValueError(f"{name} is not JSON")
-
-
 def _seconds(headers: Mapping[str, str]) -> float | None:
     seconds = _parsed(float, headers.get(RETRY_AFTER_HEADER, ""))
     if seconds is None or not 0 <= seconds < float("inf"):
--- a/godwitnotch/root.py
+++ b/godwitnotch/root.py
@@ -17,7 +17,6 @@
 from godwitnotch.core import events
 from godwitnotch.core import host as host_module
 from godwitnotch.core import ids
-from godwitnotch.core import limits as limits_module
 from godwitnotch.core import messages
 from godwitnotch.core import model
 from godwitnotch.core import scheduler
@@ -189,7 +188,7 @@
                 chance=chance,
             ),
             chance=chance,
-            limits=limits_module.HostLimits(),
+            limits=self._settings.limits.host,
         )
 
     def _make_links(self) -> peer_link.PeerLinks:
@@ -228,7 +227,7 @@
         )
 
     def _peer_event(self, event: events.Event) -> None:
-        self._runtime.feed(event)
+        self._runtime.feed_peer(event)
 
     def _note(self, note: actions.Note) -> None:
         log.note(note)
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -228,6 +228,24 @@
         )
         await self.until(lambda: ended in self.core.seen)
 
+    async def test_each_attempt_is_noted_when_sent_and_when_ended(
+        self,
+    ) -> None:
+        self.upstreams.error = ZeroDivisionError()
+        self.on(events.TimePassed, ATTEMPT)
+        self.runtime.feed(events.TimePassed())
+        await self.until(lambda: len(self.notes) == 2)
+        self.assertEqual(
+            [(note.event, note.reason) for note in self.notes],
+            [
+                ("task_sent", None),
+                ("task_ended", model.AttemptOutcome.BROKE_OFF),
+            ],
+        )
+        self.assertEqual(
+            {note.submission for note in self.notes}, {ATTEMPT.submission}
+        )
+
     async def test_aborted_attempt_is_cancelled(self) -> None:
         self.on(events.TimePassed, ATTEMPT)
         self.runtime.feed(events.TimePassed())
@@ -282,6 +300,33 @@
         self.assertEqual(self.peers.hosts, [IDENTITY])
         await self.until(lambda: self.platform.registered == [IDENTITY])
 
+    async def test_list_of_a_peer_serves_until_the_platform_answers(
+        self,
+    ) -> None:
+        unavailable = platform_client.PlatformUnavailable("x", uncertain=False)
+        self.platform.error = unavailable
+        self.runtime.start()
+        peer = ids.HostId("h2")
+        up = events.PeerUp(peer, ids.DomainId("d"), ids.Incarnation("i"))
+        self.runtime.feed_peer(up)
+        self.assertIn(up, self.core.seen)
+        self.assertEqual(self.peers.sent, [messages.DirectoryWanted()])
+        shared = model.Directory(hosts=(IDENTITY,))
+        snapshot = messages.DirectorySnapshot(shared)
+        self.runtime.feed_peer(events.PeerSaid(peer, snapshot))
+        self.assertIn(events.DirectorySeen(shared), self.core.seen)
+
+        self.platform.error = None
+        newer = events.DirectorySeen(self.platform.listed)
+        await self.until(lambda: newer in self.core.seen)
+        self.core.seen.clear()
+        self.runtime.feed_peer(events.PeerSaid(peer, snapshot))
+        self.assertNotIn(events.DirectorySeen(shared), self.core.seen)
+        wanted = events.PeerSaid(peer, messages.DirectoryWanted())
+        self.runtime.feed_peer(wanted)
+        answer = messages.DirectorySnapshot(self.platform.listed)
+        self.assertEqual(self.peers.sent[-1], answer)
+
     async def test_unexpected_fault_does_not_end_the_watch(self) -> None:
         self.platform.error = ZeroDivisionError()
         self.runtime.start()
