Admit on an idle host whatever fits the caller's time

Cause: admission lets a job fill half of its time, as later and shorter jobs hold it up; with nothing queued it refused jobs of 0.8 s with 1.0 s left.

--- a/godwitnotch/core/admission.py
+++ b/godwitnotch/core/admission.py
@@ -14,7 +14,7 @@
 
 # A job takes at least so many mean run times.
 LEAST_RUNS = 1.5
-# Share of a job's time that the estimate may fill.
+# Share of a queued job's time that the estimate may fill.
 FILL_SHARE = 0.5
 LEAST_RETRY_S = 0.05
 MOST_RETRY_S = 60.0
@@ -80,14 +80,16 @@
         wait_s = job.deadline - now
         own_s = tasks * task_s + LEAST_RUNS * situation.mean_s
         need_s = situation.before * task_s + own_s
-        over_s = need_s - FILL_SHARE * wait_s
+        # Jobs that come later and are shorter hold up one that has to queue.
+        fill_share = FILL_SHARE if situation.ahead else 1.0
+        over_s = need_s - fill_share * wait_s
         # What is queued has been promised to its callers already.
         all_s = situation.ahead * task_s + own_s
         horizon_s = max(situation.horizon_s, wait_s)
-        over_s = max(over_s, all_s - FILL_SHARE * horizon_s)
+        over_s = max(over_s, all_s - fill_share * horizon_s)
         if over_s <= 0:
             return None
-        possible = own_s <= FILL_SHARE * wait_s
+        possible = own_s <= wait_s
         retry_s = self._retry(over_s, tasks * task_s, now)
         return scheduler.Refusal(
             model.Reason.DEADLINE_UNREACHABLE,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -28,6 +28,10 @@
         job = fixtures.job("s", 10)
         self.assertIsNone(self.admission.check(job, IDLE, now=0.0))
 
+    def test_nothing_that_fits_is_refused_while_none_waits(self) -> None:
+        job = fixtures.job("s", 10, deadline=1.5)
+        self.assertIsNone(self.admission.check(job, IDLE, now=0.0))
+
     def test_a_job_behind_a_long_queue_is_told_when_it_would_fit(self) -> None:
         job = fixtures.job("s", 10)
         # 600 tasks at 20 a second: 30 s, of which 15 s may be filled.
