--- a/tests/mutants/__main__.py
+++ b/tests/mutants/__main__.py
@@ -19,7 +19,7 @@
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
 DEFECTS = pathlib.Path(__file__).parent / "defects.yaml"
-CORE = "godwitnotch/core"
+PACKAGE = "godwitnotch"
 WORKERS = 4
 TIMEOUT_S = 240.0
 # In the order in which they are run, until one of them fails.
@@ -27,6 +27,9 @@
     "tests.test_scenarios",
     "tests.test_host",
     "tests.test_ids",
+    "tests.test_retries",
+    "tests.test_upstream_client",
+    "tests.test_http_client",
     "tests.test_differential",
 )
 _FAILED = re.compile(r"^(?:FAIL|ERROR): (\S+)", re.MULTILINE)
@@ -46,7 +49,7 @@
     """Reads the list, and checks that each text occurs exactly once."""
     defects = [Defect(**each) for each in yaml.safe_load(DEFECTS.read_text())]
     for defect in defects:
-        found = (ROOT / CORE / defect.file).read_text().count(defect.old)
+        found = (ROOT / PACKAGE / defect.file).read_text().count(defect.old)
         if found != 1:
             raise SystemExit(
                 f"{DEFECTS.name}: {defect.name}: `old` occurs {found} times "
@@ -75,7 +78,7 @@
         copy = pathlib.Path(scratch) / "copy"
         shutil.copytree(tree, copy)
         if defect is not None:
-            path = copy / CORE / defect.file
+            path = copy / PACKAGE / defect.file
             path.write_text(path.read_text().replace(defect.old, defect.new))
         _run(copy, ["-c", "import godwitnotch.core.host"], check=True)
         for module in TESTS:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -218,6 +218,22 @@
         )
         self.assertEqual(len(self.requests), 1)
 
+    async def test_request_on_a_kept_connection_is_not_sent_again(
+        self,
+    ) -> None:
+        async def answer_one_then_break(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(_answer(await self._read_path(reader)))
+            await self._read_path(reader)
+
+        self.script = answer_one_then_break
+        await self._get("/1")
+        with self.assertRaises(http_client.ExchangeError) as caught:
+            await self._get("/2")
+        self.assertIs(caught.exception.progress, http_client.Progress.SENT)
+        self.assertEqual(self.requests, [b"/1", b"/2"])
+
     async def test_connect_refused(self) -> None:
         self.server.close()
         await self.server.wait_closed()
