--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -23,6 +23,15 @@
 CONFIG_TIMEOUT_S = 15.0
 RUN_UNTIL_S = 60.0
 
+FLEET = """\
+hosts h1 in d1
+hosts h2 in d2
+hosts h3 in d3
+upstreams u1, u2 in d1 taking 300ms
+upstreams u3 in d2 taking 300ms
+workspace shop wait 20s
+"""
+
 _COMPARE = {"=": operator.eq, "<=": operator.le, ">=": operator.ge}
 _STORE_MODES = {
     "losing answers": worlds.StoreMode.LOSES_ANSWERS,
@@ -230,6 +239,12 @@
     """Names the promise for the reader."""
 
 
+@step("fleet")
+def _fleet(scenario: Scenario, tree: lark.Tree) -> None:
+    for statement in _parser().parse(FLEET).children:
+        _STEPS[statement.data](scenario, statement)
+
+
 @step("hosts")
 def _hosts(scenario: Scenario, tree: lark.Tree) -> None:
     for name in _names(tree.children[0]):
