--- a/tests/callers.py
+++ b/tests/callers.py
@@ -9,6 +9,7 @@
 from godwitnotch.core import events
 from godwitnotch.core import ids
 from godwitnotch.core import model
+from tests import fakes
 from tests import world as worlds
 
 LATE_S = 1.0  # By how much an answer may miss its deadline.
@@ -23,7 +24,7 @@
 
     identity: str  # The submission or caller key, as the caller knows it.
     submits: bool
-    call: worlds.Call
+    call: fakes.Call
 
 
 @dataclass(slots=True)
@@ -31,7 +32,7 @@
     """Sends requests into a world and checks the answers."""
 
     world: worlds.World
-    calls: dict[str, worlds.Call] = field(default_factory=dict)
+    calls: dict[str, fakes.Call] = field(default_factory=dict)
     asked: list[Asked] = field(default_factory=list)
     _numbers: int = 0
 
@@ -43,7 +44,7 @@
         workspace: str,
         count: int = 1,
         key: str | None = None,
-    ) -> worlds.Call:
+    ) -> fakes.Call:
         """Asks for ids."""
         call = self._call(label, host, due_in_s=ASK_S)
         self._tell(
@@ -67,7 +68,7 @@
         body: model.JobBody,
         identity: str,
         within_s: float = 10.0,
-    ) -> worlds.Call:
+    ) -> fakes.Call:
         """Sends a job under an id."""
         call = self._job_call(label, host, body, identity, within_s)
         self._tell(
@@ -91,7 +92,7 @@
         key: str,
         body: model.JobBody,
         within_s: float = 10.0,
-    ) -> worlds.Call:
+    ) -> fakes.Call:
         """Sends a job under a caller key."""
         call = self._job_call(label, host, body, f"key:{key}", within_s)
         self._tell(
@@ -115,7 +116,7 @@
         workspace: str,
         submission: ids.SubmissionId,
         identity: str,
-    ) -> worlds.Call:
+    ) -> fakes.Call:
         """Asks for the status of a job, or cancels it."""
         call = self._call(label, host, due_in_s=ASK_S)
         self.asked.append(Asked(identity, False, call))
@@ -136,7 +137,7 @@
         host: str,
         config: model.WorkspaceConfig,
         within_s: float = 10.0,
-    ) -> worlds.Call:
+    ) -> fakes.Call:
         """Replaces a workspace's settings."""
         call = self._call(label, host, due_in_s=within_s)
         call.put = config
@@ -167,10 +168,10 @@
         self.world.check_versions()
         return self.check()
 
-    def _call(self, label: str, host: str, *, due_in_s: float) -> worlds.Call:
+    def _call(self, label: str, host: str, *, due_in_s: float) -> fakes.Call:
         sim = self.world.hosts[host]
         now = self.world.now
-        call = worlds.Call(label, now, sim, now + due_in_s)
+        call = fakes.Call(label, now, sim, now + due_in_s)
         self.calls[label] = call
         self.world.calls.append(call)
         return call
@@ -182,14 +183,14 @@
         body: model.JobBody,
         identity: str,
         within_s: float,
-    ) -> worlds.Call:
+    ) -> fakes.Call:
         call = self._call(label, host, due_in_s=within_s)
         call.payloads = _payloads(body)
         self.asked.append(Asked(identity, True, call))
         return call
 
     def _tell(
-        self, call: worlds.Call, event: "functools.partial[events.Event]"
+        self, call: fakes.Call, event: "functools.partial[events.Event]"
     ) -> None:
         self._numbers += 1
         number = ids.CallId(self._numbers)
@@ -229,7 +230,7 @@
                 for other in self.asked
                 if other.submits and (other.identity + "/").startswith(stem)
             }
-        return {tuple(map(worlds.result_of, body)) for body in bodies}
+        return {tuple(map(fakes.result_of, body)) for body in bodies}
 
     def _check_nothing_ran(self, asked: Asked) -> list[str]:
         """Finds starts that a claim of "not run" rules out.
@@ -282,7 +283,7 @@
             and now > max(call.due, call.host.resumed_at + ASK_S) + LATE_S
         ]
 
-    def _starts(self, call: worlds.Call) -> Sequence[worlds.Start]:
+    def _starts(self, call: fakes.Call) -> Sequence[fakes.Start]:
         return self.world.starts_of(call.payloads)
 
 
@@ -297,14 +298,14 @@
     return model.JobBody(ids.TemplateName(template), specs)
 
 
-def reserved(call: worlds.Call) -> tuple[ids.SubmissionId, ...]:
+def reserved(call: fakes.Call) -> tuple[ids.SubmissionId, ...]:
     """Returns the ids that a reservation brought, if it did."""
     if isinstance(call.reply, actions.ReplyReserved):
         return call.reply.submissions
     return ()
 
 
-def _is_final_by(call: worlds.Call, time: float) -> bool:
+def _is_final_by(call: fakes.Call, time: float) -> bool:
     answer = call.answer
     if answer is None or call.answered_at > time:
         return False
--- a/tests/mutants/__main__.py
+++ b/tests/mutants/__main__.py
@@ -1,10 +1,12 @@
 """Applies each defect of defects.yaml to a copy and runs the tests on it.
 
 `python -m tests.mutants [NAME ...]` prints a line for each defect with the
-first test that caught it; the last line is `caught=N survived=M`.
+first test that caught it; the last line is `caught=N survived=M`. With
+`--scenarios` first, it runs the scenarios only, and lists all that fail.
 """
 
 import concurrent.futures
+import contextlib
 import functools
 import os
 import pathlib
@@ -13,6 +15,8 @@
 import subprocess
 import sys
 import tempfile
+from collections.abc import Callable
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 import yaml
@@ -74,13 +78,7 @@
 
     Without a defect it shows whether the tests pass as they must.
     """
-    with tempfile.TemporaryDirectory() as scratch:
-        copy = pathlib.Path(scratch) / "copy"
-        shutil.copytree(tree, copy)
-        if defect is not None:
-            path = copy / PACKAGE / defect.file
-            path.write_text(path.read_text().replace(defect.old, defect.new))
-        _run(copy, ["-c", "import godwitnotch.core.host"], check=True)
+    with _changed(tree, defect) as copy:
         for module in TESTS:
             command = ["-m", "unittest", "--failfast", module]
             done = _run(copy, command, check=False)
@@ -90,6 +88,28 @@
     return None
 
 
+def catch_all(tree: pathlib.Path, defect: Defect | None) -> str | None:
+    """Returns all scenarios that fail with a defect."""
+    with _changed(tree, defect) as copy:
+        command = ["-m", "unittest", TESTS[0]]
+        done = _run(copy, command, check=False)
+    return " ".join(_FAILED.findall(done.stderr)) or None
+
+
+@contextlib.contextmanager
+def _changed(
+    tree: pathlib.Path, defect: Defect | None
+) -> Iterator[pathlib.Path]:
+    with tempfile.TemporaryDirectory() as scratch:
+        copy = pathlib.Path(scratch) / "copy"
+        shutil.copytree(tree, copy)
+        if defect is not None:
+            path = copy / PACKAGE / defect.file
+            path.write_text(path.read_text().replace(defect.old, defect.new))
+        _run(copy, ["-c", "import godwitnotch.core.host"], check=True)
+        yield copy
+
+
 def _run(
     copy: pathlib.Path, arguments: list[str], *, check: bool
 ) -> "subprocess.CompletedProcess[str]":
@@ -111,21 +131,26 @@
 
 def main(names: list[str]) -> int:
     """Tries some or all defects."""
+    probe = catch
+    if names[:1] == ["--scenarios"]:
+        probe, names = catch_all, names[1:]
     defects = [each for each in load() if not names or each.name in names]
     with tempfile.TemporaryDirectory() as scratch:
         tree = pathlib.Path(scratch)
         snapshot(tree)
-        if (red := catch(tree, None)) is not None:
+        if (red := probe(tree, None)) is not None:
             raise SystemExit(f"{red} fails without any defect; mend it first")
-        survived = _try(tree, defects)
+        survived = _try(functools.partial(probe, tree), defects)
     print(f"caught={len(defects) - len(survived)} survived={len(survived)}")
     return 1 if survived else 0
 
 
-def _try(tree: pathlib.Path, defects: list[Defect]) -> list[str]:
+def _try(
+    probe: Callable[[Defect], str | None], defects: list[Defect]
+) -> list[str]:
     survived = []
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
-        results = pool.map(functools.partial(catch, tree), defects)
+        results = pool.map(probe, defects)
         for defect, test in zip(defects, results, strict=True):
             print(f"{defect.name}: {test or 'SURVIVED'}", flush=True)
             if test is None:
--- a/tests/naive.py
+++ b/tests/naive.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from tests import world
+from tests import fakes
 
 Payloads = tuple[bytes, ...]
 
@@ -22,4 +22,4 @@
             self.starts += payloads
         if self._jobs[identity] != payloads:
             return ()
-        return tuple(map(world.result_of, payloads))
+        return tuple(map(fakes.result_of, payloads))
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -16,6 +16,8 @@
 from godwitnotch.core import ids
 from godwitnotch.core import model
 from tests import callers
+from tests import fakes
+from tests import sim_host
 from tests import world as worlds
 
 DIRECTORY = pathlib.Path(__file__).parent / "scenarios"
@@ -34,9 +36,9 @@
 
 _COMPARE = {"=": operator.eq, "<=": operator.le, ">=": operator.ge}
 _STORE_MODES = {
-    "losing answers": worlds.StoreMode.LOSES_ANSWERS,
-    "losing acks": worlds.StoreMode.LOSES_ACKS,
-    "losing requests": worlds.StoreMode.LOSES_REQUESTS,
+    "losing answers": fakes.StoreMode.LOSES_ANSWERS,
+    "losing acks": fakes.StoreMode.LOSES_ACKS,
+    "losing requests": fakes.StoreMode.LOSES_REQUESTS,
 }
 Step = Callable[["Scenario", lark.Tree], None]
 _STEPS: dict[str, Step] = {}
@@ -98,7 +100,7 @@
         """Returns an error at the present line."""
         return ScenarioError(self.path, self.line, problem, remedy)
 
-    def host(self, name: str) -> worlds.SimHost:
+    def host(self, name: str) -> sim_host.SimHost:
         """Returns a declared host."""
         if name not in self.world.hosts:
             raise self.error(
@@ -107,7 +109,7 @@
             )
         return self.world.hosts[name]
 
-    def upstream(self, name: str) -> worlds.Upstream:
+    def upstream(self, name: str) -> fakes.Upstream:
         """Returns a declared upstream."""
         if name not in self.world.upstreams:
             raise self.error(
@@ -116,7 +118,7 @@
             )
         return self.world.upstreams[name]
 
-    def call(self, label: str) -> worlds.Call:
+    def call(self, label: str) -> fakes.Call:
         """Returns a call by its label."""
         if label not in self.callers.calls:
             raise self.error(
@@ -492,14 +494,14 @@
 def _store(scenario: Scenario, tree: lark.Tree) -> None:
     text, slow = str(tree.children[0]), tree.children[1]
     platform = scenario.world.store
-    platform.mode = _STORE_MODES.get(text) or worlds.StoreMode(text)
+    platform.mode = _STORE_MODES.get(text) or fakes.StoreMode(text)
     platform.slow_s = _seconds(str(slow)) if slow else 0.0
 
 
 @step("upstream_mode")
 def _upstream_mode(scenario: Scenario, tree: lark.Tree) -> None:
     upstream = scenario.upstream(str(tree.children[0]))
-    upstream.mode = worlds.Mode(str(tree.children[1]))
+    upstream.mode = fakes.Mode(str(tree.children[1]))
 
 
 @step("upstream_time")
--- a/tests/test_differential.py
+++ b/tests/test_differential.py
@@ -14,9 +14,9 @@
 from hypothesis import strategies
 
 from godwitnotch.core import model
+from tests import fakes
 from tests import naive
 from tests import scenario
-from tests import world as worlds
 
 EXAMPLES = int(os.environ.get("HISTORIES", "120"))
 SEED = os.environ.get("HISTORIES_SEED")
@@ -143,7 +143,7 @@
                 self._check_last(call)
         self._count("stormy", run)
 
-    def _check_last(self, call: worlds.Call) -> None:
+    def _check_last(self, call: fakes.Call) -> None:
         answer = call.answer
         assert answer is not None, call.label
         self.assertIsNot(answer.outcome, model.Outcome.RUNNING)
