--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	$(PY) -m tests.process.volume --jobs 4000 --seed 1
 
 scenarios: setup
-	$(PY) -m tests.scenario
+	$(PY) -m tests.scenarios
 
 histories: setup
 	HISTORIES=$(HISTORIES) HISTORIES_SEED=$(HISTORIES_SEED) \
--- /dev/null
+++ b/tests/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scenario files, one a promise and failure."""
