--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -117,6 +117,11 @@
 
         return await until(seen, f"{self.name} prints {pattern}")
 
+    def count_lines(self, text: str) -> int:
+        """Returns how many lines of output hold a text."""
+        with self._output.open(errors="replace") as output:
+            return sum(text in line for line in output)
+
     def usage(self) -> Usage:
         """Returns what the process used so far; nothing if it has ended."""
         try:
@@ -212,6 +217,13 @@
             max(usage.rss_bytes for usage in usages),
         )
 
+    def internal_faults(self) -> int:
+        """Returns how many faults of their own the hosts logged."""
+        return sum(
+            node.process.count_lines(" event=internal_fault ")
+            for node in self.hosts.values()
+        )
+
     async def status(self, node: Node) -> dict[str, Any]:
         """Returns a host's state as operators see it."""
         answer = await self._operator(node).acall("GET", "/v1/host")
--- a/bench/fleet_bench.py
+++ b/bench/fleet_bench.py
@@ -226,6 +226,7 @@
         refused,
         after.cpu_s - before.cpu_s,
         after.rss_bytes,
+        target.internal_faults(),
     )
 
 
@@ -249,6 +250,7 @@
         f"policy={run.policy} load={run.share:g} seed={run.seed} "
         f"mean_ratio={figures.mean_ratio:.3f} p99_ratio={figures.p99_ratio:.2f}"
         f" double_starts={figures.double_starts} "
+        f"internal_faults={figures.internal_faults} "
         f"max_lag_ms={figures.max_lag_s * 1e3:.0f} "
         f"clairvoyant_mean={run.clairvoyant_mean:.3f} "
         f"stolen_share={run.stolen_share:.2f} {outcomes}"
@@ -271,6 +273,7 @@
         "in time",
         "wasted/request",
         "doubles",
+        "faults",
         "tasks/core s",
         "MB/host",
         "vs clairvoyant",
@@ -295,6 +298,7 @@
         _spread([each.in_time_share for each in all_figures], digits=4),
         _spread([each.wasted_per_request for each in all_figures], digits=4),
         str(sum(each.double_starts for each in all_figures)),
+        str(sum(each.internal_faults for each in all_figures)),
         _spread([each.tasks_per_core_s for each in all_figures], digits=0),
         _spread([each.max_rss_mb for each in all_figures], digits=0),
         _spread([_vs_clairvoyant(run) for run in group]),
--- a/bench/fleet_figures.py
+++ b/bench/fleet_figures.py
@@ -39,6 +39,7 @@
         refused: Task requests that upstreams refused.
         host_cpu_s: Processor seconds of all hosts while the load ran.
         max_host_rss_bytes: Largest resident memory of a host at the end.
+        internal_faults: Faults of their own that the hosts logged.
     """
 
     exchanges: Sequence[open_loop.Exchange]
@@ -46,6 +47,7 @@
     refused: int
     host_cpu_s: float
     max_host_rss_bytes: int
+    internal_faults: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +64,8 @@
         tasks_per_core_s: Task answers for each processor second of the hosts.
         max_rss_mb: Largest resident memory of a host.
         max_lag_s: How late the bench itself sent a job, at most.
+        internal_faults: Faults of their own that the hosts logged; figures
+            of a run with any are no measure of the policy.
         outcomes: Jobs by outcome and reason.
     """
 
@@ -73,6 +77,7 @@
     tasks_per_core_s: float
     max_rss_mb: float
     max_lag_s: float
+    internal_faults: int
     outcomes: Mapping[str, int]
 
     @property
@@ -115,6 +120,7 @@
         len(ended) / evidence.host_cpu_s if evidence.host_cpu_s else 0.0,
         evidence.max_host_rss_bytes / 1e6,
         max((e.sent_at - e.due_at for e in evidence.exchanges), default=0.0),
+        evidence.internal_faults,
         Counter(_outcome(each) for each in evidence.exchanges),
     )
 
