Tell callers and the log what the end of a drain cuts

Cause: a host whose drain deadline passed ended jobs without a line at level info, and a second SIGTERM dropped its jobs' callers without an answer. Shown by: test_end_of_a_drain_tells_what_it_cuts, red before (no log line; answers 'unknown'), green after.

--- a/godwitnotch/core/host.py
+++ b/godwitnotch/core/host.py
@@ -564,9 +564,9 @@
 
 @_handles(events.DrainAsked)
 def _drain(core: HostCore, event: events.DrainAsked, now: float) -> None:
-    if not _CHART.takes(core._state, HostChange.DRAIN):
-        return
-    core._change(HostChange.DRAIN)
+    """Starts to drain; asked again, the earliest deadline counts."""
+    if _CHART.takes(core._state, HostChange.DRAIN):
+        core._change(HostChange.DRAIN)
     core._timers.at(event.deadline, core._stop_waiting)
 
 
--- a/godwitnotch/net/runtime.py
+++ b/godwitnotch/net/runtime.py
@@ -173,12 +173,11 @@
         await asyncio.gather(*pending, return_exceptions=True)
 
     def drain(self, *, deadline: float) -> None:
-        """Starts a graceful shutdown; may be repeated."""
-        if self._draining.done():
-            return
-        self._draining.set_result(deadline)
-        self._identity = replace(self._identity, leaving=True)
-        self._spawn(self._watch.leave(self._identity), self._unexpected)
+        """Starts a graceful shutdown; the earliest deadline asked for counts."""
+        if not self._draining.done():
+            self._draining.set_result(deadline)
+            self._identity = replace(self._identity, leaving=True)
+            self._spawn(self._watch.leave(self._identity), self._unexpected)
         self.feed(events.DrainAsked(deadline))
 
     def status(self) -> core_port.HostStatus:
--- a/godwitnotch/root.py
+++ b/godwitnotch/root.py
@@ -1,6 +1,7 @@
 """The composition root: wires the parts of one entry host and runs them."""
 
 import asyncio
+import contextlib
 import logging
 import random
 import secrets
@@ -31,6 +32,7 @@
 # The balancer sees a host that is not ready before connections close.
 MIN_DRAIN_S = 2.0
 SEAL_GRACE_S = 3.0  # Beyond the drain deadline, to write the last outcomes.
+CUT_GRACE_S = 1.0  # For the decisions to answer what is cut.
 ANSWER_GRACE_S = 2.0  # For the last answers to reach their callers.
 
 _RANDOM_BYTES = 8
@@ -53,6 +55,7 @@
     await asyncio.wait((drained, cut), return_when=asyncio.FIRST_COMPLETED)
     if signals.cut.is_set():
         host.log_cut("second_signal")
+        await host.cut()
     drained.cancel()
     cut.cancel()
     await host.close()
@@ -104,12 +107,18 @@
         )
         self._server = self._make_server()
         self._callers_port = 0
+        self._jobs_cut = 0
 
     @property
     def runtime(self) -> runtime_module.HostRuntime:
         """The running decisions."""
         return self._runtime
 
+    @property
+    def jobs_cut(self) -> int:
+        """Jobs that the end of a drain has cut."""
+        return self._jobs_cut
+
     @property
     def callers(self) -> settings_module.Address:
         """Where callers and operators are served."""
@@ -146,6 +155,13 @@
         """Returns once nothing is under way."""
         await self._runtime.wait_stopped()
 
+    async def cut(self) -> None:
+        """Ends the jobs under way, so that their callers are told."""
+        self.drain(deadline=self._loop.time())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CUT_GRACE_S):
+                await self.wait_drained()
+
     def log_cut(self, cause: str) -> None:
         """Logs what the end of the process cuts."""
         status = self._core.status
@@ -153,7 +169,7 @@
             "shutdown_cut",
             severity=logging.WARNING,
             cause=cause,
-            jobs=status.jobs,
+            jobs=status.jobs + self._jobs_cut,
             attempts=status.attempts,
             forwards=status.forwards,
             unwritten_outcomes=status.unwritten_outcomes,
@@ -231,6 +247,7 @@
 
     def _note(self, note: actions.Note) -> None:
         log.note(note)
+        self._jobs_cut += note.event == "job_cut"
         self._metrics.count_note(note)
         self._ring.add(note, now=self._loop.time())
 
@@ -279,6 +296,9 @@
             )
     except TimeoutError:
         host.log_cut("drain_deadline")
+        return
+    if host.jobs_cut:
+        host.log_cut("drain_deadline")
 
 
 def _bound(listener: socket.socket, ip: str) -> settings_module.Address:
--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -54,7 +54,11 @@
         await self.cluster.put_workspace(self.hosts[0])
 
     async def start_host(
-        self, domain: str, *, wait_ready: bool = True
+        self,
+        domain: str,
+        *,
+        wait_ready: bool = True,
+        drain_timeout_s: float = 30.0,
     ) -> cluster.Host:
         """Starts the host of a domain, or its successor at its address."""
         name = f"{domain}-1"
@@ -66,6 +70,7 @@
             domain,
             platform=self.platform.address,
             advertised=between.address,
+            drain_timeout_s=drain_timeout_s,
             wait_ready=False,
         )
         between.target = host.peers
--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -244,6 +244,27 @@
         self.assertEqual({each.outcome for each in kept}, {"complete"})
         await self.assert_promises_kept()
 
+    async def test_end_of_a_drain_tells_what_it_cuts(self) -> None:
+        first, second, _ = self.fleet.hosts
+        hasty = await self.fleet.start_host("d", drain_timeout_s=0.5)
+        await self.fleet.cluster.wait_linked(first, second, hasty)
+        for owner, signals in ((hasty, 1), (second, 2)):
+            submissions = await self.reserve(owner, 2)
+            jobs = fleet.jobs(submissions, tasks=2, sleep_ms=20_000)
+            before = len(await self.fleet.cluster.starts())
+            running = asyncio.create_task(self.submit_all(first, jobs))
+            await self.wait_starts(before + 4)
+            for _ in range(signals):
+                owner.process.signal(signal.SIGTERM)
+                await asyncio.sleep(0.1)
+            answers = await running
+            self.assertEqual(await owner.process.wait(), 0)
+            told = {(answer.outcome, answer.reason) for answer in answers}
+            self.assertEqual(told, {("failed", "shutdown_cut")})
+            (cut,) = owner.process.logged("shutdown_cut")
+            self.assertIn(" jobs=2 ", cut)
+        await self.assert_promises_kept()
+
 
 if __name__ == "__main__":
     unittest.main()
