Let the host hand SlotsAsked and SlotsBatch to the scheduler

Also defaults for the fields of QuotaWanted, and the examples of the codec's test for the two new kinds.

--- a/godwitnotch/core/host.py
+++ b/godwitnotch/core/host.py
@@ -523,6 +523,8 @@
 
 @_handles(messages.SlotsWanted)
 @_handles(messages.SlotsLent)
+@_handles(messages.SlotsAsked)
+@_handles(messages.SlotsBatch)
 @_handles(messages.QuotaWanted)
 @_handles(messages.QuotaLent)
 def _scheduler_message(
--- a/godwitnotch/core/messages.py
+++ b/godwitnotch/core/messages.py
@@ -172,8 +172,8 @@
     workspace: ids.WorkspaceId
     in_use: int
     wanted: int
-    serial: int
-    limit: int
+    serial: int = 0
+    limit: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -59,7 +59,12 @@
     ),
     messages.SlotsWanted(ids.UpstreamId("u1"), 1, 2, 3),
     messages.SlotsLent(ids.UpstreamId("u1"), 1, 3),
-    messages.QuotaWanted(SUBMIT.workspace, 1, 2, 3),
+    messages.SlotsAsked(4, -30),
+    messages.SlotsBatch(
+        (messages.SlotsWanted(ids.UpstreamId("u1"), 1, 2, 3),),
+        (messages.SlotsLent(ids.UpstreamId("u1"), 1, 3),),
+    ),
+    messages.QuotaWanted(SUBMIT.workspace, 1, 2, 3, 40),
     messages.QuotaLent(SUBMIT.workspace, 1, 3),
 )
 
