Admit what an idle host can do, whatever its deadline

Half is now kept free of the wait in the queue only, the job's own time counts once its template has run, and a host without a queue counts on all slots.

--- a/godwitnotch/core/admission.py
+++ b/godwitnotch/core/admission.py
@@ -13,8 +13,8 @@
 from godwitnotch.core import scheduler
 
 # A job takes at least so many mean run times.
-LEAST_RUNS = 1.5
-# Share of a job's time that the estimate may fill.
+LEAST_RUNS = 1.0
+# Share of a job's time that the work queued before it may fill.
 FILL_SHARE = 0.5
 LEAST_RETRY_S = 0.05
 MOST_RETRY_S = 60.0
@@ -29,6 +29,7 @@
         served: Whether any upstream may serve it.
         slots: Slots that the host can count on for it.
         mean_s: Mean run time of its template.
+        known: Whether the mean was learnt.
         before: Tasks that are expected to go before its last one.
         ahead: Tasks that go before, were it served last.
         horizon_s: Longest time that callers of the queued jobs wait.
@@ -38,6 +39,7 @@
     served: bool
     slots: float
     mean_s: float
+    known: bool
     before: int
     ahead: int
     horizon_s: float
@@ -78,22 +80,26 @@
         if situation.queued + tasks > job.workspace.max_queued_tasks:
             return self._full(job, situation, task_s, now)
         wait_s = job.deadline - now
-        own_s = tasks * task_s + LEAST_RUNS * situation.mean_s
-        need_s = situation.before * task_s + own_s
-        over_s = need_s - FILL_SHARE * wait_s
+        own_s = 0.0
+        if situation.known:
+            own_s = tasks * task_s + LEAST_RUNS * situation.mean_s
+        spare_s = max(wait_s - own_s, 0.0)
+        before_s = situation.before * task_s
         # What is queued has been promised to its callers already.
-        all_s = situation.ahead * task_s + own_s
-        horizon_s = max(situation.horizon_s, wait_s)
-        over_s = max(over_s, all_s - FILL_SHARE * horizon_s)
-        if over_s <= 0:
+        all_s = situation.ahead * task_s
+        horizon_s = max(situation.horizon_s, wait_s) - own_s
+        over_s = max(
+            before_s - FILL_SHARE * spare_s, all_s - FILL_SHARE * horizon_s
+        )
+        if own_s <= wait_s and over_s <= 0:
             return None
-        possible = own_s <= FILL_SHARE * wait_s
+        possible = own_s <= wait_s
         retry_s = self._retry(over_s, tasks * task_s, now)
         return scheduler.Refusal(
             model.Reason.DEADLINE_UNREACHABLE,
-            f"{situation.ahead} tasks wait on this host; this job would take "
-            f"some {all_s:.1f} s, with {wait_s:.1f} s left; come back when "
-            "the queue is shorter, or allow more time",
+            f"{situation.ahead} tasks wait on this host, some {all_s:.1f} s "
+            f"of work; the job takes {own_s:.1f} s of the {wait_s:.1f} s "
+            "left; come back when the queue is shorter, or allow more time",
             retry_s if possible else None,
         )
 
--- a/godwitnotch/core/credit_scheduler.py
+++ b/godwitnotch/core/credit_scheduler.py
@@ -281,7 +281,8 @@
                 for grant in loans:
                     self.peer_said(host, grant, now=now)
             case messages.QuotaWanted(workspace, held, wanted, serial, limit):
-                self._quotas.seen(workspace, limit, now=now)
+                if limit:
+                    self._quotas.seen(workspace, limit, now=now)
                 word = credits.Wanted(workspace, held, wanted, serial)
                 self._quotas.ledger.wanted(host, word, now=now)
             case messages.QuotaLent(workspace, allowed, serial):
@@ -381,13 +382,16 @@
         queued = queue.queued(workspace)
         others = len(queue) - queued
         rivals = queue.workspaces - (queued > 0)
-        slots = max(lane.slots / self._hosts, 1.0)
+        # Nothing waits here: the other hosts' slots are there to borrow.
+        sharers = self._hosts if len(queue) else 1
+        slots = max(lane.slots / sharers, 1.0)
         if not lane.allowed:
             slots = max(slots, self._pace)
         return admission.Situation(
             served=any(not each.leaving(now) for each in lane.upstreams),
             slots=min(slots, self._quotas.part(workspace)),
             mean_s=self._speeds.mean_s(job.template.name),
+            known=self._speeds.knows(job.template.name),
             before=own + min(others, rivals * (own + tasks)),
             ahead=queued + min(others, rivals * (queued + tasks)),
             horizon_s=lane.horizon_s,
--- a/godwitnotch/core/speeds.py
+++ b/godwitnotch/core/speeds.py
@@ -63,6 +63,10 @@
         """Returns the mean run time of a template over all upstreams."""
         return self._means.get(template, PRIOR_S)
 
+    def knows(self, template: ids.TemplateName) -> bool:
+        """Returns whether a template has run."""
+        return template in self._means
+
     def typical_s(self, template: ids.TemplateName) -> float:
         """Returns a template's median run time at an average upstream."""
         term = self._templates.get(template)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -13,6 +13,7 @@
     served=True,
     slots=10.0,
     mean_s=0.5,
+    known=True,
     before=0,
     ahead=0,
     horizon_s=0.0,
@@ -66,6 +67,14 @@
         busy = replace(IDLE, before=0, ahead=1_000, horizon_s=30.0)
         self.assertIsNotNone(self.admission.check(short, busy, now=0.0))
 
+    def test_an_idle_host_takes_short_deadlines(self) -> None:
+        job = fixtures.job("s", 1, deadline=0.7)
+        self.assertIsNone(self.admission.check(job, IDLE, now=0.0))
+        unknown = replace(IDLE, known=False)
+        job = fixtures.job("s", 1, deadline=0.1)
+        self.assertIsNone(self.admission.check(job, unknown, now=0.0))
+        self.assertIsNotNone(self.admission.check(job, IDLE, now=0.0))
+
     def test_the_bound_of_the_queue_holds(self) -> None:
         job = fixtures.job("s", 10, max_queued=100)
         near = replace(IDLE, queued=90)
