Build the one-file program with shiv, which starts no process

Cause: pex in virtual environment mode spawned 28 processes at its first start and 1 at later ones, against 'a process starts no other process'. Ruled out: pex in zip mode (18 and 9), PyInstaller (parent and child). Conclusion: shiv.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.requirements-installed
 
-.PHONY: setup demo test failures scenarios histories mutants bench binary lint types format
+.PHONY: setup demo test failures scenarios histories mutants bench binary binary-cost lint types format
 
 # How many histories of each kind `make histories` tries, and from which seed.
 HISTORIES ?= 2000
@@ -51,11 +51,12 @@
 
 # One file that runs with the host's own CPython 3.11.
 binary: setup
-	rm -rf build/binary
-	mkdir -p build/binary dist
-	cp -r godwitnotch build/binary/
-	find build/binary -name __pycache__ -prune -exec rm -r {} +
-	$(VENV)/bin/pex --requirement requirements.txt \
-		--sources-directory build/binary --module godwitnotch \
-		--venv prepend --output-file dist/godwitnotch
+	rm -rf build
+	mkdir -p dist
+	$(VENV)/bin/shiv --quiet --compressed --reproducible \
+		--python "/usr/bin/env python3.11" --entry-point godwitnotch.cli:main \
+		--output-file dist/godwitnotch --requirement requirements.txt .
 	@echo "binary=dist/godwitnotch bytes=$$(stat -c %s dist/godwitnotch)"
+
+binary-cost: binary
+	$(PY) -m bench.binary_cost dist/godwitnotch
--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -62,6 +62,14 @@
             if stream is not None
         ]
 
+    @property
+    def children(self) -> list[int]:
+        """Ids of the processes that this one started and that still run."""
+        pid = self._child.pid
+        tasks = pathlib.Path(f"/proc/{pid}/task").iterdir()
+        listed = [(task / "children").read_text().split() for task in tasks]
+        return [int(child) for each in listed for child in each]
+
     @property
     def exit_code(self) -> int | None:
         """Exit code, None while it runs."""
