--- a/godwitnotch/core/admission.py
+++ b/godwitnotch/core/admission.py
@@ -13,13 +13,8 @@
 from godwitnotch.core import scheduler
 
 # A job takes at least so many mean run times.
-<<<<<<< HEAD
-LEAST_RUNS = 1.5
-# Share of a queued job's time that the estimate may fill.
-=======
 LEAST_RUNS = 1.0
 # Share of a job's time that the work queued before it may fill.
->>>>>>> policy
 FILL_SHARE = 0.5
 LEAST_RETRY_S = 0.05
 MOST_RETRY_S = 60.0
@@ -85,18 +80,6 @@
         if situation.queued + tasks > job.workspace.max_queued_tasks:
             return self._full(job, situation, task_s, now)
         wait_s = job.deadline - now
-<<<<<<< HEAD
-        own_s = tasks * task_s + LEAST_RUNS * situation.mean_s
-        need_s = situation.before * task_s + own_s
-        # Jobs that come later and are shorter hold up one that has to queue.
-        fill_share = FILL_SHARE if situation.ahead else 1.0
-        over_s = need_s - fill_share * wait_s
-        # What is queued has been promised to its callers already.
-        all_s = situation.ahead * task_s + own_s
-        horizon_s = max(situation.horizon_s, wait_s)
-        over_s = max(over_s, all_s - fill_share * horizon_s)
-        if over_s <= 0:
-=======
         own_s = 0.0
         if situation.known:
             own_s = tasks * task_s + LEAST_RUNS * situation.mean_s
@@ -109,7 +92,6 @@
             before_s - FILL_SHARE * spare_s, all_s - FILL_SHARE * horizon_s
         )
         if own_s <= wait_s and over_s <= 0:
->>>>>>> policy
             return None
         possible = own_s <= wait_s
         retry_s = self._retry(over_s, tasks * task_s, now)
--- a/godwitnotch/core/host.py
+++ b/godwitnotch/core/host.py
@@ -526,16 +526,7 @@
     core._keeper.peer_said(event.host, event.message, now=now)
 
 
-<<<<<<< HEAD
 @_handles(*get_args(messages.SchedulerMessage))
-=======
-@_handles(messages.SlotsWanted)
-@_handles(messages.SlotsLent)
-@_handles(messages.SlotsAsked)
-@_handles(messages.SlotsBatch)
-@_handles(messages.QuotaWanted)
-@_handles(messages.QuotaLent)
->>>>>>> policy
 def _scheduler_message(
     core: HostCore, event: events.PeerSaid, now: float
 ) -> None:
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -83,20 +83,12 @@
     ),
     messages.SlotsWanted(ids.UpstreamId("u1"), 1, 2, 3),
     messages.SlotsLent(ids.UpstreamId("u1"), 1, 3),
-<<<<<<< HEAD
-    messages.SlotsAsked(2, 50),
-=======
     messages.SlotsAsked(4, -30),
->>>>>>> policy
     messages.SlotsBatch(
         (messages.SlotsWanted(ids.UpstreamId("u1"), 1, 2, 3),),
         (messages.SlotsLent(ids.UpstreamId("u1"), 1, 3),),
     ),
-<<<<<<< HEAD
-    messages.QuotaWanted(SUBMIT.workspace, 1, 2, 3, 9),
-=======
     messages.QuotaWanted(SUBMIT.workspace, 1, 2, 3, 40),
->>>>>>> policy
     messages.QuotaLent(SUBMIT.workspace, 1, 3),
 )
 
