Learn that an upstream has fewer slots than listed, and hold back

Ruled out: a larger budget (110 tasks use up any that still bounds repeats); longer pauses alone (the surplus is tried again after each). Change: a refusal caps the host's tasks there at what was running; the cap rises by one a second, more rarely if refused again. A refusal that lowers the cap costs no repeat, since it can't recur at once. Conclusion: refusals are bounded by the surplus slots, not by the queue.

--- a/godwitnotch/core/credit_scheduler.py
+++ b/godwitnotch/core/credit_scheduler.py
@@ -23,6 +23,7 @@
 from godwitnotch.core import retry_budget
 from godwitnotch.core import scheduler
 from godwitnotch.core import sizes
+from godwitnotch.core import slot_caps
 from godwitnotch.core import speeds
 
 # A slower slot is taken only if the time lost on it is at most this share of
@@ -68,6 +69,7 @@
     credit: credits.Credit
     starts: dict[_Task, float] = field(default_factory=dict)
     starts_sum: float = 0.0
+    cap: slot_caps.SlotCap = field(default_factory=slot_caps.SlotCap)
     paused_until: float = 0.0
     pause_s: float = FIRST_PAUSE_S
     leaving_until: float = 0.0
@@ -433,6 +435,7 @@
     def _is_free(self, upstream: _Upstream, now: float) -> bool:
         return (
             upstream.credit.free > 0
+            and upstream.cap.allows(len(upstream.starts))
             and upstream.paused_until <= now
             and not upstream.leaving(now)
             and self._health.usable(upstream.entry.upstream)
@@ -463,7 +466,7 @@
                     break
             upstream = found[1]
             started.append(self._start(lane, job, upstream, now))
-            if upstream.credit.free <= 0:
+            if not self._is_free(upstream, now):
                 offered.pop(upstream.entry.upstream, None)
         for workspace in lane.queue.blocked:
             queued = lane.queue.queued(workspace)
@@ -638,11 +641,15 @@
                 slowness = round(100 * self._speeds.deviation(name))
                 upstream.credit.slowness = slowness
                 upstream.pause_s = FIRST_PAUSE_S
+                upstream.cap.answered(upstream.entry.slots, now=now)
             case model.AttemptOutcome.REFUSED_LEAVING:
                 upstream.leaving_until = now + LEAVING_S
+            case model.AttemptOutcome.REFUSED_FULL:
+                if upstream.cap.refused(len(upstream.starts), now=now):
+                    self._budget.refund()
+                self._pause(upstream, now)
             case (
-                model.AttemptOutcome.REFUSED_FULL
-                | model.AttemptOutcome.CONNECT_REFUSED
+                model.AttemptOutcome.CONNECT_REFUSED
                 | model.AttemptOutcome.NOTHING_SENT
             ):
                 self._pause(upstream, now)
--- a/godwitnotch/core/retry_budget.py
+++ b/godwitnotch/core/retry_budget.py
@@ -30,6 +30,10 @@
         """Counts tasks that were taken."""
         self._left = min(self._left + self._share * tasks, self._most)
 
+    def refund(self) -> None:
+        """Gives one repeat back, for a refusal that can't recur at once."""
+        self._left = min(self._left + 1.0, self._most)
+
     def spend(self) -> bool:
         """Takes one repeat; False where none is left."""
         if self._left < 1.0:
--- /dev/null
+++ b/tests/test_slot_caps.py
@@ -0,0 +1,81 @@
+"""Tests of upstreams with fewer slots than the list says."""
+
+import unittest
+
+from godwitnotch.core import model
+from godwitnotch.core import slot_caps
+from tests import scheduler_cluster
+from tests import scheduler_fixtures as fixtures
+
+
+class SlotCapTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.cap = slot_caps.SlotCap()
+
+    def test_a_burst_of_refusals_leaves_what_fits(self) -> None:
+        for running in (7, 6, 5, 4):
+            self.cap.refused(running, now=1.0)
+        self.assertFalse(self.cap.allows(4))
+        self.assertTrue(self.cap.allows(3))
+
+    def test_one_slot_is_always_tried(self) -> None:
+        self.cap.refused(0, now=1.0)
+        self.assertTrue(self.cap.allows(0))
+
+    def test_the_cap_rises_more_rarely_each_time_that_it_is_refused(
+        self,
+    ) -> None:
+        self.cap.refused(4, now=0.0)
+        self.cap.answered(8, now=0.9)
+        self.assertEqual(self.cap.cap, 4)
+        self.cap.answered(8, now=1.0)
+        self.assertEqual(self.cap.cap, 5)
+        self.cap.refused(4, now=1.1)
+        self.cap.answered(8, now=3.0)
+        self.assertEqual(self.cap.cap, 4)
+        self.cap.answered(8, now=3.1)
+        self.assertEqual(self.cap.cap, 5)
+
+    def test_the_cap_goes_once_all_listed_slots_are_allowed(self) -> None:
+        self.cap.refused(7, now=0.0)
+        self.cap.answered(8, now=1.0)
+        self.assertIsNone(self.cap.cap)
+
+
+class OverlistedSlotsTest(unittest.TestCase):
+    def test_a_job_completes_where_each_upstream_has_a_quarter_of_its_slots(
+        self,
+    ) -> None:
+        cluster = scheduler_cluster.Cluster(
+            scheduler_cluster.domain("d0", 1), scheduler_cluster.rack("d0", 4)
+        )
+        policy = next(iter(cluster.policies.values()))
+        policy.enqueue(fixtures.job("s", 110), now=cluster.now)
+        refused = 0
+        answered = 0
+        while answered < 110:
+            cluster.settle(0.05)
+            over = [name for name, used in cluster.use().items() if used > 2]
+            for name in over:
+                at = next(
+                    number
+                    for number, (_, each) in enumerate(cluster.running)
+                    if each.upstream.upstream == name
+                )
+                task = cluster.running[at][1]
+                cluster.end(at, model.AttemptOutcome.REFUSED_FULL)
+                refused += 1
+                self.assertTrue(
+                    policy.requeue(
+                        task.submission, task.task_index, now=cluster.now
+                    )
+                )
+            if not over and cluster.running:
+                cluster.end(0)
+                answered += 1
+        # Each of 24 surplus slots is tried once, and few again later.
+        self.assertLessEqual(refused, 24 + 16)
+
+
+if __name__ == "__main__":
+    unittest.main()
