--- a/tests/process/volume.py
+++ b/tests/process/volume.py
@@ -6,6 +6,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import random
 import signal
 import sys
@@ -13,6 +14,7 @@
 from collections import Counter
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from tests.process import caller
@@ -25,6 +27,7 @@
 FULL_STOP_WAIT_S = 60.0
 MAX_TASKS = 4
 MAX_SLEEP_MS = 40
+LEAST_FREE_HOSTS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,12 +39,14 @@
         callers: How many submit at once.
         seed: Fixes the jobs and the order of the faults.
         faults: Names of the faults; empty for all.
+        at_once: How many faults are in force at once.
     """
 
     jobs: int
     callers: int
     seed: int
     faults: tuple[str, ...] = ()
+    at_once: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +70,10 @@
         )
 
 
+class NoHostFree(Exception):
+    """Too few hosts are left for another fault to hit one."""
+
+
 Fault = Callable[["Run"], Awaitable[None]]
 _FAULTS: dict[str, Fault] = {}
 
@@ -89,6 +98,7 @@
         self._plan = plan
         self._loads = random.Random(plan.seed + 1)
         self._live: list[cluster.Host] = []
+        self._claimed: list[cluster.Host] = []
         self._faults: Counter[str] = Counter()
         self._submitted: list[tuple[str, list[object]]] = []
         self._left = plan.jobs
@@ -97,20 +107,32 @@
         """Runs the load under faults, then asks again about every job."""
         await self.fleet.start(upstreams_each=2)
         self._live = list(self.fleet.hosts)
-        faults = asyncio.create_task(self._break_things())
+        breakers = [
+            asyncio.create_task(self._break_things())
+            for _ in range(self._plan.at_once)
+        ]
         callers = [
             asyncio.create_task(self._call()) for _ in range(self._plan.callers)
         ]
         await asyncio.gather(*callers)
         self._left = -1
-        await faults
+        await asyncio.gather(*breakers)
         await self.fleet.cluster.wait_linked(*self._live)
         await self._ask_again()
         return await self._report()
 
-    def any_host(self) -> cluster.Host:
-        """Returns a host for a fault to hit."""
-        return self.chance.choice(self._live)
+    @contextlib.contextmanager
+    def any_host(self) -> Iterator[cluster.Host]:
+        """Claims a host for a fault to hit; two stay unclaimed at least."""
+        free = [host for host in self._live if host not in self._claimed]
+        if len(free) < LEAST_FREE_HOSTS:
+            raise NoHostFree
+        host = self.chance.choice(free)
+        self._claimed.append(host)
+        try:
+            yield host
+        finally:
+            self._claimed.remove(host)
 
     async def replace(self, host: cluster.Host) -> None:
         """Starts the successor of a host that has ended."""
@@ -126,8 +148,9 @@
                 if self._left < 0:
                     return
                 await asyncio.sleep(CALM_S)
-                await _FAULTS[name](self)
-                self._faults[name] += 1
+                with contextlib.suppress(NoHostFree):
+                    await _FAULTS[name](self)
+                    self._faults[name] += 1
 
     async def _call(self) -> None:
         while self._left > 0:
@@ -226,27 +249,27 @@
 
 @fault("host_killed")
 async def _kill(run: Run) -> None:
-    host = run.any_host()
-    host.process.signal(signal.SIGKILL)
-    await host.process.wait()
-    await run.replace(host)
+    with run.any_host() as host:
+        host.process.signal(signal.SIGKILL)
+        await host.process.wait()
+        await run.replace(host)
 
 
 @fault("host_paused")
 async def _pause(run: Run) -> None:
-    host = run.any_host()
-    host.process.signal(signal.SIGSTOP)
-    await asyncio.sleep(PAUSE_BEYOND_SILENCE_S)
-    host.process.signal(signal.SIGCONT)
+    with run.any_host() as host:
+        host.process.signal(signal.SIGSTOP)
+        await asyncio.sleep(PAUSE_BEYOND_SILENCE_S)
+        host.process.signal(signal.SIGCONT)
 
 
 @fault("host_terminated")
 async def _terminate(run: Run) -> None:
-    host = run.any_host()
-    host.process.signal(signal.SIGTERM)
-    await host.process.wait(wait_s=FULL_STOP_WAIT_S)
-    run.stopped.append(host)
-    await run.replace(host)
+    with run.any_host() as host:
+        host.process.signal(signal.SIGTERM)
+        await host.process.wait(wait_s=FULL_STOP_WAIT_S)
+        run.stopped.append(host)
+        await run.replace(host)
 
 
 @fault("links_cut")
@@ -335,8 +358,14 @@
     parser.add_argument("--jobs", type=int, default=4_000)
     parser.add_argument("--callers", type=int, default=24)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--at-once", type=int, default=2)
     arguments = parser.parse_args()
-    plan = Plan(arguments.jobs, arguments.callers, arguments.seed)
+    plan = Plan(
+        arguments.jobs,
+        arguments.callers,
+        arguments.seed,
+        at_once=arguments.at_once,
+    )
     begun_at = time.monotonic()
     report = asyncio.run(run_plan(plan))
     for name, count in {**report.outcomes, **report.faults}.items():
