--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -4,6 +4,7 @@
 import signal
 import unittest
 
+from godwitnotch import host_client
 from tests.process import caller
 from tests.process import cluster
 from tests.process import fleet
@@ -187,6 +188,35 @@
         await cluster.until(taken, "a new key is taken")
         await self.assert_promises_kept()
 
+    async def test_leaving_upstreams_get_no_new_work(self) -> None:
+        first, second, third = self.fleet.hosts
+        system = self.fleet.cluster
+        listed, own_word, _ = system.upstreams
+        platform = host_client.HostClient(system.platform, "")
+        await platform.acall(
+            "POST", f"/upstreams/{listed.name}", value={"leaving": True}
+        )
+
+        async def all_know() -> bool:
+            states = [await host.status() for host in system.hosts]
+            return all(
+                {
+                    each["upstream"]: each["leaving"]
+                    for each in state["upstreams"]
+                }[listed.name]
+                for state in states
+            )
+
+        await cluster.until(all_know, "each host knows that one is leaving")
+        await system.order_faults(own_word.address, not_started="leaving")
+        for host in (first, second, third):
+            jobs = fleet.jobs(await self.reserve(host, 6), tasks=4, sleep_ms=20)
+            answers = await self.submit_all(host, jobs)
+            self.assertEqual({each.outcome for each in answers}, {"complete"})
+        self.assertEqual(await listed.starts(), [])
+        self.assertEqual(await own_word.starts(), [])
+        await self.assert_promises_kept()
+
     async def test_two_operators_race(self) -> None:
         first, second, third = self.fleet.hosts
         system = self.fleet.cluster
