--- a/godwitnotch/net/peer_link.py
+++ b/godwitnotch/net/peer_link.py
@@ -105,6 +105,7 @@
     }
 )
 _MAX_DOUBLINGS = 16
+_MAX_HANDSHAKE_BYTES = 4_096
 _HEARTBEATS_MISSED = 3
 
 _Connection = websockets.asyncio.connection.Connection
@@ -177,7 +178,7 @@
             ping_interval=None,
             open_timeout=self._limits.handshake_timeout_s,
             close_timeout=self._limits.close_timeout_s,
-            max_size=self._limits.max_message_bytes,
+            max_size=_MAX_HANDSHAKE_BYTES,
         )
 
     def hosts_seen(self, hosts: Iterable[model.HostEntry]) -> None:
@@ -340,6 +341,7 @@
             self._note_end(end, hello.host)
             await _refuse(connection, end)
             return
+        connection.protocol.max_message_size = self._limits.max_message_bytes
         try:
             await self._auth.confirm(_wire(connection))
         except websockets.ConnectionClosed:
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -6,6 +6,7 @@
 import unittest
 from collections.abc import Callable
 
+import websockets
 import websockets.asyncio.client
 
 from godwitnotch.core import actions
@@ -222,6 +223,16 @@
             await until(lambda: host.noted("peer_link_handshake_failed"))
         self.assertEqual(host.ups(), 0)
 
+    async def test_large_message_before_authentication(self) -> None:
+        host = await self.host("a")
+        uri = f"ws://{host.address}/"
+        async with websockets.asyncio.client.connect(uri, proxy=None) as link:
+            await link.send(b"x" * LIMITS.max_message_bytes)
+            await link.wait_closed()
+            code = websockets.CloseCode.MESSAGE_TOO_BIG
+            self.assertEqual(link.close_code, code)
+        await until(lambda: host.noted("peer_link_handshake_failed"))
+
     async def test_another_host_at_the_address_is_refused(self) -> None:
         low, high = await self.host("a"), await self.host("b")
         other = Host("c")
