Keep the slot of an aborted task while its upstream may still run it

The slot of an aborted, timed out or broken off task is now kept for twice its expected run time, at most 5 s.

--- a/godwitnotch/core/credit_scheduler.py
+++ b/godwitnotch/core/credit_scheduler.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+import itertools
 import math
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -39,6 +40,17 @@
 # taken as slower than learnt.
 STALL_AGE = 3.0
 STALL_TASKS = 3
+# Outcomes after which the upstream may still run the task. Its slot is kept
+# until the task has had so many times its expected run time.
+LINGERING = frozenset(
+    (
+        model.AttemptOutcome.ABORTED,
+        model.AttemptOutcome.TIMED_OUT,
+        model.AttemptOutcome.BROKE_OFF,
+    )
+)
+LINGER_RUNS = 2.0
+LONGEST_LINGER_S = 5.0
 # An upstream's own word that it leaves is kept against a lagging list.
 LEAVING_S = 60.0
 # An upstream ranked before others by less than this is looked at no further.
@@ -71,6 +83,7 @@
     paused_until: float = 0.0
     pause_s: float = FIRST_PAUSE_S
     leaving_until: float = 0.0
+    lingering: int = 0
     gone: bool = False
 
     def leaving(self, now: float) -> bool:
@@ -137,6 +150,8 @@
         self._running: dict[_Task, _Running] = {}
         self._ask_at = 0.0
         self._pace = 0.0
+        self._order = itertools.count()
+        self._lingering: list[tuple[float, int, _Upstream]] = []
         self._best = 0.0
         self._best_until = -math.inf
 
@@ -259,10 +274,10 @@
             return
         upstream.starts_sum -= upstream.starts.pop(task)
         self._learn(upstream, running, task[0], outcome, started_at, now)
-        self._slots.put(upstream.credit, now=now)
-        if upstream.gone and not upstream.starts:
-            del self._upstreams[upstream.entry.upstream]
-        self._offer(upstream, now)
+        if outcome in LINGERING:
+            self._linger(upstream, running, started_at, now)
+        else:
+            self._release(upstream, now)
 
     def peer_said(
         self, host: ids.HostId, message: messages.Message, *, now: float
@@ -302,6 +317,8 @@
     def next_deadline(self) -> float | None:
         """Returns when the policy next wants to be asked, if ever."""
         earliest = self._look_at
+        if self._lingering:
+            earliest = min(earliest, self._lingering[0][0])
         for each in (
             self._slots.next_deadline(),
             self._quotas.ledger.next_deadline(),
@@ -329,6 +346,27 @@
         )
         return scheduler.PeerMessage(sent.host, wanted)
 
+    def _linger(
+        self,
+        upstream: _Upstream,
+        running: _Running,
+        started_at: float,
+        now: float,
+    ) -> None:
+        name = upstream.entry.upstream
+        expected_s = self._speeds.expect_s(running.template, name)
+        until = started_at + LINGER_RUNS * running.factor * expected_s
+        until = min(max(until, now), now + LONGEST_LINGER_S)
+        upstream.lingering += 1
+        order = next(self._order)
+        heapq.heappush(self._lingering, (until, order, upstream))
+
+    def _release(self, upstream: _Upstream, now: float) -> None:
+        self._slots.put(upstream.credit, now=now)
+        if upstream.gone and not upstream.starts and not upstream.lingering:
+            self._upstreams.pop(upstream.entry.upstream, None)
+        self._offer(upstream, now)
+
     def _meet(self, entry: model.UpstreamEntry) -> None:
         credit = self._slots.credit(entry.upstream)
         assert credit is not None
@@ -349,7 +387,7 @@
         self._fresh.pop(name, None)
         self._paused.pop(name, None)
         self._speeds.forget(name)
-        if not upstream.starts:
+        if not upstream.starts and not upstream.lingering:
             del self._upstreams[name]
 
     def _lane(self, template: model.Template) -> _Lane:
@@ -405,11 +443,15 @@
         self._quotas.ledger.advance(now=now)
         for name in self._health.advance(now=now):
             self._offer(self._upstreams[name], now)
+        while self._lingering and self._lingering[0][0] <= now:
+            upstream = heapq.heappop(self._lingering)[2]
+            upstream.lingering -= 1
+            self._release(upstream, now)
         if self._slots.changed:
             for key in sorted(self._slots.changed):
-                upstream = self._upstreams.get(ids.UpstreamId(key))
-                if upstream is not None:
-                    self._offer(upstream, now)
+                changed = self._upstreams.get(ids.UpstreamId(key))
+                if changed is not None:
+                    self._offer(changed, now)
             self._slots.changed.clear()
         if self._paused:
             due = [u for u in self._paused.values() if u.paused_until <= now]
--- a/tests/test_scheduler_credits.py
+++ b/tests/test_scheduler_credits.py
@@ -121,6 +121,19 @@
         cluster.now = again
         self.assertEqual(len(cluster.turn(host)), 1)
 
+    def test_the_slot_of_an_aborted_task_is_kept_while_it_may_run(
+        self,
+    ) -> None:
+        cluster = self.cluster(1, 1)
+        [host] = cluster.policies
+        cluster.policies[host].enqueue(fixtures.job("s", 16), now=cluster.now)
+        cluster.turn(host)
+        for _ in range(8):
+            cluster.end(0, model.AttemptOutcome.ABORTED)
+        self.assertEqual(cluster.turn(host), [])
+        cluster.settle(2.0)
+        self.assertEqual(len(cluster.running), 8)
+
     def test_an_upstream_that_says_it_leaves_gets_no_more(self) -> None:
         cluster = self.cluster(1, 2)
         [host] = cluster.policies
