--- a/godwitnotch/core/credit_scheduler.py
+++ b/godwitnotch/core/credit_scheduler.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+import itertools
 import math
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -23,11 +24,12 @@
 from godwitnotch.core import retry_budget
 from godwitnotch.core import scheduler
 from godwitnotch.core import sizes
+from godwitnotch.core import slot_caps
 from godwitnotch.core import speeds
 
 # A slower slot is taken only if the time lost on it is at most this share of
 # the time that the queue takes to drain.
-PATIENCE = 0.3
+PATIENCE = 0.6
 # A task that has waited takes a slower slot that loses so many times the wait.
 WAITED_WEIGHT = 3.0
 # A waiting task reconsiders a slower slot after so long.
@@ -39,20 +41,33 @@
 # taken as slower than learnt.
 STALL_AGE = 3.0
 STALL_TASKS = 3
+# Outcomes after which the upstream may still run the task. Its slot is kept
+# until the task has had so many times its expected run time.
+LINGERING = frozenset(
+    (
+        model.AttemptOutcome.ABORTED,
+        model.AttemptOutcome.TIMED_OUT,
+        model.AttemptOutcome.BROKE_OFF,
+    )
+)
+LINGER_RUNS = 2.0
+LONGEST_LINGER_S = 5.0
 # An upstream's own word that it leaves is kept against a lagging list.
 LEAVING_S = 60.0
 # An upstream ranked before others by less than this is looked at no further.
 RANK_SLACK = 0.05
 # Share of a new count of running tasks in their learnt mean.
 PACE_GAIN = 0.005
-# Slots asked of one upstream at once, and upstreams asked at once.
+# Slots asked of one holder at once, at least and as a share of those needed;
+# holders asked at once; upstreams looked at to choose them.
 ASK_BLOCK = 4
+ASK_SHARE = 0.25
 ASKS_AT_ONCE = 12
 ASK_CANDIDATES = 24
 # A slowness that no upstream has.
 NOTHING_IS_OF_USE = -10_000
 # Time between two looks for upstreams to ask.
-ASK_EVERY_S = 0.005
+ASK_EVERY_S = 0.01
 
 _Allowed = frozenset[ids.UpstreamId]
 _Task = tuple[ids.SubmissionId, int]
@@ -66,9 +81,11 @@
     credit: credits.Credit
     starts: dict[_Task, float] = field(default_factory=dict)
     starts_sum: float = 0.0
+    cap: slot_caps.SlotCap = field(default_factory=slot_caps.SlotCap)
     paused_until: float = 0.0
     pause_s: float = FIRST_PAUSE_S
     leaving_until: float = 0.0
+    lingering: int = 0
     gone: bool = False
 
     def leaving(self, now: float) -> bool:
@@ -135,6 +152,8 @@
         self._running: dict[_Task, _Running] = {}
         self._ask_at = 0.0
         self._pace = 0.0
+        self._order = itertools.count()
+        self._lingering: list[tuple[float, int, _Upstream]] = []
         self._best = 0.0
         self._best_until = -math.inf
 
@@ -257,10 +276,10 @@
             return
         upstream.starts_sum -= upstream.starts.pop(task)
         self._learn(upstream, running, task[0], outcome, started_at, now)
-        self._slots.put(upstream.credit, now=now)
-        if upstream.gone and not upstream.starts:
-            del self._upstreams[upstream.entry.upstream]
-        self._offer(upstream, now)
+        if outcome in LINGERING:
+            self._linger(upstream, running, started_at, now)
+        else:
+            self._release(upstream, now)
 
     def peer_said(
         self, host: ids.HostId, message: messages.Message, *, now: float
@@ -281,7 +300,8 @@
                 for grant in loans:
                     self.peer_said(host, grant, now=now)
             case messages.QuotaWanted(workspace, held, wanted, serial, limit):
-                self._quotas.seen(workspace, limit, now=now)
+                if limit:
+                    self._quotas.seen(workspace, limit, now=now)
                 word = credits.Wanted(workspace, held, wanted, serial)
                 self._quotas.ledger.wanted(host, word, now=now)
             case messages.QuotaLent(workspace, allowed, serial):
@@ -299,6 +319,8 @@
     def next_deadline(self) -> float | None:
         """Returns when the policy next wants to be asked, if ever."""
         earliest = self._look_at
+        if self._lingering:
+            earliest = min(earliest, self._lingering[0][0])
         for each in (
             self._slots.next_deadline(),
             self._quotas.ledger.next_deadline(),
@@ -326,6 +348,27 @@
         )
         return scheduler.PeerMessage(sent.host, wanted)
 
+    def _linger(
+        self,
+        upstream: _Upstream,
+        running: _Running,
+        started_at: float,
+        now: float,
+    ) -> None:
+        name = upstream.entry.upstream
+        expected_s = self._speeds.expect_s(running.template, name)
+        until = started_at + LINGER_RUNS * running.factor * expected_s
+        until = min(max(until, now), now + LONGEST_LINGER_S)
+        upstream.lingering += 1
+        order = next(self._order)
+        heapq.heappush(self._lingering, (until, order, upstream))
+
+    def _release(self, upstream: _Upstream, now: float) -> None:
+        self._slots.put(upstream.credit, now=now)
+        if upstream.gone and not upstream.starts and not upstream.lingering:
+            self._upstreams.pop(upstream.entry.upstream, None)
+        self._offer(upstream, now)
+
     def _meet(self, entry: model.UpstreamEntry) -> None:
         credit = self._slots.credit(entry.upstream)
         assert credit is not None
@@ -346,7 +389,7 @@
         self._fresh.pop(name, None)
         self._paused.pop(name, None)
         self._speeds.forget(name)
-        if not upstream.starts:
+        if not upstream.starts and not upstream.lingering:
             del self._upstreams[name]
 
     def _lane(self, template: model.Template) -> _Lane:
@@ -381,13 +424,16 @@
         queued = queue.queued(workspace)
         others = len(queue) - queued
         rivals = queue.workspaces - (queued > 0)
-        slots = max(lane.slots / self._hosts, 1.0)
+        # Nothing waits here: the other hosts' slots are there to borrow.
+        sharers = self._hosts if len(queue) else 1
+        slots = max(lane.slots / sharers, 1.0)
         if not lane.allowed:
             slots = max(slots, self._pace)
         return admission.Situation(
             served=any(not each.leaving(now) for each in lane.upstreams),
             slots=min(slots, self._quotas.part(workspace)),
             mean_s=self._speeds.mean_s(job.template.name),
+            known=self._speeds.knows(job.template.name),
             before=own + min(others, rivals * (own + tasks)),
             ahead=queued + min(others, rivals * (queued + tasks)),
             horizon_s=lane.horizon_s,
@@ -399,11 +445,15 @@
         self._quotas.ledger.advance(now=now)
         for name in self._health.advance(now=now):
             self._offer(self._upstreams[name], now)
+        while self._lingering and self._lingering[0][0] <= now:
+            upstream = heapq.heappop(self._lingering)[2]
+            upstream.lingering -= 1
+            self._release(upstream, now)
         if self._slots.changed:
             for key in sorted(self._slots.changed):
-                upstream = self._upstreams.get(ids.UpstreamId(key))
-                if upstream is not None:
-                    self._offer(upstream, now)
+                changed = self._upstreams.get(ids.UpstreamId(key))
+                if changed is not None:
+                    self._offer(changed, now)
             self._slots.changed.clear()
         if self._paused:
             due = [u for u in self._paused.values() if u.paused_until <= now]
@@ -427,6 +477,7 @@
     def _is_free(self, upstream: _Upstream, now: float) -> bool:
         return (
             upstream.credit.free > 0
+            and upstream.cap.allows(len(upstream.starts))
             and upstream.paused_until <= now
             and not upstream.leaving(now)
             and self._health.usable(upstream.entry.upstream)
@@ -457,7 +508,7 @@
                     break
             upstream = found[1]
             started.append(self._start(lane, job, upstream, now))
-            if upstream.credit.free <= 0:
+            if not self._is_free(upstream, now):
                 offered.pop(upstream.entry.upstream, None)
         for workspace in lane.queue.blocked:
             queued = lane.queue.queued(workspace)
@@ -632,11 +683,15 @@
                 slowness = round(100 * self._speeds.deviation(name))
                 upstream.credit.slowness = slowness
                 upstream.pause_s = FIRST_PAUSE_S
+                upstream.cap.answered(upstream.entry.slots, now=now)
             case model.AttemptOutcome.REFUSED_LEAVING:
                 upstream.leaving_until = now + LEAVING_S
+            case model.AttemptOutcome.REFUSED_FULL:
+                if upstream.cap.refused(len(upstream.starts), now=now):
+                    self._budget.refund()
+                self._pause(upstream, now)
             case (
-                model.AttemptOutcome.REFUSED_FULL
-                | model.AttemptOutcome.CONNECT_REFUSED
+                model.AttemptOutcome.CONNECT_REFUSED
                 | model.AttemptOutcome.NOTHING_SENT
             ):
                 self._pause(upstream, now)
@@ -679,7 +734,7 @@
         asked: set[ids.HostId] = set()
         for _, _, upstream in candidates:
             holder = upstream.credit.holder
-            block = min(need, ASK_BLOCK)
+            block = min(need, max(ASK_BLOCK, round(need * ASK_SHARE)))
             request = credits.Asked(block, slowest)
             if holder in asked or self._slots.covers(holder, request):
                 continue
--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -4,6 +4,7 @@
 import signal
 import unittest
 
+from godwitnotch import host_client
 from tests.process import caller
 from tests.process import cluster
 from tests.process import fleet
@@ -187,6 +188,35 @@
         await cluster.until(taken, "a new key is taken")
         await self.assert_promises_kept()
 
+    async def test_leaving_upstreams_get_no_new_work(self) -> None:
+        first, second, third = self.fleet.hosts
+        system = self.fleet.cluster
+        listed, own_word, _ = system.upstreams
+        platform = host_client.HostClient(system.platform, "")
+        await platform.acall(
+            "POST", f"/upstreams/{listed.name}", value={"leaving": True}
+        )
+
+        async def all_know() -> bool:
+            states = [await host.status() for host in system.hosts]
+            return all(
+                {
+                    each["upstream"]: each["leaving"]
+                    for each in state["upstreams"]
+                }[listed.name]
+                for state in states
+            )
+
+        await cluster.until(all_know, "each host knows that one is leaving")
+        await system.order_faults(own_word.address, not_started="leaving")
+        for host in (first, second, third):
+            jobs = fleet.jobs(await self.reserve(host, 6), tasks=4, sleep_ms=20)
+            answers = await self.submit_all(host, jobs)
+            self.assertEqual({each.outcome for each in answers}, {"complete"})
+        self.assertEqual(await listed.starts(), [])
+        self.assertEqual(await own_word.starts(), [])
+        await self.assert_promises_kept()
+
     async def test_two_operators_race(self) -> None:
         first, second, third = self.fleet.hosts
         system = self.fleet.cluster
@@ -244,6 +274,27 @@
         self.assertEqual({each.outcome for each in kept}, {"complete"})
         await self.assert_promises_kept()
 
+    async def test_end_of_a_drain_tells_what_it_cuts(self) -> None:
+        first, second, _ = self.fleet.hosts
+        hasty = await self.fleet.start_host("d", drain_timeout_s=0.5)
+        await self.fleet.cluster.wait_linked(first, second, hasty)
+        for owner, signals in ((hasty, 1), (second, 2)):
+            submissions = await self.reserve(owner, 2)
+            jobs = fleet.jobs(submissions, tasks=2, sleep_ms=20_000)
+            before = len(await self.fleet.cluster.starts())
+            running = asyncio.create_task(self.submit_all(first, jobs))
+            await self.wait_starts(before + 4)
+            for _ in range(signals):
+                owner.process.signal(signal.SIGTERM)
+                await asyncio.sleep(0.1)
+            answers = await running
+            self.assertEqual(await owner.process.wait(), 0)
+            told = {(answer.outcome, answer.reason) for answer in answers}
+            self.assertEqual(told, {("failed", "shutdown_cut")})
+            (cut,) = owner.process.logged("shutdown_cut")
+            self.assertIn(" jobs=2 ", cut)
+        await self.assert_promises_kept()
+
 
 if __name__ == "__main__":
     unittest.main()
