--- a/godwitnotch/core/host.py
+++ b/godwitnotch/core/host.py
@@ -11,10 +11,12 @@
 from godwitnotch.core import bindings
 from godwitnotch.core import chance as chance_module
 from godwitnotch.core import charts
+from godwitnotch.core import config_changes
 from godwitnotch.core import configuration
 from godwitnotch.core import events
 from godwitnotch.core import ids
 from godwitnotch.core import jobs
+from godwitnotch.core import keyed_jobs
 from godwitnotch.core import limits as limits_module
 from godwitnotch.core import membership as membership_module
 from godwitnotch.core import messages
@@ -130,7 +132,7 @@
             chance=chance,
             limits=limits,
         )
-        self._changes = configuration.ConfigChanges(
+        self._changes = config_changes.ConfigChanges(
             keeper=self._keeper,
             store=self._store,
             timers=self._timers,
@@ -197,7 +199,7 @@
             config_counter=self._keeper.counter,
             jobs=runner.job_count,
             attempts=runner.attempt_count,
-            forwards=self._submissions.forward_count,
+            forwards=self._submissions.owners.count,
             kept_answers=self._submissions.kept_count,
             open_ids=self._reservations.open_count,
             unwritten_outcomes=self._outcome_log.unwritten_count,
@@ -368,7 +370,7 @@
 def _reserve_refusal(
     core: HostCore, event: events.ReserveAsked
 ) -> model.JobAnswer | None:
-    nothing = submissions.NO_SUBMISSION
+    nothing = keyed_jobs.NO_SUBMISSION
     if core._state not in (HostState.STARTING, HostState.SERVING):
         return remedies.refusal(nothing, model.Reason.DRAINING)
     longest = 1 if event.key is not None else core._limits.max_reserve
@@ -392,7 +394,7 @@
     def done(result: bindings.BindResult, now: float) -> None:
         if isinstance(result, bindings.NotBound):
             refusal = remedies.refusal(
-                submissions.NO_SUBMISSION,
+                keyed_jobs.NO_SUBMISSION,
                 result.reason,
                 retry_after_s=result.retry_after_s,
             )
@@ -400,7 +402,7 @@
         else:
             _reply_reserved(core, event.call, (result.submission,))
 
-    core._submissions.reserve_keyed(event.workspace, key, done, now=now)
+    core._submissions.keyed.reserve(event.workspace, key, done, now=now)
 
 
 def _reply_reserved(
@@ -414,7 +416,7 @@
 
 @_handles(events.SubmitAsked)
 def _submit(core: HostCore, event: events.SubmitAsked, now: float) -> None:
-    order = submissions.JobOrder(
+    order = jobs.JobOrder(
         event.workspace, event.body, event.deadline, core._replier(event.call)
     )
     core._submissions.submit(order, event.submission, now=now)
@@ -424,10 +426,10 @@
 def _submit_keyed(
     core: HostCore, event: events.KeyedSubmitAsked, now: float
 ) -> None:
-    order = submissions.JobOrder(
+    order = jobs.JobOrder(
         event.workspace, event.body, event.deadline, core._replier(event.call)
     )
-    core._submissions.submit_keyed(order, event.key, now=now)
+    core._submissions.keyed.submit(order, event.key, now=now)
 
 
 @_handles(events.StatusAsked)
@@ -452,7 +454,7 @@
 
 @_handles(events.PeerUp)
 def _peer_up(core: HostCore, event: events.PeerUp, now: float) -> None:
-    core._submissions.peer_down(event.host, now=now)
+    core._submissions.owners.peer_down(event.host, now=now)
     core._membership.peer_up(event, now=now)
     core._share_with_linked(now)
     core._keeper.peer_up(event.host)
@@ -464,7 +466,7 @@
     core._membership.peer_down(event.host, now=now)
     core._share_with_linked(now)
     core._keeper.peer_down(event.host, now=now)
-    core._submissions.peer_down(event.host, now=now)
+    core._submissions.owners.peer_down(event.host, now=now)
 
 
 @_handles(events.PeerSaid)
@@ -492,7 +494,7 @@
 def _forward_submit(core: HostCore, event: events.PeerSaid, now: float) -> None:
     message = event.message
     assert isinstance(message, messages.ForwardSubmit)
-    order = submissions.JobOrder(
+    order = jobs.JobOrder(
         message.workspace,
         message.body,
         now + message.timeout_s,
@@ -529,7 +531,7 @@
 def _forward_reply(core: HostCore, event: events.PeerSaid, now: float) -> None:
     message = event.message
     assert isinstance(message, messages.ForwardReply)
-    core._submissions.peer_replied(event.host, message, now=now)
+    core._submissions.owners.peer_replied(event.host, message, now=now)
 
 
 @_handles(messages.ConfigApplied)
--- a/godwitnotch/core/jobs.py
+++ b/godwitnotch/core/jobs.py
@@ -25,6 +25,23 @@
 Answered = Callable[[model.JobAnswer, float], None]
 
 
+@dataclass(frozen=True, slots=True)
+class JobOrder:
+    """A job that a caller wants run.
+
+    Attributes:
+        workspace: The caller's workspace.
+        body: The job.
+        deadline: When the caller stops waiting.
+        answered: Called once with the answer.
+    """
+
+    workspace: ids.WorkspaceId
+    body: model.JobBody
+    deadline: float
+    answered: Answered
+
+
 class JobState(enum.Enum):
     """States of core/charts/job.yaml."""
 
--- a/godwitnotch/core/submissions.py
+++ b/godwitnotch/core/submissions.py
@@ -4,57 +4,37 @@
 forwards to it, or answers what can be known without it.
 """
 
-import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
-from dataclasses import replace
 
-from godwitnotch.core import actions
+from godwitnotch.core import answer_once
 from godwitnotch.core import bindings
 from godwitnotch.core import configuration
 from godwitnotch.core import ids
 from godwitnotch.core import jobs as jobs_module
 from godwitnotch.core import kept_answers
+from godwitnotch.core import keyed_jobs
 from godwitnotch.core import limits as limits_module
 from godwitnotch.core import membership as membership_module
 from godwitnotch.core import messages
 from godwitnotch.core import model
 from godwitnotch.core import outbox
 from godwitnotch.core import outcomes as outcomes_module
+from godwitnotch.core import owner_calls
 from godwitnotch.core import records
 from godwitnotch.core import remedies
 from godwitnotch.core import reservations as reservations_module
 from godwitnotch.core import scheduler as scheduler_module
 from godwitnotch.core import timers as timers_module
 from godwitnotch.core.jobs import Answered
+from godwitnotch.core.jobs import JobOrder
 from godwitnotch.core.model import Outcome
 from godwitnotch.core.model import Ran
 from godwitnotch.core.model import Reason
 from godwitnotch.core.reservations import IdState
 
-NO_SUBMISSION = ids.SubmissionId("")
 STATUS_WAIT_S = 2.0
 
-# An id refused for one of these never runs, so its key may be bound anew.
-_CLOSED_FOR_GOOD = frozenset({Reason.RESERVATION_EXPIRED, Reason.OWNER_SEALED})
-
-
-@dataclass(frozen=True, slots=True)
-class JobOrder:
-    """A job that a caller wants run.
-
-    Attributes:
-        workspace: The caller's workspace.
-        body: The job.
-        deadline: When the caller stops waiting.
-        answered: Called once with the answer.
-    """
-
-    workspace: ids.WorkspaceId
-    body: model.JobBody
-    deadline: float
-    answered: Answered
-
 
 @dataclass(frozen=True, slots=True)
 class Collaborators:
@@ -91,8 +71,20 @@
             out=parts.out,
             on_end=self._job_ended,
         )
-        self._forwards: dict[ids.CallId, _Forward] = {}
-        self._forward_numbers = itertools.count(1)
+        self._owners = owner_calls.OwnerCalls(
+            identity=parts.identity,
+            membership=parts.membership,
+            reader=parts.outcome_reader,
+            timers=parts.timers,
+            out=parts.out,
+        )
+        self._keyed = keyed_jobs.KeyedJobs(
+            binder=parts.binder,
+            timers=parts.timers,
+            mint=self.mint,
+            submit=self.submit,
+            admission_refusal=self._admission_refusal,
+        )
 
     @property
     def runner(self) -> jobs_module.JobRunner:
@@ -100,9 +92,14 @@
         return self._runner
 
     @property
-    def forward_count(self) -> int:
-        """Calls that other hosts have not answered yet."""
-        return len(self._forwards)
+    def owners(self) -> owner_calls.OwnerCalls:
+        """Calls that other hosts have to answer."""
+        return self._owners
+
+    @property
+    def keyed(self) -> keyed_jobs.KeyedJobs:
+        """Jobs under callers' keys."""
+        return self._keyed
 
     @property
     def kept_count(self) -> int:
@@ -131,69 +128,6 @@
         else:
             self._submit_elsewhere(order, submission, owner, now)
 
-    def submit_keyed(
-        self, order: JobOrder, key: ids.CallerKey, *, now: float
-    ) -> None:
-        """Runs a job under the id that a caller key is bound to."""
-        row_key = records.binding_key(order.workspace, key)
-        known = self._parts.binder.known(row_key)
-        if known is not None:
-            self._submit_bound(order, row_key, known, now)
-            return
-        refusal = self._admission_refusal(order, NO_SUBMISSION, now)
-        if refusal is not None:
-            self._refuse_unless_bound(order, row_key, refusal, now)
-            return
-        request = self._bind_request(order, row_key, now)
-
-        def done(result: bindings.BindResult, now: float) -> None:
-            if isinstance(result, bindings.NotBound):
-                order.answered(_key_unsettled(result), now)
-            else:
-                self._submit_bound(order, row_key, result, now)
-
-        self._parts.binder.bind(request, done, now=now)
-
-    def _refuse_unless_bound(
-        self,
-        order: JobOrder,
-        row_key: str,
-        refusal: model.JobAnswer,
-        now: float,
-    ) -> None:
-        """Refuses a keyed job if the key's job didn't run elsewhere."""
-        late = _key_unsettled(bindings.NotBound(Reason.KEY_PENDING, 1.0))
-        answered = self._once_by(order.deadline, order.answered, late)
-        order = replace(order, answered=answered)
-
-        def found(result: bindings.FindResult, now: float) -> None:
-            if isinstance(result, bindings.NotBound):
-                answered(_key_unsettled(result), now)
-            elif result is None:
-                answered(refusal, now)
-            else:
-                self._submit_bound(order, row_key, result, now)
-
-        self._parts.binder.find(row_key, found, now=now)
-
-    def reserve_keyed(
-        self,
-        workspace: ids.WorkspaceId,
-        key: ids.CallerKey,
-        done: Callable[[bindings.BindResult, float], None],
-        *,
-        now: float,
-    ) -> None:
-        """Reserves the id that a caller key is bound to."""
-        row_key = records.binding_key(workspace, key)
-        request = bindings.BindRequest(
-            row_key,
-            self.mint(workspace, 1, now=now)[0],
-            b"",
-            now + STATUS_WAIT_S,
-        )
-        self._parts.binder.bind(request, done, now=now)
-
     def status(
         self,
         workspace: ids.WorkspaceId,
@@ -210,10 +144,13 @@
             answered(self._own_status(submission, owner.sequence, now), now)
         else:
             message = messages.ForwardStatus(
-                self._next_call(), workspace, submission
+                self._owners.next_call(), workspace, submission
             )
-            self._ask_owner(
-                owner, message, None, now + STATUS_WAIT_S, answered, now
+            self._owners.ask(
+                owner_calls.OwnerQuestion(
+                    owner, message, None, now + STATUS_WAIT_S, answered
+                ),
+                now=now,
             )
 
     def cancel(
@@ -232,42 +169,13 @@
             answered(self._cancel_own(submission, owner.sequence, now), now)
         else:
             message = messages.ForwardCancel(
-                self._next_call(), workspace, submission
-            )
-            self._ask_owner(
-                owner, message, None, now + STATUS_WAIT_S, answered, now
-            )
-
-    def peer_replied(
-        self, host: ids.HostId, reply: messages.ForwardReply, *, now: float
-    ) -> None:
-        """Takes an owner's answer; one to another question is dropped."""
-        forward = self._forwards.get(reply.call)
-        if forward is None or forward.host != host:
-            return
-        if reply.answer.submission != forward.submission:
-            self._out.note(
-                "forward_reply_crossed", submission=forward.submission
+                self._owners.next_call(), workspace, submission
             )
-            return
-        self._forget_forward(reply.call)
-        forward.answered(reply.answer, now)
-
-    def peer_down(self, host: ids.HostId, *, now: float) -> None:
-        """Answers what can be known for calls that the peer won't answer."""
-        lost = [
-            (call, forward)
-            for call, forward in self._forwards.items()
-            if forward.host == host
-        ]
-        for call, forward in lost:
-            self._forget_forward(call)
-            self._look_up(
-                forward.owner,
-                forward.submission,
-                forward.digest,
-                forward.answered,
-                now,
+            self._owners.ask(
+                owner_calls.OwnerQuestion(
+                    owner, message, None, now + STATUS_WAIT_S, answered
+                ),
+                now=now,
             )
 
     def _owner(self, sequence: int) -> ids.OwnerName:
@@ -300,7 +208,7 @@
             return
         kept = self._answers.get(submission, now=now)
         if kept is not None:
-            order.answered(_matching(kept, digest), now)
+            order.answered(owner_calls.matching(kept, digest), now)
             return
         state = self._parts.reservations.state(sequence, now=now)
         closed = _closed_answer(submission, state)
@@ -344,10 +252,13 @@
         if order.deadline >= job.request.deadline:
             job.waiters.append(order.answered)
             return
-        running = _running(submission)
-        job.waiters.append(
-            self._once_by(order.deadline, order.answered, running)
+        waiter = answer_once.by(
+            order.deadline,
+            order.answered,
+            late=_running(submission),
+            timers=self._timers,
         )
+        job.waiters.append(waiter)
 
     def _submit_elsewhere(
         self,
@@ -357,75 +268,17 @@
         now: float,
     ) -> None:
         message = messages.ForwardSubmit(
-            self._next_call(),
+            self._owners.next_call(),
             order.workspace,
             submission,
             order.body,
             order.deadline - now,
         )
         deadline = order.deadline + self._parts.limits.forward_grace_s
-        self._ask_owner(
-            owner,
-            message,
-            order.body.digest(),
-            deadline,
-            order.answered,
-            now,
-        )
-
-    def _submit_bound(
-        self,
-        order: JobOrder,
-        row_key: str,
-        binding: records.Binding,
-        now: float,
-    ) -> None:
-        digest = order.body.digest()
-        if binding.digest not in (digest, b""):
-            refusal = remedies.refusal(binding.submission, Reason.BODY_MISMATCH)
-            order.answered(refusal, now)
-            return
-
-        def answered(answer: model.JobAnswer, now: float) -> None:
-            if answer.reason in _CLOSED_FOR_GOOD:
-                self._bind_anew(order, row_key, binding, now)
-            else:
-                order.answered(answer, now)
-
-        self.submit(
-            replace(order, answered=answered), binding.submission, now=now
-        )
-
-    def _bind_anew(
-        self,
-        order: JobOrder,
-        row_key: str,
-        old: records.Binding,
-        now: float,
-    ) -> None:
-        def done(result: bindings.BindResult, now: float) -> None:
-            if isinstance(result, bindings.NotBound):
-                order.answered(_key_unsettled(result), now)
-            elif result.digest not in (order.body.digest(), b""):
-                refusal = remedies.refusal(
-                    result.submission, Reason.BODY_MISMATCH
-                )
-                order.answered(refusal, now)
-            else:
-                self.submit(order, result.submission, now=now)
-
-        request = self._bind_request(order, row_key, now)
-        self._parts.binder.rebind(old, request, done, now=now)
-
-    def _bind_request(
-        self, order: JobOrder, row_key: str, now: float
-    ) -> bindings.BindRequest:
-        return bindings.BindRequest(
-            row_key,
-            self.mint(order.workspace, 1, now=now)[0],
-            order.body.digest(),
-            order.deadline,
+        question = owner_calls.OwnerQuestion(
+            owner, message, order.body.digest(), deadline, order.answered
         )
+        self._owners.ask(question, now=now)
 
     def _admission_refusal(
         self, order: JobOrder, submission: ids.SubmissionId, now: float
@@ -514,88 +367,6 @@
             "job_refused", submission=answer.submission, reason=answer.reason
         )
 
-    def _next_call(self) -> ids.CallId:
-        return ids.CallId(next(self._forward_numbers))
-
-    def _ask_owner(
-        self,
-        owner: ids.OwnerName,
-        message: messages.ForwardSubmit
-        | messages.ForwardStatus
-        | messages.ForwardCancel,
-        digest: bytes | None,
-        deadline: float,
-        answered: Answered,
-        now: float,
-    ) -> None:
-        unreachable = remedies.unknown(
-            message.submission, Reason.OWNER_UNREACHABLE
-        )
-        answered = self._once_by(deadline, answered, unreachable)
-        linked = self._parts.membership.linked_entry(owner.host)
-        if linked is None or linked.incarnation != owner.incarnation:
-            self._look_up(owner, message.submission, digest, answered, now)
-            return
-        timer = self._timers.at(
-            deadline, lambda _: self._forget_forward(message.call)
-        )
-        self._forwards[message.call] = _Forward(
-            owner.host, owner, message.submission, digest, answered, timer
-        )
-        self._out.add(actions.SendPeer(owner.host, message))
-        self._out.note(
-            "forwarded",
-            submission=message.submission,
-            detail=f"owner={owner.host}",
-        )
-
-    def _forget_forward(self, call: ids.CallId) -> None:
-        self._forwards.pop(call).timer.cancel()
-
-    def _look_up(
-        self,
-        owner: ids.OwnerName,
-        submission: ids.SubmissionId,
-        digest: bytes | None,
-        answered: Answered,
-        now: float,
-    ) -> None:
-        def found(recorded: outcomes_module.Recorded, now: float) -> None:
-            gone = self._is_gone(owner)
-            answered(_recorded_answer(submission, digest, recorded, gone), now)
-
-        self._parts.outcome_reader.find(owner, submission, found, now=now)
-
-    def _is_gone(self, owner: ids.OwnerName) -> bool:
-        if owner.host == self._identity.host:
-            return True
-        current = self._parts.membership.current_incarnation(owner.host)
-        return current is not None and current != owner.incarnation
-
-    def _once_by(
-        self, deadline: float, answered: Answered, late: model.JobAnswer
-    ) -> Answered:
-        """Returns a callback that answers once, by a deadline at the latest."""
-        pending = [answered]
-
-        def once(answer: model.JobAnswer, now: float) -> None:
-            if pending:
-                timer.cancel()
-                pending.pop()(answer, now)
-
-        timer = self._timers.at(deadline, lambda now: once(late, now))
-        return once
-
-
-@dataclass(frozen=True, slots=True)
-class _Forward:
-    host: ids.HostId
-    owner: ids.OwnerName
-    submission: ids.SubmissionId
-    digest: bytes | None
-    answered: Answered
-    timer: timers_module.Timer
-
 
 def _running(submission: ids.SubmissionId) -> model.JobAnswer:
     return model.JobAnswer(
@@ -607,27 +378,6 @@
     )
 
 
-def _key_unsettled(result: bindings.NotBound) -> model.JobAnswer:
-    return remedies.answer(
-        NO_SUBMISSION,
-        Outcome.UNKNOWN,
-        result.reason,
-        ran=Ran.POSSIBLY,
-        detail="this call started nothing; an earlier one with the same key "
-        "may have, at another host",
-        retry_after_s=result.retry_after_s,
-    )
-
-
-def _matching(
-    outcome: records.JobOutcome, digest: bytes | None
-) -> model.JobAnswer:
-    """Returns an answer if it is that of the same body."""
-    if digest is None or digest == outcome.digest:
-        return outcome.answer
-    return remedies.refusal(outcome.answer.submission, Reason.BODY_MISMATCH)
-
-
 def _closed_answer(
     submission: ids.SubmissionId, state: IdState
 ) -> model.JobAnswer | None:
@@ -643,24 +393,3 @@
         case IdState.NEVER_RESERVED:
             reason = Reason.INVALID_ID
     return remedies.refusal(submission, reason)
-
-
-def _recorded_answer(
-    submission: ids.SubmissionId,
-    digest: bytes | None,
-    recorded: outcomes_module.Recorded,
-    gone: bool,
-) -> model.JobAnswer:
-    """Returns what can be said of an id whose owner can't be asked."""
-    if recorded.outcome is not None:
-        answer = _matching(recorded.outcome, digest)
-        if answer.outcome is Outcome.COMPLETE and not answer.results:
-            return remedies.unknown(
-                submission, Reason.ANSWER_NOT_KEPT, ran=Ran.SOMETHING
-            )
-        return answer
-    if recorded.sealed:
-        return remedies.refusal(submission, Reason.OWNER_SEALED)
-    if gone and recorded.read:
-        return remedies.unknown(submission, Reason.OWNER_GONE)
-    return remedies.unknown(submission, Reason.OWNER_UNREACHABLE)
