--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -85,6 +85,35 @@
         self.assertEqual({each.outcome for each in answers}, {"complete"})
         await self.assert_promises_kept()
 
+    async def test_paused_owner_wakes_beside_its_successor(self) -> None:
+        first, second, owner = self.fleet.hosts
+        submissions = await self.reserve(owner, 12)
+        jobs = fleet.jobs(submissions, tasks=3, sleep_ms=200)
+        keyed = [{"sleep_ms": 200, "n": number} for number in range(3)]
+        running = asyncio.create_task(self.submit_all(first, jobs[:8]))
+        under_key = asyncio.create_task(
+            self.fleet.submit_keyed(owner, "order", keyed)
+        )
+        await self.wait_starts(8)
+        owner.process.signal(signal.SIGSTOP)
+        successor = await self.fleet.start_host("c")
+        await self.fleet.cluster.wait_linked(first, second, successor)
+        await running
+        for host in (second, successor):
+            await self.submit_all(host, jobs, timeout_s=3.0)
+            await self.fleet.submit_keyed(host, "order", keyed, timeout_s=3.0)
+        owner.process.signal(signal.SIGCONT)
+        await under_key
+        for host in (owner, successor, first):
+            await self.submit_all(host, jobs)
+            await self.fleet.submit_keyed(host, "order", keyed)
+        fresh = fleet.jobs(
+            await self.reserve(successor, 4), tasks=2, sleep_ms=10
+        )
+        answers = await self.submit_all(first, fresh)
+        self.assertEqual({each.outcome for each in answers}, {"complete"})
+        await self.assert_promises_kept()
+
     async def test_links_cut_and_silent(self) -> None:
         first, second, owner = self.fleet.hosts
         relays = self.fleet.peers.values()
