Tell the caller of a job or an answer that no link carries

Cause: a message above 16 MiB was dropped, and its caller waited for its whole deadline to be told 'owner unreachable', also for a complete job. Shown by: test_answer_too_large_for_a_link_is_told and test_job_too_large_for_a_link_is_told, new; PeerLinks.send now returns SendResult, so that the tests of its bool assert the enum, as strictly.

--- a/godwitnotch/net/peer_link.py
+++ b/godwitnotch/net/peer_link.py
@@ -68,6 +68,14 @@
     max_handshakes: int = 64
 
 
+class SendResult(enum.Enum):
+    """What became of a message that was to be sent."""
+
+    QUEUED = "queued"
+    LOST = "lost"  # No link is open, or its queue is full.
+    TOO_LARGE = "too_large"
+
+
 class LinkEnd(enum.Enum):
     """Why a link closed or was not opened; each is counted."""
 
@@ -194,13 +202,13 @@
                 self._dials[host] = task
                 task.add_done_callback(functools.partial(self._dialled, host))
 
-    def send(self, host: ids.HostId, message: messages.Message) -> bool:
-        """Queues a message; False if it is lost, the link being down."""
+    def send(self, host: ids.HostId, message: messages.Message) -> SendResult:
+        """Queues a message for a peer, and tells whether it was taken."""
         link = self._links.get(host)
-        sent = link is not None and link.send(message)
-        if not sent:
-            self._on_note(_note("peer_message_lost", host))
-        return sent
+        result = SendResult.LOST if link is None else link.send(message)
+        if result is not SendResult.QUEUED:
+            self._on_note(_note(f"peer_message_{result.value}", host))
+        return result
 
     async def close(self) -> None:
         """Sends what is queued, then closes all links."""
@@ -502,14 +510,16 @@
         )
         self._push(codec.MESSAGES.encode(heartbeat))
 
-    def send(self, message: messages.Message) -> bool:
-        """Queues a message; False if the link has ended or can't take it."""
+    def send(self, message: messages.Message) -> SendResult:
+        """Queues a message, unless the link has ended or can't take it."""
         data = codec.MESSAGES.encode(message)
-        if self._end.done() or len(data) > self._limits.max_message_bytes:
-            return False
+        if self._end.done():
+            return SendResult.LOST
+        if len(data) > self._limits.max_message_bytes:
+            return SendResult.TOO_LARGE
         if self._unheard_since is None:
             self._unheard_since = asyncio.get_running_loop().time()
-        return self._push(data)
+        return SendResult.QUEUED if self._push(data) else SendResult.LOST
 
     def _push(self, data: bytes) -> bool:
         self._queue.push(data)
--- a/godwitnotch/net/runtime.py
+++ b/godwitnotch/net/runtime.py
@@ -18,8 +18,10 @@
 from godwitnotch.core import ids
 from godwitnotch.core import messages
 from godwitnotch.core import model
+from godwitnotch.core import remedies
 from godwitnotch.net import core_port
 from godwitnotch.net import directory_watch
+from godwitnotch.net import peer_link
 from godwitnotch.net import platform_client
 
 ANSWER_GRACE_S = 5.0  # For the decisions to answer after a deadline.
@@ -74,8 +76,10 @@
     def hosts_seen(self, hosts: Iterable[model.HostEntry]) -> None:
         """Takes a newer list."""
 
-    def send(self, host: ids.HostId, message: messages.Message) -> bool:
-        """Queues a message; False if it is lost."""
+    def send(
+        self, host: ids.HostId, message: messages.Message
+    ) -> peer_link.SendResult:
+        """Queues a message, and tells whether it was taken."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -251,6 +255,19 @@
         except Exception as error:
             self._on_fault(f"performing {type(action).__name__}", error)
 
+    def _tell_too_large(self, action: actions.SendPeer) -> None:
+        """Answers the caller whose job or answer no peer link carries."""
+        match action.message:
+            case messages.ForwardReply(call=call, answer=answer):
+                short = _answer_too_large(answer)
+                self._peers.send(
+                    action.host, messages.ForwardReply(call, short)
+                )
+            case messages.ForwardSubmit(call=call, submission=submission):
+                reply = messages.ForwardReply(call, _job_too_large(submission))
+                said = events.PeerSaid(action.host, reply)
+                self._loop.call_soon(self.feed, said)
+
     def _set_timer(self) -> None:
         """Wakes by the next deadline; an earlier timer is left to go off."""
         deadline = self._core.next_deadline()
@@ -433,7 +450,9 @@
 
 @_performs(actions.SendPeer)
 def _send_peer(runtime: HostRuntime, action: actions.SendPeer) -> None:
-    runtime._peers.send(action.host, action.message)
+    result = runtime._peers.send(action.host, action.message)
+    if result is peer_link.SendResult.TOO_LARGE:
+        runtime._tell_too_large(action)
 
 
 @_performs(actions.StartAttempt)
@@ -479,6 +498,28 @@
     runtime._stopped.set()
 
 
+def _answer_too_large(answer: model.JobAnswer) -> model.JobAnswer:
+    return remedies.answer(
+        answer.submission,
+        model.Outcome.UNKNOWN,
+        model.Reason.ANSWER_TOO_LARGE,
+        ran=answer.ran,
+        detail="hosts pass on no answer of this size; ask the host that "
+        "issued the id",
+    )
+
+
+def _job_too_large(submission: ids.SubmissionId) -> model.JobAnswer:
+    return remedies.answer(
+        submission,
+        model.Outcome.UNKNOWN,
+        model.Reason.OWNER_UNREACHABLE,
+        ran=model.Ran.POSSIBLY,
+        detail="hosts pass on no job of this size; submit it at the host that "
+        "issued the id, or in parts",
+    )
+
+
 def _fallback(event: events.Event, call: ids.CallId) -> core_port.Answer:
     """Returns what is true of a call that the decisions left unanswered."""
     if isinstance(event, events.ConfigPutAsked):
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -20,6 +20,8 @@
 
 SECRET = b"s" * 32
 WAIT_S = 20.0
+QUEUED = peer_link.SendResult.QUEUED
+LOST = peer_link.SendResult.LOST
 LIMITS = peer_link.PeerLimits(
     heartbeat_interval_s=0.02,
     silence_timeout_s=0.2,
@@ -127,6 +129,11 @@
         self.addAsyncCleanup(host.links.close)
         return host
 
+    def send(
+        self, sender: Host, receiver: Host, message: messages.Message
+    ) -> None:
+        self.assertIs(sender.links.send(receiver.name, message), QUEUED)
+
     async def relay_to(self, target: str) -> relay.Relay:
         between = await relay.Relay(target).start()
         self.addAsyncCleanup(between.close)
@@ -136,8 +143,8 @@
         low, high = await self.host("a"), await self.host("b")
         low.see(high)
         await until(lambda: low.links.linked and high.links.linked)
-        self.assertTrue(low.links.send(high.name, messages.ConfigChanged(1)))
-        self.assertTrue(high.links.send(low.name, messages.ConfigChanged(2)))
+        self.send(low, high, messages.ConfigChanged(1))
+        self.send(high, low, messages.ConfigChanged(2))
         await until(lambda: high.said(messages.ConfigChanged))
         await until(lambda: low.said(messages.ConfigChanged))
         self.assertEqual(
@@ -179,7 +186,7 @@
         self.addCleanup(dial.cancel)
         await until(lambda: low.downs() == 1 and high.downs() == 1)
         await until(lambda: low.links.linked and high.links.linked)
-        self.assertTrue(low.links.send(high.name, messages.ConfigChanged(1)))
+        self.send(low, high, messages.ConfigChanged(1))
         await until(lambda: high.said(messages.ConfigChanged))
 
     async def test_rare_heartbeats_keep_a_link_and_say_when_the_next_comes(
@@ -250,7 +257,7 @@
         await until(lambda: low.noted("peer_link_silent"))
         await until(lambda: high.noted("peer_link_silent"))
         await until(lambda: low.ups() == 2 and high.ups() == 2)
-        self.assertTrue(low.links.send(high.name, messages.ConfigChanged(1)))
+        self.send(low, high, messages.ConfigChanged(1))
         await until(lambda: high.said(messages.ConfigChanged))
 
     async def test_cut_link_is_dialled_again(self) -> None:
@@ -260,7 +267,9 @@
         await until(lambda: low.links.linked and high.links.linked)
         between.cut()
         await until(lambda: low.downs() and high.downs())
-        self.assertFalse(low.links.send(high.name, messages.ConfigChanged(1)))
+        self.assertIs(
+            low.links.send(high.name, messages.ConfigChanged(1)), LOST
+        )
         between.heal()
         await until(lambda: low.links.linked and high.links.linked)
 
@@ -302,7 +311,7 @@
         low.see(high)
         await until(lambda: low.links.linked and high.links.linked)
         sent = [low.links.send(high.name, BIG) for _ in range(6)]
-        self.assertEqual(sent, [True] * 4 + [False] * 2)
+        self.assertEqual(sent, [QUEUED] * 4 + [LOST] * 2)
         await until(lambda: low.noted("peer_link_send_queue_full"))
         self.assertEqual(low.downs(), 1)
 
@@ -318,7 +327,9 @@
             results=results,
         )
         reply = messages.ForwardReply(ids.CallId(1), answer)
-        self.assertFalse(low.links.send(high.name, reply))
+        self.assertIs(
+            low.links.send(high.name, reply), peer_link.SendResult.TOO_LARGE
+        )
         self.assertTrue(low.links.linked)
 
     async def test_dialler_delivers_what_is_queued_at_close(self) -> None:
@@ -335,7 +346,7 @@
         low.see(high)
         await until(lambda: low.links.linked and high.links.linked)
         for _ in range(3):
-            self.assertTrue(closer.links.send(other.name, BIG))
+            self.send(closer, other, BIG)
         await closer.links.close()
         await until(lambda: not other.links.linked)
         self.assertEqual(len(other.said(messages.ForwardReply)), 3)
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -11,6 +11,7 @@
 from godwitnotch.core import messages
 from godwitnotch.core import model
 from godwitnotch.net import core_port
+from godwitnotch.net import peer_link
 from godwitnotch.net import platform_client
 from godwitnotch.net import runtime as runtime_module
 
@@ -115,14 +116,17 @@
 
     def __init__(self) -> None:
         self.sent: list[messages.Message] = []
+        self.result = peer_link.SendResult.QUEUED
         self.hosts: list[model.HostEntry] = []
 
     def hosts_seen(self, hosts: Iterable[model.HostEntry]) -> None:
         self.hosts = list(hosts)
 
-    def send(self, host: ids.HostId, message: messages.Message) -> bool:
+    def send(
+        self, host: ids.HostId, message: messages.Message
+    ) -> peer_link.SendResult:
         self.sent.append(message)
-        return True
+        return self.result
 
 
 class RuntimeTest(unittest.IsolatedAsyncioTestCase):
@@ -218,6 +222,37 @@
         self.assertEqual(self.faults, ["performing SendPeer"])
         self.assertEqual(self.notes, [actions.Note("after")])
 
+    async def test_answer_too_large_for_a_link_is_told(self) -> None:
+        self.peers.result = peer_link.SendResult.TOO_LARGE
+        call = ids.CallId(5)
+        reply = messages.ForwardReply(call, DONE)
+        self.on(events.TimePassed, actions.SendPeer(ids.HostId("h2"), reply))
+        self.runtime.feed(events.TimePassed())
+        _, short = self.peers.sent
+        assert isinstance(short, messages.ForwardReply)
+        self.assertEqual(short.call, call)
+        self.assertIs(short.answer.outcome, model.Outcome.UNKNOWN)
+        self.assertIs(short.answer.ran, DONE.ran)
+
+    async def test_job_too_large_for_a_link_is_told(self) -> None:
+        self.peers.result = peer_link.SendResult.TOO_LARGE
+        peer = ids.HostId("h2")
+        submit = messages.ForwardSubmit(
+            ids.CallId(5),
+            WORKSPACE,
+            SUBMISSION,
+            model.JobBody(ids.TemplateName("t"), ()),
+            1.0,
+        )
+        self.on(events.TimePassed, actions.SendPeer(peer, submit))
+        self.runtime.feed(events.TimePassed())
+        await self.until(lambda: events.PeerSaid in self.core.kinds())
+        (said,) = [e for e in self.core.seen if isinstance(e, events.PeerSaid)]
+        assert isinstance(said.message, messages.ForwardReply)
+        self.assertEqual(said.message.call, submit.call)
+        self.assertEqual(said.message.answer.submission, SUBMISSION)
+        self.assertIs(said.message.answer.ran, model.Ran.POSSIBLY)
+
     async def test_aborted_attempt_ends_even_if_it_never_ran(self) -> None:
         self.on(
             events.TimePassed, ATTEMPT, actions.AbortAttempt(ATTEMPT.attempt)
