Tell borrowers how fast a lent upstream is; test speeds, sizes and two views

At the target's size a host seldom sees an upstream of another holder, so it takes the holder's word until it has run a task there. The trial's quotas, 6 x 1,000 tasks, had bound the run at the target's size; they are lifted there.

--- a/bench/recorded_load.py
+++ b/bench/recorded_load.py
@@ -20,6 +20,7 @@
 TEMPLATES = ("check", "allocate", "confirm")
 TEMPLATE_WORK = (0.6, 1.0, 1.6)
 WORKSPACES = 6
+QUOTA = 100_000
 MAX_WAIT_S = 20.0
 WARM_UP_S = 5.0
 
@@ -130,7 +131,9 @@
         for name in TEMPLATES
     ]
     configs = [
-        model.WorkspaceConfig(ids.WorkspaceId(f"team-{index}"), 1)
+        model.WorkspaceConfig(
+            ids.WorkspaceId(f"team-{index}"), 1, max_running_tasks=QUOTA
+        )
         for index in range(WORKSPACES)
     ]
     drawn = []
--- a/godwitnotch/core/credit_scheduler.py
+++ b/godwitnotch/core/credit_scheduler.py
@@ -287,8 +287,9 @@
             case messages.SlotsWanted(key, held, wanted, serial):
                 word = credits.Wanted(key, held, wanted, serial)
                 self._slots.wanted(host, word, now=now)
-            case messages.SlotsLent(key, allowed, serial):
-                loan = credits.Lent(key, allowed, serial)
+            case messages.SlotsLent(key, allowed, serial, slowness):
+                self._speeds.hint(key, slowness / 100)
+                loan = credits.Lent(key, allowed, serial, slowness)
                 self._slots.lent(host, loan, now=now)
             case messages.SlotsAsked(count, slowest):
                 self._asked(host, credits.Asked(count, slowest), now)
@@ -822,4 +823,4 @@
     key = ids.UpstreamId(word.key)
     if isinstance(word, credits.Wanted):
         return messages.SlotsWanted(key, word.held, word.wanted, word.serial)
-    return messages.SlotsLent(key, word.allowed, word.serial)
+    return messages.SlotsLent(key, word.allowed, word.serial, word.slowness)
--- a/godwitnotch/core/credits.py
+++ b/godwitnotch/core/credits.py
@@ -72,6 +72,7 @@
     key: str
     allowed: int
     serial: int
+    slowness: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -350,6 +351,7 @@
         if credit is None or credit.holder != host:
             return
         credit.serial = message.serial
+        credit.slowness = message.slowness
         if message.allowed > credit.held:
             self._end_ask(message.key)
             self._answered(host, message.allowed - credit.held)
@@ -645,7 +647,11 @@
         loan.told_at = now
         key = credit.resource.key
         self._tokens -= 1
-        sent.append(Outgoing(host, Lent(key, loan.allowed, loan.serial)))
+        sent.append(
+            Outgoing(
+                host, Lent(key, loan.allowed, loan.serial, credit.slowness)
+            )
+        )
 
     def _report(self, credit: Credit | None, sent: list[Outgoing]) -> None:
         if credit is None or credit.mine:
--- a/godwitnotch/core/messages.py
+++ b/godwitnotch/core/messages.py
@@ -128,11 +128,14 @@
         upstream: The upstream.
         allowed: Slots that the borrower may use.
         serial: Rises by one with each change of the loan.
+        slowness: How much slower than the average the holder finds it; see
+            `SlotsAsked`.
     """
 
     upstream: ids.UpstreamId
     allowed: int
     serial: int = 0
+    slowness: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/godwitnotch/core/speeds.py
+++ b/godwitnotch/core/speeds.py
@@ -84,6 +84,11 @@
         term = self._upstreams.get(upstream)
         return term.value if term else 0.0
 
+    def hint(self, upstream: ids.UpstreamId, deviation: float) -> None:
+        """Takes a peer's word on an upstream that never ran a task here."""
+        if upstream not in self._upstreams:
+            self._upstreams[upstream] = _Term(deviation)
+
     def learn(
         self,
         template: ids.TemplateName,
--- a/tests/test_scheduler_credits.py
+++ b/tests/test_scheduler_credits.py
@@ -89,6 +89,28 @@
         self.assertEqual(len(cluster.running), 32)
         self.assertEqual(max(cluster.use().values()), 8)
 
+    def test_two_views_of_the_holder_heal(self) -> None:
+        cluster = self.cluster()
+        hosts = list(cluster.policies)
+        cluster.see([hosts[0]])
+        cluster.see(hosts[1:])
+        for host in hosts:
+            cluster.policies[host].enqueue(
+                fixtures.job(f"s-{host}", 100), now=cluster.now
+            )
+        cluster.settle()
+        self.assertGreater(max(cluster.use().values()), 8)
+        cluster.see(hosts)
+        cluster.settle(1.0)
+        while len(cluster.running) > 32:
+            cluster.end(0)
+            cluster.settle(0.05)
+        for _ in range(40):
+            cluster.end(0)
+            cluster.settle(0.05)
+        self.assertEqual(max(cluster.use().values()), 8)
+        self.assertEqual(len(cluster.running), 32)
+
     def test_a_cut_off_host_goes_on_with_its_domain(self) -> None:
         cluster = scheduler_cluster.Cluster(
             scheduler_cluster.domain("d0", 2)
--- /dev/null
+++ b/tests/test_speeds.py
@@ -0,0 +1,82 @@
+"""Tests of learnt run times and of the worth of declared ones."""
+
+import random
+import unittest
+
+from godwitnotch.core import ids
+from godwitnotch.core import sizes
+from godwitnotch.core import speeds
+
+CHECK = ids.TemplateName("check")
+PRICE = ids.TemplateName("price")
+FAST = ids.UpstreamId("fast")
+SLOW = ids.UpstreamId("slow")
+
+
+class SpeedsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.speeds = speeds.SpeedModel()
+        self.draw = random.Random(1)
+
+    def learn(self, upstream: ids.UpstreamId, median_s: float) -> None:
+        took_s = median_s * self.draw.lognormvariate(0, 0.5)
+        self.speeds.learn(CHECK, upstream, took_s)
+
+    def test_noisy_run_times_tell_upstreams_apart(self) -> None:
+        for _ in range(100):
+            self.learn(FAST, 0.1)
+            self.learn(SLOW, 0.4)
+        ratio = self.speeds.expect_s(CHECK, SLOW) / self.speeds.expect_s(
+            CHECK, FAST
+        )
+        self.assertGreater(ratio, 2.5)
+        self.assertLess(ratio, 6.0)
+
+    def test_an_upstream_is_known_for_templates_it_never_ran(self) -> None:
+        for _ in range(100):
+            self.learn(FAST, 0.1)
+            self.learn(SLOW, 0.4)
+            self.speeds.learn(PRICE, FAST, 1.0)
+        self.assertGreater(
+            self.speeds.expect_s(PRICE, SLOW),
+            1.5 * self.speeds.expect_s(PRICE, FAST),
+        )
+
+    def test_a_straggler_is_noticed_within_twenty_tasks(self) -> None:
+        for _ in range(100):
+            self.learn(FAST, 0.1)
+            self.learn(SLOW, 0.1)
+        for _ in range(20):
+            self.learn(SLOW, 1.0)
+        self.assertGreater(
+            self.speeds.expect_s(CHECK, SLOW),
+            3 * self.speeds.expect_s(CHECK, FAST),
+        )
+
+    def test_a_peers_word_gives_way_to_own_runs(self) -> None:
+        self.speeds.hint(SLOW, 1.0)
+        self.assertEqual(self.speeds.deviation(SLOW), 1.0)
+        self.learn(FAST, 0.1)
+        known = self.speeds.deviation(FAST)
+        self.speeds.hint(FAST, 5.0)
+        self.assertEqual(self.speeds.deviation(FAST), known)
+
+
+class SizesTest(unittest.TestCase):
+    def factors(self, noise: float) -> tuple[float, ...]:
+        draw = random.Random(1)
+        model = sizes.SizeModel()
+        for _ in range(500):
+            ratio = draw.lognormvariate(0, 0.8)
+            declared_ms = 300 * ratio * draw.lognormvariate(0, noise)
+            model.learn(CHECK, declared_ms, ratio)
+        return model.factors(CHECK, (100.0, 900.0, None))
+
+    def test_good_declared_times_set_tasks_apart(self) -> None:
+        short, long, unknown = self.factors(0.1)
+        self.assertGreater(long / short, 4.0)
+        self.assertEqual(unknown, 1.0)
+
+    def test_worthless_declared_times_are_ignored(self) -> None:
+        short, long, _ = self.factors(4.0)
+        self.assertLess(long / short, 1.3)
