--- a/godwitnotch/core/bindings.py
+++ b/godwitnotch/core/bindings.py
@@ -10,13 +10,11 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from godwitnotch.core import backoff
-from godwitnotch.core import chance as chance_module
 from godwitnotch.core import events
 from godwitnotch.core import ids
-from godwitnotch.core import limits as limits_module
 from godwitnotch.core import model
 from godwitnotch.core import records
+from godwitnotch.core import services as services_module
 from godwitnotch.core import store_calls
 from godwitnotch.core import timers as timers_module
 from godwitnotch.core import token_bucket
@@ -56,29 +54,19 @@
 class KeyBinder:
     """Binds keys in batches, one transaction in flight."""
 
-    def __init__(
-        self,
-        *,
-        store: store_calls.StoreCalls,
-        timers: timers_module.Timers,
-        chance: chance_module.Chance,
-        limits: limits_module.HostLimits,
-    ) -> None:
-        self._store = store
-        self._timers = timers
-        self._limits = limits
-        self._backoff = backoff.Backoff(
-            chance=chance,
-            first_s=limits.store_backoff_s,
-            longest_s=limits.max_store_backoff_s,
-        )
+    def __init__(self, services: services_module.Services) -> None:
+        self._store = services.store
+        self._timers = services.timers
+        self._limits = services.limits
+        self._backoff = services.store_backoff()
         self._known: collections.OrderedDict[str, records.Binding] = (
             collections.OrderedDict()
         )
         self._pending: dict[str, _Pending] = {}
         self._flight: list[_Pending] = []
         self._pace = token_bucket.TokenBucket(
-            rate_per_s=limits.key_writes_per_s, burst=limits.key_write_burst
+            rate_per_s=self._limits.key_writes_per_s,
+            burst=self._limits.key_write_burst,
         )
         self._pause: timers_module.Timer | None = None
 
--- a/godwitnotch/core/config_changes.py
+++ b/godwitnotch/core/config_changes.py
@@ -6,17 +6,14 @@
 from dataclasses import field
 
 from godwitnotch.core import actions
-from godwitnotch.core import chance as chance_module
 from godwitnotch.core import configuration
 from godwitnotch.core import events
 from godwitnotch.core import ids
-from godwitnotch.core import limits as limits_module
 from godwitnotch.core import messages
 from godwitnotch.core import model
-from godwitnotch.core import outbox
 from godwitnotch.core import records
+from godwitnotch.core import services as services_module
 from godwitnotch.core import store_calls
-from godwitnotch.core import timers as timers_module
 
 LOG_LENGTH = 64
 NONCE_DIGITS = 10**18
@@ -40,34 +37,26 @@
     """Records operators' changes and waits until they are in force.
 
     Args:
+        services: Shared services.
         keeper: The settings in force on this host.
-        store: Exchanges with the table service.
-        timers: Deadlines.
-        out: Where answers go.
-        chance: Source of nonces and jitter.
-        limits: Bounds of the host.
         live_hosts: Returns the other hosts that must confirm a change.
         own_host: This host.
     """
 
     def __init__(
         self,
+        services: services_module.Services,
         *,
         keeper: configuration.ConfigKeeper,
-        store: store_calls.StoreCalls,
-        timers: timers_module.Timers,
-        out: outbox.Outbox,
-        chance: chance_module.Chance,
-        limits: limits_module.HostLimits,
         live_hosts: Callable[[float], frozenset[ids.HostId]],
         own_host: ids.HostId,
     ) -> None:
         self._keeper = keeper
-        self._store = store
-        self._timers = timers
-        self._out = out
-        self._chance = chance
-        self._limits = limits
+        self._store = services.store
+        self._timers = services.timers
+        self._out = services.out
+        self._chance = services.chance
+        self._limits = services.limits
         self._live_hosts = live_hosts
         self._own_host = own_host
         self._confirmed: collections.Counter[ids.HostId] = collections.Counter()
--- a/godwitnotch/core/configuration.py
+++ b/godwitnotch/core/configuration.py
@@ -10,15 +10,12 @@
 from collections.abc import Mapping
 
 from godwitnotch.core import actions
-from godwitnotch.core import backoff
-from godwitnotch.core import chance as chance_module
 from godwitnotch.core import events
 from godwitnotch.core import ids
-from godwitnotch.core import limits as limits_module
 from godwitnotch.core import messages
 from godwitnotch.core import model
-from godwitnotch.core import outbox
 from godwitnotch.core import records
+from godwitnotch.core import services as services_module
 from godwitnotch.core import store_calls
 from godwitnotch.core import timers as timers_module
 
@@ -28,20 +25,12 @@
 class ConfigKeeper:
     """The workspace settings that are in force on this host."""
 
-    def __init__(
-        self,
-        *,
-        store: store_calls.StoreCalls,
-        timers: timers_module.Timers,
-        out: outbox.Outbox,
-        chance: chance_module.Chance,
-        limits: limits_module.HostLimits,
-    ) -> None:
-        self._store = store
-        self._timers = timers
-        self._out = out
-        self._chance = chance
-        self._limits = limits
+    def __init__(self, services: services_module.Services) -> None:
+        self._store = services.store
+        self._timers = services.timers
+        self._out = services.out
+        self._chance = services.chance
+        self._limits = services.limits
         self._configs: dict[ids.WorkspaceId, model.WorkspaceConfig] = {}
         self._counter = -1
         self._polling = False
@@ -51,11 +40,7 @@
         self._peers: set[ids.HostId] = set()
         self._snapshots: dict[ids.HostId, messages.ConfigSnapshot] = {}
         self._snapshot_timer: timers_module.Timer | None = None
-        self._backoff = backoff.Backoff(
-            chance=chance,
-            first_s=limits.store_backoff_s,
-            longest_s=limits.max_store_backoff_s,
-        )
+        self._backoff = services.store_backoff()
         self._applied_watchers: list[Callable[[float], None]] = []
 
     @property
--- a/godwitnotch/core/host.py
+++ b/godwitnotch/core/host.py
@@ -26,6 +26,7 @@
 from godwitnotch.core import remedies
 from godwitnotch.core import reservations
 from godwitnotch.core import scheduler as scheduler_module
+from godwitnotch.core import services
 from godwitnotch.core import store_calls
 from godwitnotch.core import submissions
 from godwitnotch.core import timers
@@ -125,37 +126,20 @@
         self._reservations = reservations.Reservations(
             open_for_s=limits.reservation_open_s
         )
-        self._keeper = configuration.ConfigKeeper(
-            store=self._store,
-            timers=self._timers,
-            out=self._out,
-            chance=chance,
-            limits=limits,
+        self._services = services.Services(
+            self._store, self._timers, self._out, chance, limits
         )
+        self._keeper = configuration.ConfigKeeper(self._services)
         self._changes = config_changes.ConfigChanges(
+            self._services,
             keeper=self._keeper,
-            store=self._store,
-            timers=self._timers,
-            out=self._out,
-            chance=chance,
-            limits=limits,
             live_hosts=self._membership.unconfirmed_hosts,
             own_host=identity.host,
         )
         self._outcome_log = outcomes.OutcomeLog(
-            identity.incarnation,
-            store=self._store,
-            timers=self._timers,
-            out=self._out,
-            chance=chance,
-            limits=limits,
-        )
-        self._binder = bindings.KeyBinder(
-            store=self._store,
-            timers=self._timers,
-            chance=chance,
-            limits=limits,
+            self._services, identity.incarnation
         )
+        self._binder = bindings.KeyBinder(self._services)
         self._submissions = submissions.Submissions(self._collaborators(mint))
         self._keeper.on_applied(self._configured)
 
@@ -169,12 +153,8 @@
             membership=self._membership,
             binder=self._binder,
             outcome_log=self._outcome_log,
-            outcome_reader=outcomes.OutcomeReader(
-                store=self._store, limits=self._limits
-            ),
-            timers=self._timers,
-            out=self._out,
-            limits=self._limits,
+            outcome_reader=outcomes.OutcomeReader(self._services),
+            services=self._services,
             admitting=lambda: (
                 self._state in (HostState.STARTING, HostState.SERVING)
             ),
--- a/godwitnotch/core/outcomes.py
+++ b/godwitnotch/core/outcomes.py
@@ -11,16 +11,12 @@
 from dataclasses import field
 from dataclasses import replace
 
-from godwitnotch.core import backoff
-from godwitnotch.core import chance as chance_module
 from godwitnotch.core import events
 from godwitnotch.core import ids
-from godwitnotch.core import limits as limits_module
 from godwitnotch.core import model
-from godwitnotch.core import outbox
 from godwitnotch.core import records
+from godwitnotch.core import services as services_module
 from godwitnotch.core import store_calls
-from godwitnotch.core import timers as timers_module
 
 MAX_CACHED_LOOKUPS = 256
 MAX_DELETES_PER_BATCH = 50
@@ -30,34 +26,19 @@
     """Writes the outcomes of one incarnation, one batch in flight.
 
     Args:
+        services: Shared services.
         incarnation: The incarnation, the only writer of its rows.
-        store: Exchanges with the table service.
-        timers: Deadlines.
-        out: Where events are noted.
-        chance: Source of jitter.
-        limits: Bounds of the host.
     """
 
     def __init__(
-        self,
-        incarnation: ids.Incarnation,
-        *,
-        store: store_calls.StoreCalls,
-        timers: timers_module.Timers,
-        out: outbox.Outbox,
-        chance: chance_module.Chance,
-        limits: limits_module.HostLimits,
+        self, services: services_module.Services, incarnation: ids.Incarnation
     ) -> None:
         self._incarnation = incarnation
-        self._store = store
-        self._timers = timers
-        self._out = out
-        self._limits = limits
-        self._backoff = backoff.Backoff(
-            chance=chance,
-            first_s=limits.store_backoff_s,
-            longest_s=limits.max_store_backoff_s,
-        )
+        self._store = services.store
+        self._timers = services.timers
+        self._out = services.out
+        self._limits = services.limits
+        self._backoff = services.store_backoff()
         self._unwritten: collections.deque[_Outcome] = collections.deque()
         self._written: collections.deque[_WrittenRow] = collections.deque()
         self._flight: _Batch | None = None
@@ -236,14 +217,9 @@
 class OutcomeReader:
     """Looks up outcomes that other incarnations recorded."""
 
-    def __init__(
-        self,
-        *,
-        store: store_calls.StoreCalls,
-        limits: limits_module.HostLimits,
-    ) -> None:
-        self._store = store
-        self._limits = limits
+    def __init__(self, services: services_module.Services) -> None:
+        self._store = services.store
+        self._limits = services.limits
         self._lookups: collections.OrderedDict[str, _Lookup] = (
             collections.OrderedDict()
         )
--- a/godwitnotch/core/submissions.py
+++ b/godwitnotch/core/submissions.py
@@ -14,18 +14,16 @@
 from godwitnotch.core import jobs as jobs_module
 from godwitnotch.core import kept_answers
 from godwitnotch.core import keyed_jobs
-from godwitnotch.core import limits as limits_module
 from godwitnotch.core import membership as membership_module
 from godwitnotch.core import messages
 from godwitnotch.core import model
-from godwitnotch.core import outbox
 from godwitnotch.core import outcomes as outcomes_module
 from godwitnotch.core import owner_calls
 from godwitnotch.core import records
 from godwitnotch.core import remedies
 from godwitnotch.core import reservations as reservations_module
 from godwitnotch.core import scheduler as scheduler_module
-from godwitnotch.core import timers as timers_module
+from godwitnotch.core import services as services_module
 from godwitnotch.core.jobs import Answered
 from godwitnotch.core.jobs import JobOrder
 from godwitnotch.core.model import Outcome
@@ -34,6 +32,7 @@
 from godwitnotch.core.reservations import IdState
 
 STATUS_WAIT_S = 2.0
+_AnswerOwn = Callable[[ids.SubmissionId, ids.Sequence, float], model.JobAnswer]
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,9 +48,7 @@
     binder: bindings.KeyBinder
     outcome_log: outcomes_module.OutcomeLog
     outcome_reader: outcomes_module.OutcomeReader
-    timers: timers_module.Timers
-    out: outbox.Outbox
-    limits: limits_module.HostLimits
+    services: services_module.Services
     admitting: Callable[[], bool]
 
 
@@ -61,26 +58,26 @@
     def __init__(self, parts: Collaborators) -> None:
         self._parts = parts
         self._identity = parts.identity
-        self._timers = parts.timers
-        self._out = parts.out
-        self._answers = kept_answers.KeptAnswers(limits=parts.limits)
+        self._timers = parts.services.timers
+        self._out = parts.services.out
+        self._answers = kept_answers.KeptAnswers(limits=parts.services.limits)
         self._runner = jobs_module.JobRunner(
             scheduler=parts.scheduler,
             reservations=parts.reservations,
-            timers=parts.timers,
-            out=parts.out,
+            timers=parts.services.timers,
+            out=parts.services.out,
             on_end=self._job_ended,
         )
         self._owners = owner_calls.OwnerCalls(
             identity=parts.identity,
             membership=parts.membership,
             reader=parts.outcome_reader,
-            timers=parts.timers,
-            out=parts.out,
+            timers=parts.services.timers,
+            out=parts.services.out,
         )
         self._keyed = keyed_jobs.KeyedJobs(
             binder=parts.binder,
-            timers=parts.timers,
+            timers=parts.services.timers,
             mint=self.mint,
             submit=self.submit,
             admission_refusal=self._admission_refusal,
@@ -137,21 +134,10 @@
         now: float,
     ) -> None:
         """Tells what became of a submission."""
-        owner = self._parse(workspace, submission)
-        if owner is None:
-            answered(remedies.refusal(submission, Reason.INVALID_ID), now)
-        elif self._is_own(owner):
-            answered(self._own_status(submission, owner.sequence, now), now)
-        else:
-            message = messages.ForwardStatus(
-                self._owners.next_call(), workspace, submission
-            )
-            self._owners.ask(
-                owner_calls.OwnerQuestion(
-                    owner, message, None, now + STATUS_WAIT_S, answered
-                ),
-                now=now,
-            )
+        message = messages.ForwardStatus(
+            self._owners.next_call(), workspace, submission
+        )
+        self._ask_about(message, self._own_status, answered, now)
 
     def cancel(
         self,
@@ -162,21 +148,30 @@
         now: float,
     ) -> None:
         """Ends a job, or closes an id under which none was submitted."""
-        owner = self._parse(workspace, submission)
+        message = messages.ForwardCancel(
+            self._owners.next_call(), workspace, submission
+        )
+        self._ask_about(message, self._cancel_own, answered, now)
+
+    def _ask_about(
+        self,
+        message: messages.ForwardStatus | messages.ForwardCancel,
+        answer_own: _AnswerOwn,
+        answered: Answered,
+        now: float,
+    ) -> None:
+        submission = message.submission
+        owner = self._parse(message.workspace, submission)
         if owner is None:
             answered(remedies.refusal(submission, Reason.INVALID_ID), now)
         elif self._is_own(owner):
-            answered(self._cancel_own(submission, owner.sequence, now), now)
+            answered(answer_own(submission, owner.sequence, now), now)
         else:
-            message = messages.ForwardCancel(
-                self._owners.next_call(), workspace, submission
-            )
-            self._owners.ask(
-                owner_calls.OwnerQuestion(
-                    owner, message, None, now + STATUS_WAIT_S, answered
-                ),
-                now=now,
+            deadline = now + STATUS_WAIT_S
+            question = owner_calls.OwnerQuestion(
+                owner, message, None, deadline, answered
             )
+            self._owners.ask(question, now=now)
 
     def _owner(self, sequence: int) -> ids.OwnerName:
         return ids.OwnerName(
@@ -274,7 +269,7 @@
             order.body,
             order.deadline - now,
         )
-        deadline = order.deadline + self._parts.limits.forward_grace_s
+        deadline = order.deadline + self._parts.services.limits.forward_grace_s
         question = owner_calls.OwnerQuestion(
             owner, message, order.body.digest(), deadline, order.answered
         )
--- a/tests/test_bindings.py
+++ b/tests/test_bindings.py
@@ -9,6 +9,7 @@
 from godwitnotch.core import ids
 from godwitnotch.core import limits
 from godwitnotch.core import outbox
+from godwitnotch.core import services
 from godwitnotch.core import store_calls
 from godwitnotch.core import timers
 
@@ -18,12 +19,11 @@
         self.out = outbox.Outbox()
         self.store = store_calls.StoreCalls(self.out)
         self.timers = timers.Timers()
-        self.binder = bindings.KeyBinder(
-            store=self.store,
-            timers=self.timers,
-            chance=random.Random(1),
-            limits=limits.HostLimits(key_writes_per_s=10.0, key_write_burst=2),
+        bounds = limits.HostLimits(key_writes_per_s=10.0, key_write_burst=2)
+        shared = services.Services(
+            self.store, self.timers, self.out, random.Random(1), bounds
         )
+        self.binder = bindings.KeyBinder(shared)
         self.results: list[bindings.BindResult] = []
 
     def bind(self, key: str, *, now: float, deadline: float = 9.0) -> None:
