Race two hosts for one key with certainty in the process test

Cause: a deliberate defect (a key's row written blindly) passed: the three lost answers left every call unbound, so that no two answers were compared. Now the platform is slow first, so that both hosts write before either is answered, and all must be complete under one id; then answers are lost, and calls are repeated until both are complete under one id. This makes the test stricter.

--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -46,6 +46,33 @@
             )
         )
 
+    async def race_for_keys(
+        self, name: str, payloads: list[object], *, every_answer: bool
+    ) -> None:
+        """Submits under like keys at two hosts at once, until all complete."""
+        first, second, _ = self.fleet.hosts
+        for number in range(4):
+            key = f"{name}-{number}"
+            tried = []
+
+            async def complete(
+                key: str = key, tried: list[list[caller.Answer]] = tried
+            ) -> bool:
+                answers = await asyncio.gather(
+                    *(
+                        self.fleet.submit_keyed(host, key, payloads)
+                        for host in (first, second)
+                    )
+                )
+                tried.append(answers)
+                return {each.outcome for each in answers} == {"complete"}
+
+            await cluster.until(complete, f"{key} is complete at both hosts")
+            if every_answer:
+                self.assertEqual(len(tried), 1, tried)
+            ids = {each.submission for each in tried[-1]}
+            self.assertEqual(len(ids), 1, tried)
+
     async def test_owner_killed_and_replaced(self) -> None:
         first, second, owner = self.fleet.hosts
         submissions = await self.reserve(owner, 20)
@@ -163,17 +190,11 @@
         known = await self.fleet.submit_keyed(first, "known", payloads)
         self.assertEqual(known.outcome, "complete")
 
-        await system.order_faults(system.platform, lose_answers=3)
-        lost = await asyncio.gather(
-            *(
-                self.fleet.submit_keyed(host, f"lost-{number}", payloads)
-                for number in range(4)
-                for host in (first, second)
-            )
-        )
-        for one, other in zip(lost[::2], lost[1::2], strict=True):
-            if "complete" in (one.outcome, other.outcome):
-                self.assertIn(one.submission, (other.submission, ""))
+        # Slow enough that both hosts write before either is answered.
+        await system.order_faults(system.platform, slow_s=0.2)
+        await self.race_for_keys("slow", payloads, every_answer=True)
+        await system.order_faults(system.platform, slow_s=0.0, lose_answers=3)
+        await self.race_for_keys("lost", payloads, every_answer=False)
 
         await system.order_faults(system.platform, down=True, lose_answers=0)
         again = await self.fleet.submit_keyed(first, "known", payloads)
