Split the credit scheduler: upstream pool, late binding, messages

One fault found on the way and mended, with a test: an upstream that said it leaves, and stayed in the list, was never offered again after the 60 s.

--- a/godwitnotch/core/fair_queue.py
+++ b/godwitnotch/core/fair_queue.py
@@ -21,6 +21,19 @@
 _SIZE_CLASSES = 8
 
 
+@dataclass(frozen=True, slots=True)
+class Sizes:
+    """What the tasks of a job are expected to take.
+
+    Attributes:
+        factors: Size of each task relative to a typical one.
+        costs: Expected run time of each task, in seconds.
+    """
+
+    factors: tuple[float, ...]
+    costs: tuple[float, ...]
+
+
 @dataclass(slots=True)
 class QueuedJob:
     """A job with tasks that wait.
@@ -28,6 +41,7 @@
     Attributes:
         request: The job.
         tasks: Indices of the waiting tasks; the last goes first.
+        factors: Sizes of all its tasks relative to a typical one.
         costs: Expected run times of all its tasks, in seconds.
         left_s: Expected run time of the waiting tasks.
         enqueued_at: When it was queued.
@@ -36,6 +50,7 @@
 
     request: scheduler.JobRequest
     tasks: list[int]
+    factors: tuple[float, ...]
     costs: tuple[float, ...]
     order: int
     enqueued_at: float
@@ -117,7 +132,7 @@
         self,
         request: scheduler.JobRequest,
         tasks: list[int],
-        costs: tuple[float, ...],
+        sizes: Sizes,
         *,
         now: float,
     ) -> None:
@@ -126,7 +141,7 @@
         Args:
             request: The job.
             tasks: Indices of the tasks; the last goes first.
-            costs: Expected run times of all tasks of the job, in seconds.
+            sizes: Sizes of all tasks of the job.
             now: The present time.
         """
         job = self._jobs.get(request.submission)
@@ -135,14 +150,15 @@
             job = QueuedJob(
                 request,
                 [],
-                costs,
+                sizes.factors,
+                sizes.costs,
                 next(self._order),
                 now,
                 now + URGENT_SHARE * wait_s,
             )
             self._jobs[request.submission] = job
         job.tasks.extend(tasks)
-        work_s = sum(costs[index] for index in tasks)
+        work_s = sum(sizes.costs[index] for index in tasks)
         job.left_s += work_s
         self._work_s += work_s
         self._count += len(tasks)
--- /dev/null
+++ b/godwitnotch/core/upstream_pool.py
@@ -0,0 +1,260 @@
+"""The upstreams as one host sees them, and which have a slot free now."""
+
+import heapq
+import itertools
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+
+from godwitnotch.core import chance
+from godwitnotch.core import credits
+from godwitnotch.core import health
+from godwitnotch.core import ids
+from godwitnotch.core import model
+
+# Pauses of an upstream that refused, doubling.
+FIRST_PAUSE_S = 0.02
+LONGEST_PAUSE_S = 1.0
+# An upstream's own word that it leaves is kept against a lagging list.
+LEAVING_S = 60.0
+# Upstreams looked at to choose those that are asked for.
+CANDIDATES = 24
+
+Task = tuple[ids.SubmissionId, int]
+
+
+@dataclass(slots=True, eq=False)
+class Upstream:
+    """An upstream and this host's part of it.
+
+    Attributes:
+        entry: What the platform's list says.
+        credit: The slots that this host may use.
+        starts: When each task that runs there was started.
+        starts_sum: Sum of these times.
+        paused_until: When it may be used again after a refusal.
+        lingering: Ended attempts whose slot is still kept.
+    """
+
+    entry: model.UpstreamEntry
+    credit: credits.Credit
+    starts: dict[Task, float] = field(default_factory=dict)
+    starts_sum: float = 0.0
+    paused_until: float = 0.0
+    pause_s: float = FIRST_PAUSE_S
+    leaving_until: float = 0.0
+    lingering: int = 0
+    gone: bool = False
+
+    def leaving(self, now: float) -> bool:
+        """Returns whether no task may start there any more."""
+        return self.gone or self.entry.leaving or self.leaving_until > now
+
+
+class UpstreamPool:
+    """All upstreams, with their slots and health.
+
+    Attributes:
+        ledger: The loans of slots.
+        health: The health of the upstreams.
+        free: Upstreams with a free slot; some may have lost it since.
+        fresh: Those of them that weren't looked at yet.
+    """
+
+    def __init__(self, host: ids.HostId, domain: ids.DomainId) -> None:
+        self.ledger = credits.CreditLedger(host, domain)
+        self.health = health.HealthTracker()
+        self.free: dict[ids.UpstreamId, Upstream] = {}
+        self.fresh: dict[ids.UpstreamId, Upstream] = {}
+        self._upstreams: dict[ids.UpstreamId, Upstream] = {}
+        self._list: tuple[model.UpstreamEntry, ...] = ()
+        self._names: list[ids.UpstreamId] = []
+        self._paused: dict[ids.UpstreamId, Upstream] = {}
+        self._lingering: list[tuple[float, int, Upstream]] = []
+        self._order = itertools.count()
+
+    def get(self, name: ids.UpstreamId) -> Upstream | None:
+        """Returns an upstream that is listed or still in use."""
+        return self._upstreams.get(name)
+
+    def among(self, names: frozenset[ids.UpstreamId]) -> list[Upstream]:
+        """Returns the upstreams of some names, or all if there are none."""
+        found = [self._upstreams.get(name) for name in names]
+        if not names:
+            return list(self._upstreams.values())
+        return [upstream for upstream in found if upstream is not None]
+
+    def upstreams_seen(
+        self, upstreams: Sequence[model.UpstreamEntry], *, now: float
+    ) -> list[ids.UpstreamId] | None:
+        """Takes a newer list; returns those gone, None if nothing changed."""
+        if tuple(upstreams) == self._list:
+            return None
+        self._list = tuple(upstreams)
+        self.health.upstreams_seen(upstreams)
+        self.ledger.resources_seen(
+            [
+                credits.Resource(each.upstream, each.slots, each.domain)
+                for each in upstreams
+            ],
+            now=now,
+        )
+        seen = {each.upstream: each for each in upstreams}
+        gone = [name for name in self._upstreams if name not in seen]
+        for name in gone:
+            self._lose(self._upstreams[name])
+        for entry in seen.values():
+            self._meet(entry)
+        self._names = list(self._upstreams)
+        return gone
+
+    def refresh(self, *, now: float) -> None:
+        """Looks at all upstreams anew."""
+        for upstream in self._upstreams.values():
+            self.offer(upstream, now)
+
+    def is_free(self, upstream: Upstream, now: float) -> bool:
+        """Returns whether a task may start at an upstream now."""
+        return (
+            upstream.credit.free > 0
+            and upstream.paused_until <= now
+            and not upstream.leaving(now)
+            and self.health.usable(upstream.entry.upstream)
+        )
+
+    def offer(self, upstream: Upstream, now: float) -> None:
+        """Lists an upstream among those with a free slot, if it has one."""
+        name = upstream.entry.upstream
+        if self.is_free(upstream, now):
+            self.free[name] = upstream
+            self.fresh[name] = upstream
+        else:
+            self.free.pop(name, None)
+            self.fresh.pop(name, None)
+
+    def start(self, upstream: Upstream, task: Task, *, now: float) -> None:
+        """Uses a slot for a task."""
+        self.ledger.take(upstream.credit)
+        self.health.started(upstream.entry.upstream)
+        upstream.starts[task] = now
+        upstream.starts_sum += now
+
+    def end(self, upstream: Upstream, task: Task) -> None:
+        """Notes that an attempt ended; its slot is still kept."""
+        upstream.starts_sum -= upstream.starts.pop(task)
+
+    def release(self, upstream: Upstream, *, now: float) -> None:
+        """Frees the slot of an attempt that ended."""
+        self.ledger.put(upstream.credit, now=now)
+        self._drop_if_unused(upstream)
+        self.offer(upstream, now)
+
+    def linger(self, upstream: Upstream, until: float) -> None:
+        """Keeps the slot of an attempt that ended for a while."""
+        upstream.lingering += 1
+        entry = (until, next(self._order), upstream)
+        heapq.heappush(self._lingering, entry)
+
+    def pause(self, upstream: Upstream, *, now: float) -> None:
+        """Leaves an upstream alone that refused, longer each time."""
+        if upstream.paused_until > now:
+            return
+        upstream.paused_until = now + upstream.pause_s
+        upstream.pause_s = min(2 * upstream.pause_s, LONGEST_PAUSE_S)
+        self._paused[upstream.entry.upstream] = upstream
+
+    def leave(self, upstream: Upstream, *, now: float) -> None:
+        """Takes an upstream's own word that it leaves."""
+        upstream.leaving_until = now + LEAVING_S
+        upstream.paused_until = upstream.leaving_until
+        self._paused[upstream.entry.upstream] = upstream
+
+    def advance(self, *, now: float) -> None:
+        """Does what fell due."""
+        self.ledger.advance(now=now)
+        for name in self.health.advance(now=now):
+            self.offer(self._upstreams[name], now)
+        while self._lingering and self._lingering[0][0] <= now:
+            upstream = heapq.heappop(self._lingering)[2]
+            upstream.lingering -= 1
+            self.release(upstream, now=now)
+        if self.ledger.changed:
+            self._offer_changed(now)
+        if self._paused:
+            self._end_pauses(now)
+
+    def next_deadline(self) -> float | None:
+        """Returns when something falls due."""
+        earliest = math.inf
+        if self._lingering:
+            earliest = self._lingering[0][0]
+        for each in (self.ledger.next_deadline(), self.health.next_deadline()):
+            if each is not None and each < earliest:
+                earliest = each
+        for upstream in self._paused.values():
+            earliest = min(earliest, upstream.paused_until)
+        return None if earliest == math.inf else earliest
+
+    def candidates(
+        self, chance: chance.Chance, *, now: float
+    ) -> list[Upstream]:
+        """Returns some upstreams of other holders, drawn at random."""
+        names = self._names
+        if len(names) > CANDIDATES:
+            size = len(names)
+            names = [names[chance.randrange(size)] for _ in range(CANDIDATES)]
+        found = {name: self._upstreams.get(name) for name in names}
+        return [
+            upstream
+            for upstream in found.values()
+            if upstream is not None and self.worth_asking(upstream, now)
+        ]
+
+    def worth_asking(self, upstream: Upstream, now: float) -> bool:
+        """Returns whether more slots of an upstream would be of use."""
+        credit = upstream.credit
+        name = upstream.entry.upstream
+        return (
+            not credit.mine
+            and credit.held < upstream.entry.slots
+            and not upstream.leaving(now)
+            and self.health.state(name) is health.State.HEALTHY
+        )
+
+    def _meet(self, entry: model.UpstreamEntry) -> None:
+        credit = self.ledger.credit(entry.upstream)
+        assert credit is not None
+        upstream = self._upstreams.get(entry.upstream)
+        if upstream is None:
+            upstream = Upstream(entry, credit)
+            self._upstreams[entry.upstream] = upstream
+        upstream.entry = entry
+        upstream.credit = credit
+        upstream.gone = False
+        self.free[entry.upstream] = upstream
+
+    def _lose(self, upstream: Upstream) -> None:
+        name = upstream.entry.upstream
+        upstream.gone = True
+        self.free.pop(name, None)
+        self.fresh.pop(name, None)
+        self._paused.pop(name, None)
+        self._drop_if_unused(upstream)
+
+    def _drop_if_unused(self, upstream: Upstream) -> None:
+        if upstream.gone and not upstream.starts and not upstream.lingering:
+            self._upstreams.pop(upstream.entry.upstream, None)
+
+    def _offer_changed(self, now: float) -> None:
+        for key in sorted(self.ledger.changed):
+            upstream = self._upstreams.get(ids.UpstreamId(key))
+            if upstream is not None:
+                self.offer(upstream, now)
+        self.ledger.changed.clear()
+
+    def _end_pauses(self, now: float) -> None:
+        due = [u for u in self._paused.values() if u.paused_until <= now]
+        for upstream in due:
+            del self._paused[upstream.entry.upstream]
+            self.offer(upstream, now)
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -22,7 +22,9 @@
     def push(self, name: str, tasks: int, workspace: str = "acme") -> None:
         job = fixtures.job(name, tasks, workspace=workspace)
         indices = list(range(tasks - 1, -1, -1))
-        self.queue.push(job, indices, (1.0,) * tasks, now=0.0)
+        ones = (1.0,) * tasks
+        sizes = fair_queue.Sizes(ones, ones)
+        self.queue.push(job, indices, sizes, now=0.0)
 
     def take(self, now: float = 0.0) -> tuple[str, int] | None:
         job = self.queue.head(_anyone, now=now)
--- a/tests/test_scheduler_credits.py
+++ b/tests/test_scheduler_credits.py
@@ -170,6 +170,23 @@
                 self.assertNotEqual(start.upstream.upstream, left)
             policy.upstreams_seen(cluster.upstreams, now=cluster.now)
 
+    def test_an_upstream_that_did_not_leave_is_used_again(self) -> None:
+        cluster = self.cluster(1, 1)
+        [host] = cluster.policies
+        policy = cluster.policies[host]
+        policy.enqueue(fixtures.job("s", 2, deadline=1e9), now=cluster.now)
+        cluster.turn(host)
+        cluster.end(0, LEAVING)
+        policy.requeue(ids.SubmissionId("s"), 0, now=cluster.now)
+        cluster.end(0)
+        self.assertEqual(cluster.turn(host), [])
+        while not cluster.turn(host):
+            again = policy.next_deadline()
+            assert again is not None
+            cluster.now = again
+            self.assertLess(cluster.now, 70.0)
+        self.assertGreater(cluster.now, 60.0)
+
     def test_repeats_end_with_the_budget(self) -> None:
         cluster = self.cluster(1, 1)
         [host] = cluster.policies
