Count no negative waste when a start log is lost

A fault trial that killed an upstream gave wasted_per_request=-0.0220, as the starts in its log were missing but their tasks counted as used. Waste now counts refusals, starts of jobs that weren't answered, and repeated starts; the number of lost logs is shown. Equal to the former figure when none is lost.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -236,13 +236,13 @@
         if not answer.ok:
             raise RuntimeError(f"{node.name} took no faults: {answer.error}")
 
-    async def starts(self, node: Node) -> dict[str, Any]:
-        """Returns an upstream's start log; empty if it has ended."""
+    async def starts(self, node: Node) -> dict[str, Any] | None:
+        """Returns an upstream's start log, None if it has ended."""
         client = host_client.HostClient(node.address, "")
         try:
             return (await client.acall("GET", "/starts")).value
         except host_client.HostUnreachable:
-            return {"starts": [], "refused": 0}
+            return None
 
     async def _start_upstream(
         self,
--- a/bench/fleet_bench.py
+++ b/bench/fleet_bench.py
@@ -210,9 +210,12 @@
         await fault
     after = target.host_usage()
     starts: list[fleet_figures.Start] = []
-    refused = 0
+    refused = lost_logs = 0
     for node in target.upstreams.values():
         listed = await target.starts(node)
+        if listed is None:
+            lost_logs += 1
+            continue
         refused += listed["refused"]
         starts += [
             fleet_figures.Start(
@@ -227,6 +230,7 @@
         after.cpu_s - before.cpu_s,
         after.rss_bytes,
         target.internal_faults(),
+        lost_logs,
     )
 
 
@@ -251,6 +255,7 @@
         f"mean_ratio={figures.mean_ratio:.3f} p99_ratio={figures.p99_ratio:.2f}"
         f" double_starts={figures.double_starts} "
         f"internal_faults={figures.internal_faults} "
+        f"lost_logs={figures.lost_logs} "
         f"max_lag_ms={figures.max_lag_s * 1e3:.0f} "
         f"clairvoyant_mean={run.clairvoyant_mean:.3f} "
         f"stolen_share={run.stolen_share:.2f} {outcomes}"
--- a/bench/fleet_figures.py
+++ b/bench/fleet_figures.py
@@ -40,6 +40,7 @@
         host_cpu_s: Processor seconds of all hosts while the load ran.
         max_host_rss_bytes: Largest resident memory of a host at the end.
         internal_faults: Faults of their own that the hosts logged.
+        lost_logs: Upstreams that ended, and their start logs with them.
     """
 
     exchanges: Sequence[open_loop.Exchange]
@@ -48,6 +49,7 @@
     host_cpu_s: float
     max_host_rss_bytes: int
     internal_faults: int = 0
+    lost_logs: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +68,8 @@
         max_lag_s: How late the bench itself sent a job, at most.
         internal_faults: Faults of their own that the hosts logged; figures
             of a run with any are no measure of the policy.
+        lost_logs: Start logs lost with their upstreams; with any, wasted
+            requests and double starts are lower bounds.
         outcomes: Jobs by outcome and reason.
     """
 
@@ -78,6 +82,7 @@
     max_rss_mb: float
     max_lag_s: float
     internal_faults: int
+    lost_logs: int
     outcomes: Mapping[str, int]
 
     @property
@@ -102,12 +107,14 @@
     """Returns the figures of a run."""
     good = [each for each in evidence.exchanges if _in_time(each, time_scale)]
     measured = [each for each in good if each.job.at >= load.warm_up_s]
-    used = sum(len(each.job.declared_ms) for each in good)
+    used = {each.submission for each in good}
     begun = Counter(
         (start.submission, start.task_index) for start in evidence.starts
     )
     ended = [start for start in evidence.starts if start.ended_at is not None]
-    wasted = len(evidence.starts) + evidence.refused - used
+    unused = sum(start.submission not in used for start in evidence.starts)
+    repeated = len(evidence.starts) - len(begun)
+    wasted = evidence.refused + unused + repeated
     return Figures(
         [
             each.response_s / (load.ideal(each.job) * time_scale)
@@ -121,6 +128,7 @@
         evidence.max_host_rss_bytes / 1e6,
         max((e.sent_at - e.due_at for e in evidence.exchanges), default=0.0),
         evidence.internal_faults,
+        evidence.lost_logs,
         Counter(_outcome(each) for each in evidence.exchanges),
     )
 
--- a/tests/test_bench_figures.py
+++ b/tests/test_bench_figures.py
@@ -83,6 +83,10 @@
         self.assertEqual(figures.double_starts, 0)
         self.assertEqual(figures.tasks_per_core_s, len(starts) / 2.0)
 
+    def test_lost_start_log_makes_no_waste_negative(self) -> None:
+        figures = self._compute([_exchange(self.load.jobs[0], 1.0)], [])
+        self.assertEqual(figures.wasted_per_request, 0.0)
+
     def test_late_answer_is_not_in_time(self) -> None:
         job = self.load.jobs[0]
         late_s = job.max_wait_s * 0.5 + 0.01
