--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -11,7 +11,6 @@
 import time
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -49,6 +48,17 @@
         await asyncio.sleep(POLL_S)
 
 
+def upstream_names(
+    domains: Sequence[str], *, each: int
+) -> list[tuple[str, str]]:
+    """Returns name and domain of a number of upstreams in each domain."""
+    return [
+        (f"{domain}-u{number}", domain)
+        for domain in domains
+        for number in range(1, each + 1)
+    ]
+
+
 class Process:
     """One child process of the tests; only its own pid is ever signalled."""
 
@@ -188,13 +198,11 @@
         self, domains: Sequence[str], *, each: int = 2, slots: int = 8
     ) -> None:
         """Starts stand-ins of upstreams in some domains."""
-        names = [
-            (f"{domain}-u{number}", domain)
-            for domain in domains
-            for number in range(1, each + 1)
-        ]
         self.upstreams += await asyncio.gather(
-            *(self._start_upstream(*name, slots) for name in names)
+            *(
+                self._start_upstream(*name, slots)
+                for name in upstream_names(domains, each=each)
+            )
         )
 
     async def _start_upstream(
@@ -210,26 +218,28 @@
         self,
         *,
         listen: str = "127.0.0.1:0",
-        addresses: Mapping[str, str] | None = None,
+        upstreams: Sequence[tuple[str, str, str]] = (),
     ) -> None:
         """Starts the stand-in of the platform, which lists the upstreams.
 
         Args:
             listen: Where it listens.
-            addresses: Listed addresses of upstreams, where not their own.
+            upstreams: Name, domain and address of each to list; those that
+                were started unless given.
         """
+        places = [
+            (each.name, each.domain, each.address) for each in self.upstreams
+        ]
         listed = [
             {
-                "upstream": upstream.name,
-                "domain": upstream.domain,
+                "upstream": name,
+                "domain": domain,
                 "rack": "r1",
-                "address": (addresses or {}).get(
-                    upstream.name, upstream.address
-                ),
+                "address": address,
                 "slots": 8,
                 "connections": 64,
             }
-            for upstream in self.upstreams
+            for name, domain, address in upstreams or places
         ]
         file = self._write("upstreams.yaml", listed)
         process = await self._start(
--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -36,16 +36,20 @@
 
     async def start(self, *, upstreams_each: int = 1) -> None:
         """Starts everything, with the tests' workspace in force."""
-        await self.cluster.start_upstreams(DOMAINS, each=upstreams_each)
-        for upstream in self.cluster.upstreams:
-            between = await relay.Relay(upstream.address).start()
-            self.upstreams[upstream.name] = between
-        await self.cluster.start_platform(
-            addresses={
-                name: between.address
-                for name, between in self.upstreams.items()
-            }
+        names = cluster.upstream_names(DOMAINS, each=upstreams_each)
+        for name, _ in names:
+            self.upstreams[name] = await relay.Relay().start()
+        await asyncio.gather(
+            self.cluster.start_upstreams(DOMAINS, each=upstreams_each),
+            self.cluster.start_platform(
+                upstreams=[
+                    (name, domain, self.upstreams[name].address)
+                    for name, domain in names
+                ]
+            ),
         )
+        for upstream in self.cluster.upstreams:
+            self.upstreams[upstream.name].target = upstream.address
         self.platform.target = self.cluster.platform
         await self.platform.start()
         await asyncio.gather(*(self.start_host(domain) for domain in DOMAINS))
