--- a/godwitnotch/core/host.py
+++ b/godwitnotch/core/host.py
@@ -11,10 +11,12 @@
 from godwitnotch.core import bindings
 from godwitnotch.core import chance as chance_module
 from godwitnotch.core import charts
+from godwitnotch.core import config_changes
 from godwitnotch.core import configuration
 from godwitnotch.core import events
 from godwitnotch.core import ids
 from godwitnotch.core import jobs
+from godwitnotch.core import keyed_jobs
 from godwitnotch.core import limits as limits_module
 from godwitnotch.core import membership as membership_module
 from godwitnotch.core import messages
@@ -24,6 +26,7 @@
 from godwitnotch.core import remedies
 from godwitnotch.core import reservations
 from godwitnotch.core import scheduler as scheduler_module
+from godwitnotch.core import services
 from godwitnotch.core import store_calls
 from godwitnotch.core import submissions
 from godwitnotch.core import timers
@@ -123,37 +126,20 @@
         self._reservations = reservations.Reservations(
             open_for_s=limits.reservation_open_s
         )
-        self._keeper = configuration.ConfigKeeper(
-            store=self._store,
-            timers=self._timers,
-            out=self._out,
-            chance=chance,
-            limits=limits,
+        self._services = services.Services(
+            self._store, self._timers, self._out, chance, limits
         )
-        self._changes = configuration.ConfigChanges(
+        self._keeper = configuration.ConfigKeeper(self._services)
+        self._changes = config_changes.ConfigChanges(
+            self._services,
             keeper=self._keeper,
-            store=self._store,
-            timers=self._timers,
-            out=self._out,
-            chance=chance,
-            limits=limits,
             live_hosts=self._membership.unconfirmed_hosts,
             own_host=identity.host,
         )
         self._outcome_log = outcomes.OutcomeLog(
-            identity.incarnation,
-            store=self._store,
-            timers=self._timers,
-            out=self._out,
-            chance=chance,
-            limits=limits,
-        )
-        self._binder = bindings.KeyBinder(
-            store=self._store,
-            timers=self._timers,
-            chance=chance,
-            limits=limits,
+            self._services, identity.incarnation
         )
+        self._binder = bindings.KeyBinder(self._services)
         self._submissions = submissions.Submissions(self._collaborators(mint))
         self._keeper.on_applied(self._configured)
 
@@ -167,12 +153,8 @@
             membership=self._membership,
             binder=self._binder,
             outcome_log=self._outcome_log,
-            outcome_reader=outcomes.OutcomeReader(
-                store=self._store, limits=self._limits
-            ),
-            timers=self._timers,
-            out=self._out,
-            limits=self._limits,
+            outcome_reader=outcomes.OutcomeReader(self._services),
+            services=self._services,
             admitting=lambda: (
                 self._state in (HostState.STARTING, HostState.SERVING)
             ),
@@ -197,7 +179,7 @@
             config_counter=self._keeper.counter,
             jobs=runner.job_count,
             attempts=runner.attempt_count,
-            forwards=self._submissions.forward_count,
+            forwards=self._submissions.owners.count,
             kept_answers=self._submissions.kept_count,
             open_ids=self._reservations.open_count,
             unwritten_outcomes=self._outcome_log.unwritten_count,
@@ -368,7 +350,7 @@
 def _reserve_refusal(
     core: HostCore, event: events.ReserveAsked
 ) -> model.JobAnswer | None:
-    nothing = submissions.NO_SUBMISSION
+    nothing = keyed_jobs.NO_SUBMISSION
     if core._state not in (HostState.STARTING, HostState.SERVING):
         return remedies.refusal(nothing, model.Reason.DRAINING)
     longest = 1 if event.key is not None else core._limits.max_reserve
@@ -392,7 +374,7 @@
     def done(result: bindings.BindResult, now: float) -> None:
         if isinstance(result, bindings.NotBound):
             refusal = remedies.refusal(
-                submissions.NO_SUBMISSION,
+                keyed_jobs.NO_SUBMISSION,
                 result.reason,
                 retry_after_s=result.retry_after_s,
             )
@@ -400,7 +382,7 @@
         else:
             _reply_reserved(core, event.call, (result.submission,))
 
-    core._submissions.reserve_keyed(event.workspace, key, done, now=now)
+    core._submissions.keyed.reserve(event.workspace, key, done, now=now)
 
 
 def _reply_reserved(
@@ -414,7 +396,7 @@
 
 @_handles(events.SubmitAsked)
 def _submit(core: HostCore, event: events.SubmitAsked, now: float) -> None:
-    order = submissions.JobOrder(
+    order = jobs.JobOrder(
         event.workspace, event.body, event.deadline, core._replier(event.call)
     )
     core._submissions.submit(order, event.submission, now=now)
@@ -424,10 +406,10 @@
 def _submit_keyed(
     core: HostCore, event: events.KeyedSubmitAsked, now: float
 ) -> None:
-    order = submissions.JobOrder(
+    order = jobs.JobOrder(
         event.workspace, event.body, event.deadline, core._replier(event.call)
     )
-    core._submissions.submit_keyed(order, event.key, now=now)
+    core._submissions.keyed.submit(order, event.key, now=now)
 
 
 @_handles(events.StatusAsked)
@@ -452,7 +434,7 @@
 
 @_handles(events.PeerUp)
 def _peer_up(core: HostCore, event: events.PeerUp, now: float) -> None:
-    core._submissions.peer_down(event.host, now=now)
+    core._submissions.owners.peer_down(event.host, now=now)
     core._membership.peer_up(event, now=now)
     core._share_with_linked(now)
     core._keeper.peer_up(event.host)
@@ -464,7 +446,7 @@
     core._membership.peer_down(event.host, now=now)
     core._share_with_linked(now)
     core._keeper.peer_down(event.host, now=now)
-    core._submissions.peer_down(event.host, now=now)
+    core._submissions.owners.peer_down(event.host, now=now)
 
 
 @_handles(events.PeerSaid)
@@ -492,7 +474,7 @@
 def _forward_submit(core: HostCore, event: events.PeerSaid, now: float) -> None:
     message = event.message
     assert isinstance(message, messages.ForwardSubmit)
-    order = submissions.JobOrder(
+    order = jobs.JobOrder(
         message.workspace,
         message.body,
         now + message.timeout_s,
@@ -529,7 +511,7 @@
 def _forward_reply(core: HostCore, event: events.PeerSaid, now: float) -> None:
     message = event.message
     assert isinstance(message, messages.ForwardReply)
-    core._submissions.peer_replied(event.host, message, now=now)
+    core._submissions.owners.peer_replied(event.host, message, now=now)
 
 
 @_handles(messages.ConfigApplied)
--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -46,6 +46,33 @@
             )
         )
 
+    async def race_for_keys(
+        self, name: str, payloads: list[object], *, every_answer: bool
+    ) -> None:
+        """Submits under like keys at two hosts at once, until all complete."""
+        first, second, _ = self.fleet.hosts
+        for number in range(4):
+            key = f"{name}-{number}"
+            tried = []
+
+            async def complete(
+                key: str = key, tried: list[list[caller.Answer]] = tried
+            ) -> bool:
+                answers = await asyncio.gather(
+                    *(
+                        self.fleet.submit_keyed(host, key, payloads)
+                        for host in (first, second)
+                    )
+                )
+                tried.append(answers)
+                return {each.outcome for each in answers} == {"complete"}
+
+            await cluster.until(complete, f"{key} is complete at both hosts")
+            if every_answer:
+                self.assertEqual(len(tried), 1, tried)
+            ids = {each.submission for each in tried[-1]}
+            self.assertEqual(len(ids), 1, tried)
+
     async def test_owner_killed_and_replaced(self) -> None:
         first, second, owner = self.fleet.hosts
         submissions = await self.reserve(owner, 20)
@@ -85,6 +112,35 @@
         self.assertEqual({each.outcome for each in answers}, {"complete"})
         await self.assert_promises_kept()
 
+    async def test_paused_owner_wakes_beside_its_successor(self) -> None:
+        first, second, owner = self.fleet.hosts
+        submissions = await self.reserve(owner, 12)
+        jobs = fleet.jobs(submissions, tasks=3, sleep_ms=200)
+        keyed = [{"sleep_ms": 200, "n": number} for number in range(3)]
+        running = asyncio.create_task(self.submit_all(first, jobs[:8]))
+        under_key = asyncio.create_task(
+            self.fleet.submit_keyed(owner, "order", keyed)
+        )
+        await self.wait_starts(8)
+        owner.process.signal(signal.SIGSTOP)
+        successor = await self.fleet.start_host("c")
+        await self.fleet.cluster.wait_linked(first, second, successor)
+        await running
+        for host in (second, successor):
+            await self.submit_all(host, jobs, timeout_s=3.0)
+            await self.fleet.submit_keyed(host, "order", keyed, timeout_s=3.0)
+        owner.process.signal(signal.SIGCONT)
+        await under_key
+        for host in (owner, successor, first):
+            await self.submit_all(host, jobs)
+            await self.fleet.submit_keyed(host, "order", keyed)
+        fresh = fleet.jobs(
+            await self.reserve(successor, 4), tasks=2, sleep_ms=10
+        )
+        answers = await self.submit_all(first, fresh)
+        self.assertEqual({each.outcome for each in answers}, {"complete"})
+        await self.assert_promises_kept()
+
     async def test_links_cut_and_silent(self) -> None:
         first, second, owner = self.fleet.hosts
         relays = self.fleet.peers.values()
@@ -134,17 +190,11 @@
         known = await self.fleet.submit_keyed(first, "known", payloads)
         self.assertEqual(known.outcome, "complete")
 
-        await system.order_faults(system.platform, lose_answers=3)
-        lost = await asyncio.gather(
-            *(
-                self.fleet.submit_keyed(host, f"lost-{number}", payloads)
-                for number in range(4)
-                for host in (first, second)
-            )
-        )
-        for one, other in zip(lost[::2], lost[1::2], strict=True):
-            if "complete" in (one.outcome, other.outcome):
-                self.assertIn(one.submission, (other.submission, ""))
+        # Slow enough that both hosts write before either is answered.
+        await system.order_faults(system.platform, slow_s=0.2)
+        await self.race_for_keys("slow", payloads, every_answer=True)
+        await system.order_faults(system.platform, slow_s=0.0, lose_answers=3)
+        await self.race_for_keys("lost", payloads, every_answer=False)
 
         await system.order_faults(system.platform, down=True, lose_answers=0)
         again = await self.fleet.submit_keyed(first, "known", payloads)
