--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -270,7 +270,7 @@
     async def test_two_operators_race(self) -> None:
         first, second, third = self.fleet.hosts
         system = self.fleet.cluster
-        for version in range(1, 3):
+        for version in range(1, 4):
             answers = await asyncio.gather(
                 *(
                     system.change_workspace(
