--- a/godwitnotch/core/credit_scheduler.py
+++ b/godwitnotch/core/credit_scheduler.py
@@ -341,7 +341,7 @@
                     self._look_at = min(self._look_at, now + PATIENCE_S)
                     break
             started.append(self._start(lane, job, offer.upstream, now))
-            if offer.upstream.credit.free <= 0:
+            if not self._pool.is_free(offer.upstream, now):
                 offered.pop(offer.upstream.entry.upstream, None)
         for workspace in lane.queue.blocked:
             queued = lane.queue.queued(workspace)
@@ -402,11 +402,15 @@
                 slowness = round(100 * self._speeds.deviation(name))
                 upstream.credit.slowness = slowness
                 upstream.pause_s = upstream_pool.FIRST_PAUSE_S
+                upstream.cap.answered(upstream.entry.slots, now=now)
             case model.AttemptOutcome.REFUSED_LEAVING:
                 self._pool.leave(upstream, now=now)
+            case model.AttemptOutcome.REFUSED_FULL:
+                if upstream.cap.refused(len(upstream.starts), now=now):
+                    self._budget.refund()
+                self._pool.pause(upstream, now=now)
             case (
-                model.AttemptOutcome.REFUSED_FULL
-                | model.AttemptOutcome.CONNECT_REFUSED
+                model.AttemptOutcome.CONNECT_REFUSED
                 | model.AttemptOutcome.NOTHING_SENT
             ):
                 self._pool.pause(upstream, now=now)
--- a/godwitnotch/core/host.py
+++ b/godwitnotch/core/host.py
@@ -5,15 +5,18 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
+from typing import get_args
 
 from godwitnotch.core import actions
 from godwitnotch.core import bindings
 from godwitnotch.core import chance as chance_module
 from godwitnotch.core import charts
+from godwitnotch.core import config_changes
 from godwitnotch.core import configuration
 from godwitnotch.core import events
 from godwitnotch.core import ids
 from godwitnotch.core import jobs
+from godwitnotch.core import keyed_jobs
 from godwitnotch.core import limits as limits_module
 from godwitnotch.core import membership as membership_module
 from godwitnotch.core import messages
@@ -51,6 +54,10 @@
 
 # How long outcomes and seal are still written after the drain's deadline.
 LAST_WRITES_S = 2.0
+# A timer that runs so late shows that the process was paused.
+LATE_WAKE_S = 2.0
+# By then a list of upstreams that was asked for after a pause has come.
+FRESH_LIST_WAIT_S = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +117,7 @@
         self._open_calls: set[ids.CallId] = set()
         self._overdue = False
         self._seal_settled = False
+        self._starts_resume_at = 0.0
         self._out = outbox.Outbox()
         self._timers = timers.Timers()
         self._store = store_calls.StoreCalls(self._out)
@@ -124,7 +132,7 @@
             chance=chance,
             limits=limits,
         )
-        self._changes = configuration.ConfigChanges(
+        self._changes = config_changes.ConfigChanges(
             keeper=self._keeper,
             store=self._store,
             timers=self._timers,
@@ -142,14 +150,16 @@
             chance=chance,
             limits=limits,
         )
-        self._submissions = submissions.Submissions(
-            self._collaborators(mint, chance)
+        self._binder = bindings.KeyBinder(
+            store=self._store,
+            timers=self._timers,
+            chance=chance,
+            limits=limits,
         )
+        self._submissions = submissions.Submissions(self._collaborators(mint))
         self._keeper.on_applied(self._configured)
 
-    def _collaborators(
-        self, mint: ids.IdMint, chance: chance_module.Chance
-    ) -> submissions.Collaborators:
+    def _collaborators(self, mint: ids.IdMint) -> submissions.Collaborators:
         return submissions.Collaborators(
             identity=self._identity,
             mint=mint,
@@ -157,12 +167,7 @@
             reservations=self._reservations,
             keeper=self._keeper,
             membership=self._membership,
-            binder=bindings.KeyBinder(
-                store=self._store,
-                timers=self._timers,
-                chance=chance,
-                limits=self._limits,
-            ),
+            binder=self._binder,
             outcome_log=self._outcome_log,
             outcome_reader=outcomes.OutcomeReader(
                 store=self._store, limits=self._limits
@@ -194,7 +199,7 @@
             config_counter=self._keeper.counter,
             jobs=runner.job_count,
             attempts=runner.attempt_count,
-            forwards=self._submissions.forward_count,
+            forwards=self._submissions.owners.count,
             kept_answers=self._submissions.kept_count,
             open_ids=self._reservations.open_count,
             unwritten_outcomes=self._outcome_log.unwritten_count,
@@ -220,9 +225,11 @@
         if not self._started:
             self._started = True
             self._keeper.start(now=now)
+        self._note_late_wake(now)
         self._timers.run(now=now)
         _HANDLERS[type(event)](self, event, now)
-        self._submissions.runner.pump(now=now)
+        if now >= self._starts_resume_at:
+            self._submissions.runner.pump(now=now)
         for peer_message in self._scheduler.peer_messages(now=now):
             self._send(peer_message.host, peer_message.message)
         self._seal_when_idle(now)
@@ -231,10 +238,10 @@
 
     def next_deadline(self) -> float | None:
         """Returns when `TimePassed` is next due, if ever."""
-        deadlines = (
-            self._timers.next_deadline(),
-            self._scheduler.next_deadline(),
-        )
+        wanted = self._scheduler.next_deadline()
+        if wanted is not None:
+            wanted = max(wanted, self._starts_resume_at)
+        deadlines = (self._timers.next_deadline(), wanted)
         return min(
             (each for each in deadlines if each is not None), default=None
         )
@@ -242,6 +249,19 @@
     def _send(self, host: ids.HostId, message: messages.Message) -> None:
         self._out.add(actions.SendPeer(host, message))
 
+    def _note_late_wake(self, now: float) -> None:
+        """Starts nothing for a while after a pause.
+
+        What is known of upstreams is as old as the pause, and one that has
+        left since must get no new work.
+        """
+        due = self._timers.next_deadline()
+        if due is None or now - due <= LATE_WAKE_S:
+            return
+        self._starts_resume_at = now + FRESH_LIST_WAIT_S
+        self._timers.at(self._starts_resume_at, lambda now: None)
+        self._out.note("woke_late", detail=f"late_s={now - due:.1f}")
+
     def _replier(self, call: ids.CallId) -> jobs.Answered:
         self._open_calls.add(call)
 
@@ -286,6 +306,11 @@
         self._change(HostChange.IDLE)
         self._outcome_log.seal(self._sealed, now=now)
 
+    def _share_with_linked(self, now: float) -> None:
+        linked = self._membership.linked
+        self._scheduler.hosts_seen(linked, now=now)
+        self._binder.hosts_seen(len(linked) + 1, now=now)
+
     def _stop_waiting(self, now: float) -> None:
         self._overdue = True
         self._submissions.runner.cut_all(now=now)
@@ -319,11 +344,11 @@
     return frozenset(_HANDLERS)
 
 
-def _handles(kind: type) -> Callable[[_Handler], _Handler]:
-    """Registers the handler of one kind of event or peer message."""
+def _handles(*kinds: type) -> Callable[[_Handler], _Handler]:
+    """Registers the handler of some kinds of events or peer messages."""
 
     def register(handler: _Handler) -> _Handler:
-        _HANDLERS[kind] = handler
+        _HANDLERS.update(dict.fromkeys(kinds, handler))
         return handler
 
     return register
@@ -345,7 +370,7 @@
 def _reserve_refusal(
     core: HostCore, event: events.ReserveAsked
 ) -> model.JobAnswer | None:
-    nothing = submissions.NO_SUBMISSION
+    nothing = keyed_jobs.NO_SUBMISSION
     if core._state not in (HostState.STARTING, HostState.SERVING):
         return remedies.refusal(nothing, model.Reason.DRAINING)
     longest = 1 if event.key is not None else core._limits.max_reserve
@@ -369,7 +394,7 @@
     def done(result: bindings.BindResult, now: float) -> None:
         if isinstance(result, bindings.NotBound):
             refusal = remedies.refusal(
-                submissions.NO_SUBMISSION,
+                keyed_jobs.NO_SUBMISSION,
                 result.reason,
                 retry_after_s=result.retry_after_s,
             )
@@ -377,7 +402,7 @@
         else:
             _reply_reserved(core, event.call, (result.submission,))
 
-    core._submissions.reserve_keyed(event.workspace, key, done, now=now)
+    core._submissions.keyed.reserve(event.workspace, key, done, now=now)
 
 
 def _reply_reserved(
@@ -391,7 +416,7 @@
 
 @_handles(events.SubmitAsked)
 def _submit(core: HostCore, event: events.SubmitAsked, now: float) -> None:
-    order = submissions.JobOrder(
+    order = jobs.JobOrder(
         event.workspace, event.body, event.deadline, core._replier(event.call)
     )
     core._submissions.submit(order, event.submission, now=now)
@@ -401,10 +426,10 @@
 def _submit_keyed(
     core: HostCore, event: events.KeyedSubmitAsked, now: float
 ) -> None:
-    order = submissions.JobOrder(
+    order = jobs.JobOrder(
         event.workspace, event.body, event.deadline, core._replier(event.call)
     )
-    core._submissions.submit_keyed(order, event.key, now=now)
+    core._submissions.keyed.submit(order, event.key, now=now)
 
 
 @_handles(events.StatusAsked)
@@ -429,9 +454,9 @@
 
 @_handles(events.PeerUp)
 def _peer_up(core: HostCore, event: events.PeerUp, now: float) -> None:
-    core._submissions.peer_down(event.host, now=now)
+    core._submissions.owners.peer_down(event.host, now=now)
     core._membership.peer_up(event, now=now)
-    core._scheduler.hosts_seen(core._membership.linked, now=now)
+    core._share_with_linked(now)
     core._keeper.peer_up(event.host)
     core._changes.peer_up(event.host)
 
@@ -439,9 +464,9 @@
 @_handles(events.PeerDown)
 def _peer_down(core: HostCore, event: events.PeerDown, now: float) -> None:
     core._membership.peer_down(event.host, now=now)
-    core._scheduler.hosts_seen(core._membership.linked, now=now)
+    core._share_with_linked(now)
     core._keeper.peer_down(event.host, now=now)
-    core._submissions.peer_down(event.host, now=now)
+    core._submissions.owners.peer_down(event.host, now=now)
 
 
 @_handles(events.PeerSaid)
@@ -449,9 +474,11 @@
     _HANDLERS[type(event.message)](core, event, now)
 
 
-@_handles(messages.Hello)
-def _hello(core: HostCore, event: events.PeerSaid, now: float) -> None:
-    """Ignores a greeting: the link has dealt with it."""
+@_handles(*get_args(messages.TransportMessage))
+def _transport_message(
+    core: HostCore, event: events.PeerSaid, now: float
+) -> None:
+    """Does nothing: the link or the runtime has dealt with it."""
 
 
 @_handles(messages.Heartbeat)
@@ -467,7 +494,7 @@
 def _forward_submit(core: HostCore, event: events.PeerSaid, now: float) -> None:
     message = event.message
     assert isinstance(message, messages.ForwardSubmit)
-    order = submissions.JobOrder(
+    order = jobs.JobOrder(
         message.workspace,
         message.body,
         now + message.timeout_s,
@@ -504,7 +531,7 @@
 def _forward_reply(core: HostCore, event: events.PeerSaid, now: float) -> None:
     message = event.message
     assert isinstance(message, messages.ForwardReply)
-    core._submissions.peer_replied(event.host, message, now=now)
+    core._submissions.owners.peer_replied(event.host, message, now=now)
 
 
 @_handles(messages.ConfigApplied)
@@ -514,19 +541,14 @@
     core._changes.peer_confirmed(event.host, message.counter, now=now)
 
 
-@_handles(messages.ConfigChanged)
-@_handles(messages.ConfigWanted)
-@_handles(messages.ConfigSnapshot)
+@_handles(
+    messages.ConfigChanged, messages.ConfigWanted, messages.ConfigSnapshot
+)
 def _config_message(core: HostCore, event: events.PeerSaid, now: float) -> None:
     core._keeper.peer_said(event.host, event.message, now=now)
 
 
-@_handles(messages.SlotsWanted)
-@_handles(messages.SlotsLent)
-@_handles(messages.SlotsAsked)
-@_handles(messages.SlotsBatch)
-@_handles(messages.QuotaWanted)
-@_handles(messages.QuotaLent)
+@_handles(*get_args(messages.SchedulerMessage))
 def _scheduler_message(
     core: HostCore, event: events.PeerSaid, now: float
 ) -> None:
@@ -540,10 +562,7 @@
     core._submissions.runner.attempt_ended(event, now=now)
 
 
-@_handles(events.StoreCommitted)
-@_handles(events.StoreConflict)
-@_handles(events.StoreRows)
-@_handles(events.StoreFailed)
+@_handles(*get_args(store_calls.StoreEvent))
 def _store_ended(
     core: HostCore, event: store_calls.StoreEvent, now: float
 ) -> None:
@@ -569,13 +588,12 @@
 
 @_handles(events.DrainAsked)
 def _drain(core: HostCore, event: events.DrainAsked, now: float) -> None:
-    if not _CHART.takes(core._state, HostChange.DRAIN):
-        return
-    core._change(HostChange.DRAIN)
+    """Starts to drain; asked again, the earliest deadline counts."""
+    if _CHART.takes(core._state, HostChange.DRAIN):
+        core._change(HostChange.DRAIN)
     core._timers.at(event.deadline, core._stop_waiting)
 
 
-@_handles(events.CallerGone)
-@_handles(events.TimePassed)
+@_handles(events.CallerGone, events.TimePassed)
 def _nothing(core: HostCore, event: events.Event, now: float) -> None:
     """Does nothing: the reply to a gone caller is dropped by the runtime."""
--- a/godwitnotch/core/messages.py
+++ b/godwitnotch/core/messages.py
@@ -103,6 +103,18 @@
     configs: tuple[model.WorkspaceConfig, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class DirectoryWanted:
+    """A host that can't reach the platform asks for the list of hosts."""
+
+
+@dataclass(frozen=True, slots=True)
+class DirectorySnapshot:
+    """The latest list of hosts and upstreams that the peer has."""
+
+    directory: model.Directory
+
+
 @dataclass(frozen=True, slots=True)
 class SlotsWanted:
     """A borrower tells a holder what it uses and would use of an upstream.
@@ -188,8 +200,14 @@
     serial: int = 0
 
 
+# What links and runtimes deal with themselves.
+TransportMessage = Hello | DirectoryWanted | DirectorySnapshot
+# What the schedulers of two hosts say to each other.
+SchedulerMessage = (
+    SlotsWanted | SlotsLent | SlotsAsked | SlotsBatch | QuotaWanted | QuotaLent
+)
 Message = (
-    Hello
+    TransportMessage
     | Heartbeat
     | ForwardSubmit
     | ForwardStatus
@@ -199,10 +217,5 @@
     | ConfigApplied
     | ConfigWanted
     | ConfigSnapshot
-    | SlotsWanted
-    | SlotsLent
-    | SlotsAsked
-    | SlotsBatch
-    | QuotaWanted
-    | QuotaLent
+    | SchedulerMessage
 )
--- a/godwitnotch/core/upstream_pool.py
+++ b/godwitnotch/core/upstream_pool.py
@@ -12,6 +12,7 @@
 from godwitnotch.core import health
 from godwitnotch.core import ids
 from godwitnotch.core import model
+from godwitnotch.core import slot_caps
 
 # Pauses of an upstream that refused, doubling.
 FIRST_PAUSE_S = 0.02
@@ -33,6 +34,7 @@
         credit: The slots that this host may use.
         starts: When each task that runs there was started.
         starts_sum: Sum of these times.
+        cap: What it was learnt to take, if less than listed.
         paused_until: When it may be used again after a refusal.
         lingering: Ended attempts whose slot is still kept.
     """
@@ -41,6 +43,7 @@
     credit: credits.Credit
     starts: dict[Task, float] = field(default_factory=dict)
     starts_sum: float = 0.0
+    cap: slot_caps.SlotCap = field(default_factory=slot_caps.SlotCap)
     paused_until: float = 0.0
     pause_s: float = FIRST_PAUSE_S
     leaving_until: float = 0.0
@@ -118,6 +121,7 @@
         """Returns whether a task may start at an upstream now."""
         return (
             upstream.credit.free > 0
+            and upstream.cap.allows(len(upstream.starts))
             and upstream.paused_until <= now
             and not upstream.leaving(now)
             and self.health.usable(upstream.entry.upstream)
--- a/godwitnotch/net/peer_link.py
+++ b/godwitnotch/net/peer_link.py
@@ -68,6 +68,14 @@
     max_handshakes: int = 64
 
 
+class SendResult(enum.Enum):
+    """What became of a message that was to be sent."""
+
+    QUEUED = "queued"
+    LOST = "lost"  # No link is open, or its queue is full.
+    TOO_LARGE = "too_large"
+
+
 class LinkEnd(enum.Enum):
     """Why a link closed or was not opened; each is counted."""
 
@@ -105,6 +113,7 @@
     }
 )
 _MAX_DOUBLINGS = 16
+_MAX_HANDSHAKE_BYTES = 4_096
 _HEARTBEATS_MISSED = 3
 
 _Connection = websockets.asyncio.connection.Connection
@@ -177,7 +186,7 @@
             ping_interval=None,
             open_timeout=self._limits.handshake_timeout_s,
             close_timeout=self._limits.close_timeout_s,
-            max_size=self._limits.max_message_bytes,
+            max_size=_MAX_HANDSHAKE_BYTES,
         )
 
     def hosts_seen(self, hosts: Iterable[model.HostEntry]) -> None:
@@ -193,13 +202,13 @@
                 self._dials[host] = task
                 task.add_done_callback(functools.partial(self._dialled, host))
 
-    def send(self, host: ids.HostId, message: messages.Message) -> bool:
-        """Queues a message; False if it is lost, the link being down."""
+    def send(self, host: ids.HostId, message: messages.Message) -> SendResult:
+        """Queues a message for a peer, and tells whether it was taken."""
         link = self._links.get(host)
-        sent = link is not None and link.send(message)
-        if not sent:
-            self._on_note(_note("peer_message_lost", host))
-        return sent
+        result = SendResult.LOST if link is None else link.send(message)
+        if result is not SendResult.QUEUED:
+            self._on_note(_note(f"peer_message_{result.value}", host))
+        return result
 
     async def close(self) -> None:
         """Sends what is queued, then closes all links."""
@@ -224,15 +233,23 @@
             now = loop.time()
             paused = now - looked_at > 2 * limits.heartbeat_interval_s
             looked_at = now
-            interval_s = max(
-                limits.heartbeat_interval_s,
-                len(self._links) / limits.max_heartbeats_per_s,
-            )
             for link in list(self._links.values()):
                 if paused:
                     # What arrived meanwhile is still unread.
                     link.hear(now=now)
-                link.watch(interval_s, now=now)
+                self._watch_link(link, now)
+
+    def _watch_link(self, link: "_Link", now: float) -> None:
+        limits = self._limits
+        interval_s = max(
+            limits.heartbeat_interval_s,
+            len(self._links) / limits.max_heartbeats_per_s,
+        )
+        try:
+            link.watch(interval_s, now=now)
+        except Exception:  # The other links are watched all the same.
+            self._on_note(_note("peer_watch_fault", link.hello.host))
+            link.stop(LinkEnd.CLOSED)
 
     def _dialled(self, host: ids.HostId, task: asyncio.Task[None]) -> None:
         self._dials.pop(host, None)
@@ -332,6 +349,7 @@
             self._note_end(end, hello.host)
             await _refuse(connection, end)
             return
+        connection.protocol.max_message_size = self._limits.max_message_bytes
         try:
             await self._auth.confirm(_wire(connection))
         except websockets.ConnectionClosed:
@@ -492,14 +510,16 @@
         )
         self._push(codec.MESSAGES.encode(heartbeat))
 
-    def send(self, message: messages.Message) -> bool:
-        """Queues a message; False if the link has ended or can't take it."""
+    def send(self, message: messages.Message) -> SendResult:
+        """Queues a message, unless the link has ended or can't take it."""
         data = codec.MESSAGES.encode(message)
-        if self._end.done() or len(data) > self._limits.max_message_bytes:
-            return False
+        if self._end.done():
+            return SendResult.LOST
+        if len(data) > self._limits.max_message_bytes:
+            return SendResult.TOO_LARGE
         if self._unheard_since is None:
             self._unheard_since = asyncio.get_running_loop().time()
-        return self._push(data)
+        return SendResult.QUEUED if self._push(data) else SendResult.LOST
 
     def _push(self, data: bytes) -> bool:
         self._queue.push(data)
--- a/godwitnotch/net/runtime.py
+++ b/godwitnotch/net/runtime.py
@@ -18,15 +18,15 @@
 from godwitnotch.core import ids
 from godwitnotch.core import messages
 from godwitnotch.core import model
+from godwitnotch.core import remedies
 from godwitnotch.net import core_port
+from godwitnotch.net import directory_watch
+from godwitnotch.net import peer_link
 from godwitnotch.net import platform_client
 
 ANSWER_GRACE_S = 5.0  # For the decisions to answer after a deadline.
 ANSWER_LIMIT_S = 15.0  # For calls without a deadline.
 STORE_TIMEOUT_S = 2.0
-DIRECTORY_INTERVAL_S = 1.0
-DIRECTORY_TIMEOUT_S = 1.5
-REGISTER_INTERVAL_S = 2.0
 
 OnNote = Callable[[actions.Note], None]
 OnFault = Callable[[str, BaseException], None]
@@ -76,8 +76,10 @@
     def hosts_seen(self, hosts: Iterable[model.HostEntry]) -> None:
         """Takes a newer list."""
 
-    def send(self, host: ids.HostId, message: messages.Message) -> bool:
-        """Queues a message; False if it is lost."""
+    def send(
+        self, host: ids.HostId, message: messages.Message
+    ) -> peer_link.SendResult:
+        """Queues a message, and tells whether it was taken."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,7 +125,13 @@
         self._running: Counter[ids.UpstreamId] = Counter()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._timer: asyncio.TimerHandle | None = None
-        self._directory = model.Directory()
+        self._watch = directory_watch.DirectoryWatch(
+            identity=identity,
+            platform=connections.platform,
+            send_peer=connections.peers.send,
+            on_directory=self._directory_seen,
+            on_note=on_note,
+        )
         self._store_up = True
         self._draining: asyncio.Future[float] = self._loop.create_future()
         self._stopped = asyncio.Event()
@@ -146,8 +154,8 @@
         """Begins to decide, to watch the platform's list and to be in it."""
         self.feed(events.TimePassed())
         for interval_s, work in (
-            (DIRECTORY_INTERVAL_S, self._read_directory),
-            (REGISTER_INTERVAL_S, self._register),
+            (directory_watch.READ_INTERVAL_S, self._watch.read),
+            (directory_watch.REGISTER_INTERVAL_S, self._watch.register),
         ):
             self._spawn(self._repeat(interval_s, work), self._unexpected)
 
@@ -169,12 +177,11 @@
         await asyncio.gather(*pending, return_exceptions=True)
 
     def drain(self, *, deadline: float) -> None:
-        """Starts a graceful shutdown; may be repeated."""
-        if self._draining.done():
-            return
-        self._draining.set_result(deadline)
-        self._identity = replace(self._identity, leaving=True)
-        self._spawn(self._register(), self._unexpected)
+        """Starts a graceful shutdown; the earliest deadline asked for counts."""
+        if not self._draining.done():
+            self._draining.set_result(deadline)
+            self._identity = replace(self._identity, leaving=True)
+            self._spawn(self._watch.leave(self._identity), self._unexpected)
         self.feed(events.DrainAsked(deadline))
 
     def status(self) -> core_port.HostStatus:
@@ -214,6 +221,11 @@
             if not answered.done() or answered.cancelled():
                 self.feed(events.CallerGone(call))
 
+    def feed_peer(self, event: events.Event) -> None:
+        """Decides on an event of a peer link."""
+        if not self._watch.take_peer_event(event):
+            self.feed(event)
+
     def feed(self, event: events.Event) -> None:
         """Decides on an event and performs what follows from it."""
         try:
@@ -243,6 +255,19 @@
         except Exception as error:
             self._on_fault(f"performing {type(action).__name__}", error)
 
+    def _tell_too_large(self, action: actions.SendPeer) -> None:
+        """Answers the caller whose job or answer no peer link carries."""
+        match action.message:
+            case messages.ForwardReply(call=call, answer=answer):
+                short = _answer_too_large(answer)
+                self._peers.send(
+                    action.host, messages.ForwardReply(call, short)
+                )
+            case messages.ForwardSubmit(call=call, submission=submission):
+                reply = messages.ForwardReply(call, _job_too_large(submission))
+                said = events.PeerSaid(action.host, reply)
+                self._loop.call_soon(self.feed, said)
+
     def _set_timer(self) -> None:
         """Wakes by the next deadline; an earlier timer is left to go off."""
         deadline = self._core.next_deadline()
@@ -371,33 +396,16 @@
             elapsed_s = self._loop.time() - begun_at
             await asyncio.sleep(max(0.0, interval_s - elapsed_s))
 
-    async def _read_directory(self) -> None:
-        deadline = self._loop.time() + DIRECTORY_TIMEOUT_S
-        try:
-            directory = await self._platform.directory(deadline=deadline)
-        except platform_client.PlatformUnavailable:
-            self._on_note(actions.Note("directory_unavailable"))
-        else:
-            self._directory_seen(directory)
-
     def _directory_seen(self, directory: model.Directory) -> None:
-        self._directory = directory
         self._upstreams.upstreams_seen(directory.upstreams)
         self._peers.hosts_seen(directory.hosts)
         self.feed(events.DirectorySeen(directory))
 
-    async def _register(self) -> None:
-        deadline = self._loop.time() + DIRECTORY_TIMEOUT_S
-        try:
-            await self._platform.register(self._identity, deadline=deadline)
-        except platform_client.PlatformUnavailable:
-            self._on_note(actions.Note("registration_failed"))
-
     def _peer_statuses(self) -> tuple[core_port.PeerStatus, ...]:
         linked = self._peers.linked
         domains = {
             entry.host: entry.domain
-            for entry in self._directory.hosts
+            for entry in self._watch.directory.hosts
             if entry.host != self._identity.host
         }
         domains |= {host: hello.domain for host, hello in linked.items()}
@@ -415,7 +423,7 @@
                 self._running[entry.upstream],
                 entry.leaving,
             )
-            for entry in self._directory.upstreams
+            for entry in self._watch.directory.upstreams
         )
 
 
@@ -442,7 +450,9 @@
 
 @_performs(actions.SendPeer)
 def _send_peer(runtime: HostRuntime, action: actions.SendPeer) -> None:
-    runtime._peers.send(action.host, action.message)
+    result = runtime._peers.send(action.host, action.message)
+    if result is peer_link.SendResult.TOO_LARGE:
+        runtime._tell_too_large(action)
 
 
 @_performs(actions.StartAttempt)
@@ -488,6 +498,28 @@
     runtime._stopped.set()
 
 
+def _answer_too_large(answer: model.JobAnswer) -> model.JobAnswer:
+    return remedies.answer(
+        answer.submission,
+        model.Outcome.UNKNOWN,
+        model.Reason.ANSWER_TOO_LARGE,
+        ran=answer.ran,
+        detail="hosts pass on no answer of this size; ask the host that "
+        "issued the id",
+    )
+
+
+def _job_too_large(submission: ids.SubmissionId) -> model.JobAnswer:
+    return remedies.answer(
+        submission,
+        model.Outcome.UNKNOWN,
+        model.Reason.OWNER_UNREACHABLE,
+        ran=model.Ran.POSSIBLY,
+        detail="hosts pass on no job of this size; submit it at the host that "
+        "issued the id, or in parts",
+    )
+
+
 def _fallback(event: events.Event, call: ids.CallId) -> core_port.Answer:
     """Returns what is true of a call that the decisions left unanswered."""
     if isinstance(event, events.ConfigPutAsked):
--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -4,6 +4,7 @@
 import signal
 import unittest
 
+from godwitnotch import host_client
 from tests.process import caller
 from tests.process import cluster
 from tests.process import fleet
@@ -84,6 +85,35 @@
         self.assertEqual({each.outcome for each in answers}, {"complete"})
         await self.assert_promises_kept()
 
+    async def test_paused_owner_wakes_beside_its_successor(self) -> None:
+        first, second, owner = self.fleet.hosts
+        submissions = await self.reserve(owner, 12)
+        jobs = fleet.jobs(submissions, tasks=3, sleep_ms=200)
+        keyed = [{"sleep_ms": 200, "n": number} for number in range(3)]
+        running = asyncio.create_task(self.submit_all(first, jobs[:8]))
+        under_key = asyncio.create_task(
+            self.fleet.submit_keyed(owner, "order", keyed)
+        )
+        await self.wait_starts(8)
+        owner.process.signal(signal.SIGSTOP)
+        successor = await self.fleet.start_host("c")
+        await self.fleet.cluster.wait_linked(first, second, successor)
+        await running
+        for host in (second, successor):
+            await self.submit_all(host, jobs, timeout_s=3.0)
+            await self.fleet.submit_keyed(host, "order", keyed, timeout_s=3.0)
+        owner.process.signal(signal.SIGCONT)
+        await under_key
+        for host in (owner, successor, first):
+            await self.submit_all(host, jobs)
+            await self.fleet.submit_keyed(host, "order", keyed)
+        fresh = fleet.jobs(
+            await self.reserve(successor, 4), tasks=2, sleep_ms=10
+        )
+        answers = await self.submit_all(first, fresh)
+        self.assertEqual({each.outcome for each in answers}, {"complete"})
+        await self.assert_promises_kept()
+
     async def test_links_cut_and_silent(self) -> None:
         first, second, owner = self.fleet.hosts
         relays = self.fleet.peers.values()
@@ -170,6 +200,14 @@
         forwarded = await self.fleet.submit(successor, *job[0])
         self.assertEqual(forwarded.outcome, "complete")
 
+        async def listed() -> bool:
+            return len((await successor.status())["upstreams"]) > 0
+
+        await cluster.until(listed, "the successor has a list of upstreams")
+        job = fleet.jobs(await self.reserve(successor, 1), tasks=3, sleep_ms=10)
+        own = await self.fleet.submit(successor, *job[0])
+        self.assertEqual(own.outcome, "complete", own)
+
         await system.order_faults(system.platform, down=False)
 
         async def taken() -> bool:
@@ -179,6 +217,35 @@
         await cluster.until(taken, "a new key is taken")
         await self.assert_promises_kept()
 
+    async def test_leaving_upstreams_get_no_new_work(self) -> None:
+        first, second, third = self.fleet.hosts
+        system = self.fleet.cluster
+        listed, own_word, _ = system.upstreams
+        platform = host_client.HostClient(system.platform, "")
+        await platform.acall(
+            "POST", f"/upstreams/{listed.name}", value={"leaving": True}
+        )
+
+        async def all_know() -> bool:
+            states = [await host.status() for host in system.hosts]
+            return all(
+                {
+                    each["upstream"]: each["leaving"]
+                    for each in state["upstreams"]
+                }[listed.name]
+                for state in states
+            )
+
+        await cluster.until(all_know, "each host knows that one is leaving")
+        await system.order_faults(own_word.address, not_started="leaving")
+        for host in (first, second, third):
+            jobs = fleet.jobs(await self.reserve(host, 6), tasks=4, sleep_ms=20)
+            answers = await self.submit_all(host, jobs)
+            self.assertEqual({each.outcome for each in answers}, {"complete"})
+        self.assertEqual(await listed.starts(), [])
+        self.assertEqual(await own_word.starts(), [])
+        await self.assert_promises_kept()
+
     async def test_two_operators_race(self) -> None:
         first, second, third = self.fleet.hosts
         system = self.fleet.cluster
@@ -236,6 +303,27 @@
         self.assertEqual({each.outcome for each in kept}, {"complete"})
         await self.assert_promises_kept()
 
+    async def test_end_of_a_drain_tells_what_it_cuts(self) -> None:
+        first, second, _ = self.fleet.hosts
+        hasty = await self.fleet.start_host("d", drain_timeout_s=0.5)
+        await self.fleet.cluster.wait_linked(first, second, hasty)
+        for owner, signals in ((hasty, 1), (second, 2)):
+            submissions = await self.reserve(owner, 2)
+            jobs = fleet.jobs(submissions, tasks=2, sleep_ms=20_000)
+            before = len(await self.fleet.cluster.starts())
+            running = asyncio.create_task(self.submit_all(first, jobs))
+            await self.wait_starts(before + 4)
+            for _ in range(signals):
+                owner.process.signal(signal.SIGTERM)
+                await asyncio.sleep(0.1)
+            answers = await running
+            self.assertEqual(await owner.process.wait(), 0)
+            told = {(answer.outcome, answer.reason) for answer in answers}
+            self.assertEqual(told, {("failed", "shutdown_cut")})
+            (cut,) = owner.process.logged("shutdown_cut")
+            self.assertIn(" jobs=2 ", cut)
+        await self.assert_promises_kept()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -6,6 +6,7 @@
 import unittest
 from collections.abc import Callable
 
+import websockets
 import websockets.asyncio.client
 
 from godwitnotch.core import actions
@@ -19,6 +20,8 @@
 
 SECRET = b"s" * 32
 WAIT_S = 20.0
+QUEUED = peer_link.SendResult.QUEUED
+LOST = peer_link.SendResult.LOST
 LIMITS = peer_link.PeerLimits(
     heartbeat_interval_s=0.02,
     silence_timeout_s=0.2,
@@ -64,13 +67,14 @@
         self.links = peer_link.PeerLinks(
             hello=hello,
             secret=secret,
-            heartbeat=lambda: messages.Heartbeat(1, False),
+            heartbeat=lambda: self.heartbeat(),
             on_event=self.events.append,
             on_note=self.notes.append,
             chance=random.Random(1),
             limits=limits,
         )
         self.address = ""
+        self.heartbeat = lambda: messages.Heartbeat(1, False)
 
     async def start(self, port: int = 0) -> "Host":
         listener = peer_link.bind("127.0.0.1", port)
@@ -125,6 +129,11 @@
         self.addAsyncCleanup(host.links.close)
         return host
 
+    def send(
+        self, sender: Host, receiver: Host, message: messages.Message
+    ) -> None:
+        self.assertIs(sender.links.send(receiver.name, message), QUEUED)
+
     async def relay_to(self, target: str) -> relay.Relay:
         between = await relay.Relay(target).start()
         self.addAsyncCleanup(between.close)
@@ -134,8 +143,8 @@
         low, high = await self.host("a"), await self.host("b")
         low.see(high)
         await until(lambda: low.links.linked and high.links.linked)
-        self.assertTrue(low.links.send(high.name, messages.ConfigChanged(1)))
-        self.assertTrue(high.links.send(low.name, messages.ConfigChanged(2)))
+        self.send(low, high, messages.ConfigChanged(1))
+        self.send(high, low, messages.ConfigChanged(2))
         await until(lambda: high.said(messages.ConfigChanged))
         await until(lambda: low.said(messages.ConfigChanged))
         self.assertEqual(
@@ -177,7 +186,7 @@
         self.addCleanup(dial.cancel)
         await until(lambda: low.downs() == 1 and high.downs() == 1)
         await until(lambda: low.links.linked and high.links.linked)
-        self.assertTrue(low.links.send(high.name, messages.ConfigChanged(1)))
+        self.send(low, high, messages.ConfigChanged(1))
         await until(lambda: high.said(messages.ConfigChanged))
 
     async def test_rare_heartbeats_keep_a_link_and_say_when_the_next_comes(
@@ -221,6 +230,16 @@
             await until(lambda: host.noted("peer_link_handshake_failed"))
         self.assertEqual(host.ups(), 0)
 
+    async def test_large_message_before_authentication(self) -> None:
+        host = await self.host("a")
+        uri = f"ws://{host.address}/"
+        async with websockets.asyncio.client.connect(uri, proxy=None) as link:
+            await link.send(b"x" * LIMITS.max_message_bytes)
+            await link.wait_closed()
+            code = websockets.CloseCode.MESSAGE_TOO_BIG
+            self.assertEqual(link.close_code, code)
+        await until(lambda: host.noted("peer_link_handshake_failed"))
+
     async def test_another_host_at_the_address_is_refused(self) -> None:
         low, high = await self.host("a"), await self.host("b")
         other = Host("c")
@@ -238,7 +257,7 @@
         await until(lambda: low.noted("peer_link_silent"))
         await until(lambda: high.noted("peer_link_silent"))
         await until(lambda: low.ups() == 2 and high.ups() == 2)
-        self.assertTrue(low.links.send(high.name, messages.ConfigChanged(1)))
+        self.send(low, high, messages.ConfigChanged(1))
         await until(lambda: high.said(messages.ConfigChanged))
 
     async def test_cut_link_is_dialled_again(self) -> None:
@@ -248,7 +267,9 @@
         await until(lambda: low.links.linked and high.links.linked)
         between.cut()
         await until(lambda: low.downs() and high.downs())
-        self.assertFalse(low.links.send(high.name, messages.ConfigChanged(1)))
+        self.assertIs(
+            low.links.send(high.name, messages.ConfigChanged(1)), LOST
+        )
         between.heal()
         await until(lambda: low.links.linked and high.links.linked)
 
@@ -273,12 +294,24 @@
         self.assertEqual(high.links.linked[new.name].incarnation, "2")
         self.assertEqual(high.ups(), 1)
 
+    async def test_fault_at_one_watch_does_not_end_the_watching(self) -> None:
+        low, high = await self.host("a"), await self.host("b")
+        low.see(high)
+        await until(lambda: low.links.linked and high.links.linked)
+        working = high.heartbeat
+        high.heartbeat = lambda: [][1]
+        await until(lambda: high.noted("peer_watch_fault"))
+        high.heartbeat = working
+        await until(lambda: low.links.linked and high.links.linked)
+        heard = len(low.said(messages.Heartbeat))
+        await until(lambda: len(low.said(messages.Heartbeat)) > heard + 2)
+
     async def test_full_send_queue_ends_the_link(self) -> None:
         low, high = await self.host("a"), await self.host("b")
         low.see(high)
         await until(lambda: low.links.linked and high.links.linked)
         sent = [low.links.send(high.name, BIG) for _ in range(6)]
-        self.assertEqual(sent, [True] * 4 + [False] * 2)
+        self.assertEqual(sent, [QUEUED] * 4 + [LOST] * 2)
         await until(lambda: low.noted("peer_link_send_queue_full"))
         self.assertEqual(low.downs(), 1)
 
@@ -294,7 +327,9 @@
             results=results,
         )
         reply = messages.ForwardReply(ids.CallId(1), answer)
-        self.assertFalse(low.links.send(high.name, reply))
+        self.assertIs(
+            low.links.send(high.name, reply), peer_link.SendResult.TOO_LARGE
+        )
         self.assertTrue(low.links.linked)
 
     async def test_dialler_delivers_what_is_queued_at_close(self) -> None:
@@ -311,7 +346,7 @@
         low.see(high)
         await until(lambda: low.links.linked and high.links.linked)
         for _ in range(3):
-            self.assertTrue(closer.links.send(other.name, BIG))
+            self.send(closer, other, BIG)
         await closer.links.close()
         await until(lambda: not other.links.linked)
         self.assertEqual(len(other.said(messages.ForwardReply)), 3)
