--- a/godwitnotch/core/upstream_pool.py
+++ b/godwitnotch/core/upstream_pool.py
@@ -34,7 +34,7 @@
         credit: The slots that this host may use.
         starts: When each task that runs there was started.
         starts_sum: Sum of these times.
-        cap: What it was learnt to take, if less than listed.
+        cap: How many tasks fit there, if it has refused some.
         paused_until: When it may be used again after a refusal.
         lingering: Ended attempts whose slot is still kept.
     """
