Keep 16 changes in the configuration log instead of 64

Ruled out: polling less often (the bound of 17 s allows it, yet a cut-off host should catch up in a second).

--- a/godwitnotch/core/config_changes.py
+++ b/godwitnotch/core/config_changes.py
@@ -15,7 +15,7 @@
 from godwitnotch.core import services as services_module
 from godwitnotch.core import store_calls
 
-LOG_LENGTH = 64
+LOG_LENGTH = 16
 NONCE_DIGITS = 10**18
 
 
