Make the stand-in's list of hosts and upstreams only when it changes

Ruled out: the hosts (their logs show directory_unavailable and store_call_failed only). Conclusion: a fault of the stand-in; a platform has to answer conditional reads cheaply, which docs/CAPACITY.md says.

--- a/godwitnotch/standins/platform.py
+++ b/godwitnotch/standins/platform.py
@@ -59,6 +59,7 @@
         self._registration_s = registration_s
         self._hosts: dict[ids.HostId, _Registration] = {}
         self._objects: dict[str, bytes] = {}
+        self._listed: _Listing | None = None
         self._server = http_server.HttpServer(
             faults.faulty(self._handle, lambda: self.faults),
             limits=http_types.HttpLimits(max_body_bytes=_MAX_BODY_BYTES),
@@ -75,6 +76,7 @@
     def set_upstream(self, entry: model.UpstreamEntry) -> None:
         """Adds or replaces an upstream in the list."""
         self._upstreams[entry.upstream] = entry
+        self._listed = None
 
     def set_leaving(self, upstream: ids.UpstreamId, *, leaving: bool) -> None:
         """Marks an upstream as leaving or not.
@@ -83,7 +85,7 @@
             KeyError: The list has no such upstream.
         """
         entry = self._upstreams[upstream]
-        self._upstreams[upstream] = replace(entry, leaving=leaving)
+        self.set_upstream(replace(entry, leaving=leaving))
 
     async def _handle(
         self, request: http_types.HttpRequest
@@ -120,18 +122,31 @@
         return _rows(self.table.scan(request.query.get("prefix", "")), 200)
 
     def _list(self, request: http_types.HttpRequest) -> http_types.HttpResponse:
+        listing = self._listing()
+        if request.headers.get("if-none-match") == listing.headers["etag"]:
+            return http_types.HttpResponse(304, headers=listing.headers)
+        return listing
+
+    def _listing(self) -> http_types.HttpResponse:
+        """Returns the list, made anew only when it has changed."""
         now = asyncio.get_running_loop().time()
         hosts = [
-            asdict(registration.entry)
+            registration.entry
             for registration in self._hosts.values()
             if registration.expires_at > now
         ]
-        upstreams = [asdict(entry) for entry in self._upstreams.values()]
-        response = _json({"hosts": hosts, "upstreams": upstreams})
-        digest = hashlib.blake2b(response.body, digest_size=8).hexdigest()
-        if request.headers.get("if-none-match") == digest:
-            return http_types.HttpResponse(304, headers={"etag": digest})
-        return replace(response, headers={"etag": digest})
+        if self._listed is None or self._listed.hosts != hosts:
+            value = {
+                "hosts": [asdict(entry) for entry in hosts],
+                "upstreams": [
+                    asdict(each) for each in self._upstreams.values()
+                ],
+            }
+            response = _json(value)
+            digest = hashlib.blake2b(response.body, digest_size=8).hexdigest()
+            response = replace(response, headers={"etag": digest})
+            self._listed = _Listing(hosts, response)
+        return self._listed.response
 
     def _register(
         self, request: http_types.HttpRequest
@@ -173,6 +188,12 @@
     expires_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Listing:
+    hosts: list[model.HostEntry]
+    response: http_types.HttpResponse
+
+
 _Route = Callable[[Platform, http_types.HttpRequest], http_types.HttpResponse]
 _ROUTES: dict[tuple[str, str], _Route] = {
     ("POST", "/table/transact"): Platform._transact,
