--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.requirements-installed
 
-.PHONY: setup demo test failures scenarios histories mutants bench binary binary-cost lint types format
+.PHONY: setup demo test failures scenarios histories mutants bench capacity binary binary-cost lint types format
 
 # How many histories of each kind `make histories` tries, and from which seed.
 HISTORIES ?= 2000
@@ -38,6 +38,12 @@
 bench: setup
 	$(PY) -m bench.fleet_bench --seeds 2 --load 0.7
 
+# Slopes of docs/CAPACITY.md; some ten minutes on a machine at rest.
+capacity: setup
+	$(PY) -m bench.state_slopes
+	$(PY) -m bench.thin_path
+	$(PY) -m bench.control_cost
+
 lint: setup
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
--- a/bench/thin_path.py
+++ b/bench/thin_path.py
@@ -5,8 +5,8 @@
 One host, eight upstreams and a platform run as processes of their own; some
 callers each send one job after another, of tasks that take no time. Processor
 time and memory are those of the host process alone. The costs of a job and of
-a task come from a least-squares fit over job sizes. Bytes are counted by a
-relay before the host and one before an upstream, in a pass of their own.
+a task come from a least-squares fit over job sizes. Bytes are those between
+callers and host, counted by a relay in a pass of their own.
 """
 
 import asyncio
