Let no stray cancellation end the reading of the platform's list

Cause: a cancelled future inside a read or a registration raised CancelledError through the loop that repeats it, which ended unseen: the host then never read the list nor registered again, and its lost links were not dialled. Ruled out by a trial: asyncio.timeout of CPython 3.11.7 leaving a cancellation behind (300 of 300 expiries told as a timeout).

--- a/godwitnotch/net/runtime.py
+++ b/godwitnotch/net/runtime.py
@@ -391,6 +391,11 @@
             begun_at = self._loop.time()
             try:
                 await work()
+            except asyncio.CancelledError as error:
+                # A cancelled future inside the work, not a request to stop.
+                if _is_cancelled():
+                    raise
+                self._on_fault(work.__name__, error)
             except Exception as error:
                 self._on_fault(work.__name__, error)
             elapsed_s = self._loop.time() - begun_at
@@ -427,6 +432,12 @@
         )
 
 
+def _is_cancelled() -> bool:
+    """Returns whether someone asked to cancel the running task."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 _Performer = Callable[[HostRuntime, Any], None]
 _PERFORMERS: dict[type, _Performer] = {}
 
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -64,7 +64,7 @@
     """Fails each call with the error that the test sets, if any."""
 
     def __init__(self) -> None:
-        self.error: Exception | None = None
+        self.error: BaseException | None = None
         self.registered: list[model.HostEntry] = []
         self.listed = model.Directory()
 
@@ -370,6 +370,14 @@
         await self.until(lambda: events.DirectorySeen in self.core.kinds())
         await self.until(lambda: self.platform.registered)
 
+    async def test_stray_cancellation_does_not_end_the_watch(self) -> None:
+        self.platform.error = asyncio.CancelledError()
+        self.runtime.start()
+        await self.until(lambda: self.faults)
+        self.platform.error = None
+        self.platform.listed = model.Directory((IDENTITY,))
+        await self.until(lambda: self.peers.hosts)
+
     async def test_drain_registers_the_host_as_leaving(self) -> None:
         self.on(events.DrainAsked, actions.Stopped())
         self.runtime.drain(deadline=5.0)
