Pace slot messages by the token bucket that paces key writes

Cause: the ledger of credits kept tokens, a rate and a burst of its own, beside core/token_bucket.py.

--- a/bench/core_setup.py
+++ b/bench/core_setup.py
@@ -8,7 +8,6 @@
 from godwitnotch.core import ids
 from godwitnotch.core import limits
 from godwitnotch.core import model
-from godwitnotch.core import policies as policies
 from godwitnotch.core import records
 from godwitnotch.core import scheduler
 
--- a/godwitnotch/core/credits.py
+++ b/godwitnotch/core/credits.py
@@ -20,6 +20,7 @@
 from dataclasses import field
 
 from godwitnotch.core import ids
+from godwitnotch.core import token_bucket
 
 # How long a request stands; it is asked anew if still needed.
 ASK_S = 1.0
@@ -193,8 +194,10 @@
         self._idle: dict[str, float] = {}
         self._dirty: dict[str, None] = {}
         self._dirty_loans: dict[tuple[str, ids.HostId], None] = {}
-        self._tokens = MESSAGE_BURST
-        self._tokens_at = 0.0
+        self._pace = token_bucket.TokenBucket(
+            rate_per_s=MESSAGES_PER_S, burst=MESSAGE_BURST
+        )
+        self._looked_at = 0.0
         self._tick_at = 0.0
         self._gathering = False
 
@@ -401,26 +404,24 @@
         """Returns the messages to send now, as many as the budget allows."""
         if not (self._dirty or self._dirty_loans or self._dirty_requests):
             return []
-        gained = (now - self._tokens_at) * MESSAGES_PER_S
-        self._tokens = min(self._tokens + gained, MESSAGE_BURST)
-        self._tokens_at = now
+        self._looked_at = now
         sent: list[Outgoing] = []
-        while self._tokens >= 1 and self._dirty_loans:
+        while self._dirty_loans and self._pace.has_token(now=now):
             key, host = next(iter(self._dirty_loans))
             del self._dirty_loans[key, host]
             self._tell(self._credits.get(key), host, sent, now)
-        while self._tokens >= 1 and self._dirty_requests:
+        while self._dirty_requests and self._pace.has_token(now=now):
             holder = next(iter(self._dirty_requests))
             del self._dirty_requests[holder]
             request = self._requests.get(holder)
             if request is not None:
-                self._tokens -= 1
+                self._pace.take(now=now)
                 asked = Asked(request.count, request.slowest)
                 sent.append(Outgoing(holder, asked))
-        while self._tokens >= 1 and self._dirty:
+        while self._dirty and self._pace.has_token(now=now):
             key = next(iter(self._dirty))
             del self._dirty[key]
-            self._report(self._credits.get(key), sent)
+            self._report(self._credits.get(key), sent, now)
         return sent
 
     def next_deadline(self) -> float | None:
@@ -433,7 +434,7 @@
             until = next(iter(self._requests.values())).until
             earliest = min(earliest, until)
         if self._dirty or self._dirty_loans or self._dirty_requests:
-            at = self._tokens_at + 1.5 / MESSAGES_PER_S
+            at = self._looked_at + 1.5 / MESSAGES_PER_S
             earliest = min(earliest, at)
         if self._gathering or self.hungry:
             earliest = min(earliest, self._tick_at)
@@ -646,21 +647,23 @@
             return
         loan.told_at = now
         key = credit.resource.key
-        self._tokens -= 1
+        self._pace.take(now=now)
         sent.append(
             Outgoing(
                 host, Lent(key, loan.allowed, loan.serial, credit.slowness)
             )
         )
 
-    def _report(self, credit: Credit | None, sent: list[Outgoing]) -> None:
+    def _report(
+        self, credit: Credit | None, sent: list[Outgoing], now: float
+    ) -> None:
         if credit is None or credit.mine:
             return
         wanted = credit.held + credit.asked
         message = Wanted(
             credit.resource.key, credit.held, wanted, credit.serial
         )
-        self._tokens -= 1
+        self._pace.take(now=now)
         sent.append(Outgoing(credit.holder, message))
 
 
--- a/godwitnotch/core/records.py
+++ b/godwitnotch/core/records.py
@@ -170,12 +170,6 @@
     )
 
 
-def config_nonce(row: model.Row) -> str:
-    """Returns the nonce of the change that wrote this row."""
-    nonce: str = cbor2.loads(row.value)["nonce"] if row.value else ""
-    return nonce
-
-
 def _pack_template(template: model.Template) -> dict[str, Any]:
     return {
         "name": template.name,
--- a/godwitnotch/core/token_bucket.py
+++ b/godwitnotch/core/token_bucket.py
@@ -23,10 +23,14 @@
         self._gain(now)
         self._rate_per_s = rate_per_s
 
+    def has_token(self, *, now: float) -> bool:
+        """Returns whether one token can be taken."""
+        self._gain(now)
+        return self._tokens >= 1.0 - _ROUNDING
+
     def take(self, *, now: float) -> bool:
         """Takes one token; False if there is none."""
-        self._gain(now)
-        if self._tokens < 1.0 - _ROUNDING:
+        if not self.has_token(now=now):
             return False
         self._tokens -= 1.0
         return True
