--- a/bench/binary_cost.py
+++ b/bench/binary_cost.py
@@ -1,7 +1,7 @@
 """Measures what the one-file program costs to start, and what it starts.
 
 Run with `python -m bench.binary_cost FILE`. The first start unpacks into an
-empty folder in memory, the others find it there. Each run is the `demo`
+empty temporary folder, the others find it there. Each run is the `demo`
 command: a host with embedded stand-ins and one real job. Children are looked
 for every few milliseconds while it runs.
 """
@@ -16,7 +16,6 @@
 
 LATER_STARTS = 5
 POLL_S = 0.002
-MEMORY_FOLDER = "/dev/shm"
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,7 +36,7 @@
 def main() -> None:
     """Prints size, start times, memory and number of processes."""
     file = pathlib.Path(sys.argv[1])
-    with tempfile.TemporaryDirectory(dir=MEMORY_FOLDER) as folder:
+    with tempfile.TemporaryDirectory() as folder:
         first = _run(file, folder, "--version")
         later = [_run(file, folder, "--version") for _ in range(LATER_STARTS)]
         demo = _run(file, folder, "demo")
--- /dev/null
+++ b/godwitnotch/core/leased/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about jobs whose tasks run under leases at upstreams."""
--- /dev/null
+++ b/godwitnotch/core/leased/health.py
@@ -0,0 +1,77 @@
+"""Which upstreams get no work because runs fail there.
+
+A failed run speaks against its upstream and against its job. Runs of two jobs
+that fail in a row eject the upstream for a while; afterwards one run at a time
+tries it until one ends well.
+"""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from godwitnotch.core import ids
+from godwitnotch.core.leased import model
+
+FAILURES_TO_EJECT = 2
+FIRST_EJECTION_S = 1.0
+LONGEST_EJECTION_S = 8.0
+REFUSAL_PAUSE_S = 0.15
+
+
+@dataclass(slots=True)
+class _Record:
+    jobs: set[model.JobName] = field(default_factory=set)
+    ejections: int = 0
+    ejected_until: float = 0.0
+
+
+class UpstreamHealth:
+    """Judges upstreams by how their runs end."""
+
+    def __init__(self) -> None:
+        self._records: dict[ids.UpstreamId, _Record] = {}
+
+    def ended_well(self, upstream: ids.UpstreamId) -> None:
+        """Clears what spoke against an upstream."""
+        self._records.pop(upstream, None)
+
+    def failed(
+        self, upstream: ids.UpstreamId, job: model.JobName, *, now: float
+    ) -> bool:
+        """Notes a failed run; returns whether the upstream is ejected."""
+        record = self._records.setdefault(upstream, _Record())
+        record.jobs.add(job)
+        if len(record.jobs) < FAILURES_TO_EJECT and not record.ejections:
+            return False
+        pause_s = min(
+            FIRST_EJECTION_S * (1 << min(record.ejections, 8)),
+            LONGEST_EJECTION_S,
+        )
+        record.ejections += 1
+        record.ejected_until = now + pause_s
+        return True
+
+    def absolve(self, job: model.JobName) -> None:
+        """Takes back what a job's failures said: it fails everywhere."""
+        for record in self._records.values():
+            record.jobs.discard(job)
+
+    def refused(self, upstream: ids.UpstreamId, *, now: float) -> None:
+        """Leaves an upstream alone for a moment that rejected an order."""
+        record = self._records.setdefault(upstream, _Record())
+        until = now + REFUSAL_PAUSE_S
+        record.ejected_until = max(record.ejected_until, until)
+
+    def usable(self, upstream: ids.UpstreamId, *, now: float) -> bool:
+        """Returns whether work may go to an upstream."""
+        record = self._records.get(upstream)
+        return record is None or now >= record.ejected_until
+
+    def on_trial(self, upstream: ids.UpstreamId) -> bool:
+        """Returns whether an upstream gets one run at a time."""
+        record = self._records.get(upstream)
+        return record is not None and record.ejections > 0
+
+    def suspect(self, upstream: ids.UpstreamId) -> bool:
+        """Returns whether the last run on an upstream failed."""
+        record = self._records.get(upstream)
+        return record is not None and bool(record.jobs)
--- /dev/null
+++ b/godwitnotch/core/leased/host.py
@@ -0,0 +1,321 @@
+"""The decisions of one host that serves leased runs: events in, actions out."""
+
+from collections.abc import Callable
+from typing import Any
+
+from godwitnotch.core import ids
+from godwitnotch.core.leased import actions
+from godwitnotch.core.leased import dispatcher as dispatcher_module
+from godwitnotch.core.leased import events
+from godwitnotch.core.leased import leadership as leadership_module
+from godwitnotch.core.leased import lease as lease_module
+from godwitnotch.core.leased import model
+from godwitnotch.core.leased import outbox as outbox_module
+from godwitnotch.core.leased import owned_jobs
+from godwitnotch.core.leased import peer_messages
+from godwitnotch.core.leased.leadership import Change
+from godwitnotch.core.leased.leadership import Scope
+
+_Handler = Callable[["LeasedHost", Any, float], None]
+_HANDLERS: dict[type, _Handler] = {}
+
+FIRST_TERM_JUMP_S = 2.0
+MAX_TERM_JUMP_S = 256.0
+TERM_JUMP_PAUSE_S = 0.5
+
+
+def _handles(*kinds: type) -> Callable[[_Handler], _Handler]:
+    def register(handler: _Handler) -> _Handler:
+        for kind in kinds:
+            _HANDLERS[kind] = handler
+        return handler
+
+    return register
+
+
+class LeasedHost:
+    """Decides for one process; the caller performs the actions.
+
+    Args:
+        host: This host.
+        domain: Its failure domain.
+        rank: How well it is suited to lead; higher is better.
+        unix_time: Time of day in seconds.
+        now: The present time.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: ids.HostId,
+        domain: ids.DomainId,
+        rank: int,
+        unix_time: Callable[[], float],
+        now: float,
+    ) -> None:
+        self._host = host
+        self._domain = domain
+        self._out = outbox_module.Outbox()
+        self._linked: dict[ids.HostId, ids.DomainId] = {}
+        self._upstreams: tuple[model.LeasedUpstream, ...] = ()
+        self._leadership = leadership_module.Leadership(
+            host=host, domain=domain, rank=rank, unix_time=unix_time, now=now
+        )
+        self._owned = owned_jobs.OwnedJobs(self._out, send=self._send)
+        self._dispatcher = dispatcher_module.Dispatcher(
+            self._out,
+            answer_owner=self._answer_owner,
+            in_scope=self._in_scope,
+            outranked=self._outranked,
+        )
+        self._term_jump_s = FIRST_TERM_JUMP_S
+        self._term_jump_at = 0.0
+        self._draining = False
+        self._now = now
+
+    @property
+    def leader(self) -> ids.HostId:
+        """The leader that this host follows, or empty."""
+        return self._leadership.leader
+
+    @property
+    def leads(self) -> bool:
+        """Whether this host is the leader."""
+        return self._leadership.leads
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers can be served."""
+        return not self._draining and self._leadership.leader_serving
+
+    @property
+    def open_jobs(self) -> int:
+        """Returns how many callers wait here."""
+        return self._owned.open
+
+    @property
+    def waiting_jobs(self) -> int:
+        """Returns how many jobs wait for a first run, if this host leads."""
+        return self._dispatcher.waiting_jobs
+
+    @property
+    def held_upstreams(self) -> int:
+        """Returns how many upstreams this host holds."""
+        return self._dispatcher.keeper.held
+
+    def handle(
+        self, event: events.Event, *, now: float
+    ) -> list[actions.Action]:
+        """Takes one event; returns what is to be done."""
+        self._now = now
+        _HANDLERS[type(event)](self, event, now)
+        self._note_serving()
+        return self._out.take()
+
+    def _take_change(self, change: Change, *, now: float) -> None:
+        if change is Change.NONE:
+            return
+        leadership = self._leadership
+        self._out.decided(
+            "leader_changed",
+            detail=f"leader={leadership.leader} term={leadership.term} "
+            f"linked={len(self._linked)} scope={leadership.scope().value}",
+        )
+        self._dispatcher.resign()
+        if change is Change.ELECTED:
+            self._dispatcher.take_office(
+                leadership.term,
+                hosts=[self._host, *self._linked],
+                upstreams=self._upstreams,
+                now=now,
+            )
+        self._tell_standing()
+        self._owned.leader_changed(leadership.leader, leadership.term, now=now)
+
+    def _tell_standing(self) -> None:
+        standing = self._leadership.standing()
+        for host in self._linked:
+            self._out.add(actions.TellPeer(host, standing))
+
+    def _note_serving(self) -> None:
+        serving = self.leads and self._dispatcher.keeper.held > 0
+        if self._leadership.set_serving(serving):
+            self._tell_standing()
+
+    def _send(self, host: ids.HostId, message: peer_messages.Message) -> None:
+        if host == self._host:
+            self._take_message(host, message, now=self._now)
+        else:
+            self._out.add(actions.TellPeer(host, message))
+
+    def _answer_owner(
+        self, owner: ids.HostId, job: model.JobName, answer: model.Answer
+    ) -> None:
+        if owner == self._host:
+            self._owned.answered(job, answer)
+        else:
+            message = peer_messages.JobAnswered(job, answer)
+            self._out.add(actions.TellPeer(owner, message))
+
+    def _in_scope(self, upstream: model.LeasedUpstream) -> bool:
+        scope = self._leadership.scope()
+        if scope is Scope.ALL:
+            return True
+        return upstream.domain == self._domain
+
+    def _outranked(self, lease: lease_module.Lease, now: float) -> None:
+        if not self._in_scope(lease.upstream):
+            return
+        if self._dispatcher.keeper.held:
+            change = self._leadership.deposed(now=now)
+            self._take_change(change, now=now)
+            return
+        if now < self._term_jump_at:
+            return
+        # Nothing is held yet: an earlier term was higher than the time of day.
+        self._leadership.raise_term(by_s=self._term_jump_s)
+        self._term_jump_at = now + TERM_JUMP_PAUSE_S
+        self._term_jump_s = min(MAX_TERM_JUMP_S, self._term_jump_s * 2)
+        self._dispatcher.keeper.set_term(self._leadership.term)
+        self._out.decided("term_raised", detail=f"term={self._leadership.term}")
+        self._tell_standing()
+
+    def _take_message(
+        self, host: ids.HostId, message: peer_messages.Message, *, now: float
+    ) -> None:
+        match message:
+            case peer_messages.Standing():
+                change = self._leadership.heard(host, message, now=now)
+                self._take_change(change, now=now)
+            case peer_messages.JobAnswered(job=job, answer=answer):
+                self._owned.answered(job, answer)
+            case peer_messages.UpstreamsCopy(upstreams=upstreams):
+                if not self.leads:
+                    self._upstreams = upstreams
+            case _ if self.leads:
+                self._take_as_leader(host, message, now=now)
+
+    def _take_as_leader(
+        self, host: ids.HostId, message: peer_messages.Message, *, now: float
+    ) -> None:
+        match message:
+            case peer_messages.JobHandedOver():
+                self._dispatcher.handed_over(host, message, now=now)
+            case peer_messages.AllHandedOver(term=term):
+                if term == self._leadership.term:
+                    self._dispatcher.all_handed_over(host, now=now)
+            case peer_messages.JobDropped(job=job):
+                self._dispatcher.dropped(host, job, now=now)
+
+
+@_handles(events.JobAsked)
+def _job_asked(core: LeasedHost, event: events.JobAsked, now: float) -> None:
+    core._owned.asked(event.call, event.request, event.deadline, now=now)
+
+
+@_handles(events.CallerLeft)
+def _caller_left(
+    core: LeasedHost, event: events.CallerLeft, now: float
+) -> None:
+    core._owned.caller_left(event.call)
+
+
+@_handles(events.CancelAsked)
+def _cancel_asked(
+    core: LeasedHost, event: events.CancelAsked, now: float
+) -> None:
+    core._owned.cancelled(event.job)
+    if core.leads:
+        core._dispatcher.cancelled(event.job, now=now)
+
+
+@_handles(events.UpstreamsListed)
+def _upstreams_listed(
+    core: LeasedHost, event: events.UpstreamsListed, now: float
+) -> None:
+    if event.upstreams == core._upstreams:
+        return
+    core._upstreams = event.upstreams
+    if not core.leads:
+        return
+    core._dispatcher.keeper.upstreams_listed(event.upstreams, now=now)
+    copy = peer_messages.UpstreamsCopy(event.upstreams)
+    for host in core._linked:
+        core._out.add(actions.TellPeer(host, copy))
+    core._dispatcher.settle(now=now)
+
+
+@_handles(events.PeerLinked)
+def _peer_linked(
+    core: LeasedHost, event: events.PeerLinked, now: float
+) -> None:
+    core._linked[event.host] = event.domain
+    core._leadership.peer_up(event.host, event.domain, now=now)
+    standing = core._leadership.standing()
+    core._out.add(actions.TellPeer(event.host, standing))
+    if core.leads and core._upstreams:
+        copy = peer_messages.UpstreamsCopy(core._upstreams)
+        core._out.add(actions.TellPeer(event.host, copy))
+
+
+@_handles(events.PeerLost)
+def _peer_lost(core: LeasedHost, event: events.PeerLost, now: float) -> None:
+    core._linked.pop(event.host, None)
+    change = core._leadership.peer_down(event.host, now=now)
+    if core.leads:
+        core._dispatcher.owner_lost(event.host, now=now)
+    core._take_change(change, now=now)
+
+
+@_handles(events.PeerTold)
+def _peer_told(core: LeasedHost, event: events.PeerTold, now: float) -> None:
+    core._take_message(event.host, event.message, now=now)
+
+
+@_handles(events.OrderTaken)
+def _order_taken(
+    core: LeasedHost, event: events.OrderTaken, now: float
+) -> None:
+    core._dispatcher.keeper.order_taken(event, now=now)
+    core._dispatcher.settle(now=now)
+
+
+@_handles(events.OrderRejected)
+def _order_rejected(
+    core: LeasedHost, event: events.OrderRejected, now: float
+) -> None:
+    core._dispatcher.keeper.order_rejected(event, now=now)
+    core._dispatcher.settle(now=now)
+
+
+@_handles(events.OrderUnanswered)
+def _order_unanswered(
+    core: LeasedHost, event: events.OrderUnanswered, now: float
+) -> None:
+    core._dispatcher.keeper.order_unanswered(event, now=now)
+    core._dispatcher.settle(now=now)
+
+
+@_handles(events.RunsListed)
+def _runs_listed(
+    core: LeasedHost, event: events.RunsListed, now: float
+) -> None:
+    core._dispatcher.keeper.runs_listed(event, now=now)
+    core._dispatcher.settle(now=now)
+
+
+@_handles(events.DrainStarted)
+def _drain_started(
+    core: LeasedHost, event: events.DrainStarted, now: float
+) -> None:
+    core._draining = True
+    core._leadership.drain()
+    core._tell_standing()
+
+
+@_handles(events.Ticked)
+def _ticked(core: LeasedHost, event: events.Ticked, now: float) -> None:
+    change = core._leadership.tick(now=now)
+    core._take_change(change, now=now)
+    core._dispatcher.tick(now=now)
+    core._owned.tick(now=now)
--- /dev/null
+++ b/godwitnotch/core/leased/owned_jobs.py
@@ -0,0 +1,183 @@
+"""The jobs whose callers wait at this host.
+
+The owner of a job answers its caller once. It hands the job to the leader, and
+again to the next leader.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from godwitnotch.core import ids
+from godwitnotch.core.leased import actions
+from godwitnotch.core.leased import lease
+from godwitnotch.core.leased import model
+from godwitnotch.core.leased import outbox as outbox_module
+from godwitnotch.core.leased import peer_messages
+
+NO_LEADER_WAIT_S = 0.3  # For a leader, before a job that nobody has is refused.
+NO_LEADER_RETRY_S = 1.0
+# A leader that no longer hears this host has stopped its runs by then, and
+# what it could not stop has lapsed.
+SAFE_S = lease.LEASE_BOUND_S + 0.2
+
+SendToLeader = Callable[[ids.HostId, peer_messages.Message], None]
+
+
+@dataclass(slots=True)
+class _Owned:
+    call: ids.CallId
+    request: model.JobRequest
+    arrived_at: float
+    deadline: float
+    leader: ids.HostId = ids.HostId("")
+    handed_over: bool = False
+    safe_at: float = 0.0
+
+
+class OwnedJobs:
+    """Hands jobs to the leader and answers their callers.
+
+    Args:
+        out: Takes answers and decisions.
+        send: Sends to the leader, or gives to it where it is this host.
+    """
+
+    def __init__(
+        self, out: outbox_module.Outbox, *, send: SendToLeader
+    ) -> None:
+        self._out = out
+        self._send = send
+        self._leader = ids.HostId("")
+        self._jobs: dict[model.JobName, _Owned] = {}
+        self._calls: dict[ids.CallId, model.JobName] = {}
+
+    @property
+    def open(self) -> int:
+        """Returns how many callers wait."""
+        return len(self._jobs)
+
+    def asked(
+        self,
+        call: ids.CallId,
+        request: model.JobRequest,
+        deadline: float,
+        *,
+        now: float,
+    ) -> None:
+        """Takes a job from a caller."""
+        earlier = self._jobs.get(request.job)
+        if earlier is not None:
+            # The caller has sent it again, so it no longer hears the first.
+            self._answer(
+                earlier,
+                model.Answer(model.JobEnd.GIVEN_UP, model.EndReason.CANCELLED),
+            )
+        owned = _Owned(call, request, now, deadline)
+        if earlier is not None:
+            owned.handed_over = earlier.handed_over
+            owned.safe_at = earlier.safe_at
+        self._jobs[request.job] = owned
+        self._calls[call] = request.job
+        if self._leader:
+            self._hand_over(owned, now=now)
+
+    def caller_left(self, call: ids.CallId) -> None:
+        """Drops the job of a caller that no longer waits."""
+        name = self._calls.pop(call, None)
+        if name is None:
+            return
+        owned = self._jobs.pop(name)
+        self._out.decided("caller_left", job=name)
+        self._drop_at_leader(owned)
+
+    def cancelled(self, name: model.JobName) -> bool:
+        """Drops a job at its caller's wish; returns whether it is known."""
+        owned = self._jobs.get(name)
+        if owned is None:
+            return False
+        self._drop_at_leader(owned)
+        self._answer(
+            owned,
+            model.Answer(model.JobEnd.FAILED, model.EndReason.CANCELLED),
+        )
+        return True
+
+    def answered(self, name: model.JobName, answer: model.Answer) -> None:
+        """Takes the leader's answer."""
+        owned = self._jobs.get(name)
+        if owned is not None:
+            self._answer(owned, answer)
+
+    def leader_changed(
+        self, leader: ids.HostId, term: model.Term, *, now: float
+    ) -> None:
+        """Hands all open jobs to another leader."""
+        self._leader = leader
+        for owned in self._jobs.values():
+            if owned.handed_over and owned.leader != leader:
+                owned.safe_at = max(owned.safe_at, now + SAFE_S)
+        if not leader:
+            return
+        for owned in tuple(self._jobs.values()):
+            self._hand_over(owned, now=now)
+        self._send(leader, peer_messages.AllHandedOver(term))
+
+    def tick(self, *, now: float) -> None:
+        """Answers callers whose time has passed, or whom nobody can serve."""
+        for owned in tuple(self._jobs.values()):
+            if now >= owned.deadline:
+                self._give_up(owned)
+            elif (
+                not owned.handed_over
+                and now - owned.arrived_at >= NO_LEADER_WAIT_S
+            ):
+                self._refuse(owned, model.EndReason.NO_LEADER)
+
+    def _hand_over(self, owned: _Owned, *, now: float) -> None:
+        owned.leader = self._leader
+        owned.handed_over = True
+        self._send(
+            self._leader,
+            peer_messages.JobHandedOver(
+                owned.request,
+                max(0.0, owned.deadline - now),
+                now - owned.arrived_at,
+                max(0.0, owned.safe_at - now),
+            ),
+        )
+
+    def _give_up(self, owned: _Owned) -> None:
+        self._drop_at_leader(owned)
+        if not owned.handed_over:
+            self._refuse(owned, model.EndReason.NO_LEADER)
+            return
+        self._answer(
+            owned,
+            model.Answer(
+                model.JobEnd.GIVEN_UP, model.EndReason.DEADLINE_PASSED
+            ),
+        )
+
+    def _refuse(self, owned: _Owned, reason: model.EndReason) -> None:
+        self._answer(
+            owned,
+            model.Answer(model.JobEnd.REFUSED, reason, NO_LEADER_RETRY_S),
+        )
+
+    def _drop_at_leader(self, owned: _Owned) -> None:
+        if owned.handed_over and self._leader:
+            self._send(
+                self._leader, peer_messages.JobDropped(owned.request.job)
+            )
+
+    def _answer(self, owned: _Owned, answer: model.Answer) -> None:
+        self._jobs.pop(owned.request.job, None)
+        self._calls.pop(owned.call, None)
+        self._out.decided(
+            "job_answered",
+            job=owned.request.job,
+            reason=answer.reason.value,
+            detail=f"end={answer.end.value} route={owned.request.terms.route} "
+            f"leader={owned.leader}",
+        )
+        self._out.add(actions.AnswerCaller(owned.call, answer))
--- /dev/null
+++ b/godwitnotch/core/leased/peer_messages.py
@@ -0,0 +1,101 @@
+"""Messages between hosts about leased runs.
+
+Times are seconds from now, since clocks of two hosts differ.
+"""
+
+from dataclasses import dataclass
+
+from godwitnotch.core import ids
+from godwitnotch.core.leased import model
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """Whom the sender takes for the leader.
+
+    Attributes:
+        term: The highest term that the sender knows of.
+        leader: The leader that the sender hears, or empty.
+        rank: How well the sender is suited to lead; higher is better.
+        draining: Whether the sender is leaving.
+        serving: Whether the sender leads and holds upstreams.
+    """
+
+    term: model.Term
+    leader: ids.HostId
+    rank: int
+    draining: bool
+    serving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class HostsKnown:
+    """The hosts that the sender knows of."""
+
+    hosts: tuple[model.KnownHost, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationCopy:
+    """The newest configuration that the sender has read, as it was read."""
+
+    version: int
+    document: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamsCopy:
+    """The list of upstreams as the leader sees it."""
+
+    upstreams: tuple[model.LeasedUpstream, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class JobHandedOver:
+    """Hands a job to the leader; the sender remains the one that answers it.
+
+    Attributes:
+        request: The job.
+        ends_in_s: The caller waits so long.
+        arrived_ago_s: The job came to its owner so long ago.
+        safe_in_s: Runs ordered by an earlier leader are gone by then.
+    """
+
+    request: model.JobRequest
+    ends_in_s: float
+    arrived_ago_s: float
+    safe_in_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class AllHandedOver:
+    """All open jobs of the sender were handed to the leader of a term."""
+
+    term: model.Term
+
+
+@dataclass(frozen=True, slots=True)
+class JobAnswered:
+    """The leader's answer for the owner of a job."""
+
+    job: model.JobName
+    answer: model.Answer
+
+
+@dataclass(frozen=True, slots=True)
+class JobDropped:
+    """The owner no longer wants a job: its runs are to be stopped."""
+
+    job: model.JobName
+
+
+Message = (
+    Standing
+    | HostsKnown
+    | ConfigurationCopy
+    | UpstreamsCopy
+    | JobHandedOver
+    | AllHandedOver
+    | JobAnswered
+    | JobDropped
+)
--- /dev/null
+++ b/godwitnotch/core/leased/placement.py
@@ -0,0 +1,111 @@
+"""On which upstream a task runs: the load is unequal tasks and upstreams.
+
+A task goes where it is expected to end first; of equals the one with the least
+room left is filled up, so that large tasks still find room elsewhere.
+"""
+
+from collections.abc import Iterable
+
+from godwitnotch.core.leased import health as health_module
+from godwitnotch.core.leased import jobs
+from godwitnotch.core.leased import lease as lease_module
+from godwitnotch.core.leased import run_times
+
+# A last failure there counts as running so much longer.
+SUSPECT_FACTOR = 3.0
+OTHER_RACK_FACTOR = 1.5
+# Ends closer than this are equal; the room then decides.
+EQUAL_SHARE = 0.1
+
+
+class Placement:
+    """Chooses upstreams for tasks.
+
+    Args:
+        times: Predicts run times.
+        health: Tells which upstreams are left alone.
+    """
+
+    def __init__(
+        self, times: run_times.RunTimes, health: health_module.UpstreamHealth
+    ) -> None:
+        self._times = times
+        self._health = health
+
+    def choose(
+        self,
+        job: jobs.LeasedJob,
+        task: jobs.LeasedTask,
+        leases: Iterable[lease_module.Lease],
+        *,
+        now: float,
+    ) -> lease_module.Lease | None:
+        """Returns the upstream for a task, None if it is to wait."""
+        best = None
+        best_cost = 0.0
+        for lease in leases:
+            if not self._may_run(job, task, lease, now=now):
+                continue
+            cost = self._cost(job, task, lease)
+            if best is None or cost < best_cost:
+                best, best_cost = lease, cost
+        return best
+
+    def expected_ms(
+        self, job: jobs.LeasedJob, lease: lease_module.Lease
+    ) -> float:
+        """Returns how long a task of a job will run on an upstream."""
+        factor = self._times.slowness(lease.upstream)
+        rack = job.request.tasks.preferred_rack
+        if rack and rack not in lease.upstream.labels:
+            factor *= OTHER_RACK_FACTOR
+        return job.base_ms * factor
+
+    def _may_run(
+        self,
+        job: jobs.LeasedJob,
+        task: jobs.LeasedTask,
+        lease: lease_module.Lease,
+        *,
+        now: float,
+    ) -> bool:
+        group = job.request.tasks
+        upstream = lease.upstream
+        if (
+            not lease.takes_work()
+            or upstream.service != job.request.terms.service
+        ):
+            return False
+        if not group.needs.fits(lease.room):
+            return False
+        if not self._health.usable(upstream.upstream, now=now):
+            return False
+        if self._health.on_trial(upstream.upstream) and (
+            lease.runs or task.failures
+        ):
+            return False
+        if group.required_label and group.required_label not in upstream.labels:
+            return False
+        if upstream.upstream in task.avoid:
+            return False
+        return _below_maximum(job, lease)
+
+    def _cost(
+        self,
+        job: jobs.LeasedJob,
+        task: jobs.LeasedTask,
+        lease: lease_module.Lease,
+    ) -> float:
+        cost = self.expected_ms(job, lease)
+        if self._health.suspect(lease.upstream.upstream):
+            cost *= SUSPECT_FACTOR
+        left = lease.room.minus(job.request.tasks.needs).cpu_millis
+        share = left / max(1, lease.upstream.capacity.cpu_millis)
+        return cost * (1 + EQUAL_SHARE * share)
+
+
+def _below_maximum(job: jobs.LeasedJob, lease: lease_module.Lease) -> bool:
+    most = job.request.tasks.max_per_upstream
+    if not most:
+        return True
+    return sum(run.job is job for run in lease.runs.values()) < most
--- a/godwitnotch/core/messages.py
+++ b/godwitnotch/core/messages.py
@@ -8,8 +8,9 @@
 
 from godwitnotch.core import ids
 from godwitnotch.core import model
+from godwitnotch.core.leased import peer_messages
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -218,4 +219,5 @@
     | ConfigWanted
     | ConfigSnapshot
     | SchedulerMessage
+    | peer_messages.Message
 )
--- /dev/null
+++ b/godwitnotch/leased_root.py
@@ -0,0 +1,316 @@
+"""The composition root of a host on the users' platform."""
+
+import asyncio
+import hashlib
+import random
+import secrets
+import signal
+import sys
+import time
+from typing import Any
+
+from godwitnotch import leased_metrics
+from godwitnotch import log
+from godwitnotch.core import ids
+from godwitnotch.core import messages
+from godwitnotch.core.leased import actions
+from godwitnotch.core.leased import events
+from godwitnotch.core.leased import host as host_module
+from godwitnotch.core.leased import model
+from godwitnotch.net import http_client
+from godwitnotch.net import http_server
+from godwitnotch.net import http_types
+from godwitnotch.net import leased_api
+from godwitnotch.net import leased_calls
+from godwitnotch.net import leased_runtime
+from godwitnotch.net import leased_store
+from godwitnotch.net import peer_link
+from godwitnotch.platform import configuration as configuration_module
+from godwitnotch.platform import settings as settings_module
+from godwitnotch.platform import store as store_module
+
+# The platform sends no new connections after two failed readiness checks.
+MIN_DRAIN_S = 2.6
+EXIT_RESERVE_S = 1.5  # Of the time between SIGTERM and SIGKILL.
+ANSWER_GRACE_S = 0.5
+DRAIN_POLL_S = 0.05
+IDLE_TIMEOUT_S = 60.0
+RECEIVE_TIMEOUT_S = 3.0
+MAX_CONNECTIONS = 2_000
+RANK_PER_CORE = 100
+
+LINK_LIMITS = peer_link.PeerLimits(
+    heartbeat_interval_s=0.13,
+    max_heartbeats_per_s=80.0,
+    silence_timeout_s=0.45,
+    handshake_timeout_s=0.6,
+    min_backoff_s=0.05,
+    max_backoff_s=0.8,
+    higher_id_delay_s=0.15,
+    close_timeout_s=0.3,
+)
+
+
+async def run_host(settings: settings_module.PlatformSettings) -> None:
+    """Runs a host until SIGTERM has drained it.
+
+    Raises:
+        OSError: A listening address can't be bound.
+    """
+    log.configure(stream=sys.stdout)
+    host = LeasedHost(settings)
+    await host.start()
+    await host.drained()
+    await host.close()
+    log.event("host_exited", host=settings.name)
+
+
+class LeasedHost:
+    """One host on the platform, and its parts.
+
+    Args:
+        settings: What the platform tells this process.
+    """
+
+    def __init__(self, settings: settings_module.PlatformSettings) -> None:
+        self._settings = settings
+        self._loop = asyncio.get_running_loop()
+        self._loop.set_exception_handler(self._loop_fault)
+        self._metrics = leased_metrics.LeasedMetrics()
+        self._chance = random.Random(secrets.randbits(128))
+        self._me = model.KnownHost(settings.peers, settings.domain)
+        self._core = host_module.LeasedHost(
+            host=settings.peers,
+            domain=settings.domain,
+            rank=round(settings.cores * RANK_PER_CORE),
+            unix_time=time.time,
+            now=self._loop.time(),
+        )
+        self._links = self._make_links()
+        self._calls = leased_calls.LeasedCalls()
+        self._runtime = leased_runtime.LeasedRuntime(
+            core=self._core,
+            me=self._me,
+            links=self._links,
+            calls=self._calls,
+            on_decided=self._decided,
+            on_fault=self._fault,
+        )
+        self._store_client = http_client.HttpClient(
+            max_idle_s=5.0, connect_timeout_s=0.5
+        )
+        self._watch = leased_store.StoreWatch(
+            store_module.Store(settings.store, self._store_client),
+            self._me,
+            self._runtime,
+            chance=self._chance,
+            count=self._metrics.count,
+        )
+        self._servers = {
+            settings.callers: self._server(leased_api.LeasedApi(self).handle),
+            settings.ready: self._server(self._answer_ready),
+            self._metrics_address(): self._server(self._answer_metrics),
+        }
+        self._draining = asyncio.Event()
+
+    @property
+    def configuration(self) -> configuration_module.Configuration | None:
+        """The configuration in force."""
+        return self._runtime.configuration
+
+    async def start(self) -> None:
+        """Listens, then begins to decide.
+
+        Raises:
+            OSError: A listening address can't be bound.
+        """
+        ip, _, port = self._settings.peers.rpartition(":")
+        await self._links.start(peer_link.bind(ip, int(port)))
+        for address, server in self._servers.items():
+            ip, _, port = address.rpartition(":")
+            await server.start(ip, int(port))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self._drain)
+        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._runtime.start(on_lead=self._watch.wake)
+        self._runtime.take_hosts(
+            model.KnownHost(seed, ids.DomainId(""))
+            for seed in self._settings.seeds
+        )
+        for work in (
+            self._watch.watch_configuration(),
+            self._watch.watch_upstreams(),
+            self._watch.watch_hosts(),
+        ):
+            self._runtime.spawn(work)
+        log.event(
+            "host_started",
+            host=self._settings.name,
+            id=self._settings.peers,
+            domain=self._settings.domain,
+            cores=self._settings.cores,
+        )
+
+    async def drained(self) -> None:
+        """Returns once a drain was asked for and is done, or its time is up."""
+        await self._draining.wait()
+        begun_at = self._loop.time()
+        give_up_at = begun_at + self._settings.grace_s - EXIT_RESERVE_S
+        while self._loop.time() < give_up_at:
+            waited_s = self._loop.time() - begun_at
+            if waited_s >= MIN_DRAIN_S and not self._core.open_jobs:
+                return
+            await asyncio.sleep(DRAIN_POLL_S)
+        log.event("drain_deadline", jobs=self._core.open_jobs)
+
+    async def close(self) -> None:
+        """Delivers the last answers and closes all connections."""
+        leaving = asyncio.create_task(self._watch.leave())
+        deadline = self._loop.time() + ANSWER_GRACE_S
+        await asyncio.gather(
+            *(
+                server.stop(deadline=deadline)
+                for server in self._servers.values()
+            )
+        )
+        await self._links.close()
+        await asyncio.wait((leaving,), timeout=ANSWER_GRACE_S)
+        await self._runtime.close()
+        await self._calls.close()
+        await self._store_client.close()
+
+    async def ask(
+        self, request: model.JobRequest, *, deadline: float
+    ) -> model.Answer:
+        """Runs a job."""
+        begun_at = self._loop.time()
+        answer = await self._runtime.ask(request, deadline=deadline)
+        elapsed_s = self._loop.time() - begun_at
+        self._metrics.count_answer(answer, seconds=elapsed_s)
+        return answer
+
+    def feed(self, event: events.Event) -> None:
+        """Decides on an event."""
+        self._runtime.feed(event)
+
+    def refused(self, job: str, reason: model.EndReason, detail: str) -> None:
+        """Counts and logs a job that was refused before it was taken."""
+        self._decided(
+            actions.Decided("request_refused", job, reason.value, detail)
+        )
+
+    def pending(self) -> int:
+        """Returns how many jobs wait for a first run."""
+        return self._core.waiting_jobs
+
+    def _make_links(self) -> peer_link.PeerLinks:
+        return peer_link.PeerLinks(
+            hello=messages.Hello(
+                messages.PROTOCOL_VERSION,
+                self._settings.peers,
+                self._settings.domain,
+                _new_incarnation(),
+            ),
+            secret=hashlib.sha256(self._settings.store.encode()).digest(),
+            heartbeat=self._heartbeat,
+            on_event=self._peer_event,
+            on_note=self._note,
+            chance=self._chance,
+            limits=LINK_LIMITS,
+        )
+
+    def _server(self, handler: http_types.Handler) -> http_server.HttpServer:
+        return http_server.HttpServer(
+            handler,
+            limits=http_types.HttpLimits(
+                max_header_bytes=configuration_module.MAX_HEADER_BYTES,
+                max_body_bytes=configuration_module.MAX_BODY_BYTES,
+                receive_timeout_s=RECEIVE_TIMEOUT_S,
+                idle_timeout_s=IDLE_TIMEOUT_S,
+                max_connections=MAX_CONNECTIONS,
+            ),
+        )
+
+    def _metrics_address(self) -> str:
+        ip, _, _ = self._settings.callers.rpartition(":")
+        return f"{ip}:{self._settings.metrics_port}"
+
+    async def _answer_ready(
+        self, request: http_types.HttpRequest
+    ) -> http_types.HttpResponse:
+        ready = self._runtime.ready and not self._draining.is_set()
+        return http_types.HttpResponse(200 if ready else 503)
+
+    async def _answer_metrics(
+        self, request: http_types.HttpRequest
+    ) -> http_types.HttpResponse:
+        gauges = (
+            ("ready", float(self._runtime.ready)),
+            ("leads", float(self._core.leads)),
+            ("open_jobs", float(self._core.open_jobs)),
+            ("waiting_jobs", float(self._core.waiting_jobs)),
+            ("held_upstreams", float(self._core.held_upstreams)),
+            ("linked_hosts", float(len(self._links.linked))),
+        )
+        return http_types.HttpResponse(
+            200,
+            self._metrics.render(gauges),
+            {"content-type": leased_metrics.CONTENT_TYPE},
+        )
+
+    def _heartbeat(self) -> messages.Heartbeat:
+        current = self._runtime.configuration
+        return messages.Heartbeat(
+            config_counter=current.version if current else 0,
+            draining=self._draining.is_set(),
+        )
+
+    def _peer_event(self, event: Any) -> None:
+        self._runtime.feed_peer(event)
+
+    def _drain(self) -> None:
+        if not self._draining.is_set():
+            log.event("drain_started", jobs=self._core.open_jobs)
+            self._draining.set()
+            self._runtime.feed(events.DrainStarted())
+
+    def _reload(self) -> None:
+        """Reads the settings again; what they change needs a restart."""
+        try:
+            found = settings_module.load(settings_module.path())
+        except settings_module.PlatformSettingsError as error:
+            log.event("settings_rejected", cause=error)
+            return
+        changed = found != self._settings
+        log.event("settings_reloaded", changed=changed, seeds=len(found.seeds))
+        self._runtime.take_hosts(
+            model.KnownHost(seed, ids.DomainId("")) for seed in found.seeds
+        )
+
+    def _decided(self, decided: actions.Decided) -> None:
+        self._metrics.count(decided.event, decided.reason)
+        log.decided(decided)
+
+    def _note(self, note: Any) -> None:
+        self._metrics.count(note.event, "")
+        log.note(note)
+
+    def _fault(self, where: str, error: BaseException) -> None:
+        self._metrics.count("internal_fault", type(error).__name__)
+        log.logger.error(
+            f"where={log.value_text(where)} error={log.value_text(error)}",
+            extra={"event": "internal_fault"},
+            exc_info=error,
+        )
+
+    def _loop_fault(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        message = context["message"]
+        self._fault(message, context.get("exception") or RuntimeError(message))
+
+
+def _new_incarnation() -> ids.Incarnation:
+    """Returns a name that no other process has, sorted by time of birth."""
+    milliseconds = int(time.time() * 1_000)
+    return ids.Incarnation(f"{milliseconds:011x}-{secrets.token_hex(8)}")
--- a/godwitnotch/log.py
+++ b/godwitnotch/log.py
@@ -10,6 +10,7 @@
 from typing import TextIO
 
 from godwitnotch.core import actions
+from godwitnotch.core.leased import actions as leased_actions
 
 LEVELS = ("debug", "info", "warning", "error")
 BURST_LINES = 20  # Lines of one event in a window before it is bounded.
@@ -93,6 +94,20 @@
     logger.log(severity, " ".join(parts), extra={"event": noted.event})
 
 
+def decided(decision: leased_actions.Decided) -> None:
+    """Logs a decision about a leased run or a request."""
+    if not logger.isEnabledFor(logging.INFO):
+        return
+    parts = []
+    if decision.job:
+        parts.append(f"job={value_text(decision.job)}")
+    if decision.reason:
+        parts.append(f"reason={decision.reason}")
+    if decision.detail:
+        parts.append(decision.detail.replace("\n", " "))
+    logger.info(" ".join(parts), extra={"event": decision.event})
+
+
 def value_text(value: object) -> str:
     """Returns a value as one word, quoted where it has other characters."""
     text = "" if value is None else str(value)
--- /dev/null
+++ b/godwitnotch/net/leased_api.py
@@ -0,0 +1,154 @@
+"""What callers on the platform may ask of a host."""
+
+import asyncio
+import math
+from typing import Protocol
+
+from godwitnotch.core.leased import events
+from godwitnotch.core.leased import model
+from godwitnotch.net import http_server
+from godwitnotch.net import http_types
+from godwitnotch.platform import configuration as configuration_module
+from godwitnotch.platform import fields
+from godwitnotch.platform import jobs
+
+# Time kept for the answer's way to its caller.
+ANSWER_MARGIN_S = 0.02
+SHORT_RETRY_S = 1.0
+
+_STATUS = {
+    model.JobEnd.COMPLETED: 200,
+    model.JobEnd.FAILED: 200,
+    model.JobEnd.REFUSED: 503,
+    model.JobEnd.GIVEN_UP: 504,
+}
+
+
+class Host(Protocol):
+    """The host that serves the callers."""
+
+    @property
+    def configuration(self) -> configuration_module.Configuration | None:
+        """The configuration in force."""
+
+    async def ask(
+        self, request: model.JobRequest, *, deadline: float
+    ) -> model.Answer:
+        """Runs a job."""
+
+    def feed(self, event: events.Event) -> None:
+        """Decides on an event."""
+
+    def refused(self, job: str, reason: model.EndReason, detail: str) -> None:
+        """Counts and logs a job that was refused before it was taken."""
+
+    def pending(self) -> int:
+        """Returns how many jobs wait for a first run."""
+
+
+class LeasedApi:
+    """Answers callers' requests.
+
+    Args:
+        host: The host that serves them.
+    """
+
+    def __init__(self, host: Host) -> None:
+        self._host = host
+
+    async def handle(
+        self, request: http_types.HttpRequest
+    ) -> http_types.HttpResponse:
+        """Answers one request."""
+        current = self._host.configuration
+        if current is None:
+            return self._refuse("", model.EndReason.NO_CONFIGURATION, "")
+        authority = request.headers.get("host", "").lower()
+        authority = authority.partition(":")[0]
+        route = current.route(authority, request.path)
+        if route is None:
+            detail = f"version={current.version}"
+            self._host.refused("", model.EndReason.NO_ROUTE, detail)
+            return http_server.error_response(
+                404,
+                "no_route",
+                "no such route is configured; see its operators",
+            )
+        return await self._routed(request, route, current.version)
+
+    async def _routed(
+        self,
+        request: http_types.HttpRequest,
+        route: configuration_module.Route,
+        version: int,
+    ) -> http_types.HttpResponse:
+        if request.method == "GET" and request.path == route.prefix:
+            body = jobs.pending_body(self._host.pending())
+            return http_types.HttpResponse(200, body)
+        name = jobs.job_name(request.path, route.prefix)
+        if name is None:
+            return http_server.error_response(
+                404, "no_job", "the path ends in no id of 16 hexadecimal digits"
+            )
+        match request.method:
+            case "POST":
+                return await self._submit(request, route, name, version)
+            case "DELETE":
+                self._host.feed(events.CancelAsked(name))
+                return http_types.HttpResponse(410)
+            case "GET":
+                # Jobs that are answered as they end are not kept.
+                return http_types.HttpResponse(410)
+        return http_server.error_response(
+            405, "method_not_allowed", "use POST, GET or DELETE"
+        )
+
+    async def _submit(
+        self,
+        request: http_types.HttpRequest,
+        route: configuration_module.Route,
+        name: model.JobName,
+        version: int,
+    ) -> http_types.HttpResponse:
+        try:
+            job = jobs.decode(name, request.body, route)
+        except jobs.ShapeNotServedError as error:
+            reason = model.EndReason.SHAPE_NOT_SERVED
+            return self._refuse(name, reason, f"shape={error}")
+        except fields.WrongFormatError as error:
+            self._host.refused(name, model.EndReason.MALFORMED_JOB, str(error))
+            return http_server.error_response(400, "malformed_job", str(error))
+        answer = await self._host.ask(job, deadline=_deadline(request, route))
+        return _response(answer)
+
+    def _refuse(
+        self, job: str, reason: model.EndReason, detail: str
+    ) -> http_types.HttpResponse:
+        self._host.refused(job, reason, detail)
+        return _response(
+            model.Answer(model.JobEnd.REFUSED, reason, SHORT_RETRY_S)
+        )
+
+
+def _deadline(
+    request: http_types.HttpRequest, route: configuration_module.Route
+) -> float:
+    """Returns when the caller stops waiting, as a time of the loop's clock."""
+    now = asyncio.get_running_loop().time()
+    wait_s = route.timeout_s
+    header = request.headers.get(jobs.DEADLINE_HEADER)
+    if header is not None:
+        try:
+            wait_s = min(wait_s, float(header) / 1_000)
+        except ValueError:
+            wait_s = route.timeout_s
+    return now + max(0.0, wait_s - ANSWER_MARGIN_S)
+
+
+def _response(answer: model.Answer) -> http_types.HttpResponse:
+    headers = {}
+    if answer.end is model.JobEnd.REFUSED:
+        headers["retry-after"] = str(max(1, math.ceil(answer.retry_after_s)))
+    return http_types.HttpResponse(
+        _STATUS[answer.end], jobs.answer_body(answer), headers
+    )
--- /dev/null
+++ b/godwitnotch/net/leased_calls.py
@@ -0,0 +1,91 @@
+"""Carries orders to upstreams, and their answers back as events."""
+
+import asyncio
+
+from godwitnotch.core.leased import actions
+from godwitnotch.core.leased import events
+from godwitnotch.core.leased import model
+from godwitnotch.net import http_client
+from godwitnotch.net import http_types
+from godwitnotch.platform import fields
+from godwitnotch.platform import upstreams
+
+ORDER_TIMEOUT_S = 0.25
+MAX_ANSWER_BYTES = 1024 * 1024
+MAX_IDLE_S = 20.0
+CONNECT_TIMEOUT_S = 0.25
+
+_OK = 200
+
+Order = actions.StartRun | actions.StopRun | actions.RenewLease
+Answer = (
+    events.OrderTaken
+    | events.OrderRejected
+    | events.OrderUnanswered
+    | events.RunsListed
+)
+
+
+class LeasedCalls:
+    """Sends orders to upstreams over kept connections."""
+
+    def __init__(self) -> None:
+        self._client = http_client.HttpClient(
+            max_idle_s=MAX_IDLE_S, connect_timeout_s=CONNECT_TIMEOUT_S
+        )
+
+    async def send(self, order: Order) -> Answer:
+        """Sends an order; what isn't a clear answer counts as none."""
+        deadline = asyncio.get_running_loop().time() + _timeout_s(order)
+        try:
+            response = await self._client.request(
+                order.upstream.address,
+                _request(order),
+                deadline=deadline,
+                max_body_bytes=MAX_ANSWER_BYTES,
+            )
+        except http_client.ExchangeError as error:
+            if error.progress is http_client.Progress.SENT:
+                return events.OrderUnanswered(order.call)
+            return _not_sent(order)
+        if response.status != _OK:
+            refusal = upstreams.refusal(response)
+            return events.OrderRejected(order.call, refusal)
+        try:
+            return _taken(order, response)
+        except fields.WrongFormatError:
+            return events.OrderUnanswered(order.call)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._client.close()
+
+
+def _timeout_s(order: Order) -> float:
+    if isinstance(order, actions.RenewLease):
+        return ORDER_TIMEOUT_S + order.wait_ms / 1_000
+    return ORDER_TIMEOUT_S
+
+
+def _request(order: Order) -> http_types.HttpRequest:
+    match order:
+        case actions.StartRun():
+            return upstreams.start_request(order)
+        case actions.StopRun():
+            return upstreams.stop_request(order)
+        case actions.RenewLease():
+            return upstreams.renew_request(order)
+
+
+def _not_sent(order: Order) -> Answer:
+    """Returns that nothing was done: no byte has left this process."""
+    if isinstance(order, actions.StartRun):
+        return events.OrderRejected(order.call, model.OrderRefusal.UNHEALTHY)
+    return events.OrderUnanswered(order.call)
+
+
+def _taken(order: Order, response: http_types.HttpResponse) -> Answer:
+    if isinstance(order, actions.RenewLease):
+        return events.RunsListed(order.call, upstreams.run_list(response))
+    clock_ms, born_ms = upstreams.clock(response)
+    return events.OrderTaken(order.call, clock_ms, born_ms)
--- /dev/null
+++ b/godwitnotch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform; decides nothing."""
--- /dev/null
+++ b/godwitnotch/platform/__main__.py
@@ -0,0 +1,22 @@
+"""Runs a host on the platform as `python -m godwitnotch.platform`."""
+
+import asyncio
+import sys
+
+from godwitnotch import leased_root
+from godwitnotch.platform import settings
+
+
+def main() -> int:
+    """Runs a host; returns the exit code."""
+    try:
+        loaded = settings.load(settings.path())
+    except settings.PlatformSettingsError as error:
+        print(f"event=settings_rejected cause={error}", file=sys.stderr)
+        return 2
+    asyncio.run(leased_root.run_host(loaded))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/godwitnotch/platform/jobs.py
@@ -0,0 +1,117 @@
+"""Callers' jobs as the platform's pages give them."""
+
+import json
+from typing import Any
+
+from godwitnotch.core.leased import model
+from godwitnotch.platform import configuration
+from godwitnotch.platform import fields
+
+ID_DIGITS = 16
+MAX_SPEC_BYTES = 4_000
+MAX_TASKS = 1_000
+DEADLINE_HEADER = "x-request-deadline"
+# Fields of jobs and steps whose meaning isn't served yet.
+_JOB_SHAPES = ("times", "persistent")
+_STEP_SHAPES = (
+    "after",
+    "gang",
+    "checkpointing",
+    "speculative",
+    "persistent",
+    "fills",
+    "may_miss",
+    "target_ms",
+    "image",
+    "same_rack",
+)
+
+
+class ShapeNotServedError(Exception):
+    """A job of a kind that isn't served; it is not accepted and never runs."""
+
+
+def job_name(path: str, prefix: str) -> model.JobName | None:
+    """Returns the caller's id of a job from a path, if it is one."""
+    name = path[len(prefix) :]
+    if len(name) != ID_DIGITS or not all(
+        digit in "0123456789abcdefABCDEF" for digit in name
+    ):
+        return None
+    return model.JobName(name)
+
+
+def decode(
+    name: model.JobName, body: bytes, route: configuration.Route
+) -> model.JobRequest:
+    """Decodes a job.
+
+    Raises:
+        WrongFormatError: The body isn't a job.
+        ShapeNotServedError: The job is of a kind that isn't served.
+    """
+    values = fields.load(body)
+    _check_shape(values, route)
+    steps = fields.items(values, "steps")
+    spec = fields.text(values, "spec", "")
+    if len(spec.encode()) > MAX_SPEC_BYTES:
+        raise fields.WrongFormatError(
+            f"spec has more than {MAX_SPEC_BYTES} bytes; send a shorter one"
+        )
+    return model.JobRequest(name, spec, _task_group(steps[0]), route.terms)
+
+
+def _check_shape(values: dict[str, Any], route: configuration.Route) -> None:
+    steps = fields.items(values, "steps")
+    if not steps or not all(isinstance(step, dict) for step in steps):
+        raise fields.WrongFormatError("steps holds no step; send at least one")
+    if not fields.flag(values, "best_effort"):
+        raise ShapeNotServedError("stored")
+    if len(steps) > 1:
+        raise ShapeNotServedError("steps")
+    if route.needs_advice:
+        raise ShapeNotServedError("advice")
+    for shape in _JOB_SHAPES:
+        if values.get(shape):
+            raise ShapeNotServedError(shape)
+    for shape in _STEP_SHAPES:
+        if steps[0].get(shape):
+            raise ShapeNotServedError(shape)
+
+
+def _task_group(step: dict[str, Any]) -> model.TaskGroup:
+    count = fields.integer(step, "count", 1)
+    if not 1 <= count <= MAX_TASKS:
+        raise fields.WrongFormatError(
+            f"count is {count}; send 1 to {MAX_TASKS} tasks"
+        )
+    return model.TaskGroup(
+        count=count,
+        needs=resources(step),
+        estimate_ms=fields.number(step, "estimate_ms", 0.0),
+        required_label=fields.text(step, "required_label", ""),
+        # The rack on which the task's data lies.
+        preferred_rack=fields.text(step, "affinity", ""),
+        max_per_upstream=fields.integer(step, "max_per_server", 0),
+    )
+
+
+def resources(values: dict[str, Any]) -> model.Resources:
+    """Returns the resources that a step needs, or a worker has."""
+    return model.Resources(
+        cpu_millis=fields.integer(values, "cpu", 0),
+        memory_mb=fields.integer(values, "mem_mb", 0),
+        gpus=fields.integer(values, "gpu", 0),
+    )
+
+
+def answer_body(answer: model.Answer) -> bytes:
+    """Returns the body of a caller's answer."""
+    if answer.end in (model.JobEnd.COMPLETED, model.JobEnd.FAILED):
+        return json.dumps({"state": answer.end.value}).encode()
+    return json.dumps({"error": answer.reason.value}).encode()
+
+
+def pending_body(count: int) -> bytes:
+    """Returns the body that tells how many jobs of a route wait."""
+    return json.dumps({"pending": count}).encode()
--- /dev/null
+++ b/godwitnotch/platform/store.py
@@ -0,0 +1,189 @@
+"""The platform's store: rows in tables, read and written over HTTP."""
+
+import base64
+import binascii
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from godwitnotch.net import http_client
+from godwitnotch.net import http_types
+from godwitnotch.platform import fields
+
+CONFIG_TABLE = "op"
+CONFIG_KEY = "config"
+UPSTREAMS_TABLE = "servers"
+HOSTS_TABLE = "godwitnotch_hosts"
+
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+_OK = 200
+_HISTORY_GONE = 410
+
+
+class StoreUnavailable(Exception):
+    """The store gave no usable answer; ask again later."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreRow:
+    """A row; `value` is None where the row was removed."""
+
+    key: str
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class StoreRows:
+    """Rows as of a version of the store."""
+
+    rows: tuple[StoreRow, ...]
+    version: int
+
+
+class Store:
+    """Reads and writes rows.
+
+    Args:
+        address: IP number and port of the store.
+        client: The HTTP client whose connections are used.
+    """
+
+    def __init__(self, address: str, client: http_client.HttpClient) -> None:
+        self._address = address
+        self._client = client
+        self._calls = 0
+
+    @property
+    def calls(self) -> int:
+        """Returns how many calls were made."""
+        return self._calls
+
+    async def rows(self, table: str, *, deadline: float) -> StoreRows:
+        """Reads all rows of a table that stand in its unnamed part.
+
+        Raises:
+            StoreUnavailable: There was no usable answer by the deadline.
+        """
+        found: list[StoreRow] = []
+        start = ""
+        while True:
+            query = {"table": table, "part": ""}
+            if start:
+                query["from"] = start
+            values = await self._read("/rows-get", query, deadline)
+            found += _rows(values)
+            if not values.get("has_more") or not found:
+                return StoreRows(tuple(found), _version(values))
+            start = found[-1].key + "\0"
+
+    async def changes(
+        self, table: str, *, after: int, wait_ms: int, deadline: float
+    ) -> StoreRows | None:
+        """Waits for changed rows; None if that history is gone.
+
+        Raises:
+            StoreUnavailable: There was no usable answer by the deadline.
+        """
+        query = {
+            "table": table,
+            "after": str(after),
+            "wait_ms": str(wait_ms),
+        }
+        request = http_types.HttpRequest("GET", "/rows-feed", query=query)
+        response = await self._exchange(request, deadline)
+        if response.status == _HISTORY_GONE:
+            return None
+        values = _checked(response)
+        return StoreRows(tuple(_rows(values)), _version(values))
+
+    async def put(
+        self, table: str, key: str, value: bytes, *, deadline: float
+    ) -> None:
+        """Writes a row.
+
+        Raises:
+            StoreUnavailable: It may or may not be written.
+        """
+        row = {
+            "table": table,
+            "part": "",
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+        }
+        await self._write({"set_keys": [row]}, deadline)
+
+    async def remove(self, table: str, key: str, *, deadline: float) -> None:
+        """Removes a row.
+
+        Raises:
+            StoreUnavailable: It may or may not be removed.
+        """
+        row = {"table": table, "part": "", "key": key}
+        await self._write({"remove": [row]}, deadline)
+
+    async def _write(self, body: dict[str, Any], deadline: float) -> None:
+        request = http_types.HttpRequest(
+            "POST",
+            "/rows-tx",
+            headers={"content-type": "application/json"},
+            body=json.dumps(body).encode(),
+        )
+        _checked(await self._exchange(request, deadline))
+
+    async def _read(
+        self, path: str, query: dict[str, str], deadline: float
+    ) -> dict[str, Any]:
+        request = http_types.HttpRequest("GET", path, query=query)
+        return _checked(await self._exchange(request, deadline))
+
+    async def _exchange(
+        self, request: http_types.HttpRequest, deadline: float
+    ) -> http_types.HttpResponse:
+        self._calls += 1
+        try:
+            return await self._client.request(
+                self._address,
+                request,
+                deadline=deadline,
+                max_body_bytes=MAX_ANSWER_BYTES,
+            )
+        except http_client.ExchangeError as error:
+            raise StoreUnavailable(str(error)) from error
+
+
+def _checked(response: http_types.HttpResponse) -> dict[str, Any]:
+    if response.status != _OK:
+        raise StoreUnavailable(
+            f"the store answered {response.status}; ask again later"
+        )
+    try:
+        return fields.load(response.body)
+    except fields.WrongFormatError as error:
+        raise StoreUnavailable(f"the store's answer: {error}") from error
+
+
+def _version(values: dict[str, Any]) -> int:
+    version = values.get("ver")
+    if type(version) is not int:
+        raise StoreUnavailable("the store's answer has no version; ask again")
+    return version
+
+
+def _rows(values: dict[str, Any]) -> list[StoreRow]:
+    rows = values.get("rows")
+    if not isinstance(rows, list):
+        raise StoreUnavailable("the store's answer has no rows; ask again")
+    return [row for each in rows if (row := _row(each)) is not None]
+
+
+def _row(row: Any) -> StoreRow | None:
+    if not isinstance(row, dict) or not isinstance(row.get("key"), str):
+        return None
+    if row.get("deleted"):
+        return StoreRow(row["key"], None)
+    try:
+        value = base64.b64decode(row.get("value", ""), validate=True)
+    except (binascii.Error, TypeError, ValueError):
+        # The reader of the row says that it can't be decoded.
+        value = b""
+    return StoreRow(row["key"], value)
