Never refuse what an earlier leader may have started; wait for unlisted upstreams

Cause: a job handed to a second leader was judged anew and refused though it had run (REFUSED); a leader in a cut-off domain saw a list without the others' upstreams and took all runs for seen (TWICE at the end of zone_cut); a drain cut requests that came in its last half second (LOST).

--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -26,6 +26,9 @@
 OVERDUE_FACTOR = 2.5
 OVERDUE_MARGIN_S = 0.1
 OVERDUE_LOOK_S = 0.05
+ALIKE_SHARE = 0.7  # Tasks of one job run for about as long as each other.
+# For a link that broke to open again before its owner's jobs are stopped.
+OWNER_GRACE_S = 0.25
 # Jobs in a row that find no room before the pass ends.
 MAX_MISSES = 4
 
@@ -45,6 +48,7 @@
         out: Takes orders and decisions.
         answer_owner: Tells the owner of a job its answer.
         in_scope: Tells whether an upstream may be held at all.
+        all_listed: Tells whether nothing can run at upstreams not listed.
         outranked: Learns that an upstream has seen a higher term.
     """
 
@@ -54,14 +58,17 @@
         *,
         answer_owner: AnswerOwner,
         in_scope: Callable[[model.LeasedUpstream], bool],
+        all_listed: Callable[[float], bool],
         outranked: Callable[[lease_module.Lease, float], None],
     ) -> None:
         self._out = out
         self._answer_owner = answer_owner
+        self._all_listed = all_listed
         self._outranked = outranked
         self._leading = False
         self._took_office_at = 0.0
         self._awaited: set[ids.HostId] = set()
+        self._lost_owners: dict[ids.HostId, float] = {}
         self._jobs: dict[model.JobName, jobs.LeasedJob] = {}
         self._kept: dict[model.JobName, _KeptAnswer] = {}
         self._live: dict[model.TaskKey, int] = {}
@@ -104,6 +111,7 @@
         self._jobs.clear()
         self._kept.clear()
         self._live.clear()
+        self._lost_owners.clear()
         self._keeper.resign()
 
     def handed_over(
@@ -116,7 +124,7 @@
         """Takes a job from its owner; again if the owner or leader changed."""
         name = message.request.job
         kept = self._kept.get(name)
-        if kept is not None and message.safe_in_s > 0:
+        if kept is not None and message.handed_on:
             self._answer_owner(owner, name, kept.answer)
             return
         job = self._jobs.get(name)
@@ -136,12 +144,24 @@
         self._settle(now=now)
 
     def owner_lost(self, owner: ids.HostId, *, now: float) -> None:
-        """Stops the jobs of a host that is no longer heard."""
+        """Stops the jobs of a host soon, unless its link opens again."""
         self._awaited.discard(owner)
+        self._lost_owners[owner] = now + OWNER_GRACE_S
+
+    def owner_back(self, owner: ids.HostId) -> None:
+        """Goes on with the jobs of a host that is heard again."""
+        self._lost_owners.pop(owner, None)
+
+    def _drop_lost_owners(self, *, now: float) -> None:
+        for owner, drop_at in tuple(self._lost_owners.items()):
+            if now >= drop_at:
+                del self._lost_owners[owner]
+                self._drop_owner(owner, now=now)
+
+    def _drop_owner(self, owner: ids.HostId, *, now: float) -> None:
         for job in tuple(self._jobs.values()):
             if job.owner == owner:
                 self._drop(job, reason="owner_lost", now=now)
-        self._settle(now=now)
 
     def dropped(
         self, owner: ids.HostId, name: model.JobName, *, now: float
@@ -172,6 +192,7 @@
         if now - self._took_office_at >= CLAIMS_WAIT_S:
             self._keeper.close_claims(now=now)
         self._keeper.tick(now=now)
+        self._drop_lost_owners(now=now)
         self._end_overdue_jobs(now=now)
         if now >= self._overdue_look_at:
             self._overdue_look_at = now + OVERDUE_LOOK_S
@@ -282,6 +303,7 @@
             deadline=now + message.ends_in_s,
             unsure_until=unsure_until,
             base_ms=self._times.base_ms(request),
+            started=message.handed_on,
         )
         self._jobs[request.job] = job
         self._keeper.claim(job)
@@ -340,7 +362,7 @@
         if not self._dirty or not self._leading:
             return
         self._dirty = False
-        all_seen = self._keeper.all_seen()
+        all_seen = self._all_listed(now) and self._keeper.all_seen()
         misses = 0
         for job in waiting.in_order(self._waiting_jobs(), now=now):
             if now < job.unsure_until and not all_seen:
@@ -490,16 +512,21 @@
         )
         if running_s < late_s or self._jobs.get(job.name) is not job:
             return
+        task = job.tasks[run.key.task.index]
+        if running_s < task.overdue_s * OVERDUE_FACTOR:
+            return
+        if self._like_others(job, run, running_s, now=now):
+            return
         self._times.overdue(
             job.request, lease.upstream, running_ms=running_s * 1_000
         )
-        task = job.tasks[run.key.task.index]
         task.avoid.add(lease.upstream.upstream)
         other = self._placement.choose(
             job, task, self._keeper.leases.values(), now=now
         )
         if other is None:
             return
+        task.overdue_s = running_s
         self._out.decided(
             "run_overdue",
             job=job.name,
@@ -507,3 +534,27 @@
             f"running_s={running_s:.3f} expected_s={run.expected_s:.3f}",
         )
         self._keeper.stop(lease, run, now=now)
+
+    def _like_others(
+        self,
+        job: jobs.LeasedJob,
+        run: lease_module.Run,
+        running_s: float,
+        *,
+        now: float,
+    ) -> bool:
+        """Returns whether tasks of the same job go on for as long elsewhere.
+
+        Then it is the job that was estimated too short, not the upstream that
+        is slow; what is known of the upstream stays.
+        """
+        for lease in self._keeper.leases.values():
+            for other in lease.runs.values():
+                if (
+                    other.job is job
+                    and other is not run
+                    and lease.runs.get(run.key.task) is not run
+                    and now - other.ordered_at >= running_s * ALIKE_SHARE
+                ):
+                    return True
+        return False
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -22,6 +22,8 @@
 FIRST_TERM_JUMP_S = 2.0
 MAX_TERM_JUMP_S = 256.0
 TERM_JUMP_PAUSE_S = 0.5
+# An upstream that has left the list may be held in a part that was cut off.
+UNLISTED_S = 30.0
 
 
 def _handles(*kinds: type) -> Callable[[_Handler], _Handler]:
@@ -66,12 +68,15 @@
             self._out,
             answer_owner=self._answer_owner,
             in_scope=self._in_scope,
+            all_listed=self._all_listed,
             outranked=self._outranked,
         )
         self._term_jump_s = FIRST_TERM_JUMP_S
         self._term_jump_at = 0.0
         self._draining = False
         self._now = now
+        self._begun_at = now
+        self._listed_at: dict[ids.UpstreamId, float] = {}
 
     @property
     def leader(self) -> ids.HostId:
@@ -132,6 +137,28 @@
         self._tell_standing()
         self._owned.leader_changed(leadership.leader, leadership.term, now=now)
 
+    def _take_upstreams(
+        self, upstreams: tuple[model.LeasedUpstream, ...], *, now: float
+    ) -> None:
+        for upstream in (*self._upstreams, *upstreams):
+            self._listed_at[upstream.upstream] = now
+        self._upstreams = upstreams
+
+    def _all_listed(self, now: float) -> bool:
+        """Returns whether nothing runs at upstreams that aren't listed.
+
+        One whose failure domain is cut off drops out of the list, and may go
+        on for a leader in that domain.
+        """
+        if now - self._begun_at < UNLISTED_S:
+            return False
+        listed = {each.upstream for each in self._upstreams}
+        return not any(
+            now - at < UNLISTED_S
+            for upstream, at in self._listed_at.items()
+            if upstream not in listed
+        )
+
     def _tell_standing(self) -> None:
         standing = self._leadership.standing()
         for host in self._linked:
@@ -191,7 +218,7 @@
                 self._owned.answered(job, answer)
             case peer_messages.UpstreamsCopy(upstreams=upstreams):
                 if not self.leads:
-                    self._upstreams = upstreams
+                    self._take_upstreams(upstreams, now=now)
             case _ if self.leads:
                 self._take_as_leader(host, message, now=now)
 
@@ -235,7 +262,7 @@
 ) -> None:
     if event.upstreams == core._upstreams:
         return
-    core._upstreams = event.upstreams
+    core._take_upstreams(event.upstreams, now=now)
     if not core.leads:
         return
     core._dispatcher.keeper.upstreams_listed(event.upstreams, now=now)
@@ -251,6 +278,7 @@
 ) -> None:
     core._linked[event.host] = event.domain
     core._leadership.peer_up(event.host, event.domain, now=now)
+    core._dispatcher.owner_back(event.host)
     standing = core._leadership.standing()
     core._out.add(actions.TellPeer(event.host, standing))
     if core.leads and core._upstreams:
--- a/godwitnotch/core/leased/jobs.py
+++ b/godwitnotch/core/leased/jobs.py
@@ -27,6 +27,7 @@
         next_run: Number of its next run.
         failures: Its runs that failed.
         avoid: Upstreams on which a run of it failed or hung.
+        overdue_s: How long a run of it went on before it was stopped.
     """
 
     key: model.TaskKey
@@ -34,6 +35,7 @@
     next_run: int = 1
     failures: int = 0
     avoid: set[ids.UpstreamId] = field(default_factory=set)
+    overdue_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -48,7 +50,8 @@
         unsure_until: Runs of an earlier leader may go on until then.
         base_ms: Expected run time of a task at average speed.
         tasks: Its tasks.
-        started: Whether a run of it was ever ordered.
+        started: Whether a run of it was ever ordered, perhaps by an earlier
+            leader.
         checked: Whether it was looked at again after its arrival.
     """
 
--- a/godwitnotch/core/leased/owned_jobs.py
+++ b/godwitnotch/core/leased/owned_jobs.py
@@ -31,6 +31,7 @@
     deadline: float
     leader: ids.HostId = ids.HostId("")
     handed_over: bool = False
+    handed_on: bool = False
     safe_at: float = 0.0
 
 
@@ -76,6 +77,7 @@
         if earlier is not None:
             owned.handed_over = earlier.handed_over
             owned.safe_at = earlier.safe_at
+            owned.handed_on = earlier.handed_on
         self._jobs[request.job] = owned
         self._calls[call] = request.job
         if self._leader:
@@ -105,8 +107,12 @@
     def answered(self, name: model.JobName, answer: model.Answer) -> None:
         """Takes the leader's answer."""
         owned = self._jobs.get(name)
-        if owned is not None:
-            self._answer(owned, answer)
+        if owned is None:
+            return
+        if owned.handed_on and answer.end is model.JobEnd.REFUSED:
+            # An earlier leader may have started it.
+            answer = model.Answer(model.JobEnd.GIVEN_UP, answer.reason)
+        self._answer(owned, answer)
 
     def leader_changed(
         self, leader: ids.HostId, term: model.Term, *, now: float
@@ -116,6 +122,7 @@
         for owned in self._jobs.values():
             if owned.handed_over and owned.leader != leader:
                 owned.safe_at = max(owned.safe_at, now + SAFE_S)
+                owned.handed_on = True
         if not leader:
             return
         for owned in tuple(self._jobs.values()):
@@ -143,6 +150,7 @@
                 max(0.0, owned.deadline - now),
                 now - owned.arrived_at,
                 max(0.0, owned.safe_at - now),
+                owned.handed_on,
             ),
         )
 
--- a/godwitnotch/core/leased/peer_messages.py
+++ b/godwitnotch/core/leased/peer_messages.py
@@ -59,12 +59,14 @@
         ends_in_s: The caller waits so long.
         arrived_ago_s: The job came to its owner so long ago.
         safe_in_s: Runs ordered by an earlier leader are gone by then.
+        handed_on: Whether an earlier leader had it.
     """
 
     request: model.JobRequest
     ends_in_s: float
     arrived_ago_s: float
     safe_in_s: float
+    handed_on: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -31,7 +31,7 @@
 
 # The platform sends no new connections after two failed readiness checks.
 MIN_DRAIN_S = 2.6
-EXIT_RESERVE_S = 1.5  # Of the time between SIGTERM and SIGKILL.
+EXIT_RESERVE_S = 0.8  # Of the time between SIGTERM and SIGKILL.
 ANSWER_GRACE_S = 0.5
 DRAIN_POLL_S = 0.05
 IDLE_TIMEOUT_S = 60.0
@@ -112,6 +112,7 @@
             self._metrics_address(): self._server(self._answer_metrics),
         }
         self._draining = asyncio.Event()
+        self._cut_at = 0.0
 
     @property
     def configuration(self) -> configuration_module.Configuration | None:
@@ -155,8 +156,8 @@
         """Returns once a drain was asked for and is done, or its time is up."""
         await self._draining.wait()
         begun_at = self._loop.time()
-        give_up_at = begun_at + self._settings.grace_s - EXIT_RESERVE_S
-        while self._loop.time() < give_up_at:
+        self._cut_at = begun_at + self._settings.grace_s - EXIT_RESERVE_S
+        while self._loop.time() < self._cut_at:
             waited_s = self._loop.time() - begun_at
             if waited_s >= MIN_DRAIN_S and not self._core.open_jobs:
                 return
@@ -164,9 +165,9 @@
         log.event("drain_deadline", jobs=self._core.open_jobs)
 
     async def close(self) -> None:
-        """Delivers the last answers and closes all connections."""
+        """Answers what still arrives, then closes all connections."""
         leaving = asyncio.create_task(self._watch.leave())
-        deadline = self._loop.time() + ANSWER_GRACE_S
+        deadline = max(self._loop.time() + ANSWER_GRACE_S, self._cut_at)
         await asyncio.gather(
             *(
                 server.stop(deadline=deadline)
@@ -193,6 +194,19 @@
         """Decides on an event."""
         self._runtime.feed(event)
 
+    def received(
+        self, job: model.JobRequest, wait_s: float, version: int
+    ) -> None:
+        """Logs a job that was taken from its caller."""
+        tasks = job.tasks
+        detail = (
+            f"route={job.terms.route} tasks={tasks.count} "
+            f"cpu_millis={tasks.needs.cpu_millis} "
+            f"estimate_ms={tasks.estimate_ms:g} wait_s={wait_s:.3f} "
+            f"version={version}"
+        )
+        self._decided(actions.Decided("job_received", job.job, "", detail))
+
     def refused(self, job: str, reason: model.EndReason, detail: str) -> None:
         """Counts and logs a job that was refused before it was taken."""
         self._decided(
--- a/godwitnotch/net/leased_api.py
+++ b/godwitnotch/net/leased_api.py
@@ -39,6 +39,11 @@
     def feed(self, event: events.Event) -> None:
         """Decides on an event."""
 
+    def received(
+        self, job: model.JobRequest, wait_s: float, version: int
+    ) -> None:
+        """Logs a job that was taken from its caller."""
+
     def refused(self, job: str, reason: model.EndReason, detail: str) -> None:
         """Counts and logs a job that was refused before it was taken."""
 
@@ -118,7 +123,10 @@
         except fields.WrongFormatError as error:
             self._host.refused(name, model.EndReason.MALFORMED_JOB, str(error))
             return http_server.error_response(400, "malformed_job", str(error))
-        answer = await self._host.ask(job, deadline=_deadline(request, route))
+        wait_s = _wait_s(request, route)
+        self._host.received(job, wait_s, version)
+        deadline = asyncio.get_running_loop().time() + wait_s
+        answer = await self._host.ask(job, deadline=deadline)
         return _response(answer)
 
     def _refuse(
@@ -130,19 +138,22 @@
         )
 
 
-def _deadline(
+def _wait_s(
     request: http_types.HttpRequest, route: configuration_module.Route
 ) -> float:
-    """Returns when the caller stops waiting, as a time of the loop's clock."""
-    now = asyncio.get_running_loop().time()
+    """Returns how long the caller waits for the answer to leave this host.
+
+    A job may take longer than its route's timeout, which is one for requests
+    that are passed on; the caller says how long it waits.
+    """
     wait_s = route.timeout_s
     header = request.headers.get(jobs.DEADLINE_HEADER)
     if header is not None:
         try:
-            wait_s = min(wait_s, float(header) / 1_000)
+            wait_s = float(header) / 1_000
         except ValueError:
             wait_s = route.timeout_s
-    return now + max(0.0, wait_s - ANSWER_MARGIN_S)
+    return max(0.0, wait_s - ANSWER_MARGIN_S)
 
 
 def _response(answer: model.Answer) -> http_types.HttpResponse:
