--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.requirements-installed
 
-.PHONY: setup demo test failures scenarios histories mutants bench capacity binary binary-cost lint types format
+.PHONY: setup demo test failures scenarios histories leased-histories mutants bench capacity binary binary-cost lint types format
 
 # How many histories of each kind `make histories` tries, and from which seed.
 HISTORIES ?= 2000
@@ -31,6 +31,10 @@
 	HISTORIES=$(HISTORIES) HISTORIES_SEED=$(HISTORIES_SEED) \
 	    $(PY) -m tests.test_differential
 
+leased-histories: setup
+	LEASED_HISTORIES=$(HISTORIES) LEASED_SEED=$(HISTORIES_SEED) \
+	    $(PY) -m unittest tests.test_leased_histories
+
 mutants: setup
 	$(PY) -m tests.mutants
 
--- a/godwitnotch/net/http_client.py
+++ b/godwitnotch/net/http_client.py
@@ -450,7 +450,9 @@
         self._write(data)
 
     def _encode(self, request: http_types.HttpRequest) -> bytes:
-        headers = [("host", self._address), *request.headers.items()]
+        headers = list(request.headers.items())
+        if "host" not in request.headers:
+            headers.insert(0, ("host", self._address))
         if request.body or request.method not in ("GET", "HEAD", "DELETE"):
             headers.append(("content-length", str(len(request.body))))
         head = h11.Request(
--- /dev/null
+++ b/godwitnotch/standins/leased_platform.py
@@ -0,0 +1,348 @@
+"""Stand-ins that speak the users' platform's protocol: a store and upstreams.
+
+They keep all in memory and can be ordered to fail: a store that answers 503, an
+upstream that fails, hangs, or carries out orders late without an answer.
+"""
+
+import asyncio
+import base64
+import itertools
+import json
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+from godwitnotch.net import http_server
+from godwitnotch.net import http_types
+
+MAX_LEASE_S = 1.0
+FEED_POLL_S = 0.01
+_JSON = {"content-type": "application/json"}
+
+
+@dataclass(slots=True)
+class _Row:
+    value: str
+    version: int
+    deleted: bool = False
+
+
+class StandInStore:
+    """Rows in tables, with the calls that a host makes."""
+
+    def __init__(self) -> None:
+        self._server = http_server.HttpServer(
+            self._answer, limits=http_types.HttpLimits()
+        )
+        self._rows: dict[tuple[str, str], _Row] = {}
+        self._version = 0
+        self.down = False
+        self.calls = 0
+
+    async def start(self, ip: str = "127.0.0.1", port: int = 0) -> str:
+        """Listens; returns the address."""
+        return f"{ip}:{await self._server.start(ip, port)}"
+
+    async def close(self) -> None:
+        """Stops listening."""
+        now = asyncio.get_running_loop().time()
+        await self._server.stop(deadline=now)
+
+    def put(self, table: str, key: str, value: bytes) -> None:
+        """Writes a row as the operators or an upstream would."""
+        self._version += 1
+        text = base64.b64encode(value).decode()
+        self._rows[table, key] = _Row(text, self._version)
+
+    def remove(self, table: str, key: str) -> None:
+        """Removes a row."""
+        self._version += 1
+        self._rows[table, key] = _Row("", self._version, deleted=True)
+
+    def keys(self, table: str) -> list[str]:
+        """Returns the keys of a table."""
+        return [
+            key
+            for (name, key), row in self._rows.items()
+            if name == table and not row.deleted
+        ]
+
+    async def _answer(
+        self, request: http_types.HttpRequest
+    ) -> http_types.HttpResponse:
+        self.calls += 1
+        if self.down:
+            return http_types.HttpResponse(503)
+        match request.path:
+            case "/rows-get":
+                table = request.query["table"]
+                return _json(200, self._found(table, after=-1))
+            case "/rows-feed":
+                return await self._feed(request)
+            case "/rows-tx":
+                return self._write(json.loads(request.body))
+        return http_types.HttpResponse(404)
+
+    async def _feed(
+        self, request: http_types.HttpRequest
+    ) -> http_types.HttpResponse:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + int(request.query["wait_ms"]) / 1_000
+        after = int(request.query["after"])
+        while True:
+            found = self._found(request.query["table"], after=after)
+            if found["rows"] or loop.time() >= end:
+                return _json(200, found)
+            await asyncio.sleep(FEED_POLL_S)
+
+    def _found(self, table: str, *, after: int) -> dict[str, Any]:
+        rows = []
+        for (name, key), row in sorted(self._rows.items()):
+            if name != table or row.version <= after:
+                continue
+            if row.deleted and after < 0:
+                continue
+            rows.append(
+                {
+                    "table": table,
+                    "part": "",
+                    "key": key,
+                    "value": row.value,
+                    "ver": row.version,
+                    "deleted": row.deleted,
+                }
+            )
+        return {"rows": rows, "ver": self._version, "has_more": False}
+
+    def _write(self, body: dict[str, Any]) -> http_types.HttpResponse:
+        for row in body.get("set_keys", []):
+            self.put(row["table"], row["key"], base64.b64decode(row["value"]))
+        for row in body.get("remove", []):
+            self.remove(row["table"], row["key"])
+        return _json(200, {"ver": self._version})
+
+
+@dataclass(slots=True)
+class _Run:
+    number: int
+    timer: asyncio.TimerHandle | None
+
+
+@dataclass(slots=True)
+class UpstreamFaults:
+    """What an upstream does wrong.
+
+    Attributes:
+        fails: Every run ends as failed.
+        hangs: No run ends by itself.
+        late_s: Orders are carried out so much later, without an answer.
+    """
+
+    fails: bool = False
+    hangs: bool = False
+    late_s: float = 0.0
+
+
+@dataclass(slots=True)
+class _State:
+    fence: int = 0
+    lease_until: float = 0.0
+    running: dict[str, _Run] = field(default_factory=dict)
+    ended: dict[str, int] = field(default_factory=dict)
+    finished: list[list[Any]] = field(default_factory=list)
+
+
+class StandInUpstream:
+    """A guarded upstream that runs tasks under a lease.
+
+    Args:
+        upstream: Its id.
+        domain: Its failure domain.
+        service: The service whose tasks it runs.
+        slots: Runs at one time at most.
+        work_s: How long a run takes.
+    """
+
+    def __init__(
+        self,
+        *,
+        upstream: str,
+        domain: str,
+        service: str,
+        slots: int = 2,
+        work_s: float = 0.05,
+    ) -> None:
+        self.faults = UpstreamFaults()
+        self.starts: list[str] = []
+        self.most_at_once = 0
+        self._id = upstream
+        self._domain = domain
+        self._service = service
+        self._slots = slots
+        self._work_s = work_s
+        self._state = _State()
+        self._numbers = itertools.count(1)
+        self._changed = asyncio.Event()
+        self._address = ""
+        self._server = http_server.HttpServer(
+            self._answer, limits=http_types.HttpLimits()
+        )
+
+    async def start(self, ip: str = "127.0.0.1", port: int = 0) -> str:
+        """Listens; returns the address."""
+        self._address = f"{ip}:{await self._server.start(ip, port)}"
+        return self._address
+
+    async def close(self) -> None:
+        """Stops listening."""
+        now = asyncio.get_running_loop().time()
+        await self._server.stop(deadline=now)
+
+    def entry(self, *, state: str = "ready") -> bytes:
+        """Returns the entry for the list."""
+        return json.dumps(
+            {
+                "service": self._service,
+                "address": self._address,
+                "zone": self._domain,
+                "version": "v1",
+                "slots": self._slots,
+                "state": state,
+                "capacity": {"cpu": 1_000 * self._slots, "mem_mb": 1_000},
+                "labels": ["a", "r1"],
+                "clock_ms": self._clock_ms(),
+                "seq": 1,
+            }
+        ).encode()
+
+    def running(self) -> list[str]:
+        """Returns the tasks that run."""
+        return list(self._state.running)
+
+    async def _answer(
+        self, request: http_types.HttpRequest
+    ) -> http_types.HttpResponse:
+        if request.headers.get("x-expected-instance") != self._id:
+            return _json(421, {"clock_ms": self._clock_ms()})
+        if self.faults.late_s:
+            await asyncio.sleep(self.faults.late_s)
+            await self._carry_out(request)
+            raise http_server.DropConnection
+        return await self._carry_out(request)
+
+    async def _carry_out(
+        self, request: http_types.HttpRequest
+    ) -> http_types.HttpResponse:
+        body = json.loads(request.body)
+        self._lapse()
+        if body.get("fence", 0) < self._state.fence:
+            return self._rejected("fence")
+        self._state.fence = body.get("fence", 0)
+        match request.path:
+            case "/run-start":
+                return self._start(body)
+            case "/run-stop":
+                return self._stop(body)
+            case "/hold":
+                return await self._hold(body)
+        return http_types.HttpResponse(404)
+
+    def _start(self, body: dict[str, Any]) -> http_types.HttpResponse:
+        task, number = body["task"], body["run"]
+        known = self._state.running.get(task)
+        if known is not None and known.number == number:
+            return self._taken()
+        if number <= self._state.ended.get(task, 0):
+            return self._rejected("old")
+        if body["deadline_ms"] < self._clock_ms():
+            return self._rejected("late")
+        self._extend(body["deadline_ms"])
+        if len(self._state.running) >= self._slots:
+            return self._rejected("room")
+        self._begin(task, number)
+        return self._taken()
+
+    def _begin(self, task: str, number: int) -> None:
+        loop = asyncio.get_running_loop()
+        how = "failed" if self.faults.fails else "done"
+        timer = None
+        if not self.faults.hangs:
+            timer = loop.call_later(self._work_s, self._end, task, number, how)
+        self._state.running[task] = _Run(number, timer)
+        self.starts.append(task)
+        at_once = len(self._state.running)
+        self.most_at_once = max(self.most_at_once, at_once)
+
+    def _stop(self, body: dict[str, Any]) -> http_types.HttpResponse:
+        task, number = body["task"], body["run"]
+        known = self._state.running.get(task)
+        if known is not None and known.number <= number:
+            self._end(task, known.number, "stopped")
+        earlier = self._state.ended.get(task, 0)
+        self._state.ended[task] = max(earlier, number)
+        return self._taken()
+
+    async def _hold(self, body: dict[str, Any]) -> http_types.HttpResponse:
+        state = self._state
+        state.finished = [
+            row for row in state.finished if row[0] > body["observed"]
+        ]
+        if "deadline_ms" in body:
+            self._extend(body["deadline_ms"])
+        if body.get("wait_ms") and not state.finished:
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(body["wait_ms"] / 1_000):
+                    await self._changed.wait()
+            except TimeoutError:
+                self._lapse()
+        rows = [
+            [task, run.number, "", 100] for task, run in state.running.items()
+        ]
+        return _json(
+            200,
+            {
+                "clock_ms": self._clock_ms(),
+                "born": 1,
+                "running": rows,
+                "finished": state.finished,
+            },
+        )
+
+    def _end(self, task: str, number: int, how: str) -> None:
+        run = self._state.running.get(task)
+        if run is None or run.number != number:
+            return
+        if run.timer is not None:
+            run.timer.cancel()
+        del self._state.running[task]
+        earlier = self._state.ended.get(task, 0)
+        self._state.ended[task] = max(earlier, number)
+        self._state.finished.append(
+            [next(self._numbers), task, number, how, ""]
+        )
+        self._changed.set()
+
+    def _extend(self, deadline_ms: int) -> None:
+        now = self._clock_ms() / 1_000
+        until = min(deadline_ms / 1_000, now + MAX_LEASE_S)
+        self._state.lease_until = max(self._state.lease_until, until)
+
+    def _lapse(self) -> None:
+        if self._clock_ms() / 1_000 <= self._state.lease_until:
+            return
+        for task, run in tuple(self._state.running.items()):
+            self._end(task, run.number, "lapsed")
+
+    def _clock_ms(self) -> int:
+        return round(asyncio.get_running_loop().time() * 1_000)
+
+    def _taken(self) -> http_types.HttpResponse:
+        return _json(200, {"clock_ms": self._clock_ms(), "born": 1})
+
+    def _rejected(self, reason: str) -> http_types.HttpResponse:
+        return _json(409, {"clock_ms": self._clock_ms(), "reason": reason})
+
+
+def _json(status: int, body: dict[str, Any]) -> http_types.HttpResponse:
+    return http_types.HttpResponse(status, json.dumps(body).encode(), _JSON)
--- /dev/null
+++ b/tests/test_leased_decisions.py
@@ -0,0 +1,302 @@
+"""Tests of single decisions about leased runs, each replaying its load."""
+
+import json
+import os
+import random
+import unittest
+
+from godwitnotch import log
+from godwitnotch.core import ids
+from godwitnotch.core.leased import admission
+from godwitnotch.core.leased import health
+from godwitnotch.core.leased import jobs
+from godwitnotch.core.leased import leadership
+from godwitnotch.core.leased import lease
+from godwitnotch.core.leased import model
+from godwitnotch.core.leased import peer_messages
+from godwitnotch.core.leased import placement
+from godwitnotch.core.leased import run_times
+from godwitnotch.core.leased import waiting
+from godwitnotch.net import codec
+from godwitnotch.platform import configuration
+from godwitnotch.platform import fields
+from godwitnotch.platform import settings
+from godwitnotch.platform import upstreams
+from tests import leased_world
+
+NOW = 100.0
+
+
+def job(
+    name: str = "j", *, tasks: int = 1, base_ms: float = 100.0, age_s: float = 0
+) -> jobs.LeasedJob:
+    return jobs.LeasedJob(
+        request=leased_world.request(name, tasks, estimate_ms=base_ms),
+        owner=ids.HostId("a"),
+        arrived_at=NOW - age_s,
+        deadline=NOW + 10,
+        unsure_until=0.0,
+        base_ms=base_ms,
+    )
+
+
+def held(name: str, *, cpu: int = 2_000, labels: tuple = ("a",)) -> lease.Lease:
+    entry = model.LeasedUpstream(
+        upstream=ids.UpstreamId(name),
+        address=f"{name}:1",
+        domain=ids.DomainId("d"),
+        service=leased_world.SERVICE,
+        slots=8,
+        capacity=model.Resources(cpu, 1_000, 0),
+        labels=labels,
+        draining=False,
+    )
+    return lease.Lease(entry, state=lease.LeaseState.HELD)
+
+
+class WaitingTest(unittest.TestCase):
+    def test_small_work_goes_before_large(self) -> None:
+        large = job("large", tasks=4, base_ms=900.0)
+        small = job("small", tasks=2, base_ms=100.0)
+        self.assertEqual(
+            waiting.in_order([large, small], now=NOW), [small, large]
+        )
+
+    def test_what_can_end_in_time_goes_before_what_cannot(self) -> None:
+        late = job("late", base_ms=50.0, age_s=1.0)
+        large = job("large", tasks=4, base_ms=900.0)
+        self.assertEqual(
+            waiting.in_order([late, large], now=NOW), [large, late]
+        )
+
+    def test_of_equal_jobs_the_urgent_one_goes_first(self) -> None:
+        fresh = job("fresh")
+        urgent = job("urgent", age_s=0.1)
+        self.assertEqual(
+            waiting.in_order([fresh, urgent], now=NOW), [urgent, fresh]
+        )
+
+
+class PlacementTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.times = run_times.RunTimes()
+        self.health = health.UpstreamHealth()
+        self.placement = placement.Placement(self.times, self.health)
+
+    def choose(self, waits: jobs.LeasedJob, *leases: lease.Lease) -> str | None:
+        chosen = self.placement.choose(waits, waits.tasks[0], leases, now=NOW)
+        return None if chosen is None else chosen.upstream.upstream
+
+    def learn(self, upstream: lease.Lease, ran_ms: float) -> None:
+        for _ in range(20):
+            request = leased_world.request("old")
+            self.times.ended(request, upstream.upstream, ran_ms=ran_ms)
+
+    def test_the_fastest_upstream_with_room(self) -> None:
+        slow, fast = held("slow"), held("fast")
+        self.learn(slow, 300.0)
+        self.learn(fast, 100.0)
+        self.assertEqual(self.choose(job(), slow, fast), "fast")
+        fast.room = model.Resources(500, 0, 0)
+        self.assertEqual(self.choose(job(), slow, fast), "slow")
+
+    def test_equal_upstreams_are_filled_up_one_after_the_other(self) -> None:
+        empty, begun = held("empty"), held("begun")
+        begun.room = model.Resources(1_000, 500, 0)
+        self.assertEqual(self.choose(job(), empty, begun), "begun")
+
+    def test_labels_and_avoided_upstreams(self) -> None:
+        one, other = held("one"), held("other")
+        waits = job()
+        waits.tasks[0].avoid.add(ids.UpstreamId("one"))
+        self.assertEqual(self.choose(waits, one, other), "other")
+        self.assertIsNone(self.choose(waits, one))
+
+    def test_leaving_unheld_and_failing_upstreams_get_nothing(self) -> None:
+        unheld = held("unheld")
+        unheld.state = lease.LeaseState.LOOKING
+        failing = held("failing")
+        for name in ("one", "two"):
+            self.health.failed(
+                failing.upstream.upstream, model.JobName(name), now=NOW
+            )
+        unlisted = held("unlisted")
+        unlisted.listed = False
+        self.assertIsNone(self.choose(job(), unheld, failing, unlisted))
+
+
+class AdmissionTest(unittest.TestCase):
+    def test_what_ends_in_time_is_let_in(self) -> None:
+        load = admission.Load(slots=4.0, waiting_ms=200.0, running_ms=400.0)
+        verdict = admission.judge(job(), 200.0, load, now=NOW)
+        self.assertTrue(verdict.admitted)
+
+    def test_what_ends_too_late_is_refused_with_a_time_to_return(self) -> None:
+        load = admission.Load(slots=4.0, waiting_ms=4_000.0, running_ms=400.0)
+        verdict = admission.judge(job(), 4_000.0, load, now=NOW)
+        self.assertFalse(verdict.admitted)
+        self.assertGreaterEqual(verdict.retry_after_s, 1.0)
+        self.assertLessEqual(verdict.retry_after_s, admission.MAX_RETRY_AFTER_S)
+
+    def test_nothing_ahead_lets_in_a_long_job(self) -> None:
+        load = admission.Load(slots=4.0, waiting_ms=0.0, running_ms=9_000.0)
+        late = job(base_ms=5_000.0, age_s=9.0)
+        self.assertTrue(admission.judge(late, 0.0, load, now=NOW).admitted)
+
+    def test_no_upstream_at_all(self) -> None:
+        load = admission.Load(slots=0.0, waiting_ms=0.0, running_ms=0.0)
+        self.assertFalse(admission.judge(job(), 0.0, load, now=NOW).admitted)
+
+
+class RunTimesTest(unittest.TestCase):
+    def test_bias_of_estimates_and_speed_of_upstreams_are_told_apart(
+        self,
+    ) -> None:
+        times = run_times.RunTimes()
+        chance = random.Random(1)
+        slow, fast = held("slow").upstream, held("fast").upstream
+        for _ in range(400):
+            request = leased_world.request("j", estimate_ms=50.0)
+            times.ended(request, slow, ran_ms=200.0 * chance.uniform(0.9, 1.1))
+            times.ended(request, fast, ran_ms=100.0 * chance.uniform(0.9, 1.1))
+        ratio = times.slowness(slow) / times.slowness(fast)
+        self.assertAlmostEqual(ratio, 2.0, delta=0.25)
+        request = leased_world.request("j", estimate_ms=50.0)
+        predicted = times.base_ms(request) * times.slowness(fast)
+        self.assertAlmostEqual(predicted, 100.0, delta=20.0)
+
+
+class LeadershipTest(unittest.TestCase):
+    def make(self, host: str, rank: int) -> leadership.Leadership:
+        return leadership.Leadership(
+            host=ids.HostId(host),
+            domain=ids.DomainId("d"),
+            rank=rank,
+            unix_time=lambda: 50.0,
+            now=NOW,
+        )
+
+    def test_a_term_rises_above_any_that_was_heard(self) -> None:
+        leads = self.make("a", 1)
+        now = NOW
+        standing = peer_messages.Standing(
+            model.Term(9_000_123), ids.HostId("b"), 0, False, True
+        )
+        leads.peer_up(ids.HostId("b"), ids.DomainId("d"), now=now)
+        leads.heard(ids.HostId("b"), standing, now=now)
+        leads.peer_down(ids.HostId("b"), now=now)
+        change = leadership.Change.NONE
+        for _ in range(400):
+            now += 0.04
+            change = leads.tick(now=now)
+            if change is not leadership.Change.NONE:
+                break
+        self.assertIs(change, leadership.Change.ELECTED)
+        self.assertGreater(leads.term, 9_000_123)
+
+    def test_a_pause_gives_up_the_lead(self) -> None:
+        leads = self.make("a", 1)
+        now = NOW
+        while not leads.leads:
+            now += 0.04
+            leads.tick(now=now)
+        leads.tick(now=now + 5.0)
+        self.assertFalse(leads.leads)
+
+
+class CodecTest(unittest.TestCase):
+    def test_each_message_comes_back_equal(self) -> None:
+        upstream = held("u").upstream
+        answer = model.Answer(
+            model.JobEnd.REFUSED, model.EndReason.OVERLOADED, 1.5
+        )
+        examples = (
+            peer_messages.Standing(
+                model.Term(5), ids.HostId("a"), 3, False, True
+            ),
+            peer_messages.HostsKnown(
+                (model.KnownHost(ids.HostId("a"), ids.DomainId("d")),)
+            ),
+            peer_messages.ConfigurationCopy(3, b"{}"),
+            peer_messages.UpstreamsCopy((upstream,)),
+            peer_messages.JobHandedOver(
+                leased_world.request("j"), 1.0, 0.5, 0.0, True
+            ),
+            peer_messages.AllHandedOver(model.Term(5)),
+            peer_messages.JobAnswered(model.JobName("j"), answer),
+            peer_messages.JobDropped(model.JobName("j")),
+        )
+        kinds = set(peer_messages.Message.__args__)
+        self.assertEqual({type(each) for each in examples}, kinds)
+        for message in examples:
+            data = codec.MESSAGES.encode(message)
+            self.assertEqual(codec.MESSAGES.decode(data).unwrap(), message)
+
+
+class DecodingTest(unittest.TestCase):
+    GOOD = {
+        "service": "s",
+        "address": "1.2.3.4:5",
+        "zone": "d",
+        "slots": 8,
+        "state": "ready",
+        "capacity": {"cpu": 1, "mem_mb": 2, "gpu": 0},
+        "labels": ["a"],
+    }
+
+    def test_entries_of_another_writer_name_no_upstream(self) -> None:
+        upstreams.decode_entry("i", json.dumps(self.GOOD).encode())
+        bad = [b"", b"\xff", b"[]", b"nul", b"[" * 100_000]
+        for name in ("service", "address", "zone", "slots", "state"):
+            bad.append(json.dumps({**self.GOOD, name: None}).encode())
+        bad.append(json.dumps({**self.GOOD, "state": "odd"}).encode())
+        bad.append(json.dumps({**self.GOOD, "labels": [1]}).encode())
+        bad.append(json.dumps({**self.GOOD, "capacity": []}).encode())
+        bad.append(json.dumps({**self.GOOD, "slots": -1}).encode())
+        for value in bad:
+            with (
+                self.subTest(value=value[:60]),
+                self.assertRaises(fields.WrongFormatError),
+            ):
+                upstreams.decode_entry("i", value)
+
+    def test_the_longest_prefix_wins(self) -> None:
+        route = {"host": "H.example", "service": "s"}
+        document = {
+            "version": 1,
+            "routes": [
+                {**route, "name": "short", "prefix": "/a/"},
+                {**route, "name": "long", "prefix": "/a/b/"},
+            ],
+        }
+        read = configuration.decode(json.dumps(document).encode())
+        for path, name in (("/a/x", "short"), ("/a/b/x", "long")):
+            found = read.route("h.example", path)
+            self.assertIsNotNone(found)
+            self.assertEqual(found.terms.route, name)
+        self.assertIsNone(read.route("h.example", "/b/"))
+
+    def test_settings_name_what_is_missing(self) -> None:
+        with self.assertRaisesRegex(
+            settings.PlatformSettingsError, "listen.front"
+        ):
+            settings.parse("node=a\nzone=d\n")
+
+
+class NonBlockingStreamTest(unittest.TestCase):
+    def test_a_reader_that_stops_costs_lines_and_no_time(self) -> None:
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        stream = log.NonBlockingStream(writer)
+        for number in range(5_000):
+            stream.write(f"event=line number={number} {'x' * 80}\n")
+        first = os.read(reader, 1 << 20).decode()
+        stream.write("event=after\n")
+        stream.write("event=last\n")
+        rest = os.read(reader, 1 << 20).decode()
+        lines = (first + rest).splitlines()
+        self.assertIn("event=log_lines_dropped lines=", first + rest)
+        self.assertEqual(lines[-1], "event=last")
+        numbers = [line for line in lines if "number=" in line]
+        self.assertTrue(all(line.endswith("x" * 80) for line in numbers))
--- /dev/null
+++ b/tests/test_leased_serving.py
@@ -0,0 +1,260 @@
+"""Tests of whole hosts on loopback, against stand-ins of the platform."""
+
+import asyncio
+import json
+import logging
+import socket
+import unittest
+
+from godwitnotch import leased_root
+from godwitnotch.net import http_client
+from godwitnotch.net import http_types
+from godwitnotch.platform import settings
+from godwitnotch.standins import leased_platform
+
+IP = "127.0.0.1"
+DEADLINE_S = 20.0
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "nony24.example",
+            "prefix": "/jobs/",
+            "kind": "unsafe",
+            "timeout_ms": 1500,
+            "target_duration_ms": 500,
+            "priority": 0,
+            "service": "orders",
+            "max_attempts": 2,
+            "stretch": 1.6,
+        }
+    ],
+    "services": [{"name": "orders", "enforces_capacity": True}],
+    "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144},
+}
+JOB = {
+    "best_effort": True,
+    "spec": "x",
+    "steps": [{"count": 3, "cpu": 1000, "mem_mb": 1, "estimate_ms": 50}],
+}
+
+
+def free_ports(count: int) -> list[int]:
+    probes = [socket.socket() for _ in range(count)]
+    for probe in probes:
+        probe.bind((IP, 0))
+    ports = [probe.getsockname()[1] for probe in probes]
+    for probe in probes:
+        probe.close()
+    return ports
+
+
+class LeasedServingTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.client = http_client.HttpClient()
+        self.addAsyncCleanup(self.client.close)
+        self.store = leased_platform.StandInStore()
+        self.store_address = await self.store.start()
+        self.addAsyncCleanup(self.store.close)
+        self.store.put("op", "config", json.dumps(CONFIG).encode())
+        self.upstreams = []
+        for number, domain in enumerate("aabb"):
+            upstream = leased_platform.StandInUpstream(
+                upstream=f"i-{number}", domain=domain, service="orders"
+            )
+            await upstream.start()
+            self.addAsyncCleanup(upstream.close)
+            self.upstreams.append(upstream)
+            self.store.put("servers", f"i-{number}", upstream.entry())
+        # An entry of another writer names no upstream, and harms none.
+        self.store.put("servers", "i-bad", b'{"service": 3}')
+        self.store.put("servers", "i-worse", b"\xff\xfe")
+        self.hosts = []
+        seeds: list[str] = []
+        for domain in "aab":
+            await self.start_host(domain, seeds)
+        await self.wait(lambda: all(map(self.holds_leader, self.hosts)))
+
+    async def start_host(self, domain: str, seeds: list[str]) -> None:
+        front, ready, control, metrics = free_ports(4)
+        text = "\n".join(
+            (
+                f"node=front-{domain}-{len(self.hosts)}",
+                f"zone={domain}",
+                f"listen.front={IP}:{front}",
+                f"listen.ready={IP}:{ready}",
+                f"listen.control={IP}:{control}",
+                f"port_range={metrics},{metrics}",
+                f"seeds={','.join(seeds)}",
+                f"platform.address={self.store_address}",
+                "limits.cpu_share=0.5",
+                "limits.cores=2",
+                "bounds.grace_s=6",
+                "a.field.that.is=new",
+            )
+        )
+        host = leased_root.LeasedHost(settings.parse(text))
+        await host.start()
+        self.addAsyncCleanup(host.close)
+        seeds.append(f"{IP}:{control}")
+        self.hosts.append(host)
+
+    def holds_leader(self, host: leased_root.LeasedHost) -> bool:
+        return host._core.ready and host.configuration is not None
+
+    async def wait(self, holds) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + DEADLINE_S
+        while not holds():
+            self.assertLess(loop.time(), end, "not reached in time")
+            await asyncio.sleep(0.01)
+
+    async def send(
+        self,
+        host: leased_root.LeasedHost,
+        method: str,
+        path: str,
+        body: object = None,
+        *,
+        wait_ms: int = 10_000,
+    ) -> http_types.HttpResponse:
+        loop = asyncio.get_running_loop()
+        return await self.client.request(
+            host._settings.callers,
+            http_types.HttpRequest(
+                method,
+                path,
+                headers={
+                    "host": "nony24.example",
+                    "x-request-deadline": str(wait_ms),
+                },
+                body=b"" if body is None else json.dumps(body).encode(),
+            ),
+            deadline=loop.time() + DEADLINE_S,
+            max_body_bytes=100_000,
+        )
+
+    def starts(self) -> list[str]:
+        return [task for each in self.upstreams for task in each.starts]
+
+    async def test_jobs_through_every_host(self) -> None:
+        answers = await asyncio.gather(
+            *(
+                self.send(host, "POST", f"/jobs/{number:016x}", JOB)
+                for number, host in enumerate(self.hosts * 4)
+            )
+        )
+        states = {(each.status, each.body) for each in answers}
+        self.assertEqual(states, {(200, b'{"state": "completed"}')})
+        starts = self.starts()
+        self.assertEqual(len(starts), 36)
+        self.assertEqual(len(set(starts)), 36)
+        self.assertLessEqual(max(u.most_at_once for u in self.upstreams), 2)
+
+    async def test_a_store_outage_costs_a_job_nothing(self) -> None:
+        self.store.down = True
+        answer = await self.send(self.hosts[1], "POST", f"/jobs/{1:016x}", JOB)
+        self.assertEqual(answer.status, 200)
+
+    async def test_a_new_configuration_is_in_force_at_every_host(self) -> None:
+        newer = {**CONFIG, "version": 9, "routes": []}
+        self.store.put("op", "config", json.dumps(newer).encode())
+        await self.wait(
+            lambda: all(h.configuration.version == 9 for h in self.hosts)
+        )
+        older = {**CONFIG, "version": 8}
+        self.store.put("op", "config", json.dumps(older).encode())
+        answer = await self.send(self.hosts[0], "GET", "/jobs/")
+        self.assertEqual(answer.status, 404)
+
+    async def test_shapes_that_are_not_served_never_run(self) -> None:
+        step = JOB["steps"][0]
+        shapes = (
+            {**JOB, "best_effort": False},
+            {**JOB, "steps": [step, {**step, "after": [0]}]},
+            {**JOB, "steps": [{**step, "gang": True}]},
+            {**JOB, "times": 3},
+            {**JOB, "persistent": True},
+        )
+        for number, shape in enumerate(shapes):
+            with self.subTest(shape=shape):
+                path = f"/jobs/{number:016x}"
+                answer = await self.send(self.hosts[0], "POST", path, shape)
+                self.assertEqual(answer.status, 503)
+                self.assertIn("retry-after", answer.headers)
+        self.assertEqual(self.starts(), [])
+
+    async def test_malformed_requests(self) -> None:
+        for path, body, status in (
+            ("/jobs/short", JOB, 404),
+            ("/other/0000000000000001", JOB, 404),
+            (f"/jobs/{1:016x}", [], 400),
+            (f"/jobs/{1:016x}", {**JOB, "steps": []}, 400),
+            (f"/jobs/{1:016x}", {**JOB, "steps": [{"count": 0}]}, 400),
+            (f"/jobs/{1:016x}", {**JOB, "steps": [{"cpu": "x"}]}, 400),
+            (f"/jobs/{1:016x}", {**JOB, "spec": "x" * 5_000}, 400),
+        ):
+            with self.subTest(path=path, body=str(body)[:60]):
+                answer = await self.send(self.hosts[0], "POST", path, body)
+                self.assertEqual(answer.status, status)
+        self.assertEqual(self.starts(), [])
+
+    async def test_pending_and_unknown_jobs(self) -> None:
+        answer = await self.send(self.hosts[0], "GET", "/jobs/")
+        self.assertEqual(json.loads(answer.body), {"pending": 0})
+        for method in ("GET", "DELETE"):
+            path = f"/jobs/{5:016x}"
+            answer = await self.send(self.hosts[0], method, path)
+            self.assertEqual(answer.status, 410)
+
+    async def test_a_caller_that_leaves_frees_the_room(self) -> None:
+        for upstream in self.upstreams:
+            upstream.faults.hangs = True
+        path = f"/jobs/{3:016x}"
+        sent = asyncio.create_task(self.send(self.hosts[0], "POST", path, JOB))
+        await self.wait(lambda: len(self.starts()) == 3)
+        sent.cancel()
+        await self.wait(lambda: not any(u.running() for u in self.upstreams))
+
+    async def test_a_deadline_that_passes(self) -> None:
+        for upstream in self.upstreams:
+            upstream.faults.hangs = True
+        path = f"/jobs/{4:016x}"
+        answer = await self.send(self.hosts[0], "POST", path, JOB, wait_ms=200)
+        self.assertEqual(answer.status, 504)
+        await self.wait(lambda: not any(u.running() for u in self.upstreams))
+
+    async def test_an_upstream_that_carries_orders_out_late(self) -> None:
+        self.upstreams[0].faults.late_s = 0.8
+        answers = await asyncio.gather(
+            *(
+                self.send(host, "POST", f"/jobs/{number:016x}", JOB)
+                for number, host in enumerate(self.hosts)
+            )
+        )
+        self.assertEqual({each.status for each in answers}, {200})
+
+    async def test_metrics_and_readiness(self) -> None:
+        await self.send(self.hosts[0], "POST", f"/jobs/{1:016x}", JOB)
+        loop = asyncio.get_running_loop()
+        found = {}
+        for address in (
+            self.hosts[0]._settings.ready,
+            self.hosts[0]._metrics_address(),
+        ):
+            found[address] = await self.client.request(
+                address,
+                http_types.HttpRequest("GET", "/readiness"),
+                deadline=loop.time() + DEADLINE_S,
+                max_body_bytes=100_000,
+            )
+        ready, metrics = found.values()
+        self.assertEqual(ready.status, 200)
+        self.assertIn(
+            b'godwitnotch_answers_total{end="completed",reason="none"} 1',
+            metrics.body,
+        )
+        self.assertIn(b"godwitnotch_job_seconds_count 1", metrics.body)
