Let a renewal wait only until an end is expected, and time orders out sooner

A renewal now waits until 40 ms after the next expected end, 60 to 300 ms, and orders time out after 150 ms.

Ruled out: admission alone (it counted the room that stood idle).

--- a/godwitnotch/core/leased/lease_keeper.py
+++ b/godwitnotch/core/leased/lease_keeper.py
@@ -23,7 +23,11 @@
 from godwitnotch.core.leased.lease import LeaseState
 from godwitnotch.core.leased.lease import RunState
 
-WAIT_MS = 300  # A renewal's answer waits so long for an end.
+# A renewal's answer waits for an end until a while after one is expected: a
+# lost answer is then missed soon.
+MAX_WAIT_MS = 300
+MIN_WAIT_MS = 60
+WAIT_MARGIN_MS = 40
 STOP_AGAIN_S = 0.15
 LOOK_AGAIN_S = 0.06
 MAX_LOOK_PAUSE_S = 1.0
@@ -262,7 +266,7 @@
         if call.kind is _CallKind.STOP:
             self._renew(lease, now=now, wait_ms=0)
         elif not lease.waits:
-            self._renew(lease, now=now, wait_ms=WAIT_MS)
+            self._renew(lease, now=now, wait_ms=_wait_ms(lease, now=now))
 
     def order_rejected(
         self, event: events.OrderRejected, *, now: float
@@ -362,8 +366,7 @@
         elif lease.state is LeaseState.HELD:
             due = bool(lease.runs) or lease.failures
             if due and not lease.waits and now >= lease.next_look_at:
-                wait_ms = 0 if lease.failures else WAIT_MS
-                self._renew(lease, now=now, wait_ms=wait_ms)
+                self._renew(lease, now=now, wait_ms=_wait_ms(lease, now=now))
 
     def _renew(
         self, lease: lease_module.Lease, *, now: float, wait_ms: int
@@ -584,3 +587,15 @@
             self._owner.run_ended(lease, run, model.RunEnd.LAPSED, now=now)
         if not lease.listed:
             self._leases.pop(lease.upstream.upstream, None)
+
+
+def _wait_ms(lease: lease_module.Lease, *, now: float) -> int:
+    """Returns how long an answer may wait for an end."""
+    if lease.failures:
+        return 0
+    left_s = min(
+        (run.ordered_at + run.expected_s - now for run in lease.runs.values()),
+        default=0.0,
+    )
+    wait_ms = round(left_s * 1_000) + WAIT_MARGIN_MS
+    return max(MIN_WAIT_MS, min(MAX_WAIT_MS, wait_ms))
--- a/godwitnotch/net/leased_calls.py
+++ b/godwitnotch/net/leased_calls.py
@@ -10,10 +10,10 @@
 from godwitnotch.platform import fields
 from godwitnotch.platform import upstreams
 
-ORDER_TIMEOUT_S = 0.25
+ORDER_TIMEOUT_S = 0.15
 MAX_ANSWER_BYTES = 1024 * 1024
 MAX_IDLE_S = 20.0
-CONNECT_TIMEOUT_S = 0.25
+CONNECT_TIMEOUT_S = 0.15
 
 _OK = 200
 
--- a/tests/leased_world.py
+++ b/tests/leased_world.py
@@ -15,7 +15,7 @@
 LATENCY_S = 0.002
 TICK_S = 0.04
 LIST_TICKS = 15  # A leader reads the list so often.
-TIMEOUT_S = 0.25
+TIMEOUT_S = 0.15
 MAX_LEASE_MS = 1_000
 SILENCE_S = 0.45
 RELINK_S = 0.2
