Let the better suited of two hosts that lead at once stay

The term now carries the rank, and of equal terms the higher id stays. The first leader is chosen 0.25 s after a start instead of 0.35 s.

--- a/godwitnotch/core/leased/leadership.py
+++ b/godwitnotch/core/leased/leadership.py
@@ -19,7 +19,7 @@
 
 START_WAIT_S = 1.2  # For links to open before a first leader is chosen.
 # As long, once more than one other host is linked.
-LINKED_START_WAIT_S = 0.35
+LINKED_START_WAIT_S = 0.25
 SETTLE_S = 0.08  # For the others to notice a loss as well.
 STEP_S = 0.25  # Lower ranks leave higher ones so long to take over.
 PAUSE_S = 0.35  # A gap between ticks that shows a pause of this process.
@@ -30,8 +30,11 @@
 DEPOSED_WAIT_S = 1.5  # For the link to the leader that took over.
 FORGET_S = 15.0  # A host unheard for so long no longer counts.
 
-_TERMS_PER_S = 10
-_TERM_STEP = 1_000
+# A term is a second of the day that it began, the rank and a part of the host's
+# id, so that of two hosts that take one at once the better suited stays.
+_TERM_STEP = 1_000_000
+_RANK_STEP = 1_000
+_MAX_RANK = 999
 
 
 class Change(enum.Enum):
@@ -182,6 +185,8 @@
         if standing.leader == host and standing.term > self._term:
             return self._follow(host, standing.term)
         if standing.leader == host and standing.term == self._term:
+            if self.leads and host < self._host:
+                return Change.NONE
             return self._follow(host, standing.term)
         if host == self._leader and standing.leader != host:
             return self._lose(now=now)
@@ -253,7 +258,7 @@
                 del self._known[host]
 
     def _elect(self) -> Change:
-        step = int(self._unix_time() * _TERMS_PER_S)
+        step = int(self._unix_time())
         step = max(step, self._term // _TERM_STEP + 1)
         self._raise_term(step)
         self._leader = self._host
@@ -262,12 +267,11 @@
 
     def raise_term(self, *, by_s: float) -> None:
         """Takes a later term, as upstreams have seen a higher one."""
-        self._raise_term(
-            self._term // _TERM_STEP + max(1, round(by_s * _TERMS_PER_S))
-        )
+        self._raise_term(self._term // _TERM_STEP + max(1, round(by_s)))
 
     def _raise_term(self, step: int) -> None:
-        own = zlib.crc32(self._host.encode()) % _TERM_STEP
+        own = zlib.crc32(self._host.encode()) % _RANK_STEP
+        own += min(self._rank, _MAX_RANK) * _RANK_STEP
         self._term = model.Term(step * _TERM_STEP + own)
 
     def _follow(self, host: ids.HostId, term: model.Term) -> Change:
