--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -12,6 +12,8 @@
 from godwitnotch.core.leased import lease_keeper
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import outbox as outbox_module
+from godwitnotch.core.leased import overdue_runs
+from godwitnotch.core.leased import owners
 from godwitnotch.core.leased import peer_messages
 from godwitnotch.core.leased import placement as placement_module
 from godwitnotch.core.leased import run_times
@@ -19,19 +21,12 @@
 from godwitnotch.core.leased.jobs import TaskState
 from godwitnotch.core.leased.lease import RunState
 
-CLAIMS_WAIT_S = 0.25  # For the owners to hand over their open jobs.
 NO_UPSTREAM_WAIT_S = 0.4  # For a first upstream to be held.
 ANSWER_KEPT_S = 3.0  # For an owner whose link broke before it was told.
-# A run that takes so many times as long as expected is tried elsewhere.
-OVERDUE_FACTOR = 2.5
-OVERDUE_MARGIN_S = 0.1
 OVERDUE_LOOK_S = 0.05
-ALIKE_SHARE = 0.7  # Tasks of one job run for about as long as each other.
 # How long what is known of all upstreams is kept before it is made anew.
 LOAD_KEPT_S = 0.02
 OPEN_KEPT_S = 0.01
-# For a link that broke to open again before its owner's jobs are stopped.
-OWNER_GRACE_S = 0.25
 # Jobs in a row that find no room before the pass ends.
 MAX_MISSES = 4
 
@@ -70,9 +65,7 @@
         self._outranked = outranked
         self._leading = False
         self._took_office_at = 0.0
-        self._claims_until = 0.0
-        self._awaited: set[ids.HostId] = set()
-        self._lost_owners: dict[ids.HostId, float] = {}
+        self._owners = owners.Owners()
         self._jobs: dict[model.JobName, jobs.LeasedJob] = {}
         self._queue = waiting.WaitingQueue()
         self._load_known = admission.Load(0.0, 0.0, 0.0)
@@ -83,6 +76,7 @@
         self._times = run_times.RunTimes()
         self._health = health_module.UpstreamHealth()
         self._placement = placement_module.Placement(self._times, self._health)
+        self._overdue = overdue_runs.OverdueRuns(self._times, self._placement)
         self._keeper = lease_keeper.LeaseKeeper(out, self, in_scope=in_scope)
         self._dirty = False
         self._overdue_look_at = 0.0
@@ -110,8 +104,7 @@
         self.resign()
         self._leading = True
         self._took_office_at = now
-        self._claims_until = now + CLAIMS_WAIT_S
-        self._awaited = set(hosts)
+        self._owners.await_hosts(hosts, now=now)
         self._keeper.take_office(term, upstreams, now=now)
 
     def resign(self) -> None:
@@ -122,7 +115,7 @@
         self._load_at = float("-inf")
         self._open_at = float("-inf")
         self._kept.clear()
-        self._lost_owners.clear()
+        self._owners.clear()
         self._keeper.resign()
 
     def handed_over(
@@ -148,36 +141,22 @@
 
     def all_handed_over(self, owner: ids.HostId, *, now: float) -> None:
         """Learns that a host has handed over all its open jobs."""
-        self._awaited.discard(owner)
-        if not self._awaited:
+        self._owners.handed_over(owner)
+        if self._owners.all_handed_over(now=now):
             self._keeper.close_claims(now=now)
         self._dirty = True
         self._settle(now=now)
 
     def owner_lost(self, owner: ids.HostId, *, now: float) -> None:
         """Stops the jobs of a host soon, unless its link opens again."""
-        self._awaited.discard(owner)
-        self._lost_owners[owner] = now + OWNER_GRACE_S
+        self._owners.lost(owner, now=now)
 
     def owner_linked(self, owner: ids.HostId, *, now: float) -> None:
         """Awaits the open jobs of a host that is heard from now on."""
-        self._lost_owners.pop(owner, None)
         if self._leading:
-            self._awaited.add(owner)
-            self._claims_until = now + CLAIMS_WAIT_S
+            self._owners.await_hosts((owner,), now=now)
             self._keeper.open_claims()
 
-    def _drop_lost_owners(self, *, now: float) -> None:
-        for owner, drop_at in tuple(self._lost_owners.items()):
-            if now >= drop_at:
-                del self._lost_owners[owner]
-                self._drop_owner(owner, now=now)
-
-    def _drop_owner(self, owner: ids.HostId, *, now: float) -> None:
-        for job in tuple(self._jobs.values()):
-            if job.owner == owner:
-                self._drop(job, reason="owner_lost", now=now)
-
     def dropped(
         self, owner: ids.HostId, name: model.JobName, *, now: float
     ) -> None:
@@ -204,14 +183,15 @@
         """Does what is due."""
         if not self._leading:
             return
-        if now >= self._claims_until:
+        if self._owners.all_handed_over(now=now):
             self._keeper.close_claims(now=now)
         self._keeper.tick(now=now)
-        self._drop_lost_owners(now=now)
+        for owner in self._owners.take_gone(now=now):
+            self._drop_owner(owner, now=now)
         self._end_overdue_jobs(now=now)
         if now >= self._overdue_look_at:
             self._overdue_look_at = now + OVERDUE_LOOK_S
-            self._look_for_overdue_runs(now=now)
+            self._stop_overdue_runs(now=now)
         for name, kept in tuple(self._kept.items()):
             if now >= kept.until:
                 del self._kept[name]
@@ -485,6 +465,11 @@
         self._forget(job, now=now)
         self._answer_owner(job.owner, job.name, answer)
 
+    def _drop_owner(self, owner: ids.HostId, *, now: float) -> None:
+        for job in tuple(self._jobs.values()):
+            if job.owner == owner:
+                self._drop(job, reason="owner_lost", now=now)
+
     def _drop(self, job: jobs.LeasedJob, *, reason: str, now: float) -> None:
         self._out.decided("job_dropped", job=job.name, reason=reason)
         self._forget(job, now=now)
@@ -522,71 +507,21 @@
             job.checked = True
             self._judge(job, now=now)
 
-    def _look_for_overdue_runs(self, *, now: float) -> None:
-        for lease in tuple(self._keeper.leases.values()):
-            for run in tuple(lease.runs.values()):
-                if run.job is not None and run.state is RunState.RUNNING:
-                    self._look_at_run(lease, run, run.job, now=now)
-
-    def _look_at_run(
-        self,
-        lease: lease_module.Lease,
-        run: lease_module.Run,
-        job: jobs.LeasedJob,
-        *,
-        now: float,
-    ) -> None:
-        """Stops a run that hangs, if another upstream has room for it."""
-        running_s = now - run.ordered_at
-        expected_s = run.expected_s
-        if job.measured:
-            expected_s = self._placement.expected_ms(job, lease) / 1_000
-        late_s = max(expected_s * OVERDUE_FACTOR, expected_s + OVERDUE_MARGIN_S)
-        if running_s < late_s or self._jobs.get(job.name) is not job:
-            return
-        task = job.tasks[run.key.task.index]
-        if running_s < task.overdue_s * OVERDUE_FACTOR:
-            return
-        if not job.measured and self._like_others(job, run, running_s, now=now):
-            return
-        self._times.overdue(
-            job.request, lease.upstream, running_ms=running_s * 1_000
-        )
-        task.avoid.add(lease.upstream.upstream)
-        other = self._placement.choose(
-            job, task, self._open_leases(now=now), now=now
+    def _stop_overdue_runs(self, *, now: float) -> None:
+        overdue = self._overdue.find(
+            self._keeper.leases.values(),
+            self._open_leases(now=now),
+            now=now,
         )
-        if other is None:
-            return
-        task.overdue_s = running_s
-        self._out.decided(
-            "run_overdue",
-            job=job.name,
-            detail=f"task={task.key.index} upstream={lease.upstream.upstream} "
-            f"running_s={running_s:.3f} expected_s={expected_s:.3f}",
-        )
-        self._keeper.stop(lease, run, now=now)
-
-    def _like_others(
-        self,
-        job: jobs.LeasedJob,
-        run: lease_module.Run,
-        running_s: float,
-        *,
-        now: float,
-    ) -> bool:
-        """Returns whether tasks of the same job go on for as long elsewhere.
-
-        Then it is the job that was estimated too short, not the upstream that
-        is slow; what is known of the upstream stays.
-        """
-        for lease in self._keeper.leases.values():
-            for other in lease.runs.values():
-                if (
-                    other.job is job
-                    and other is not run
-                    and lease.runs.get(run.key.task) is not run
-                    and now - other.ordered_at >= running_s * ALIKE_SHARE
-                ):
-                    return True
-        return False
+        for each in overdue:
+            task = each.job.tasks[each.run.key.task.index]
+            task.overdue_s = each.running_s
+            self._out.decided(
+                "run_overdue",
+                job=each.job.name,
+                detail=f"task={task.key.index} "
+                f"upstream={each.lease.upstream.upstream} "
+                f"running_s={each.running_s:.3f} "
+                f"expected_s={each.expected_s:.3f}",
+            )
+            self._keeper.stop(each.lease, each.run, now=now)
--- a/godwitnotch/core/leased/lease_keeper.py
+++ b/godwitnotch/core/leased/lease_keeper.py
@@ -19,6 +19,7 @@
 from godwitnotch.core.leased import lease as lease_module
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import outbox as outbox_module
+from godwitnotch.core.leased import run_lists
 from godwitnotch.core.leased.lease import LeaseChange
 from godwitnotch.core.leased.lease import LeaseState
 from godwitnotch.core.leased.lease import RunState
@@ -262,8 +263,7 @@
         if lease.runs.get(run.key.task) is not run:
             return
         if not latest:
-            lease.drop(run)
-            self._owner.run_ended(lease, run, model.RunEnd.LAPSED, now=now)
+            self._gone(lease, run, model.RunEnd.LAPSED, now=now)
             return
         run.settled_at = now
         if call.kind is _CallKind.START and run.state is RunState.ORDERED:
@@ -335,8 +335,7 @@
         lease.answered(listed.clock_ms, now=now)
         if lease.state is LeaseState.LOOKING:
             self._seen(lease, listed, now=now)
-        self._take_ends(lease, listed, now=now)
-        self._take_missing(lease, listed, call.sent_at, now=now)
+        self._take_ends(lease, listed, call.sent_at, now=now)
         self._stop_unknown(lease, listed, now=now)
         if lease.state is LeaseState.RECONCILING:
             self._reconcile(lease, now=now)
@@ -459,18 +458,6 @@
                 lease.add(run)
 
     def _take_ends(
-        self, lease: lease_module.Lease, listed: model.RunList, *, now: float
-    ) -> None:
-        for ended in listed.ended:
-            if ended.number <= lease.observed:
-                continue
-            lease.observed = ended.number
-            run = lease.runs.get(ended.key.task)
-            if run is not None and run.key == ended.key:
-                lease.drop(run)
-                self._owner.run_ended(lease, run, ended.end, now=now)
-
-    def _take_missing(
         self,
         lease: lease_module.Lease,
         listed: model.RunList,
@@ -478,12 +465,21 @@
         *,
         now: float,
     ) -> None:
-        running = set(listed.running)
-        for run in tuple(lease.runs.values()):
-            settled = run.settled_at is not None and asked_at >= run.settled_at
-            if run.key not in running and (settled or asked_at > run.gone_by):
-                lease.drop(run)
-                self._owner.run_ended(lease, run, model.RunEnd.LAPSED, now=now)
+        for run, end in run_lists.ended(lease, listed):
+            self._gone(lease, run, end, now=now)
+        for run in run_lists.missing(lease, listed, asked_at=asked_at):
+            self._gone(lease, run, model.RunEnd.LAPSED, now=now)
+
+    def _gone(
+        self,
+        lease: lease_module.Lease,
+        run: lease_module.Run,
+        end: model.RunEnd,
+        *,
+        now: float,
+    ) -> None:
+        lease.drop(run)
+        self._owner.run_ended(lease, run, end, now=now)
 
     def _stop_unknown(
         self, lease: lease_module.Lease, listed: model.RunList, *, now: float
@@ -491,18 +487,16 @@
         """Stops runs that were started late, after they were given up."""
         if lease.state is not LeaseState.HELD:
             return
-        for key in listed.running:
-            run = lease.runs.get(key.task)
-            if run is None or run.key != key:
-                call = self._call(_Call(_CallKind.STOP, lease, now))
-                self._out.decided(
-                    "run_unknown",
-                    job=key.task.job,
-                    detail=f"upstream={lease.upstream.upstream} run={key.run}",
-                )
-                self._out.add(
-                    actions.StopRun(call, lease.upstream, key, self._term)
-                )
+        for key in run_lists.unknown(lease, listed):
+            call = self._call(_Call(_CallKind.STOP, lease, now))
+            self._out.decided(
+                "run_unknown",
+                job=key.task.job,
+                detail=f"upstream={lease.upstream.upstream} run={key.run}",
+            )
+            self._out.add(
+                actions.StopRun(call, lease.upstream, key, self._term)
+            )
 
     def _repeat_stops(self, lease: lease_module.Lease, *, now: float) -> None:
         for run in tuple(lease.runs.values()):
@@ -531,8 +525,6 @@
     ) -> bool:
         """Counts the runs of an earlier life as gone.
 
-        An order that has no answer yet may be carried out in either life.
-
         Returns:
             Whether the answer comes from the latest life that is known.
         """
@@ -546,12 +538,8 @@
                 detail=f"upstream={lease.upstream.upstream}",
             )
             lease.observed = 0
-            for run in tuple(lease.runs.values()):
-                if run.settled_at is not None:
-                    lease.drop(run)
-                    self._owner.run_ended(
-                        lease, run, model.RunEnd.LAPSED, now=now
-                    )
+            for run in run_lists.of_earlier_life(lease):
+                self._gone(lease, run, model.RunEnd.LAPSED, now=now)
         lease.born_ms = born_ms
         return True
 
@@ -589,8 +577,7 @@
 
     def _all_gone(self, lease: lease_module.Lease, *, now: float) -> None:
         for run in tuple(lease.runs.values()):
-            lease.drop(run)
-            self._owner.run_ended(lease, run, model.RunEnd.LAPSED, now=now)
+            self._gone(lease, run, model.RunEnd.LAPSED, now=now)
         if not lease.listed:
             self._leases.pop(lease.upstream.upstream, None)
 
