--- a/tests/mutants/__main__.py
+++ b/tests/mutants/__main__.py
@@ -35,6 +35,9 @@
     "tests.test_upstream_client",
     "tests.test_http_client",
     "tests.test_differential",
+    "tests.test_leased_host",
+    "tests.test_leased_decisions",
+    "tests.test_leased_histories",
 )
 _FAILED = re.compile(r"^(?:FAIL|ERROR): (\S+)", re.MULTILINE)
 
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -7,12 +7,17 @@
 
 from godwitnotch import log
 from godwitnotch.core import ids
+from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import admission
+from godwitnotch.core.leased import events
 from godwitnotch.core.leased import health
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import leadership
 from godwitnotch.core.leased import lease
+from godwitnotch.core.leased import lease_keeper
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import outbox
+from godwitnotch.core.leased import owned_jobs
 from godwitnotch.core.leased import peer_messages
 from godwitnotch.core.leased import placement
 from godwitnotch.core.leased import run_times
@@ -194,6 +199,19 @@
         self.assertIs(change, leadership.Change.ELECTED)
         self.assertGreater(leads.term, 9_000_000_123)
 
+    def test_of_two_leaders_the_one_of_the_lower_term_is_not_followed(
+        self,
+    ) -> None:
+        follows = self.make("a", 1)
+        for host, term in (("b", 9_000_000), ("c", 8_000_000)):
+            name = ids.HostId(host)
+            follows.peer_up(name, ids.DomainId("d"), now=NOW)
+            standing = peer_messages.Standing(
+                model.Term(term), name, 5, False, True
+            )
+            follows.heard(name, standing, now=NOW)
+        self.assertEqual(follows.leader, "b")
+
     def test_a_pause_gives_up_the_lead(self) -> None:
         leads = self.make("a", 1)
         now = NOW
@@ -300,3 +318,68 @@
         self.assertEqual(lines[-1], "event=last")
         numbers = [line for line in lines if "number=" in line]
         self.assertTrue(all(line.endswith("x" * 80) for line in numbers))
+
+
+class _Wanted:
+    """Wants no run, and notes what it is told."""
+
+    def claimed(self, key: model.RunKey) -> None:
+        return None
+
+    def run_ended(self, *args: object, now: float) -> None:
+        pass
+
+    def order_rejected(self, *args: object, now: float) -> None:
+        pass
+
+    def outranked(self, *args: object, now: float) -> None:
+        pass
+
+
+class LeaseKeeperTest(unittest.TestCase):
+    def test_no_lease_is_renewed_before_what_nobody_claims_is_gone(
+        self,
+    ) -> None:
+        out = outbox.Outbox()
+        keeper = lease_keeper.LeaseKeeper(
+            out, _Wanted(), in_scope=lambda _: True
+        )
+        upstream = held("u").upstream
+        keeper.take_office(model.Term(7), [upstream], now=NOW)
+        key = model.RunKey(
+            model.TaskKey(model.JobName("old"), 0), model.RunNumber(3)
+        )
+        now = NOW
+        for _ in range(20):
+            now += 0.05
+            for action in out.take():
+                if isinstance(action, actions.RenewLease):
+                    self.assertIsNone(action.deadline_ms)
+                    runs = model.RunList(1, 1, (key,), ())
+                    keeper.runs_listed(
+                        events.RunsListed(action.call, runs), now=now
+                    )
+            if now > NOW + 0.3:
+                keeper.close_claims(now=now)
+            keeper.tick(now=now)
+        self.assertFalse(keeper.holds_any())
+
+
+class OwnedJobsTest(unittest.TestCase):
+    def test_a_refusal_of_a_second_leader_is_no_proof(self) -> None:
+        out = outbox.Outbox()
+        owned = owned_jobs.OwnedJobs(out, send=lambda host, message: None)
+        owned.leader_changed(ids.HostId("one"), model.Term(1), now=NOW)
+        request = leased_world.request("j")
+        owned.asked(ids.CallId(1), request, NOW + 5, now=NOW)
+        owned.leader_changed(ids.HostId("two"), model.Term(2), now=NOW)
+        refusal = model.Answer(
+            model.JobEnd.REFUSED, model.EndReason.OVERLOADED, 1.0
+        )
+        owned.answered(model.JobName("j"), refusal)
+        (answer,) = [
+            each.answer
+            for each in out.take()
+            if isinstance(each, actions.AnswerCaller)
+        ]
+        self.assertIs(answer.end, model.JobEnd.GIVEN_UP)
--- a/tests/test_leased_host.py
+++ b/tests/test_leased_host.py
@@ -142,6 +142,20 @@
         world.run(1.5)
         self.assert_end(world, call, model.JobEnd.COMPLETED)
 
+    def test_an_upstream_that_forgets_a_run_without_a_word(self) -> None:
+        world = started()
+        for upstream in world.upstreams.values():
+            upstream.born_ms = 0  # It doesn't say when its life began.
+        call = world.ask("a2", "forgotten")
+        world.run(0.05)
+        upstream = world.upstreams[world.history[0][0]]
+        for run in upstream.running.values():
+            run.ended_at = world.now
+        upstream.running.clear()
+        world.run(1.5)
+        self.assert_end(world, call, model.JobEnd.COMPLETED)
+        self.assertEqual(world.starts("forgotten"), 2)
+
 
 class RefusalTest(LeasedTest):
     def test_a_job_that_an_earlier_leader_had_is_never_refused(self) -> None:
