Demonstrate the platform path, check its settings, and lead soon after a start

Cause: make demo showed the product's own path only. `godwitnotch demo --on-platform` runs three hosts on stand-ins and closes the leader midway; it found that two of three hosts waited out the 1.2 s of a start before they chose the next leader (15 of 30 jobs refused with no_leader).

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 
 demo: setup
 	$(PY) -m godwitnotch demo
+	$(PY) -m godwitnotch demo --on-platform
 
 test: setup
 	$(PY) -m tests
--- a/godwitnotch/commands/hosts.py
+++ b/godwitnotch/commands/hosts.py
@@ -28,6 +28,12 @@
         pathlib.Path | None,
         typer.Option(metavar="FILE", help="Settings file of the host."),
     ] = None,
+    platform_settings: Annotated[
+        pathlib.Path | None,
+        typer.Option(
+            metavar="FILE", help="Settings file that the platform has written."
+        ),
+    ] = None,
 ) -> None:
     """Runs an entry host until it is drained, or looks after a running one.
 
@@ -38,6 +44,9 @@
     """
     if context.invoked_subcommand is not None:
         return
+    if platform_settings is not None:
+        _run_on_platform(platform_settings)
+        return
     if settings is None:
         options.fail(
             "give --settings FILE to run a host, or --help for the commands",
@@ -60,6 +69,20 @@
         raise typer.Exit(options.ExitCode.FAILED) from error
 
 
+def _run_on_platform(file: pathlib.Path) -> None:
+    from godwitnotch import leased_root
+
+    loaded = settings_files.load_platform(file)
+    try:
+        asyncio.run(leased_root.run_host(loaded))
+    except OSError as error:
+        options.fail(
+            f"the host can't start: {error}; free the address that {file} "
+            "names",
+            options.ExitCode.FAILED,
+        )
+
+
 @app.command()
 def status(
     host: options.Host, operator_token_file: options.OperatorTokenFile = None
--- a/godwitnotch/commands/settings_files.py
+++ b/godwitnotch/commands/settings_files.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from godwitnotch import settings
+    from godwitnotch.platform import settings as platform_settings
 
 app = typer.Typer(
     no_args_is_help=True, help="Checks and shows settings files of hosts."
@@ -90,6 +91,30 @@
     print(json.dumps(models[kind].model_json_schema(), indent=2))
 
 
+@app.command()
+def platform(file: File) -> None:
+    """Checks a settings file that the users' platform has written.
+
+    Example: godwitnotch settings platform /etc/godwitnotch/settings.conf
+    """
+    loaded = load_platform(file)
+    print(
+        f"{file}: no problem; host={loaded.name} domain={loaded.domain} "
+        f"callers={loaded.callers} peers={loaded.peers} "
+        f"metrics_port={loaded.metrics_port}"
+    )
+
+
+def load_platform(file: pathlib.Path) -> "platform_settings.PlatformSettings":
+    """Returns what the platform tells a host, or prints why not and exits."""
+    from godwitnotch.platform import settings as platform_settings
+
+    try:
+        return platform_settings.load(file)
+    except platform_settings.PlatformSettingsError as error:
+        options.fail(str(error), options.ExitCode.USAGE)
+
+
 def load(file: pathlib.Path) -> "settings.HostSettings":
     """Returns the settings of a host, or prints the problems and exits."""
     from godwitnotch import settings_file
--- a/godwitnotch/commands/views.py
+++ b/godwitnotch/commands/views.py
@@ -32,14 +32,23 @@
     app.command()(demo)
 
 
-def demo() -> None:
-    """Runs a job of some dozens of tasks on a host with stand-ins.
-
-    All in one process, on loopback; takes a few seconds. The last line tells
-    the outcome, and the exit code is 0 if the answer was whole.
+def demo(
+    on_platform: Annotated[
+        bool,
+        typer.Option(
+            "--on-platform",
+            help="Show hosts on the users' platform, one of which is lost.",
+        ),
+    ] = False,
+) -> None:
+    """Runs real jobs on embedded stand-ins.
 
     Example: godwitnotch demo
     """
+    if on_platform:
+        from godwitnotch import leased_demo
+
+        raise typer.Exit(leased_demo.run())
     from godwitnotch import demo as demo_module
 
     raise typer.Exit(demo_module.run())
--- a/godwitnotch/core/leased/leadership.py
+++ b/godwitnotch/core/leased/leadership.py
@@ -276,6 +276,7 @@
 
     def _follow(self, host: ids.HostId, term: model.Term) -> Change:
         changed = host != self._leader
+        self._first_choice_at = self._ticked_at  # The start is over.
         self._term = term
         self._leader = host
         self._serving = False
--- /dev/null
+++ b/godwitnotch/leased_demo.py
@@ -0,0 +1,181 @@
+"""A demonstration on stand-ins of the users' platform: three hosts, one lost."""
+
+import asyncio
+import json
+import socket
+from dataclasses import dataclass
+
+from godwitnotch import leased_root
+from godwitnotch import log
+from godwitnotch.net import http_client
+from godwitnotch.net import http_types
+from godwitnotch.platform import settings
+from godwitnotch.standins import leased_platform
+
+DOMAINS = ("a", "b", "c")
+UPSTREAMS_A_DOMAIN = 2
+JOBS = 30
+TASKS = 3
+START_TIMEOUT_S = 15.0
+JOB_TIMEOUT_S = 10.0
+
+_IP = "127.0.0.1"
+_AUTHORITY = "orders.example"
+_POLL_S = 0.02
+_CONFIGURATION = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "demo",
+            "host": _AUTHORITY,
+            "prefix": "/orders/",
+            "service": "orders",
+            "target_duration_ms": 5000,
+            "stretch": 1.6,
+        }
+    ],
+}
+_JOB = {
+    "best_effort": True,
+    "spec": "demo",
+    "steps": [{"count": TASKS, "cpu": 1000, "estimate_ms": 50}],
+}
+
+
+@dataclass(frozen=True, slots=True)
+class _Outcome:
+    """What the jobs came to.
+
+    Attributes:
+        completed: Jobs answered as completed.
+        starts: Runs that began.
+        twice: Tasks of which more than one run began.
+    """
+
+    completed: int
+    starts: int
+    twice: int
+
+
+def run() -> int:
+    """Runs the demonstration and returns the exit code."""
+    log.configure(level="error")
+    outcome = asyncio.run(_run())
+    print(
+        f"outcome=complete jobs={JOBS} completed={outcome.completed} "
+        f"tasks={JOBS * TASKS} starts={outcome.starts} twice={outcome.twice}"
+    )
+    right = outcome.completed == JOBS and outcome.starts >= JOBS * TASKS
+    return 0 if right else 1
+
+
+async def _run() -> _Outcome:
+    store = leased_platform.StandInStore()
+    address = await store.start()
+    store.put("op", "config", json.dumps(_CONFIGURATION).encode())
+    upstreams = await _start_upstreams(store)
+    hosts = [await _start_host(domain, address) for domain in DOMAINS]
+    client = http_client.HttpClient()
+    try:
+        await _wait_ready(hosts)
+        half = JOBS // 2
+        completed = await _send(client, hosts, range(half))
+        leader = next(host for host in hosts if host.leads)
+        hosts.remove(leader)
+        await leader.close()
+        completed += await _send(client, hosts, range(half, JOBS))
+    finally:
+        await client.close()
+        for host in hosts:
+            await host.close()
+        for upstream in upstreams:
+            await upstream.close()
+        await store.close()
+    starts = [task for upstream in upstreams for task in upstream.starts]
+    return _Outcome(completed, len(starts), len(starts) - len(set(starts)))
+
+
+async def _start_upstreams(
+    store: leased_platform.StandInStore,
+) -> list[leased_platform.StandInUpstream]:
+    upstreams = []
+    for domain in DOMAINS:
+        for number in range(UPSTREAMS_A_DOMAIN):
+            upstream = leased_platform.StandInUpstream(
+                upstream=f"{domain}-{number}", domain=domain, service="orders"
+            )
+            await upstream.start()
+            store.put("servers", f"{domain}-{number}", upstream.entry())
+            upstreams.append(upstream)
+    return upstreams
+
+
+async def _start_host(domain: str, store: str) -> leased_root.LeasedHost:
+    callers, ready, peers, metrics = _free_ports(4)
+    host = leased_root.LeasedHost(
+        settings.parse(
+            "\n".join(
+                (
+                    f"node=demo-{domain}",
+                    f"zone={domain}",
+                    f"listen.front={_IP}:{callers}",
+                    f"listen.ready={_IP}:{ready}",
+                    f"listen.control={_IP}:{peers}",
+                    f"port_range={metrics},{metrics}",
+                    f"platform.address={store}",
+                )
+            )
+        )
+    )
+    await host.start()
+    return host
+
+
+def _free_ports(count: int) -> list[int]:
+    probes = [socket.create_server((_IP, 0)) for _ in range(count)]
+    ports: list[int] = [probe.getsockname()[1] for probe in probes]
+    for probe in probes:
+        probe.close()
+    return ports
+
+
+async def _wait_ready(hosts: list[leased_root.LeasedHost]) -> None:
+    async with asyncio.timeout(START_TIMEOUT_S):
+        while not all(host.ready for host in hosts):
+            await asyncio.sleep(_POLL_S)
+
+
+async def _send(
+    client: http_client.HttpClient,
+    hosts: list[leased_root.LeasedHost],
+    numbers: range,
+) -> int:
+    """Sends jobs to the hosts in turn; returns how many were completed."""
+    answers = await asyncio.gather(
+        *(
+            _send_one(client, hosts[number % len(hosts)], number)
+            for number in numbers
+        )
+    )
+    return sum(answers)
+
+
+async def _send_one(
+    client: http_client.HttpClient, host: leased_root.LeasedHost, number: int
+) -> bool:
+    deadline = asyncio.get_running_loop().time() + JOB_TIMEOUT_S
+    response = await client.request(
+        host.callers,
+        http_types.HttpRequest(
+            "POST",
+            f"/orders/{number:016x}",
+            headers={
+                "host": _AUTHORITY,
+                "x-request-deadline": str(round(JOB_TIMEOUT_S * 1_000)),
+            },
+            body=json.dumps(_JOB).encode(),
+        ),
+        deadline=deadline,
+        max_body_bytes=10_000,
+    )
+    return response.status == 200
--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -123,6 +123,21 @@
         """The configuration in force."""
         return self._runtime.configuration
 
+    @property
+    def callers(self) -> str:
+        """Address for callers."""
+        return self._settings.callers
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers can be served."""
+        return self._runtime.ready
+
+    @property
+    def leads(self) -> bool:
+        """Whether this host leads."""
+        return self._core.leads
+
     async def start(self) -> None:
         """Listens, then begins to decide.
 
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -212,6 +212,25 @@
             follows.heard(name, standing, now=NOW)
         self.assertEqual(follows.leader, "b")
 
+    def test_a_leader_lost_soon_after_the_start_is_followed_by_the_next(
+        self,
+    ) -> None:
+        # Seen in the demonstration: two of three hosts waited out the start.
+        leads = self.make("a", 1)
+        now = NOW
+        for host in ("b", "c"):
+            leads.peer_up(ids.HostId(host), ids.DomainId("d"), now=now)
+        standing = peer_messages.Standing(
+            model.Term(9_000_000), ids.HostId("b"), 0, False, True
+        )
+        leads.heard(ids.HostId("b"), standing, now=now)
+        leads.tick(now=now)
+        leads.peer_down(ids.HostId("b"), now=now)
+        for _ in range(10):
+            now += 0.04
+            leads.tick(now=now)
+        self.assertTrue(leads.leads)
+
     def test_a_pause_gives_up_the_lead(self) -> None:
         leads = self.make("a", 1)
         now = NOW
--- a/tests/test_leased_serving.py
+++ b/tests/test_leased_serving.py
@@ -3,9 +3,15 @@
 import asyncio
 import json
 import logging
+import pathlib
 import socket
+import tempfile
 import unittest
 
+from typer import testing
+
+from godwitnotch import cli
+from godwitnotch import leased_demo
 from godwitnotch import leased_root
 from godwitnotch.net import http_client
 from godwitnotch.net import http_types
@@ -50,6 +56,34 @@
     return ports
 
 
+class DemoTest(unittest.TestCase):
+    def test_jobs_survive_the_loss_of_the_leader(self) -> None:
+        self.assertEqual(leased_demo.run(), 0)
+
+
+class CommandsTest(unittest.TestCase):
+    def test_settings_of_the_platform_are_checked(self) -> None:
+        runner = testing.CliRunner()
+        with tempfile.TemporaryDirectory() as folder:
+            file = pathlib.Path(folder) / "settings.conf"
+            for text, code, told in (
+                ("node=a\nzone=d\n", 2, "listen.front is missing"),
+                (
+                    "node=a\nzone=d\nlisten.front=127.0.0.1:1\n"
+                    "listen.ready=127.0.0.1:2\nlisten.control=127.0.0.1:3\n"
+                    "port_range=9,12\nplatform.address=127.0.0.1:4\n",
+                    0,
+                    "metrics_port=9",
+                ),
+            ):
+                file.write_text(text)
+                result = runner.invoke(
+                    cli.app, ["settings", "platform", str(file)]
+                )
+                self.assertEqual(result.exit_code, code, result.output)
+                self.assertIn(told, result.output.replace("\n", " "))
+
+
 class LeasedServingTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         logging.disable(logging.CRITICAL)
