Send the configuration to peers that ask, the list to those next to lead

A host whose peers have had a newer version for 0.8 s asks for it; the list of upstreams goes to three hosts a domain.

--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -58,6 +58,7 @@
         self._host = host
         self._domain = domain
         self._out = outbox_module.Outbox()
+        self._have_list: set[ids.HostId] = set()
         self._linked: dict[ids.HostId, ids.DomainId] = {}
         self._upstreams: tuple[model.LeasedUpstream, ...] = ()
         self._leadership = leadership_module.Leadership(
@@ -127,6 +128,7 @@
             f"linked={len(self._linked)} scope={leadership.scope().value}",
         )
         self._dispatcher.resign()
+        self._have_list.clear()
         if change is Change.ELECTED:
             self._dispatcher.take_office(
                 leadership.term,
@@ -214,6 +216,7 @@
             case peer_messages.Standing():
                 change = self._leadership.heard(host, message, now=now)
                 self._take_change(change, now=now)
+                self._share_upstreams()
             case peer_messages.JobAnswered(job=job, answer=answer):
                 self._owned.answered(job, answer)
             case peer_messages.UpstreamsCopy(upstreams=upstreams):
@@ -222,6 +225,16 @@
             case _ if self.leads:
                 self._take_as_leader(host, message, now=now)
 
+    def _share_upstreams(self) -> None:
+        """Gives the list of upstreams to those who are next to lead."""
+        if not self.leads or not self._upstreams:
+            return
+        copy = peer_messages.UpstreamsCopy(self._upstreams)
+        for host in self._leadership.successors():
+            if host not in self._have_list:
+                self._have_list.add(host)
+                self._out.add(actions.TellPeer(host, copy))
+
     def _take_as_leader(
         self, host: ids.HostId, message: peer_messages.Message, *, now: float
     ) -> None:
@@ -266,9 +279,8 @@
     if not core.leads:
         return
     core._dispatcher.keeper.upstreams_listed(event.upstreams, now=now)
-    copy = peer_messages.UpstreamsCopy(event.upstreams)
-    for host in core._linked:
-        core._out.add(actions.TellPeer(host, copy))
+    core._have_list.clear()
+    core._share_upstreams()
     core._dispatcher.settle(now=now)
 
 
@@ -281,14 +293,12 @@
     core._dispatcher.owner_linked(event.host, now=now)
     standing = core._leadership.standing()
     core._out.add(actions.TellPeer(event.host, standing))
-    if core.leads and core._upstreams:
-        copy = peer_messages.UpstreamsCopy(core._upstreams)
-        core._out.add(actions.TellPeer(event.host, copy))
 
 
 @_handles(events.PeerLost)
 def _peer_lost(core: LeasedHost, event: events.PeerLost, now: float) -> None:
     core._linked.pop(event.host, None)
+    core._have_list.discard(event.host)
     change = core._leadership.peer_down(event.host, now=now)
     if core.leads:
         core._dispatcher.owner_lost(event.host, now=now)
--- a/godwitnotch/core/leased/leadership.py
+++ b/godwitnotch/core/leased/leadership.py
@@ -27,6 +27,7 @@
 HEARD_BY_OTHERS_S = 1.0
 # A host alone can't tell a cut from the loss of all others.
 ALONE_S = 8.0
+SUCCESSORS_A_DOMAIN = 3
 DEPOSED_WAIT_S = 1.5  # For the link to the leader that took over.
 FORGET_S = 15.0  # A host unheard for so long no longer counts.
 
@@ -149,6 +150,19 @@
         """Counts a linked host among those that may be heard."""
         self._known[host] = _Known(domain, None)
 
+    def successors(self) -> list[ids.HostId]:
+        """Returns the linked hosts that are next to lead, some a domain."""
+        by_domain: dict[ids.DomainId, list[tuple[int, ids.HostId]]] = {}
+        for host, peer in self._peers.items():
+            if host in self._known:
+                domain = self._known[host].domain
+                by_domain.setdefault(domain, []).append((peer.rank, host))
+        return [
+            host
+            for ranked in by_domain.values()
+            for _, host in sorted(ranked, reverse=True)[:SUCCESSORS_A_DOMAIN]
+        ]
+
     def scope(self) -> Scope:
         """Returns which upstreams the hosts that hear each other may hold."""
         heard = sum(each.unheard_since is None for each in self._known.values())
--- a/godwitnotch/core/leased/peer_messages.py
+++ b/godwitnotch/core/leased/peer_messages.py
@@ -35,6 +35,13 @@
     hosts: tuple[model.KnownHost, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationWanted:
+    """Asks for a configuration newer than a version, as the store is away."""
+
+    newer_than: int
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigurationCopy:
     """The newest configuration that the sender has read, as it was read."""
@@ -94,6 +101,7 @@
 Message = (
     Standing
     | HostsKnown
+    | ConfigurationWanted
     | ConfigurationCopy
     | UpstreamsCopy
     | JobHandedOver
--- a/godwitnotch/net/leased_runtime.py
+++ b/godwitnotch/net/leased_runtime.py
@@ -9,6 +9,7 @@
 
 from godwitnotch.core import events as peer_events
 from godwitnotch.core import ids
+from godwitnotch.core import messages
 from godwitnotch.core import model as host_model
 from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import events
@@ -21,6 +22,9 @@
 from godwitnotch.platform import fields
 
 TICK_S = 0.04
+# A configuration is large, so that a peer is asked for it only when the store
+# has not shown it for so long, and not again before.
+BEHIND_WAIT_S = 0.8
 
 OnDecided = Callable[[actions.Decided], None]
 OnFault = Callable[[str, BaseException], None]
@@ -61,6 +65,7 @@
         self._known: dict[ids.HostId, model.KnownHost] = {}
         self._configuration: configuration_module.Configuration | None = None
         self._document = b""
+        self._ask_at: float | None = None
         self._on_lead: Callable[[], None] | None = None
         self._led = False
         self._timer: asyncio.TimerHandle | None = None
@@ -152,6 +157,16 @@
                 message=peer_messages.HostsKnown(hosts=hosts)
             ):
                 self.take_hosts(hosts)
+            case peer_events.PeerSaid(
+                host=host,
+                message=messages.Heartbeat(config_counter=version),
+            ):
+                self._peer_has(host, version)
+            case peer_events.LeasedPeerSaid(
+                host=host,
+                message=peer_messages.ConfigurationWanted(newer_than=version),
+            ):
+                self._share_configuration(host, version)
             case peer_events.LeasedPeerSaid(
                 message=peer_messages.ConfigurationCopy(document=document)
             ):
@@ -168,6 +183,7 @@
             return
         self._configuration = read
         self._document = document
+        self._ask_at = None
         routes = sum(map(len, read.routes.values()))
         self._on_decided(
             actions.Decided(
@@ -196,12 +212,31 @@
     def _greet(self, host: ids.HostId) -> None:
         known = (self._me, *self._known.values())
         self._links.send(host, peer_messages.HostsKnown(known))
-        if self._configuration is not None:
+
+    def _peer_has(self, host: ids.HostId, version: int) -> None:
+        """Asks a peer for its configuration, if the store doesn't show it."""
+        if version <= self._version():
+            return
+        now = self._loop.time()
+        if self._ask_at is None:
+            self._ask_at = now + BEHIND_WAIT_S
+        if now < self._ask_at:
+            return
+        self._ask_at = now + BEHIND_WAIT_S
+        wanted = peer_messages.ConfigurationWanted(self._version())
+        self._links.send(host, wanted)
+
+    def _share_configuration(self, host: ids.HostId, newer_than: int) -> None:
+        if self._version() > newer_than:
             copy = peer_messages.ConfigurationCopy(
-                self._configuration.version, self._document
+                self._version(), self._document
             )
             self._links.send(host, copy)
 
+    def _version(self) -> int:
+        current = self._configuration
+        return -1 if current is None else current.version
+
     def _take_copy(self, document: bytes) -> None:
         try:
             read = configuration_module.decode(document)
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -295,6 +295,7 @@
             peer_messages.HostsKnown(
                 (model.KnownHost(ids.HostId("a"), ids.DomainId("d")),)
             ),
+            peer_messages.ConfigurationWanted(2),
             peer_messages.ConfigurationCopy(3, b"{}"),
             peer_messages.UpstreamsCopy((upstream,)),
             peer_messages.JobHandedOver(
--- a/tests/test_leased_serving.py
+++ b/tests/test_leased_serving.py
@@ -14,6 +14,7 @@
 from godwitnotch import cli
 from godwitnotch import leased_demo
 from godwitnotch import leased_root
+from godwitnotch.core.leased import peer_messages
 from godwitnotch.net import http_client
 from godwitnotch.net import http_types
 from godwitnotch.platform import settings
@@ -205,6 +206,34 @@
         answer = await self.send(self.hosts[0], "GET", "/jobs/")
         self.assertEqual(answer.status, 404)
 
+    async def test_a_host_that_starts_in_an_outage_learns_from_its_peers(
+        self,
+    ) -> None:
+        self.store.down = True
+        seeds = [self.hosts[0]._settings.peers]
+        await self.start_host("b", seeds)
+        await self.wait(lambda: self.holds_leader(self.hosts[-1]))
+        answer = await self.send(self.hosts[-1], "POST", f"/jobs/{1:016x}", JOB)
+        self.assertEqual(answer.status, 200)
+
+    async def test_a_link_that_opens_carries_no_configuration(self) -> None:
+        # Seen on Brunnhalde grown: 350 routes to 39 peers at each new link
+        # filled slow networks, so that heartbeats came late and links broke.
+        sent = []
+        host = self.hosts[0]
+        send = host._links.send
+
+        def note(peer, message):
+            sent.append(type(message))
+            return send(peer, message)
+
+        host._links.send = note
+        await self.start_host("b", [host._settings.peers])
+        await self.wait(lambda: self.holds_leader(self.hosts[-1]))
+        await asyncio.sleep(1.0)
+        self.assertIn(peer_messages.HostsKnown, sent)
+        self.assertNotIn(peer_messages.ConfigurationCopy, sent)
+
     async def test_shapes_that_are_not_served_never_run(self) -> None:
         step = JOB["steps"][0]
         shapes = (
