--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -174,6 +174,7 @@
                 model.JobEnd.FAILED, model.EndReason.CANCELLED
             )
             self._end(job, answer, now=now)
+            self._settle(now=now)
 
     def settle(self, *, now: float) -> None:
         """Places what can be placed, after events at the upstreams."""
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -246,6 +246,8 @@
                     self._dispatcher.all_handed_over(host, now=now)
             case peer_messages.JobDropped(job=job):
                 self._dispatcher.dropped(host, job, now=now)
+            case peer_messages.JobCancelled(job=job):
+                self._dispatcher.cancelled(job, now=now)
 
 
 @_handles(events.JobAsked)
@@ -264,9 +266,10 @@
 def _cancel_asked(
     core: LeasedHost, event: events.CancelAsked, now: float
 ) -> None:
-    core._owned.cancelled(event.job)
-    if core.leads:
-        core._dispatcher.cancelled(event.job, now=now)
+    known = core._owned.cancelled(event.job)
+    leader = core._leadership.leader
+    if not known and leader:
+        core._send(leader, peer_messages.JobCancelled(event.job))
 
 
 @_handles(events.UpstreamsListed)
--- a/godwitnotch/core/leased/peer_messages.py
+++ b/godwitnotch/core/leased/peer_messages.py
@@ -98,6 +98,13 @@
     job: model.JobName
 
 
+@dataclass(frozen=True, slots=True)
+class JobCancelled:
+    """A caller cancels a job by its name, at a host that doesn't own it."""
+
+    job: model.JobName
+
+
 Message = (
     Standing
     | HostsKnown
@@ -108,4 +115,5 @@
     | AllHandedOver
     | JobAnswered
     | JobDropped
+    | JobCancelled
 )
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -332,6 +332,7 @@
             peer_messages.AllHandedOver(model.Term(5)),
             peer_messages.JobAnswered(model.JobName("j"), answer),
             peer_messages.JobDropped(model.JobName("j")),
+            peer_messages.JobCancelled(model.JobName("j")),
         )
         kinds = set(peer_messages.Message.__args__)
         self.assertEqual({type(each) for each in examples}, kinds)
--- a/tests/test_leased_host.py
+++ b/tests/test_leased_host.py
@@ -59,6 +59,20 @@
             [run.end for _, run in world.history], [model.RunEnd.STOPPED] * 3
         )
 
+    def test_a_cancel_at_any_host_stops_the_job(self) -> None:
+        for at in ("a1", "a2", "b1", "c2"):
+            with self.subTest(at=at):
+                world = started()
+                world.work_ms = 800.0
+                call = world.ask("a2", "cancelled", tasks=3)
+                world.run(0.1)
+                name = model.JobName("cancelled")
+                world.feed(at, leased_world.events.CancelAsked(name))
+                world.run(0.1)
+                self.assert_end(world, call, model.JobEnd.FAILED)
+                ends = {run.end for _, run in world.history}
+                self.assertEqual(ends, {model.RunEnd.STOPPED})
+
     def test_a_job_sent_again_elsewhere_stays_one_job(self) -> None:
         world = started()
         world.work_ms = 400.0
