Keep the lead when upstreams that were out of reach have a higher term

Only an upstream that was reached within the last second and held shows that the lead has passed.

Ruled out: following the higher term without a link (its holder can't be handed jobs). The test fails before.

--- a/godwitnotch/core/leased/lease_keeper.py
+++ b/godwitnotch/core/leased/lease_keeper.py
@@ -30,6 +30,7 @@
 MIN_WAIT_MS = 60
 WAIT_MARGIN_MS = 40
 STOP_AGAIN_S = 0.15
+REACHED_S = 1.0
 LOOK_AGAIN_S = 0.06
 MAX_LOOK_PAUSE_S = 1.0
 # Counts as taken until it is known what an unclaimed run needs.
@@ -293,8 +294,14 @@
         if call.kind is _CallKind.START and run is not None:
             self._start_rejected(lease, run, refusal, now=now)
         if refusal is model.OrderRefusal.TERM:
+            # One not reached for a while may have been taken in a part that
+            # was cut off; the leader there is met over a link.
+            reached = now - lease.clock_at <= REACHED_S
+            taken = reached and lease.state is LeaseState.HELD
+            taken = taken or not self.holds_any()
             self._lost(lease, now=now)
-            self._owner.outranked(lease, now=now)
+            if taken:
+                self._owner.outranked(lease, now=now)
         elif refusal is model.OrderRefusal.OTHER_LIFE:
             self._life_ended(lease, now=now)
         elif refusal is model.OrderRefusal.LATE:
--- a/tests/test_leased_host.py
+++ b/tests/test_leased_host.py
@@ -281,6 +281,29 @@
         for call in calls:
             self.assert_end(world, call, model.JobEnd.COMPLETED)
 
+    def test_upstreams_that_come_back_before_the_links(self) -> None:
+        # The leader outside meets the higher term of the one inside at
+        # upstreams that it doesn't hold, and goes on with those that it does.
+        world = started(run_s=LONG_START_S)
+        leader = world.leaders()[0]
+        domain = next(each for each in "cb" if each != world.domains[leader])
+        self.cut_domain(world, domain)
+        for number in range(3):
+            world.ask(leader, f"cut{number}", tasks=8)
+            world.run(0.5)
+        world.cut = {pair for pair in world.cut if pair <= set(world.domains)}
+        for number in range(20):
+            world.ask(leader, f"after{number}", tasks=8)
+            world.run(0.1)
+            self.assertIn(leader, world.leaders())
+        world.run(1.0)
+        call = world.ask(leader, "meanwhile")
+        world.run(0.5)
+        self.assert_end(world, call, model.JobEnd.COMPLETED)
+        world.heal()
+        world.run(3.0)
+        self.assertEqual(len(world.leaders()), 1)
+
     def test_a_host_cut_off_alone_takes_no_upstream(self) -> None:
         world = started()
         leader = world.leaders()[0]
