--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 setup: $(STAMP)
 
-$(STAMP): requirements.txt requirements-dev.txt
+$(STAMP): requirements.txt requirements-host.txt requirements-dev.txt
 	test -x $(PY) || python3 -m venv $(VENV)
 	$(PY) -m pip install --quiet --requirement requirements-dev.txt
 	touch $@
