--- a/godwitnotch/leased_demo.py
+++ b/godwitnotch/leased_demo.py
@@ -1,14 +1,13 @@
 """A demonstration on stand-ins of the users' platform: three hosts, one lost."""
 
 import asyncio
-import json
 import socket
 from dataclasses import dataclass
 
 from godwitnotch import leased_root
 from godwitnotch import log
+from godwitnotch.core import ids
 from godwitnotch.net import http_client
-from godwitnotch.net import http_types
 from godwitnotch.platform import settings
 from godwitnotch.standins import leased_platform
 
@@ -18,28 +17,10 @@
 TASKS = 3
 START_TIMEOUT_S = 15.0
 JOB_TIMEOUT_S = 10.0
+GRACE_S = 6.0
 
 _IP = "127.0.0.1"
-_AUTHORITY = "orders.example"
 _POLL_S = 0.02
-_CONFIGURATION = {
-    "version": 1,
-    "routes": [
-        {
-            "name": "demo",
-            "host": _AUTHORITY,
-            "prefix": "/orders/",
-            "service": "orders",
-            "target_duration_ms": 5000,
-            "stretch": 1.6,
-        }
-    ],
-}
-_JOB = {
-    "best_effort": True,
-    "spec": "demo",
-    "steps": [{"count": TASKS, "cpu": 1000, "estimate_ms": 50}],
-}
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +53,7 @@
 async def _run() -> _Outcome:
     store = leased_platform.StandInStore()
     address = await store.start()
-    store.put("op", "config", json.dumps(_CONFIGURATION).encode())
+    store.put_configuration("orders")
     upstreams = await _start_upstreams(store)
     hosts = [await _start_host(domain, address) for domain in DOMAINS]
     client = http_client.HttpClient()
@@ -105,7 +86,7 @@
                 upstream=f"{domain}-{number}", domain=domain, service="orders"
             )
             await upstream.start()
-            store.put("servers", f"{domain}-{number}", upstream.entry())
+            store.put_upstream(upstream)
             upstreams.append(upstream)
     return upstreams
 
@@ -113,18 +94,17 @@
 async def _start_host(domain: str, store: str) -> leased_root.LeasedHost:
     callers, ready, peers, metrics = _free_ports(4)
     host = leased_root.LeasedHost(
-        settings.parse(
-            "\n".join(
-                (
-                    f"node=demo-{domain}",
-                    f"zone={domain}",
-                    f"listen.front={_IP}:{callers}",
-                    f"listen.ready={_IP}:{ready}",
-                    f"listen.control={_IP}:{peers}",
-                    f"port_range={metrics},{metrics}",
-                    f"platform.address={store}",
-                )
-            )
+        settings.PlatformSettings(
+            name=f"demo-{domain}",
+            domain=ids.DomainId(domain),
+            callers=f"{_IP}:{callers}",
+            ready=f"{_IP}:{ready}",
+            peers=ids.HostId(f"{_IP}:{peers}"),
+            metrics_port=metrics,
+            seeds=(),
+            store=store,
+            cores=1.0,
+            grace_s=GRACE_S,
         )
     )
     await host.start()
@@ -166,15 +146,7 @@
     deadline = asyncio.get_running_loop().time() + JOB_TIMEOUT_S
     response = await client.request(
         host.callers,
-        http_types.HttpRequest(
-            "POST",
-            f"/orders/{number:016x}",
-            headers={
-                "host": _AUTHORITY,
-                "x-request-deadline": str(round(JOB_TIMEOUT_S * 1_000)),
-            },
-            body=json.dumps(_JOB).encode(),
-        ),
+        leased_platform.job_request(number, tasks=TASKS, wait_s=JOB_TIMEOUT_S),
         deadline=deadline,
         max_body_bytes=10_000,
     )
--- a/godwitnotch/standins/leased_platform.py
+++ b/godwitnotch/standins/leased_platform.py
@@ -17,6 +17,8 @@
 
 MAX_LEASE_S = 1.0
 FEED_POLL_S = 0.01
+AUTHORITY = "orders.example"
+PREFIX = "/orders/"
 _JSON = {"content-type": "application/json"}
 
 
@@ -27,6 +29,23 @@
     deleted: bool = False
 
 
+def job_request(
+    number: int, *, tasks: int, wait_s: float
+) -> http_types.HttpRequest:
+    """Returns the request that submits a job of small tasks."""
+    step = {"count": tasks, "cpu": 1_000, "estimate_ms": 50}
+    body = {"best_effort": True, "spec": "task", "steps": [step]}
+    return http_types.HttpRequest(
+        "POST",
+        f"{PREFIX}{number:016x}",
+        headers={
+            "host": AUTHORITY,
+            "x-request-deadline": str(round(wait_s * 1_000)),
+        },
+        body=json.dumps(body).encode(),
+    )
+
+
 class StandInStore:
     """Rows in tables, with the calls that a host makes."""
 
@@ -54,6 +73,23 @@
         text = base64.b64encode(value).decode()
         self._rows[table, key] = _Row(text, self._version)
 
+    def put_configuration(self, service: str) -> None:
+        """Writes a configuration with one route."""
+        route = {
+            "name": "route",
+            "host": AUTHORITY,
+            "prefix": PREFIX,
+            "service": service,
+            "target_duration_ms": 5_000,
+            "stretch": 1.6,
+        }
+        document = {"version": 1, "routes": [route]}
+        self.put("op", "config", json.dumps(document).encode())
+
+    def put_upstream(self, upstream: "StandInUpstream") -> None:
+        """Lists an upstream."""
+        self.put("servers", upstream.upstream, upstream.entry())
+
     def remove(self, table: str, key: str) -> None:
         """Removes a row."""
         self._version += 1
@@ -188,6 +224,11 @@
             self._answer, limits=http_types.HttpLimits()
         )
 
+    @property
+    def upstream(self) -> str:
+        """Its id."""
+        return self._id
+
     async def start(self, ip: str = "127.0.0.1", port: int = 0) -> str:
         """Listens; returns the address."""
         self._address = f"{ip}:{await self._server.start(ip, port)}"
