Ask once whether a job still wants a run; drop a method that nobody called

Cause: found in reading the diff. run_ended and order_rejected began with the same check; RunTimes.forget had no caller.

--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -225,11 +225,9 @@
     ) -> None:
         """Learns that a run is gone."""
         self._dirty = True
-        job = run.job
+        job = self._wanting(run)
         if job is None:
             return
-        if self._jobs.get(job.name) is not job:
-            return
         task = job.tasks[run.key.task.index]
         upstream = lease.upstream
         if end is model.RunEnd.DONE:
@@ -259,11 +257,9 @@
     ) -> None:
         """Learns that a start was rejected; nothing has run."""
         self._dirty = True
-        job = run.job
+        job = self._wanting(run)
         if job is None:
             return
-        if self._jobs.get(job.name) is not job:
-            return
         task = job.tasks[run.key.task.index]
         self._wait_again(job, task)
         if refusal is model.OrderRefusal.OLD_RUN:
@@ -276,6 +272,13 @@
         else:
             self._health.refused(lease.upstream.upstream, now=now)
 
+    def _wanting(self, run: lease_module.Run) -> jobs.LeasedJob | None:
+        """Returns the job of a run, unless it was ended or dropped."""
+        job = run.job
+        if job is None or self._jobs.get(job.name) is not job:
+            return None
+        return job
+
     def _wait_again(self, job: jobs.LeasedJob, task: jobs.LeasedTask) -> None:
         job.set_state(task, TaskState.WAITING)
         self._queue.update(job)
--- a/godwitnotch/core/leased/run_times.py
+++ b/godwitnotch/core/leased/run_times.py
@@ -81,11 +81,6 @@
         if seen > known:
             self._set(upstream.upstream, seen)
 
-    def forget(self, upstream: ids.UpstreamId) -> None:
-        """Drops what was learnt of an upstream, which has restarted."""
-        self._upstreams.pop(upstream, None)
-        self._factors.pop(upstream, None)
-
     def _learn_upstream(
         self, upstream: model.LeasedUpstream, log_slowness: float
     ) -> None:
