Use upstreams that drop out of the list for 2.5 s more

A failure domain cut from the store for 5.3 s loses its upstreams' entries; as its leader read the list 0.3 s after the heal, all eight upstreams there, held and answering, went out of use for 0.6 s (lease_held 39.709 without any loss before), and for 30 s every job of an earlier leader waited 1.2 s, as the list was not taken for complete. Ruled out: lost leases (no lease_lapsed), rejected terms (none at those eight), slow links (the leader's calls were answered within ms). Change: core/leased/listing.py keeps what a list lacks for 2.5 s, but for what leaves as planned, whose entry can't be read, or whose address another has. It also forgets upstreams gone for 30 s, which grew without bound before.

--- a/godwitnotch/core/leased/events.py
+++ b/godwitnotch/core/leased/events.py
@@ -32,9 +32,15 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamsListed:
-    """A list of the upstreams was read."""
+    """A list of the upstreams was read.
+
+    Attributes:
+        upstreams: Its entries.
+        unreadable: Upstreams whose entries can't be read.
+    """
 
     upstreams: tuple[model.LeasedUpstream, ...]
+    unreadable: tuple[ids.UpstreamId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -9,6 +9,7 @@
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import leadership as leadership_module
 from godwitnotch.core.leased import lease as lease_module
+from godwitnotch.core.leased import listing as listing_module
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import outbox as outbox_module
 from godwitnotch.core.leased import owned_jobs
@@ -25,8 +26,6 @@
 # Links of hosts that reach each other open within this time.
 LEADER_MET_S = 3.0
 OUTRANKED_GAP_S = 2.5
-# An upstream that has left the list may be held in a part that was cut off.
-UNLISTED_S = 30.0
 
 
 def _handles(*kinds: type) -> Callable[[_Handler], _Handler]:
@@ -63,7 +62,7 @@
         self._out = outbox_module.Outbox()
         self._have_list: set[ids.HostId] = set()
         self._linked: dict[ids.HostId, ids.DomainId] = {}
-        self._upstreams: tuple[model.LeasedUpstream, ...] = ()
+        self._listing = listing_module.UpstreamListing(now=now)
         self._leadership = leadership_module.Leadership(
             host=host, domain=domain, rank=rank, unix_time=unix_time, now=now
         )
@@ -72,7 +71,7 @@
             self._out,
             answer_owner=self._answer_owner,
             in_scope=self._in_scope,
-            all_listed=self._all_listed,
+            all_listed=lambda now: self._listing.complete(now=now),
             outranked=self._outranked,
         )
         self._term_jump_s = FIRST_TERM_JUMP_S
@@ -81,8 +80,6 @@
         self._outranked_at = float("-inf")
         self._draining = False
         self._now = now
-        self._begun_at = now
-        self._listed_at: dict[ids.UpstreamId, float] = {}
 
     @property
     def leader(self) -> ids.HostId:
@@ -138,34 +135,12 @@
             self._dispatcher.take_office(
                 leadership.term,
                 hosts=[self._host, *self._linked],
-                upstreams=self._upstreams,
+                upstreams=self._listing.upstreams,
                 now=now,
             )
         self._tell_standing()
         self._owned.leader_changed(leadership.leader, leadership.term, now=now)
 
-    def _take_upstreams(
-        self, upstreams: tuple[model.LeasedUpstream, ...], *, now: float
-    ) -> None:
-        for upstream in (*self._upstreams, *upstreams):
-            self._listed_at[upstream.upstream] = now
-        self._upstreams = upstreams
-
-    def _all_listed(self, now: float) -> bool:
-        """Returns whether nothing runs at upstreams that aren't listed.
-
-        One whose failure domain is cut off drops out of the list, and may go
-        on for a leader in that domain.
-        """
-        if now - self._begun_at < UNLISTED_S:
-            return False
-        listed = {each.upstream for each in self._upstreams}
-        return not any(
-            now - at < UNLISTED_S
-            for upstream, at in self._listed_at.items()
-            if upstream not in listed
-        )
-
     def _tell_standing(self) -> None:
         standing = self._leadership.standing()
         for host in self._linked:
@@ -237,15 +212,15 @@
                 self._owned.answered(job, answer)
             case peer_messages.UpstreamsCopy(upstreams=upstreams):
                 if not self.leads:
-                    self._take_upstreams(upstreams, now=now)
+                    self._listing.take(upstreams, now=now)
             case _ if self.leads:
                 self._take_as_leader(host, message, now=now)
 
     def _share_upstreams(self) -> None:
         """Gives the list of upstreams to those who are next to lead."""
-        if not self.leads or not self._upstreams:
+        if not self.leads or not self._listing.upstreams:
             return
-        copy = peer_messages.UpstreamsCopy(self._upstreams)
+        copy = peer_messages.UpstreamsCopy(self._listing.upstreams)
         for host in self._leadership.successors():
             if host not in self._have_list:
                 self._have_list.add(host)
@@ -292,12 +267,13 @@
 def _upstreams_listed(
     core: LeasedHost, event: events.UpstreamsListed, now: float
 ) -> None:
-    if event.upstreams == core._upstreams:
-        return
-    core._take_upstreams(event.upstreams, now=now)
-    if not core.leads:
+    changed = core._listing.take(
+        event.upstreams, unreadable=event.unreadable, now=now
+    )
+    if not changed or not core.leads:
         return
-    core._dispatcher.keeper.upstreams_listed(event.upstreams, now=now)
+    upstreams = core._listing.upstreams
+    core._dispatcher.keeper.upstreams_listed(upstreams, now=now)
     core._have_list.clear()
     core._share_upstreams()
     core._dispatcher.settle(now=now)
--- a/godwitnotch/net/leased_runtime.py
+++ b/godwitnotch/net/leased_runtime.py
@@ -192,9 +192,9 @@
             )
         )
 
-    def take_upstreams(self, listed: tuple[model.LeasedUpstream, ...]) -> None:
+    def take_upstreams(self, listed: events.UpstreamsListed) -> None:
         """Takes a list of upstreams."""
-        self.feed(events.UpstreamsListed(listed))
+        self.feed(listed)
 
     def take_hosts(self, hosts: Iterable[model.KnownHost]) -> None:
         """Keeps links to hosts that are known."""
--- a/godwitnotch/net/leased_store.py
+++ b/godwitnotch/net/leased_store.py
@@ -9,6 +9,7 @@
 from godwitnotch import log
 from godwitnotch.core import chance as chance_module
 from godwitnotch.core import ids
+from godwitnotch.core.leased import events
 from godwitnotch.core.leased import model
 from godwitnotch.platform import configuration
 from godwitnotch.platform import fields
@@ -39,7 +40,7 @@
     ) -> None:
         """Takes a version of the configuration."""
 
-    def take_upstreams(self, listed: tuple[model.LeasedUpstream, ...]) -> None:
+    def take_upstreams(self, listed: events.UpstreamsListed) -> None:
         """Takes a list of upstreams."""
 
     def take_hosts(self, hosts: Iterable[model.KnownHost]) -> None:
@@ -173,26 +174,29 @@
             return
         self._available()
         listed = []
+        unreadable = []
         for row in rows.rows:
-            entry = self._upstream(row)
-            if entry is not None:
+            if row.value is None:
+                continue
+            entry = self._upstream(row.key, row.value)
+            if entry is None:
+                unreadable.append(ids.UpstreamId(row.key))
+            else:
                 listed.append(entry)
-        self._taker.take_upstreams(tuple(listed))
+        self._taker.take_upstreams(
+            events.UpstreamsListed(tuple(listed), tuple(unreadable))
+        )
 
-    def _upstream(
-        self, row: store_module.StoreRow
-    ) -> model.LeasedUpstream | None:
-        if row.value is None:
-            return None
+    def _upstream(self, key: str, value: bytes) -> model.LeasedUpstream | None:
         try:
-            entry = upstreams.decode_entry(row.key, row.value)
+            entry = upstreams.decode_entry(key, value)
         except fields.WrongFormatError as error:
-            if self._bad_rows.get(row.key) != row.value:
-                self._bad_rows[row.key] = row.value
+            if self._bad_rows.get(key) != value:
+                self._bad_rows[key] = value
                 self._count("upstream_unreadable", "")
-                log.event("upstream_unreadable", key=row.key, cause=error)
+                log.event("upstream_unreadable", key=key, cause=error)
             return None
-        self._bad_rows.pop(row.key, None)
+        self._bad_rows.pop(key, None)
         return entry
 
     async def _find_hosts(self) -> None:
--- a/tests/leased_world.py
+++ b/tests/leased_world.py
@@ -72,6 +72,7 @@
         self.frozen: dict[str, float] = {}
         self.freezes: list[tuple[str, float]] = []
         self.unlisted: frozenset[str] = frozenset()
+        self.without_store: set[str] = set()
         self.cut: set[frozenset[str]] = set()
         self.links: set[frozenset[str]] = set()
         self.upstreams: dict[str, Upstream] = {}
@@ -299,7 +300,7 @@
             self.feed(name, events.Ticked())
             self.at(TICK_S, lambda: self._tick(name, core))
             due = round(self.now / TICK_S) % LIST_TICKS == 0
-            if core.leads and due:
+            if core.leads and due and name not in self.without_store:
                 self.list_upstreams(name, without=self.unlisted)
 
     def _linked(self, name: str, other: str) -> None:
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -1,5 +1,6 @@
 """Tests of single decisions about leased runs, each replaying its load."""
 
+import dataclasses
 import json
 import os
 import random
@@ -16,6 +17,7 @@
 from godwitnotch.core.leased import leadership
 from godwitnotch.core.leased import lease
 from godwitnotch.core.leased import lease_keeper
+from godwitnotch.core.leased import listing
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import outbox
 from godwitnotch.core.leased import owned_jobs
@@ -60,6 +62,57 @@
     return lease.Lease(entry, state=lease.LeaseState.HELD)
 
 
+class ListingTest(unittest.TestCase):
+    """Lists that lack upstreams which live: a cut or an outage ends."""
+
+    def setUp(self) -> None:
+        self.near = held("near").upstream
+        self.far = held("far").upstream
+        self.known = listing.UpstreamListing(now=NOW)
+        self.known.take((self.near, self.far), now=NOW)
+
+    def test_what_drops_out_is_used_until_it_had_time_to_return(self) -> None:
+        self.assertFalse(self.known.take((self.near,), now=NOW + 1))
+        self.assertFalse(self.known.take((self.near,), now=NOW + 3))
+        self.assertEqual(self.known.upstreams, (self.near, self.far))
+        self.assertTrue(self.known.take((self.near,), now=NOW + 4))
+        self.assertEqual(self.known.upstreams, (self.near,))
+
+    def test_one_that_returned_may_drop_out_anew(self) -> None:
+        self.known.take((self.near,), now=NOW + 1)
+        self.known.take((self.near, self.far), now=NOW + 3)
+        self.known.take((self.near,), now=NOW + 5)
+        self.assertIn(self.far, self.known.upstreams)
+
+    def test_one_that_leaves_as_planned_is_gone_with_its_entry(self) -> None:
+        leaving = dataclasses.replace(self.far, draining=True)
+        self.known.take((self.near, leaving), now=NOW + 1)
+        self.assertTrue(self.known.take((self.near,), now=NOW + 2))
+        self.assertEqual(self.known.upstreams, (self.near,))
+
+    def test_one_whose_address_another_has_is_gone(self) -> None:
+        heir = dataclasses.replace(self.near, address=self.far.address)
+        self.known.take((heir,), now=NOW + 1)
+        self.assertEqual(self.known.upstreams, (heir,))
+
+    def test_an_entry_that_cannot_be_read_names_nothing_to_use(self) -> None:
+        self.known.take(
+            (self.near,), unreadable=(self.far.upstream,), now=NOW + 1
+        )
+        self.assertEqual(self.known.upstreams, (self.near,))
+
+    def test_what_runs_elsewhere_is_known_only_long_after_one_left(
+        self,
+    ) -> None:
+        later = NOW + listing.UNLISTED_S + 1
+        self.assertTrue(self.known.complete(now=later))
+        self.known.take((self.near,), now=later)
+        self.assertTrue(self.known.complete(now=later + 1))
+        self.known.take((self.near,), now=later + 3)
+        self.assertFalse(self.known.complete(now=later + 4))
+        self.assertTrue(self.known.complete(now=later + 4 + listing.UNLISTED_S))
+
+
 class WaitingTest(unittest.TestCase):
     def test_small_work_goes_before_large(self) -> None:
         large = job("large", tasks=4, base_ms=900.0)
--- a/tests/test_leased_host.py
+++ b/tests/test_leased_host.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from godwitnotch.core.leased import listing
 from godwitnotch.core.leased import model
 from tests import leased_world
 
@@ -266,6 +267,9 @@
             for name in world.hosts:
                 if world.domains[name] != domain:
                     world.list_upstreams(name, without=missing)
+                else:
+                    world.without_store.add(name)
+            world.run(listing.MISSING_KEPT_S + 1.0)
         world.work_ms = 600.0
         calls = [
             world.ask(name, f"job-{name}", tasks=1, wait_s=4.0)
@@ -275,6 +279,7 @@
         world.heal(gap_s=gap_s)
         world.run(0.5)
         world.unlisted = frozenset()
+        world.without_store.clear()
         world.run(4.0)
         self.assertEqual(world.overlaps(), [])
         self.assertEqual(len(world.leaders()), 1)
