--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -231,6 +231,12 @@
         task = job.tasks[run.key.task.index]
         upstream = lease.upstream
         if end is model.RunEnd.DONE:
+            self._out.decided(
+                "run_ended",
+                job=job.name,
+                detail=f"task={task.key.index} upstream={upstream.upstream} "
+                f"ran_ms={(now - run.ordered_at) * 1_000:.0f}",
+            )
             self._learn_done(lease, run, job, now=now)
             job.set_state(task, TaskState.DONE)
             if job.finished():
--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -217,7 +217,9 @@
         detail = (
             f"route={job.terms.route} tasks={tasks.count} "
             f"cpu_millis={tasks.needs.cpu_millis} "
-            f"estimate_ms={tasks.estimate_ms:g} wait_s={wait_s:.3f} "
+            f"estimate_ms={tasks.estimate_ms:g} "
+            f"stretch={job.terms.stretch:g} "
+            f"target_ms={job.terms.target_ms:g} wait_s={wait_s:.3f} "
             f"version={version}"
         )
         self._decided(actions.Decided("job_received", job.job, "", detail))
