Dial hosts at once when a link into their failure domain opens

Ruled out: a rejected handshake (no such line), the delay of the higher id (it is kept for first dials only). Change: net/redial.py, split out of peer_link.py: a pause after failed dials ends when a link to another host of that domain opens.

--- a/godwitnotch/net/peer_link.py
+++ b/godwitnotch/net/peer_link.py
@@ -32,6 +32,7 @@
 from godwitnotch.core.leased import peer_messages
 from godwitnotch.net import codec
 from godwitnotch.net import peer_auth
+from godwitnotch.net import redial
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,7 +114,6 @@
         LinkEnd.SHUTDOWN,
     }
 )
-_MAX_DOUBLINGS = 16
 _MAX_HANDSHAKE_BYTES = 4_096
 _HEARTBEATS_MISSED = 3
 
@@ -162,8 +162,12 @@
         self._heartbeat = heartbeat
         self._on_event = on_event
         self._on_note = on_note
-        self._chance = chance
         self._limits = limits or PeerLimits()
+        self._redial = redial.Redial(
+            min_s=self._limits.min_backoff_s,
+            max_s=self._limits.max_backoff_s,
+            chance=chance,
+        )
         self._server: websockets.asyncio.server.Server | None = None
         self._links: dict[ids.HostId, _Link] = {}
         self._entries: dict[ids.HostId, model.HostEntry] = {}
@@ -267,22 +271,21 @@
             if link is not None:
                 await link.ended.wait()
                 failures = 0
-            await asyncio.sleep(self._pause_s(host, failures))
+            if host not in self._entries:
+                return
+            higher = not failures and self._hello.host > host
+            await self._redial.pause(
+                host,
+                self._entries[host].domain,
+                failures=failures,
+                extra_s=self._limits.higher_id_delay_s if higher else 0.0,
+            )
             if host in self._links or host not in self._entries:
                 continue
             end = await self._dial(self._entries[host])
             failures = 0 if end in _OPEN_ENDS else failures + 1
             self._note_end(end, host)
 
-    def _pause_s(self, host: ids.HostId, failures: int) -> float:
-        limits = self._limits
-        factor = 1 << min(failures, _MAX_DOUBLINGS)
-        full_s = min(limits.min_backoff_s * factor, limits.max_backoff_s)
-        pause_s = full_s * (0.5 + self._chance.random() / 2)
-        if failures == 0 and self._hello.host > host:
-            pause_s += limits.higher_id_delay_s
-        return pause_s
-
     async def _dial(self, entry: model.HostEntry) -> LinkEnd:
         """Opens a link and runs it; returns why it ended."""
         try:
@@ -412,6 +415,7 @@
             limits=self._limits,
         )
         self._links[hello.host] = link
+        self._redial.link_opened(hello.domain)
         self._on_note(_note("peer_link_up", hello.host))
         self._on_event(
             events.PeerUp(hello.host, hello.domain, hello.incarnation)
--- /dev/null
+++ b/tests/test_redial.py
@@ -0,0 +1,59 @@
+"""Tests of the pauses between dials."""
+
+import asyncio
+import random
+import unittest
+
+from godwitnotch.core import ids
+from godwitnotch.net import redial
+
+LONG_S = 3_600.0
+NEAR = ids.DomainId("near")
+FAR = ids.DomainId("far")
+
+
+class RedialTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.redial = redial.Redial(
+            min_s=0.001, max_s=LONG_S, chance=random.Random(1)
+        )
+
+    def wait(
+        self, host: str, domain: ids.DomainId, *, failures: int
+    ) -> asyncio.Task[None]:
+        task = asyncio.create_task(
+            self.redial.pause(
+                ids.HostId(host), domain, failures=failures, extra_s=LONG_S
+            )
+        )
+        self.addCleanup(task.cancel)
+        return task
+
+    async def test_a_link_into_the_domain_ends_the_pause(self) -> None:
+        # Seen in incident inc-e2fd: after a cut the deposed leader had no link
+        # to the next one for 0.4 s, though others of its domain had.
+        waiting = self.wait("a", FAR, failures=5)
+        await asyncio.sleep(0)
+        self.redial.link_opened(FAR)
+        await waiting
+
+    async def test_a_link_elsewhere_does_not(self) -> None:
+        waiting = self.wait("a", FAR, failures=5)
+        await asyncio.sleep(0)
+        self.redial.link_opened(NEAR)
+        for _ in range(5):
+            await asyncio.sleep(0.002)
+        self.assertFalse(waiting.done())
+
+    async def test_the_delay_of_the_higher_id_is_kept(self) -> None:
+        waiting = self.wait("a", FAR, failures=0)
+        await asyncio.sleep(0)
+        self.redial.link_opened(FAR)
+        for _ in range(5):
+            await asyncio.sleep(0.002)
+        self.assertFalse(waiting.done())
+
+    async def test_pauses_grow_and_end_by_themselves(self) -> None:
+        await self.redial.pause(ids.HostId("a"), FAR, failures=1)
+        self.redial.link_opened(FAR)
+        await self.redial.pause(ids.HostId("a"), FAR, failures=1)
