--- a/bench/leased_load.py
+++ b/bench/leased_load.py
@@ -4,6 +4,7 @@
 any leader. A task that never ended well is given its caller's estimate.
 """
 
+import dataclasses
 import math
 import random
 import re
@@ -19,6 +20,7 @@
 
 SERVICE = model.ServiceName("service")
 MEMORY_MB = 100_000
+MAX_IDLE_S = 3.0
 MIN_OUTAGE_S = 1.0  # Without any order to an upstream.
 MAX_OUTAGE_S = 6.0
 
@@ -38,10 +40,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Upstream:
-    """One upstream and how much longer than usual runs take there."""
+    """One upstream.
+
+    Attributes:
+        entry: Its entry in the list.
+        slowness: How much longer than usual runs take there.
+        begin: From when on it takes work.
+        end: Until when.
+    """
 
     entry: model.LeasedUpstream
     slowness: float
+    begin: float = float("-inf")
+    end: float = float("inf")
+
+    def takes_work(self, now: float) -> bool:
+        """Returns whether it is there."""
+        return self.begin <= now < self.end
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +65,7 @@
 
     Attributes:
         jobs: In the order of their arrival.
-        upstreams: All there from the start to the end.
+        upstreams: All that were there at some time.
         outages: Begin and end of each time without any host.
         served: Jobs that were completed when this was recorded, and when.
     """
@@ -66,6 +81,7 @@
     received: dict[str, tuple[float, Mapping[str, str]]]
     ran_ms: dict[str, list[tuple[str, float]]]
     slots: dict[str, tuple[int, int]]
+    used: dict[str, tuple[float, float]]
     completed: dict[model.JobName, float]
     ordered_at: list[float]
 
@@ -110,8 +126,13 @@
         if at >= 0
     ]
     known = [
-        _upstream(name, cpu_millis, slots, slowness.get(name, 1.0))
+        dataclasses.replace(
+            _upstream(name, cpu_millis, slots, slowness.get(name, 1.0)),
+            begin=log.used[name][0],
+            end=log.used[name][1],
+        )
         for name, (cpu_millis, slots) in log.slots.items()
+        if name in log.used
     ]
     return Load(
         tuple(sorted(jobs, key=lambda job: job.at)),
@@ -121,8 +142,16 @@
     )
 
 
+def arrival(job: Job, outages: Sequence[tuple[float, float]]) -> float:
+    """Returns when a host is there to take a job."""
+    for begin, end in outages:
+        if begin <= job.at < end:
+            return end
+    return job.at
+
+
 def _read(lines: Iterable[str]) -> _Log:
-    log = _Log({}, {}, {}, {}, [])
+    log = _Log({}, {}, {}, {}, {}, [])
     for line in lines:
         match = _LINE.match(line)
         if match is None:
@@ -134,6 +163,7 @@
         elif event == "run_ended":
             ran = (values["upstream"], float(values["ran_ms"]))
             log.ran_ms.setdefault(values["job"], []).append(ran)
+            _note_use(log, values["upstream"], at)
         elif event == "lease_held":
             room = (int(values["cpu_millis"]), int(values["slots"]))
             log.slots[values["upstream"]] = room
@@ -144,6 +174,13 @@
     return log
 
 
+def _note_use(log: _Log, upstream: str, at: float) -> None:
+    """Notes a run; one that is idle for long at an end was not there."""
+    begin, _ = log.used.get(upstream, (at, at))
+    begin = float("-inf") if begin < MAX_IDLE_S else begin
+    log.used[upstream] = (begin, at + MAX_IDLE_S)
+
+
 def _slowness(log: _Log) -> Mapping[str, float]:
     """Returns how an upstream's runs compare with those of the same jobs."""
     ratios: dict[str, list[float]] = {}
--- a/bench/leased_replay.py
+++ b/bench/leased_replay.py
@@ -4,9 +4,11 @@
 earn, and the processor time that they take.
 """
 
+import dataclasses
 import functools
 import heapq
 import itertools
+import math
 import time
 from collections import deque
 from collections.abc import Callable
@@ -86,11 +88,15 @@
 
     def run(self) -> Outcome:
         """Returns what became of the load."""
-        entries = tuple(each.entry for each in self._load.upstreams)
-        self._feed(events.UpstreamsListed(entries))
+        self._list_upstreams()
+        for each in self._load.upstreams:
+            for change in (each.begin, each.end):
+                if math.isfinite(change):
+                    delay_s = self._begin + change - self._now
+                    self._at(max(0.0, delay_s), self._list_upstreams)
         self._tick()
         for job in self._load.jobs:
-            at = self._begin + _arrival(job, self._load.outages)
+            at = self._begin + leased_load.arrival(job, self._load.outages)
             self._at(at - self._now, functools.partial(self._ask, job))
         end = self._begin + self._load.jobs[-1].at + END_S
         while self._queue and self._queue[0][0] <= end:
@@ -98,6 +104,14 @@
             work()
         return self._outcome
 
+    def _list_upstreams(self) -> None:
+        now = self._now - self._begin
+        listed = (
+            dataclasses.replace(each.entry, draining=not each.takes_work(now))
+            for each in self._load.upstreams
+        )
+        self._feed(events.UpstreamsListed(tuple(listed)))
+
     def _at(self, delay_s: float, work: Callable[[], None]) -> None:
         entry = (self._now + delay_s, next(self._order), work)
         heapq.heappush(self._queue, entry)
@@ -196,13 +210,3 @@
 
     def _reply(self, event: events.Event) -> None:
         self._at(TRIP_S, lambda: self._feed(event))
-
-
-def _arrival(
-    job: leased_load.Job, outages: tuple[tuple[float, float], ...]
-) -> float:
-    """Returns when a host is there to take a job."""
-    for begin, end in outages:
-        if begin <= job.at < end:
-            return end
-    return job.at
