Tell those who are next to lead how upstreams do

Ruled out: time of the takeover itself (20 ms); wrong ejections. Change: core/leased/evidence.py: the leader tells the successors, each 0.5 s, speeds that changed by a fifth and ejections that changed; a host that is linked anew is told all. Upstreams gone for 30 s are forgotten in run times and health, which grew without bound before. The test fails without the message.

--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -6,6 +6,7 @@
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import admission
+from godwitnotch.core.leased import evidence as evidence_module
 from godwitnotch.core.leased import health as health_module
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import lease as lease_module
@@ -75,6 +76,7 @@
         self._kept: dict[model.JobName, _KeptAnswer] = {}
         self._times = run_times.RunTimes()
         self._health = health_module.UpstreamHealth()
+        self._evidence = evidence_module.Evidence(self._times, self._health)
         self._placement = placement_module.Placement(self._times, self._health)
         self._overdue = overdue_runs.OverdueRuns(self._times, self._placement)
         self._keeper = lease_keeper.LeaseKeeper(out, self, in_scope=in_scope)
@@ -87,6 +89,11 @@
         """The leases on the upstreams."""
         return self._keeper
 
+    @property
+    def evidence(self) -> evidence_module.Evidence:
+        """What is known of upstreams by their runs."""
+        return self._evidence
+
     @property
     def waiting_jobs(self) -> int:
         """Returns how many jobs have no run yet."""
--- a/godwitnotch/core/leased/health.py
+++ b/godwitnotch/core/leased/health.py
@@ -24,6 +24,19 @@
     ejected_until: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Ejection:
+    """An upstream that is left alone, or tried with one run at a time.
+
+    Attributes:
+        ejections: How often in a row it was left alone.
+        until: Gets no work until then.
+    """
+
+    ejections: int
+    until: float
+
+
 class UpstreamHealth:
     """Judges upstreams by how their runs end."""
 
@@ -61,6 +74,30 @@
         until = now + REFUSAL_PAUSE_S
         record.ejected_until = max(record.ejected_until, until)
 
+    def ejected(self) -> dict[ids.UpstreamId, Ejection]:
+        """Returns the upstreams that were ejected and not yet cleared."""
+        return {
+            upstream: Ejection(record.ejections, record.ejected_until)
+            for upstream, record in self._records.items()
+            if record.ejections
+        }
+
+    def set_ejected(
+        self, upstream: ids.UpstreamId, *, ejections: int, until: float
+    ) -> None:
+        """Takes what another host has seen; no ejections clear an upstream."""
+        if not ejections:
+            self._records.pop(upstream, None)
+            return
+        record = self._records.setdefault(upstream, _Record())
+        record.ejections = ejections
+        record.ejected_until = until
+
+    def keep_only(self, upstreams: frozenset[ids.UpstreamId]) -> None:
+        """Forgets all other upstreams."""
+        for upstream in self._records.keys() - upstreams:
+            del self._records[upstream]
+
     def usable(self, upstream: ids.UpstreamId, *, now: float) -> bool:
         """Returns whether work may go to an upstream."""
         record = self._records.get(upstream)
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -7,6 +7,7 @@
 from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import dispatcher as dispatcher_module
 from godwitnotch.core.leased import events
+from godwitnotch.core.leased import evidence as evidence_module
 from godwitnotch.core.leased import leadership as leadership_module
 from godwitnotch.core.leased import lease as lease_module
 from godwitnotch.core.leased import listing as listing_module
@@ -61,6 +62,8 @@
         self._domain = domain
         self._out = outbox_module.Outbox()
         self._have_list: set[ids.HostId] = set()
+        self._have_evidence: set[ids.HostId] = set()
+        self._share_evidence_at = 0.0
         self._linked: dict[ids.HostId, ids.DomainId] = {}
         self._listing = listing_module.UpstreamListing(now=now)
         self._leadership = leadership_module.Leadership(
@@ -131,6 +134,7 @@
         )
         self._dispatcher.resign()
         self._have_list.clear()
+        self._have_evidence.clear()
         if change is Change.ELECTED:
             self._dispatcher.take_office(
                 leadership.term,
@@ -212,10 +216,22 @@
                 self._owned.answered(job, answer)
             case peer_messages.UpstreamsCopy(upstreams=upstreams):
                 if not self.leads:
-                    self._listing.take(upstreams, now=now)
+                    self._take_list(events.UpstreamsListed(upstreams), now=now)
+            case peer_messages.UpstreamsLearnt():
+                if not self.leads:
+                    self._dispatcher.evidence.take(message, now=now)
             case _ if self.leads:
                 self._take_as_leader(host, message, now=now)
 
+    def _take_list(self, event: events.UpstreamsListed, *, now: float) -> bool:
+        """Returns whether other upstreams may be used than before."""
+        changed = self._listing.take(
+            event.upstreams, unreadable=event.unreadable, now=now
+        )
+        if changed:
+            self._dispatcher.evidence.keep_only(self._listing.remembered)
+        return changed
+
     def _share_upstreams(self) -> None:
         """Gives the list of upstreams to those who are next to lead."""
         if not self.leads or not self._listing.upstreams:
@@ -226,6 +242,21 @@
                 self._have_list.add(host)
                 self._out.add(actions.TellPeer(host, copy))
 
+    def _share_evidence(self, *, now: float) -> None:
+        """Tells those who are next to lead how the upstreams do."""
+        if not self.leads or now < self._share_evidence_at:
+            return
+        self._share_evidence_at = now + evidence_module.SHARE_INTERVAL_S
+        evidence = self._dispatcher.evidence
+        news = evidence.news(now=now)
+        for host in self._leadership.successors():
+            if host not in self._have_evidence:
+                self._have_evidence.add(host)
+                known = evidence.all(now=now)
+                self._out.add(actions.TellPeer(host, known))
+            elif news is not None:
+                self._out.add(actions.TellPeer(host, news))
+
     def _take_as_leader(
         self, host: ids.HostId, message: peer_messages.Message, *, now: float
     ) -> None:
@@ -267,9 +298,7 @@
 def _upstreams_listed(
     core: LeasedHost, event: events.UpstreamsListed, now: float
 ) -> None:
-    changed = core._listing.take(
-        event.upstreams, unreadable=event.unreadable, now=now
-    )
+    changed = core._take_list(event, now=now)
     if not changed or not core.leads:
         return
     upstreams = core._listing.upstreams
@@ -294,6 +323,7 @@
 def _peer_lost(core: LeasedHost, event: events.PeerLost, now: float) -> None:
     core._linked.pop(event.host, None)
     core._have_list.discard(event.host)
+    core._have_evidence.discard(event.host)
     change = core._leadership.peer_down(event.host, now=now)
     if core.leads:
         core._dispatcher.owner_lost(event.host, now=now)
@@ -351,4 +381,5 @@
     change = core._leadership.tick(now=now)
     core._take_change(change, now=now)
     core._dispatcher.tick(now=now)
+    core._share_evidence(now=now)
     core._owned.tick(now=now)
--- a/godwitnotch/core/leased/listing.py
+++ b/godwitnotch/core/leased/listing.py
@@ -33,6 +33,12 @@
         """The upstreams that may be used."""
         return self._upstreams
 
+    @property
+    def remembered(self) -> frozenset[ids.UpstreamId]:
+        """The same, and those that may come back."""
+        known = {each.upstream for each in self._upstreams}
+        return frozenset(known | self._gone_at.keys())
+
     def take(
         self,
         listed: tuple[model.LeasedUpstream, ...],
--- a/godwitnotch/core/leased/peer_messages.py
+++ b/godwitnotch/core/leased/peer_messages.py
@@ -57,6 +57,30 @@
     upstreams: tuple[model.LeasedUpstream, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamEvidence:
+    """What the leader has learnt of an upstream from its runs.
+
+    Attributes:
+        upstream: Its id.
+        slowness: The factor by which runs take longer there.
+        ejections: How often in a row it was left alone because runs failed.
+        left_alone_s: Gets no work for so long.
+    """
+
+    upstream: ids.UpstreamId
+    slowness: float
+    ejections: int
+    left_alone_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamsLearnt:
+    """What has changed of that since the leader last told."""
+
+    upstreams: tuple[UpstreamEvidence, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class JobHandedOver:
     """Hands a job to the leader; the sender remains the one that answers it.
@@ -111,6 +135,7 @@
     | ConfigurationWanted
     | ConfigurationCopy
     | UpstreamsCopy
+    | UpstreamsLearnt
     | JobHandedOver
     | AllHandedOver
     | JobAnswered
--- a/godwitnotch/core/leased/run_times.py
+++ b/godwitnotch/core/leased/run_times.py
@@ -53,6 +53,25 @@
             return factor
         return math.exp(self._kinds.get(_kind(upstream), 0.0))
 
+    def known(self) -> frozenset[ids.UpstreamId]:
+        """Returns the upstreams whose speed was learnt."""
+        return frozenset(self._factors)
+
+    def slowness_of(self, upstream: ids.UpstreamId) -> float:
+        """Returns the learnt factor of an upstream, 1 if there is none."""
+        return self._factors.get(upstream, 1.0)
+
+    def set_slowness(self, upstream: ids.UpstreamId, factor: float) -> None:
+        """Takes what another host has learnt."""
+        bounded = min(max(factor, 1 / MAX_SLOWNESS), MAX_SLOWNESS)
+        self._set(upstream, math.log(bounded))
+
+    def keep_only(self, upstreams: frozenset[ids.UpstreamId]) -> None:
+        """Forgets all other upstreams."""
+        for upstream in self._upstreams.keys() - upstreams:
+            del self._upstreams[upstream]
+            del self._factors[upstream]
+
     def ended(
         self,
         request: model.JobRequest,
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -12,6 +12,7 @@
 from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import admission
 from godwitnotch.core.leased import events
+from godwitnotch.core.leased import evidence
 from godwitnotch.core.leased import health
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import leadership
@@ -258,6 +259,64 @@
         self.assertFalse(admission.judge(job(), 0.0, load, now=NOW).admitted)
 
 
+class EvidenceTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.times = run_times.RunTimes()
+        self.health = health.UpstreamHealth()
+        self.evidence = evidence.Evidence(self.times, self.health)
+        self.slow = held("slow").upstream
+        self.learn(self.slow, 300.0)
+
+    def learn(self, upstream: model.LeasedUpstream, ran_ms: float) -> None:
+        for _ in range(20):
+            request = leased_world.request("old")
+            self.times.ended(request, upstream, ran_ms=ran_ms)
+
+    def eject(self, upstream: model.LeasedUpstream) -> None:
+        for number in range(health.FAILURES_TO_EJECT):
+            name = model.JobName(f"failed{number}")
+            self.health.failed(upstream.upstream, name, now=NOW)
+
+    def test_another_host_knows_the_same_afterwards(self) -> None:
+        self.eject(self.slow)
+        times = run_times.RunTimes()
+        other_health = health.UpstreamHealth()
+        other = evidence.Evidence(times, other_health)
+        other.take(self.evidence.all(now=NOW + 0.2), now=NOW + 7)
+        self.assertAlmostEqual(
+            times.slowness(self.slow), self.times.slowness(self.slow), 2
+        )
+        until = NOW + 7 + health.FIRST_EJECTION_S - 0.2
+        key = self.slow.upstream
+        self.assertFalse(other_health.usable(key, now=until - 0.01))
+        self.assertTrue(other_health.usable(key, now=until + 0.01))
+        self.assertTrue(other_health.on_trial(key))
+
+    def test_only_what_has_changed_is_told_again(self) -> None:
+        self.assertIsNotNone(self.evidence.news(now=NOW))
+        self.assertIsNone(self.evidence.news(now=NOW))
+        self.eject(self.slow)
+        news = self.evidence.news(now=NOW)
+        self.assertEqual([each.ejections for each in news.upstreams], [1])
+        self.health.ended_well(self.slow.upstream)
+        news = self.evidence.news(now=NOW)
+        self.assertEqual([each.ejections for each in news.upstreams], [0])
+
+    def test_a_cleared_upstream_is_cleared_elsewhere(self) -> None:
+        self.eject(self.slow)
+        other_health = health.UpstreamHealth()
+        other = evidence.Evidence(run_times.RunTimes(), other_health)
+        other.take(self.evidence.all(now=NOW), now=NOW)
+        self.health.ended_well(self.slow.upstream)
+        other.take(self.evidence.all(now=NOW), now=NOW)
+        self.assertFalse(other_health.on_trial(self.slow.upstream))
+
+    def test_upstreams_that_are_gone_are_forgotten(self) -> None:
+        self.eject(self.slow)
+        self.evidence.keep_only(frozenset({ids.UpstreamId("other")}))
+        self.assertEqual(self.evidence.all(now=NOW).upstreams, ())
+
+
 class RunTimesTest(unittest.TestCase):
     def test_bias_of_estimates_and_speed_of_upstreams_are_told_apart(
         self,
@@ -390,6 +449,13 @@
             peer_messages.ConfigurationWanted(2),
             peer_messages.ConfigurationCopy(3, b"{}"),
             peer_messages.UpstreamsCopy((upstream,)),
+            peer_messages.UpstreamsLearnt(
+                (
+                    peer_messages.UpstreamEvidence(
+                        ids.UpstreamId("u"), 1.25, 2, 0.5
+                    ),
+                )
+            ),
             peer_messages.JobHandedOver(
                 leased_world.request("j"), 1.0, 0.5, 0.0, True
             ),
--- a/tests/test_leased_host.py
+++ b/tests/test_leased_host.py
@@ -370,6 +370,29 @@
         failed = [run for key, run in world.history if key == "a-u0"]
         self.assertLess(len(failed), 10)
 
+    def test_the_next_leader_leaves_alone_what_failed_for_the_last(
+        self,
+    ) -> None:
+        # Seen in incident inc-031e: the leader that took over at a cut sent
+        # work to three upstreams that failed all, ejected since 3.7 s.
+        world = started(upstreams=2)
+        world.upstreams["a-u0"].fails = True
+        for number in range(20):
+            world.ask("b1", f"job{number}", tasks=6, wait_s=4.0)
+            world.ask("c1", f"other{number}", tasks=6, wait_s=4.0)
+            world.run(0.25)
+        before = [run for key, run in world.history if key == "a-u0"]
+        self.assertTrue(before)
+        leader = world.leaders()[0]
+        world.kill(leader)
+        world.run(0.6)
+        owner = next(name for name in world.hosts if name not in world.dead)
+        for number in range(6):
+            world.ask(owner, f"next{number}", tasks=12, wait_s=4.0)
+            world.run(0.15)
+        after = [run for key, run in world.history if key == "a-u0"]
+        self.assertLessEqual(len(after) - len(before), 1)
+
     def test_a_job_that_fails_everywhere_is_answered_failed(self) -> None:
         world = started()
         for upstream in world.upstreams.values():
