Split net/runtime.py: fallback answers, calls of the store

Cause: 568 lines in one module. Ruled out: moving the performers; they are the runtime's own registry. Conclusion: net/fallback_answers.py, net/store_calls.py. No behaviour changes.

--- a/godwitnotch/net/runtime.py
+++ b/godwitnotch/net/runtime.py
@@ -18,15 +18,15 @@
 from godwitnotch.core import ids
 from godwitnotch.core import messages
 from godwitnotch.core import model
-from godwitnotch.core import remedies
 from godwitnotch.net import core_port
 from godwitnotch.net import directory_watch
+from godwitnotch.net import fallback_answers
 from godwitnotch.net import peer_link
 from godwitnotch.net import platform_client
+from godwitnotch.net import store_calls
 
 ANSWER_GRACE_S = 5.0  # For the decisions to answer after a deadline.
 ANSWER_LIMIT_S = 15.0  # For calls without a deadline.
-STORE_TIMEOUT_S = 2.0
 
 OnNote = Callable[[actions.Note], None]
 OnFault = Callable[[str, BaseException], None]
@@ -113,12 +113,14 @@
     ) -> None:
         self._core = core
         self._identity = identity
-        self._platform = connections.platform
         self._upstreams = connections.upstreams
         self._peers = connections.peers
         self._on_note = on_note
         self._on_fault = on_fault
         self._loop = asyncio.get_running_loop()
+        self._store_calls = store_calls.StoreCalls(
+            connections.platform, self._loop
+        )
         self._call_numbers = itertools.count(1)
         self._calls: dict[ids.CallId, asyncio.Future[core_port.Answer]] = {}
         self._attempts: dict[ids.AttemptId, asyncio.Task[Any]] = {}
@@ -215,7 +217,7 @@
                 return await answered
         except TimeoutError:
             self._on_note(actions.Note("call_overdue"))
-            return _fallback(event, call)
+            return fallback_answers.after_fault(event, call)
         finally:
             del self._calls[call]
             if not answered.done() or answered.cancelled():
@@ -247,7 +249,7 @@
     def _answer_after_fault(self, event: events.Event) -> None:
         call = getattr(event, "call", None)
         if call in self._calls and not isinstance(event, events.CallerGone):
-            self._answer(call, _fallback(event, call))
+            self._answer(call, fallback_answers.after_fault(event, call))
 
     def _perform(self, action: actions.Action) -> None:
         try:
@@ -259,12 +261,14 @@
         """Answers the caller whose job or answer no peer link carries."""
         match action.message:
             case messages.ForwardReply(call=call, answer=answer):
-                short = _answer_too_large(answer)
+                short = fallback_answers.answer_too_large(answer)
                 self._peers.send(
                     action.host, messages.ForwardReply(call, short)
                 )
             case messages.ForwardSubmit(call=call, submission=submission):
-                reply = messages.ForwardReply(call, _job_too_large(submission))
+                reply = messages.ForwardReply(
+                    call, fallback_answers.job_too_large(submission)
+                )
                 said = events.PeerSaid(action.host, reply)
                 self._loop.call_soon(self.feed, said)
 
@@ -360,29 +364,6 @@
         self._on_fault("table service", error)
         return events.StoreFailed(call, uncertain=True)
 
-    async def _transact(self, action: actions.StoreTransact) -> events.Event:
-        result = await self._platform.transact(
-            action.writes, deadline=self._store_deadline()
-        )
-        if isinstance(result, platform_client.Conflict):
-            return events.StoreConflict(action.call, result.rows)
-        return events.StoreCommitted(action.call)
-
-    async def _read(self, action: actions.StoreRead) -> events.Event:
-        rows = await self._platform.read(
-            action.keys, deadline=self._store_deadline()
-        )
-        return events.StoreRows(action.call, rows)
-
-    async def _scan(self, action: actions.StoreScan) -> events.Event:
-        rows = await self._platform.scan(
-            action.prefix, deadline=self._store_deadline()
-        )
-        return events.StoreRows(action.call, rows)
-
-    def _store_deadline(self) -> float:
-        return self._loop.time() + STORE_TIMEOUT_S
-
     async def _repeat(
         self, interval_s: float, work: Callable[[], Coroutine[Any, Any, None]]
     ) -> None:
@@ -486,17 +467,17 @@
 
 @_performs(actions.StoreTransact)
 def _transact(runtime: HostRuntime, action: actions.StoreTransact) -> None:
-    runtime._spawn_store(action.call, runtime._transact(action))
+    runtime._spawn_store(action.call, runtime._store_calls.transact(action))
 
 
 @_performs(actions.StoreRead)
 def _read(runtime: HostRuntime, action: actions.StoreRead) -> None:
-    runtime._spawn_store(action.call, runtime._read(action))
+    runtime._spawn_store(action.call, runtime._store_calls.read(action))
 
 
 @_performs(actions.StoreScan)
 def _scan(runtime: HostRuntime, action: actions.StoreScan) -> None:
-    runtime._spawn_store(action.call, runtime._scan(action))
+    runtime._spawn_store(action.call, runtime._store_calls.scan(action))
 
 
 @_performs(actions.Note)
@@ -507,62 +488,3 @@
 @_performs(actions.Stopped)
 def _stopped(runtime: HostRuntime, action: actions.Stopped) -> None:
     runtime._stopped.set()
-
-
-def _answer_too_large(answer: model.JobAnswer) -> model.JobAnswer:
-    return remedies.answer(
-        answer.submission,
-        model.Outcome.UNKNOWN,
-        model.Reason.ANSWER_TOO_LARGE,
-        ran=answer.ran,
-        detail="hosts pass on no answer of this size; ask the host that "
-        "issued the id",
-    )
-
-
-def _job_too_large(submission: ids.SubmissionId) -> model.JobAnswer:
-    return remedies.answer(
-        submission,
-        model.Outcome.UNKNOWN,
-        model.Reason.OWNER_UNREACHABLE,
-        ran=model.Ran.POSSIBLY,
-        detail="hosts pass on no job of this size; submit it at the host that "
-        "issued the id, or in parts",
-    )
-
-
-def _fallback(event: events.Event, call: ids.CallId) -> core_port.Answer:
-    """Returns what is true of a call that the decisions left unanswered."""
-    if isinstance(event, events.ConfigPutAsked):
-        return actions.ReplyConfig(
-            call,
-            recorded=None,
-            current=None,
-            lagging=(),
-            detail="this host failed to answer; read the settings to see "
-            "whether the change was recorded",
-        )
-    if isinstance(event, events.ReserveAsked):
-        return actions.Reply(
-            call,
-            model.JobAnswer(
-                ids.SubmissionId(""),
-                model.Outcome.REFUSED,
-                model.Ran.NOTHING,
-                model.Reason.STORE_UNAVAILABLE,
-                "this host failed to answer; reserve again",
-                retry_after_s=1.0,
-            ),
-        )
-    return actions.Reply(
-        call,
-        model.JobAnswer(
-            getattr(event, "submission", ids.SubmissionId("")),
-            model.Outcome.UNKNOWN,
-            model.Ran.POSSIBLY,
-            model.Reason.OWNER_UNREACHABLE,
-            "this host failed to answer; send the job again under the same "
-            "id or key, or ask for its status",
-            retry_after_s=1.0,
-        ),
-    )
--- /dev/null
+++ b/godwitnotch/net/store_calls.py
@@ -0,0 +1,50 @@
+"""Performs the calls to the platform's tables, as events of their outcome."""
+
+import asyncio
+
+from godwitnotch.core import actions
+from godwitnotch.core import events
+from godwitnotch.net import platform_client
+
+STORE_TIMEOUT_S = 2.0
+
+
+class StoreCalls:
+    """The calls of one host.
+
+    Args:
+        platform: The platform's services.
+        loop: Tells the time.
+    """
+
+    def __init__(
+        self,
+        platform: platform_client.Platform,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        self._platform = platform
+        self._loop = loop
+
+    async def transact(self, action: actions.StoreTransact) -> events.Event:
+        """Writes rows together."""
+        result = await self._platform.transact(
+            action.writes, deadline=self._deadline()
+        )
+        if isinstance(result, platform_client.Conflict):
+            return events.StoreConflict(action.call, result.rows)
+        return events.StoreCommitted(action.call)
+
+    async def read(self, action: actions.StoreRead) -> events.Event:
+        """Reads rows by their keys."""
+        rows = await self._platform.read(action.keys, deadline=self._deadline())
+        return events.StoreRows(action.call, rows)
+
+    async def scan(self, action: actions.StoreScan) -> events.Event:
+        """Reads the rows of a prefix."""
+        rows = await self._platform.scan(
+            action.prefix, deadline=self._deadline()
+        )
+        return events.StoreRows(action.call, rows)
+
+    def _deadline(self) -> float:
+        return self._loop.time() + STORE_TIMEOUT_S
