--- a/godwitnotch/core/leased/lease_keeper.py
+++ b/godwitnotch/core/leased/lease_keeper.py
@@ -5,24 +5,23 @@
 only then is the lease renewed and are runs ordered.
 """
 
-import enum
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Protocol
 
 from godwitnotch.core import ids
-from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import lease as lease_module
+from godwitnotch.core.leased import lease_calls
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import outbox as outbox_module
 from godwitnotch.core.leased import run_lists
 from godwitnotch.core.leased.lease import LeaseChange
 from godwitnotch.core.leased.lease import LeaseState
 from godwitnotch.core.leased.lease import RunState
+from godwitnotch.core.leased.lease_calls import CallKind
 
 # A renewal's answer waits for an end until a while after one is expected: a
 # lost answer is then missed soon.
@@ -75,21 +74,6 @@
         """
 
 
-class _CallKind(enum.Enum):
-    START = "start"
-    STOP = "stop"
-    RENEW = "renew"
-
-
-@dataclass(frozen=True, slots=True)
-class _Call:
-    kind: _CallKind
-    lease: lease_module.Lease
-    sent_at: float
-    waits: bool = False
-    run: lease_module.Run | None = None
-
-
 class LeaseKeeper:
     """The leases of one leader.
 
@@ -109,13 +93,12 @@
         self._out = out
         self._owner = owner
         self._in_scope = in_scope
-        self._term = model.Term(0)
+        self._calls = lease_calls.LeaseCalls(out)
         self._claims_open = False
         self._leases: dict[ids.UpstreamId, lease_module.Lease] = {}
         self._runs: dict[
             model.TaskKey, dict[ids.UpstreamId, lease_module.Run]
         ] = {}
-        self._calls: dict[model.UpstreamCallId, _Call] = {}
 
     @property
     def leases(self) -> Mapping[ids.UpstreamId, lease_module.Lease]:
@@ -155,7 +138,7 @@
     ) -> None:
         """Starts with no knowledge of what runs anywhere."""
         self.resign()
-        self._term = term
+        self._calls.term = term
         self._claims_open = True
         for upstream in upstreams:
             self._leases[upstream.upstream] = lease_module.Lease(upstream)
@@ -170,7 +153,7 @@
 
     def set_term(self, term: model.Term) -> None:
         """Orders by a higher term from now on."""
-        self._term = term
+        self._calls.term = term
 
     def open_claims(self) -> None:
         """Stops nothing unclaimed for now: more owners will hand over jobs."""
@@ -231,18 +214,7 @@
         )
         self._add(lease, run)
         lease.renewed(now=now)
-        call = self._call(_Call(_CallKind.START, lease, now, run=run))
-        deadline_ms = lease.deadline_ms(now=now)
-        self._out.add(
-            actions.StartRun(
-                call,
-                lease.upstream,
-                key,
-                job.request.spec,
-                self._term,
-                deadline_ms,
-            )
-        )
+        self._calls.start(lease, run, job.request.spec, now=now)
 
     def stop(
         self, lease: lease_module.Lease, run: lease_module.Run, *, now: float
@@ -252,10 +224,7 @@
         run.state = RunState.STOPPING
         run.settled_at = None
         run.next_stop_at = now + STOP_AGAIN_S
-        call = self._call(_Call(_CallKind.STOP, lease, now, run=run))
-        self._out.add(
-            actions.StopRun(call, lease.upstream, run.key, self._term)
-        )
+        self._calls.stop(lease, run.key, run=run, now=now)
 
     def tick(self, *, now: float) -> None:
         """Renews, looks again, and counts what has lapsed as gone."""
@@ -269,7 +238,7 @@
 
     def order_taken(self, event: events.OrderTaken, *, now: float) -> None:
         """Takes the answer to a start or a stop."""
-        call = self._calls.pop(event.call, None)
+        call = self._calls.take(event.call)
         if call is None or call.run is None:
             return
         lease, run = call.lease, call.run
@@ -282,10 +251,10 @@
             self._gone(lease, run, model.RunEnd.LAPSED, now=now)
             return
         run.settled_at = now
-        if call.kind is _CallKind.START and run.state is RunState.ORDERED:
+        if call.kind is CallKind.START and run.state is RunState.ORDERED:
             run.state = RunState.RUNNING
             run.ordered_at = now
-        if call.kind is _CallKind.STOP:
+        if call.kind is CallKind.STOP:
             self._renew(lease, now=now, wait_ms=0)
         elif not lease.waits:
             self._renew(lease, now=now, wait_ms=_wait_ms(lease, now=now))
@@ -294,11 +263,10 @@
         self, event: events.OrderRejected, *, now: float
     ) -> None:
         """Takes the rejection of an order or a renewal."""
-        call = self._calls.pop(event.call, None)
+        call = self._calls.take(event.call)
         if call is None:
             return
         lease, run = call.lease, call.run
-        lease.waits -= call.waits
         refusal = event.refusal
         self._out.decided(
             "order_rejected",
@@ -306,7 +274,7 @@
             reason=refusal.value,
             detail=f"upstream={lease.upstream.upstream} kind={call.kind.value}",
         )
-        if call.kind is _CallKind.START and run is not None:
+        if call.kind is CallKind.START and run is not None:
             self._start_rejected(lease, run, refusal, now=now)
         if refusal is model.OrderRefusal.TERM:
             # One not reached for a while may have been taken in a part that
@@ -320,18 +288,17 @@
             self._life_ended(lease, now=now)
         elif refusal is model.OrderRefusal.LATE:
             self._renew(lease, now=now, wait_ms=0)
-        elif call.kind is _CallKind.RENEW:
+        elif call.kind is CallKind.RENEW:
             self._failed(lease, now=now)
 
     def order_unanswered(
         self, event: events.OrderUnanswered, *, now: float
     ) -> None:
         """Takes that no answer came, so that anything may have happened."""
-        call = self._calls.pop(event.call, None)
+        call = self._calls.take(event.call)
         if call is None:
             return
         lease, run = call.lease, call.run
-        lease.waits -= call.waits
         self._out.decided(
             "order_unanswered",
             job=run.key.task.job if run else "",
@@ -340,16 +307,15 @@
         self._failed(lease, now=now)
         if run is None or lease.runs.get(run.key.task) is not run:
             return
-        if call.kind is _CallKind.START:
+        if call.kind is CallKind.START:
             self.stop(lease, run, now=now)
 
     def runs_listed(self, event: events.RunsListed, *, now: float) -> None:
         """Takes what an upstream says that it runs."""
-        call = self._calls.pop(event.call, None)
+        call = self._calls.take(event.call)
         if call is None:
             return
         lease = call.lease
-        lease.waits -= call.waits
         listed = event.runs
         if not self._check_life(lease, listed.born_ms, now=now):
             return
@@ -401,24 +367,10 @@
         if lease.state is LeaseState.HELD and lease.runs:
             deadline_ms = lease.deadline_ms(now=now)
             lease.renewed(now=now)
-        call = self._call(_Call(_CallKind.RENEW, lease, now, waits=True))
-        lease.waits += 1
-        self._out.add(
-            actions.RenewLease(
-                call,
-                lease.upstream,
-                self._term,
-                lease.observed,
-                deadline_ms,
-                wait_ms,
-            )
+        self._calls.renew(
+            lease, deadline_ms=deadline_ms, wait_ms=wait_ms, now=now
         )
 
-    def _call(self, call: _Call) -> model.UpstreamCallId:
-        number = self._out.next_call()
-        self._calls[number] = call
-        return number
-
     def _add(self, lease: lease_module.Lease, run: lease_module.Run) -> None:
         lease.add(run)
         places = self._runs.setdefault(run.key.task, {})
@@ -475,7 +427,7 @@
                 detail=f"upstream={lease.upstream.upstream} "
                 f"adopted={len(lease.runs)} "
                 f"cpu_millis={lease.upstream.capacity.cpu_millis} "
-                f"slots={lease.upstream.slots} term={self._term}",
+                f"slots={lease.upstream.slots} term={self._calls.term}",
             )
             return
         if self._claims_open:
@@ -521,15 +473,12 @@
         if lease.state is not LeaseState.HELD:
             return
         for key in run_lists.unknown(lease, listed):
-            call = self._call(_Call(_CallKind.STOP, lease, now))
             self._out.decided(
                 "run_unknown",
                 job=key.task.job,
                 detail=f"upstream={lease.upstream.upstream} run={key.run}",
             )
-            self._out.add(
-                actions.StopRun(call, lease.upstream, key, self._term)
-            )
+            self._calls.stop(lease, key, run=None, now=now)
 
     def _repeat_stops(self, lease: lease_module.Lease, *, now: float) -> None:
         for run in tuple(lease.runs.values()):
