--- a/bench/leased_yardstick.py
+++ b/bench/leased_yardstick.py
@@ -1,10 +1,12 @@
 """Schedulers to compare the leader's decisions with, on the same load.
 
 `Naive` takes jobs as they come; `TwoChoices` too, on the better of two random
-upstreams; `Clairvoyant` knows all run times and speeds. `alone` is what no
+upstreams; `Clairvoyant` knows all run times and speeds, and waits for a
+faster upstream where only that ends a task in time. `alone` is what no
 scheduler can pass: each job by itself on the fastest upstreams.
 """
 
+import bisect
 import heapq
 import itertools
 import random
@@ -46,6 +48,7 @@
     cpu_millis: int
     slots: int
     open: bool = True
+    ends: list[tuple[float, int]] = field(default_factory=list)
 
     def fits(self, job: leased_load.Job) -> bool:
         """Returns whether a task of a job finds room."""
@@ -53,10 +56,28 @@
         room = self.open and self.slots > 0
         return room and needs.cpu_millis <= self.cpu_millis
 
-    def take(self, job: leased_load.Job, *, tasks: int) -> None:
-        """Takes the room of some tasks; of less than none frees it."""
-        self.slots -= tasks
-        self.cpu_millis -= tasks * job.request.tasks.needs.cpu_millis
+    def start(self, job: leased_load.Job, *, end: float) -> None:
+        """Takes the room of a task until its end."""
+        cpu_millis = job.request.tasks.needs.cpu_millis
+        self.slots -= 1
+        self.cpu_millis -= cpu_millis
+        bisect.insort(self.ends, (end, cpu_millis))
+
+    def end(self, job: leased_load.Job, *, now: float) -> None:
+        """Frees the room of a task that has ended now."""
+        cpu_millis = job.request.tasks.needs.cpu_millis
+        self.slots += 1
+        self.cpu_millis += cpu_millis
+        self.ends.remove((now, cpu_millis))
+
+    def free_at(self, job: leased_load.Job) -> float:
+        """Returns when a task of a job finds room."""
+        room = self.cpu_millis
+        for end, cpu_millis in self.ends:
+            room += cpu_millis
+            if self.open and job.request.tasks.needs.cpu_millis <= room:
+                return end
+        return float("inf")
 
 
 class Scheduler(Protocol):
@@ -65,7 +86,9 @@
     def rank(self, waiting: Waiting, *, now: float) -> float:
         """Returns the place of a job; the lowest is served first."""
 
-    def choose(self, waiting: Waiting, rooms: Sequence[Room]) -> Room | None:
+    def choose(
+        self, waiting: Waiting, rooms: Sequence[Room], *, now: float
+    ) -> Room | None:
         """Returns the upstream of its next task, None if it is to wait."""
 
 
@@ -76,7 +99,9 @@
         """Returns the arrival."""
         return waiting.job.at
 
-    def choose(self, waiting: Waiting, rooms: Sequence[Room]) -> Room | None:
+    def choose(
+        self, waiting: Waiting, rooms: Sequence[Room], *, now: float
+    ) -> Room | None:
         """Returns the first with room."""
         return next((each for each in rooms if each.fits(waiting.job)), None)
 
@@ -87,7 +112,9 @@
     def __init__(self, seed: int) -> None:
         self._draw = random.Random(seed)
 
-    def choose(self, waiting: Waiting, rooms: Sequence[Room]) -> Room | None:
+    def choose(
+        self, waiting: Waiting, rooms: Sequence[Room], *, now: float
+    ) -> Room | None:
         """Returns the emptier of two with room."""
         free = [each for each in rooms if each.fits(waiting.job)]
         if not free:
@@ -105,10 +132,26 @@
         late = now + longest_s > waiting.job.at + aim_s(waiting.job)
         return waiting.work_ms + (1e9 if late else 0.0)
 
-    def choose(self, waiting: Waiting, rooms: Sequence[Room]) -> Room | None:
-        """Returns the fastest with room."""
+    def choose(
+        self, waiting: Waiting, rooms: Sequence[Room], *, now: float
+    ) -> Room | None:
+        """Returns the fastest with room, unless only a wait ends in time."""
         free = (each for each in rooms if each.fits(waiting.job))
-        return min(free, key=lambda room: room.known.slowness, default=None)
+        best = min(free, key=lambda room: room.known.slowness, default=None)
+        if best is None or _in_time(waiting, best, now):
+            return best
+        faster = (
+            each
+            for each in rooms
+            if each.known.slowness < best.known.slowness
+            and _in_time(waiting, each, each.free_at(waiting.job))
+        )
+        return best if next(faster, None) is None else None
+
+
+def _in_time(waiting: Waiting, room: Room, start: float) -> bool:
+    run_s = waiting.left[-1] * room.known.slowness / 1_000
+    return start + run_s <= waiting.job.at + aim_s(waiting.job)
 
 
 @dataclass(slots=True)
@@ -150,7 +193,7 @@
     def _until(self, until: float, order: "itertools.count[int]") -> None:
         while self._ends and self._ends[0][0] <= until:
             self._now, _, waiting, room = heapq.heappop(self._ends)
-            room.take(waiting.job, tasks=-1)
+            room.end(waiting.job, now=self._now)
             waiting.running -= 1
             if not waiting.left and not waiting.running:
                 self._end(waiting)
@@ -172,12 +215,12 @@
         self._waiting.sort(key=lambda each: self.scheduler.rank(each, now=now))
         for waiting in self._waiting:
             while waiting.left:
-                room = self.scheduler.choose(waiting, self._rooms)
+                room = self.scheduler.choose(waiting, self._rooms, now=now)
                 if room is None:
                     break
-                room.take(waiting.job, tasks=1)
-                waiting.running += 1
                 run_s = waiting.left.pop() * room.known.slowness / 1_000
+                room.start(waiting.job, end=now + run_s)
+                waiting.running += 1
                 end = (now + run_s, next(order), waiting, room)
                 heapq.heappush(self._ends, end)
             if not any(room.slots > 0 for room in self._rooms):
