Make the whole evidence once for all hosts that need it

Cause: read again: the loop over the successors made the same message anew for each new one. A host that had left the successors and came back also counted as told, and missed what had changed meanwhile. Ruled out: a rule of its own for hosts that come back; the set of those told is now simply the successors of the last time. Conclusion: behaves as before but for a host that comes back: it is told all.

--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -248,14 +248,18 @@
             return
         self._share_evidence_at = now + evidence_module.SHARE_INTERVAL_S
         evidence = self._dispatcher.evidence
-        news = evidence.news(now=now)
-        for host in self._leadership.successors():
-            if host not in self._have_evidence:
-                self._have_evidence.add(host)
-                known = evidence.all(now=now)
+        successors = self._leadership.successors()
+        new = [each for each in successors if each not in self._have_evidence]
+        if new:
+            known = evidence.all(now=now)
+            for host in new:
                 self._out.add(actions.TellPeer(host, known))
-            elif news is not None:
-                self._out.add(actions.TellPeer(host, news))
+        news = evidence.news(now=now)
+        if news is not None:
+            for host in successors:
+                if host not in new:
+                    self._out.add(actions.TellPeer(host, news))
+        self._have_evidence = set(successors)
 
     def _take_as_leader(
         self, host: ids.HostId, message: peer_messages.Message, *, now: float
