Stop a job's runs by the index of runs; drop a wrapper and a twin of the order

Cause: read again: a job that is dropped looked at all leases though the keeper knows its runs by task; Dispatcher.settle only called _settle; waiting.in_order, used by three tests only, stood beside the order of the queue. Ruled out: the prelude that run_ended and order_rejected share, three lines. Conclusion: LeaseKeeper.stop_all; no behaviour changes but the order in which stops of one job are sent: by task, not by upstream.

--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -20,7 +20,6 @@
 from godwitnotch.core.leased import run_times
 from godwitnotch.core.leased import waiting
 from godwitnotch.core.leased.jobs import TaskState
-from godwitnotch.core.leased.lease import RunState
 
 NO_UPSTREAM_WAIT_S = 0.4  # For a first upstream to be held.
 ANSWER_KEPT_S = 3.0  # For an owner whose link broke before it was told.
@@ -144,7 +143,7 @@
             job.deadline = now + message.ends_in_s
             return
         self._add(owner, message, now=now)
-        self._settle(now=now)
+        self.settle(now=now)
 
     def all_handed_over(self, owner: ids.HostId, *, now: float) -> None:
         """Learns that a host has handed over all its open jobs."""
@@ -152,7 +151,7 @@
         if self._owners.all_handed_over(now=now):
             self._keeper.close_claims(now=now)
         self._dirty = True
-        self._settle(now=now)
+        self.settle(now=now)
 
     def owner_lost(self, owner: ids.HostId, *, now: float) -> None:
         """Stops the jobs of a host soon, unless its link opens again."""
@@ -171,7 +170,7 @@
         job = self._jobs.get(name)
         if job is not None and job.owner == owner:
             self._drop(job, reason="owner_dropped", now=now)
-            self._settle(now=now)
+            self.settle(now=now)
 
     def cancelled(self, name: model.JobName, *, now: float) -> None:
         """Stops a job at its caller's wish."""
@@ -181,11 +180,27 @@
                 model.JobEnd.FAILED, model.EndReason.CANCELLED
             )
             self._end(job, answer, now=now)
-            self._settle(now=now)
+            self.settle(now=now)
 
     def settle(self, *, now: float) -> None:
         """Places what can be placed, after events at the upstreams."""
-        self._settle(now=now)
+        if not self._dirty or not self._leading:
+            return
+        self._dirty = False
+        if not len(self._queue):
+            return
+        leases = self._open_leases(now=now)
+        most = max((lease.room.cpu_millis for lease in leases), default=0)
+        all_seen = self._all_listed(now) and self._keeper.all_seen()
+        misses = 0
+        for job in tuple(self._queue.ordered(now=now)):
+            if now < job.unsure_until and not all_seen:
+                continue
+            fits = job.request.tasks.needs.cpu_millis <= most
+            if not fits or not self._place(job, leases, now=now):
+                misses += 1
+            if misses >= MAX_MISSES:
+                return
 
     def tick(self, *, now: float) -> None:
         """Does what is due."""
@@ -204,7 +219,7 @@
             if now >= kept.until:
                 del self._kept[name]
         self._dirty = True
-        self._settle(now=now)
+        self.settle(now=now)
 
     def claimed(self, key: model.RunKey) -> jobs.LeasedJob | None:
         """Returns the job that wants a run found at an upstream."""
@@ -379,25 +394,6 @@
             self._open = self._placement.fastest_first(leases)
         return self._open
 
-    def _settle(self, *, now: float) -> None:
-        if not self._dirty or not self._leading:
-            return
-        self._dirty = False
-        if not len(self._queue):
-            return
-        leases = self._open_leases(now=now)
-        most = max((lease.room.cpu_millis for lease in leases), default=0)
-        all_seen = self._all_listed(now) and self._keeper.all_seen()
-        misses = 0
-        for job in tuple(self._queue.ordered(now=now)):
-            if now < job.unsure_until and not all_seen:
-                continue
-            fits = job.request.tasks.needs.cpu_millis <= most
-            if not fits or not self._place(job, leases, now=now):
-                misses += 1
-            if misses >= MAX_MISSES:
-                return
-
     def _place(
         self,
         job: jobs.LeasedJob,
@@ -498,12 +494,8 @@
         del self._jobs[job.name]
         self._queue.discard(job)
         self._dirty = True
-        if job.finished():
-            return
-        for lease in self._keeper.leases.values():
-            for run in tuple(lease.runs.values()):
-                if run.job is job and run.state is not RunState.STOPPING:
-                    self._keeper.stop(lease, run, now=now)
+        if not job.finished():
+            self._keeper.stop_all(job, now=now)
 
     def _end_overdue_jobs(self, *, now: float) -> None:
         for job in tuple(self._jobs.values()):
--- a/godwitnotch/core/leased/lease_keeper.py
+++ b/godwitnotch/core/leased/lease_keeper.py
@@ -226,6 +226,13 @@
         run.next_stop_at = now + STOP_AGAIN_S
         self._calls.stop(lease, run.key, run=run, now=now)
 
+    def stop_all(self, job: jobs.LeasedJob, *, now: float) -> None:
+        """Orders the end of a job's runs."""
+        for task in job.tasks:
+            for upstream, run in self._runs.get(task.key, {}).items():
+                if run.job is job and run.state is not RunState.STOPPING:
+                    self.stop(self._leases[upstream], run, now=now)
+
     def tick(self, *, now: float) -> None:
         """Renews, looks again, and counts what has lapsed as gone."""
         for lease in tuple(self._leases.values()):
--- a/godwitnotch/core/leased/waiting.py
+++ b/godwitnotch/core/leased/waiting.py
@@ -96,13 +96,6 @@
         ]
 
 
-def in_order(
-    waiting: Iterable[jobs.LeasedJob], *, now: float
-) -> list[jobs.LeasedJob]:
-    """Returns jobs with waiting tasks, the one to be served first in front."""
-    return sorted(waiting, key=lambda job: _rank(job, now))
-
-
 def work_left_ms(job: jobs.LeasedJob) -> float:
     """Returns the expected run time of all tasks that wait."""
     return job.waiting_tasks * job.base_ms
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -115,26 +115,26 @@
 
 
 class WaitingTest(unittest.TestCase):
+    def in_order(self, *waits: jobs.LeasedJob) -> list[jobs.LeasedJob]:
+        queue = waiting.WaitingQueue()
+        for each in waits:
+            queue.update(each)
+        return list(queue.ordered(now=NOW))
+
     def test_small_work_goes_before_large(self) -> None:
         large = job("large", tasks=4, base_ms=900.0)
         small = job("small", tasks=2, base_ms=100.0)
-        self.assertEqual(
-            waiting.in_order([large, small], now=NOW), [small, large]
-        )
+        self.assertEqual(self.in_order(large, small), [small, large])
 
     def test_what_can_end_in_time_goes_before_what_cannot(self) -> None:
         late = job("late", base_ms=50.0, age_s=1.0)
         large = job("large", tasks=4, base_ms=900.0)
-        self.assertEqual(
-            waiting.in_order([late, large], now=NOW), [large, late]
-        )
+        self.assertEqual(self.in_order(late, large), [large, late])
 
     def test_of_equal_jobs_the_urgent_one_goes_first(self) -> None:
         fresh = job("fresh")
         urgent = job("urgent", age_s=0.1)
-        self.assertEqual(
-            waiting.in_order([fresh, urgent], now=NOW), [urgent, fresh]
-        )
+        self.assertEqual(self.in_order(fresh, urgent), [urgent, fresh])
 
 
 class WaitingQueueTest(unittest.TestCase):
