--- /dev/null
+++ b/godwitnotch/latency.py
@@ -0,0 +1,48 @@
+"""How long something took, as a summary in the Prometheus text format."""
+
+from collections.abc import Iterator
+
+from hdrh import histogram
+
+QUANTILES = (0.5, 0.9, 0.99, 0.999)
+SIGNIFICANT_DIGITS = 2
+
+_PERCENTILES = [quantile * 100 for quantile in QUANTILES]
+_US_PER_S = 1_000_000
+
+
+class LatencySummary:
+    """Records durations.
+
+    Args:
+        name: Name of the metric.
+        max_s: Longer ones count as this.
+    """
+
+    def __init__(self, name: str, *, max_s: int) -> None:
+        self._name = name
+        self._max_us = max_s * _US_PER_S
+        self._recorded = histogram.HdrHistogram(
+            1, self._max_us, SIGNIFICANT_DIGITS
+        )
+        self._sum_s = 0.0
+
+    def record(self, seconds: float) -> None:
+        """Records one duration."""
+        micros = min(round(seconds * _US_PER_S), self._max_us)
+        self._recorded.record_value(max(1, micros))
+        self._sum_s += seconds
+
+    def lines(self) -> Iterator[str]:
+        """Yields the quantiles, the sum and the count."""
+        yield f"# TYPE {self._name} summary"
+        count = self._recorded.get_total_count()
+        # One pass over the histogram for all quantiles, none if it is empty.
+        values = {}
+        if count:
+            values = self._recorded.get_percentile_to_value_dict(_PERCENTILES)
+        for quantile, percentile in zip(QUANTILES, _PERCENTILES, strict=True):
+            seconds = values.get(percentile, 0) / _US_PER_S
+            yield f'{self._name}{{quantile="{quantile:g}"}} {seconds:g}'
+        yield f"{self._name}_sum {self._sum_s:g}"
+        yield f"{self._name}_count {count}"
--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -11,6 +11,7 @@
 
 from godwitnotch import leased_metrics
 from godwitnotch import log
+from godwitnotch import process
 from godwitnotch.core import events as peer_events
 from godwitnotch.core import ids
 from godwitnotch.core import messages
@@ -79,7 +80,7 @@
     def __init__(self, settings: settings_module.PlatformSettings) -> None:
         self._settings = settings
         self._loop = asyncio.get_running_loop()
-        self._loop.set_exception_handler(self._loop_fault)
+        self._loop.set_exception_handler(process.loop_handler(self._fault))
         self._metrics = leased_metrics.LeasedMetrics()
         self._chance = random.Random(secrets.randbits(128))
         self._me = model.KnownHost(settings.peers, settings.domain)
@@ -240,7 +241,7 @@
                 messages.PROTOCOL_VERSION,
                 self._settings.peers,
                 self._settings.domain,
-                _new_incarnation(),
+                process.new_incarnation(),
             ),
             secret=hashlib.sha256(self._settings.store.encode()).digest(),
             heartbeat=self._heartbeat,
@@ -328,20 +329,4 @@
 
     def _fault(self, where: str, error: BaseException) -> None:
         self._metrics.count("internal_fault", type(error).__name__)
-        log.logger.error(
-            f"where={log.value_text(where)} error={log.value_text(error)}",
-            extra={"event": "internal_fault"},
-            exc_info=error,
-        )
-
-    def _loop_fault(
-        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
-    ) -> None:
-        message = context["message"]
-        self._fault(message, context.get("exception") or RuntimeError(message))
-
-
-def _new_incarnation() -> ids.Incarnation:
-    """Returns a name that no other process has, sorted by time of birth."""
-    milliseconds = int(time.time() * 1_000)
-    return ids.Incarnation(f"{milliseconds:011x}-{secrets.token_hex(8)}")
+        process.log_fault(where, error)
--- a/godwitnotch/metrics.py
+++ b/godwitnotch/metrics.py
@@ -6,21 +6,16 @@
 from collections.abc import Iterator
 from typing import TypeVar
 
-from hdrh import histogram
-
+from godwitnotch import latency
 from godwitnotch.core import actions
 from godwitnotch.core import model
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
-QUANTILES = (0.5, 0.9, 0.99, 0.999)
 MAX_LATENCY_S = 3_600
-SIGNIFICANT_DIGITS = 2
 MAX_EVENT_NAMES = 200
 # Event of each request to an upstream that ended, however it did.
 ATTEMPT_ENDED = "task_ended"
 
-_PERCENTILES = [quantile * 100 for quantile in QUANTILES]
-_US_PER_S = 1_000_000
 _PREFIX = "godwitnotch"
 _Member = TypeVar("_Member", bound=enum.Enum)
 
@@ -43,12 +38,11 @@
         self._retries: Counter[model.AttemptOutcome] = Counter()
         self._events: Counter[str] = Counter()
         self._latencies = {
-            latency: histogram.HdrHistogram(
-                1, MAX_LATENCY_S * _US_PER_S, SIGNIFICANT_DIGITS
+            kind: latency.LatencySummary(
+                f"{_PREFIX}_{kind.value}_seconds", max_s=MAX_LATENCY_S
             )
-            for latency in Latency
+            for kind in Latency
         }
-        self._sums_s = dict.fromkeys(Latency, 0.0)
 
     def count_answer(self, answer: model.JobAnswer) -> None:
         """Counts an answer given to a caller, and its reason."""
@@ -64,13 +58,9 @@
         if known or len(self._events) < MAX_EVENT_NAMES:
             self._events[noted.event] += 1
 
-    def record(self, latency: Latency, seconds: float) -> None:
+    def record(self, kind: Latency, seconds: float) -> None:
         """Records one duration."""
-        micros = max(
-            1, min(round(seconds * _US_PER_S), MAX_LATENCY_S * _US_PER_S)
-        )
-        self._latencies[latency].record_value(micros)
-        self._sums_s[latency] += seconds
+        self._latencies[kind].record(seconds)
 
     def counts_by_reason(self) -> dict[str, int]:
         """Returns the reasons and attempt outcomes counted so far."""
@@ -91,8 +81,8 @@
             ),
             *_events(self._events),
         ]
-        for latency in Latency:
-            lines.extend(self._summary(latency))
+        for summary in self._latencies.values():
+            lines.extend(summary.lines())
         for name, value in gauges:
             lines.append(f"# TYPE {_PREFIX}_{name} gauge")
             lines.append(f"{_PREFIX}_{name} {value:g}")
@@ -101,21 +91,6 @@
     def _outcomes(self, event: str) -> Counter[model.AttemptOutcome]:
         return self._attempts if event == ATTEMPT_ENDED else self._retries
 
-    def _summary(self, latency: Latency) -> Iterator[str]:
-        name = f"{_PREFIX}_{latency.value}_seconds"
-        recorded = self._latencies[latency]
-        yield f"# TYPE {name} summary"
-        count = recorded.get_total_count()
-        # One pass over the histogram for all quantiles, none if it is empty.
-        values = {}
-        if count:
-            values = recorded.get_percentile_to_value_dict(_PERCENTILES)
-        for quantile, percentile in zip(QUANTILES, _PERCENTILES, strict=True):
-            seconds = values.get(percentile, 0) / _US_PER_S
-            yield f'{name}{{quantile="{quantile:g}"}} {seconds:g}'
-        yield f"{name}_sum {self._sums_s[latency]:g}"
-        yield f"{name}_count {count}"
-
 
 def _counter(
     name: str,
--- /dev/null
+++ b/godwitnotch/process.py
@@ -0,0 +1,43 @@
+"""What every process of a host does alike: its name, its faults."""
+
+import asyncio
+import secrets
+import time
+from collections.abc import Callable
+from typing import Any
+
+from godwitnotch import log
+from godwitnotch.core import ids
+
+_RANDOM_BYTES = 8
+
+OnFault = Callable[[str, BaseException], None]
+LoopHandler = Callable[[asyncio.AbstractEventLoop, dict[str, Any]], None]
+
+
+def new_incarnation() -> ids.Incarnation:
+    """Returns a name that no other process has, sorted by time of birth."""
+    milliseconds = int(time.time() * 1_000)
+    random_part = secrets.token_hex(_RANDOM_BYTES)
+    return ids.Incarnation(f"{milliseconds:011x}-{random_part}")
+
+
+def log_fault(where: str, error: BaseException) -> None:
+    """Logs an exception that nothing else expected."""
+    log.logger.error(
+        f"where={log.value_text(where)} error={log.value_text(error)}",
+        extra={"event": "internal_fault"},
+        exc_info=error,
+    )
+
+
+def loop_handler(on_fault: OnFault) -> LoopHandler:
+    """Returns a handler of a loop's exceptions that passes them on."""
+
+    def handle(
+        loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        message = context["message"]
+        on_fault(message, context.get("exception") or RuntimeError(message))
+
+    return handle
--- a/godwitnotch/root.py
+++ b/godwitnotch/root.py
@@ -7,12 +7,11 @@
 import secrets
 import signal
 import socket
-import time
-from typing import Any
 
 from godwitnotch import event_ring
 from godwitnotch import log
 from godwitnotch import metrics
+from godwitnotch import process
 from godwitnotch import settings as settings_module
 from godwitnotch.core import actions
 from godwitnotch.core import events
@@ -35,7 +34,6 @@
 CUT_GRACE_S = 1.0  # For the decisions to answer what is cut.
 ANSWER_GRACE_S = 2.0  # For the last answers to reach their callers.
 
-_RANDOM_BYTES = 8
 _SEED_BITS = 128
 
 
@@ -87,7 +85,7 @@
             max_events=settings.limits.event_ring_events
         )
         self._loop = asyncio.get_running_loop()
-        self._loop.set_exception_handler(self._loop_fault)
+        self._loop.set_exception_handler(process.loop_handler(self._fault))
         self._peer_socket = peer_link.bind(
             settings.peers.ip, settings.peers.port
         )
@@ -188,7 +186,7 @@
         return model.HostEntry(
             host=self._settings.host,
             domain=self._settings.domain,
-            incarnation=_new_incarnation(),
+            incarnation=process.new_incarnation(),
             address=str(self._settings.advertised or bound),
         )
 
@@ -254,17 +252,7 @@
 
     def _fault(self, where: str, error: BaseException) -> None:
         self._metrics.count_note(actions.Note("internal_fault"))
-        log.logger.error(
-            f"where={log.value_text(where)} error={log.value_text(error)}",
-            extra={"event": "internal_fault"},
-            exc_info=error,
-        )
-
-    def _loop_fault(
-        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
-    ) -> None:
-        message = context["message"]
-        self._fault(message, context.get("exception") or RuntimeError(message))
+        process.log_fault(where, error)
 
 
 class _Signals:
@@ -304,10 +292,3 @@
 
 def _bound(listener: socket.socket, ip: str) -> settings_module.Address:
     return settings_module.Address(ip, listener.getsockname()[1])
-
-
-def _new_incarnation() -> ids.Incarnation:
-    """Returns a name that no other process has, sorted by time of birth."""
-    milliseconds = int(time.time() * 1000)
-    random_part = secrets.token_hex(_RANDOM_BYTES)
-    return ids.Incarnation(f"{milliseconds:011x}-{random_part}")
