Stand-in upstream rejects requests that name no task; tests hand bound sockets on

Cause: POST /hosts of another suite's host at a port that its platform had left reached a stand-in upstream of ours, which logged it as a start of task -1 of no submission. A new test sends two such requests: 2 starts before, none after. The ports of test hosts were chosen free and bound later; they are bound first now and the sockets are handed to LeasedHost.start.

--- a/bench/peer_messages.py
+++ b/bench/peer_messages.py
@@ -23,6 +23,7 @@
 from godwitnotch.core import messages
 from godwitnotch.core import model
 from godwitnotch.net import codec
+from godwitnotch.net import listeners
 from godwitnotch.net import peer_link
 
 SECRET = b"s" * 32
@@ -186,7 +187,7 @@
         on_note=_ignore_note,
         rng=random.Random(1),
     )
-    listener = peer_link.bind("127.0.0.1", 0)
+    listener = listeners.bind("127.0.0.1", 0)
     await links.start(listener)
     port = listener.getsockname()[1]
     return LinkedHost(hello.host, links, f"127.0.0.1:{port}")
--- a/godwitnotch/leased_demo.py
+++ b/godwitnotch/leased_demo.py
@@ -5,13 +5,13 @@
 """
 
 import asyncio
-import socket
 from dataclasses import dataclass
 
 from godwitnotch import leased_root
 from godwitnotch import log
 from godwitnotch.core import ids
 from godwitnotch.net import http_client
+from godwitnotch.net import listeners
 from godwitnotch.platform import settings
 from godwitnotch.standins import leased_platform
 
@@ -101,7 +101,10 @@
 
 
 async def _start_host(domain: str, store: str) -> leased_root.LeasedHost:
-    callers, ready, peers, metrics = _free_ports(4)
+    sockets = [listeners.bind(_IP, 0) for _ in range(4)]
+    callers, ready, peers, metrics = (
+        bound.getsockname()[1] for bound in sockets
+    )
     host = leased_root.LeasedHost(
         settings.PlatformSettings(
             name=f"demo-{domain}",
@@ -116,18 +119,12 @@
             termination_grace_s=TERMINATION_GRACE_S,
         )
     )
-    await host.start()
+    await host.start(
+        {f"{_IP}:{bound.getsockname()[1]}": bound for bound in sockets}
+    )
     return host
 
 
-def _free_ports(count: int) -> list[int]:
-    probes = [socket.create_server((_IP, 0)) for _ in range(count)]
-    ports: list[int] = [probe.getsockname()[1] for probe in probes]
-    for probe in probes:
-        probe.close()
-    return ports
-
-
 async def _wait_ready(hosts: list[leased_root.LeasedHost]) -> None:
     async with asyncio.timeout(START_TIMEOUT_S):
         while not all(host.ready for host in hosts):
--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -5,8 +5,10 @@
 import random
 import secrets
 import signal
+import socket
 import sys
 import time
+from collections.abc import Mapping
 from typing import Any
 
 from godwitnotch import leased_metrics
@@ -26,6 +28,7 @@
 from godwitnotch.net import leased_calls
 from godwitnotch.net import leased_runtime
 from godwitnotch.net import leased_store
+from godwitnotch.net import listeners
 from godwitnotch.net import peer_link
 from godwitnotch.platform import configuration as configuration_module
 from godwitnotch.platform import settings as settings_module
@@ -148,17 +151,27 @@
         """Whether this host is the leader."""
         return self._core.leads
 
-    async def start(self) -> None:
+    async def start(
+        self, bound: Mapping[str, socket.socket] | None = None
+    ) -> None:
         """Starts to listen, then starts the host core.
 
+        Args:
+            bound: Listening sockets by address, where the caller has already
+                bound them; this host binds the other addresses itself.
+
         Raises:
             OSError: A listening address can't be bound.
         """
-        ip, _, port = self._settings.peers.rpartition(":")
-        await self._links.start(peer_link.bind(ip, int(port)))
+        bound = bound or {}
+        await self._links.start(
+            bound.get(self._settings.peers)
+            or listeners.bind_address(self._settings.peers)
+        )
         for address, server in self._servers.items():
-            ip, _, port = address.rpartition(":")
-            await server.start(ip, int(port))
+            await server.start_on(
+                bound.get(address) or listeners.bind_address(address)
+            )
         for signum in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(signum, self._start_drain)
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
--- a/godwitnotch/net/http_server.py
+++ b/godwitnotch/net/http_server.py
@@ -4,6 +4,7 @@
 import enum
 import json
 import logging
+import socket
 import urllib.parse
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -12,6 +13,7 @@
 import h11
 
 from godwitnotch.net import http_types
+from godwitnotch.net import listeners
 
 # Idle connections stay open for this long after stop(), so that requests that
 # clients have already sent are answered.
@@ -62,16 +64,18 @@
 
     async def start(self, ip: str, port: int) -> int:
         """Starts to listen; returns the bound port, also if `port` is 0."""
+        return await self.start_on(listeners.bind(ip, port))
+
+    async def start_on(self, listener: socket.socket) -> int:
+        """Starts to listen on a bound socket; returns its port."""
         loop = asyncio.get_running_loop()
         self._server_state.stopping = False
         self._server = await loop.create_server(
             lambda: _Connection(self._server_state),
-            ip,
-            port,
-            backlog=1024,
-            reuse_address=True,
+            sock=listener,
+            backlog=listeners.BACKLOG,
         )
-        bound: int = self._server.sockets[0].getsockname()[1]
+        bound: int = listener.getsockname()[1]
         return bound
 
     async def stop(self, *, deadline: float) -> None:
--- a/godwitnotch/net/peer_link.py
+++ b/godwitnotch/net/peer_link.py
@@ -132,16 +132,6 @@
 OnNote = Callable[[actions.Note], None]
 
 
-def bind(ip: str, port: int) -> socket.socket:
-    """Returns a listening socket; port 0 selects any free port.
-
-    Raises:
-        OSError: The address can't be bound.
-    """
-    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
-    return socket.create_server((ip, port), family=family)
-
-
 class PeerLinks:
     """The links of one host to all other hosts.
 
--- a/godwitnotch/root.py
+++ b/godwitnotch/root.py
@@ -23,6 +23,7 @@
 from godwitnotch.net import caller_api
 from godwitnotch.net import http_server
 from godwitnotch.net import http_types
+from godwitnotch.net import listeners
 from godwitnotch.net import peer_link
 from godwitnotch.net import platform_client
 from godwitnotch.net import runtime as runtime_module
@@ -92,7 +93,7 @@
         self._loop.set_exception_handler(
             process.loop_exception_handler(self._record_fault)
         )
-        self._peer_socket = peer_link.bind(
+        self._peer_socket = listeners.bind(
             settings.peers.ip, settings.peers.port
         )
         self._identity = self._make_identity()
--- a/godwitnotch/standins/upstream.py
+++ b/godwitnotch/standins/upstream.py
@@ -5,6 +5,7 @@
 from dataclasses import asdict
 from dataclasses import dataclass
 
+from godwitnotch import log
 from godwitnotch.net import http_server
 from godwitnotch.net import http_types
 from godwitnotch.net import upstream_client
@@ -87,11 +88,14 @@
             return http_server.error_response(
                 405, "bad_method", "send tasks by POST"
             )
+        task = _parse_task_id(request)
+        if task is None:
+            return self._reject_stray(request)
         if self.faults.not_started:
             return self._refuse(self.faults.not_started)
         if self._running >= self._slots:
             return self._refuse("full")
-        return await self._run(request)
+        return await self._run(request, *task)
 
     def _list_starts(self) -> http_types.HttpResponse:
         body = {
@@ -108,15 +112,26 @@
         }
         return http_types.HttpResponse(503, b"", headers)
 
-    async def _run(
+    def _reject_stray(
         self, request: http_types.HttpRequest
     ) -> http_types.HttpResponse:
-        loop = asyncio.get_running_loop()
-        start = Start(
-            request.headers.get(upstream_client.SUBMISSION_HEADER, ""),
-            int(request.headers.get(upstream_client.TASK_HEADER, "-1")),
-            loop.time(),
+        """Rejects a request that names no task; it counts as no start."""
+        log.event("stray_request", path=request.path)
+        return http_server.error_response(
+            400,
+            "no_task",
+            f"send {upstream_client.SUBMISSION_HEADER} and "
+            f"{upstream_client.TASK_HEADER}",
         )
+
+    async def _run(
+        self,
+        request: http_types.HttpRequest,
+        submission: str,
+        task_index: int,
+    ) -> http_types.HttpResponse:
+        loop = asyncio.get_running_loop()
+        start = Start(submission, task_index, loop.time())
         self.starts.append(start)
         if self.faults.fail_fast:
             return _failed("this upstream fails everything")
@@ -139,5 +154,12 @@
         return http_types.HttpResponse(200, request.body, headers)
 
 
+def _parse_task_id(request: http_types.HttpRequest) -> tuple[str, int] | None:
+    """Returns the submission and index of a task; None if not given."""
+    submission = request.headers.get(upstream_client.SUBMISSION_HEADER, "")
+    index = request.headers.get(upstream_client.TASK_HEADER, "")
+    return (submission, int(index)) if submission and index.isdigit() else None
+
+
 def _failed(detail: str) -> http_types.HttpResponse:
     return http_server.error_response(500, "task_failed", detail)
--- a/tests/test_leased_serving.py
+++ b/tests/test_leased_serving.py
@@ -5,7 +5,6 @@
 import json
 import logging
 import pathlib
-import socket
 import tempfile
 import unittest
 
@@ -17,6 +16,7 @@
 from godwitnotch.core.leased import peer_messages
 from godwitnotch.net import http_client
 from godwitnotch.net import http_types
+from godwitnotch.net import listeners
 from godwitnotch.platform import settings
 from godwitnotch.standins import leased_platform
 
@@ -48,16 +48,6 @@
 }
 
 
-def free_ports(count: int) -> list[int]:
-    probes = [socket.socket() for _ in range(count)]
-    for probe in probes:
-        probe.bind((IP, 0))
-    ports = [probe.getsockname()[1] for probe in probes]
-    for probe in probes:
-        probe.close()
-    return ports
-
-
 class DemoTest(unittest.TestCase):
     def test_jobs_complete_although_the_leader_fails(self) -> None:
         self.assertEqual(leased_demo.run(), 0)
@@ -115,7 +105,10 @@
         await self.wait_until(lambda: all(map(self.is_ready, self.hosts)))
 
     async def start_host(self, domain: str, seeds: list[str]) -> None:
-        front, ready, control, metrics = free_ports(4)
+        sockets = [listeners.bind(IP, 0) for _ in range(4)]
+        front, ready, control, metrics = (
+            bound.getsockname()[1] for bound in sockets
+        )
         text = "\n".join(
             (
                 f"node=front-{domain}-{len(self.hosts)}",
@@ -133,7 +126,9 @@
             )
         )
         host = leased_root.LeasedHost(settings.parse(text))
-        await host.start()
+        await host.start(
+            {f"{IP}:{bound.getsockname()[1]}": bound for bound in sockets}
+        )
         self.addAsyncCleanup(host.close)
         seeds.append(f"{IP}:{control}")
         self.hosts.append(host)
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -15,6 +15,7 @@
 from godwitnotch.core import messages
 from godwitnotch.core import model
 from godwitnotch.net import codec
+from godwitnotch.net import listeners
 from godwitnotch.net import peer_link
 from tests.process import relay
 
@@ -77,7 +78,7 @@
         self.heartbeat = lambda: messages.Heartbeat(1, False)
 
     async def start(self, port: int = 0) -> "Host":
-        listener = peer_link.bind("127.0.0.1", port)
+        listener = listeners.bind("127.0.0.1", port)
         self.address = f"127.0.0.1:{listener.getsockname()[1]}"
         await self.links.start(listener)
         return self
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -12,6 +12,7 @@
 from godwitnotch.core import model
 from godwitnotch.net import http_client
 from godwitnotch.net import http_types
+from godwitnotch.net import upstream_client
 from godwitnotch.standins import faults
 from godwitnotch.standins import platform
 from godwitnotch.standins import table
@@ -23,6 +24,10 @@
     st.sampled_from((b"x", b"y", None)),
     st.sampled_from((None, 0, 1, 2)),
 )
+_TASK_HEADERS = {
+    upstream_client.SUBMISSION_HEADER: "s-1",
+    upstream_client.TASK_HEADER: "0",
+}
 _TRANSACTION = st.lists(_WRITE, max_size=3, unique_by=lambda write: write.key)
 
 
@@ -90,7 +95,12 @@
         body = b"" if value is None else json.dumps(value).encode()
         return await self.client.request(
             f"127.0.0.1:{port}",
-            http_types.HttpRequest(method, path, body=body),
+            http_types.HttpRequest(
+                method,
+                path,
+                headers=_TASK_HEADERS if path == "/run" else {},
+                body=body,
+            ),
             deadline=asyncio.get_running_loop().time() + 5.0,
             max_body_bytes=100_000,
         )
@@ -137,6 +147,18 @@
         self.assertEqual(bad.status, 400)
         await served.stop()
 
+    async def test_request_that_names_no_task_is_no_start(self) -> None:
+        # A host of another installation may register at a port that its
+        # platform has left and this upstream uses now.
+        served = upstream.Upstream()
+        port = await served.start("127.0.0.1", 0)
+        entry = {"host": "h1", "domain": "d1", "address": "127.0.0.1:1"}
+        for _ in range(2):
+            stray = await self._request(port, "POST", "/hosts", entry)
+            self.assertEqual(stray.status, 400)
+        self.assertEqual(served.starts, [])
+        await served.stop()
+
     async def test_slow_task_keeps_its_slot(self) -> None:
         served = upstream.Upstream(slots=1)
         port = await served.start("127.0.0.1", 0)
