--- a/godwitnotch/core/leased/admission.py
+++ b/godwitnotch/core/leased/admission.py
@@ -32,11 +32,18 @@
             of each upstream are divided by its slowness.
         waiting_ms: Expected run time of all waiting tasks.
         remaining_ms: Expected remaining time of all runs.
+        used_slots: How many slots have a run, counted like them.
     """
 
     slots: float
     waiting_ms: float
     remaining_ms: float
+    used_slots: float = 0.0
+
+    @property
+    def free_slots(self) -> float:
+        """How many more tasks of average size can run now."""
+        return max(0.0, self.slots - self.used_slots)
 
     @property
     def backlog_s(self) -> float:
@@ -85,6 +92,15 @@
     return total
 
 
+def count_used_slots(
+    leases: Iterable[lease_module.Lease], times: run_times.RunTimes
+) -> float:
+    """Returns the number of runs, each divided by its upstream's slowness."""
+    return sum(
+        len(lease.runs) / times.slowness(lease.upstream) for lease in leases
+    )
+
+
 def decide(
     job: jobs.LeasedJob, ahead_ms: float, load: Load, *, now: float
 ) -> AdmissionDecision:
--- /dev/null
+++ b/godwitnotch/core/leased/capacity.py
@@ -0,0 +1,42 @@
+"""How many runs a host can order a second, and how many a fleet may need."""
+
+from dataclasses import dataclass
+
+# Processor time of a leader for a run, of a core of relative speed 1, with room
+# for bursts.
+RUNS_PER_CORE_S = 1_000.0
+# A start, its end and their share of renewals, in both directions.
+BYTES_PER_RUN = 1_500
+# Runs of a busy upstream: two to three at a time, a fifth of a second each.
+RUNS_PER_UPSTREAM_S = 10.0
+
+_BYTES_PER_MBIT = 125_000
+
+
+@dataclass(frozen=True, slots=True)
+class HostCapacity:
+    """What a host has for leading.
+
+    Attributes:
+        cores: Processor, as a multiple of a reference core.
+        link_mbps: Bandwidth of its network link, in Mbit/s.
+    """
+
+    cores: float
+    link_mbps: float
+
+    @property
+    def runs_per_s(self) -> float:
+        """How many runs a second this host can order as a leader."""
+        by_link = self.link_mbps * _BYTES_PER_MBIT / BYTES_PER_RUN
+        return min(self.cores * RUNS_PER_CORE_S, by_link)
+
+
+def exceeds_one_leader(upstream_count: int, *, runs_per_s: float) -> bool:
+    """Returns whether the upstreams can run more than one leader can order.
+
+    Args:
+        upstream_count: Number of upstreams of the fleet.
+        runs_per_s: How many runs a second the leader can order.
+    """
+    return upstream_count * RUNS_PER_UPSTREAM_S > runs_per_s
--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -14,6 +14,7 @@
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import outbox as outbox_module
 from godwitnotch.core.leased import overdue_runs
+from godwitnotch.core.leased import overflow
 from godwitnotch.core.leased import owners
 from godwitnotch.core.leased import peer_messages
 from godwitnotch.core.leased import placement as placement_module
@@ -35,6 +36,7 @@
 MAX_UNPLACED_JOB_COUNT = 4
 
 AnswerOwner = Callable[[ids.HostId, model.JobName, model.Answer], None]
+RedirectOwner = Callable[[ids.HostId, model.JobName, ids.HostId], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +53,8 @@
     Args:
         out: Collects the actions to execute.
         answer_owner: Sends the answer for a job to its owner.
+        redirect_owner: Tells the owner of a job which other leader takes it.
+        suitability: Tells how long a job's tasks take in each cell.
         in_scope: Returns whether this host may hold a lease on an upstream.
         listing_complete: Returns whether all upstreams that can have runs are
             usable.
@@ -63,12 +67,17 @@
         out: outbox_module.Outbox,
         *,
         answer_owner: AnswerOwner,
+        redirect_owner: RedirectOwner,
+        suitability: Callable[[model.JobRequest], overflow.Suitability],
         in_scope: Callable[[model.LeasedUpstream], bool],
         listing_complete: Callable[[float], bool],
         higher_term_seen: Callable[[lease_module.Lease, bool, float], None],
     ) -> None:
         self._out = out
         self._answer_owner = answer_owner
+        self._redirect_owner = redirect_owner
+        self._suitability = suitability
+        self._overflow = overflow.Overflow()
         self._listing_complete = listing_complete
         self._higher_term_seen = higher_term_seen
         self._leading = False
@@ -105,6 +114,11 @@
         """What this host and earlier leaders have learnt of upstreams."""
         return self._evidence
 
+    @property
+    def overflow(self) -> overflow.Overflow:
+        """The loads of the other cells."""
+        return self._overflow
+
     @property
     def waiting_jobs(self) -> int:
         """How many jobs have not had a run."""
@@ -134,6 +148,7 @@
         self._accepting_computed_at = float("-inf")
         self._retained_answers.clear()
         self._owners.clear()
+        self._overflow.clear()
         self._lease_manager.stop_leading()
 
     def job_handed_over(
@@ -141,12 +156,22 @@
         owner: ids.HostId,
         message: peer_messages.JobHandedOver,
         *,
+        redirected: bool = False,
+        may_run_elsewhere: bool = False,
         now: float,
     ) -> None:
         """Handles a job that its owner hands over.
 
         A job may arrive again, from another owner or after the link to its
         owner was lost.
+
+        Args:
+            owner: The host that answers the caller.
+            message: The job.
+            redirected: Whether the leader of another cell has redirected it.
+            may_run_elsewhere: Whether the job may have runs in another cell
+                until the earlier runs have ended.
+            now: The current time.
         """
         name = message.request.job
         retained = self._retained_answers.get(name)
@@ -158,7 +183,11 @@
             job.owner = owner
             job.deadline = now + message.deadline_in_s
             return
-        self._add_job(owner, message, now=now)
+        job = self._add_job(owner, message, now=now)
+        job.redirected = redirected
+        job.may_run_elsewhere = may_run_elsewhere
+        if not job.started:
+            self._admit(job, now=now)
         self.place_waiting(now=now)
 
     def all_handed_over(self, owner: ids.HostId, *, now: float) -> None:
@@ -214,7 +243,9 @@
         )
         unplaced_count = 0
         for job in tuple(self._queue.ordered(now=now)):
-            if now < job.earlier_runs_end_by and not all_runs_known:
+            if now < job.earlier_runs_end_by and (
+                job.may_run_elsewhere or not all_runs_known
+            ):
                 continue
             fits = job.request.tasks.needs.cpu_millis <= max_free_cpu_millis
             if not fits or not self._place_job(job, leases, now=now):
@@ -353,7 +384,7 @@
         message: peer_messages.JobHandedOver,
         *,
         now: float,
-    ) -> None:
+    ) -> jobs.LeasedJob:
         request = message.request
         earlier_runs_end_by = (
             now + message.earlier_runs_end_in_s
@@ -373,13 +404,37 @@
         self._lease_manager.adopt_runs(job)
         self._queue.update(job)
         self._placement_due = True
-        if job.started:
-            return
-        # Moving average over the jobs that this host has received as leader.
-        average = self._average_cpu_millis or request.tasks.needs.cpu_millis
-        new = request.tasks.needs.cpu_millis
-        self._average_cpu_millis = average + 0.05 * (new - average)
-        self._refuse_if_late(job, now=now)
+        if not job.started:
+            # Moving average over the jobs received by this host as leader.
+            average = self._average_cpu_millis or request.tasks.needs.cpu_millis
+            new = request.tasks.needs.cpu_millis
+            self._average_cpu_millis = average + 0.05 * (new - average)
+        return job
+
+    def _admit(self, job: jobs.LeasedJob, *, now: float) -> None:
+        """Moves a job without runs to another cell, refuses or keeps it."""
+        if not self._redirect_if_sooner(job, now=now):
+            self._refuse_if_late(job, now=now)
+
+    def _redirect_if_sooner(self, job: jobs.LeasedJob, *, now: float) -> bool:
+        """Redirects a job that ends sooner in another cell, once."""
+        if job.redirected or not self._overflow.any_known:
+            return False
+        load = self._load(now=now)
+        own = overflow.CellLoad(
+            load.slots, load.free_slots, self._queue.ahead_ms(job, now=now)
+        )
+        leader = self._overflow.choose(
+            job, own, self._suitability(job.request), now=now
+        )
+        if leader is None:
+            return False
+        self._out.add_decision(
+            "job_redirected", job=job.name, detail=f"leader={leader}"
+        )
+        self._remove_job(job, now=now)
+        self._redirect_owner(job.owner, job.name, leader)
+        return True
 
     def _refuse_if_late(self, job: jobs.LeasedJob, *, now: float) -> None:
         """Refuses a job that is expected to miss its target response time."""
@@ -420,10 +475,20 @@
         )
         waiting_ms = self._queue.total_ms(now=now)
         self._cached_load = admission.Load(
-            slots, waiting_ms, remaining_s * 1_000
+            slots,
+            waiting_ms,
+            remaining_s * 1_000,
+            admission.count_used_slots(leases, self._times),
         )
         return self._cached_load
 
+    def cell_load(self, *, now: float) -> peer_messages.CellLoadTold:
+        """Returns the load of this leader's upstreams, for other leaders."""
+        load = self._load(now=now)
+        return peer_messages.CellLoadTold(
+            load.slots, load.free_slots, load.waiting_ms
+        )
+
     def _accepting_leases(self, *, now: float) -> list[lease_module.Lease]:
         """Returns the leases that accept runs, the fastest upstream first."""
         if now >= self._accepting_computed_at + ACCEPTING_LEASES_CACHE_S:
@@ -574,7 +639,7 @@
         due = waited_s >= job.target_response_s * admission.RECHECK_SHARE
         if due and not job.rechecked:
             job.rechecked = True
-            self._refuse_if_late(job, now=now)
+            self._admit(job, now=now)
 
     def _stop_overdue_runs(self, *, now: float) -> None:
         overdue = self._overdue.find(
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -5,14 +5,17 @@
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
+from godwitnotch.core.leased import capacity
 from godwitnotch.core.leased import dispatcher as dispatcher_module
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import evidence as evidence_module
+from godwitnotch.core.leased import fleet as fleet_module
 from godwitnotch.core.leased import leadership as leadership_module
 from godwitnotch.core.leased import lease as lease_module
 from godwitnotch.core.leased import listing as listing_module
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import outbox as outbox_module
+from godwitnotch.core.leased import overflow
 from godwitnotch.core.leased import owned_jobs
 from godwitnotch.core.leased import peer_messages
 from godwitnotch.core.leased.leadership import LeadershipChange
@@ -53,6 +56,7 @@
         rank: How well this host is suited to lead; higher is better.
         unix_time: Returns the Unix time in seconds.
         now: The current time.
+        runs_per_s: How many runs a second this host can order as a leader.
     """
 
     def __init__(
@@ -63,22 +67,30 @@
         rank: int,
         unix_time: Callable[[], float],
         now: float,
+        runs_per_s: float = float("inf"),
     ) -> None:
         self._host = host
         self._domain = domain
+        self._runs_per_s = runs_per_s
+        self._fleet = fleet_module.Fleet(host=host, domain=domain)
         self._out = outbox_module.Outbox()
         self._hosts_with_list: set[ids.HostId] = set()
         self._hosts_with_evidence: set[ids.HostId] = set()
         self._next_evidence_at = 0.0
+        self._next_load_at = 0.0
         self._linked_domains: dict[ids.HostId, ids.DomainId] = {}
         self._listing = listing_module.UpstreamListing(now=now)
         self._leadership = leadership_module.Leadership(
             host=host, domain=domain, rank=rank, unix_time=unix_time, now=now
         )
-        self._owned_jobs = owned_jobs.OwnedJobs(self._out, send=self._send)
+        self._owned_jobs = owned_jobs.OwnedJobs(
+            self._out, self._fleet.leaders, send=self._send
+        )
         self._dispatcher = dispatcher_module.Dispatcher(
             self._out,
             answer_owner=self._answer_owner,
+            redirect_owner=self._redirect_owner,
+            suitability=self._fleet.suitability,
             in_scope=self._in_scope,
             listing_complete=lambda now: self._listing.complete(now=now),
             higher_term_seen=self._higher_term_seen,
@@ -103,7 +115,12 @@
     @property
     def ready(self) -> bool:
         """Whether this host accepts jobs from callers."""
-        return not self._draining and self._leadership.leader_serving
+        return not self._draining and self._fleet.leaders.any_serving
+
+    @property
+    def lists_upstreams(self) -> bool:
+        """Whether this host reads the list of upstreams for all leaders."""
+        return self.leads and self._fleet.lists_upstreams
 
     @property
     def open_jobs(self) -> int:
@@ -127,6 +144,7 @@
         self._now = now
         _HANDLERS[type(event)](self, event, now)
         self._update_serving()
+        self._update_home_leader()
         return self._out.take()
 
     def _apply_change(self, change: LeadershipChange, *, now: float) -> None:
@@ -144,16 +162,78 @@
         self._hosts_with_list.clear()
         self._hosts_with_evidence.clear()
         if change is LeadershipChange.ELECTED:
+            self._divide_if_too_large(now=now)
             self._dispatcher.start_leading(
                 leadership.term,
                 hosts=[self._host, *self._linked_domains],
-                upstreams=self._listing.upstreams,
+                upstreams=self._fleet.held(self._listing.upstreams),
                 now=now,
             )
         self._send_standing()
+        self._update_home_leader()
         self._owned_jobs.leader_changed(
-            leadership.leader, leadership.term, now=now
+            self._fleet.home, leadership.leader, leadership.term, now=now
+        )
+
+    def _update_home_leader(self) -> None:
+        """Tells the fleet's state who leads this host's cell."""
+        leadership = self._leadership
+        self._fleet.set_home_leader(
+            leadership.leader,
+            leadership.term,
+            serving=leadership.leader_serving,
+        )
+
+    def _divide_if_too_large(self, *, now: float) -> None:
+        """Divides the fleet if this leader can't order all its runs."""
+        if not self._fleet.divided and capacity.exceeds_one_leader(
+            len(self._listing.upstreams), runs_per_s=self._runs_per_s
+        ):
+            self._divide_fleet(now=now)
+
+    def _divide_fleet(self, *, now: float) -> None:
+        """Lets each failure domain elect a leader of its own, from now on."""
+        self._out.add_decision(
+            "fleet_divided",
+            detail=f"domain={self._domain} "
+            f"upstreams={len(self._listing.upstreams)}",
         )
+        self._fleet.divide()
+        self._owned_jobs.fleet_divided(self._fleet.home, now=now)
+        for host in self._linked_domains:
+            self._out.add(actions.TellPeer(host, peer_messages.FleetDivided()))
+        change = self._leadership.divide(now=now)
+        self._apply_change(change, now=now)
+        self._send_standing()
+        for host, standing in self._leadership.standings():
+            self._other_standing(host, standing, now=now)
+
+    def _hold_upstreams(self, *, now: float) -> None:
+        """Gives the lease manager the upstreams that this leader holds."""
+        if not self.leads:
+            return
+        held = self._fleet.held(self._listing.upstreams)
+        self._dispatcher.lease_manager.update_upstreams(held, now=now)
+
+    def _update_adopted(self, *, now: float) -> None:
+        """Adopts upstreams of domains that have no host, or releases them."""
+        if not self._fleet.divided or not self.leads:
+            return
+        if self._leadership.scope() is not Scope.ALL:
+            return
+        if self._fleet.update_adopted(now=now):
+            self._hold_upstreams(now=now)
+
+    def _send_load(self, *, now: float) -> None:
+        """Tells the other leaders the load of this leader's cell."""
+        if not self.leads or not self._fleet.divided:
+            return
+        if now < self._next_load_at:
+            return
+        self._next_load_at = now + overflow.SEND_INTERVAL_S
+        load = self._dispatcher.cell_load(now=now)
+        for host in self._fleet.other_leaders:
+            self._out.add(actions.TellPeer(host, load))
 
     def _send_standing(self) -> None:
         standing = self._leadership.standing()
@@ -176,14 +256,17 @@
     def _answer_owner(
         self, owner: ids.HostId, job: model.JobName, answer: model.Answer
     ) -> None:
-        if owner == self._host:
-            self._owned_jobs.job_answered(job, answer)
-        else:
-            message = peer_messages.JobAnswered(job, answer)
-            self._out.add(actions.TellPeer(owner, message))
+        self._send(owner, peer_messages.JobAnswered(job, answer))
+
+    def _redirect_owner(
+        self, owner: ids.HostId, job: model.JobName, leader: ids.HostId
+    ) -> None:
+        self._send(owner, peer_messages.JobRedirected(job, leader))
 
     def _in_scope(self, upstream: model.LeasedUpstream) -> bool:
         """Returns whether this host may hold a lease on an upstream."""
+        if self._fleet.divided:
+            return self._fleet.holds(upstream.domain)
         scope = self._leadership.scope()
         if scope is Scope.ALL:
             return True
@@ -201,7 +284,12 @@
         """
         if not self._in_scope(lease.upstream):
             return
-        if was_held and self._dispatcher.lease_manager.holds_any():
+        adopted = self._fleet.divided and lease.upstream.domain != self._domain
+        if (
+            was_held
+            and not adopted
+            and self._dispatcher.lease_manager.holds_any()
+        ):
             change = self._leadership.step_down(now=now)
             self._apply_change(change, now=now)
             return
@@ -233,19 +321,27 @@
         self, host: ids.HostId, message: peer_messages.Message, *, now: float
     ) -> None:
         match message:
+            case peer_messages.FleetDivided():
+                if not self._fleet.divided:
+                    self._divide_fleet(now=now)
+                    self._hold_upstreams(now=now)
             case peer_messages.Standing():
+                self._other_standing(host, message, now=now)
                 change = self._leadership.standing_received(
                     host, message, now=now
                 )
                 self._apply_change(change, now=now)
                 self._send_upstreams()
             case peer_messages.JobAnswered(job=job, answer=answer):
-                self._owned_jobs.job_answered(job, answer)
+                self._owned_jobs.job_answered(host, job, answer)
+            case peer_messages.JobRedirected(job=job, leader=leader):
+                self._owned_jobs.job_redirected(host, job, leader, now=now)
             case peer_messages.UpstreamsCopy(upstreams=upstreams):
+                listed = events.UpstreamsListed(upstreams)
                 if not self.leads:
-                    self._update_listing(
-                        events.UpstreamsListed(upstreams), now=now
-                    )
+                    self._update_listing(listed, now=now)
+                elif not self.lists_upstreams:
+                    self._apply_listing(listed, now=now)
             case peer_messages.UpstreamsLearnt():
                 if not self.leads:
                     self._dispatcher.evidence.apply(message, now=now)
@@ -261,14 +357,45 @@
         )
         if changed:
             self._dispatcher.evidence.retain_only(self._listing.tracked)
+            self._fleet.update_map(self._listing.upstreams)
         return changed
 
+    def _apply_listing(
+        self, event: events.UpstreamsListed, *, now: float
+    ) -> None:
+        """Applies a list; a leader holds what is new and tells others."""
+        changed = self._update_listing(event, now=now)
+        if not changed or not self.leads:
+            return
+        self._divide_if_too_large(now=now)
+        self._hold_upstreams(now=now)
+        self._hosts_with_list.clear()
+        self._send_upstreams()
+        self._dispatcher.place_waiting(now=now)
+
+    def _other_standing(
+        self, host: ids.HostId, standing: peer_messages.Standing, *, now: float
+    ) -> None:
+        """Handles who leads the cell of another failure domain."""
+        domain = self._linked_domains.get(host)
+        if not self._fleet.divided or domain in (None, self._domain):
+            return
+        assert domain is not None
+        cell = self._fleet.other_standing(host, domain, standing)
+        if cell is not None:
+            self._owned_jobs.leader_changed(
+                cell, self._fleet.leaders.host(cell), standing.term, now=now
+            )
+
     def _send_upstreams(self) -> None:
         """Sends the list of upstreams to the hosts that may lead next."""
         if not self.leads or not self._listing.upstreams:
             return
         copy = peer_messages.UpstreamsCopy(self._listing.upstreams)
-        for host in self._leadership.successors():
+        receivers = self._leadership.successors()
+        if self._fleet.divided and self.lists_upstreams:
+            receivers += self._fleet.other_leaders
+        for host in receivers:
             if host not in self._hosts_with_list:
                 self._hosts_with_list.add(host)
                 self._out.add(actions.TellPeer(host, copy))
@@ -303,6 +430,20 @@
         match message:
             case peer_messages.JobHandedOver():
                 self._dispatcher.job_handed_over(host, message, now=now)
+            case peer_messages.JobMoved(
+                job=handed_over,
+                redirected=redirected,
+                may_run_elsewhere=may_run_elsewhere,
+            ):
+                self._dispatcher.job_handed_over(
+                    host,
+                    handed_over,
+                    redirected=redirected,
+                    may_run_elsewhere=may_run_elsewhere,
+                    now=now,
+                )
+            case peer_messages.CellLoadTold():
+                self._dispatcher.overflow.load_received(host, message, now=now)
             case peer_messages.AllHandedOver(term=term):
                 if term == self._leadership.term:
                     self._dispatcher.all_handed_over(host, now=now)
@@ -330,9 +471,9 @@
 def _cancel_asked(
     host: LeasedHost, event: events.CancelAsked, now: float
 ) -> None:
-    known = host._owned_jobs.cancel(event.job)
-    leader = host._leadership.leader
-    if not known and leader:
+    if host._owned_jobs.cancel(event.job):
+        return
+    for leader in host._fleet.leaders.hosts:
         host._send(leader, peer_messages.JobCancelled(event.job))
 
 
@@ -340,14 +481,7 @@
 def _upstreams_listed(
     host: LeasedHost, event: events.UpstreamsListed, now: float
 ) -> None:
-    changed = host._update_listing(event, now=now)
-    if not changed or not host.leads:
-        return
-    upstreams = host._listing.upstreams
-    host._dispatcher.lease_manager.update_upstreams(upstreams, now=now)
-    host._hosts_with_list.clear()
-    host._send_upstreams()
-    host._dispatcher.place_waiting(now=now)
+    host._apply_listing(event, now=now)
 
 
 @_handles(events.PeerLinked)
@@ -355,8 +489,12 @@
     host: LeasedHost, event: events.PeerLinked, now: float
 ) -> None:
     host._linked_domains[event.host] = event.domain
+    host._fleet.host_linked(event.domain)
     host._leadership.peer_linked(event.host, event.domain, now=now)
     host._dispatcher.owner_linked(event.host, now=now)
+    if host._fleet.divided:
+        divided = peer_messages.FleetDivided()
+        host._out.add(actions.TellPeer(event.host, divided))
     standing = host._leadership.standing()
     host._out.add(actions.TellPeer(event.host, standing))
 
@@ -366,10 +504,15 @@
     host._linked_domains.pop(event.host, None)
     host._hosts_with_list.discard(event.host)
     host._hosts_with_evidence.discard(event.host)
+    host._dispatcher.overflow.host_lost(event.host)
     change = host._leadership.peer_lost(event.host, now=now)
     if host.leads:
         host._dispatcher.owner_lost(event.host, now=now)
     host._apply_change(change, now=now)
+    cell = host._fleet.host_lost(event.host)
+    if cell is not None:
+        nobody = ids.HostId("")
+        host._owned_jobs.leader_changed(cell, nobody, model.Term(0), now=now)
 
 
 @_handles(events.PeerTold)
@@ -422,6 +565,8 @@
 def _ticked(host: LeasedHost, event: events.Ticked, now: float) -> None:
     change = host._leadership.tick(now=now)
     host._apply_change(change, now=now)
+    host._update_adopted(now=now)
     host._dispatcher.tick(now=now)
+    host._send_load(now=now)
     host._send_evidence(now=now)
     host._owned_jobs.tick(now=now)
--- a/godwitnotch/core/leased/jobs.py
+++ b/godwitnotch/core/leased/jobs.py
@@ -58,6 +58,8 @@
         started: Whether a run was ordered, or an earlier leader may have
             ordered a run.
         rechecked: Whether the job was checked for admission a second time.
+        redirected: Whether the leader of another cell has redirected it.
+        may_run_elsewhere: Whether tasks may have been started in another cell.
     """
 
     request: model.JobRequest
@@ -71,6 +73,8 @@
     waiting_task_count: int = 0
     started: bool = False
     rechecked: bool = False
+    redirected: bool = False
+    may_run_elsewhere: bool = False
 
     def __post_init__(self) -> None:
         """Creates the tasks."""
--- a/godwitnotch/core/leased/leadership.py
+++ b/godwitnotch/core/leased/leadership.py
@@ -6,7 +6,8 @@
 whose linked hosts are no majority of all hosts holds leases only on upstreams
 of its own failure domain. A host whose linked hosts aren't even a majority of
 its own failure domain waits longer before it starts a term, as it may be cut
-off.
+off. In a divided fleet the hosts of each failure domain elect a leader of their
+own, and the leaders of the other domains don't matter here.
 """
 
 import enum
@@ -124,6 +125,7 @@
         self._election_wait_from = now + FIRST_ELECTION_DELAY_S
         self._draining = False
         self._serving = False
+        self._divided = False
         self._last_tick_at = now
 
     @property
@@ -161,6 +163,31 @@
         self._serving = serving
         return changed
 
+    def standings(
+        self,
+    ) -> list[tuple[ids.HostId, peer_messages.Standing]]:
+        """Returns the last Standing message of each linked host."""
+        return [
+            (
+                host,
+                peer_messages.Standing(
+                    peer.term,
+                    peer.leader,
+                    peer.rank,
+                    peer.draining,
+                    peer.serving,
+                ),
+            )
+            for host, peer in self._peers.items()
+        ]
+
+    def divide(self, *, now: float) -> LeadershipChange:
+        """Elects a leader for this host's failure domain from now on."""
+        self._divided = True
+        if not self._leader or self._is_elector(self._leader):
+            return LeadershipChange.NONE
+        return self._lose_leader(now=now)
+
     def drain(self) -> None:
         """Marks this host as draining, so that another host starts to lead."""
         self._draining = True
@@ -172,9 +199,9 @@
         self._known_hosts[host] = _LinkRecord(domain, None)
 
     def successors(self) -> list[ids.HostId]:
-        """Returns the linked hosts of highest rank in each failure domain."""
+        """Returns the electors of highest rank in each failure domain."""
         by_domain: dict[ids.DomainId, list[tuple[int, ids.HostId]]] = {}
-        for host, peer in self._peers.items():
+        for host, peer in self._electors():
             if host in self._known_hosts:
                 domain = self._known_hosts[host].domain
                 by_domain.setdefault(domain, []).append((peer.rank, host))
@@ -227,6 +254,8 @@
             standing.draining,
             standing.serving,
         )
+        if not self._is_elector(host):
+            return LeadershipChange.NONE
         if standing.leader == host and standing.term > self._term:
             return self._follow(host, standing.term)
         if standing.leader == host and standing.term == self._term:
@@ -305,7 +334,7 @@
             + self._count_better_peers() * HIGHER_RANK_ELECTION_DELAY_S
         )
         if any(
-            self._reports_other_leader(peer) for peer in self._peers.values()
+            self._reports_other_leader(peer) for _, peer in self._electors()
         ):
             wait_s += LEADER_KNOWN_ELECTION_DELAY_S
         if self.scope() is Scope.NONE:
@@ -321,7 +350,7 @@
         """Returns how many linked hosts are better suited to lead."""
         mine = (not self._draining, self._rank, self._host)
         better = 0
-        for host, peer in self._peers.items():
+        for host, peer in self._electors():
             if host != excluding:
                 better += (not peer.draining, peer.rank, host) > mine
         return better
@@ -389,7 +418,20 @@
             return None
         return self._follow(host, max(term, self._term))
 
-    def _peer_leaders(self) -> Iterator[tuple[model.Term, ids.HostId]]:
+    def _is_elector(self, host: ids.HostId) -> bool:
+        """Returns whether a host takes part in the elections of this host."""
+        if not self._divided or host == self._host:
+            return True
+        known = self._known_hosts.get(host)
+        return known is not None and known.domain == self._domain
+
+    def _electors(self) -> Iterator[tuple[ids.HostId, _Peer]]:
+        """Yields the linked hosts that take part in the elections."""
         for host, peer in self._peers.items():
+            if self._is_elector(host):
+                yield host, peer
+
+    def _peer_leaders(self) -> Iterator[tuple[model.Term, ids.HostId]]:
+        for host, peer in self._electors():
             if peer.leader == host and not peer.draining:
                 yield peer.term, host
--- a/godwitnotch/core/leased/model.py
+++ b/godwitnotch/core/leased/model.py
@@ -13,6 +13,8 @@
 Term = NewType("Term", int)
 RunNumber = NewType("RunNumber", int)
 UpstreamCallId = NewType("UpstreamCallId", int)
+# A group of upstreams with one leader: a failure domain, or the whole fleet.
+CellId = NewType("CellId", str)
 
 
 class JobEnd(enum.Enum):
--- a/godwitnotch/core/leased/owned_jobs.py
+++ b/godwitnotch/core/leased/owned_jobs.py
@@ -1,7 +1,9 @@
 """The jobs that this host owns: their callers wait here for an answer.
 
 The owner of a job answers its caller exactly once. It hands the job over to the
-leader, and hands it over again whenever the leader changes.
+leader of a cell, and hands it over again whenever that leader changes. A job
+goes to the cell of this host's failure domain. It goes to another cell if its
+own has no leader that can take it, or if a leader redirects it.
 """
 
 from collections.abc import Callable
@@ -9,6 +11,7 @@
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
+from godwitnotch.core.leased import cells
 from godwitnotch.core.leased import lease
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import outbox as outbox_module
@@ -21,6 +24,9 @@
 # this time: that leader stops the runs of owners that are no longer linked to
 # it, and the runs that it doesn't stop end when their lease expires.
 EARLIER_RUNS_END_S = lease.MAX_LEASE_DURATION_S + 0.2
+# Time for the hosts of a cell to elect its next leader, which goes on with the
+# runs of the last, before the jobs move to another cell.
+CELL_ELECTION_TIMEOUT_S = 0.7
 
 SendMessage = Callable[[ids.HostId, peer_messages.Message], None]
 
@@ -34,10 +40,15 @@
         request: The job as its caller sent it.
         arrived_at: When the job arrived.
         deadline: When the caller stops waiting.
+        cell: The cell that the job was last handed to; None if none, or if the
+            cell no longer exists.
         leader: The leader that the job was last handed to.
+        leader_lost_at: When that leader was lost; None while it leads.
         handed_over: Whether the job was handed to any leader.
-        had_earlier_leader: Whether the job was handed to a leader that this
-            host no longer follows.
+        had_earlier_leader: Whether the job was handed to a leader that no
+            longer leads its cell.
+        redirected: Whether a leader has redirected the job.
+        may_run_elsewhere: Whether tasks may have been started in another cell.
         earlier_runs_end_by: When all runs of earlier leaders have ended.
     """
 
@@ -45,32 +56,58 @@
     request: model.JobRequest
     arrived_at: float
     deadline: float
+    cell: model.CellId | None = None
     leader: ids.HostId = ids.HostId("")
+    leader_lost_at: float | None = None
     handed_over: bool = False
     had_earlier_leader: bool = False
+    redirected: bool = False
+    may_run_elsewhere: bool = False
     earlier_runs_end_by: float = 0.0
 
+    def leader_lost(self, *, now: float) -> None:
+        """Records that the leader no longer leads the job's cell."""
+        if self.leader_lost_at is None:
+            self.leader_lost_at = now
+        self.had_earlier_leader = True
+        self.earlier_runs_end_by = max(
+            self.earlier_runs_end_by, now + EARLIER_RUNS_END_S
+        )
+
 
 class OwnedJobs:
-    """Hands jobs over to the leader and answers their callers.
+    """Hands jobs over to the leaders and answers their callers.
 
     Args:
         out: Collects the actions to execute.
-        send: Sends a message to the leader, which may be this host.
+        leaders: The known leaders of all cells.
+        send: Sends a message to a leader, which may be this host.
     """
 
-    def __init__(self, out: outbox_module.Outbox, *, send: SendMessage) -> None:
+    def __init__(
+        self,
+        out: outbox_module.Outbox,
+        leaders: cells.CellLeaders,
+        *,
+        send: SendMessage,
+    ) -> None:
         self._out = out
+        self._leaders = leaders
         self._send = send
-        self._leader = ids.HostId("")
+        self._home = cells.WHOLE_FLEET
         self._jobs: dict[model.JobName, _OwnedJob] = {}
         self._calls: dict[ids.CallId, model.JobName] = {}
+        self._cells_chosen = 0
 
     @property
     def open_count(self) -> int:
         """How many callers wait for an answer."""
         return len(self._jobs)
 
+    def set_home(self, cell: model.CellId) -> None:
+        """Sets the cell that gets the jobs of this host."""
+        self._home = cell
+
     def job_received(
         self,
         call: ids.CallId,
@@ -80,6 +117,7 @@
         now: float,
     ) -> None:
         """Handles a job that a caller has sent."""
+        owned = _OwnedJob(call, request, now, deadline)
         earlier = self._jobs.get(request.job)
         if earlier is not None:
             # A caller that sends a job again no longer waits for the first
@@ -88,15 +126,20 @@
                 earlier,
                 model.Answer(model.JobEnd.GIVEN_UP, model.EndReason.CANCELLED),
             )
-        owned = _OwnedJob(call, request, now, deadline)
-        if earlier is not None:
+            owned.cell = earlier.cell
+            owned.leader = earlier.leader
+            owned.leader_lost_at = earlier.leader_lost_at
             owned.handed_over = earlier.handed_over
-            owned.earlier_runs_end_by = earlier.earlier_runs_end_by
             owned.had_earlier_leader = earlier.had_earlier_leader
+            owned.redirected = earlier.redirected
+            owned.may_run_elsewhere = earlier.may_run_elsewhere
+            owned.earlier_runs_end_by = earlier.earlier_runs_end_by
         self._jobs[request.job] = owned
         self._calls[call] = request.job
-        if self._leader:
-            self._hand_over(owned, now=now)
+        if owned.cell is None:
+            self._hand_to_any(owned, now=now)
+        elif owned.leader_lost_at is None:
+            self._hand_over(owned, owned.cell, now=now)
 
     def caller_left(self, call: ids.CallId) -> None:
         """Drops the job of a caller that has disconnected."""
@@ -119,57 +162,147 @@
         )
         return True
 
-    def job_answered(self, name: model.JobName, answer: model.Answer) -> None:
-        """Passes the leader's answer on to the caller."""
+    def job_answered(
+        self, leader: ids.HostId, name: model.JobName, answer: model.Answer
+    ) -> None:
+        """Passes a leader's answer on to the caller."""
         owned = self._jobs.get(name)
         if owned is None:
             return
+        final = answer.end in (model.JobEnd.COMPLETED, model.JobEnd.FAILED)
+        if not final and leader != owned.leader:
+            # The leader that the job is with now will answer it.
+            return
         if owned.had_earlier_leader and answer.end is model.JobEnd.REFUSED:
             # An earlier leader may have started tasks of the job.
             answer = model.Answer(model.JobEnd.GIVEN_UP, answer.reason)
         self._answer(owned, answer)
 
+    def job_redirected(
+        self,
+        leader: ids.HostId,
+        name: model.JobName,
+        to: ids.HostId,
+        *,
+        now: float,
+    ) -> None:
+        """Hands a job that its leader hasn't started to another leader."""
+        owned = self._jobs.get(name)
+        if owned is None or owned.leader != leader or owned.cell is None:
+            return
+        owned.redirected = True
+        cell = self._leaders.cell_of(to)
+        self._hand_over(owned, owned.cell if cell is None else cell, now=now)
+
     def leader_changed(
-        self, leader: ids.HostId, term: model.Term, *, now: float
+        self,
+        cell: model.CellId,
+        leader: ids.HostId,
+        term: model.Term,
+        *,
+        now: float,
     ) -> None:
-        """Hands all open jobs over to the new leader, if there is one."""
-        self._leader = leader
+        """Hands the jobs of a cell over to its new leader, if there is one."""
         for owned in self._jobs.values():
-            if owned.handed_over and owned.leader != leader:
-                owned.earlier_runs_end_by = max(
-                    owned.earlier_runs_end_by, now + EARLIER_RUNS_END_S
-                )
-                owned.had_earlier_leader = True
+            if owned.cell == cell and owned.leader != leader:
+                owned.leader_lost(now=now)
         if not leader:
             return
         for owned in tuple(self._jobs.values()):
-            self._hand_over(owned, now=now)
+            if owned.cell == cell:
+                self._hand_over(owned, cell, now=now)
+            elif owned.cell is None:
+                self._hand_to_any(owned, now=now)
         self._send(leader, peer_messages.AllHandedOver(term))
 
+    def fleet_divided(self, home: model.CellId, *, now: float) -> None:
+        """Gives up the leader of the whole fleet; its jobs move to cells."""
+        self._home = home
+        for owned in self._jobs.values():
+            if owned.cell is not None:
+                self._drop_at_leader(owned)
+                owned.leader_lost(now=now)
+                owned.cell = None
+                owned.may_run_elsewhere = True
+
     def tick(self, *, now: float) -> None:
-        """Answers jobs past their deadline; refuses jobs without a leader."""
+        """Answers or refuses jobs whose time is over; moves stranded jobs."""
         for owned in tuple(self._jobs.values()):
             if now >= owned.deadline:
                 self._deadline_passed(owned)
+            elif owned.cell is None:
+                self._hand_to_any(owned, now=now)
+                if (
+                    not owned.handed_over
+                    and now - owned.arrived_at >= NO_LEADER_TIMEOUT_S
+                ):
+                    self._refuse(owned, model.EndReason.NO_LEADER)
             elif (
-                not owned.handed_over
-                and now - owned.arrived_at >= NO_LEADER_TIMEOUT_S
+                owned.leader_lost_at is not None
+                and now - owned.leader_lost_at >= CELL_ELECTION_TIMEOUT_S
             ):
-                self._refuse(owned, model.EndReason.NO_LEADER)
+                self._move(owned, now=now)
+
+    def _hand_to_any(self, owned: _OwnedJob, *, now: float) -> None:
+        """Hands a job to the home cell, or to another while that has no leader.
+
+        Jobs go to the other cells by turns.
+        """
+        serving = self._leaders.serving_cells()
+        if self._home in serving:
+            self._hand_over(owned, self._home, now=now)
+        elif serving:
+            self._cells_chosen += 1
+            cell = serving[self._cells_chosen % len(serving)]
+            self._hand_over(owned, cell, now=now)
+        elif self._leaders.host(self._home):
+            self._hand_over(owned, self._home, now=now)
 
-    def _hand_over(self, owned: _OwnedJob, *, now: float) -> None:
-        owned.leader = self._leader
+    def _move(self, owned: _OwnedJob, *, now: float) -> None:
+        """Hands a job whose cell has no leader to another cell, if any."""
+        others = [
+            cell
+            for cell in self._leaders.serving_cells()
+            if cell != owned.cell or self._leaders.host(cell) != owned.leader
+        ]
+        if not others:
+            return
+        owned.leader_lost(now=now)
+        if owned.deadline <= owned.earlier_runs_end_by:
+            # No task may start there before the deadline.
+            self._answer(
+                owned,
+                model.Answer(
+                    model.JobEnd.GIVEN_UP, model.EndReason.LEADER_LOST
+                ),
+            )
+            return
+        owned.may_run_elsewhere = True
+        self._cells_chosen += 1
+        cell = others[self._cells_chosen % len(others)]
+        self._hand_over(owned, cell, now=now)
+
+    def _hand_over(
+        self, owned: _OwnedJob, cell: model.CellId, *, now: float
+    ) -> None:
+        owned.cell = cell
+        owned.leader = self._leaders.host(cell)
+        owned.leader_lost_at = None
         owned.handed_over = True
-        self._send(
-            self._leader,
-            peer_messages.JobHandedOver(
-                owned.request,
-                max(0.0, owned.deadline - now),
-                now - owned.arrived_at,
-                max(0.0, owned.earlier_runs_end_by - now),
-                owned.had_earlier_leader,
-            ),
+        message = peer_messages.JobHandedOver(
+            owned.request,
+            max(0.0, owned.deadline - now),
+            now - owned.arrived_at,
+            max(0.0, owned.earlier_runs_end_by - now),
+            owned.had_earlier_leader,
         )
+        if owned.redirected or owned.may_run_elsewhere:
+            moved = peer_messages.JobMoved(
+                message, owned.redirected, owned.may_run_elsewhere
+            )
+            self._send(owned.leader, moved)
+        else:
+            self._send(owned.leader, message)
 
     def _deadline_passed(self, owned: _OwnedJob) -> None:
         self._drop_at_leader(owned)
@@ -190,10 +323,9 @@
         )
 
     def _drop_at_leader(self, owned: _OwnedJob) -> None:
-        if owned.handed_over and self._leader:
-            self._send(
-                self._leader, peer_messages.JobDropped(owned.request.job)
-            )
+        if owned.leader and owned.leader_lost_at is None:
+            dropped = peer_messages.JobDropped(owned.request.job)
+            self._send(owned.leader, dropped)
 
     def _answer(self, owned: _OwnedJob, answer: model.Answer) -> None:
         self._jobs.pop(owned.request.job, None)
--- a/godwitnotch/core/leased/peer_messages.py
+++ b/godwitnotch/core/leased/peer_messages.py
@@ -139,6 +139,54 @@
     job: model.JobName
 
 
+@dataclass(frozen=True, slots=True)
+class FleetDivided:
+    """Each failure domain has a leader of its own from now on."""
+
+
+@dataclass(frozen=True, slots=True)
+class CellLoadTold:
+    """The load of the cell that the sender leads.
+
+    Attributes:
+        slots: How many tasks of average size can run at once.
+        free_slots: How many of the slots have no run.
+        waiting_ms: Expected run time of all waiting tasks.
+    """
+
+    slots: float
+    free_slots: float
+    waiting_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class JobRedirected:
+    """The sender has started no task of a job; another leader takes it sooner.
+
+    Attributes:
+        job: The job.
+        leader: The leader of the other cell.
+    """
+
+    job: model.JobName
+    leader: ids.HostId
+
+
+@dataclass(frozen=True, slots=True)
+class JobMoved:
+    """Hands a job over that was handed to the leader of another cell before.
+
+    Attributes:
+        job: The job.
+        redirected: Whether that leader has redirected it.
+        may_run_elsewhere: Whether tasks may have been started in that cell.
+    """
+
+    job: JobHandedOver
+    redirected: bool
+    may_run_elsewhere: bool
+
+
 Message = (
     Standing
     | HostsKnown
@@ -151,4 +199,8 @@
     | JobAnswered
     | JobDropped
     | JobCancelled
+    | FleetDivided
+    | CellLoadTold
+    | JobRedirected
+    | JobMoved
 )
--- a/godwitnotch/leased_demo.py
+++ b/godwitnotch/leased_demo.py
@@ -116,6 +116,7 @@
             seeds=(),
             store=store,
             relative_cpu_speed=1.0,
+            link_mbps=settings.DEFAULT_LINK_MBPS,
             termination_grace_s=TERMINATION_GRACE_S,
         )
     )
--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -18,6 +18,7 @@
 from godwitnotch.core import ids
 from godwitnotch.core import messages
 from godwitnotch.core.leased import actions
+from godwitnotch.core.leased import capacity
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import host as host_module
 from godwitnotch.core.leased import model
@@ -45,8 +46,8 @@
 IDLE_TIMEOUT_S = 60.0
 RECEIVE_TIMEOUT_S = 3.0
 MAX_CONNECTIONS = 2_000
-# A host with more CPU has a higher rank and is preferred as leader.
-RANK_PER_CORE = 100
+# A host with more capacity has a higher rank and is preferred as leader.
+RUNS_PER_S_PER_RANK = 10
 MAX_LOG_LINES_PER_WINDOW = 250  # For each log event.
 
 LINK_LIMITS = peer_link.PeerLimits(
@@ -94,12 +95,16 @@
         self._metrics = leased_metrics.LeasedMetrics()
         self._rng = random.Random(secrets.randbits(128))
         self._identity = model.KnownHost(settings.peers, settings.domain)
+        runs_per_s = capacity.HostCapacity(
+            settings.relative_cpu_speed, settings.link_mbps
+        ).runs_per_s
         self._core = host_module.LeasedHost(
             host=settings.peers,
             domain=settings.domain,
-            rank=round(settings.relative_cpu_speed * RANK_PER_CORE),
+            rank=round(runs_per_s / RUNS_PER_S_PER_RANK),
             unix_time=time.time,
             now=self._loop.time(),
+            runs_per_s=runs_per_s,
         )
         self._links = self._make_links()
         self._order_client = leased_calls.OrderClient()
--- a/godwitnotch/net/leased_runtime.py
+++ b/godwitnotch/net/leased_runtime.py
@@ -93,6 +93,11 @@
         """Whether this host is the leader."""
         return self._core.leads
 
+    @property
+    def lists_upstreams(self) -> bool:
+        """Whether this host reads the list of upstreams for all leaders."""
+        return self._core.lists_upstreams
+
     @property
     def isolated(self) -> bool:
         """Whether this host has no link to any other host."""
--- a/godwitnotch/net/leased_store.py
+++ b/godwitnotch/net/leased_store.py
@@ -18,6 +18,9 @@
 
 CONFIG_POLL_WAIT_MS = 1_000
 UPSTREAMS_POLL_INTERVAL_S = 0.6
+# Interval of the leaders that get the list from another leader, which may have
+# lost the store.
+SECONDARY_POLL_INTERVAL_S = 3.0
 STORE_CALL_TIMEOUT_S = 0.8
 MIN_BACKOFF_S = 0.15
 MAX_BACKOFF_S = 0.6
@@ -31,6 +34,10 @@
     def leads(self) -> bool:
         """Whether this host is the leader; only the leader needs upstreams."""
 
+    @property
+    def lists_upstreams(self) -> bool:
+        """Whether this host reads the list of upstreams for all leaders."""
+
     @property
     def isolated(self) -> bool:
         """Whether this host has no link to any other host."""
@@ -101,8 +108,11 @@
             self._refresh_requested.clear()
             if self._listener.leads:
                 await self._read_upstreams()
+            interval_s = UPSTREAMS_POLL_INTERVAL_S
+            if self._listener.leads and not self._listener.lists_upstreams:
+                interval_s = SECONDARY_POLL_INTERVAL_S
             try:
-                async with asyncio.timeout(UPSTREAMS_POLL_INTERVAL_S):
+                async with asyncio.timeout(interval_s):
                     await self._refresh_requested.wait()
             except TimeoutError:
                 continue
--- a/godwitnotch/platform/settings.py
+++ b/godwitnotch/platform/settings.py
@@ -13,6 +13,7 @@
 
 PATH_VARIABLE = "GODWITNOTCH_NODE_FILE"
 DEFAULT_PATH = "/etc/godwitnotch/settings.conf"
+DEFAULT_LINK_MBPS = 1_000.0
 
 
 class PlatformSettingsError(Exception):
@@ -38,6 +39,7 @@
         store: Address of the platform's store.
         relative_cpu_speed: Share of a core that the process gets, times the
             speed of that core as a multiple of a reference core.
+        link_mbps: Bandwidth of the machine's network link, in Mbit/s.
         termination_grace_s: Time between SIGTERM and SIGKILL.
     """
 
@@ -50,6 +52,7 @@
     seeds: tuple[ids.HostId, ...]
     store: str
     relative_cpu_speed: float
+    link_mbps: float
     termination_grace_s: float
 
 
@@ -93,6 +96,7 @@
             seeds=_parse_seeds(values),
             store=values["platform.address"],
             relative_cpu_speed=_parse_cpu_speed(values),
+            link_mbps=float(values.get("limits.link_mbps", DEFAULT_LINK_MBPS)),
             termination_grace_s=float(values.get("bounds.grace_s", "6")),
         )
     except KeyError as error:
