--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -122,6 +122,18 @@
         """Whether this host reads the list of upstreams for all leaders."""
         return self.leads and self._fleet.lists_upstreams
 
+    @property
+    def watched_hosts(self) -> frozenset[ids.HostId] | None:
+        """The hosts whose loss this host must notice soon; None for all."""
+        if not self._fleet.divided or self.leads:
+            return None
+        own = {
+            host
+            for host, domain in self._linked_domains.items()
+            if domain == self._domain
+        }
+        return frozenset(own | set(self._fleet.leaders.hosts))
+
     @property
     def open_jobs(self) -> int:
         """How many callers wait for an answer from this host."""
@@ -236,9 +248,15 @@
             self._out.add(actions.TellPeer(host, load))
 
     def _send_standing(self) -> None:
+        """Tells the linked hosts what this host knows of its leader.
+
+        In a divided fleet the hosts of other domains hear it from the leader.
+        """
         standing = self._leadership.standing()
+        told = self.watched_hosts
         for host in self._linked_domains:
-            self._out.add(actions.TellPeer(host, standing))
+            if told is None or host in told:
+                self._out.add(actions.TellPeer(host, standing))
 
     def _update_serving(self) -> None:
         """Tells linked hosts when this leader gets or loses all its leases."""
--- a/godwitnotch/net/leased_runtime.py
+++ b/godwitnotch/net/leased_runtime.py
@@ -25,6 +25,7 @@
 # A configuration is large, so a peer is asked for a newer version only if the
 # store has not delivered it after this delay, and at most once per delay.
 CONFIGURATION_REQUEST_DELAY_S = 0.8
+WATCHED_UPDATE_INTERVAL_S = 0.5
 
 OnDecided = Callable[[actions.Decided], None]
 OnFault = Callable[[str, BaseException], None]
@@ -71,6 +72,7 @@
         self._request_configuration_at: float | None = None
         self._on_elected: Callable[[], None] | None = None
         self._was_leader = False
+        self._next_watched_update_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
 
     @property
@@ -294,6 +296,10 @@
     def _tick(self) -> None:
         self._timer = self._loop.call_later(TICK_INTERVAL_S, self._tick)
         self.feed(events.Ticked())
+        now = self._loop.time()
+        if now >= self._next_watched_update_at:
+            self._next_watched_update_at = now + WATCHED_UPDATE_INTERVAL_S
+            self._links.set_watched(self._core.watched_hosts)
 
     def _operation_done(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
--- a/godwitnotch/net/peer_link.py
+++ b/godwitnotch/net/peer_link.py
@@ -45,6 +45,8 @@
             longer if `max_heartbeats_per_s` requires it.
         max_heartbeats_per_s: Maximum rate of heartbeats over all links. With
             many links, the interval on each link grows.
+        max_background_heartbeats_per_s: Maximum rate of heartbeats over all
+            background links, see `PeerLinks.set_watched`.
         silence_timeout_s: A link is closed if the peer sends no message for
             this long after a message was sent to it. A link without traffic is
             closed after this time or three heartbeat intervals, whichever is
@@ -68,6 +70,7 @@
 
     heartbeat_interval_s: float = 1.0
     max_heartbeats_per_s: float = 8.0
+    max_background_heartbeats_per_s: float = 8.0
     silence_timeout_s: float = 3.0
     handshake_timeout_s: float = 2.0
     min_backoff_s: float = 0.1
@@ -171,6 +174,7 @@
         self._server: websockets.asyncio.server.Server | None = None
         self._links: dict[ids.HostId, _Link] = {}
         self._listed_hosts: dict[ids.HostId, model.HostEntry] = {}
+        self._watched: frozenset[ids.HostId] | None = None
         self._dial_tasks: dict[ids.HostId, asyncio.Task[None]] = {}
         self._open_handshakes = 0
         self._closing = False
@@ -209,6 +213,15 @@
                     functools.partial(self._dial_finished, host)
                 )
 
+    def set_watched(self, hosts: frozenset[ids.HostId] | None) -> None:
+        """Sets the hosts whose loss must be noticed soon; None for all.
+
+        The other links are background links: they get fewer heartbeats, so that
+        the cost of a host doesn't grow with the number of hosts. A message to
+        such a host that isn't answered still shows its loss.
+        """
+        self._watched = hosts
+
     def send(
         self, host: ids.HostId, message: messages.LinkMessage
     ) -> SendResult:
@@ -242,18 +255,32 @@
             now = loop.time()
             loop_stalled = now - last_check_at > 2 * limits.heartbeat_interval_s
             last_check_at = now
+            interval_s = max(
+                limits.heartbeat_interval_s,
+                len(self._links) / limits.max_heartbeats_per_s,
+            )
+            background_interval_s = self._background_interval_s(interval_s)
             for link in list(self._links.values()):
                 if loop_stalled:
                     # Messages received during the stall are still unread.
                     link.record_received(now=now)
-                self._monitor_link(link, now)
+                watched = self._is_watched(link.hello.host)
+                self._monitor_link(
+                    link, interval_s if watched else background_interval_s, now
+                )
 
-    def _monitor_link(self, link: "_Link", now: float) -> None:
-        limits = self._limits
-        interval_s = max(
-            limits.heartbeat_interval_s,
-            len(self._links) / limits.max_heartbeats_per_s,
-        )
+    def _is_watched(self, host: ids.HostId) -> bool:
+        return self._watched is None or host in self._watched
+
+    def _background_interval_s(self, interval_s: float) -> float:
+        """Returns the interval between heartbeats on a background link."""
+        count = sum(not self._is_watched(host) for host in self._links)
+        rate = self._limits.max_background_heartbeats_per_s
+        return max(interval_s, count / rate)
+
+    def _monitor_link(
+        self, link: "_Link", interval_s: float, now: float
+    ) -> None:
         try:
             link.check(interval_s, now=now)
         except Exception:  # A fault on one link must not stop the others.
@@ -517,10 +544,12 @@
         # `limits.heartbeat_interval_s`, so a heartbeat that is due within half
         # of this interval is sent now.
         slack_s = self._limits.heartbeat_interval_s / 2
-        heartbeat_due = now >= self._last_heartbeat_at + interval_s - slack_s
-        self._heartbeat_interval_s = interval_s
+        # A longer interval holds only once a heartbeat has announced it.
+        wait_s = min(interval_s, self._heartbeat_interval_s) - slack_s
+        heartbeat_due = now >= self._last_heartbeat_at + wait_s
         if probe_due or heartbeat_due:
             self._last_heartbeat_at = now
+            self._heartbeat_interval_s = interval_s
             self._send_heartbeat(interval_s, probe=probe_due)
 
     def _unanswered_before(self, time: float) -> bool:
--- /dev/null
+++ b/tests/test_leased_cells.py
@@ -0,0 +1,268 @@
+"""Tests of a fleet that is divided into cells, each with its own leader."""
+
+import unittest
+
+from godwitnotch.core import ids
+from godwitnotch.core.leased import capacity
+from godwitnotch.core.leased import cell_map
+from godwitnotch.core.leased import jobs
+from godwitnotch.core.leased import model
+from godwitnotch.core.leased import overflow
+from godwitnotch.core.leased import peer_messages
+from tests import leased_world
+
+NOW = 100.0
+HOSTS = {"a": ["a1", "a2", "a3"], "b": ["b1", "b2"], "c": ["c1", "c2"]}
+OTHER = ids.HostId("other")
+THIRD = ids.HostId("third")
+ANYWHERE = overflow.Suitability(1.0, {OTHER: 1.0, THIRD: 1.0})
+
+
+def divided_world(**options: int) -> leased_world.World:
+    world = leased_world.World(HOSTS, runs_per_s=1.0, **options)
+    world.run(3.0)
+    return world
+
+
+def make_job(tasks: int = 2, *, base_ms: float = 100.0) -> jobs.LeasedJob:
+    return jobs.LeasedJob(
+        request=leased_world.request("j", tasks, estimate_ms=base_ms),
+        owner=ids.HostId("a"),
+        arrived_at=NOW,
+        deadline=NOW + 10,
+        earlier_runs_end_by=0.0,
+        base_ms=base_ms,
+    )
+
+
+def make_load(
+    *, slots: float = 10.0, free: float = 0.0, waiting_ms: float = 0.0
+) -> overflow.CellLoad:
+    return overflow.CellLoad(slots, free, waiting_ms)
+
+
+def told(load: overflow.CellLoad) -> peer_messages.CellLoadTold:
+    return peer_messages.CellLoadTold(
+        load.slots, load.free_slots, load.waiting_ms
+    )
+
+
+class CapacityTest(unittest.TestCase):
+    def test_a_slow_link_limits_a_host_with_a_fast_processor(self) -> None:
+        fast = capacity.HostCapacity(cores=2.0, link_mbps=1_000.0)
+        choked = capacity.HostCapacity(cores=2.0, link_mbps=2.0)
+        self.assertEqual(fast.runs_per_s, 2 * capacity.RUNS_PER_CORE_S)
+        self.assertLess(choked.runs_per_s, 200.0)
+
+    def test_one_leader_is_enough_for_few_upstreams(self) -> None:
+        self.assertFalse(capacity.exceeds_one_leader(48, runs_per_s=1_070.0))
+        self.assertTrue(capacity.exceeds_one_leader(540, runs_per_s=2_150.0))
+        self.assertTrue(capacity.exceeds_one_leader(85, runs_per_s=120.0))
+
+
+class OverflowTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.overflow = overflow.Overflow()
+
+    def choose(
+        self,
+        own: overflow.CellLoad,
+        suitability: overflow.Suitability = ANYWHERE,
+        *,
+        now: float = NOW,
+    ) -> ids.HostId | None:
+        return self.overflow.choose(make_job(), own, suitability, now=now)
+
+    def load(self, host: ids.HostId, load: overflow.CellLoad) -> None:
+        self.overflow.load_received(host, told(load), now=NOW)
+
+    def test_job_stays_while_its_own_cell_has_free_slots(self) -> None:
+        self.load(OTHER, make_load(free=10.0))
+        self.assertIsNone(self.choose(make_load(free=2.0)))
+
+    def test_job_moves_from_a_burst_to_the_cell_with_the_shortest_wait(
+        self,
+    ) -> None:
+        self.load(OTHER, make_load(waiting_ms=500.0))
+        self.load(THIRD, make_load(free=5.0))
+        self.assertEqual(self.choose(make_load(waiting_ms=2_000.0)), THIRD)
+
+    def test_job_stays_if_it_gains_too_little(self) -> None:
+        self.load(OTHER, make_load(waiting_ms=1_000.0))
+        self.assertIsNone(self.choose(make_load(waiting_ms=1_200.0)))
+
+    def test_a_burst_is_spread_before_the_next_loads_arrive(self) -> None:
+        self.load(OTHER, make_load(free=4.0))
+        self.load(THIRD, make_load(free=4.0))
+        chosen = [self.choose(make_load(waiting_ms=2_000.0)) for _ in range(4)]
+        self.assertEqual(sorted(chosen), [OTHER, OTHER, THIRD, THIRD])
+
+    def test_old_load_is_not_trusted(self) -> None:
+        self.load(OTHER, make_load(free=10.0))
+        later = NOW + overflow.MAX_LOAD_AGE_S
+        busy = make_load(waiting_ms=2_000.0)
+        self.assertIsNone(self.choose(busy, now=later))
+
+    def test_job_moves_to_the_only_cell_that_can_run_it(self) -> None:
+        self.load(OTHER, make_load(waiting_ms=500.0))
+        self.load(THIRD, make_load(free=5.0))
+        suitability = overflow.Suitability(None, {OTHER: 1.0})
+        chosen = self.choose(make_load(free=10.0), suitability)
+        self.assertEqual(chosen, OTHER)
+
+    def test_job_moves_to_its_rack_unless_the_wait_there_is_longer(
+        self,
+    ) -> None:
+        far = overflow.Suitability(1.5, {OTHER: 1.0})
+        self.load(OTHER, make_load(free=5.0))
+        self.assertEqual(self.choose(make_load(free=5.0), far), OTHER)
+        self.load(OTHER, make_load(waiting_ms=5_000.0))
+        self.assertIsNone(self.choose(make_load(free=5.0), far))
+
+
+class CellMapTest(unittest.TestCase):
+    def test_run_factor_by_service_label_and_rack(self) -> None:
+        world = leased_world.World({"a": ["a1"], "b": ["b1"]})
+        cells = cell_map.CellMap()
+        cells.update(each.entry for each in world.upstreams.values())
+        plain = leased_world.request("j")
+        cases = (
+            ({}, ["a"], 1.0),
+            ({}, ["c"], None),
+            ({"required_label": "rack-b"}, ["a"], None),
+            ({"required_label": "rack-b"}, ["b"], 1.0),
+            ({"preferred_rack": "rack-b"}, ["a"], 1.5),
+            ({"preferred_rack": "rack-b"}, ["a", "b"], 1.0),
+        )
+        for changes, domains, factor in cases:
+            with self.subTest(changes=changes, domains=domains):
+                tasks = model.TaskGroup(
+                    **{
+                        **{
+                            name: getattr(plain.tasks, name)
+                            for name in model.TaskGroup.__slots__
+                        },
+                        **changes,
+                    }
+                )
+                request = model.JobRequest(
+                    plain.job, plain.spec, tasks, plain.settings
+                )
+                self.assertEqual(cells.run_factor(request, domains), factor)
+
+
+class DividedFleetTest(unittest.TestCase):
+    def test_each_domain_has_a_leader_that_holds_its_upstreams(self) -> None:
+        world = divided_world()
+        led = {world.domains[name]: name for name in world.leaders()}
+        self.assertEqual(set(led), {"a", "b", "c"})
+        for leader in led.values():
+            self.assertEqual(world.hosts[leader].held_upstreams, 2)
+        self.assertTrue(all(host.ready for host in world.hosts.values()))
+
+    def test_a_fleet_that_one_leader_can_serve_is_not_divided(self) -> None:
+        world = leased_world.World(HOSTS, runs_per_s=1_000.0)
+        world.run(3.0)
+        self.assertEqual(len(world.leaders()), 1)
+
+    def test_jobs_run_in_the_domain_of_their_owner(self) -> None:
+        world = divided_world()
+        call = world.submit("b1", "j", tasks=2)
+        world.run(1.0)
+        self.assertIs(world.answers[call][1].end, model.JobEnd.COMPLETED)
+        self.assertEqual({name[0] for name, _ in world.started_runs}, {"b"})
+
+    def test_burst_in_one_domain_uses_the_upstreams_of_all(self) -> None:
+        world = divided_world()
+        calls = [world.submit("a1", f"j{n}", tasks=4) for n in range(3)]
+        world.run(0.5)
+        self.assertEqual(
+            {world.answers[call][1].end for call in calls},
+            {model.JobEnd.COMPLETED},
+        )
+        domains = [name[0] for name, _ in world.started_runs]
+        self.assertEqual(set(domains), {"a", "b", "c"})
+        self.assertEqual(world.overlaps(), [])
+
+    def test_loss_of_a_leader_leaves_the_other_cells_alone(self) -> None:
+        world = divided_world()
+        world.run_time_ms = 300.0
+        leaders = {world.domains[name]: name for name in world.leaders()}
+        owners = {"a": "a3", "b": "b2", "c": "c2"}
+        calls = {
+            domain: world.submit(owner, f"j{domain}", tasks=2)
+            for domain, owner in owners.items()
+            if owner != leaders[domain]
+        }
+        world.run(0.05)
+        world.kill(leaders["a"])
+        world.run(1.5)
+        for domain, call in calls.items():
+            at, answer = world.answers[call]
+            self.assertIs(answer.end, model.JobEnd.COMPLETED, domain)
+        self.assertEqual(world.start_count("jb"), 2 if "b" in calls else 0)
+        led = {world.domains[name] for name in world.leaders()}
+        self.assertEqual(led, {"a", "b", "c"})
+        self.assertEqual(world.overlaps(), [])
+
+    def test_jobs_go_to_another_cell_while_their_own_has_no_leader(
+        self,
+    ) -> None:
+        world = divided_world()
+        for name in ("b1", "b2"):
+            if world.hosts[name].leads:
+                leader, other = name, "b1" if name == "b2" else "b2"
+        world.kill(leader)
+        call = world.submit(other, "j", tasks=2)
+        world.run(0.25)
+        at, answer = world.answers[call]
+        self.assertIs(answer.end, model.JobEnd.COMPLETED)
+
+    def test_domain_that_is_cut_off_keeps_its_leader_and_runs(self) -> None:
+        world = divided_world()
+        world.run_time_ms = 900.0
+        leader = next(n for n in world.leaders() if n.startswith("c"))
+        call = world.submit("c1", "j", tasks=2)
+        world.run(0.1)
+        inside = {"c1", "c2", "c-u0", "c-u1"}
+        world.partition(inside, {*world.domains, *world.upstreams} - inside)
+        world.run(2.0)
+        self.assertIs(world.answers[call][1].end, model.JobEnd.COMPLETED)
+        self.assertEqual(world.start_count("j"), 2)
+        self.assertTrue(world.hosts[leader].leads)
+
+    def test_upstreams_of_a_domain_without_hosts_are_used(self) -> None:
+        world = leased_world.World({**HOSTS, "d": []}, runs_per_s=1.0)
+        world.run(6.0)
+        held = sum(world.hosts[n].held_upstreams for n in world.leaders())
+        self.assertEqual(held, len(world.upstreams))
+
+    def test_host_that_starts_later_joins_the_cell_of_its_domain(self) -> None:
+        world = divided_world()
+        before = {world.domains[name]: name for name in world.leaders()}
+        world.kill("a3")
+        world.run(0.5)
+        world.start_host("a3", rank=0)
+        world.link_all()
+        world.run(1.0)
+        after = {world.domains[name]: name for name in world.leaders()}
+        self.assertEqual(set(after), {"a", "b", "c"})
+        if before["a"] != "a3":
+            self.assertEqual(after, before)
+        call = world.submit("a3", "j", tasks=1)
+        world.run(0.5)
+        self.assertIs(world.answers[call][1].end, model.JobEnd.COMPLETED)
+
+    def test_followers_watch_their_domain_and_the_leaders_only(self) -> None:
+        world = divided_world()
+        leaders = set(world.leaders())
+        for name, core in world.hosts.items():
+            if name in leaders:
+                self.assertIsNone(core.watched_hosts)
+                continue
+            own = set(HOSTS[world.domains[name]]) - {name}
+            self.assertEqual(core.watched_hosts, own | leaders)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -226,6 +226,32 @@
         await wait_until(lambda: low.link_down_count() == 1)
         self.assertEqual(low.note_count("peer_link_silent"), 1)
 
+    async def test_background_link_has_rare_heartbeats_and_stays_open(
+        self,
+    ) -> None:
+        limits = dataclasses.replace(
+            LIMITS, max_background_heartbeats_per_s=2.0
+        )
+        low = await self.host("a", limits=limits)
+        high = await self.host("b", limits=limits)
+        low.list_host(high)
+        await wait_until(lambda: low.links.linked and high.links.linked)
+        for host in (low, high):
+            host.links.set_watched(frozenset())
+        await wait_until(
+            lambda: (
+                [beat.interval_s for beat in high.received(messages.Heartbeat)][
+                    -1:
+                ]
+                == [0.5]
+            )
+        )
+        count = len(high.received(messages.Heartbeat))
+        await asyncio.sleep(1.2)
+        # One more each half a second, and the two ends of that time.
+        self.assertLessEqual(len(high.received(messages.Heartbeat)), count + 4)
+        self.assertEqual(high.link_down_count(), 0)
+
     async def test_an_open_link_does_not_count_as_a_handshake(self) -> None:
         one = dataclasses.replace(LIMITS, max_handshakes=1)
         high = await self.host("c", limits=one)
