--- a/godwitnotch/core/leased/fleet.py
+++ b/godwitnotch/core/leased/fleet.py
@@ -53,6 +53,11 @@
         """The known leaders of all cells."""
         return self._leaders
 
+    @property
+    def can_divide(self) -> bool:
+        """Whether more than one failure domain has hosts."""
+        return len(self._host_domains) > 1
+
     @property
     def other_leaders(self) -> list[ids.HostId]:
         """The known leaders without this host."""
@@ -151,7 +156,9 @@
         Returns:
             Whether the adopted domains have changed.
         """
-        orphans = self._map.domains - self._host_domains
+        orphans: frozenset[ids.DomainId] = frozenset()
+        if self.other_leaders:  # Else this host may only be cut off.
+            orphans = self._map.domains - self._host_domains
         self._orphaned_since = {
             domain: self._orphaned_since.get(domain, now) for domain in orphans
         }
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -100,6 +100,7 @@
         self._higher_term_since = now
         self._higher_term_seen_at = float("-inf")
         self._draining = False
+        self._told_leading = False
         self._now = now
 
     @property
@@ -198,7 +199,9 @@
 
     def _divide_if_too_large(self, *, now: float) -> None:
         """Divides the fleet if this leader can't order all its runs."""
-        if not self._fleet.divided and capacity.exceeds_one_leader(
+        if self._fleet.divided or not self._fleet.can_divide:
+            return
+        if capacity.exceeds_one_leader(
             len(self._listing.upstreams), runs_per_s=self._runs_per_s
         ):
             self._divide_fleet(now=now)
@@ -250,10 +253,13 @@
     def _send_standing(self) -> None:
         """Tells the linked hosts what this host knows of its leader.
 
-        In a divided fleet the hosts of other domains hear it from the leader.
+        In a divided fleet the hosts of other domains hear only from a leader:
+        that it leads, and that it no longer does.
         """
         standing = self._leadership.standing()
-        told = self.watched_hosts
+        told_all = self.leads or self._told_leading
+        self._told_leading = self.leads
+        told = None if told_all else self.watched_hosts
         for host in self._linked_domains:
             if told is None or host in told:
                 self._out.add(actions.TellPeer(host, standing))
@@ -515,6 +521,9 @@
         host._out.add(actions.TellPeer(event.host, divided))
     standing = host._leadership.standing()
     host._out.add(actions.TellPeer(event.host, standing))
+    if host.leads and not host._fleet.divided:
+        host._divide_if_too_large(now=now)
+        host._hold_upstreams(now=now)
 
 
 @_handles(events.PeerLost)
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -247,7 +247,10 @@
 
     def tick(self, *, now: float) -> None:
         """Handles expired leases; repeats stop orders and list requests."""
-        for lease in tuple(self._leases.values()):
+        for upstream, lease in tuple(self._leases.items()):
+            if not lease.listed and not lease.runs:
+                del self._leases[upstream]
+                continue
             if lease.runs and now >= lease.expires_at:
                 self._expire(lease, now=now)
             if lease.stopping:
--- a/godwitnotch/core/leased/owned_jobs.py
+++ b/godwitnotch/core/leased/owned_jobs.py
@@ -43,6 +43,7 @@
         cell: The cell that the job was last handed to; None if none, or if the
             cell no longer exists.
         leader: The leader that the job was last handed to.
+        term: The term of that leader.
         leader_lost_at: When that leader was lost; None while it leads.
         handed_over: Whether the job was handed to any leader.
         had_earlier_leader: Whether the job was handed to a leader that no
@@ -58,6 +59,7 @@
     deadline: float
     cell: model.CellId | None = None
     leader: ids.HostId = ids.HostId("")
+    term: model.Term = model.Term(0)
     leader_lost_at: float | None = None
     handed_over: bool = False
     had_earlier_leader: bool = False
@@ -128,6 +130,7 @@
             )
             owned.cell = earlier.cell
             owned.leader = earlier.leader
+            owned.term = earlier.term
             owned.leader_lost_at = earlier.leader_lost_at
             owned.handed_over = earlier.handed_over
             owned.had_earlier_leader = earlier.had_earlier_leader
@@ -192,7 +195,10 @@
             return
         owned.redirected = True
         cell = self._leaders.cell_of(to)
-        self._hand_over(owned, owned.cell if cell is None else cell, now=now)
+        if cell is None:
+            cell = owned.cell
+        if self._leaders.get(cell) is not None:
+            self._hand_over(owned, cell, now=now)
 
     def leader_changed(
         self,
@@ -202,9 +208,13 @@
         *,
         now: float,
     ) -> None:
-        """Hands the jobs of a cell over to its new leader, if there is one."""
+        """Hands the jobs of a cell over to its new leader, if there is one.
+
+        A host that leads again in a new term has forgotten its jobs.
+        """
         for owned in self._jobs.values():
-            if owned.cell == cell and owned.leader != leader:
+            unchanged = (owned.leader, owned.term) == (leader, term)
+            if owned.cell == cell and not unchanged:
                 owned.leader_lost(now=now)
         if not leader:
             return
@@ -286,7 +296,10 @@
         self, owned: _OwnedJob, cell: model.CellId, *, now: float
     ) -> None:
         owned.cell = cell
-        owned.leader = self._leaders.host(cell)
+        leader = self._leaders.get(cell)
+        assert leader is not None
+        owned.leader = leader.host
+        owned.term = leader.term
         owned.leader_lost_at = None
         owned.handed_over = True
         message = peer_messages.JobHandedOver(
--- a/tests/test_leased_cells.py
+++ b/tests/test_leased_cells.py
@@ -3,11 +3,15 @@
 import unittest
 
 from godwitnotch.core import ids
+from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import capacity
 from godwitnotch.core.leased import cell_map
+from godwitnotch.core.leased import cells
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import outbox
 from godwitnotch.core.leased import overflow
+from godwitnotch.core.leased import owned_jobs
 from godwitnotch.core.leased import peer_messages
 from tests import leased_world
 
@@ -120,6 +124,34 @@
         self.assertIsNone(self.choose(make_load(free=5.0), far))
 
 
+class OwnedJobsTest(unittest.TestCase):
+    def test_refusal_in_a_new_term_of_the_leader_does_not_mean_not_started(
+        self,
+    ) -> None:
+        out = outbox.Outbox()
+        leaders = cells.CellLeaders()
+        owned = owned_jobs.OwnedJobs(
+            out, leaders, send=lambda host, message: None
+        )
+        cell = model.CellId("b")
+        owned.set_home(cell)
+        leaders.set(cell, cells.CellLeader(OTHER, model.Term(1), True))
+        request = leased_world.request("j")
+        owned.job_received(ids.CallId(1), request, NOW + 5, now=NOW)
+        leaders.set(cell, cells.CellLeader(OTHER, model.Term(2), True))
+        owned.leader_changed(cell, OTHER, model.Term(2), now=NOW)
+        refusal = model.Answer(
+            model.JobEnd.REFUSED, model.EndReason.OVERLOADED, 1.0
+        )
+        owned.job_answered(OTHER, request.job, refusal)
+        (answer,) = [
+            each.answer
+            for each in out.take()
+            if isinstance(each, actions.AnswerCaller)
+        ]
+        self.assertIs(answer.end, model.JobEnd.GIVEN_UP)
+
+
 class CellMapTest(unittest.TestCase):
     def test_run_factor_by_service_label_and_rack(self) -> None:
         world = leased_world.World({"a": ["a1"], "b": ["b1"]})
--- a/tests/test_leased_histories.py
+++ b/tests/test_leased_histories.py
@@ -262,6 +262,11 @@
 # With these seeds, upstreams that had received the term of a former leader were
 # never leased again.
 FAILED_SEEDS = (5186, 5252)
+# With the first seed, a host that led its cell again in a new term refused a job
+# of which it had started a task in the last. With the second, a leader that had
+# no link to another domain when it was elected never divided the fleet. With the
+# third, upstreams that a host had adopted while cut off were never released.
+DIVIDED_FAILED_SEEDS = (38, 40, 120)
 
 
 class HistoriesTest(unittest.TestCase):
@@ -272,6 +277,13 @@
                 history.run()
                 self.assertEqual(history.problems(), [])
 
+    def test_histories_of_a_divided_fleet_that_failed_before(self) -> None:
+        for seed in DIVIDED_FAILED_SEEDS:
+            with self.subTest(seed=seed):
+                history = History(seed, divided=True)
+                history.run()
+                self.assertEqual(history.problems(), [])
+
     def test_random_histories(self) -> None:
         self.check_histories(divided=False)
 
