--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -5,8 +5,10 @@
 import random
 import secrets
 import signal
+import socket
 import sys
 import time
+from collections.abc import Mapping
 from typing import Any
 
 from godwitnotch import leased_metrics
@@ -16,6 +18,7 @@
 from godwitnotch.core import ids
 from godwitnotch.core import messages
 from godwitnotch.core.leased import actions
+from godwitnotch.core.leased import capacity
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import host as host_module
 from godwitnotch.core.leased import model
@@ -26,6 +29,7 @@
 from godwitnotch.net import leased_calls
 from godwitnotch.net import leased_runtime
 from godwitnotch.net import leased_store
+from godwitnotch.net import listeners
 from godwitnotch.net import peer_link
 from godwitnotch.platform import configuration as configuration_module
 from godwitnotch.platform import settings as settings_module
@@ -42,8 +46,8 @@
 IDLE_TIMEOUT_S = 60.0
 RECEIVE_TIMEOUT_S = 3.0
 MAX_CONNECTIONS = 2_000
-# A host with more CPU has a higher rank and is preferred as leader.
-RANK_PER_CORE = 100
+# A host with more capacity has a higher rank and is preferred as leader.
+RUNS_PER_S_PER_RANK = 10
 MAX_LOG_LINES_PER_WINDOW = 250  # For each log event.
 
 LINK_LIMITS = peer_link.PeerLimits(
@@ -91,12 +95,16 @@
         self._metrics = leased_metrics.LeasedMetrics()
         self._rng = random.Random(secrets.randbits(128))
         self._identity = model.KnownHost(settings.peers, settings.domain)
+        runs_per_s = capacity.HostCapacity(
+            settings.relative_cpu_speed, settings.link_mbps
+        ).runs_per_s
         self._core = host_module.LeasedHost(
             host=settings.peers,
             domain=settings.domain,
-            rank=round(settings.relative_cpu_speed * RANK_PER_CORE),
+            rank=round(runs_per_s / RUNS_PER_S_PER_RANK),
             unix_time=time.time,
             now=self._loop.time(),
+            runs_per_s=runs_per_s,
         )
         self._links = self._make_links()
         self._order_client = leased_calls.OrderClient()
@@ -148,17 +156,27 @@
         """Whether this host is the leader."""
         return self._core.leads
 
-    async def start(self) -> None:
+    async def start(
+        self, bound: Mapping[str, socket.socket] | None = None
+    ) -> None:
         """Starts to listen, then starts the host core.
 
+        Args:
+            bound: Listening sockets by address, where the caller has already
+                bound them; this host binds the other addresses itself.
+
         Raises:
             OSError: A listening address can't be bound.
         """
-        ip, _, port = self._settings.peers.rpartition(":")
-        await self._links.start(peer_link.bind(ip, int(port)))
+        bound = bound or {}
+        await self._links.start(
+            bound.get(self._settings.peers)
+            or listeners.bind_address(self._settings.peers)
+        )
         for address, server in self._servers.items():
-            ip, _, port = address.rpartition(":")
-            await server.start(ip, int(port))
+            await server.start_on(
+                bound.get(address) or listeners.bind_address(address)
+            )
         for signum in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(signum, self._start_drain)
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -15,6 +15,7 @@
 from godwitnotch.core import messages
 from godwitnotch.core import model
 from godwitnotch.net import codec
+from godwitnotch.net import listeners
 from godwitnotch.net import peer_link
 from tests.process import relay
 
@@ -77,7 +78,7 @@
         self.heartbeat = lambda: messages.Heartbeat(1, False)
 
     async def start(self, port: int = 0) -> "Host":
-        listener = peer_link.bind("127.0.0.1", port)
+        listener = listeners.bind("127.0.0.1", port)
         self.address = f"127.0.0.1:{listener.getsockname()[1]}"
         await self.links.start(listener)
         return self
@@ -225,6 +226,32 @@
         await wait_until(lambda: low.link_down_count() == 1)
         self.assertEqual(low.note_count("peer_link_silent"), 1)
 
+    async def test_background_link_has_rare_heartbeats_and_stays_open(
+        self,
+    ) -> None:
+        limits = dataclasses.replace(
+            LIMITS, max_background_heartbeats_per_s=2.0
+        )
+        low = await self.host("a", limits=limits)
+        high = await self.host("b", limits=limits)
+        low.list_host(high)
+        await wait_until(lambda: low.links.linked and high.links.linked)
+        for host in (low, high):
+            host.links.set_watched(frozenset())
+        await wait_until(
+            lambda: (
+                [beat.interval_s for beat in high.received(messages.Heartbeat)][
+                    -1:
+                ]
+                == [0.5]
+            )
+        )
+        count = len(high.received(messages.Heartbeat))
+        await asyncio.sleep(1.2)
+        # One more each half a second, and the two ends of that time.
+        self.assertLessEqual(len(high.received(messages.Heartbeat)), count + 4)
+        self.assertEqual(high.link_down_count(), 0)
+
     async def test_an_open_link_does_not_count_as_a_handshake(self) -> None:
         one = dataclasses.replace(LIMITS, max_handshakes=1)
         high = await self.host("c", limits=one)
