--- a/godwitnotch/core/leased/capacity.py
+++ b/godwitnotch/core/leased/capacity.py
@@ -7,8 +7,8 @@
 RUNS_PER_CORE_S = 1_000.0
 # A start, its end and their share of renewals, in both directions.
 BYTES_PER_RUN = 1_500
-# Runs of a busy upstream, of which about one in three lasts a second.
-RUNS_PER_UPSTREAM_S = 6.0
+# Runs of a busy upstream: two at a time, a fifth of a second each.
+RUNS_PER_UPSTREAM_S = 10.0
 
 _BYTES_PER_MBIT = 125_000
 
--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -242,7 +242,7 @@
             self._listing_complete(now) and self._lease_manager.all_runs_known()
         )
         unplaced_count = 0
-        for job in tuple(self._queue.ordered(now=now)):
+        for job in self._queue.ordered(now=now):
             if now < job.earlier_runs_end_by and (
                 job.may_run_elsewhere or not all_runs_known
             ):
--- a/godwitnotch/core/leased/waiting.py
+++ b/godwitnotch/core/leased/waiting.py
@@ -59,7 +59,11 @@
             del self._jobs[job.name]
 
     def ordered(self, *, now: float) -> Iterable[jobs.LeasedJob]:
-        """Yields the jobs in the order of service."""
+        """Yields the jobs in the order of service.
+
+        Jobs may be added and removed meanwhile; added ones are not yielded. A
+        caller that stops early doesn't pay for the rest of a long queue.
+        """
         self._sort(now=now)
         for job in self._sorted_jobs:
             if job.waiting_task_count and self._jobs.get(job.name) is job:
