--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -350,6 +350,35 @@
             ]
             raise AssertionError("\n".join([str(error), *lines])) from None
 
+    def link_counts(self) -> dict[tuple[str, str], int]:
+        """Returns how many links each host has opened to each other host."""
+        return {
+            (host.name, other.name): sum(
+                line.endswith(f"peer={other.name}")
+                for line in host.process.log_lines("peer_link_up")
+            )
+            for host in self.hosts
+            for other in self.hosts
+            if other is not host
+        }
+
+    async def wait_relinked(self, before: dict[tuple[str, str], int]) -> None:
+        """Waits until each host has a new link to each other host.
+
+        A link whose bytes are lost counts as linked until it is noticed as
+        silent, so `wait_linked` alone may return too early.
+
+        Args:
+            before: `link_counts` when the old links broke.
+        """
+
+        async def relinked() -> bool:
+            now = self.link_counts()
+            return all(now[pair] > before[pair] for pair in before)
+
+        await wait_until(relinked, "all hosts have new links")
+        await self.wait_linked()
+
     async def put_workspace(self, host: Host) -> None:
         """Creates the tests' workspace; fails unless it is in force."""
         answer = await self.change_workspace(host, version=0)
