--- a/godwitnotch/core/leased/capacity.py
+++ b/godwitnotch/core/leased/capacity.py
@@ -9,6 +9,8 @@
 BYTES_PER_RUN = 1_500
 # Runs of a busy upstream: two at a time, a fifth of a second each.
 RUNS_PER_UPSTREAM_S = 10.0
+# With more hosts, a link between each two of them costs more than it serves.
+MAX_LINKED_HOSTS = 80
 
 _BYTES_PER_MBIT = 125_000
 
--- a/godwitnotch/core/leased/events.py
+++ b/godwitnotch/core/leased/events.py
@@ -105,6 +105,19 @@
     runs: model.RunList
 
 
+@dataclass(frozen=True, slots=True)
+class HostsCounted:
+    """The hosts that this host knows, linked or not.
+
+    Attributes:
+        count: Number of hosts.
+        domains: Their failure domains.
+    """
+
+    count: int
+    domains: frozenset[ids.DomainId]
+
+
 @dataclass(frozen=True, slots=True)
 class DrainStarted:
     """This host drains: it reports not ready and lets another host lead."""
@@ -127,6 +140,7 @@
     | OrderRejected
     | OrderUnanswered
     | RunsListed
+    | HostsCounted
     | DrainStarted
     | Ticked
 )
--- a/godwitnotch/core/leased/fleet.py
+++ b/godwitnotch/core/leased/fleet.py
@@ -68,9 +68,9 @@
         """Whether this host, if it leads, reads the list for all leaders."""
         return self._host == min(self._leaders.hosts, default=self._host)
 
-    def host_linked(self, domain: ids.DomainId) -> None:
-        """Records that a failure domain has hosts."""
-        self._host_domains.add(domain)
+    def hosts_seen(self, domains: Iterable[ids.DomainId]) -> None:
+        """Records that failure domains have hosts."""
+        self._host_domains.update(domains)
 
     def divide(self) -> None:
         """Makes each failure domain a cell."""
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -123,6 +123,19 @@
         """Whether this host reads the list of upstreams for all leaders."""
         return self.leads and self._fleet.lists_upstreams
 
+    @property
+    def leads_cell(self) -> bool:
+        """Whether this host leads one of several cells."""
+        return self.leads and self._fleet.divided
+
+    @property
+    def links_to_all(self) -> bool:
+        """Whether this host opens links to hosts of other failure domains.
+
+        In a divided fleet only the leaders do, so that owners reach them.
+        """
+        return self.leads or not self._fleet.divided
+
     @property
     def watched_hosts(self) -> frozenset[ids.HostId] | None:
         """The hosts whose loss this host must notice soon; None for all."""
@@ -199,15 +212,15 @@
 
     def _divide_if_too_large(self, *, now: float) -> None:
         """Divides the fleet if this leader can't order all its runs."""
-        if self._fleet.divided or not self._fleet.can_divide:
-            return
-        if capacity.exceeds_one_leader(
+        if self._fleet.can_divide and capacity.exceeds_one_leader(
             len(self._listing.upstreams), runs_per_s=self._runs_per_s
         ):
             self._divide_fleet(now=now)
 
     def _divide_fleet(self, *, now: float) -> None:
         """Lets each failure domain elect a leader of its own, from now on."""
+        if self._fleet.divided:
+            return
         self._out.add_decision(
             "fleet_divided",
             detail=f"domain={self._domain} "
@@ -346,9 +359,8 @@
     ) -> None:
         match message:
             case peer_messages.FleetDivided():
-                if not self._fleet.divided:
-                    self._divide_fleet(now=now)
-                    self._hold_upstreams(now=now)
+                self._divide_fleet(now=now)
+                self._hold_upstreams(now=now)
             case peer_messages.Standing():
                 self._other_standing(host, message, now=now)
                 change = self._leadership.standing_received(
@@ -513,7 +525,7 @@
     host: LeasedHost, event: events.PeerLinked, now: float
 ) -> None:
     host._linked_domains[event.host] = event.domain
-    host._fleet.host_linked(event.domain)
+    host._fleet.hosts_seen((event.domain,))
     host._leadership.peer_linked(event.host, event.domain, now=now)
     host._dispatcher.owner_linked(event.host, now=now)
     if host._fleet.divided:
@@ -579,6 +591,16 @@
     host._dispatcher.place_waiting(now=now)
 
 
+@_handles(events.HostsCounted)
+def _hosts_counted(
+    host: LeasedHost, event: events.HostsCounted, now: float
+) -> None:
+    host._fleet.hosts_seen(event.domains)
+    if event.count > capacity.MAX_LINKED_HOSTS and host._fleet.can_divide:
+        host._divide_fleet(now=now)
+        host._hold_upstreams(now=now)
+
+
 @_handles(events.DrainStarted)
 def _drain_started(
     host: LeasedHost, event: events.DrainStarted, now: float
--- a/godwitnotch/net/leased_runtime.py
+++ b/godwitnotch/net/leased_runtime.py
@@ -27,6 +27,8 @@
 CONFIGURATION_REQUEST_DELAY_S = 0.8
 WATCHED_UPDATE_INTERVAL_S = 0.5
 
+_UNKNOWN_DOMAIN = ids.DomainId("")
+
 OnDecided = Callable[[actions.Decided], None]
 OnFault = Callable[[str, BaseException], None]
 
@@ -72,6 +74,7 @@
         self._request_configuration_at: float | None = None
         self._on_elected: Callable[[], None] | None = None
         self._was_leader = False
+        self._linked_to_all = True
         self._next_watched_update_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
 
@@ -101,9 +104,13 @@
         return self._core.lists_upstreams
 
     @property
-    def isolated(self) -> bool:
-        """Whether this host has no link to any other host."""
-        return not self._links.linked
+    def wants_hosts(self) -> bool:
+        """Whether this host needs to find hosts that it may not know.
+
+        It does while it has no link, and as the leader of a cell, since no host
+        of another failure domain links to it by itself.
+        """
+        return not self._links.linked or self._core.leads_cell
 
     def start(self, *, on_elected: Callable[[], None]) -> None:
         """Starts the host core.
@@ -221,20 +228,38 @@
         new_hosts = {
             other.host: other
             for other in hosts
-            if other.host != self._identity.host
+            if other.host != self._identity.host and self._tells_more(other)
         }
-        if all(host in self._known_hosts for host in new_hosts):
+        if not new_hosts:
             return
         self._known_hosts.update(new_hosts)
-        # The id of a host is also its address for peers.
+        domains = {known.domain for known in self._known_hosts.values()}
+        self.feed(
+            events.HostsCounted(
+                len(self._known_hosts) + 1,
+                frozenset(domains - {_UNKNOWN_DOMAIN}),
+            )
+        )
+        self._update_links()
+
+    def _tells_more(self, other: model.KnownHost) -> bool:
+        """Returns whether a host was unknown, or its domain was."""
+        known = self._known_hosts.get(other.host)
+        if known is None:
+            return True
+        return known.domain == _UNKNOWN_DOMAIN != other.domain
+
+    def _update_links(self) -> None:
+        """Dials all known hosts, or only those of this failure domain."""
+        self._linked_to_all = self._core.links_to_all
+        near = (self._identity.domain, _UNKNOWN_DOMAIN)
         self._links.update_hosts(
+            # The id of a host is also its address for peers.
             host_model.HostEntry(
-                known_host.host,
-                known_host.domain,
-                ids.Incarnation(""),
-                known_host.host,
+                known.host, known.domain, ids.Incarnation(""), known.host
             )
-            for known_host in self._known_hosts.values()
+            for known in self._known_hosts.values()
+            if self._linked_to_all or known.domain in near
         )
 
     def _send_known_hosts(self, host: ids.HostId) -> None:
@@ -300,6 +325,8 @@
         if now >= self._next_watched_update_at:
             self._next_watched_update_at = now + WATCHED_UPDATE_INTERVAL_S
             self._links.set_watched(self._core.watched_hosts)
+        if self._core.links_to_all != self._linked_to_all:
+            self._update_links()
 
     def _operation_done(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
--- a/godwitnotch/net/leased_store.py
+++ b/godwitnotch/net/leased_store.py
@@ -24,7 +24,7 @@
 STORE_CALL_TIMEOUT_S = 0.8
 MIN_BACKOFF_S = 0.15
 MAX_BACKOFF_S = 0.6
-ISOLATED_POLL_INTERVAL_S = 2.0
+HOSTS_POLL_INTERVAL_S = 2.0
 
 
 class StoreListener(Protocol):
@@ -39,8 +39,8 @@
         """Whether this host reads the list of upstreams for all leaders."""
 
     @property
-    def isolated(self) -> bool:
-        """Whether this host has no link to any other host."""
+    def wants_hosts(self) -> bool:
+        """Whether this host needs to find hosts that it may not know."""
 
     def apply_configuration(
         self, configuration: configuration_module.Configuration, document: bytes
@@ -118,13 +118,13 @@
                 continue
 
     async def watch_hosts(self) -> None:
-        """Registers this host; reads the other hosts while none is linked."""
+        """Registers this host; reads the other hosts while they are wanted."""
         failures = 0
         while True:
             try:
                 await self._discover_hosts()
                 failures = 0
-                await asyncio.sleep(ISOLATED_POLL_INTERVAL_S)
+                await asyncio.sleep(HOSTS_POLL_INTERVAL_S)
             except store_module.StoreUnavailable as error:
                 failures += 1
                 self._mark_unreachable(error)
@@ -221,7 +221,7 @@
                 deadline=self._deadline(),
             )
             self._registered = True
-        elif not self._listener.isolated:
+        elif not self._listener.wants_hosts:
             return
         rows = await self._store.rows(
             store_module.HOSTS_TABLE, deadline=self._deadline()
