--- a/tests/test_leased_cells.py
+++ b/tests/test_leased_cells.py
@@ -1,18 +1,23 @@
 """Tests of a fleet that is divided into cells, each with its own leader."""
 
+import dataclasses
 import unittest
+import unittest.mock
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import capacity
 from godwitnotch.core.leased import cell_map
 from godwitnotch.core.leased import cells
+from godwitnotch.core.leased import dispatcher
+from godwitnotch.core.leased import events
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import outbox
 from godwitnotch.core.leased import overflow
 from godwitnotch.core.leased import owned_jobs
 from godwitnotch.core.leased import peer_messages
+from godwitnotch.core.leased import waiting
 from tests import leased_world
 
 NOW = 100.0
@@ -64,6 +69,37 @@
         self.assertTrue(capacity.exceeds_one_leader(45, runs_per_s=120.0))
 
 
+class LongQueueTest(unittest.TestCase):
+    def test_an_event_costs_no_look_at_all_waiting_jobs(self) -> None:
+        # In a burst on a fleet with one leader, each event went through the
+        # whole queue; the leader fell behind, and so the queue grew.
+        world = leased_world.World({"a": ["a1"]}, upstreams=1)
+        world.run(3.0)
+        plain = leased_world.request("j")
+        patient = dataclasses.replace(plain.settings, target_ms=1e6)
+        for number in range(300):
+            request = dataclasses.replace(
+                plain, job=model.JobName(f"j{number}"), settings=patient
+            )
+            call = ids.CallId(number)
+            event = events.JobAsked(call, request, world.now + 60.0)
+            world.deliver("a1", event)
+        self.assertGreater(world.hosts["a1"].waiting_jobs, 290)
+        looked_at = []
+        ordered = waiting.WaitingQueue.ordered
+
+        def count_jobs(queue, *, now):
+            for job in ordered(queue, now=now):
+                looked_at.append(job.name)
+                yield job
+
+        with unittest.mock.patch.object(
+            waiting.WaitingQueue, "ordered", count_jobs
+        ):
+            world.deliver("a1", events.Ticked())
+        self.assertEqual(len(looked_at), dispatcher.MAX_UNPLACED_JOB_COUNT)
+
+
 class OverflowTest(unittest.TestCase):
     def setUp(self) -> None:
         self.overflow = overflow.Overflow()
