--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -13,6 +13,7 @@
 
 from godwitnotch import leased_metrics
 from godwitnotch import log
+from godwitnotch import log_streams
 from godwitnotch import process
 from godwitnotch.core import events as peer_events
 from godwitnotch.core import ids
@@ -48,6 +49,7 @@
 MAX_CONNECTIONS = 2_000
 # A host with more capacity has a higher rank and is preferred as leader.
 RUNS_PER_S_PER_RANK = 10
+LOG_DELAY_S = 0.05  # Lines of this time are written together.
 MAX_LOG_LINES_PER_WINDOW = 250  # For each log event.
 
 LINK_LIMITS = peer_link.PeerLimits(
@@ -68,15 +70,20 @@
     Raises:
         OSError: A listening address can't be bound.
     """
-    log.configure(
-        stream=log.NonBlockingStream(sys.stdout.fileno()),
-        max_lines_per_window=MAX_LOG_LINES_PER_WINDOW,
+    loop = asyncio.get_running_loop()
+    stream = log_streams.BatchingStream(
+        log_streams.NonBlockingStream(sys.stdout.fileno()),
+        call_later=lambda write: loop.call_later(LOG_DELAY_S, write),
     )
-    host = LeasedHost(settings)
-    await host.start()
-    await host.wait_drained()
-    await host.close()
-    log.event("host_exited", host=settings.name)
+    log.configure(stream=stream, max_lines_per_window=MAX_LOG_LINES_PER_WINDOW)
+    try:
+        host = LeasedHost(settings)
+        await host.start()
+        await host.wait_drained()
+        await host.close()
+        log.event("host_exited", host=settings.name)
+    finally:
+        stream.write_batch()
 
 
 class LeasedHost:
--- a/godwitnotch/log.py
+++ b/godwitnotch/log.py
@@ -3,7 +3,6 @@
 import io
 import json
 import logging
-import os
 import sys
 import time
 from collections import OrderedDict
@@ -123,60 +122,6 @@
     return json.dumps(text)
 
 
-class NonBlockingStream(io.TextIOBase):
-    """Writes lines to a file descriptor without blocking.
-
-    While the descriptor's buffer is full, whole lines are dropped. When the
-    buffer has room again, a separate line reports how many were dropped.
-
-    Args:
-        descriptor: File descriptor to write to; becomes non-blocking.
-    """
-
-    def __init__(self, descriptor: int) -> None:
-        super().__init__()
-        os.set_blocking(descriptor, False)
-        self._descriptor = descriptor
-        self._unsent = b""
-        self._dropped = 0
-
-    def writable(self) -> bool:
-        """Returns True, as `io.IOBase` requires of a writable stream."""
-        return True
-
-    def write(self, text: str) -> int:
-        """Writes a line, or drops it if the buffer is full."""
-        if self._unsent and not self._send(b""):
-            self._dropped += 1
-            return len(text)
-        if self._dropped:
-            notice = f"event=log_lines_dropped lines={self._dropped}\n"
-            self._dropped = 0
-            self._send(notice.encode())
-        if self._unsent:
-            self._dropped += 1
-        else:
-            self._send(text.encode())
-        return len(text)
-
-    def _send(self, data: bytes) -> bool:
-        """Adds data to the unsent data and writes as much as possible.
-
-        Returns:
-            Whether all data was written.
-        """
-        self._unsent += data
-        try:
-            sent = os.write(self._descriptor, self._unsent)
-        except BlockingIOError:
-            sent = 0
-        except OSError:
-            # The reader of the log has exited; the host continues without it.
-            sent = len(self._unsent)
-        self._unsent = self._unsent[sent:]
-        return not self._unsent
-
-
 @dataclass(slots=True)
 class _Window:
     """Counts of the lines of one log event in the current window."""
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -7,7 +7,7 @@
 import unittest
 import unittest.mock
 
-from godwitnotch import log
+from godwitnotch import log_streams
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import admission
@@ -612,6 +612,24 @@
             settings.parse("node=a\nzone=d\n")
 
 
+class BatchingStreamTest(unittest.TestCase):
+    def test_lines_are_written_together_and_in_order(self) -> None:
+        written: list[str] = []
+        due = []
+        stream = log_streams.BatchingStream(
+            unittest.mock.Mock(write=written.append), call_later=due.append
+        )
+        for line in ("a\n", "b\n"):
+            stream.write(line)
+        self.assertEqual((written, len(due)), ([], 1))
+        due.pop()()
+        self.assertEqual(written, ["a\nb\n"])
+        stream.write("c" * log_streams.MAX_BATCH_CHARS + "\n")
+        self.assertEqual(len(written), 2)
+        due.pop()()
+        self.assertEqual(len(written), 2)
+
+
 class NonBlockingStreamTest(unittest.TestCase):
     def test_stalled_reader_loses_lines_without_blocking_the_writer(
         self,
@@ -619,7 +637,7 @@
         reader, writer = os.pipe()
         self.addCleanup(os.close, reader)
         self.addCleanup(os.close, writer)
-        stream = log.NonBlockingStream(writer)
+        stream = log_streams.NonBlockingStream(writer)
         for number in range(5_000):
             stream.write(f"event=line number={number} {'x' * 80}\n")
         first = os.read(reader, 1 << 20).decode()
