--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -119,6 +119,11 @@
         """The loads of the other cells."""
         return self._overflow
 
+    @property
+    def open_jobs(self) -> int:
+        """How many jobs this leader has not answered."""
+        return len(self._jobs)
+
     @property
     def waiting_jobs(self) -> int:
         """How many jobs have not had a run."""
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -101,6 +101,7 @@
         self._higher_term_seen_at = float("-inf")
         self._draining = False
         self._told_leading = False
+        self._host_count = 1
         self._now = now
 
     @property
@@ -211,8 +212,15 @@
         )
 
     def _divide_if_too_large(self, *, now: float) -> None:
-        """Divides the fleet if this leader can't order all its runs."""
-        if self._fleet.can_divide and capacity.exceeds_one_leader(
+        """Divides the fleet if one leader is too few for it.
+
+        A leader with open jobs doesn't, since they would have to wait until
+        their runs have ended; the next leader then does.
+        """
+        if not self._fleet.can_divide or self._dispatcher.open_jobs:
+            return
+        too_large = self._host_count > capacity.MAX_LINKED_HOSTS
+        if too_large or capacity.exceeds_one_leader(
             len(self._listing.upstreams), runs_per_s=self._runs_per_s
         ):
             self._divide_fleet(now=now)
@@ -596,8 +604,11 @@
     host: LeasedHost, event: events.HostsCounted, now: float
 ) -> None:
     host._fleet.hosts_seen(event.domains)
-    if event.count > capacity.MAX_LINKED_HOSTS and host._fleet.can_divide:
-        host._divide_fleet(now=now)
+    host._host_count = event.count
+    if host._fleet.divided:
+        return
+    if host.leads or not host.leader:
+        host._divide_if_too_large(now=now)
         host._hold_upstreams(now=now)
 
 
--- a/tests/test_leased_cells.py
+++ b/tests/test_leased_cells.py
@@ -233,6 +233,24 @@
         world.run(3.0)
         self.assertEqual(len(world.leaders()), 1)
 
+    def test_a_fleet_that_grows_is_divided_once_it_has_no_open_job(
+        self,
+    ) -> None:
+        world = leased_world.World(HOSTS, runs_per_s=65.0)
+        world.run(3.0)
+        self.assertEqual(len(world.leaders()), 1)
+        world.run_time_ms = 900.0
+        call = world.submit("c1", "j", tasks=2)
+        world._add_upstream("a", "a-u9")
+        world.run(0.8)
+        self.assertEqual(len(world.leaders()), 1)
+        world.run(0.5)
+        self.assertIs(world.answers[call][1].end, model.JobEnd.COMPLETED)
+        self.assertEqual(world.start_count("j"), 2)
+        world._add_upstream("a", "a-u10")
+        world.run(2.0)
+        self.assertEqual(len(world.leaders()), 3)
+
     def test_jobs_run_in_the_domain_of_their_owner(self) -> None:
         world = divided_world()
         call = world.submit("b1", "j", tasks=2)
