--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -119,6 +119,11 @@
         """The loads of the other cells."""
         return self._overflow
 
+    @property
+    def open_jobs(self) -> int:
+        """How many jobs this leader has not answered."""
+        return len(self._jobs)
+
     @property
     def waiting_jobs(self) -> int:
         """How many jobs have not had a run."""
@@ -242,7 +247,7 @@
             self._listing_complete(now) and self._lease_manager.all_runs_known()
         )
         unplaced_count = 0
-        for job in tuple(self._queue.ordered(now=now)):
+        for job in self._queue.ordered(now=now):
             if now < job.earlier_runs_end_by and (
                 job.may_run_elsewhere or not all_runs_known
             ):
