--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -120,9 +120,9 @@
         return self._overflow
 
     @property
-    def open_jobs(self) -> int:
-        """How many jobs this leader has not answered."""
-        return len(self._jobs)
+    def any_started(self) -> bool:
+        """Whether any open job has, or may have, runs."""
+        return any(job.started for job in self._jobs.values())
 
     @property
     def waiting_jobs(self) -> int:
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -8,8 +8,8 @@
 from godwitnotch.core.leased import capacity
 from godwitnotch.core.leased import dispatcher as dispatcher_module
 from godwitnotch.core.leased import events
-from godwitnotch.core.leased import evidence as evidence_module
 from godwitnotch.core.leased import fleet as fleet_module
+from godwitnotch.core.leased import leader_updates
 from godwitnotch.core.leased import leadership as leadership_module
 from godwitnotch.core.leased import lease as lease_module
 from godwitnotch.core.leased import listing as listing_module
@@ -18,23 +18,13 @@
 from godwitnotch.core.leased import overflow
 from godwitnotch.core.leased import owned_jobs
 from godwitnotch.core.leased import peer_messages
+from godwitnotch.core.leased import term_raises
 from godwitnotch.core.leased.leadership import LeadershipChange
 from godwitnotch.core.leased.leadership import Scope
 
 _Handler = Callable[["LeasedHost", Any, float], None]
 _HANDLERS: dict[type, _Handler] = {}
 
-# Seconds of Unix time by which a leader raises its term for the first time; the
-# value doubles with each raise.
-FIRST_TERM_RAISE_S = 2.0
-MAX_TERM_RAISE_S = 256.0
-MIN_TERM_RAISE_INTERVAL_S = 0.5
-# Maximum time until hosts that can reach each other are linked.
-LEADER_LINK_TIMEOUT_S = 3.0
-# After this time without a rejection for a higher term, the next rejection
-# counts as the first.
-HIGHER_TERM_RESET_S = 2.5
-
 
 def _handles(*kinds: type) -> Callable[[_Handler], _Handler]:
     """Registers a function as the handler of event classes."""
@@ -74,9 +64,6 @@
         self._runs_per_s = runs_per_s
         self._fleet = fleet_module.Fleet(host=host, domain=domain)
         self._out = outbox_module.Outbox()
-        self._hosts_with_list: set[ids.HostId] = set()
-        self._hosts_with_evidence: set[ids.HostId] = set()
-        self._next_evidence_at = 0.0
         self._next_load_at = 0.0
         self._linked_domains: dict[ids.HostId, ids.DomainId] = {}
         self._listing = listing_module.UpstreamListing(now=now)
@@ -95,10 +82,10 @@
             listing_complete=lambda now: self._listing.complete(now=now),
             higher_term_seen=self._higher_term_seen,
         )
-        self._term_raise_s = FIRST_TERM_RAISE_S
-        self._next_term_raise_at = 0.0
-        self._higher_term_since = now
-        self._higher_term_seen_at = float("-inf")
+        self._updates = leader_updates.LeaderUpdates(
+            self._out, self._dispatcher.evidence
+        )
+        self._term_raises = term_raises.TermRaises(now=now)
         self._draining = False
         self._told_leading = False
         self._host_count = 1
@@ -186,8 +173,7 @@
             f"scope={leadership.scope().value}",
         )
         self._dispatcher.stop_leading()
-        self._hosts_with_list.clear()
-        self._hosts_with_evidence.clear()
+        self._updates.clear()
         if change is LeadershipChange.ELECTED:
             self._divide_if_too_large(now=now)
             self._dispatcher.start_leading(
@@ -211,19 +197,27 @@
             serving=leadership.leader_serving,
         )
 
-    def _divide_if_too_large(self, *, now: float) -> None:
+    def _divide_if_too_large(self, *, now: float) -> bool:
         """Divides the fleet if one leader is too few for it.
 
-        A leader with open jobs doesn't, since they would have to wait until
-        their runs have ended; the next leader then does.
+        A leader whose jobs have runs doesn't, since these jobs would have to
+        wait until all their runs have ended; the next leader then does.
+
+        Returns:
+            Whether the fleet was divided; a leader then holds fewer upstreams.
         """
-        if not self._fleet.can_divide or self._dispatcher.open_jobs:
-            return
-        too_large = self._host_count > capacity.MAX_LINKED_HOSTS
-        if too_large or capacity.exceeds_one_leader(
-            len(self._listing.upstreams), runs_per_s=self._runs_per_s
-        ):
-            self._divide_fleet(now=now)
+        if self._fleet.divided or not self._fleet.can_divide:
+            return False
+        too_large = (
+            self._host_count > capacity.MAX_LINKED_HOSTS
+            or capacity.exceeds_one_leader(
+                len(self._listing.upstreams), runs_per_s=self._runs_per_s
+            )
+        )
+        if not too_large or self._dispatcher.any_started:
+            return False
+        self._divide_fleet(now=now)
+        return True
 
     def _divide_fleet(self, *, now: float) -> None:
         """Lets each failure domain elect a leader of its own, from now on."""
@@ -340,28 +334,19 @@
             return
         if (
             self._dispatcher.lease_manager.holds_any()
-            and self._other_leader_may_link(now=now)
+            and self._term_raises.other_leader_may_link(now=now)
         ):
             return
-        if now < self._next_term_raise_at:
+        raise_s = self._term_raises.take(now=now)
+        if raise_s is None:
             return
-        # The leader of the higher term is gone, or its clock was ahead.
-        self._leadership.raise_term(by_s=self._term_raise_s)
-        self._next_term_raise_at = now + MIN_TERM_RAISE_INTERVAL_S
-        self._term_raise_s = min(MAX_TERM_RAISE_S, self._term_raise_s * 2)
+        self._leadership.raise_term(by_s=raise_s)
         self._dispatcher.lease_manager.set_term(self._leadership.term)
         self._out.add_decision(
             "term_raised", detail=f"term={self._leadership.term}"
         )
         self._send_standing()
 
-    def _other_leader_may_link(self, *, now: float) -> bool:
-        """Returns whether the higher term's leader still has time to link."""
-        if now - self._higher_term_seen_at > HIGHER_TERM_RESET_S:
-            self._higher_term_since = now
-        self._higher_term_seen_at = now
-        return now - self._higher_term_since < LEADER_LINK_TIMEOUT_S
-
     def _handle_message(
         self, host: ids.HostId, message: peer_messages.Message, *, now: float
     ) -> None:
@@ -413,7 +398,7 @@
             return
         self._divide_if_too_large(now=now)
         self._hold_upstreams(now=now)
-        self._hosts_with_list.clear()
+        self._updates.list_changed()
         self._send_upstreams()
         self._dispatcher.place_waiting(now=now)
 
@@ -435,37 +420,10 @@
         """Sends the list of upstreams to the hosts that may lead next."""
         if not self.leads or not self._listing.upstreams:
             return
-        copy = peer_messages.UpstreamsCopy(self._listing.upstreams)
         receivers = self._leadership.successors()
         if self._fleet.divided and self.lists_upstreams:
             receivers += self._fleet.other_leaders
-        for host in receivers:
-            if host not in self._hosts_with_list:
-                self._hosts_with_list.add(host)
-                self._out.add(actions.TellPeer(host, copy))
-
-    def _send_evidence(self, *, now: float) -> None:
-        """Sends evidence on upstreams to the hosts that may lead next."""
-        if not self.leads or now < self._next_evidence_at:
-            return
-        self._next_evidence_at = now + evidence_module.SEND_INTERVAL_S
-        evidence = self._dispatcher.evidence
-        successors = self._leadership.successors()
-        new = [
-            successor
-            for successor in successors
-            if successor not in self._hosts_with_evidence
-        ]
-        if new:
-            known = evidence.all_entries(now=now)
-            for host in new:
-                self._out.add(actions.TellPeer(host, known))
-        changed = evidence.changed_entries(now=now)
-        if changed is not None:
-            for host in successors:
-                if host not in new:
-                    self._out.add(actions.TellPeer(host, changed))
-        self._hosts_with_evidence = set(successors)
+        self._updates.send_list(self._listing.upstreams, receivers)
 
     def _handle_leader_message(
         self, host: ids.HostId, message: peer_messages.Message, *, now: float
@@ -541,16 +499,12 @@
         host._out.add(actions.TellPeer(event.host, divided))
     standing = host._leadership.standing()
     host._out.add(actions.TellPeer(event.host, standing))
-    if host.leads and not host._fleet.divided:
-        host._divide_if_too_large(now=now)
-        host._hold_upstreams(now=now)
 
 
 @_handles(events.PeerLost)
 def _peer_lost(host: LeasedHost, event: events.PeerLost, now: float) -> None:
     host._linked_domains.pop(event.host, None)
-    host._hosts_with_list.discard(event.host)
-    host._hosts_with_evidence.discard(event.host)
+    host._updates.host_lost(event.host)
     host._dispatcher.overflow.host_lost(event.host)
     change = host._leadership.peer_lost(event.host, now=now)
     if host.leads:
@@ -605,11 +559,8 @@
 ) -> None:
     host._fleet.hosts_seen(event.domains)
     host._host_count = event.count
-    if host._fleet.divided:
-        return
-    if host.leads or not host.leader:
+    if not host.leader:
         host._divide_if_too_large(now=now)
-        host._hold_upstreams(now=now)
 
 
 @_handles(events.DrainStarted)
@@ -625,8 +576,11 @@
 def _ticked(host: LeasedHost, event: events.Ticked, now: float) -> None:
     change = host._leadership.tick(now=now)
     host._apply_change(change, now=now)
+    if host.leads and host._divide_if_too_large(now=now):
+        host._hold_upstreams(now=now)
     host._update_adopted(now=now)
     host._dispatcher.tick(now=now)
     host._send_load(now=now)
-    host._send_evidence(now=now)
+    if host.leads:
+        host._updates.send_evidence(host._leadership.successors(), now=now)
     host._owned_jobs.tick(now=now)
--- /dev/null
+++ b/godwitnotch/core/leased/leader_updates.py
@@ -0,0 +1,77 @@
+"""Tells the hosts that may lead next what a leader knows of upstreams."""
+
+from collections.abc import Iterable
+
+from godwitnotch.core import ids
+from godwitnotch.core.leased import actions
+from godwitnotch.core.leased import evidence as evidence_module
+from godwitnotch.core.leased import model
+from godwitnotch.core.leased import outbox as outbox_module
+from godwitnotch.core.leased import peer_messages
+
+
+class LeaderUpdates:
+    """Sends the list of upstreams and the evidence on them, when they change.
+
+    Args:
+        out: Collects the messages to send.
+        evidence: What this host has learnt of upstreams.
+    """
+
+    def __init__(
+        self,
+        out: outbox_module.Outbox,
+        evidence: evidence_module.EvidenceSharing,
+    ) -> None:
+        self._out = out
+        self._evidence = evidence
+        self._hosts_with_list: set[ids.HostId] = set()
+        self._hosts_with_evidence: set[ids.HostId] = set()
+        self._next_evidence_at = 0.0
+
+    def clear(self) -> None:
+        """Forgets what was sent, as the leader has changed."""
+        self._hosts_with_list.clear()
+        self._hosts_with_evidence.clear()
+
+    def list_changed(self) -> None:
+        """Forgets who has the list, as it has changed."""
+        self._hosts_with_list.clear()
+
+    def host_lost(self, host: ids.HostId) -> None:
+        """Forgets what was sent to a host."""
+        self._hosts_with_list.discard(host)
+        self._hosts_with_evidence.discard(host)
+
+    def send_list(
+        self,
+        upstreams: tuple[model.LeasedUpstream, ...],
+        receivers: Iterable[ids.HostId],
+    ) -> None:
+        """Sends the list of upstreams to receivers that don't have it."""
+        copy = peer_messages.UpstreamsCopy(upstreams)
+        for host in receivers:
+            if host not in self._hosts_with_list:
+                self._hosts_with_list.add(host)
+                self._out.add(actions.TellPeer(host, copy))
+
+    def send_evidence(self, receivers: list[ids.HostId], *, now: float) -> None:
+        """Sends all evidence to new receivers, and changes to the others."""
+        if now < self._next_evidence_at:
+            return
+        self._next_evidence_at = now + evidence_module.SEND_INTERVAL_S
+        new = [
+            receiver
+            for receiver in receivers
+            if receiver not in self._hosts_with_evidence
+        ]
+        if new:
+            known = self._evidence.all_entries(now=now)
+            for host in new:
+                self._out.add(actions.TellPeer(host, known))
+        changed = self._evidence.changed_entries(now=now)
+        if changed is not None:
+            for host in receivers:
+                if host not in new:
+                    self._out.add(actions.TellPeer(host, changed))
+        self._hosts_with_evidence = set(receivers)
