--- a/tests/mutants/__main__.py
+++ b/tests/mutants/__main__.py
@@ -37,6 +37,7 @@
     "tests.test_differential",
     "tests.test_leased_host",
     "tests.test_leased_decisions",
+    "tests.test_leased_cells",
     "tests.test_leased_histories",
 )
 _FAILED = re.compile(r"^(?:FAIL|ERROR): (\S+)", re.MULTILINE)
--- a/tests/test_leased_cells.py
+++ b/tests/test_leased_cells.py
@@ -17,6 +17,7 @@
 from godwitnotch.core.leased import outbox
 from godwitnotch.core.leased import overflow
 from godwitnotch.core.leased import owned_jobs
+from godwitnotch.core.leased import peer_messages
 from godwitnotch.core.leased import waiting
 from tests import leased_world
 
@@ -309,6 +310,39 @@
         self.assertEqual(world.start_count("j"), 2)
         self.assertTrue(world.hosts[leader].leads)
 
+    def test_moved_job_waits_until_its_runs_in_the_other_cell_have_ended(
+        self,
+    ) -> None:
+        world = divided_world()
+        leader = next(name for name in world.leaders() if name in HOSTS["a"])
+        # A host that has run for a minute knows which upstreams were removed.
+        world.hosts[leader]._listing._started_at -= 60.0
+        handed_over = peer_messages.JobHandedOver(
+            leased_world.request("j"), 5.0, 0.0, 1.2, True
+        )
+        moved = peer_messages.JobMoved(handed_over, False, True)
+        world.deliver(leader, events.PeerTold(ids.HostId("c1"), moved))
+        world.run(1.1)
+        self.assertEqual(world.start_count("j"), 0)
+        world.run(0.3)
+        self.assertEqual(world.start_count("j"), 1)
+
+    def test_other_domains_hear_that_a_leader_has_stepped_down(self) -> None:
+        world = divided_world()
+        leader = next(name for name in world.leaders() if name in HOSTS["b"])
+        term = world.hosts[leader]._leadership.term
+        # Both upstreams must have responded lately.
+        world.submit(leader, "first", tasks=4)
+        world.run(0.2)
+        for name in ("b-u0", "b-u1"):
+            world.upstreams[name].term = term + 1
+        world.submit(leader, "second", tasks=4)
+        world.run(0.03)
+        self.assertNotIn(leader, world.leaders())
+        for name in HOSTS["a"]:
+            leaders = world.hosts[name]._fleet.leaders
+            self.assertEqual(leaders.host(model.CellId("b")), "")
+
     def test_upstreams_of_a_domain_without_hosts_are_used(self) -> None:
         world = leased_world.World({**HOSTS, "d": []}, runs_per_s=1.0)
         world.run(6.0)
