godwitnotch report: which jobs missed their target time, and why, from the logs

Change: `godwitnotch report LOG... [--out PAGE]` follows each job through the hosts' lines and names the largest part of the delay of its last task. Tables on the terminal, an HTML page without network, curves with the extra `report` (matplotlib). Lines that were cut are counted and skipped; jobs are forgotten after their deadline.

--- a/bench/leased_load.py
+++ b/bench/leased_load.py
@@ -236,6 +236,8 @@
     """
     ratios: dict[str, list[float]] = {}
     for job, runs in log.runs_by_job.items():
+        if job not in log.received_jobs:  # Its line was left out of the log.
+            continue
         estimate_ms = float(log.received_jobs[job][1]["estimate_ms"])
         for upstream, ran_ms in runs:
             ratio = max(1.0, ran_ms) / max(1.0, estimate_ms)
--- a/godwitnotch/cli.py
+++ b/godwitnotch/cli.py
@@ -7,6 +7,7 @@
 import godwitnotch
 from godwitnotch.commands import callers
 from godwitnotch.commands import hosts
+from godwitnotch.commands import reports
 from godwitnotch.commands import settings_files
 from godwitnotch.commands import standins
 from godwitnotch.commands import views
@@ -24,6 +25,7 @@
 app.add_typer(standins.app, name="standin")
 callers.register(app)
 views.register(app)
+reports.register(app)
 
 
 def _print_version(value: bool) -> None:
--- /dev/null
+++ b/godwitnotch/report/speeds.py
@@ -0,0 +1,64 @@
+"""Learns from the logs how fast upstreams are and how long routes' tasks run."""
+
+import math
+from dataclasses import dataclass
+
+from godwitnotch.core import ids
+
+RECENT_WEIGHT = 0.05  # Weight of a new run in the averages.
+MIN_RUN_MS = 1.0
+
+
+@dataclass(slots=True)
+class _Average:
+    """A moving average of logarithms."""
+
+    count: int = 0
+    value: float = 0.0
+
+    def add(self, value: float) -> None:
+        """Adds a value."""
+        self.count += 1
+        weight = max(RECENT_WEIGHT, 1 / self.count)
+        self.value += weight * (value - self.value)
+
+
+class Speeds:
+    """Moving averages of run times, relative to the callers' estimates."""
+
+    def __init__(self) -> None:
+        self._upstreams: dict[ids.UpstreamId, _Average] = {}
+        self._routes: dict[str, _Average] = {}
+        self._total = 0.0  # Of the upstreams' averages.
+
+    def run_ended(
+        self,
+        upstream: ids.UpstreamId,
+        route: str,
+        *,
+        estimate_ms: float,
+        ran_ms: float,
+    ) -> None:
+        """Learns from a run that has succeeded."""
+        bias = math.log(max(MIN_RUN_MS, ran_ms) / max(MIN_RUN_MS, estimate_ms))
+        expected = self._routes.setdefault(route, _Average()).value
+        average = self._upstreams.setdefault(upstream, _Average())
+        before = average.value
+        average.add(bias - expected)
+        self._total += average.value - before
+        self._routes[route].add(bias - self._log_slowness(upstream))
+
+    def slowness(self, upstream: ids.UpstreamId) -> float:
+        """Returns the factor by which runs take longer there than on average."""
+        return math.exp(self._log_slowness(upstream))
+
+    def work_ms(self, route: str, *, estimate_ms: float) -> float:
+        """Returns the expected run time on an upstream of average speed."""
+        average = self._routes.get(route)
+        return estimate_ms * math.exp(average.value if average else 0.0)
+
+    def _log_slowness(self, upstream: ids.UpstreamId) -> float:
+        average = self._upstreams.get(upstream)
+        if average is None:
+            return 0.0
+        return average.value - self._total / len(self._upstreams)
