--- a/godwitnotch/net/peer_link.py
+++ b/godwitnotch/net/peer_link.py
@@ -324,8 +324,12 @@
     async def _dial(self, entry: model.HostEntry) -> LinkEndReason:
         """Opens a link and runs it; returns the reason for its end."""
         try:
-            async with asyncio.timeout(self._limits.handshake_timeout_s):
-                connection = await self._connect(entry.address)
+            connection = await self._dial_backoff.connect(
+                entry.host,
+                entry.domain,
+                lambda: self._connect(entry.address),
+                timeout_s=self._limits.handshake_timeout_s,
+            )
         except TimeoutError:
             return LinkEndReason.HANDSHAKE_TIMEOUT
         except (OSError, websockets.WebSocketException):
--- a/godwitnotch/net/redial.py
+++ b/godwitnotch/net/redial.py
@@ -1,13 +1,18 @@
-"""Delays between attempts to dial a host."""
+"""When hosts are dialled again, after a failed dial or a partition."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TypeVar
 
 from godwitnotch.core import ids
 from godwitnotch.core import random_source
 
 _MAX_DOUBLINGS = 16
 
+ConnectionT = TypeVar("ConnectionT")
+
 
 @dataclass(slots=True)
 class _Wait:
@@ -15,13 +20,31 @@
     ended: asyncio.Event
 
 
+@dataclass(slots=True)
+class _Attempt:
+    """A connection that is being opened.
+
+    Attributes:
+        domain: Failure domain of the host that is dialled.
+        began_at: When the attempt began.
+        timeout: Ends the attempt.
+        restarted: Whether the attempt is ended to begin anew.
+    """
+
+    domain: ids.DomainId
+    began_at: float
+    timeout: asyncio.Timeout
+    restarted: bool = False
+
+
 class DialBackoff:
     """Exponential backoff with jitter between dials.
 
     A delay after a failed dial ends early when a link to another host of the
     same failure domain opens, since the fault that separated the domain has
     then probably ended. The dial follows after a random delay of less than
-    `min_s`.
+    `min_s`. An attempt to connect that has lasted for `min_s` by then begins
+    anew: its lost packets would only be sent again after a second.
 
     Args:
         min_s: Initial upper bound of the delay before a dial, in seconds. The
@@ -37,6 +60,7 @@
         self._max_s = max_s
         self._rng = rng
         self._waits: dict[ids.HostId, _Wait] = {}
+        self._attempts: dict[ids.HostId, _Attempt] = {}
 
     async def wait(
         self,
@@ -69,11 +93,50 @@
             del self._waits[host]
         await asyncio.sleep(self._min_s * self._rng.random())
 
+    async def connect(
+        self,
+        host: ids.HostId,
+        domain: ids.DomainId,
+        connect: Callable[[], Awaitable[ConnectionT]],
+        *,
+        timeout_s: float,
+    ) -> ConnectionT:
+        """Opens a connection to a host.
+
+        Args:
+            host: Host to dial.
+            domain: Failure domain of the host.
+            connect: Opens the connection.
+            timeout_s: Maximum time of one attempt, in seconds.
+
+        Raises:
+            TimeoutError: The last attempt took longer than its maximum time.
+        """
+        while True:
+            began_at = asyncio.get_running_loop().time()
+            timeout = asyncio.timeout(timeout_s)
+            attempt = _Attempt(domain, began_at, timeout)
+            self._attempts[host] = attempt
+            try:
+                async with timeout:
+                    return await connect()
+            except TimeoutError:
+                if not attempt.restarted:
+                    raise
+            finally:
+                del self._attempts[host]
+
     def link_opened(self, domain: ids.DomainId) -> None:
         """Ends the delays for a failure domain to which a link has opened."""
         for wait in self._waits.values():
             if wait.domain == domain:
                 wait.ended.set()
+        now = asyncio.get_running_loop().time()
+        for attempt in self._attempts.values():
+            lasts = now - attempt.began_at >= self._min_s
+            if attempt.domain == domain and lasts and not attempt.restarted:
+                attempt.restarted = True
+                attempt.timeout.reschedule(now)
 
     def _delay_s(self, failures: int) -> float:
         factor = 1 << min(failures, _MAX_DOUBLINGS)
--- a/tests/test_redial.py
+++ b/tests/test_redial.py
@@ -51,6 +51,63 @@
             await asyncio.sleep(0.002)
         self.assertFalse(waiting.done())
 
+    def connect(self, domain: ids.DomainId) -> asyncio.Task[int]:
+        """Starts to connect; the first attempt hangs, the next succeed."""
+        self.attempts = 0
+
+        async def attempt() -> int:
+            self.attempts += 1
+            if self.attempts == 1:
+                await asyncio.Event().wait()
+            return self.attempts
+
+        task = asyncio.create_task(
+            self.backoff.connect(
+                ids.HostId("a"), domain, attempt, timeout_s=LONG_S
+            )
+        )
+        self.addCleanup(task.cancel)
+        return task
+
+    async def test_a_link_into_the_domain_restarts_a_lasting_attempt(
+        self,
+    ) -> None:
+        # After a partition, hosts had no link to the leader for 0.7 s, since
+        # the packets that open a connection had been lost shortly before its
+        # end. Meanwhile they had links to other hosts of its domain.
+        connecting = self.connect(FAR)
+        await asyncio.sleep(0.002)
+        self.backoff.link_opened(FAR)
+        self.assertEqual(await connecting, 2)
+
+    async def test_a_link_elsewhere_restarts_no_attempt(self) -> None:
+        connecting = self.connect(FAR)
+        await asyncio.sleep(0.002)
+        self.backoff.link_opened(NEAR)
+        await asyncio.sleep(0.002)
+        self.assertFalse(connecting.done())
+        self.assertEqual(self.attempts, 1)
+
+    async def test_a_link_restarts_no_attempt_that_has_just_begun(self) -> None:
+        self.backoff = redial.DialBackoff(
+            min_s=LONG_S, max_s=LONG_S, rng=random.Random(1)
+        )
+        connecting = self.connect(FAR)
+        await asyncio.sleep(0)
+        self.backoff.link_opened(FAR)
+        await asyncio.sleep(0.002)
+        self.assertFalse(connecting.done())
+        self.assertEqual(self.attempts, 1)
+
+    async def test_an_attempt_that_nothing_restarts_times_out(self) -> None:
+        async def hang() -> None:
+            await asyncio.Event().wait()
+
+        with self.assertRaises(TimeoutError):
+            await self.backoff.connect(
+                ids.HostId("a"), FAR, hang, timeout_s=0.001
+            )
+
     async def test_a_link_does_not_shorten_the_delay_of_the_higher_id(
         self,
     ) -> None:
