--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -26,6 +26,9 @@
 # A leader that holds no lease refuses jobs that have not had a run, once it has
 # led for this time.
 NO_UPSTREAM_TIMEOUT_S = 0.4
+# A new leader refuses no job by its load until all upstreams have sent their
+# list of runs, or for this time.
+SETTLING_TIMEOUT_S = 0.4
 # How long answers are kept: an owner that loses its link before the answer
 # arrives hands the job over again.
 ANSWER_RETENTION_S = 3.0
@@ -268,6 +271,9 @@
         self._lease_manager.tick(now=now)
         for owner in self._owners.pop_expired(now=now):
             self._drop_jobs_of(owner, now=now)
+        # Jobs are checked after those ahead of them have taken free upstreams.
+        self._placement_due = True
+        self.place_waiting(now=now)
         self._check_open_jobs(now=now)
         if now >= self._next_overdue_check_at:
             self._next_overdue_check_at = now + OVERDUE_CHECK_INTERVAL_S
@@ -275,7 +281,6 @@
         for name, retained in tuple(self._retained_answers.items()):
             if now >= retained.expires_at:
                 del self._retained_answers[name]
-        self._placement_due = True
         self.place_waiting(now=now)
 
     def adopt_run(self, key: model.RunKey) -> jobs.LeasedJob | None:
@@ -444,7 +449,7 @@
 
     def _refuse_if_late(self, job: jobs.LeasedJob, *, now: float) -> None:
         """Refuses a job that is expected to miss its target response time."""
-        if not self._lease_manager.holds_any():
+        if not self._lease_manager.holds_any() or self._settling(now=now):
             return
         ahead_ms = self._queue.ahead_ms(job, now=now)
         load = self._load(now=now)
@@ -465,6 +470,13 @@
         )
         self._end_job(job, answer, now=now)
 
+    def _settling(self, *, now: float) -> bool:
+        """Returns whether this new leader doesn't know its capacity yet."""
+        return (
+            now - self._leading_since < SETTLING_TIMEOUT_S
+            and self._lease_manager.awaits_first_lists()
+        )
+
     def _load(self, *, now: float) -> admission.Load:
         """Returns the current load, cached for LOAD_CACHE_S."""
         if now < self._load_computed_at + LOAD_CACHE_S:
@@ -641,7 +653,7 @@
             self._end_job(job, answer, now=now)
             return
         due = waited_s >= job.target_response_s * admission.RECHECK_SHARE
-        if due and not job.rechecked:
+        if due and not job.rechecked and not self._settling(now=now):
             job.rechecked = True
             self._admit(job, now=now)
 
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -137,6 +137,14 @@
             for lease in self._leases.values()
         )
 
+    def awaits_first_lists(self) -> bool:
+        """Returns whether reachable upstreams have yet to send their list."""
+        return any(
+            lease.state in (LeaseState.AWAITING_LIST, LeaseState.RECONCILING)
+            and not lease.failures
+            for lease in self._leases.values()
+        )
+
     def has_run(self, task: model.TaskKey) -> bool:
         """Returns whether a run of a task may be active or is being stopped."""
         return task in self._runs
--- a/tests/leased_world.py
+++ b/tests/leased_world.py
@@ -56,6 +56,7 @@
         order_delay_s: Delay in seconds before orders are executed; with a delay,
             no response is sent. 0 for no delay.
         loses_responses: Whether orders are executed without a response.
+        latency_s: How long an order or a response takes, in seconds.
         term: Highest term seen in an order.
         lease_until_ms: When the lease expires.
         last_blocked_run: Highest run number that may not start, by task.
@@ -72,6 +73,7 @@
     fails: bool = False
     order_delay_s: float = 0.0
     loses_responses: bool = False
+    latency_s: float = NETWORK_LATENCY_S
     term: int = 0
     lease_until_ms: int = 0
     last_blocked_run: dict[model.TaskKey, int] = field(default_factory=dict)
@@ -444,11 +446,11 @@
                 upstream,
                 action,
                 lambda event: self.call_later(
-                    NETWORK_LATENCY_S, lambda: respond(event)
+                    upstream.latency_s, lambda: respond(event)
                 ),
             )
 
-        self.call_later(NETWORK_LATENCY_S, arrive)
+        self.call_later(upstream.latency_s, arrive)
         wait_s = getattr(action, "wait_ms", 0) / 1_000
         self.call_later(
             ORDER_TIMEOUT_S + wait_s,
