--- a/bench/leased_load.py
+++ b/bench/leased_load.py
@@ -128,7 +128,7 @@
     upstreams = []
     for number in range(upstream_count):
         slowness = rng.choice((0.6, 1.0, 1.0, 1.6))
-        upstreams.append(_upstream(f"u{number}", 32_000, 8, slowness))
+        upstreams.append(make_upstream(f"u{number}", 32_000, 8, slowness))
     jobs: list[Job] = []
     arrives_at = 0.0
     while arrives_at < duration_s:
@@ -145,7 +145,7 @@
             base_ms * math.exp(rng.gauss(0, 0.15)) for _ in range(task_count)
         ]
         estimate_ms = base_ms * math.exp(rng.gauss(0, 0.4))
-        request = _request(f"j{len(jobs)}", task_count, 14_000, estimate_ms)
+        request = make_request(f"j{len(jobs)}", task_count, 14_000, estimate_ms)
         jobs.append(
             Job(arrives_at, request, tuple(work_ms), 2.0 + base_ms / 200)
         )
@@ -168,7 +168,7 @@
     ]
     upstreams = [
         dataclasses.replace(
-            _upstream(
+            make_upstream(
                 name, cpu_millis, slots, slowness_by_upstream.get(name, 1.0)
             ),
             available_from=log.available_between[name][0],
@@ -263,7 +263,7 @@
     ]
     mean_ms = statistics.mean(work_ms) if work_ms else estimate_ms
     work_ms += [mean_ms] * (task_count - len(work_ms))
-    request = _request(
+    request = make_request(
         name,
         task_count,
         int(fields["cpu_millis"]),
@@ -285,9 +285,10 @@
     )
 
 
-def _upstream(
+def make_upstream(
     name: str, cpu_millis: int, slots: int, slowness: float
 ) -> Upstream:
+    """Returns an upstream that is always available."""
     entry = model.LeasedUpstream(
         upstream=ids.UpstreamId(name),
         address=f"{name}:1",
@@ -301,7 +302,7 @@
     return Upstream(entry, slowness)
 
 
-def _request(
+def make_request(
     name: str,
     task_count: int,
     cpu_millis: int,
@@ -311,6 +312,7 @@
     stretch: float = 1.6,
     target_ms: float = 60.0,
 ) -> model.JobRequest:
+    """Returns a request whose tasks run on any upstream of SERVICE."""
     return model.JobRequest(
         model.JobName(name),
         "spec",
--- a/godwitnotch/core/leased/waiting.py
+++ b/godwitnotch/core/leased/waiting.py
@@ -1,20 +1,22 @@
 """The queue of jobs that wait for free resources, and its order.
 
 Jobs that can still end in time go before those that can't. Within each group
-the job with the least waiting work goes first. The work is multiplied by a
-weight that is lower for a job with less slack (spare time until its target
-end), so that urgent jobs go earlier.
+the order weighs a job's waiting work against its slack (spare time until its
+target end). By work alone, wide jobs of short tasks miss their target behind
+narrow jobs that could have waited; by slack alone, an overload makes all jobs
+late, since large jobs are served that small ones could have replaced.
 """
 
 import bisect
 import itertools
+import math
 from collections.abc import Iterable
 
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import model
 
-# Weight of the work of a job that has no slack; with full slack it is 1.
-MIN_WORK_WEIGHT = 0.3
+# Added to the slack, so that work decides between jobs that have none.
+SLACK_MARGIN_S = 0.02
 # The order of a longer queue is cached for SORT_CACHE_S, as sorting the queue
 # takes as long as handling several jobs.
 MAX_UNCACHED_JOB_COUNT = 16
@@ -118,10 +120,8 @@
 
 
 def _sort_key(job: jobs.LeasedJob, now: float) -> _SortKey:
-    """Returns whether a job is late, its weighted work and its arrival."""
+    """Returns whether a job is late, its weighted slack and its arrival."""
     late = not can_end_in_time(job, now=now)
-    slack_s = job.target_end_at - now - job.base_ms / 1_000
-    max_slack_s = max(1e-3, job.target_response_s - job.base_ms / 1_000)
-    slack_share = min(1.0, max(0.0, slack_s / max_slack_s))
-    weight = MIN_WORK_WEIGHT + (1 - MIN_WORK_WEIGHT) * slack_share
-    return late, work_left_ms(job) * weight, job.arrived_at
+    slack_s = max(0.0, job.target_end_at - now - job.base_ms / 1_000)
+    weighted = math.sqrt(work_left_ms(job)) * (slack_s + SLACK_MARGIN_S)
+    return late, weighted, job.arrived_at
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -144,6 +144,13 @@
         urgent = make_job("urgent", age_s=0.1)
         self.assertEqual(self.sort_jobs(fresh, urgent), [urgent, fresh])
 
+    def test_wide_urgent_job_goes_before_a_smaller_one_that_can_wait(
+        self,
+    ) -> None:
+        narrow = make_job("narrow", tasks=2, base_ms=200.0)
+        wide = make_job("wide", tasks=16, base_ms=60.0, age_s=0.05)
+        self.assertEqual(self.sort_jobs(narrow, wide), [wide, narrow])
+
 
 class WaitingQueueTest(unittest.TestCase):
     def test_long_queue_is_not_sorted_for_each_event(self) -> None:
--- a/tests/test_leased_load_patterns.py
+++ b/tests/test_leased_load_patterns.py
@@ -2,6 +2,9 @@
 
 import unittest
 
+from bench import leased_load
+from bench import leased_replay
+from bench import leased_yardstick
 from godwitnotch.core.leased import model
 from tests import leased_world
 
@@ -50,3 +53,54 @@
             if answer.end is model.JobEnd.REFUSED:
                 self.assertLess(at, 101.0)
 
+
+class WideJobsTest(unittest.TestCase):
+    """Wide jobs of short tasks arrive among narrow jobs of longer tasks.
+
+    The narrow jobs use seven eighths of the upstreams' slots.
+    """
+
+    UPSTREAMS = 12
+    SLOTS = 2
+    NARROW_INTERVAL_S = 0.0192
+    WIDE_INTERVAL_S = 0.5
+    DURATION_S = 10.0
+
+    def make_load(self) -> leased_load.Load:
+        upstreams = tuple(
+            leased_load.make_upstream(f"u{number}", 2_000, self.SLOTS, 1.0)
+            for number in range(self.UPSTREAMS)
+        )
+        narrow = self.make_jobs("narrow", self.NARROW_INTERVAL_S, 2, 200.0)
+        wide = self.make_jobs("wide", self.WIDE_INTERVAL_S, 12, 60.0)
+        in_order = sorted(narrow + wide, key=lambda job: job.arrives_at)
+        return leased_load.Load(tuple(in_order), upstreams)
+
+    def make_jobs(
+        self, route: str, interval_s: float, tasks: int, work_ms: float
+    ) -> list[leased_load.Job]:
+        return [
+            leased_load.Job(
+                number * interval_s,
+                leased_load.make_request(
+                    f"{route}{number}", tasks, 1_000, work_ms, route=route
+                ),
+                (work_ms,) * tasks,
+                2.0,
+            )
+            for number in range(round(self.DURATION_S / interval_s))
+        ]
+
+    def test_wide_jobs_end_in_time_like_the_narrow_ones(self) -> None:
+        load = self.make_load()
+        ended_at = leased_replay.Replay(load).run().ended_at
+        in_time = dict.fromkeys(("narrow", "wide"), 0)
+        count = dict.fromkeys(in_time, 0)
+        for job in load.jobs:
+            route = job.request.settings.route
+            target_s = leased_yardstick.target_response_s(job)
+            end = ended_at.get(job.request.job, float("inf"))
+            count[route] += 1
+            in_time[route] += end <= job.arrives_at + target_s
+        self.assertGreater(in_time["wide"], 0.9 * count["wide"])
+        self.assertGreater(in_time["narrow"], 0.9 * count["narrow"])
