--- a/godwitnotch/core/leased/admission.py
+++ b/godwitnotch/core/leased/admission.py
@@ -2,7 +2,7 @@
 
 A job that is expected to miss its target response time is refused before a
 quarter of that time has passed. A job that was not refused by then is served
-even if it ends late.
+even if it ends late, unless it can't end before its caller stops waiting.
 """
 
 from collections.abc import Iterable
@@ -19,6 +19,9 @@
 # A job is admitted if its expected response time is at most this multiple of
 # its target response time.
 MAX_RESPONSE_FACTOR = 1.0
+# A job is past saving if even this share of its expected run time, at the
+# fastest upstream, would end after its deadline; estimates are rough.
+MIN_RUN_TIME_SHARE = 0.5
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 5.0
 
@@ -128,6 +131,22 @@
     return AdmissionDecision(False, wait_s, retry_after_s(load))
 
 
+def can_end_by_deadline(
+    job: jobs.LeasedJob, *, least_slowness: float, now: float
+) -> bool:
+    """Returns whether the waiting tasks of a job may end by its deadline.
+
+    Args:
+        job: The job.
+        least_slowness: Slowness of the fastest upstream.
+        now: The current time.
+    """
+    if not job.waiting_task_count:
+        return True
+    run_s = job.base_ms * least_slowness * MIN_RUN_TIME_SHARE / 1_000
+    return now + run_s <= job.deadline
+
+
 def retry_after_s(load: Load) -> float:
     """Returns when the caller of a refused job should retry."""
     return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, load.backlog_s))
--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -33,6 +33,7 @@
 # arrives hands the job over again.
 ANSWER_RETENTION_S = 3.0
 OVERDUE_CHECK_INTERVAL_S = 0.05
+RUN_TIMES_UPDATE_INTERVAL_S = 0.2
 # How long values are cached whose computation needs a scan of all upstreams.
 LOAD_CACHE_S = 0.02
 ACCEPTING_LEASES_CACHE_S = 0.01
@@ -106,6 +107,7 @@
         )
         self._placement_due = False
         self._next_overdue_check_at = 0.0
+        self._next_run_times_update_at = 0.0
         self._average_cpu_millis = 0.0
 
     @property
@@ -275,6 +277,9 @@
         self._placement_due = True
         self.place_waiting(now=now)
         self._check_open_jobs(now=now)
+        if now >= self._next_run_times_update_at:
+            self._next_run_times_update_at = now + RUN_TIMES_UPDATE_INTERVAL_S
+            self._times.update(now=now)
         if now >= self._next_overdue_check_at:
             self._next_overdue_check_at = now + OVERDUE_CHECK_INTERVAL_S
             self._stop_overdue_runs(now=now)
@@ -424,9 +429,37 @@
 
     def _admit(self, job: jobs.LeasedJob, *, now: float) -> None:
         """Moves a job without runs to another cell, refuses or keeps it."""
+        if self._end_if_past_saving(job, now=now):
+            return
         if not self._redirect_if_sooner(job, now=now):
             self._refuse_if_late(job, now=now)
 
+    def _end_if_past_saving(self, job: jobs.LeasedJob, *, now: float) -> bool:
+        """Ends a job whose waiting tasks can't end by its deadline."""
+        leases = self._accepting_leases(now=now)
+        least_slowness = min(
+            (self._times.slowness(lease.upstream) for lease in leases[:1]),
+            default=0.0,
+        )
+        if admission.can_end_by_deadline(
+            job, least_slowness=least_slowness, now=now
+        ):
+            return False
+        self._out.add_decision(
+            "job_past_saving",
+            job=job.name,
+            detail=f"left_s={job.deadline - now:.3f} "
+            f"base_ms={job.base_ms:.0f} waiting={job.waiting_task_count}",
+        )
+        end = model.JobEnd.GIVEN_UP if job.started else model.JobEnd.REFUSED
+        answer = model.Answer(
+            end,
+            model.EndReason.DEADLINE_PASSED,
+            admission.retry_after_s(self._load(now=now)),
+        )
+        self._end_job(job, answer, now=now)
+        return True
+
     def _redirect_if_sooner(self, job: jobs.LeasedJob, *, now: float) -> bool:
         """Redirects a job that ends sooner in another cell, once."""
         if job.redirected or not self._overflow.any_known:
@@ -572,7 +605,7 @@
             ran_ms = (now - run.ordered_at) * 1_000
             slowness = self._times.slowness(lease.upstream)
             self._times.run_succeeded(
-                job.request, lease.upstream, ran_ms=ran_ms
+                job.request, lease.upstream, ran_ms=ran_ms, now=now
             )
             if not job.base_ms_measured:
                 job.base_ms_measured = True
@@ -636,6 +669,8 @@
         for job in tuple(self._jobs.values()):
             if now >= job.deadline:
                 self._drop_job(job, reason="deadline_passed", now=now)
+            elif self._end_if_past_saving(job, now=now):
+                continue
             elif not job.started:
                 self._check_waiting_job(job, now=now)
 
--- a/godwitnotch/core/leased/overdue_runs.py
+++ b/godwitnotch/core/leased/overdue_runs.py
@@ -105,7 +105,7 @@
         ):
             return None
         self._times.run_overdue(
-            job.request, lease.upstream, running_ms=running_s * 1_000
+            job.request, lease.upstream, running_ms=running_s * 1_000, now=now
         )
         return OverdueRun(lease, run, job, running_s, expected_s)
 
--- a/godwitnotch/core/leased/owned_jobs.py
+++ b/godwitnotch/core/leased/owned_jobs.py
@@ -6,6 +6,7 @@
 own has no leader that can take it, or if a leader redirects it.
 """
 
+import dataclasses
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -178,7 +179,7 @@
             return
         if owned.had_earlier_leader and answer.end is model.JobEnd.REFUSED:
             # An earlier leader may have started tasks of the job.
-            answer = model.Answer(model.JobEnd.GIVEN_UP, answer.reason)
+            answer = dataclasses.replace(answer, end=model.JobEnd.GIVEN_UP)
         self._answer(owned, answer)
 
     def job_redirected(
--- a/godwitnotch/core/leased/run_times.py
+++ b/godwitnotch/core/leased/run_times.py
@@ -4,9 +4,14 @@
 run or a value from another host replaces the slowness of an upstream. The
 expected run time of a task is the geometric mean of two values: its caller's
 estimate, corrected by the bias of earlier estimates, and its route's average.
+
+A run tells only the product of work and slowness. The scale is fixed by the
+median upstream, whose slowness is 1. An upstream without recent runs returns to
+the slowness of its kind, so that one that has recovered gets runs again.
 """
 
 import math
+import statistics
 from dataclasses import dataclass
 
 from godwitnotch.core import ids
@@ -19,6 +24,10 @@
 MIN_ROUTE_RUN_COUNT = 8  # With fewer runs only the caller's estimate counts.
 DEFAULT_ESTIMATE_MS = 200.0
 MIN_RUN_MS = 1.0
+# How long an upstream keeps its slowness without a run, and in which time it
+# then approaches that of its kind by half.
+SLOWNESS_RETENTION_S = 1.0
+SLOWNESS_HALF_LIFE_S = 1.0
 # Bounds the effect of a single overdue run or value from another host.
 MAX_SLOWNESS = 20.0
 
@@ -46,6 +55,9 @@
         self._log_slowness: dict[ids.UpstreamId, float] = {}
         self._kind_log_slowness: dict[str, float] = {}
         self._slowness: dict[ids.UpstreamId, float] = {}
+        self._kinds: dict[ids.UpstreamId, str] = {}
+        self._last_run_at: dict[ids.UpstreamId, float] = {}
+        self._updated_at = float("-inf")
 
     def base_ms(self, request: model.JobRequest) -> float:
         """Returns the expected run time on an upstream of average speed."""
@@ -84,6 +96,39 @@
         for upstream in self._log_slowness.keys() - upstreams:
             del self._log_slowness[upstream]
             del self._slowness[upstream]
+            self._kinds.pop(upstream, None)
+            self._last_run_at.pop(upstream, None)
+
+    def update(self, *, now: float) -> None:
+        """Forgets old slowness and fixes the scale; called at short intervals.
+
+        The predicted run times don't change with the scale.
+        """
+        elapsed_s = max(0.0, now - self._updated_at)
+        kept_share = 0.5 ** (elapsed_s / SLOWNESS_HALF_LIFE_S)
+        self._updated_at = now
+        for upstream, kind in self._kinds.items():
+            last_run_at = self._last_run_at[upstream]
+            if now - last_run_at < SLOWNESS_RETENTION_S:
+                continue
+            usual = self._kind_log_slowness.get(kind, 0.0)
+            known = self._log_slowness[upstream]
+            relaxed = usual + (known - usual) * kept_share
+            self._set_log_slowness(upstream, relaxed)
+        self._fix_scale()
+
+    def _fix_scale(self) -> None:
+        """Makes the slowness of the median upstream 1."""
+        if not self._routes or not self._log_slowness:
+            return
+        shift = statistics.median(self._log_slowness.values())
+        for kind in self._kind_log_slowness:
+            self._kind_log_slowness[kind] -= shift
+        for upstream, known in self._log_slowness.items():
+            self._set_log_slowness(upstream, known - shift)
+        for route in self._routes.values():
+            route.log_ms += shift
+            route.log_bias += shift
 
     def run_succeeded(
         self,
@@ -91,8 +136,10 @@
         upstream: model.LeasedUpstream,
         *,
         ran_ms: float,
+        now: float,
     ) -> None:
         """Learns from a run that has succeeded."""
+        self._record_run(upstream, now=now)
         log_ran = math.log(max(MIN_RUN_MS, ran_ms))
         log_base = math.log(self.base_ms(request))
         log_slowness = math.log(self.slowness(upstream))
@@ -105,14 +152,26 @@
         upstream: model.LeasedUpstream,
         *,
         running_ms: float,
+        now: float,
     ) -> None:
         """Raises the slowness of an upstream to that of an overdue run."""
+        self._record_run(upstream, now=now)
         observed = math.log(max(1.0, running_ms / self.base_ms(request)))
         observed = min(observed, math.log(MAX_SLOWNESS))
         known = math.log(self.slowness(upstream))
         if observed > known:
             self._set_log_slowness(upstream.upstream, observed)
 
+    def _record_run(
+        self, upstream: model.LeasedUpstream, *, now: float
+    ) -> None:
+        """Records that an upstream's slowness was observed."""
+        name = upstream.upstream
+        self._kinds[name] = _kind(upstream)
+        self._last_run_at[name] = now
+        if name not in self._log_slowness:
+            self._set_log_slowness(name, math.log(self.slowness(upstream)))
+
     def _learn_upstream(
         self, upstream: model.LeasedUpstream, log_slowness: float
     ) -> None:
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+import statistics
 import unittest
 import unittest.mock
 
@@ -211,7 +212,9 @@
     def learn(self, upstream: lease.Lease, ran_ms: float) -> None:
         for _ in range(20):
             request = leased_world.request("old")
-            self.times.run_succeeded(request, upstream.upstream, ran_ms=ran_ms)
+            self.times.run_succeeded(
+                request, upstream.upstream, ran_ms=ran_ms, now=NOW
+            )
 
     def test_full_upstreams_are_skipped_without_a_prediction(self) -> None:
         # In a benchmark of a large deployment, the leader used all CPU
@@ -343,7 +346,7 @@
     def learn(self, upstream: model.LeasedUpstream, ran_ms: float) -> None:
         for _ in range(20):
             request = leased_world.request("old")
-            self.times.run_succeeded(request, upstream, ran_ms=ran_ms)
+            self.times.run_succeeded(request, upstream, ran_ms=ran_ms, now=NOW)
 
     def eject(self, upstream: model.LeasedUpstream) -> None:
         for number in range(health.EJECTION_FAILED_JOB_COUNT):
@@ -404,10 +407,16 @@
         for _ in range(400):
             request = leased_world.request("j", estimate_ms=50.0)
             times.run_succeeded(
-                request, slow, ran_ms=200.0 * rng.uniform(0.9, 1.1)
+                request,
+                slow,
+                ran_ms=200.0 * rng.uniform(0.9, 1.1),
+                now=NOW,
             )
             times.run_succeeded(
-                request, fast, ran_ms=100.0 * rng.uniform(0.9, 1.1)
+                request,
+                fast,
+                ran_ms=100.0 * rng.uniform(0.9, 1.1),
+                now=NOW,
             )
         ratio = times.slowness(slow) / times.slowness(fast)
         self.assertAlmostEqual(ratio, 2.0, delta=0.25)
@@ -415,6 +424,40 @@
         predicted = times.base_ms(request) * times.slowness(fast)
         self.assertAlmostEqual(predicted, 100.0, delta=20.0)
 
+    def test_overdue_runs_do_not_shift_the_scale(self) -> None:
+        # While orders stayed unanswered in a benchmark, overdue runs raised the
+        # slowness of all upstreams, and the expected work of all jobs fell to
+        # an eighth.
+        times = run_times.RunTimes()
+        upstreams = [held_lease(f"u{number}").upstream for number in range(4)]
+        request = leased_world.request("j", estimate_ms=100.0)
+        now = NOW
+        for step in range(600):
+            now += 0.02
+            upstream = upstreams[step % 4]
+            if step % 3 == 0:
+                times.run_overdue(request, upstream, running_ms=800.0, now=now)
+            times.run_succeeded(request, upstream, ran_ms=100.0, now=now)
+            if step % 10 == 0:
+                times.update(now=now)
+        times.update(now=now)
+        slowness = [times.slowness(upstream) for upstream in upstreams]
+        self.assertAlmostEqual(statistics.median(slowness), 1.0, delta=0.05)
+
+    def test_slowness_is_usual_again_5_s_after_a_disturbance(self) -> None:
+        times = run_times.RunTimes()
+        hung, usual = held_lease("hung").upstream, held_lease("usual").upstream
+        request = leased_world.request("j", estimate_ms=100.0)
+        for upstream in (hung, usual) * 20:
+            times.run_succeeded(request, upstream, ran_ms=100.0, now=NOW)
+        times.run_overdue(request, hung, running_ms=1_500.0, now=NOW)
+        self.assertGreater(times.slowness(hung), 10.0)
+        for step in range(25):
+            now = NOW + (step + 1) * 0.2
+            times.run_succeeded(request, usual, ran_ms=100.0, now=now)
+            times.update(now=now)
+        self.assertLess(times.slowness(hung), 1.25)
+
 
 class LeadershipTest(unittest.TestCase):
     def make(self, host: str, rank: int) -> leadership.Leadership:
--- a/tests/test_leased_load_patterns.py
+++ b/tests/test_leased_load_patterns.py
@@ -54,6 +54,40 @@
                 self.assertLess(at, 101.0)
 
 
+class DeadlineTest(unittest.TestCase):
+    """Jobs can't end before their callers stop waiting."""
+
+    def setUp(self) -> None:
+        self.world = leased_world.World({"a": ["a1", "a2", "a3"]}, upstreams=1)
+        self.world.link_all()
+        self.world.run(1.0)
+        self.world.run_time_ms = 300.0
+
+    def test_job_whose_deadline_is_too_near_is_refused_at_once(self) -> None:
+        call = self.world.submit("a1", "job", wait_s=0.1)
+        self.world.run(0.05)
+        self.assertIn(call, self.world.answers)
+        answer = self.world.answers[call][1]
+        self.assertEqual(answer.end, model.JobEnd.REFUSED)
+        self.assertGreater(answer.retry_after_s, 0.0)
+        self.assertEqual(self.world.start_count("job"), 0)
+
+    def test_started_job_that_can_end_no_more_is_answered_at_once(self) -> None:
+        submitted_at = self.world.now
+        call = self.world.submit("a1", "job", tasks=6, wait_s=0.5)
+        self.world.run(1.0)
+        answered_at, answer = self.world.answers[call]
+        self.assertEqual(answer.end, model.JobEnd.GIVEN_UP)
+        self.assertLess(answered_at, submitted_at + 0.45)
+        self.assertGreater(answer.retry_after_s, 0.0)
+
+    def test_late_job_that_can_still_end_is_served(self) -> None:
+        call = self.world.submit("a1", "job", tasks=4, wait_s=0.8)
+        self.world.run(1.0)
+        answer = self.world.answers[call][1]
+        self.assertEqual(answer.end, model.JobEnd.COMPLETED)
+
+
 class WideJobsTest(unittest.TestCase):
     """Wide jobs of short tasks arrive among narrow jobs of longer tasks.
 
