--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -310,6 +310,28 @@
         )
         return job
 
+    def adopt_done_run(self, key: model.RunKey, *, now: float) -> bool:
+        """Counts a waiting task as done, by a run of an earlier leader or lease.
+
+        Returns:
+            Whether an owner has claimed the job of the run.
+        """
+        job = self._jobs.get(key.task.job)
+        if job is None or key.task.index >= len(job.tasks):
+            return False
+        task = job.tasks[key.task.index]
+        if task.state is not TaskState.WAITING:
+            return True
+        job.set_state(task, TaskState.DONE)
+        job.started = True
+        self._queue.update(job)
+        self._out.add_decision(
+            "done_run_adopted", job=job.name, detail=f"task={task.key.index}"
+        )
+        if job.finished():
+            self._end_job(job, model.Answer(model.JobEnd.COMPLETED), now=now)
+        return True
+
     def run_ended(
         self,
         lease: lease_module.Lease,
@@ -417,7 +439,7 @@
             started=message.had_earlier_leader,
         )
         self._jobs[request.job] = job
-        self._lease_manager.adopt_runs(job)
+        self._lease_manager.adopt_runs(job, now=now)
         self._queue.update(job)
         self._placement_due = True
         if not job.started:
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Protocol
 
 from godwitnotch.core import ids
@@ -37,11 +38,22 @@
 RECENT_RESPONSE_S = 1.0
 BASE_LIST_RETRY_DELAY_S = 0.06
 MAX_LIST_RETRY_DELAY_S = 1.0
+# How long a run is remembered that has succeeded before its owner has handed
+# over the job.
+UNCLAIMED_DONE_RETENTION_S = 3.0
 # Resources reserved for a run that was found at an upstream, until its job is
 # known.
 UNKNOWN_NEEDS = model.Resources(0, 0, 0)
 
 
+@dataclass(frozen=True, slots=True)
+class _UnclaimedDone:
+    """A run that has succeeded, whose job no owner has handed over yet."""
+
+    key: model.RunKey
+    expires_at: float
+
+
 class RunListener(Protocol):
     """Finds the jobs of runs and handles changes of runs."""
 
@@ -52,6 +64,13 @@
             The job; None if no owner has claimed the run.
         """
 
+    def adopt_done_run(self, key: model.RunKey, *, now: float) -> bool:
+        """Handles a run that has succeeded under an earlier leader or lease.
+
+        Returns:
+            Whether an owner has claimed the job of the run.
+        """
+
     def run_ended(
         self,
         lease: lease_module.Lease,
@@ -111,6 +130,7 @@
         self._runs: dict[
             model.TaskKey, dict[ids.UpstreamId, lease_module.Run]
         ] = {}
+        self._unclaimed_done: dict[model.TaskKey, _UnclaimedDone] = {}
 
     @property
     def leases(self) -> Mapping[ids.UpstreamId, lease_module.Lease]:
@@ -168,6 +188,7 @@
         """Forgets all leases; upstreams end the runs when a lease expires."""
         self._leases.clear()
         self._runs.clear()
+        self._unclaimed_done.clear()
         self._calls.clear()
         self._claim_period_open = False
 
@@ -187,9 +208,12 @@
         for lease in tuple(self._leases.values()):
             self._reconcile(lease, now=now)
 
-    def adopt_runs(self, job: jobs.LeasedJob) -> None:
+    def adopt_runs(self, job: jobs.LeasedJob, *, now: float) -> None:
         """Assigns unclaimed runs to a job that an owner has handed over."""
         for task in job.tasks:
+            done = self._unclaimed_done.pop(task.key, None)
+            if done is not None:
+                self._listener.adopt_done_run(done.key, now=now)
             for run in self._runs.get(task.key, {}).values():
                 if run.job is None:
                     self._adopt_run(run)
@@ -255,6 +279,7 @@
 
     def tick(self, *, now: float) -> None:
         """Handles expired leases; repeats stop orders and list requests."""
+        self._forget_unclaimed_done(now=now)
         for upstream, lease in tuple(self._leases.items()):
             if not lease.listed and not lease.runs:
                 del self._leases[upstream]
@@ -507,13 +532,29 @@
         now: float,
     ) -> None:
         """Records the runs that have ended according to an upstream's list."""
-        for run, end in run_lists.newly_ended(lease, run_list):
-            self._record_end(lease, run, end, now=now)
+        for ended in run_lists.newly_ended(lease, run_list):
+            run = lease.runs.get(ended.key.task)
+            if run is not None and run.key == ended.key:
+                self._record_end(lease, run, ended.end, now=now)
+            elif ended.end is model.RunEnd.DONE:
+                self._record_done(ended.key, now=now)
         for run in run_lists.missing_runs(
             lease, run_list, requested_at=requested_at
         ):
             self._record_end(lease, run, model.RunEnd.LOST, now=now)
 
+    def _record_done(self, key: model.RunKey, *, now: float) -> None:
+        """Records a successful run that this leader didn't know as active."""
+        if not self._listener.adopt_done_run(key, now=now):
+            self._unclaimed_done[key.task] = _UnclaimedDone(
+                key, now + UNCLAIMED_DONE_RETENTION_S
+            )
+
+    def _forget_unclaimed_done(self, *, now: float) -> None:
+        for task, done in tuple(self._unclaimed_done.items()):
+            if now >= done.expires_at:
+                del self._unclaimed_done[task]
+
     def _record_end(
         self,
         lease: lease_module.Lease,
--- a/godwitnotch/core/leased/run_lists.py
+++ b/godwitnotch/core/leased/run_lists.py
@@ -8,15 +8,12 @@
 
 def newly_ended(
     lease: lease_module.Lease, run_list: model.RunList
-) -> Iterator[tuple[lease_module.Run, model.RunEnd]]:
-    """Yields known runs that have ended; acknowledges all ended runs."""
-    for end in run_list.ended:
-        if end.number <= lease.acknowledged_end:
-            continue
-        lease.acknowledged_end = end.number
-        run = lease.runs.get(end.key.task)
-        if run is not None and run.key == end.key:
-            yield run, end.end
+) -> Iterator[model.EndedRun]:
+    """Yields and acknowledges the ended runs that are new to the leader."""
+    for ended in run_list.ended:
+        if ended.number > lease.acknowledged_end:
+            lease.acknowledged_end = ended.number
+            yield ended
 
 
 def missing_runs(
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -771,7 +771,7 @@
         key = model.RunKey(running_job.tasks[0].key, model.RunNumber(1))
         manager.start_run(upstream, running_job, key, expected_s=0.1, now=NOW)
         manager._leases = _LookupOnlyLeases(manager._leases)
-        manager.adopt_runs(running_job)
+        manager.adopt_runs(running_job, now=NOW)
         self.assertTrue(manager.has_run(running_job.tasks[0].key))
         self.assertFalse(manager.has_run(running_job.tasks[1].key))
 
--- a/tests/test_leased_load_patterns.py
+++ b/tests/test_leased_load_patterns.py
@@ -88,6 +88,51 @@
         self.assertEqual(answer.end, model.JobEnd.COMPLETED)
 
 
+class LeaderLossTest(unittest.TestCase):
+    """The leader is lost while runs end that it will never hear of."""
+
+    def setUp(self) -> None:
+        self.world = leased_world.World({"a": ["a1", "a2", "a3"]}, upstreams=4)
+        self.world.link_all()
+        self.world.run(1.0)
+        (self.leader,) = self.world.leaders()
+        self.owner = next(
+            name for name in self.world.hosts if name != self.leader
+        )
+
+    def test_tasks_that_have_ended_meanwhile_do_not_run_again(self) -> None:
+        calls = [
+            self.world.submit(self.owner, f"job{number}", tasks=2)
+            for number in range(4)
+        ]
+        self.world.run(0.05)
+        self.world.kill(self.leader)
+        self.world.run(3.0)
+        self.assertEqual(
+            outcomes(self.world, calls), {model.JobEnd.COMPLETED: 4}
+        )
+        for number in range(4):
+            self.assertEqual(self.world.start_count(f"job{number}"), 2)
+
+    def test_owner_that_links_late_gets_the_answer_too(self) -> None:
+        call = self.world.submit(self.owner, "job", tasks=2)
+        self.world.run(0.05)
+        other = next(
+            name
+            for name in self.world.hosts
+            if name not in (self.leader, self.owner)
+        )
+        self.world.partition({self.owner}, {other})
+        self.world.kill(self.leader)
+        self.world.run(1.2)
+        self.world.heal()
+        self.world.run(2.0)
+        self.assertEqual(
+            self.world.answers[call][1].end, model.JobEnd.COMPLETED
+        )
+        self.assertEqual(self.world.overlaps(), [])
+
+
 class WideJobsTest(unittest.TestCase):
     """Wide jobs of short tasks arrive among narrow jobs of longer tasks.
 
