--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -2,16 +2,16 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from godwitnotch.core import ids
-from godwitnotch.core.leased import admission
 from godwitnotch.core.leased import cell_load
 from godwitnotch.core.leased import evidence as evidence_module
 from godwitnotch.core.leased import health as health_module
+from godwitnotch.core.leased import job_admission
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import lease as lease_module
 from godwitnotch.core.leased import lease_manager
+from godwitnotch.core.leased import load_meter
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import outbox as outbox_module
 from godwitnotch.core.leased import overdue_runs
@@ -19,24 +19,14 @@
 from godwitnotch.core.leased import owners
 from godwitnotch.core.leased import peer_messages
 from godwitnotch.core.leased import placement as placement_module
+from godwitnotch.core.leased import retained_answers
 from godwitnotch.core.leased import run_times
 from godwitnotch.core.leased import waiting
 from godwitnotch.core.leased.jobs import TaskState
 
-# A leader that holds no lease refuses jobs that have not had a run, once it has
-# led for this time.
-NO_UPSTREAM_TIMEOUT_S = 0.4
-# A new leader refuses no job by its load until all upstreams have sent their
-# list of runs, or for this time.
-SETTLING_TIMEOUT_S = 0.4
-# How long answers are kept: an owner that loses its link before the answer
-# arrives hands the job over again.
-ANSWER_RETENTION_S = 3.0
 OVERDUE_CHECK_INTERVAL_S = 0.05
 RUN_TIMES_UPDATE_INTERVAL_S = 0.2
-# How long values are cached whose computation needs a scan of all upstreams.
-LOAD_CACHE_S = 0.02
-ACCEPTING_LEASES_CACHE_S = 0.01
+ACCEPTING_LEASES_CACHE_S = 0.01  # The list needs a scan of all upstreams.
 # A pass over the queue ends after this many jobs that could not be placed.
 MAX_UNPLACED_JOB_COUNT = 4
 
@@ -44,14 +34,6 @@
 RedirectOwner = Callable[[ids.HostId, model.JobName, ids.HostId], None]
 
 
-@dataclass(frozen=True, slots=True)
-class _RetainedAnswer:
-    """An answer, to be sent again if the job is handed over again."""
-
-    answer: model.Answer
-    expires_at: float
-
-
 class Dispatcher:
     """Queues jobs, starts their tasks on upstreams and answers their owners.
 
@@ -81,20 +63,16 @@
         self._out = out
         self._answer_owner = answer_owner
         self._redirect_owner = redirect_owner
-        self._suitability = suitability
         self._overflow = overflow.Overflow()
         self._listing_complete = listing_complete
         self._higher_term_seen = higher_term_seen
         self._leading = False
-        self._leading_since = 0.0
         self._owners = owners.Owners()
         self._jobs: dict[model.JobName, jobs.LeasedJob] = {}
         self._queue = waiting.WaitingQueue()
-        self._cached_load = admission.Load(0.0, 0.0, 0.0)
-        self._load_computed_at = float("-inf")
         self._accepting: list[lease_module.Lease] = []
         self._accepting_computed_at = float("-inf")
-        self._retained_answers: dict[model.JobName, _RetainedAnswer] = {}
+        self._retained_answers = retained_answers.RetainedAnswers()
         self._times = run_times.RunTimes()
         self._health = health_module.UpstreamHealth()
         self._evidence = evidence_module.EvidenceSharing(
@@ -105,10 +83,20 @@
         self._lease_manager = lease_manager.LeaseManager(
             out, self, in_scope=in_scope
         )
+        self._meter = load_meter.LoadMeter(
+            self._queue, self._lease_manager, self._times
+        )
+        self._admission = job_admission.JobAdmission(
+            self._queue,
+            self._meter,
+            self._lease_manager,
+            overflow=self._overflow,
+            suitability=suitability,
+            least_slowness=self._least_slowness,
+        )
         self._placement_due = False
         self._next_overdue_check_at = 0.0
         self._next_run_times_update_at = 0.0
-        self._average_cpu_millis = 0.0
 
     @property
     def lease_manager(self) -> lease_manager.LeaseManager:
@@ -146,7 +134,7 @@
         """Starts to lead; the given hosts will hand over their open jobs."""
         self.stop_leading()
         self._leading = True
-        self._leading_since = now
+        self._admission.start_leading(now=now)
         self._owners.await_hosts(hosts, now=now)
         self._lease_manager.start_leading(term, upstreams, now=now)
 
@@ -155,7 +143,7 @@
         self._leading = False
         self._jobs.clear()
         self._queue.clear()
-        self._load_computed_at = float("-inf")
+        self._meter.reset()
         self._accepting_computed_at = float("-inf")
         self._retained_answers.clear()
         self._owners.clear()
@@ -187,7 +175,7 @@
         name = message.request.job
         retained = self._retained_answers.get(name)
         if retained is not None and message.had_earlier_leader:
-            self._answer_owner(owner, name, retained.answer)
+            self._answer_owner(owner, name, retained)
             return
         job = self._jobs.get(name)
         if job is not None:
@@ -198,7 +186,8 @@
         job.redirected = redirected
         job.may_run_elsewhere = may_run_elsewhere
         if not job.started:
-            self._admit(job, now=now)
+            verdict = self._admission.check_arrival(job, now=now)
+            self._apply(verdict, job, now=now)
         self.place_waiting(now=now)
 
     def all_handed_over(self, owner: ids.HostId, *, now: float) -> None:
@@ -283,9 +272,7 @@
         if now >= self._next_overdue_check_at:
             self._next_overdue_check_at = now + OVERDUE_CHECK_INTERVAL_S
             self._stop_overdue_runs(now=now)
-        for name, retained in tuple(self._retained_answers.items()):
-            if now >= retained.expires_at:
-                del self._retained_answers[name]
+        self._retained_answers.forget_expired(now=now)
         self.place_waiting(now=now)
 
     def adopt_run(self, key: model.RunKey) -> jobs.LeasedJob | None:
@@ -443,121 +430,33 @@
         self._queue.update(job)
         self._placement_due = True
         if not job.started:
-            # Moving average over the jobs received by this host as leader.
-            average = self._average_cpu_millis or request.tasks.needs.cpu_millis
-            new = request.tasks.needs.cpu_millis
-            self._average_cpu_millis = average + 0.05 * (new - average)
+            self._meter.job_added(request)
         return job
 
-    def _admit(self, job: jobs.LeasedJob, *, now: float) -> None:
-        """Moves a job without runs to another cell, refuses or keeps it."""
-        if self._end_if_past_saving(job, now=now):
-            return
-        if not self._redirect_if_sooner(job, now=now):
-            self._refuse_if_late(job, now=now)
-
-    def _end_if_past_saving(self, job: jobs.LeasedJob, *, now: float) -> bool:
-        """Ends a job whose waiting tasks can't end by its deadline."""
-        leases = self._accepting_leases(now=now)
-        least_slowness = min(
-            (self._times.slowness(lease.upstream) for lease in leases[:1]),
-            default=0.0,
-        )
-        if admission.can_end_by_deadline(
-            job, least_slowness=least_slowness, now=now
-        ):
-            return False
-        self._out.add_decision(
-            "job_past_saving",
-            job=job.name,
-            detail=f"left_s={job.deadline - now:.3f} "
-            f"base_ms={job.base_ms:.0f} waiting={job.waiting_task_count}",
-        )
-        end = model.JobEnd.GIVEN_UP if job.started else model.JobEnd.REFUSED
-        answer = model.Answer(
-            end,
-            model.EndReason.DEADLINE_PASSED,
-            admission.retry_after_s(self._load(now=now)),
-        )
-        self._end_job(job, answer, now=now)
-        return True
-
-    def _redirect_if_sooner(self, job: jobs.LeasedJob, *, now: float) -> bool:
-        """Redirects a job that ends sooner in another cell, once."""
-        if job.redirected or not self._overflow.any_known:
-            return False
-        load = self._load(now=now)
-        own = cell_load.CellLoad(
-            load.slots, load.free_slots, self._queue.ahead_ms(job, now=now)
-        )
-        leader = self._overflow.choose(
-            job, own, self._suitability(job.request), now=now
-        )
-        if leader is None:
-            return False
-        self._out.add_decision(
-            "job_redirected", job=job.name, detail=f"leader={leader}"
-        )
-        self._remove_job(job, now=now)
-        self._redirect_owner(job.owner, job.name, leader)
-        return True
-
-    def _refuse_if_late(self, job: jobs.LeasedJob, *, now: float) -> None:
-        """Refuses a job that is expected to miss its target response time."""
-        if not self._lease_manager.holds_any() or self._settling(now=now):
-            return
-        ahead_ms = self._queue.ahead_ms(job, now=now)
-        load = self._load(now=now)
-        decision = admission.decide(job, ahead_ms, load, now=now)
-        if decision.admitted:
-            return
-        self._out.add_decision(
-            "job_refused",
-            job=job.name,
-            reason=model.EndReason.OVERLOADED.value,
-            detail=f"wait_s={decision.wait_s:.3f} ahead_ms={ahead_ms:.0f} "
-            f"slots={load.slots:.1f} base_ms={job.base_ms:.0f}",
-        )
-        answer = model.Answer(
-            model.JobEnd.REFUSED,
-            model.EndReason.OVERLOADED,
-            decision.retry_after_s,
-        )
-        self._end_job(job, answer, now=now)
-
-    def _settling(self, *, now: float) -> bool:
-        """Returns whether this new leader doesn't know its capacity yet."""
-        return (
-            now - self._leading_since < SETTLING_TIMEOUT_S
-            and self._lease_manager.awaits_first_lists()
-        )
-
-    def _load(self, *, now: float) -> admission.Load:
-        """Returns the current load, cached for LOAD_CACHE_S."""
-        if now < self._load_computed_at + LOAD_CACHE_S:
-            return self._cached_load
-        self._load_computed_at = now
-        leases = self._lease_manager.leases.values()
-        remaining_s = sum(
-            max(0.0, run.expected_s - (now - run.ordered_at))
-            for lease in leases
-            for run in lease.runs.values()
-        )
-        slots = admission.count_slots(
-            leases, self._times, cpu_millis=self._average_cpu_millis
-        )
-        waiting_ms = self._queue.total_ms(now=now)
-        self._cached_load = admission.Load(
-            slots,
-            waiting_ms,
-            remaining_s * 1_000,
-            admission.count_used_slots(leases, self._times),
-        )
-        return self._cached_load
+    def _apply(
+        self, verdict: job_admission.Verdict, job: jobs.LeasedJob, *, now: float
+    ) -> None:
+        """Moves or ends a job, as the admission has decided."""
+        match verdict:
+            case job_admission.Moved(leader=leader):
+                self._out.add_decision(
+                    "job_redirected", job=job.name, detail=f"leader={leader}"
+                )
+                self._remove_job(job, now=now)
+                self._redirect_owner(job.owner, job.name, leader)
+            case job_admission.Ended(answer=answer, event=event, detail=detail):
+                if event:
+                    self._out.add_decision(
+                        event,
+                        job=job.name,
+                        reason=answer.reason.value,
+                        detail=detail,
+                    )
+                self._end_job(job, answer, now=now)
 
     def cell_load(self, *, now: float) -> cell_load.CellLoad:
         """Returns the load of this leader's upstreams, for other leaders."""
-        load = self._load(now=now)
+        load = self._meter.load(now=now)
         return cell_load.CellLoad(load.slots, load.free_slots, load.waiting_ms)
 
     def _accepting_leases(self, *, now: float) -> list[lease_module.Lease]:
@@ -568,6 +467,11 @@
             self._accepting = self._placement.fastest_first(leases)
         return self._accepting
 
+    def _least_slowness(self, now: float) -> float:
+        """Returns the slowness of the fastest upstream that accepts runs."""
+        leases = self._accepting_leases(now=now)
+        return self._times.slowness(leases[0].upstream) if leases else 0.0
+
     def _place_job(
         self,
         job: jobs.LeasedJob,
@@ -661,9 +565,7 @@
         self, job: jobs.LeasedJob, answer: model.Answer, *, now: float
     ) -> None:
         """Removes a job and answers its owner."""
-        self._retained_answers[job.name] = _RetainedAnswer(
-            answer, now + ANSWER_RETENTION_S
-        )
+        self._retained_answers.add(job.name, answer, now=now)
         self._remove_job(job, now=now)
         self._answer_owner(job.owner, job.name, answer)
 
@@ -687,32 +589,15 @@
             self._lease_manager.stop_job(job, now=now)
 
     def _check_open_jobs(self, *, now: float) -> None:
-        """Drops jobs past their deadline; checks jobs without runs again."""
+        """Ends jobs that can't be served any more."""
         for job in tuple(self._jobs.values()):
             if now >= job.deadline:
                 self._drop_job(job, reason="deadline_passed", now=now)
-            elif self._end_if_past_saving(job, now=now):
                 continue
-            elif not job.started:
-                self._check_waiting_job(job, now=now)
-
-    def _check_waiting_job(self, job: jobs.LeasedJob, *, now: float) -> None:
-        """Refuses a job without runs if it can't be served in time."""
-        waited_s = now - job.arrived_at
-        leading_s = now - self._leading_since
-        if (
-            not self._lease_manager.holds_any()
-            and leading_s >= NO_UPSTREAM_TIMEOUT_S
-        ):
-            answer = model.Answer(
-                model.JobEnd.REFUSED, model.EndReason.NO_UPSTREAM, 1.0
-            )
-            self._end_job(job, answer, now=now)
-            return
-        due = waited_s >= job.target_response_s * admission.RECHECK_SHARE
-        if due and not job.rechecked and not self._settling(now=now):
-            job.rechecked = True
-            self._admit(job, now=now)
+            verdict = self._admission.check_deadline(job, now=now)
+            if isinstance(verdict, job_admission.Kept) and not job.started:
+                verdict = self._admission.check_waiting(job, now=now)
+            self._apply(verdict, job, now=now)
 
     def _stop_overdue_runs(self, *, now: float) -> None:
         overdue = self._overdue.find(
--- /dev/null
+++ b/godwitnotch/core/leased/job_admission.py
@@ -0,0 +1,184 @@
+"""Decides what becomes of a job on arrival, and while it waits.
+
+A job is kept, moved to the leader of another cell, or ended at once with a time
+to come back.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from godwitnotch.core import ids
+from godwitnotch.core.leased import admission
+from godwitnotch.core.leased import cell_load
+from godwitnotch.core.leased import jobs
+from godwitnotch.core.leased import lease_manager as lease_manager_module
+from godwitnotch.core.leased import load_meter
+from godwitnotch.core.leased import model
+from godwitnotch.core.leased import overflow as overflow_module
+from godwitnotch.core.leased import waiting
+
+# A leader that holds no lease refuses jobs that have not had a run, once it has
+# led for this time.
+NO_UPSTREAM_TIMEOUT_S = 0.4
+NO_UPSTREAM_RETRY_AFTER_S = 1.0
+# A new leader refuses no job by its load until all upstreams have sent their
+# list of runs, or for this time.
+SETTLING_TIMEOUT_S = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """The job stays in the queue."""
+
+
+@dataclass(frozen=True, slots=True)
+class Moved:
+    """The job goes to the leader of another cell."""
+
+    leader: ids.HostId
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """The job is answered at once.
+
+    Attributes:
+        answer: The answer.
+        event: The log event; empty for none.
+        detail: The figures behind the decision, for the log.
+    """
+
+    answer: model.Answer
+    event: str = ""
+    detail: str = ""
+
+
+Verdict = Kept | Moved | Ended
+
+
+class JobAdmission:
+    """Decides about the jobs of one leader.
+
+    Args:
+        queue: The jobs that wait.
+        meter: Measures the leader's load.
+        leases: The leases on the upstreams.
+        overflow: The loads of the other cells.
+        suitability: Tells how long a job's tasks take in each cell.
+        least_slowness: Returns the slowness of the fastest upstream that
+            accepts runs; 0 if there is none.
+    """
+
+    def __init__(
+        self,
+        queue: waiting.WaitingQueue,
+        meter: load_meter.LoadMeter,
+        leases: lease_manager_module.LeaseManager,
+        *,
+        overflow: overflow_module.Overflow,
+        suitability: Callable[[model.JobRequest], overflow_module.Suitability],
+        least_slowness: Callable[[float], float],
+    ) -> None:
+        self._queue = queue
+        self._meter = meter
+        self._leases = leases
+        self._overflow = overflow
+        self._suitability = suitability
+        self._least_slowness = least_slowness
+        self._leading_since = 0.0
+
+    def start_leading(self, *, now: float) -> None:
+        """Records when this host has started to lead."""
+        self._leading_since = now
+
+    def check_arrival(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
+        """Decides about a job that has had no run."""
+        hopeless = self.check_deadline(job, now=now)
+        if isinstance(hopeless, Ended):
+            return hopeless
+        leader = self._find_sooner_leader(job, now=now)
+        if leader is not None:
+            return Moved(leader)
+        return self._check_load(job, now=now)
+
+    def check_waiting(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
+        """Decides again about a job that still has had no run."""
+        leading_s = now - self._leading_since
+        if not self._leases.holds_any() and leading_s >= NO_UPSTREAM_TIMEOUT_S:
+            return Ended(
+                model.Answer(
+                    model.JobEnd.REFUSED,
+                    model.EndReason.NO_UPSTREAM,
+                    NO_UPSTREAM_RETRY_AFTER_S,
+                )
+            )
+        waited_s = now - job.arrived_at
+        due = waited_s >= job.target_response_s * admission.RECHECK_SHARE
+        if due and not job.rechecked and not self._settling(now=now):
+            job.rechecked = True
+            return self.check_arrival(job, now=now)
+        return Kept()
+
+    def check_deadline(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
+        """Ends a job whose waiting tasks can't end by its deadline."""
+        if admission.can_end_by_deadline(
+            job, least_slowness=self._least_slowness(now), now=now
+        ):
+            return Kept()
+        end = model.JobEnd.GIVEN_UP if job.started else model.JobEnd.REFUSED
+        answer = model.Answer(
+            end,
+            model.EndReason.DEADLINE_PASSED,
+            admission.retry_after_s(self._meter.load(now=now)),
+        )
+        return Ended(
+            answer,
+            "job_past_saving",
+            f"left_s={job.deadline - now:.3f} "
+            f"base_ms={job.base_ms:.0f} waiting={job.waiting_task_count}",
+        )
+
+    def _find_sooner_leader(
+        self, job: jobs.LeasedJob, *, now: float
+    ) -> ids.HostId | None:
+        """Returns the leader of a cell in which a job ends sooner, if any.
+
+        A job is moved at most once.
+        """
+        if job.redirected or not self._overflow.any_known:
+            return None
+        load = self._meter.load(now=now)
+        own = cell_load.CellLoad(
+            load.slots, load.free_slots, self._queue.ahead_ms(job, now=now)
+        )
+        return self._overflow.choose(
+            job, own, self._suitability(job.request), now=now
+        )
+
+    def _check_load(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
+        """Refuses a job that is expected to miss its target response time."""
+        if not self._leases.holds_any() or self._settling(now=now):
+            return Kept()
+        ahead_ms = self._queue.ahead_ms(job, now=now)
+        load = self._meter.load(now=now)
+        decision = admission.decide(job, ahead_ms, load, now=now)
+        if decision.admitted:
+            return Kept()
+        answer = model.Answer(
+            model.JobEnd.REFUSED,
+            model.EndReason.OVERLOADED,
+            decision.retry_after_s,
+        )
+        return Ended(
+            answer,
+            "job_refused",
+            f"wait_s={decision.wait_s:.3f} ahead_ms={ahead_ms:.0f} "
+            f"slots={load.slots:.1f} base_ms={job.base_ms:.0f}",
+        )
+
+    def _settling(self, *, now: float) -> bool:
+        """Returns whether this new leader doesn't know its capacity yet."""
+        return (
+            now - self._leading_since < SETTLING_TIMEOUT_S
+            and self._leases.awaits_first_lists()
+        )
--- /dev/null
+++ b/godwitnotch/core/leased/load_meter.py
@@ -0,0 +1,69 @@
+"""Measures the load of one leader: its queue and the upstreams it holds."""
+
+from godwitnotch.core.leased import admission
+from godwitnotch.core.leased import lease_manager as lease_manager_module
+from godwitnotch.core.leased import model
+from godwitnotch.core.leased import run_times
+from godwitnotch.core.leased import waiting
+
+# A measurement needs a scan of all upstreams.
+CACHE_S = 0.02
+CPU_AVERAGE_WEIGHT = 0.05  # Weight of a new job in the moving average.
+
+
+class LoadMeter:
+    """Measures the load, at most once in CACHE_S.
+
+    Args:
+        queue: The jobs that wait.
+        leases: The leases on the upstreams.
+        times: Tells how slow upstreams are.
+    """
+
+    def __init__(
+        self,
+        queue: waiting.WaitingQueue,
+        leases: lease_manager_module.LeaseManager,
+        times: run_times.RunTimes,
+    ) -> None:
+        self._queue = queue
+        self._lease_manager = leases
+        self._times = times
+        self._average_cpu_millis = 0.0
+        self._cached = admission.Load(0.0, 0.0, 0.0)
+        self._measured_at = float("-inf")
+
+    def reset(self) -> None:
+        """Forgets the last measurement."""
+        self._measured_at = float("-inf")
+
+    def job_added(self, request: model.JobRequest) -> None:
+        """Includes a job in the average size of a task."""
+        new = request.tasks.needs.cpu_millis
+        average = self._average_cpu_millis or new
+        self._average_cpu_millis = average + CPU_AVERAGE_WEIGHT * (
+            new - average
+        )
+
+    def load(self, *, now: float) -> admission.Load:
+        """Returns the load."""
+        if now >= self._measured_at + CACHE_S:
+            self._measured_at = now
+            self._cached = self._measure(now=now)
+        return self._cached
+
+    def _measure(self, *, now: float) -> admission.Load:
+        leases = self._lease_manager.leases.values()
+        remaining_s = sum(
+            max(0.0, run.expected_s - (now - run.ordered_at))
+            for lease in leases
+            for run in lease.runs.values()
+        )
+        return admission.Load(
+            slots=admission.count_slots(
+                leases, self._times, cpu_millis=self._average_cpu_millis
+            ),
+            waiting_ms=self._queue.total_ms(now=now),
+            remaining_ms=remaining_s * 1_000,
+            used_slots=admission.count_used_slots(leases, self._times),
+        )
--- a/tests/mutants/__main__.py
+++ b/tests/mutants/__main__.py
@@ -35,6 +35,7 @@
     "tests.test_differential",
     "tests.test_leased_host",
     "tests.test_leased_decisions",
+    "tests.test_leased_load_patterns",
     "tests.test_leased_cells",
     "tests.test_leased_histories",
 )
