--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -6,6 +6,9 @@
 entry of ablation.yaml; `NAME*2` or `NAME/2` names a constant, as
 `module.CONSTANT`, that is doubled or halved. `all` stands for every mechanism.
 
+With `--generated` in place of SITE and `--bench`, the days are the loads of
+`bench.load_sweep`, which have no faults and need no bench.
+
 The copies lie beside the repository. Their journal entries are moved to the
 journal of the repository.
 """
@@ -29,6 +32,7 @@
 MECHANISMS = pathlib.Path(__file__).parent / "ablation.yaml"
 DECISIONS = "core/leased"
 DAYS = ("trouble-1", "scale-1", "trouble-2", "scale-2", "trouble-3")
+RATES = ("85", "100", "120")  # Jobs a second of a generated load.
 SEEDS = (11, 12)
 IGNORED = shutil.ignore_patterns(
     ".git", ".venv", "journal", "__pycache__", ".mypy_cache", ".ruff_cache"
@@ -55,6 +59,7 @@
         seeds: The seeds of each day.
         jobs: How many plays run at once.
         with_cpu: Whether processor time counts.
+        generated: Whether to play generated loads instead of a site's days.
         scratch: Folder of the copies.
     """
 
@@ -64,6 +69,7 @@
     seeds: tuple[int, ...]
     jobs: int
     with_cpu: bool
+    generated: bool
     scratch: pathlib.Path
 
 
@@ -125,6 +131,8 @@
 
     def _play(self, play: Play) -> float:
         """Returns the worth of a day; NaN if it could not be played."""
+        if self._options.generated:
+            return self._sweep(play)
         folder = self._folder(play.variant)
         report = folder / f"{pathlib.Path(play.day).stem}-{play.seed}.json"
         command = [
@@ -151,6 +159,26 @@
         result = json.loads(report.read_text())
         return 0.0 if result["breaks"] else float(result["G"])
 
+    def _sweep(self, play: Play) -> float:
+        """Returns the worth of a generated load, whose rate is the day."""
+        completed = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "bench.load_sweep",
+                "--rate",
+                play.day,
+                "--seed",
+                str(play.seed),
+            ],
+            cwd=self._folder(play.variant),
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        found = re.search(r"^mean=([\d.]+)$", completed.stdout, re.MULTILINE)
+        return float(found[1]) if found else math.nan
+
     def _keep_journal(self, variant: str) -> None:
         folder = self._folder(variant) / "journal"
         for path in folder.rglob("*"):
@@ -234,8 +262,11 @@
 def main() -> None:
     """Runs the command line."""
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
-    parser.add_argument("site", type=pathlib.Path)
-    parser.add_argument("--bench", type=pathlib.Path, required=True)
+    parser.add_argument(
+        "site", type=pathlib.Path, nargs="?", default=pathlib.Path("generated")
+    )
+    parser.add_argument("--bench", type=pathlib.Path, default=pathlib.Path())
+    parser.add_argument("--generated", action="store_true")
     parser.add_argument("--without", action="append", default=[])
     parser.add_argument("--day", action="append", default=[])
     parser.add_argument("--seed", action="append", type=int, default=[])
@@ -250,10 +281,11 @@
     options = Options(
         bench=found.bench.resolve(),
         site=found.site.resolve(),
-        days=tuple(found.day) or DAYS,
+        days=tuple(found.day) or (RATES if found.generated else DAYS),
         seeds=tuple(found.seed) or SEEDS,
         jobs=found.jobs,
         with_cpu=found.with_cpu,
+        generated=found.generated,
         scratch=found.scratch,
     )
     Ablation(options, find_variants(found.without)).run()
--- a/tests/mutants/__main__.py
+++ b/tests/mutants/__main__.py
@@ -52,7 +52,7 @@
 
 def copy_tree(target: pathlib.Path) -> None:
     """Copies the code and the tests, but no scenarios known to fail."""
-    for part in ("godwitnotch", "tests"):
+    for part in ("godwitnotch", "bench", "tests"):
         shutil.copytree(ROOT / part, target / part)
     known = (ROOT / "KNOWN-RED.txt").read_text()
     for name in re.findall(
