--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -118,7 +118,7 @@
         self._print_table()
 
     def _folder(self, variant: str) -> pathlib.Path:
-        return self._options.scratch / re.sub(r"\W+", "_", variant)
+        return self._options.scratch / folder_name(variant)
 
     def _copy_code(self, variant: str) -> None:
         folder = self._folder(variant)
@@ -207,6 +207,12 @@
         ]
 
 
+def folder_name(variant: str) -> str:
+    """Returns the name of the copy of a variant."""
+    name = variant.replace("*", "_times_").replace("/", "_by_")
+    return re.sub(r"\W+", "_", name)
+
+
 def _mean_text(values: Sequence[float]) -> str:
     return f"{statistics.fmean(values):.4f} +- {_standard_error(values):.4f}"
 
--- a/godwitnotch/core/leased/admission.py
+++ b/godwitnotch/core/leased/admission.py
@@ -137,12 +137,10 @@
     """Returns whether the waiting tasks of a job may end by its deadline.
 
     Args:
-        job: The job.
+        job: A job with waiting tasks.
         least_slowness: Slowness of the fastest upstream.
         now: The current time.
     """
-    if not job.waiting_task_count:
-        return True
     run_s = job.base_ms * least_slowness * MIN_RUN_TIME_SHARE / 1_000
     return now + run_s <= job.deadline
 
--- a/godwitnotch/core/leased/job_admission.py
+++ b/godwitnotch/core/leased/job_admission.py
@@ -54,6 +54,7 @@
 
 
 Verdict = Kept | Moved | Ended
+_KEPT = Kept()
 
 
 class JobAdmission:
@@ -117,14 +118,16 @@
         if due and not job.rechecked and not self._settling(now=now):
             job.rechecked = True
             return self.check_arrival(job, now=now)
-        return Kept()
+        return _KEPT
 
     def check_deadline(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
         """Ends a job whose waiting tasks can't end by its deadline."""
+        if not job.waiting_task_count:
+            return _KEPT
         if admission.can_end_by_deadline(
             job, least_slowness=self._least_slowness(now), now=now
         ):
-            return Kept()
+            return _KEPT
         end = model.JobEnd.GIVEN_UP if job.started else model.JobEnd.REFUSED
         answer = model.Answer(
             end,
@@ -158,12 +161,12 @@
     def _check_load(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
         """Refuses a job that is expected to miss its target response time."""
         if not self._leases.holds_any() or self._settling(now=now):
-            return Kept()
+            return _KEPT
         ahead_ms = self._queue.ahead_ms(job, now=now)
         load = self._meter.load(now=now)
         decision = admission.decide(job, ahead_ms, load, now=now)
         if decision.admitted:
-            return Kept()
+            return _KEPT
         answer = model.Answer(
             model.JobEnd.REFUSED,
             model.EndReason.OVERLOADED,
--- a/godwitnotch/report/speeds.py
+++ b/godwitnotch/report/speeds.py
@@ -1,12 +1,14 @@
 """Learns from the logs how fast upstreams are and how long routes' tasks run."""
 
 import math
+import statistics
 from dataclasses import dataclass
 
 from godwitnotch.core import ids
 
 RECENT_WEIGHT = 0.05  # Weight of a new run in the averages.
 MIN_RUN_MS = 1.0
+MEDIAN_INTERVAL_RUNS = 50
 
 
 @dataclass(slots=True)
@@ -29,7 +31,8 @@
     def __init__(self) -> None:
         self._upstreams: dict[ids.UpstreamId, _Average] = {}
         self._routes: dict[str, _Average] = {}
-        self._total = 0.0  # Of the upstreams' averages.
+        self._median = 0.0  # Of the upstreams' averages.
+        self._run_count = 0
 
     def run_ended(
         self,
@@ -42,14 +45,16 @@
         """Learns from a run that has succeeded."""
         bias = math.log(max(MIN_RUN_MS, ran_ms) / max(MIN_RUN_MS, estimate_ms))
         expected = self._routes.setdefault(route, _Average()).value
-        average = self._upstreams.setdefault(upstream, _Average())
-        before = average.value
-        average.add(bias - expected)
-        self._total += average.value - before
+        self._upstreams.setdefault(upstream, _Average()).add(bias - expected)
+        self._run_count += 1
+        if self._run_count % MEDIAN_INTERVAL_RUNS == 1:
+            self._median = statistics.median(
+                average.value for average in self._upstreams.values()
+            )
         self._routes[route].add(bias - self._log_slowness(upstream))
 
     def slowness(self, upstream: ids.UpstreamId) -> float:
-        """Returns the factor by which runs take longer there than on average."""
+        """Returns how much longer runs take there than on the median upstream."""
         return math.exp(self._log_slowness(upstream))
 
     def work_ms(self, route: str, *, estimate_ms: float) -> float:
@@ -61,4 +66,4 @@
         average = self._upstreams.get(upstream)
         if average is None:
             return 0.0
-        return average.value - self._total / len(self._upstreams)
+        return average.value - self._median
--- a/tests/test_ablation.py
+++ b/tests/test_ablation.py
@@ -41,3 +41,8 @@
         for name in ("nonsense", "admission.NO_SUCH_CONSTANT*2"):
             with self.subTest(name=name), self.assertRaises(SystemExit):
                 ablation.find_variants([name])
+
+    def test_each_variant_has_a_copy_of_its_own(self) -> None:
+        names = ["as it is", "m.LIMIT*2", "m.LIMIT/2", "m.LIMIT*0.5"]
+        folders = {ablation.folder_name(name) for name in names}
+        self.assertEqual(len(folders), len(names))
