--- a/tests/test_leased_load_patterns.py
+++ b/tests/test_leased_load_patterns.py
@@ -133,6 +133,30 @@
         self.assertEqual(self.world.overlaps(), [])
 
 
+class LateNewsTest(unittest.TestCase):
+    """A run ended well, but the leader hears of it only after the lease."""
+
+    def test_job_is_answered_only_once_its_later_run_has_ended(self) -> None:
+        world = leased_world.World({"a": ["a1", "a2", "a3"]}, upstreams=2)
+        world.link_all()
+        world.run(1.0)
+        (leader,) = world.leaders()
+        world.run_time_ms = 400.0
+        call = world.submit(leader, "job", wait_s=9.0)
+        world.run(0.05)
+        (first, _) = world.started_runs[0]
+        world.partition({leader}, {first})
+        world.run_time_ms = 3_000.0
+        world.run(3.0)
+        self.assertEqual(len(world.started_runs), 2)
+        world.heal()
+        while call not in world.answers:
+            world.run(0.01)
+        self.assertEqual(world.answers[call][1].end, model.JobEnd.COMPLETED)
+        self.assertTrue(all(run.ended_at for _, run in world.started_runs))
+        self.assertEqual(world.overlaps(), [])
+
+
 class WideJobsTest(unittest.TestCase):
     """Wide jobs of short tasks arrive among narrow jobs of longer tasks.
 
