--- a/bench/lost_worth.py
+++ b/bench/lost_worth.py
@@ -23,6 +23,7 @@
 from bench import leased_yardstick
 from godwitnotch.report import log_lines
 from godwitnotch.report import summary as summary_module
+from godwitnotch.report import summary_builder
 from godwitnotch.report.job_trace import Cause
 
 WINDOW_S = 2.0
@@ -103,7 +104,7 @@
     for path in parser.parse_args().reports:
         report = json.loads(path.read_text())
         log = path.with_suffix(".log")
-        summary = summary_module.summarize(log_lines.LogReader([log]))
+        summary = summary_builder.summarize(log_lines.LogReader([log]))
         lost.add_day(report, summary)
         worths.append(report["G"])
         print(
--- a/godwitnotch/commands/reports.py
+++ b/godwitnotch/commands/reports.py
@@ -71,7 +71,7 @@
     from rich import console as console_module
     from rich import progress
 
-    from godwitnotch.report import summary as summary_module
+    from godwitnotch.report import summary_builder
 
     bar = progress.Progress(
         console=console_module.Console(stderr=True), transient=True
@@ -85,7 +85,7 @@
                     bar.update(task, completed=reader.read_bytes)
                 yield line
 
-        return summary_module.summarize(followed())
+        return summary_builder.summarize(followed())
 
 
 def _print_tables(
--- a/godwitnotch/report/job_trace.py
+++ b/godwitnotch/report/job_trace.py
@@ -7,7 +7,8 @@
 from godwitnotch.core import ids
 from godwitnotch.core.leased import model
 
-UNDER_LOAD_FACTOR = 1.3  # A run that takes longer than this counts as slow.
+# A run counts as slow beyond this multiple of its expected run time.
+SLOW_RUN_FACTOR = 1.3
 
 
 class Outcome(enum.Enum):
@@ -222,7 +223,7 @@
             parts[Cause.WAITED_AGAIN] += open_s
             lost_s += open_s
     parts[Cause.RUN_SLOW] = max(
-        0.0, run_s - job.work_ms * UNDER_LOAD_FACTOR / 1_000
+        0.0, run_s - job.work_ms * SLOW_RUN_FACTOR / 1_000
     )
     end = last.ended_at or ended_at
     waited_s = end - job.received_at - lost_s - run_s - leader_away_s
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -13,6 +13,7 @@
 from godwitnotch.report import log_lines
 from godwitnotch.report import page
 from godwitnotch.report import summary as summary_module
+from godwitnotch.report import summary_builder
 from godwitnotch.report import tables
 from godwitnotch.report.job_trace import Cause
 from godwitnotch.report.job_trace import Outcome
@@ -103,7 +104,7 @@
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / "hosts.log"
         path.write_text("\n".join(lines) + "\n")
-        return summary_module.summarize(log_lines.LogReader([path]))
+        return summary_builder.summarize(log_lines.LogReader([path]))
 
 
 class CauseTest(unittest.TestCase):
@@ -300,7 +301,7 @@
 
 class SummaryTest(unittest.TestCase):
     def test_jobs_are_forgotten_once_they_have_ended(self) -> None:
-        builder = summary_module.SummaryBuilder()
+        builder = summary_builder.SummaryBuilder()
         clocks = log_lines.Clocks()
         for second in range(200):
             text = received(float(second), f"j{second}")
