--- a/godwitnotch/core/leased/admission.py
+++ b/godwitnotch/core/leased/admission.py
@@ -19,8 +19,8 @@
 # A job is admitted if its expected response time is at most this multiple of
 # its target response time.
 MAX_RESPONSE_FACTOR = 1.0
-# A job is past saving if even this share of its expected run time, at the
-# fastest upstream, would end after its deadline; estimates are rough.
+# A job can't end by its deadline if even this share of its expected run time, at
+# the fastest upstream, is longer than the time left; estimates are rough.
 MIN_RUN_TIME_SHARE = 0.5
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 5.0
--- a/godwitnotch/core/leased/job_admission.py
+++ b/godwitnotch/core/leased/job_admission.py
@@ -136,7 +136,7 @@
         )
         return Ended(
             answer,
-            "job_past_saving",
+            "job_cannot_finish",
             f"left_s={job.deadline - now:.3f} "
             f"base_ms={job.base_ms:.0f} waiting={job.waiting_task_count}",
         )
