--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -283,8 +283,8 @@
         Returns:
             The job; None if no owner has claimed the run.
         """
-        job = self._jobs.get(key.task.job)
-        if job is None or key.task.index >= len(job.tasks):
+        job = self._claimed_job(key)
+        if job is None:
             return None
         task = job.tasks[key.task.index]
         if task.state is not TaskState.WAITING:
@@ -303,8 +303,8 @@
         Returns:
             Whether an owner has claimed the job of the run.
         """
-        job = self._jobs.get(key.task.job)
-        if job is None or key.task.index >= len(job.tasks):
+        job = self._claimed_job(key)
+        if job is None:
             return False
         task = job.tasks[key.task.index]
         if task.state is not TaskState.WAITING:
@@ -319,6 +319,13 @@
             self._end_job(job, model.Answer(model.JobEnd.COMPLETED), now=now)
         return True
 
+    def _claimed_job(self, key: model.RunKey) -> jobs.LeasedJob | None:
+        """Returns the job of a run, if an owner has claimed it."""
+        job = self._jobs.get(key.task.job)
+        if job is None or key.task.index >= len(job.tasks):
+            return None
+        return job
+
     def run_ended(
         self,
         lease: lease_module.Lease,
