A link that opens as an attempt to connect times out changes nothing

Change: an attempt that is about to end is left alone. The test fails before ("Cannot change state of expiring Timeout").

--- a/godwitnotch/net/redial.py
+++ b/godwitnotch/net/redial.py
@@ -36,6 +36,11 @@
     timeout: asyncio.Timeout
     restarted: bool = False
 
+    @property
+    def ending(self) -> bool:
+        """Whether the attempt is about to end; its timeout can't change."""
+        return self.restarted or self.timeout.expired()
+
 
 class DialBackoff:
     """Exponential backoff with jitter between dials.
@@ -134,7 +139,7 @@
         now = asyncio.get_running_loop().time()
         for attempt in self._attempts.values():
             lasts = now - attempt.began_at >= self._min_s
-            if attempt.domain == domain and lasts and not attempt.restarted:
+            if attempt.domain == domain and lasts and not attempt.ending:
                 attempt.restarted = True
                 attempt.timeout.reschedule(now)
 
--- a/tests/test_redial.py
+++ b/tests/test_redial.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 import unittest
 
 from godwitnotch.core import ids
@@ -108,6 +109,26 @@
                 ids.HostId("a"), FAR, hang, timeout_s=0.001
             )
 
+    async def test_a_link_that_opens_as_an_attempt_times_out_changes_nothing(
+        self,
+    ) -> None:
+        async def hang() -> None:
+            await asyncio.Event().wait()
+
+        loop = asyncio.get_running_loop()
+        errors: list[object] = []
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        connecting = asyncio.create_task(
+            self.backoff.connect(ids.HostId("a"), FAR, hang, timeout_s=0.002)
+        )
+        await asyncio.sleep(0)
+        loop.call_later(0.003, self.backoff.link_opened, FAR)
+        # Both timers are due when the loop runs again.
+        time.sleep(0.02)
+        with self.assertRaises(TimeoutError):
+            await connecting
+        self.assertEqual(errors, [])
+
     async def test_a_link_does_not_shorten_the_delay_of_the_higher_id(
         self,
     ) -> None:
