Log: what a run was lost by, each run's upstream and number, and stalls

`run_lost reason=lapsed` stood for six different findings of the leader, so the log couldn't tell a lease that is over by the leader's own clock from an upstream's report, a run missing in its list, a restart, a changed address or status 421. `RunEnd` now tells them apart: lapsed (the upstream says so), lease_expired, missing, restarted, earlier_process, address_changed, other_process. They are reasons of `run_lost` and thus labels of the metric. No decision looks at them: the dispatcher asks for DONE and FAILED only.

All lines about a run name job, task, run and upstream; `run_ordered` names the term. Stop orders, which had no line, are `stop_ordered`, without one for their repetitions. `lease_lapsed` tells how long ago the last response and renewal were, since when the lease was over, and the gap between the leader's ticks. `process_stalled` reports a gap of over 150 ms between two ticks, before anything is done about it: one line a stall.

The report counts the new reasons as lost with the lease or gone at the upstream.

Seen while writing the tests (virtual clock, run of 900 ms, upstream cut off from all hosts): the lease lapses 2.7 s after the last response, as each unanswered renewal extends it by 1 s.

--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -292,9 +292,6 @@
         job.set_state(task, TaskState.ORDERED)
         task.next_run = key.run + 1
         job.started = True
-        self._out.add_decision(
-            "run_adopted", job=job.name, detail=f"task={key.task.index}"
-        )
         return job
 
     def adopt_done_run(self, key: model.RunKey, *, now: float) -> bool:
@@ -313,7 +310,7 @@
         job.started = True
         self._queue.update(job)
         self._out.add_decision(
-            "done_run_adopted", job=job.name, detail=f"task={task.key.index}"
+            "done_run_adopted", job=job.name, detail=key.pairs()
         )
         if job.finished():
             self._end_job(job, model.Answer(model.JobEnd.COMPLETED), now=now)
@@ -345,7 +342,7 @@
             self._out.add_decision(
                 "run_ended",
                 job=job.name,
-                detail=f"task={task.key.index} upstream={upstream.upstream} "
+                detail=f"{run.key.pairs()} upstream={upstream.upstream} "
                 f"ran_ms={(now - run.ordered_at) * 1_000:.0f}",
             )
             self._record_success(lease, run, job, now=now)
@@ -360,7 +357,7 @@
             "run_lost",
             job=job.name,
             reason=end.value,
-            detail=f"task={task.key.index} upstream={upstream.upstream} "
+            detail=f"{run.key.pairs()} upstream={upstream.upstream} "
             f"ran_s={now - run.ordered_at:.3f}",
         )
         if end is model.RunEnd.FAILED:
@@ -513,8 +510,8 @@
         self._out.add_decision(
             "run_ordered",
             job=job.name,
-            detail=f"task={task.key.index} run={key.run} "
-            f"upstream={lease.upstream.upstream} expected_ms={expected_ms:.0f}",
+            detail=f"{key.pairs()} upstream={lease.upstream.upstream} "
+            f"expected_ms={expected_ms:.0f} term={self._lease_manager.term}",
         )
         self._lease_manager.start_run(
             lease, job, key, expected_s=expected_ms / 1_000, now=now
@@ -618,7 +615,7 @@
             self._out.add_decision(
                 "run_overdue",
                 job=overdue_run.job.name,
-                detail=f"task={task.key.index} "
+                detail=f"{overdue_run.run.key.pairs()} "
                 f"upstream={overdue_run.lease.upstream.upstream} "
                 f"running_s={overdue_run.running_s:.3f} "
                 f"expected_s={overdue_run.expected_s:.3f}",
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -19,6 +19,7 @@
 from godwitnotch.core.leased import overflow
 from godwitnotch.core.leased import owned_jobs
 from godwitnotch.core.leased import peer_messages
+from godwitnotch.core.leased import stalls
 from godwitnotch.core.leased import term_raises
 from godwitnotch.core.leased.leadership import LeadershipChange
 from godwitnotch.core.leased.leadership import Scope
@@ -90,6 +91,7 @@
         self._draining = False
         self._told_leading = False
         self._host_count = 1
+        self._stalls = stalls.StallDetector()
         self._now = now
 
     @property
@@ -162,6 +164,17 @@
         self._update_home_leader()
         return self._out.take()
 
+    def _report_stall(self, *, now: float) -> None:
+        """Logs a stall of this process before anything is done about it."""
+        stalled_s = self._stalls.tick(now=now)
+        if stalled_s is not None:
+            self._out.add_decision(
+                "process_stalled",
+                reason="leading" if self.leads else "",
+                detail=f"stalled_ms={stalled_s * 1_000:.0f} "
+                f"term={self._leadership.term}",
+            )
+
     def _apply_change(self, change: LeadershipChange, *, now: float) -> None:
         """Starts or stops leading, and hands jobs over to a new leader."""
         if change is LeadershipChange.NONE:
@@ -575,6 +588,7 @@
 
 @_handles(events.Ticked)
 def _ticked(host: LeasedHost, event: events.Ticked, now: float) -> None:
+    host._report_stall(now=now)
     change = host._leadership.tick(now=now)
     host._apply_change(change, now=now)
     if host.leads and host._divide_if_too_large(now=now):
--- a/godwitnotch/core/leased/lease.py
+++ b/godwitnotch/core/leased/lease.py
@@ -105,6 +105,7 @@
             response yet.
         next_list_request_at: Earliest time of the next request for the list of
             runs.
+        renewed_at: When an order was last sent that may renew the lease.
         failures: Consecutive failed calls.
         runs: The runs at the upstream, by task.
         stopping: Tasks whose runs are being stopped.
@@ -119,6 +120,7 @@
     instance_started_ms: int = 0
     acknowledged_end: int = 0
     expires_at: float = 0.0
+    renewed_at: float = 0.0
     pending_list_requests: int = 0
     next_list_request_at: float = 0.0
     failures: int = 0
@@ -179,6 +181,7 @@
     def record_renewal(self, *, now: float) -> None:
         """Extends expires_at, as an order that may renew the lease is sent."""
         self.expires_at = max(self.expires_at, now + MAX_LEASE_DURATION_S)
+        self.renewed_at = now
 
     def available_at(self, needs: model.Resources, *, now: float) -> float:
         """Returns when runs are expected to have freed a task's resources.
--- a/godwitnotch/core/leased/lease_calls.py
+++ b/godwitnotch/core/leased/lease_calls.py
@@ -27,12 +27,21 @@
         sent_at: When the call was sent.
         run: The run to start or stop; None for a request for the list of runs,
             or for the stop of a run that the leader doesn't know.
+        key: The run to start or stop, also if the leader doesn't know it.
     """
 
     kind: CallKind
     lease: lease_module.Lease
     sent_at: float
     run: lease_module.Run | None = None
+    key: model.RunKey | None = None
+
+    def detail(self) -> str:
+        """Returns the run, the upstream and the kind as key=value pairs."""
+        place = (
+            f"upstream={self.lease.upstream.upstream} kind={self.kind.value}"
+        )
+        return f"{self.key.pairs()} {place}" if self.key else place
 
 
 class LeaseCalls:
@@ -70,7 +79,9 @@
         now: float,
     ) -> None:
         """Sends the order to start a run."""
-        call = self._register(PendingCall(CallKind.START, lease, now, run))
+        call = self._register(
+            PendingCall(CallKind.START, lease, now, run, run.key)
+        )
         deadline_ms = lease.deadline_ms(now=now)
         self._out.add(
             actions.StartRun(
@@ -87,7 +98,7 @@
         now: float,
     ) -> None:
         """Sends the order to stop a run; `run` is None if it isn't known."""
-        call = self._register(PendingCall(CallKind.STOP, lease, now, run))
+        call = self._register(PendingCall(CallKind.STOP, lease, now, run, key))
         self._out.add(actions.StopRun(call, lease.upstream, key, self.term))
 
     def request_runs(
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -131,6 +131,12 @@
             model.TaskKey, dict[ids.UpstreamId, lease_module.Run]
         ] = {}
         self._unclaimed_done: dict[model.TaskKey, _UnclaimedDone] = {}
+        self._last_tick_at = 0.0
+
+    @property
+    def term(self) -> model.Term:
+        """The term that is sent with every call."""
+        return self._calls.term
 
     @property
     def leases(self) -> Mapping[ids.UpstreamId, lease_module.Lease]:
@@ -179,6 +185,7 @@
         """Starts to lead, and requests the lists of runs of all upstreams."""
         self.stop_leading()
         self._calls.term = term
+        self._last_tick_at = now
         self._claim_period_open = True
         for upstream in upstreams:
             self._leases[upstream.upstream] = lease_module.Lease(upstream)
@@ -214,9 +221,9 @@
             done = self._unclaimed_done.pop(task.key, None)
             if done is not None:
                 self._listener.adopt_done_run(done.key, now=now)
-            for run in self._runs.get(task.key, {}).values():
+            for upstream, run in self._runs.get(task.key, {}).items():
                 if run.job is None:
-                    self._adopt_run(run)
+                    self._adopt_run(upstream, run)
 
     def update_upstreams(
         self, upstreams: Iterable[model.LeasedUpstream], *, now: float
@@ -264,6 +271,12 @@
         self, lease: lease_module.Lease, run: lease_module.Run, *, now: float
     ) -> None:
         """Orders a run to stop; its resources stay reserved until it ends."""
+        if run.state is not RunState.STOPPING:  # Else it is repeated.
+            self._out.add_decision(
+                "stop_ordered",
+                job=run.key.task.job,
+                detail=f"{run.key.pairs()} upstream={lease.upstream.upstream}",
+            )
         lease.stopping.add(run.key.task)
         run.state = RunState.STOPPING
         run.confirmed_at = None
@@ -280,12 +293,14 @@
     def tick(self, *, now: float) -> None:
         """Handles expired leases; repeats stop orders and list requests."""
         self._forget_unclaimed_done(now=now)
+        tick_gap_s = now - self._last_tick_at
+        self._last_tick_at = now
         for upstream, lease in tuple(self._leases.items()):
             if not lease.listed and not lease.runs:
                 del self._leases[upstream]
                 continue
             if lease.runs and now >= lease.expires_at:
-                self._expire(lease, now=now)
+                self._expire(lease, tick_gap_s=tick_gap_s, now=now)
             if lease.stopping:
                 self._retry_stops(lease, now=now)
             if (
@@ -308,7 +323,7 @@
         if lease.runs.get(run.key.task) is not run:
             return
         if not from_current_instance:
-            self._record_end(lease, run, model.RunEnd.LOST, now=now)
+            self._record_end(lease, run, model.RunEnd.EARLIER_PROCESS, now=now)
             return
         run.confirmed_at = now
         if call.kind is CallKind.START and run.state is RunState.ORDERED:
@@ -330,9 +345,9 @@
         rejection = event.rejection
         self._out.add_decision(
             "order_rejected",
-            job=run.key.task.job if run else "",
+            job=call.key.task.job if call.key else "",
             reason=rejection.value,
-            detail=f"upstream={lease.upstream.upstream} kind={call.kind.value}",
+            detail=call.detail(),
         )
         if call.kind is CallKind.START and run is not None:
             self._start_rejected(lease, run, rejection, now=now)
@@ -346,7 +361,7 @@
             self._lose_lease(lease, now=now)
             self._listener.higher_term_seen(lease, was_held=was_held, now=now)
         elif rejection is model.OrderRejection.OTHER_INSTANCE:
-            self._end_instance(lease, now=now)
+            self._end_instance(lease, model.RunEnd.OTHER_PROCESS, now=now)
         elif rejection is model.OrderRejection.LATE:
             self._request_runs(lease, now=now, wait_ms=0)
         elif call.kind is CallKind.LIST_RUNS:
@@ -362,8 +377,8 @@
         lease, run = call.lease, call.run
         self._out.add_decision(
             "order_unanswered",
-            job=run.key.task.job if run else "",
-            detail=f"upstream={lease.upstream.upstream} kind={call.kind.value}",
+            job=call.key.task.job if call.key else "",
+            detail=call.detail(),
         )
         self._record_failure(lease, now=now)
         if run is None or lease.runs.get(run.key.task) is not run:
@@ -401,7 +416,7 @@
         address_changed = lease.upstream.address != entry.address
         lease.update_entry(entry)
         if address_changed:
-            self._end_instance(lease, now=now)
+            self._end_instance(lease, model.RunEnd.ADDRESS_CHANGED, now=now)
 
     def _maintain_all(self, *, now: float) -> None:
         for lease in tuple(self._leases.values()):
@@ -486,13 +501,21 @@
                 start_expires_at=now + lease_module.MAX_LEASE_DURATION_S,
             )
             self._add_run(lease, run)
-            self._adopt_run(run)
+            self._adopt_run(lease.upstream.upstream, run)
 
-    def _adopt_run(self, run: lease_module.Run) -> None:
+    def _adopt_run(
+        self, upstream: ids.UpstreamId, run: lease_module.Run
+    ) -> None:
         """Assigns a run found at an upstream to its job, if claimed."""
         if run.state is RunState.STOPPING:
             return
         run.job = self._listener.adopt_run(run.key)
+        if run.job is not None:
+            self._out.add_decision(
+                "run_adopted",
+                job=run.job.name,
+                detail=f"{run.key.pairs()} upstream={upstream}",
+            )
 
     def _reconcile(self, lease: lease_module.Lease, *, now: float) -> None:
         """Stops unclaimed runs; the lease is held once there are none."""
@@ -541,7 +564,7 @@
         for run in run_lists.missing_runs(
             lease, run_list, requested_at=requested_at
         ):
-            self._record_end(lease, run, model.RunEnd.LOST, now=now)
+            self._record_end(lease, run, model.RunEnd.MISSING, now=now)
 
     def _record_done(self, key: model.RunKey, *, now: float) -> None:
         """Records a successful run that this leader didn't know as active."""
@@ -577,7 +600,7 @@
             self._out.add_decision(
                 "run_unknown",
                 job=key.task.job,
-                detail=f"upstream={lease.upstream.upstream} run={key.run}",
+                detail=f"{key.pairs()} upstream={lease.upstream.upstream}",
             )
             self._calls.stop(lease, key, run=None, now=now)
 
@@ -625,7 +648,7 @@
             )
             lease.acknowledged_end = 0
             for run in run_lists.runs_of_earlier_instance(lease):
-                self._record_end(lease, run, model.RunEnd.LOST, now=now)
+                self._record_end(lease, run, model.RunEnd.RESTARTED, now=now)
         lease.instance_started_ms = instance_started_ms
         return True
 
@@ -640,22 +663,30 @@
             BASE_LIST_RETRY_DELAY_S * (lease.failures - 1),
         )
 
-    def _expire(self, lease: lease_module.Lease, *, now: float) -> None:
+    def _expire(
+        self, lease: lease_module.Lease, *, tick_gap_s: float, now: float
+    ) -> None:
         """Records all runs of an expired lease as ended."""
         self._out.add_decision(
             "lease_lapsed",
             detail=f"upstream={lease.upstream.upstream} "
-            f"runs={len(lease.runs)} state={lease.state.value}",
+            f"runs={len(lease.runs)} state={lease.state.value} "
+            f"response_ago_ms={_ago_ms(lease.responded_at, now=now)} "
+            f"renewal_ago_ms={_ago_ms(lease.renewed_at, now=now)} "
+            f"expired_ago_ms={_ago_ms(lease.expires_at, now=now)} "
+            f"tick_gap_ms={tick_gap_s * 1_000:.0f} term={self.term}",
         )
         self._lose_lease(lease, now=now)
-        self._record_all_ended(lease, now=now)
+        self._record_all_ended(lease, model.RunEnd.LEASE_EXPIRED, now=now)
 
-    def _end_instance(self, lease: lease_module.Lease, *, now: float) -> None:
+    def _end_instance(
+        self, lease: lease_module.Lease, end: model.RunEnd, *, now: float
+    ) -> None:
         """Records all runs as ended, since the upstream's process changed."""
         self._lose_lease(lease, now=now)
         lease.instance_started_ms = 0
         lease.acknowledged_end = 0
-        self._record_all_ended(lease, now=now)
+        self._record_all_ended(lease, end, now=now)
 
     def _lose_lease(self, lease: lease_module.Lease, *, now: float) -> None:
         """Marks a lease as unheld, to be acquired again after a delay."""
@@ -667,14 +698,19 @@
             self._leases.pop(lease.upstream.upstream, None)
 
     def _record_all_ended(
-        self, lease: lease_module.Lease, *, now: float
+        self, lease: lease_module.Lease, end: model.RunEnd, *, now: float
     ) -> None:
         for run in tuple(lease.runs.values()):
-            self._record_end(lease, run, model.RunEnd.LOST, now=now)
+            self._record_end(lease, run, end, now=now)
         if not lease.listed:
             self._leases.pop(lease.upstream.upstream, None)
 
 
+def _ago_ms(at: float, *, now: float) -> str:
+    """Returns how long ago a time was, in ms; `none` if the time isn't set."""
+    return f"{(now - at) * 1_000:.0f}" if at else "none"
+
+
 def _wait_ms(lease: lease_module.Lease, *, now: float) -> int:
     """Returns how long the upstream may wait for a run to end, in ms."""
     if lease.failures:
--- a/godwitnotch/core/leased/model.py
+++ b/godwitnotch/core/leased/model.py
@@ -46,14 +46,18 @@
 
 
 class RunEnd(enum.Enum):
-    """How a run ended at its upstream."""
+    """How a run ended at its upstream, or why the leader takes it for ended."""
 
     DONE = "done"
     FAILED = "failed"
     STOPPED = "stopped"
-    # The lease has expired, the upstream was restarted, or the run is missing
-    # in the upstream's list.
-    LOST = "lapsed"
+    LOST = "lapsed"  # The upstream reports that the lease has expired.
+    LEASE_EXPIRED = "lease_expired"  # By the leader's clock.
+    MISSING = "missing"  # The upstream's list lacks the run.
+    RESTARTED = "restarted"  # The upstream's process has a later start time.
+    EARLIER_PROCESS = "earlier_process"  # Confirmed before a known restart.
+    ADDRESS_CHANGED = "address_changed"  # In the list of upstreams.
+    OTHER_PROCESS = "other_process"  # See OrderRejection.OTHER_INSTANCE.
     OTHER = "other"
 
 
@@ -203,6 +207,10 @@
     task: TaskKey
     run: RunNumber
 
+    def pairs(self) -> str:
+        """Returns the task and the run as key=value pairs for the log."""
+        return f"task={self.task.index} run={self.run}"
+
 
 @dataclass(frozen=True, slots=True)
 class EndedRun:
--- a/godwitnotch/report/job_trace.py
+++ b/godwitnotch/report/job_trace.py
@@ -10,6 +10,17 @@
 # A run counts as slow beyond this multiple of its expected run time.
 SLOW_RUN_FACTOR = 1.3
 
+_GONE_REASONS = frozenset(
+    end.value
+    for end in (
+        model.RunEnd.MISSING,
+        model.RunEnd.RESTARTED,
+        model.RunEnd.EARLIER_PROCESS,
+        model.RunEnd.ADDRESS_CHANGED,
+        model.RunEnd.OTHER_PROCESS,
+    )
+)
+
 
 class Outcome(enum.Enum):
     """What became of a job."""
@@ -35,6 +46,7 @@
     WAITED_AGAIN = "waited again after a lost run"
     RUN_FAILED = "a run failed"
     RUN_LAPSED = "a run was lost with its lease"
+    RUN_GONE = "a run was gone at its upstream"
     RUN_UNANSWERED = "a start order got no response"
     RUN_OVERDUE = "a run was overdue"
     RUN_SLOW = "a run took long"
@@ -86,6 +98,8 @@
             cause = Cause.RUN_UNANSWERED
         elif reason == model.RunEnd.FAILED.value:
             cause = Cause.RUN_FAILED
+        elif reason in _GONE_REASONS:
+            cause = Cause.RUN_GONE
         lost_s = max(0.0, at - (self.ordered_at or at))
         self.lost_s[cause] = self.lost_s.get(cause, 0.0) + lost_s
         self.waiting_since = at
--- a/godwitnotch/report/summary_builder.py
+++ b/godwitnotch/report/summary_builder.py
@@ -34,6 +34,7 @@
         "lease_lapsed",
         "upstream_ejected",
         "upstream_restarted",
+        "process_stalled",
         "store_lost",
         "store_regained",
         "configuration_in_force",
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -154,6 +154,38 @@
             Cause.RUN_LAPSED,
         )
 
+    def test_run_lost_with_a_lease_that_the_leader_took_for_expired(
+        self,
+    ) -> None:
+        self.assert_cause(
+            [
+                received(10.0, "j"),
+                ordered(10.0, "j"),
+                lost(11.0, "j", "lease_expired"),
+                ordered(11.1, "j"),
+                ended(11.2, "j", 100),
+                answered(11.2, "j"),
+            ],
+            Outcome.LATE,
+            Cause.RUN_LAPSED,
+        )
+
+    def test_run_that_was_gone_at_its_upstream(self) -> None:
+        for reason in ("missing", "restarted", "address_changed"):
+            with self.subTest(reason=reason):
+                self.assert_cause(
+                    [
+                        received(10.0, "j"),
+                        ordered(10.0, "j"),
+                        lost(11.0, "j", reason),
+                        ordered(11.1, "j"),
+                        ended(11.2, "j", 100),
+                        answered(11.2, "j"),
+                    ],
+                    Outcome.LATE,
+                    Cause.RUN_GONE,
+                )
+
     def test_task_that_waited_again_after_a_lost_run(self) -> None:
         self.assert_cause(
             [
