Log: drops are reported within 1.5 s; routine lines are dropped first

The rate limit told of drops only in the next line of the same event, which may never come; a full pipe dropped whole batches, whatever was in them.

* `log_lines_limited of= lines=` reports drops of the rate limit, at most 1.5 s later, if no line of the event has done so before.
* While the reader has no room, lines of run_ordered, run_ended, job_received and job_answered are dropped; others wait, up to 64 KB.
`log_lines_dropped` is written as soon as there is room, looked for each 0.5 s, also if nothing else is logged.
* The gauge `godwitnotch_log_lines_dropped` counts both since the start.

The limit of 250 lines a second for each event stays, also for rare events. The product's own host (godwitnotch.root) doesn't call `report_dropped`.

--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -8,6 +8,7 @@
 import socket
 import sys
 import time
+from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Any
 
@@ -51,6 +52,7 @@
 RUNS_PER_S_PER_RANK = 10
 LOG_DELAY_S = 0.05  # Lines of this time are written together.
 MAX_LOG_LINES_PER_WINDOW = 250  # For each log event.
+DROPPED_LINES_REPORT_INTERVAL_S = 0.5
 
 LINK_LIMITS = peer_link.PeerLimits(
     heartbeat_interval_s=0.13,
@@ -71,13 +73,26 @@
         OSError: A listening address can't be bound.
     """
     loop = asyncio.get_running_loop()
+    output = log_streams.NonBlockingStream(
+        sys.stdout.fileno(), keeps=lambda line: not log.is_routine(line)
+    )
     stream = log_streams.BatchingStream(
-        log_streams.NonBlockingStream(sys.stdout.fileno()),
+        output,
         call_later=lambda write: loop.call_later(LOG_DELAY_S, write),
     )
     log.configure(stream=stream, max_lines_per_window=MAX_LOG_LINES_PER_WINDOW)
+
+    def report_dropped() -> None:
+        loop.call_later(DROPPED_LINES_REPORT_INTERVAL_S, report_dropped)
+        log.report_dropped()
+        output.report_dropped()
+
+    report_dropped()
     try:
-        host = LeasedHost(settings)
+        host = LeasedHost(
+            settings,
+            dropped_lines=lambda: log.dropped_lines() + output.dropped_lines,
+        )
         await host.start()
         await host.wait_drained()
         await host.close()
@@ -91,10 +106,17 @@
 
     Args:
         settings: Settings that the platform gives this process.
+        dropped_lines: Returns how many lines the log has dropped so far.
     """
 
-    def __init__(self, settings: settings_module.PlatformSettings) -> None:
+    def __init__(
+        self,
+        settings: settings_module.PlatformSettings,
+        *,
+        dropped_lines: Callable[[], int] = lambda: 0,
+    ) -> None:
         self._settings = settings
+        self._dropped_lines = dropped_lines
         self._loop = asyncio.get_running_loop()
         self._loop.set_exception_handler(
             process.loop_exception_handler(self._record_fault)
@@ -335,6 +357,7 @@
             ("waiting_jobs", float(self._core.waiting_jobs)),
             ("held_upstreams", float(self._core.held_upstreams)),
             ("linked_hosts", float(len(self._links.linked))),
+            ("log_lines_dropped", float(self._dropped_lines())),
         )
         return http_types.HttpResponse(
             200,
--- a/godwitnotch/log.py
+++ b/godwitnotch/log.py
@@ -3,6 +3,7 @@
 import io
 import json
 import logging
+import re
 import sys
 import time
 from collections import OrderedDict
@@ -17,6 +18,11 @@
 MAX_LINES_PER_WINDOW = 20  # For each log event.
 RATE_WINDOW_S = 1.0
 MAX_TRACKED_EVENTS = 1_000
+# Frequent events of jobs that are served as usual. Where the reader is too slow
+# for all lines, these are left out before others.
+ROUTINE_EVENTS = frozenset(
+    {"job_answered", "job_received", "run_ended", "run_ordered"}
+)
 
 _ROOT = "godwitnotch"
 _PLAIN_CHARS = frozenset(
@@ -24,6 +30,8 @@
     "-_.:/+@[]()*,"
 )
 
+_EVENT = re.compile(r"(?:^| )event=(\w+)")
+
 logger = logging.getLogger(_ROOT)
 
 
@@ -114,6 +122,42 @@
     logger.info(" ".join(parts), extra={"event": entry.event})
 
 
+def is_routine(line: str) -> bool:
+    """Returns whether a line of the log is one of ROUTINE_EVENTS."""
+    match = _EVENT.search(line)
+    return match is not None and match[1] in ROUTINE_EVENTS
+
+
+def report_dropped() -> None:
+    """Logs how many lines the rate limit has dropped in windows that are over.
+
+    Lines that were dropped are otherwise reported only by the next line of
+    their event. Call this at least once in each window.
+    """
+    for rate_filter in _rate_filters():
+        for name, lines in rate_filter.take_dropped().items():
+            event(
+                "log_lines_limited",
+                severity=logging.WARNING,
+                of=name,
+                lines=lines,
+            )
+
+
+def dropped_lines() -> int:
+    """Returns how many lines the rate limit has dropped so far."""
+    return sum(rate_filter.dropped_lines for rate_filter in _rate_filters())
+
+
+def _rate_filters() -> list["RateFilter"]:
+    return [
+        rate_filter
+        for handler in logger.handlers
+        for rate_filter in handler.filters
+        if isinstance(rate_filter, RateFilter)
+    ]
+
+
 def format_value(value: object) -> str:
     """Returns a value as text, as a JSON string if it needs quoting."""
     text = "" if value is None else str(value)
@@ -134,7 +178,11 @@
 class RateFilter(logging.Filter):
     """Limits the rate of the lines of each log event.
 
-    The first line in the next window reports how many lines were dropped.
+    The first line in the next window reports how many lines were dropped,
+    unless `take_dropped` has told them before.
+
+    Attributes:
+        dropped_lines: How many lines were dropped so far.
 
     Args:
         clock: Returns the time in seconds.
@@ -149,6 +197,7 @@
         max_lines_per_window: int = MAX_LINES_PER_WINDOW,
     ) -> None:
         super().__init__()
+        self.dropped_lines = 0
         self._max_lines_per_window = max_lines_per_window
         self._clock = clock
         self._windows: OrderedDict[str, _Window] = OrderedDict()
@@ -168,8 +217,24 @@
         if window.lines <= self._max_lines_per_window:
             return True
         window.dropped += 1
+        self.dropped_lines += 1
         return False
 
+    def take_dropped(self) -> dict[str, int]:
+        """Returns how many lines were dropped in windows that are over.
+
+        Returns:
+            The numbers of lines by log event; each line is told only once.
+        """
+        now = self._clock()
+        taken = {}
+        for name, window in self._windows.items():
+            over = now - window.started_at >= RATE_WINDOW_S
+            if over and window.dropped:
+                taken[name] = window.dropped
+                window.dropped = 0
+        return taken
+
 
 class _LineFormatter(logging.Formatter):
     """Formats a record as one line of key=value pairs."""
--- a/godwitnotch/log_streams.py
+++ b/godwitnotch/log_streams.py
@@ -5,24 +5,40 @@
 from collections.abc import Callable
 
 MAX_BATCH_CHARS = 32_000
+MAX_KEPT_CHARS = 64_000  # Of the lines that are kept while the buffer is full.
 
 
 class NonBlockingStream(io.TextIOBase):
     """Writes lines to a file descriptor without blocking.
 
-    While the descriptor's buffer is full, whole lines are dropped. When the
-    buffer has room again, a separate line reports how many were dropped.
+    While the descriptor's buffer is full, whole lines are dropped, or kept for
+    later. When the buffer has room again, a separate line reports how many were
+    dropped.
+
+    Attributes:
+        dropped_lines: How many lines were dropped so far.
 
     Args:
         descriptor: File descriptor to write to; becomes non-blocking.
+        keeps: Returns whether to keep a line while the buffer is full, up to
+            MAX_KEPT_CHARS in all.
     """
 
-    def __init__(self, descriptor: int) -> None:
+    def __init__(
+        self,
+        descriptor: int,
+        *,
+        keeps: Callable[[str], bool] = lambda line: False,
+    ) -> None:
         super().__init__()
         os.set_blocking(descriptor, False)
+        self.dropped_lines = 0
         self._descriptor = descriptor
+        self._keeps = keeps
         self._unsent = b""
         self._dropped = 0
+        self._kept: list[str] = []
+        self._kept_chars = 0
 
     def writable(self) -> bool:
         """Returns True, as `io.IOBase` requires of a writable stream."""
@@ -31,18 +47,39 @@
     def write(self, text: str) -> int:
         """Writes lines, or drops them if the buffer is full."""
         if self._unsent and not self._send(b""):
-            self._dropped += text.count("\n")
+            self._keep_or_drop(text)
             return len(text)
         if self._dropped:
             notice = f"event=log_lines_dropped lines={self._dropped}\n"
             self._dropped = 0
             self._send(notice.encode())
         if self._unsent:
-            self._dropped += text.count("\n")
+            self._keep_or_drop(text)
         else:
-            self._send(text.encode())
+            self._send((self._take_kept() + text).encode())
         return len(text)
 
+    def report_dropped(self) -> None:
+        """Writes what was kept and reports drops, if the buffer has room."""
+        self.write("")
+
+    def _keep_or_drop(self, text: str) -> None:
+        """Keeps the lines that `keeps` names, as long as there is room."""
+        for line in text.splitlines(keepends=True):
+            fits = self._kept_chars + len(line) <= MAX_KEPT_CHARS
+            if fits and self._keeps(line):
+                self._kept.append(line)
+                self._kept_chars += len(line)
+            else:
+                self._dropped += 1
+                self.dropped_lines += 1
+
+    def _take_kept(self) -> str:
+        kept = "".join(self._kept)
+        self._kept.clear()
+        self._kept_chars = 0
+        return kept
+
     def _send(self, data: bytes) -> bool:
         """Adds data to the unsent data and writes as much as possible.
 
--- a/godwitnotch/report/summary_builder.py
+++ b/godwitnotch/report/summary_builder.py
@@ -278,6 +278,11 @@
         )
 
 
+@_handles("log_lines_limited")
+def _lines_limited(builder: SummaryBuilder, line: log_lines.LogLine) -> None:
+    builder._summary.dropped_lines += int(line.number("lines"))
+
+
 @_handles("run_ordered")
 def _run_ordered(builder: SummaryBuilder, line: log_lines.LogLine) -> None:
     task = builder._task(line)
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -8,6 +8,7 @@
 import unittest
 import unittest.mock
 
+from godwitnotch import log
 from godwitnotch import log_streams
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
@@ -701,6 +702,41 @@
         numbers = [line for line in lines if "number=" in line]
         self.assertTrue(all(line.endswith("x" * 80) for line in numbers))
 
+    def test_rare_lines_outlast_routine_ones_in_a_full_pipe(self) -> None:
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        stream = log_streams.NonBlockingStream(
+            writer, keeps=lambda line: not log.is_routine(line)
+        )
+        for number in range(5_000):
+            stream.write(f"event=run_ordered number={number} {'x' * 80}\n")
+            if number % 100 == 99:
+                stream.write(f"event=run_lost number={number}\n")
+        first = os.read(reader, 1 << 20).decode()
+        stream.report_dropped()
+        lines = (first + os.read(reader, 1 << 20).decode()).splitlines()
+        lost = [line for line in lines if "run_lost" in line]
+        ordered = [line for line in lines if "run_ordered" in line]
+        self.assertEqual(len(lost), 50)
+        self.assertEqual(stream.dropped_lines, 5_000 - len(ordered))
+        self.assertGreater(stream.dropped_lines, 3_000)
+        notice = f"event=log_lines_dropped lines={stream.dropped_lines}"
+        self.assertIn(notice, lines)
+
+    def test_lines_kept_for_a_full_pipe_are_bounded(self) -> None:
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        stream = log_streams.NonBlockingStream(writer, keeps=lambda line: True)
+        for _ in range(5_000):
+            stream.write(f"event=run_lost {'x' * 80}\n")
+        os.read(reader, 1 << 20)
+        stream.report_dropped()
+        rest = os.read(reader, 1 << 20)
+        self.assertGreater(stream.dropped_lines, 3_000)
+        self.assertLess(len(rest), log_streams.MAX_KEPT_CHARS + 200)
+
 
 class _NoJobsListener:
     """Finds no job for any run and ignores all calls."""
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -59,6 +59,31 @@
         log.event("store_failed")
         self.assertTrue(self.lines()[-1].endswith(" dropped=7"))
 
+    def test_drops_are_reported_if_the_event_never_comes_again(self) -> None:
+        for _ in range(log.MAX_LINES_PER_WINDOW + 7):
+            log.event("store_failed")
+        log.report_dropped()
+        self.assertEqual(len(self.lines()), log.MAX_LINES_PER_WINDOW)
+        self.now = log.RATE_WINDOW_S
+        log.report_dropped()
+        self.assertTrue(
+            self.lines()[-1].endswith(
+                "level=warning event=log_lines_limited of=store_failed lines=7"
+            )
+        )
+        log.report_dropped()
+        log.event("store_failed")
+        self.assertEqual(len(self.lines()), log.MAX_LINES_PER_WINDOW + 2)
+        self.assertTrue(self.lines()[-1].endswith("event=store_failed"))
+        self.assertEqual(log.dropped_lines(), 7)
+
+    def test_only_lines_of_usual_jobs_are_routine(self) -> None:
+        log.event("run_ordered", job="event=run_lost")
+        log.event("run_lost", job="event=run_ordered")
+        self.assertEqual(
+            [log.is_routine(line) for line in self.lines()], [True, False]
+        )
+
     def test_a_traceback_stays_on_its_line(self) -> None:
         try:
             raise ValueError("bad\nvalue")
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -332,6 +332,15 @@
 
 
 class SummaryTest(unittest.TestCase):
+    def test_lines_left_out_are_counted_however_they_are_reported(self) -> None:
+        summary = summarize(
+            [
+                line(1.0, LEADER, "run_lost", dropped=3),
+                line(2.0, LEADER, "log_lines_limited", of="x", lines=4),
+            ]
+        )
+        self.assertEqual(summary.dropped_lines, 7)
+
     def test_jobs_are_forgotten_once_they_have_ended(self) -> None:
         builder = summary_builder.SummaryBuilder()
         clocks = log_lines.Clocks()
