--- a/bench/peer_messages.py
+++ b/bench/peer_messages.py
@@ -24,7 +24,7 @@
 from godwitnotch.core import model
 from godwitnotch.net import codec
 from godwitnotch.net import listeners
-from godwitnotch.net import peer_link
+from godwitnotch.net import peer_links
 
 SECRET = b"s" * 32
 TASK_COUNTS = (1, 10, 110)
@@ -41,7 +41,7 @@
     """The links of one host and the address that they listen on."""
 
     name: ids.HostId
-    links: peer_link.PeerLinks
+    links: peer_links.PeerLinks
     address: str
 
 
@@ -179,7 +179,7 @@
         ids.DomainId("d"),
         ids.Incarnation("i"),
     )
-    links = peer_link.PeerLinks(
+    links = peer_links.PeerLinks(
         hello=hello,
         secret=SECRET,
         heartbeat=lambda: messages.Heartbeat(1_000, False),
--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -30,8 +30,9 @@
 from godwitnotch.net import leased_calls
 from godwitnotch.net import leased_runtime
 from godwitnotch.net import leased_store
+from godwitnotch.net import link_limits
 from godwitnotch.net import listeners
-from godwitnotch.net import peer_link
+from godwitnotch.net import peer_links
 from godwitnotch.platform import configuration as configuration_module
 from godwitnotch.platform import settings as settings_module
 from godwitnotch.platform import store as store_module
@@ -52,7 +53,7 @@
 LOG_DELAY_S = 0.05  # Lines of this time are written together.
 MAX_LOG_LINES_PER_WINDOW = 250  # For each log event.
 
-LINK_LIMITS = peer_link.PeerLimits(
+LINK_LIMITS = link_limits.PeerLimits(
     heartbeat_interval_s=0.13,
     max_heartbeats_per_s=80.0,
     silence_timeout_s=0.45,
@@ -283,8 +284,8 @@
         """Returns how many jobs wait for a first run; 0 if not the leader."""
         return self._core.waiting_jobs
 
-    def _make_links(self) -> peer_link.PeerLinks:
-        return peer_link.PeerLinks(
+    def _make_links(self) -> peer_links.PeerLinks:
+        return peer_links.PeerLinks(
             hello=messages.Hello(
                 messages.PROTOCOL_VERSION,
                 self._settings.peers,
--- a/godwitnotch/net/leased_runtime.py
+++ b/godwitnotch/net/leased_runtime.py
@@ -17,7 +17,7 @@
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import peer_messages
 from godwitnotch.net import leased_calls
-from godwitnotch.net import peer_link
+from godwitnotch.net import peer_links
 from godwitnotch.platform import configuration as configuration_module
 from godwitnotch.platform import fields
 
@@ -51,7 +51,7 @@
         *,
         core: host_module.LeasedHost,
         identity: model.KnownHost,
-        links: peer_link.PeerLinks,
+        links: peer_links.PeerLinks,
         order_client: leased_calls.OrderClient,
         on_decided: OnDecided,
         on_fault: OnFault,
--- a/godwitnotch/root.py
+++ b/godwitnotch/root.py
@@ -24,7 +24,7 @@
 from godwitnotch.net import http_server
 from godwitnotch.net import http_types
 from godwitnotch.net import listeners
-from godwitnotch.net import peer_link
+from godwitnotch.net import peer_links
 from godwitnotch.net import platform_client
 from godwitnotch.net import runtime as runtime_module
 from godwitnotch.net import upstream_client
@@ -221,8 +221,8 @@
             limits=self._settings.limits.host,
         )
 
-    def _make_links(self) -> peer_link.PeerLinks:
-        return peer_link.PeerLinks(
+    def _make_links(self) -> peer_links.PeerLinks:
+        return peer_links.PeerLinks(
             hello=messages.Hello(
                 messages.PROTOCOL_VERSION,
                 self._identity.host,
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -15,15 +15,17 @@
 from godwitnotch.core import messages
 from godwitnotch.core import model
 from godwitnotch.net import codec
+from godwitnotch.net import link_limits
 from godwitnotch.net import listeners
 from godwitnotch.net import peer_link
+from godwitnotch.net import peer_links
 from tests.process import relay
 
 SECRET = b"s" * 32
 WAIT_S = 20.0
 QUEUED = peer_link.SendResult.QUEUED
 LOST = peer_link.SendResult.LOST
-LIMITS = peer_link.PeerLimits(
+LIMITS = link_limits.PeerLimits(
     heartbeat_interval_s=0.1,
     silence_timeout_s=0.5,
     handshake_timeout_s=1.0,
@@ -54,7 +56,7 @@
         name: str,
         incarnation: str = "1",
         secret: bytes = SECRET,
-        limits: peer_link.PeerLimits = LIMITS,
+        limits: link_limits.PeerLimits = LIMITS,
     ) -> None:
         self.name = ids.HostId(name)
         self.events: list[events.Event] = []
@@ -65,7 +67,7 @@
             ids.DomainId("d"),
             ids.Incarnation(incarnation),
         )
-        self.links = peer_link.PeerLinks(
+        self.links = peer_links.PeerLinks(
             hello=hello,
             secret=secret,
             heartbeat=lambda: self.heartbeat(),
@@ -124,7 +126,7 @@
         incarnation: str = "1",
         secret: bytes = SECRET,
         port: int = 0,
-        limits: peer_link.PeerLimits = LIMITS,
+        limits: link_limits.PeerLimits = LIMITS,
     ) -> Host:
         host = await Host(name, incarnation, secret, limits).start(port)
         self.addAsyncCleanup(host.links.close)
