Orders: only 400, 409, 421, 429 and 503 prove that nothing ran

Cause: decode_rejection took every status but 200 for a rejection, so a start that got 500, 502, 504 or 404 counted as not executed: the run left the books without a stop and its task was ordered elsewhere at once. PROTOCOL names five statuses with which an upstream has done nothing; any other one now counts as no response, so that the run is stopped and its end awaited.

Ruled out as wrong "not sent" of the HTTP client, by reading: a write that closes the transport passed no byte; a timeout with the whole request still in the buffer aborts the connection before the loop can write; connections that were closed by either side count as sent.

Failed before: test_status_that_proves_nothing_counts_as_unanswered, for each of 9 statuses. Not shown: that the users' platform sends such a status.

--- a/godwitnotch/net/leased_calls.py
+++ b/godwitnotch/net/leased_calls.py
@@ -51,6 +51,8 @@
             return _result_when_not_sent(order)
         if response.status != _HTTP_OK:
             rejection = upstreams.decode_rejection(response)
+            if rejection is None:
+                return events.OrderUnanswered(order.call)
             return events.OrderRejected(order.call, rejection)
         try:
             return _result_when_accepted(order, response)
--- a/godwitnotch/platform/upstreams.py
+++ b/godwitnotch/platform/upstreams.py
@@ -23,6 +23,7 @@
 _WRONG_INSTANCE_STATUS = 421
 _REJECTED_STATUS = 409
 _MALFORMED_STATUS = 400
+_UNHEALTHY_STATUSES = (429, 503)
 _REJECTION_REASONS = {
     "fence": model.OrderRejection.TERM,
     "old": model.OrderRejection.OLD_RUN,
@@ -141,19 +142,28 @@
     )
 
 
-def decode_rejection(response: http_types.HttpResponse) -> model.OrderRejection:
-    """Returns why the upstream rejected an order."""
+def decode_rejection(
+    response: http_types.HttpResponse,
+) -> model.OrderRejection | None:
+    """Returns why the upstream rejected an order.
+
+    Returns:
+        The reason; None if the status doesn't prove that the order has no
+        effect.
+    """
     if response.status == _WRONG_INSTANCE_STATUS:
         return model.OrderRejection.OTHER_INSTANCE
     if response.status == _MALFORMED_STATUS:
         return model.OrderRejection.MALFORMED
+    if response.status in _UNHEALTHY_STATUSES:
+        return model.OrderRejection.UNHEALTHY
     if response.status == _REJECTED_STATUS:
         try:
             reason = fields.text(fields.parse_object(response.body), "reason")
         except fields.WrongFormatError:
             return model.OrderRejection.UNHEALTHY
         return _REJECTION_REASONS.get(reason, model.OrderRejection.UNHEALTHY)
-    return model.OrderRejection.UNHEALTHY
+    return None
 
 
 def _order_request(
