Upstreams: a restart alone ends no run; the lists of the new process do

Cause: with the first list that stated another start time, the leader recorded every confirmed run as lost, also those that the new process itself had started. Responses to orders don't state a start time (`{"clock_ms": N}` on the wire), and nothing lists an idle upstream, so after an idle upstream had restarted under its id the first job there lost all its runs at once and was ordered elsewhere. A run that was confirmed after the list had been requested got no stop order.

Now a list proves the end of a run only if it was requested after the run was confirmed and lacks it, whichever process sent it. Which process is the newest follows from the order of calls and responses, not from the start times: these fall if a clock is set back before a restart, and the lists of such a process were ignored for good. An ignored list also left a lease that awaited it stuck.

Failed before, pass now: test_first_job_after_a_restart_of_idle_upstreams_runs_once (6 starts instead of 2, both tasks twice at once), test_runs_of_the_new_instance_are_kept_at_its_first_list, test_response_of_the_old_instance_ends_no_run, test_end_in_the_new_instance_is_counted, test_instance_that_started_at_a_smaller_time_is_followed. Green before and after: test_runs_of_the_old_instance_end_at_the_first_list_of_the_new, test_list_of_the_old_instance_is_ignored_after_one_of_the_new.

Not shown: that an upstream restarted under its id in the users' record.

--- a/godwitnotch/core/leased/lease.py
+++ b/godwitnotch/core/leased/lease.py
@@ -99,6 +99,7 @@
         responded_at: When that response arrived.
         instance_started_ms: When the upstream's process started, by its own
             clock; 0 if not known. A restart is a new instance.
+        instance_seen_at: When the last response that states this time arrived.
         acknowledged_end: Serial number of the last end that was processed.
         expires_at: When all runs will have ended unless the lease is renewed.
         pending_list_requests: How many requests for the list of runs have no
@@ -117,6 +118,7 @@
     clock_ms: int = 0
     responded_at: float = 0.0
     instance_started_ms: int = 0
+    instance_seen_at: float = 0.0
     acknowledged_end: int = 0
     expires_at: float = 0.0
     pending_list_requests: int = 0
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -300,16 +300,10 @@
         if call is None or call.run is None:
             return
         lease, run = call.lease, call.run
-        from_current_instance = self._check_instance(
-            lease, event.instance_started_ms, now=now
-        )
-        if from_current_instance:
+        if self._follow_instance(call, event.instance_started_ms, now=now):
             lease.record_response(event.clock_ms, now=now)
         if lease.runs.get(run.key.task) is not run:
             return
-        if not from_current_instance:
-            self._record_end(lease, run, model.RunEnd.LOST, now=now)
-            return
         run.confirmed_at = now
         if call.kind is CallKind.START and run.state is RunState.ORDERED:
             run.state = RunState.RUNNING
@@ -378,8 +372,8 @@
             return
         lease = call.lease
         run_list = event.runs
-        if not self._check_instance(
-            lease, run_list.instance_started_ms, now=now
+        if not self._follow_instance(
+            call, run_list.instance_started_ms, now=now
         ):
             return
         lease.record_response(run_list.clock_ms, now=now)
@@ -409,7 +403,10 @@
 
     def _maintain(self, lease: lease_module.Lease, *, now: float) -> None:
         """Requests the list of runs of one upstream if a request is due."""
-        if lease.state is LeaseState.UNHELD:
+        if lease.state is LeaseState.UNHELD or (
+            lease.state is LeaseState.AWAITING_LIST
+            and not lease.pending_list_requests
+        ):
             wanted = lease.listed and self._in_scope(lease.upstream)
             if wanted and now >= lease.next_list_request_at:
                 lease.transition(LeaseEvent.LIST_REQUESTED)
@@ -603,30 +600,36 @@
             self._remove_run(lease, run)
             self._listener.order_rejected(lease, run, rejection, now=now)
 
-    def _check_instance(
-        self, lease: lease_module.Lease, instance_started_ms: int, *, now: float
+    def _follow_instance(
+        self,
+        call: lease_calls.PendingCall,
+        instance_started_ms: int,
+        *,
+        now: float,
     ) -> bool:
-        """Records the runs of an earlier instance of the upstream as ended.
+        """Notes which instance of an upstream has responded.
+
+        The order of the start times proves nothing, as a clock may have been
+        set back. An instance is newer if it has responded to a call that was
+        sent after the last response of the known one. Runs of the known one end
+        when they are missing in a list.
 
         Returns:
             Whether the response is from the newest instance that is known.
         """
+        lease = call.lease
         if not instance_started_ms:
             return True
-        if instance_started_ms < lease.instance_started_ms:
-            return False
-        if (
-            lease.instance_started_ms
-            and instance_started_ms > lease.instance_started_ms
-        ):
+        if lease.instance_started_ms not in (0, instance_started_ms):
+            if call.sent_at < lease.instance_seen_at:
+                return False
             self._out.add_decision(
                 "upstream_restarted",
                 detail=f"upstream={lease.upstream.upstream}",
             )
             lease.acknowledged_end = 0
-            for run in run_lists.runs_of_earlier_instance(lease):
-                self._record_end(lease, run, model.RunEnd.LOST, now=now)
         lease.instance_started_ms = instance_started_ms
+        lease.instance_seen_at = now
         return True
 
     def _record_failure(self, lease: lease_module.Lease, *, now: float) -> None:
--- a/godwitnotch/core/leased/run_lists.py
+++ b/godwitnotch/core/leased/run_lists.py
@@ -52,13 +52,3 @@
         for key in run_list.running
         if key.task not in lease.runs or lease.runs[key.task].key != key
     ]
-
-
-def runs_of_earlier_instance(
-    lease: lease_module.Lease,
-) -> list[lease_module.Run]:
-    """Returns the runs that have ended in a restart of the upstream.
-
-    An order that isn't confirmed may be executed before or after the restart.
-    """
-    return [run for run in lease.runs.values() if run.confirmed_at is not None]
--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -10,11 +10,16 @@
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import events
+from godwitnotch.core.leased import jobs
+from godwitnotch.core.leased import lease
+from godwitnotch.core.leased import lease_manager
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import outbox
 from godwitnotch.net import http_types
 from godwitnotch.net import leased_calls
 from tests import leased_world
 
+NOW = 100.0
 ENTRY = model.LeasedUpstream(
     upstream=ids.UpstreamId("u"),
     address="u:1",
@@ -27,6 +32,190 @@
 )
 
 
+class _Listener:
+    """Records the ends of runs; `job` owns all runs.
+
+    Attributes:
+        ended: Task and end of each run that has ended.
+        rejected: Task of each rejected start.
+    """
+
+    def __init__(self, job: jobs.LeasedJob) -> None:
+        self._job = job
+        self.ended: list[tuple[int, model.RunEnd]] = []
+        self.rejected: list[int] = []
+
+    def adopt_run(self, key: model.RunKey) -> jobs.LeasedJob | None:
+        return self._job
+
+    def adopt_done_run(self, key: model.RunKey, *, now: float) -> bool:
+        return True
+
+    def run_ended(self, lease, run, end, *, now) -> None:
+        self.ended.append((run.key.task.index, end))
+
+    def order_rejected(self, lease, run, rejection, *, now) -> None:
+        self.rejected.append(run.key.task.index)
+
+    def higher_term_seen(self, lease, *, was_held, now) -> None:
+        pass
+
+
+class ManagerTest(unittest.TestCase):
+    """Drives a lease manager that holds a lease on one upstream."""
+
+    def setUp(self) -> None:
+        self.job = jobs.LeasedJob(
+            request=leased_world.request("j", 4),
+            owner=ids.HostId("a"),
+            arrived_at=NOW,
+            deadline=NOW + 10,
+            earlier_runs_end_by=0.0,
+            base_ms=100.0,
+        )
+        self.out = outbox.Outbox()
+        self.listener = _Listener(self.job)
+        self.manager = lease_manager.LeaseManager(
+            self.out, self.listener, in_scope=lambda _: True
+        )
+        self.now = NOW
+        self.manager.start_leading(model.Term(7), [ENTRY], now=NOW)
+        self.manager.end_claim_period(now=NOW)
+        (request,) = self.take(actions.RenewLease)
+        self.list_runs(request, instance=1_000)
+
+    @property
+    def lease(self) -> lease.Lease:
+        return self.manager.leases[ENTRY.upstream]
+
+    def key(self, index: int) -> model.RunKey:
+        return model.RunKey(self.job.tasks[index].key, model.RunNumber(1))
+
+    def take(self, kind: type) -> list:
+        return [each for each in self.out.take() if isinstance(each, kind)]
+
+    def start(self, index: int) -> actions.StartRun:
+        self.manager.start_run(
+            self.lease, self.job, self.key(index), expected_s=0.1, now=self.now
+        )
+        (order,) = self.take(actions.StartRun)
+        return order
+
+    def accept(self, order, *, instance: int = 0) -> list:
+        """Lets an upstream accept an order; returns the next list requests."""
+        event = events.OrderTaken(order.call, 1, instance)
+        self.manager.order_taken(event, now=self.now)
+        return self.take(actions.RenewLease)
+
+    def list_runs(
+        self, request, *running: int, instance: int, ended: tuple = ()
+    ) -> None:
+        run_list = model.RunList(
+            1, instance, tuple(map(self.key, running)), ended
+        )
+        self.manager.runs_listed(
+            events.RunsListed(request.call, run_list), now=self.now
+        )
+
+    def tick(self, duration_s: float) -> list:
+        """Lets time pass; returns the list requests of that time."""
+        requests = []
+        end = self.now + duration_s
+        while self.now < end:
+            self.now += 0.02
+            self.manager.tick(now=self.now)
+            requests += self.take(actions.RenewLease)
+        return requests
+
+    def assert_runs(self, *indexes: int) -> None:
+        active = [
+            index
+            for index in range(4)
+            if self.manager.has_run(self.key(index).task)
+        ]
+        self.assertEqual(active, list(indexes))
+
+
+class RestartTest(ManagerTest):
+    def test_runs_of_the_new_instance_are_kept_at_its_first_list(self) -> None:
+        first, second = self.start(0), self.start(1)
+        (request,) = self.accept(first)
+        self.now += 0.01
+        self.accept(second)
+        self.list_runs(request, 0, instance=2_000)
+        self.assertEqual(self.listener.ended, [])
+        self.assert_runs(0, 1)
+        self.assertEqual(self.take(actions.StopRun), [])
+
+    def test_runs_of_the_old_instance_end_at_the_first_list_of_the_new(
+        self,
+    ) -> None:
+        (request,) = self.accept(self.start(0))
+        self.now += 0.01
+        self.list_runs(request, instance=2_000)
+        self.assertEqual(self.listener.ended, [(0, model.RunEnd.LOST)])
+
+    def test_end_in_the_new_instance_is_counted(self) -> None:
+        (request,) = self.accept(self.start(0))
+        ended = (model.EndedRun(5, self.key(0), model.RunEnd.DONE),)
+        self.list_runs(request, instance=1_000, ended=ended)
+        (request,) = self.accept(self.start(1))
+        ended = (model.EndedRun(1, self.key(1), model.RunEnd.DONE),)
+        self.list_runs(request, instance=2_000, ended=ended)
+        self.assertEqual(
+            self.listener.ended,
+            [(0, model.RunEnd.DONE), (1, model.RunEnd.DONE)],
+        )
+
+    def test_response_of_the_old_instance_ends_no_run(self) -> None:
+        (request,) = self.accept(self.start(0))
+        order = self.start(1)
+        self.list_runs(request, 0, instance=2_000)
+        self.accept(order, instance=1_000)
+        self.assertEqual(self.listener.ended, [])
+        self.assert_runs(0, 1)
+
+    def test_instance_that_started_at_a_smaller_time_is_followed(self) -> None:
+        (request,) = self.accept(self.start(0))
+        self.now += 0.05
+        self.list_runs(request, 0, instance=1_000)
+        (request,) = self.take(actions.RenewLease)
+        self.now += 0.05
+        self.list_runs(request, instance=900)
+        self.assertEqual(self.listener.ended, [(0, model.RunEnd.LOST)])
+
+    def test_list_of_the_old_instance_is_ignored_after_one_of_the_new(
+        self,
+    ) -> None:
+        (old_request,) = self.accept(self.start(0))
+        self.now += 0.01
+        run = self.lease.runs[self.key(0).task]
+        self.manager.stop_run(self.lease, run, now=self.now)
+        (request,) = self.accept(*self.take(actions.StopRun))
+        self.list_runs(request, instance=2_000)
+        self.accept(self.start(1))
+        ended = (model.EndedRun(9, self.key(2), model.RunEnd.DONE),)
+        self.list_runs(old_request, 0, instance=1_000, ended=ended)
+        self.assertEqual(self.take(actions.StopRun), [])
+        self.assertEqual(self.lease.acknowledged_end, 0)
+        self.assert_runs(1)
+
+
+class IdleRestartTest(unittest.TestCase):
+    def test_first_job_after_a_restart_of_idle_upstreams_runs_once(
+        self,
+    ) -> None:
+        world = leased_world.World({"a": ["a1", "a2"]}, upstreams=2)
+        world.run(2.0)
+        for name in world.upstreams:
+            world.restart_upstream(name)
+        world.run_time_ms = 400.0
+        call = world.submit("a2", "first", tasks=2)
+        world.run(1.5)
+        self.assertEqual(world.answers[call][1].end, model.JobEnd.COMPLETED)
+        self.assertEqual(world.start_count("first"), 2)
+
+
 class RejectionTest(unittest.IsolatedAsyncioTestCase):
     """Only some statuses prove that an upstream did nothing."""
 
