Upstreams: a response from a former address says nothing of the present one

Cause: a call keeps no address. Once an upstream was listed at another address, a 421 or a failure that still came from the old one ended the lease and all runs at the new one, without a stop; a list of the old process was taken as the first list of the new one, with its numbers of ends.

From a former address only the result of the order itself counts: a rejected start has not run.

Failed before, pass now: test_rejection_from_a_former_address_ends_no_run, test_list_from_a_former_address_is_ignored. Not shown: that an upstream changed its address under its id in the users' record.

--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -330,6 +330,8 @@
         )
         if call.kind is CallKind.START and run is not None:
             self._start_rejected(lease, run, rejection, now=now)
+        if call.to_former_address:
+            return
         if rejection is model.OrderRejection.TERM:
             # An upstream that has not responded lately may have been in a
             # partition with another leader. Once this host and that leader are
@@ -359,7 +361,8 @@
             job=run.key.task.job if run else "",
             detail=f"upstream={lease.upstream.upstream} kind={call.kind.value}",
         )
-        self._record_failure(lease, now=now)
+        if not call.to_former_address:
+            self._record_failure(lease, now=now)
         if run is None or lease.runs.get(run.key.task) is not run:
             return
         if call.kind is CallKind.START:
@@ -615,9 +618,12 @@
         when they are missing in a list.
 
         Returns:
-            Whether the response is from the newest instance that is known.
+            Whether the response is from the newest instance that is known, at
+            the address that is listed now.
         """
         lease = call.lease
+        if call.to_former_address:
+            return False
         if not instance_started_ms:
             return True
         if lease.instance_started_ms not in (0, instance_started_ms):
--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -4,6 +4,7 @@
 responses to orders don't state when its process started; its lists do.
 """
 
+import dataclasses
 import unittest
 import unittest.mock
 
@@ -216,6 +217,33 @@
         self.assertEqual(world.start_count("first"), 2)
 
 
+class AddressTest(ManagerTest):
+    def move(self, address: str) -> None:
+        entry = dataclasses.replace(ENTRY, address=address)
+        self.manager.update_upstreams([entry], now=self.now)
+
+    def test_rejection_from_a_former_address_ends_no_run(self) -> None:
+        (old_request,) = self.accept(self.start(0))
+        self.move("u:2")
+        (request,) = self.tick(0.1)
+        self.list_runs(request, instance=2_000)
+        self.accept(self.start(1))
+        rejection = model.OrderRejection.OTHER_INSTANCE
+        event = events.OrderRejected(old_request.call, rejection)
+        self.manager.order_rejected(event, now=self.now)
+        self.assertIs(self.lease.state, lease.LeaseState.HELD)
+        self.assert_runs(1)
+
+    def test_list_from_a_former_address_is_ignored(self) -> None:
+        (old_request,) = self.accept(self.start(0))
+        self.move("u:2")
+        (request,) = self.tick(0.1)
+        self.list_runs(old_request, 0, instance=0)
+        self.assertIs(self.lease.state, lease.LeaseState.AWAITING_LIST)
+        self.list_runs(request, instance=2_000)
+        self.assertIs(self.lease.state, lease.LeaseState.HELD)
+
+
 class RejectionTest(unittest.IsolatedAsyncioTestCase):
     """Only some statuses prove that an upstream did nothing."""
 
