Upstreams: another address or a 421 ends no run before it is proven

Cause: when the listed address of an upstream changed, or its address answered 421, the leader recorded all its runs as lost at once and ordered them elsewhere. A list can be older than the one before it: a copy from another leader, or a read that overtook another. The address then flips back and forth, and each flip gave up runs that went on, without a stop order.

The lease is now given up and the runs stay on the books until the first list lacks them, which is requested at once from the new address, or until the lease must have lapsed.

Failed before, pass now: test_runs_are_kept_when_an_older_list_arrives_last, test_runs_at_an_address_in_other_use_end_with_their_lease. Green before and after: test_runs_end_at_the_first_list_from_a_new_address.

--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -342,7 +342,7 @@
             self._lose_lease(lease, now=now)
             self._listener.higher_term_seen(lease, was_held=was_held, now=now)
         elif rejection is model.OrderRejection.OTHER_INSTANCE:
-            self._end_instance(lease, now=now)
+            self._leave_address(lease, now=now)
         elif rejection is model.OrderRejection.LATE:
             self._request_runs(lease, now=now, wait_ms=0)
         elif call.kind is CallKind.LIST_RUNS:
@@ -398,7 +398,8 @@
         address_changed = lease.upstream.address != entry.address
         lease.update_entry(entry)
         if address_changed:
-            self._end_instance(lease, now=now)
+            self._leave_address(lease, now=now)
+            lease.next_list_request_at = now
 
     def _maintain_all(self, *, now: float) -> None:
         for lease in tuple(self._leases.values()):
@@ -659,12 +660,14 @@
         self._lose_lease(lease, now=now)
         self._record_all_ended(lease, now=now)
 
-    def _end_instance(self, lease: lease_module.Lease, *, now: float) -> None:
-        """Records all runs as ended, since the upstream's process changed."""
+    def _leave_address(self, lease: lease_module.Lease, *, now: float) -> None:
+        """Gives up a lease, as another process may use the address.
+
+        The entry may also be older than the last one, so this proves the end of
+        no run: the next list or the time at which the lease ends does.
+        """
         self._lose_lease(lease, now=now)
-        lease.instance_started_ms = 0
         lease.acknowledged_end = 0
-        self._record_all_ended(lease, now=now)
 
     def _lose_lease(self, lease: lease_module.Lease, *, now: float) -> None:
         """Marks a lease as unheld, to be acquired again after a delay."""
--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -222,6 +222,22 @@
         entry = dataclasses.replace(ENTRY, address=address)
         self.manager.update_upstreams([entry], now=self.now)
 
+    def test_runs_are_kept_when_an_older_list_arrives_last(self) -> None:
+        (request,) = self.accept(self.start(0))
+        self.move("u:0")
+        self.move("u:1")
+        self.assertEqual(self.listener.ended, [])
+        self.assert_runs(0)
+
+    def test_runs_end_at_the_first_list_from_a_new_address(self) -> None:
+        self.accept(self.start(0))
+        self.move("u:2")
+        (request,) = self.tick(0.1)
+        self.assertEqual(request.upstream.address, "u:2")
+        self.list_runs(request, instance=2_000)
+        self.assertEqual(self.listener.ended, [(0, model.RunEnd.LOST)])
+        self.assert_runs()
+
     def test_rejection_from_a_former_address_ends_no_run(self) -> None:
         (old_request,) = self.accept(self.start(0))
         self.move("u:2")
@@ -243,6 +259,15 @@
         self.list_runs(request, instance=2_000)
         self.assertIs(self.lease.state, lease.LeaseState.HELD)
 
+    def test_runs_at_an_address_in_other_use_end_with_their_lease(self) -> None:
+        (request,) = self.accept(self.start(0))
+        rejection = model.OrderRejection.OTHER_INSTANCE
+        event = events.OrderRejected(request.call, rejection)
+        self.manager.order_rejected(event, now=self.now)
+        self.assert_runs(0)
+        self.tick(lease.MAX_LEASE_DURATION_S + 0.1)
+        self.assert_runs()
+
 
 class RejectionTest(unittest.IsolatedAsyncioTestCase):
     """Only some statuses prove that an upstream did nothing."""
