Upstreams: one that is listed again unchanged is listed

Cause: an upstream that left the list while it had runs was marked as unlisted, and the mark was removed only by an entry that differed. If the same entry came back, the upstream got no runs, its lease was forgotten with the last run, and it was missing until the next change of the list; all_runs_known() ignored it.

Failed before, passes now: test_upstream_listed_again_unchanged_accepts_runs.

--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -233,7 +233,7 @@
             known = self._leases.get(upstream)
             if known is None:
                 self._leases[upstream] = lease_module.Lease(entry)
-            elif known.upstream != entry:
+            elif known.upstream != entry or not known.listed:
                 self._update_entry(known, entry, now=now)
         self._maintain_all(now=now)
 
--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -269,6 +269,19 @@
         self.assert_runs()
 
 
+class ListingTest(ManagerTest):
+    def test_upstream_listed_again_unchanged_accepts_runs(self) -> None:
+        (request,) = self.accept(self.start(0))
+        self.manager.update_upstreams([], now=self.now)
+        self.assertFalse(self.lease.accepts_runs())
+        self.manager.update_upstreams([ENTRY], now=self.now)
+        self.assertTrue(self.lease.accepts_runs())
+        ended = (model.EndedRun(1, self.key(0), model.RunEnd.DONE),)
+        self.list_runs(request, instance=1_000, ended=ended)
+        self.tick(0.1)
+        self.assertIn(ENTRY.upstream, self.manager.leases)
+
+
 class RejectionTest(unittest.IsolatedAsyncioTestCase):
     """Only some statuses prove that an upstream did nothing."""
 
