--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -240,7 +240,7 @@
             known = self._leases.get(upstream)
             if known is None:
                 self._leases[upstream] = lease_module.Lease(entry)
-            elif known.upstream != entry:
+            elif known.upstream != entry or not known.listed:
                 self._update_entry(known, entry, now=now)
         self._maintain_all(now=now)
 
@@ -315,16 +315,10 @@
         if call is None or call.run is None:
             return
         lease, run = call.lease, call.run
-        from_current_instance = self._check_instance(
-            lease, event.instance_started_ms, now=now
-        )
-        if from_current_instance:
+        if self._follow_instance(call, event.instance_started_ms, now=now):
             lease.record_response(event.clock_ms, now=now)
         if lease.runs.get(run.key.task) is not run:
             return
-        if not from_current_instance:
-            self._record_end(lease, run, model.RunEnd.EARLIER_PROCESS, now=now)
-            return
         run.confirmed_at = now
         if call.kind is CallKind.START and run.state is RunState.ORDERED:
             run.state = RunState.RUNNING
@@ -351,6 +345,8 @@
         )
         if call.kind is CallKind.START and run is not None:
             self._start_rejected(lease, run, rejection, now=now)
+        if call.to_former_address:
+            return
         if rejection is model.OrderRejection.TERM:
             # An upstream that has not responded lately may have been in a
             # partition with another leader. Once this host and that leader are
@@ -361,7 +357,7 @@
             self._lose_lease(lease, now=now)
             self._listener.higher_term_seen(lease, was_held=was_held, now=now)
         elif rejection is model.OrderRejection.OTHER_INSTANCE:
-            self._end_instance(lease, model.RunEnd.OTHER_PROCESS, now=now)
+            self._leave_address(lease, now=now)
         elif rejection is model.OrderRejection.LATE:
             self._request_runs(lease, now=now, wait_ms=0)
         elif call.kind is CallKind.LIST_RUNS:
@@ -380,7 +376,8 @@
             job=call.key.task.job if call.key else "",
             detail=call.detail(),
         )
-        self._record_failure(lease, now=now)
+        if not call.to_former_address:
+            self._record_failure(lease, now=now)
         if run is None or lease.runs.get(run.key.task) is not run:
             return
         if call.kind is CallKind.START:
@@ -393,8 +390,8 @@
             return
         lease = call.lease
         run_list = event.runs
-        if not self._check_instance(
-            lease, run_list.instance_started_ms, now=now
+        if not self._follow_instance(
+            call, run_list.instance_started_ms, now=now
         ):
             return
         lease.record_response(run_list.clock_ms, now=now)
@@ -413,10 +410,16 @@
         *,
         now: float,
     ) -> None:
-        address_changed = lease.upstream.address != entry.address
+        former_address = lease.upstream.address
         lease.update_entry(entry)
-        if address_changed:
-            self._end_instance(lease, model.RunEnd.ADDRESS_CHANGED, now=now)
+        if entry.address != former_address:
+            self._out.add_decision(
+                "upstream_moved",
+                detail=f"upstream={entry.upstream} from={former_address} "
+                f"to={entry.address}",
+            )
+            self._leave_address(lease, now=now)
+            lease.next_list_request_at = now
 
     def _maintain_all(self, *, now: float) -> None:
         for lease in tuple(self._leases.values()):
@@ -424,7 +427,10 @@
 
     def _maintain(self, lease: lease_module.Lease, *, now: float) -> None:
         """Requests the list of runs of one upstream if a request is due."""
-        if lease.state is LeaseState.UNHELD:
+        if lease.state is LeaseState.UNHELD or (
+            lease.state is LeaseState.AWAITING_LIST
+            and not lease.pending_list_requests
+        ):
             wanted = lease.listed and self._in_scope(lease.upstream)
             if wanted and now >= lease.next_list_request_at:
                 lease.transition(LeaseEvent.LIST_REQUESTED)
@@ -626,30 +632,39 @@
             self._remove_run(lease, run)
             self._listener.order_rejected(lease, run, rejection, now=now)
 
-    def _check_instance(
-        self, lease: lease_module.Lease, instance_started_ms: int, *, now: float
+    def _follow_instance(
+        self,
+        call: lease_calls.PendingCall,
+        instance_started_ms: int,
+        *,
+        now: float,
     ) -> bool:
-        """Records the runs of an earlier instance of the upstream as ended.
+        """Notes which instance of an upstream has responded.
+
+        The order of the start times proves nothing, as a clock may have been
+        set back. An instance is newer if it has responded to a call that was
+        sent after the last response of the known one. Runs of the known one end
+        when they are missing in a list.
 
         Returns:
-            Whether the response is from the newest instance that is known.
+            Whether the response is from the newest instance that is known, at
+            the address that is listed now.
         """
+        lease = call.lease
+        if call.to_former_address:
+            return False
         if not instance_started_ms:
             return True
-        if instance_started_ms < lease.instance_started_ms:
-            return False
-        if (
-            lease.instance_started_ms
-            and instance_started_ms > lease.instance_started_ms
-        ):
+        if lease.instance_started_ms not in (0, instance_started_ms):
+            if call.sent_at < lease.instance_seen_at:
+                return False
             self._out.add_decision(
                 "upstream_restarted",
                 detail=f"upstream={lease.upstream.upstream}",
             )
             lease.acknowledged_end = 0
-            for run in run_lists.runs_of_earlier_instance(lease):
-                self._record_end(lease, run, model.RunEnd.RESTARTED, now=now)
         lease.instance_started_ms = instance_started_ms
+        lease.instance_seen_at = now
         return True
 
     def _record_failure(self, lease: lease_module.Lease, *, now: float) -> None:
@@ -679,14 +694,14 @@
         self._lose_lease(lease, now=now)
         self._record_all_ended(lease, model.RunEnd.LEASE_EXPIRED, now=now)
 
-    def _end_instance(
-        self, lease: lease_module.Lease, end: model.RunEnd, *, now: float
-    ) -> None:
-        """Records all runs as ended, since the upstream's process changed."""
+    def _leave_address(self, lease: lease_module.Lease, *, now: float) -> None:
+        """Gives up a lease, as another process may use the address.
+
+        The entry may also be older than the last one, so this proves the end of
+        no run: the next list or the time at which the lease ends does.
+        """
         self._lose_lease(lease, now=now)
-        lease.instance_started_ms = 0
         lease.acknowledged_end = 0
-        self._record_all_ended(lease, end, now=now)
 
     def _lose_lease(self, lease: lease_module.Lease, *, now: float) -> None:
         """Marks a lease as unheld, to be acquired again after a delay."""
--- a/godwitnotch/report/job_trace.py
+++ b/godwitnotch/report/job_trace.py
@@ -10,17 +10,6 @@
 # A run counts as slow beyond this multiple of its expected run time.
 SLOW_RUN_FACTOR = 1.3
 
-_GONE_REASONS = frozenset(
-    end.value
-    for end in (
-        model.RunEnd.MISSING,
-        model.RunEnd.RESTARTED,
-        model.RunEnd.EARLIER_PROCESS,
-        model.RunEnd.ADDRESS_CHANGED,
-        model.RunEnd.OTHER_PROCESS,
-    )
-)
-
 
 class Outcome(enum.Enum):
     """What became of a job."""
@@ -98,7 +87,7 @@
             cause = Cause.RUN_UNANSWERED
         elif reason == model.RunEnd.FAILED.value:
             cause = Cause.RUN_FAILED
-        elif reason in _GONE_REASONS:
+        elif reason == model.RunEnd.MISSING.value:
             cause = Cause.RUN_GONE
         lost_s = max(0.0, at - (self.ordered_at or at))
         self.lost_s[cause] = self.lost_s.get(cause, 0.0) + lost_s
