Lease: a start at an idle upstream with a slow clock outlived its lease

Cause: deadline_ms added the full age of the leader's reading of the upstream's clock, but a clock may be 2% slow, and nobody asks an idle upstream. After 10 s idle a start stayed valid 1.186 s, after 30 s 1.594 s, after 60 s 2.206 s, while start_expires_at and expires_at say 1.0 s. The reading counts with 98% of its age now, so the lease ends 0.970 s after it was sent at the latest.

Why it shows as two tasks of one job that move together: two unanswered starts and the repeated stops count as failures of one upstream, the delay of the next list request grows with each of them, nothing renews the lease, and after 1.0 s its runs count as ended as a whole. An order that is executed 1.0 to 1.15 s late then starts them beside the new ones; the stop orders arrive after their ends.

World: upstreams with clocks of their own, late responses, stalled hosts.

--- a/godwitnotch/core/leased/lease.py
+++ b/godwitnotch/core/leased/lease.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import math
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -14,11 +15,11 @@
 from godwitnotch.core.leased import model
 
 LEASE_DURATION_MS = 950  # Upstreams shorten longer leases to 1 s.
-# All runs under a lease count as ended this long after it was last renewed. The
-# margin over LEASE_DURATION_MS covers an upstream's clock that is 2% slow, if
-# the leader's reading of that clock is at most 1.5 s old. With an older reading
-# the upstream ends the runs after 1 s by its own clock, which may be slightly
-# later. That a reading takes a few ms to arrive only shortens the lease.
+# The platform's bound: an upstream's clock is at most 2% slow.
+MIN_CLOCK_RATE = 0.98
+# All runs under a lease count as ended this long after it was last renewed. It
+# exceeds LEASE_DURATION_MS on a clock of MIN_CLOCK_RATE, 0.970 s, by the time to
+# end the runs.
 MAX_LEASE_DURATION_S = 1.0
 # A single failed call may be a lost response; after two in a row the upstream
 # gets no new runs.
@@ -160,13 +161,16 @@
     def deadline_ms(self, *, now: float) -> int:
         """Returns the end of a lease that begins now, by the upstream's clock.
 
-        The upstream read its clock before its response arrived here. The result
-        is therefore never too late, even if this process was paused before it
-        handled the response, provided that the upstream's clock isn't slow.
+        The upstream read its clock before its response arrived here, and that
+        clock runs at MIN_CLOCK_RATE at least. The result is therefore never too
+        late, however old the reading is, and even if this process was paused
+        before it handled the response. On other clocks the lease is shorter the
+        older the reading is.
         """
+        min_elapsed_s = (now - self.responded_at) * MIN_CLOCK_RATE
         return (
             self.clock_ms
-            + round((now - self.responded_at) * 1_000)
+            + math.floor(min_elapsed_s * 1_000)
             + LEASE_DURATION_MS
         )
 
--- a/tests/leased_world.py
+++ b/tests/leased_world.py
@@ -57,6 +57,10 @@
             no response is sent. 0 for no delay.
         loses_responses: Whether orders are executed without a response.
         latency_s: How long an order or a response takes, in seconds.
+        response_delay_s: How much longer a response takes, in seconds.
+        clock_rate: Seconds that the upstream's clock counts in a second; set
+            before the world runs.
+        clock_offset_ms: What the upstream's clock would show at time 0.
         term: Highest term seen in an order.
         lease_until_ms: When the lease expires.
         last_blocked_run: Highest run number that may not start, by task.
@@ -74,6 +78,9 @@
     order_delay_s: float = 0.0
     loses_responses: bool = False
     latency_s: float = NETWORK_LATENCY_S
+    response_delay_s: float = 0.0
+    clock_rate: float = 1.0
+    clock_offset_ms: float = 0.0
     term: int = 0
     lease_until_ms: int = 0
     last_blocked_run: dict[model.TaskKey, int] = field(default_factory=dict)
@@ -84,6 +91,14 @@
     )
     pending_responses: list[Callable[[], None]] = field(default_factory=list)
 
+    def clock_ms(self, now: float) -> int:
+        """Returns what the upstream's clock shows."""
+        return round(self.clock_offset_ms + now * 1_000 * self.clock_rate)
+
+    def time_at(self, clock_ms: int) -> float:
+        """Returns when the upstream's clock shows a time."""
+        return (clock_ms - self.clock_offset_ms) / 1_000 / self.clock_rate
+
 
 class World:
     """Runs hosts and upstreams on a virtual clock, without randomness.
@@ -100,11 +115,13 @@
         dead: Hosts whose process has ended.
         paused_until: Until when the process of a host is paused.
         pauses: Host and end of each pause so far.
+        stalled: Events that wait for a stalled host, by host.
         unlisted: Upstreams that are missing from the upstream list.
         hosts_without_store: Hosts that cannot read the upstream list.
         cut_pairs: Pairs of hosts and upstreams that cannot reach each other.
         links: Pairs of hosts whose link is open.
         upstreams: Upstreams by id.
+        orders: Time and action of each order that a host has sent.
         answers: Time and answer of each answered call.
         decisions: Time, host and action of each decision.
         started_runs: All runs that were started, each with its upstream.
@@ -124,11 +141,13 @@
         self.dead: set[str] = set()
         self.paused_until: dict[str, float] = {}
         self.pauses: list[tuple[str, float]] = []
+        self.stalled: dict[str, list[events.Event]] = {}
         self.unlisted: frozenset[str] = frozenset()
         self.hosts_without_store: set[str] = set()
         self.cut_pairs: set[frozenset[str]] = set()
         self.links: set[frozenset[str]] = set()
         self.upstreams: dict[str, Upstream] = {}
+        self.orders: list[tuple[float, actions.Action]] = []
         self.answers: dict[int, tuple[float, model.Answer]] = {}
         self.decisions: list[tuple[float, str, actions.Decided]] = []
         self.started_runs: list[tuple[str, UpstreamRun]] = []
@@ -207,6 +226,49 @@
                 left_s = self.paused_until[paused_host] - self.now
                 self.call_later(left_s + 0.06, lambda: self._open_link(pair))
 
+    def stall(self, name: str, duration_s: float, *, tick_first: bool) -> None:
+        """Stalls a host process, as if its event loop got no processor.
+
+        The timer of the tick falls due once, whatever the duration. On the
+        event loop it fires before the responses that wait in sockets reach
+        the host core, unless the process stalled while it handled them.
+
+        Args:
+            name: The host.
+            duration_s: How long the process does nothing.
+            tick_first: Whether the tick comes before the waiting events.
+        """
+        core = self.hosts[name]
+        self.stalled[name] = []
+        for pair in [pair for pair in self.links if name in pair]:
+            self.call_later(
+                SILENCE_TIMEOUT_S,
+                lambda pair=pair: self._close_stalled_link(pair, name, core),
+            )
+        self.call_later(
+            duration_s, lambda: self._end_stall(name, core, tick_first)
+        )
+
+    def _close_stalled_link(
+        self, pair: frozenset[str], name: str, core: leased_host.LeasedHost
+    ) -> None:
+        if name in self.stalled and self.hosts.get(name) is core:
+            self._close_link(pair)
+
+    def _end_stall(
+        self, name: str, core: leased_host.LeasedHost, tick_first: bool
+    ) -> None:
+        waiting = self.stalled.pop(name)
+        if self.hosts.get(name) is not core:
+            return
+        waiting = [
+            event for event in waiting if not isinstance(event, events.Ticked)
+        ]
+        position = 0 if tick_first else len(waiting)
+        waiting.insert(position, events.Ticked())
+        for event in waiting:
+            self.deliver(name, event)
+
     def partition(self, first: set[str], second: set[str]) -> None:
         """Cuts hosts off from hosts and upstreams.
 
@@ -253,6 +315,7 @@
             and pair not in self.cut_pairs
             and not pair & self.dead
             and not any(self.now < self.paused_until.get(n, 0.0) for n in pair)
+            and not pair & self.stalled.keys()
         ]
 
     def _open_link(self, pair: frozenset[str]) -> None:
@@ -293,6 +356,9 @@
         """Delivers an event to a host and executes the resulting actions."""
         if name in self.dead:
             return
+        if name in self.stalled:
+            self.stalled[name].append(event)
+            return
         if self.now < self.paused_until.get(name, 0.0):
             core = self.hosts[name]
             resume_in_s = self.paused_until[name] - self.now
@@ -375,6 +441,7 @@
                 core.lists_upstreams
                 and due
                 and name not in self.hosts_without_store
+                and name not in self.stalled
             ):
                 self.list_upstreams(name, without=self.unlisted)
 
@@ -420,6 +487,7 @@
 
     def _send_order(self, name: str, core, action) -> None:
         upstream = self.upstreams[action.upstream.upstream]
+        self.orders.append((self.now, action))
         state = {"responded": False}
 
         def respond(event: events.Event) -> None:
@@ -446,7 +514,8 @@
                 upstream,
                 action,
                 lambda event: self.call_later(
-                    upstream.latency_s, lambda: respond(event)
+                    upstream.latency_s + upstream.response_delay_s,
+                    lambda: respond(event),
                 ),
             )
 
@@ -457,9 +526,6 @@
             lambda: respond(events.OrderUnanswered(action.call)),
         )
 
-    def _clock_ms(self) -> int:
-        return round(self.now * 1_000)
-
     def _execute_order(self, upstream: Upstream, action, reply) -> None:
         if action.term < upstream.term:
             rejection = model.OrderRejection.TERM
@@ -488,7 +554,7 @@
     def _start(self, upstream: Upstream, action, reply) -> None:
         key = action.key
         rejection = None
-        if self._clock_ms() > action.deadline_ms:
+        if upstream.clock_ms(self.now) > action.deadline_ms:
             rejection = model.OrderRejection.LATE
         elif key.run <= upstream.last_blocked_run.get(key.task, 0):
             rejection = model.OrderRejection.OLD_RUN
@@ -524,7 +590,7 @@
                 return
             state["responded"] = True
             listed = model.RunList(
-                self._clock_ms(),
+                upstream.clock_ms(self.now),
                 upstream.instance_started_ms,
                 tuple(run.key for run in upstream.running.values()),
                 tuple(upstream.ended_runs),
@@ -538,16 +604,16 @@
             respond()
 
     def _extend(self, upstream: Upstream, deadline_ms: int) -> None:
-        max_until = self._clock_ms() + MAX_LEASE_DURATION_MS
+        max_until = upstream.clock_ms(self.now) + MAX_LEASE_DURATION_MS
         until = max(upstream.lease_until_ms, min(deadline_ms, max_until))
         upstream.lease_until_ms = until
         self.call_later(
-            (until - self._clock_ms()) / 1_000 + 0.001,
+            upstream.time_at(until + 1) - self.now,
             lambda: self._expire_runs(upstream),
         )
 
     def _expire_runs(self, upstream: Upstream) -> None:
-        if self._clock_ms() <= upstream.lease_until_ms:
+        if upstream.clock_ms(self.now) <= upstream.lease_until_ms:
             return
         for run in tuple(upstream.running.values()):
             self._end_run(upstream, run, model.RunEnd.LOST)
@@ -573,7 +639,9 @@
 
     def _order_taken(self, upstream: Upstream, action) -> events.OrderTaken:
         return events.OrderTaken(
-            action.call, self._clock_ms(), upstream.instance_started_ms
+            action.call,
+            upstream.clock_ms(self.now),
+            upstream.instance_started_ms,
         )
 
 
