Lease: runs of an expired lease counted as lost unasked, and ran again

Cause: the tick that found a lease expired recorded all its runs as lost, though the upstream may have been up and the runs may have ended well, or even go on. Orders that get no response within 0.15 s count as failures of the upstream, the delay of the next list request grows with each, and with two runs nothing is asked or renewed between 0 and 1.0 s after the starts.

Now the leader requests the list of runs once the lease has expired, without renewing it, and lets 0.45 s pass. What the list says counts; runs that it still shows keep their place and the lease is renewed. Only without a response are the runs lost. A request that was sent before the expiry proves nothing, neither its response timeout.

Ruled out: a tick that comes before waiting responses after one stall. Above 0.35 s the leader gives up the lead instead, and below that no lease can expire: the list request before it is at most 0.45 s old.

Cost: the runs of a dead upstream move 0.45 s later.

--- a/godwitnotch/core/leased/lease.py
+++ b/godwitnotch/core/leased/lease.py
@@ -104,6 +104,7 @@
         expires_at: When all runs will have ended unless the lease is renewed.
         pending_list_requests: How many requests for the list of runs have no
             response yet.
+        last_list_request_at: When the list of runs was last requested.
         next_list_request_at: Earliest time of the next request for the list of
             runs.
         failures: Consecutive failed calls.
@@ -121,6 +122,7 @@
     acknowledged_end: int = 0
     expires_at: float = 0.0
     pending_list_requests: int = 0
+    last_list_request_at: float = float("-inf")
     next_list_request_at: float = 0.0
     failures: int = 0
     runs: dict[model.TaskKey, Run] = field(default_factory=dict)
@@ -184,6 +186,17 @@
         """Extends expires_at, as an order that may renew the lease is sent."""
         self.expires_at = max(self.expires_at, now + MAX_LEASE_DURATION_S)
 
+    def expired(self, *, now: float) -> bool:
+        """Returns whether runs should have ended, as nothing was renewed."""
+        return bool(self.runs) and now >= self.expires_at
+
+    def asked_since_expiry(self) -> bool:
+        """Returns whether a request sent after the expiry has no result yet."""
+        return (
+            self.pending_list_requests > 0
+            and self.last_list_request_at >= self.expires_at
+        )
+
     def available_at(self, needs: model.Resources, *, now: float) -> float:
         """Returns when runs are expected to have freed a task's resources.
 
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -287,8 +287,9 @@
             if not lease.listed and not lease.runs:
                 del self._leases[upstream]
                 continue
-            if lease.runs and now >= lease.expires_at:
-                self._expire(lease, now=now)
+            if lease.expired(now=now) and not lease.asked_since_expiry():
+                # The wait lets a slow response arrive before the timeout.
+                self._request_runs(lease, now=now, wait_ms=MAX_LIST_WAIT_MS)
             if lease.stopping:
                 self._retry_stops(lease, now=now)
             if (
@@ -354,6 +355,7 @@
             self._request_runs(lease, now=now, wait_ms=0)
         elif call.kind is CallKind.LIST_RUNS:
             self._record_failure(lease, now=now)
+            self._expire_if_asked(call, now=now)
 
     def order_unanswered(
         self, event: events.OrderUnanswered, *, now: float
@@ -369,6 +371,8 @@
             detail=f"upstream={lease.upstream.upstream} kind={call.kind.value}",
         )
         self._record_failure(lease, now=now)
+        if call.kind is CallKind.LIST_RUNS:
+            self._expire_if_asked(call, now=now)
         if run is None or lease.runs.get(run.key.task) is not run:
             return
         if call.kind is CallKind.START:
@@ -390,6 +394,9 @@
             self._start_reconciling(lease, run_list, now=now)
         self._record_newly_ended(lease, run_list, call.sent_at, now=now)
         self._stop_unknown(lease, run_list, now=now)
+        if lease.expired(now=now):
+            # The other runs are not known to have ended.
+            lease.record_renewal(now=now)
         if lease.state is LeaseState.RECONCILING:
             self._reconcile(lease, now=now)
         self._maintain(lease, now=now)
@@ -443,9 +450,18 @@
     def _request_runs(
         self, lease: lease_module.Lease, *, now: float, wait_ms: int
     ) -> None:
-        """Requests the list of runs; renews a held lease that has runs."""
+        """Requests the list of runs; renews a held lease that has runs.
+
+        A request after the lease has expired asks what became of the runs, and
+        doesn't renew the lease.
+        """
         deadline_ms = None
-        if lease.state is LeaseState.HELD and lease.runs:
+        lease.last_list_request_at = now
+        if (
+            lease.state is LeaseState.HELD
+            and lease.runs
+            and not lease.expired(now=now)
+        ):
             deadline_ms = lease.deadline_ms(now=now)
             lease.record_renewal(now=now)
         self._calls.request_runs(
@@ -647,6 +663,14 @@
             BASE_LIST_RETRY_DELAY_S * (lease.failures - 1),
         )
 
+    def _expire_if_asked(
+        self, call: lease_calls.PendingCall, *, now: float
+    ) -> None:
+        """Expires a lease if the upstream was asked since and didn't respond."""
+        lease = call.lease
+        if lease.expired(now=now) and call.sent_at >= lease.expires_at:
+            self._expire(lease, now=now)
+
     def _expire(self, lease: lease_module.Lease, *, now: float) -> None:
         """Records all runs of an expired lease as ended."""
         self._out.add_decision(
--- a/tests/test_leased_clocks.py
+++ b/tests/test_leased_clocks.py
@@ -99,5 +99,68 @@
                     self.assertEqual(world.overlaps(), [])
 
 
+class SilentUpstreamTest(unittest.TestCase):
+    """An upstream executes orders, but its responses don't arrive in time."""
+
+    def test_done_tasks_ran_again_as_the_leader_had_not_asked(self) -> None:
+        for silent_ms in range(100, 1_100, 50):
+            with self.subTest(silent_ms=silent_ms):
+                world = start_world()
+                call = world.submit("a1", "job", tasks=2, wait_s=5.0)
+                upstreams = world.upstreams.values()
+                for upstream in upstreams:
+                    upstream.loses_responses = True
+                world.run(silent_ms / 1_000)
+                for upstream in upstreams:
+                    upstream.loses_responses = False
+                world.run(3.0)
+                self.assertEqual(done_again(world), [])
+                self.assertEqual(world.overlaps(), [])
+                self.assertEqual(
+                    world.answers[call][1].end, model.JobEnd.COMPLETED
+                )
+
+    def test_done_tasks_ran_again_as_responses_took_longer_than_the_timeout(
+        self,
+    ) -> None:
+        for delay_ms in (100, 140, 160, 200, 300, 400):
+            for slow_s in (0.3, 0.8, 1.2, 2.0, 3.0):
+                with self.subTest(delay_ms=delay_ms, slow_s=slow_s):
+                    world = start_world()
+                    call = world.submit("a1", "job", tasks=2, wait_s=9.0)
+                    for upstream in world.upstreams.values():
+                        upstream.response_delay_s = delay_ms / 1_000
+                    world.run(slow_s)
+                    for upstream in world.upstreams.values():
+                        upstream.response_delay_s = 0.0
+                    world.run(6.0)
+                    self.assertEqual(done_again(world), [])
+                    self.assertEqual(world.overlaps(), [])
+                    self.assertEqual(
+                        world.answers[call][1].end, model.JobEnd.COMPLETED
+                    )
+
+    def test_task_ran_twice_as_its_run_outlived_the_lease(self) -> None:
+        for clock_rate in (0.90, 0.92, 0.94):
+            with self.subTest(clock_rate=clock_rate):
+                world = start_world(clock_rate=clock_rate)
+                world.run_time_ms = 1_500.0
+                call = world.submit("a1", "job", tasks=2, wait_s=9.0)
+                for upstream in world.upstreams.values():
+                    upstream.loses_responses = True
+                world.run(0.003)
+                first = world.started_runs[0][0]
+                world.partition({*HOSTS}, {first})
+                for upstream in world.upstreams.values():
+                    upstream.loses_responses = False
+                world.run(0.995)
+                world.heal()
+                world.run(5.0)
+                self.assertEqual(world.overlaps(), [])
+                self.assertEqual(
+                    world.answers[call][1].end, model.JobEnd.COMPLETED
+                )
+
+
 if __name__ == "__main__":
     unittest.main()
