Leadership: a paused leader started tasks before it noticed the pause

Cause: only the tick looks for a pause of the process. Events that were read before the pause, or that reach the core before the timer of the tick, were handled first, as leader. A job that an owner had handed over just then was started with a valid deadline at an upstream that the next leader didn't reach, while the next leader ran the same tasks at another (0.1 to 1.4 s at the same time, tasks of 3 s, pauses of 1 to 3 s). And ends that were acknowledged in that moment were forgotten with the lead, so that their tasks ran again.

The host core now looks for a pause before it handles any event.

Weighed: to handle waiting responses before the late tick, in the core or by deferring the tick in LeasedRuntime.

--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -157,6 +157,7 @@
     ) -> list[actions.Action]:
         """Handles one event and returns the actions to execute."""
         self._now = now
+        self._apply_change(self._leadership.resume_if_paused(now=now), now=now)
         _HANDLERS[type(event)](self, event, now)
         self._update_serving()
         self._update_home_leader()
--- a/godwitnotch/core/leased/leadership.py
+++ b/godwitnotch/core/leased/leadership.py
@@ -279,10 +279,9 @@
         A gap of more than MIN_PROCESS_PAUSE_S between two calls counts as a
         pause of this process.
         """
-        paused = now - self._last_tick_at > MIN_PROCESS_PAUSE_S
+        if self._was_paused(now=now):
+            return self.resume_if_paused(now=now)
         self._last_tick_at = now
-        if paused:
-            return self._process_resumed(now=now)
         self._forget_lost_hosts(now=now)
         if self._leader and not self._leader_is_draining():
             return LeadershipChange.NONE
@@ -290,6 +289,20 @@
             return LeadershipChange.NONE
         return self._start_term()
 
+    def resume_if_paused(self, *, now: float) -> LeadershipChange:
+        """Stops leading if this process was paused since the last tick.
+
+        Call this before any event is handled. An event may come before the
+        first tick after the pause, and another host may lead by then.
+        """
+        if not self._was_paused(now=now):
+            return LeadershipChange.NONE
+        self._last_tick_at = now
+        return self._process_resumed(now=now)
+
+    def _was_paused(self, *, now: float) -> bool:
+        return now - self._last_tick_at > MIN_PROCESS_PAUSE_S
+
     def _election_wait_start(self) -> float:
         """Returns the earliest start of the wait for an election."""
         # The time keeps its initial value until this host follows a leader,
--- a/tests/test_leased_clocks.py
+++ b/tests/test_leased_clocks.py
@@ -162,5 +162,52 @@
                 )
 
 
+class StalledLeaderTest(unittest.TestCase):
+    STALLS_S = (0.1, 0.2, 0.3, 0.36, 0.5, 0.8, 1.0, 1.5, 2.0, 3.0)
+
+    def test_leader_started_tasks_of_its_successor_before_the_tick(
+        self,
+    ) -> None:
+        for stall_s in self.STALLS_S:
+            for tick_first in (False, True):
+                with self.subTest(stall_s=stall_s, tick_first=tick_first):
+                    world = start_world()
+                    (leader,) = world.leaders()
+                    others = {*HOSTS} - {leader}
+                    world.run_time_ms = 900.0
+                    world.partition(others, {"a-u0"})
+                    world.stall(leader, stall_s, tick_first=tick_first)
+                    call = world.submit(min(others), "job", tasks=2, wait_s=9.0)
+                    world.run(8.0)
+                    self.assertEqual(world.overlaps(), [])
+                    self.assertEqual(done_again(world), [])
+                    self.assertEqual(
+                        world.answers[call][1].end, model.JobEnd.COMPLETED
+                    )
+
+    def test_done_tasks_ran_again_as_responses_came_before_the_tick(
+        self,
+    ) -> None:
+        for stall_s in self.STALLS_S:
+            for phase_s in (0.01, 0.07, 0.29, 0.45):
+                for tick_first in (False, True):
+                    with self.subTest(
+                        stall_s=stall_s, phase_s=phase_s, tick_first=tick_first
+                    ):
+                        world = start_world(clock_rate=0.98)
+                        (leader,) = world.leaders()
+                        world.run_time_ms = 200.0
+                        world.submit(leader, "job", tasks=4, wait_s=9.0)
+                        world.run(phase_s)
+                        world.stall(leader, stall_s, tick_first=tick_first)
+                        world.run(6.0)
+                        self.assertEqual(world.overlaps(), [])
+                        self.assertEqual(done_again(world), [])
+                        self.assertNotIn(
+                            "lease_lapsed",
+                            [each.event for _, _, each in world.decisions],
+                        )
+
+
 if __name__ == "__main__":
     unittest.main()
