Upstreams: a lease is kept while a call of it has no response

Cause: the lease of an unlisted upstream without runs was forgotten although calls were pending. If the upstream was listed again before they ended, it had two Lease objects. A list for the old one named the runs of the new one as unknown, and the leader stopped them; a list awaited by the old one was adopted there, and nothing renewed, expired or stopped those runs. A rejected call of the old lease removed the new one from the books.

Failed before, passes now: test_list_requested_before_an_upstream_was_relisted_stops_no_run.

--- a/godwitnotch/core/leased/lease.py
+++ b/godwitnotch/core/leased/lease.py
@@ -102,6 +102,7 @@
         instance_seen_at: When the last response that states this time arrived.
         acknowledged_end: Serial number of the last end that was processed.
         expires_at: When all runs will have ended unless the lease is renewed.
+        pending_calls: How many calls have no response yet.
         pending_list_requests: How many requests for the list of runs have no
             response yet.
         next_list_request_at: Earliest time of the next request for the list of
@@ -121,6 +122,7 @@
     instance_seen_at: float = 0.0
     acknowledged_end: int = 0
     expires_at: float = 0.0
+    pending_calls: int = 0
     pending_list_requests: int = 0
     next_list_request_at: float = 0.0
     failures: int = 0
@@ -155,6 +157,11 @@
         self.free_resources = upstream.capacity.minus(taken)
         self.listed = True
 
+    @property
+    def unused(self) -> bool:
+        """Whether the upstream isn't listed and nothing is awaited from it."""
+        return not self.listed and not self.runs and not self.pending_calls
+
     def transition(self, event: LeaseEvent) -> None:
         """Applies an event to the state, as charts/lease.yaml defines."""
         self.state = CHART.next(self.state, event)
--- a/godwitnotch/core/leased/lease_calls.py
+++ b/godwitnotch/core/leased/lease_calls.py
@@ -64,8 +64,10 @@
     def pop(self, call_id: model.UpstreamCallId) -> PendingCall | None:
         """Removes and returns a pending call; None if it was forgotten."""
         call = self._calls.pop(call_id, None)
-        if call is not None and call.kind is CallKind.LIST_RUNS:
-            call.lease.pending_list_requests -= 1
+        if call is not None:
+            call.lease.pending_calls -= 1
+            if call.kind is CallKind.LIST_RUNS:
+                call.lease.pending_list_requests -= 1
         return call
 
     def start(
@@ -137,6 +139,7 @@
         now: float,
     ) -> model.UpstreamCallId:
         call_id = self._out.next_call_id()
+        lease.pending_calls += 1
         address = lease.upstream.address
         self._calls[call_id] = PendingCall(kind, lease, now, address, run)
         return call_id
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -227,7 +227,7 @@
             if upstream in listed:
                 continue
             lease.listed = False
-            if not lease.runs:
+            if lease.unused:
                 del self._leases[upstream]
         for upstream, entry in listed.items():
             known = self._leases.get(upstream)
@@ -281,7 +281,7 @@
         """Handles expired leases; repeats stop orders and list requests."""
         self._forget_unclaimed_done(now=now)
         for upstream, lease in tuple(self._leases.items()):
-            if not lease.listed and not lease.runs:
+            if lease.unused:
                 del self._leases[upstream]
                 continue
             if lease.runs and now >= lease.expires_at:
@@ -675,16 +675,12 @@
             lease.transition(LeaseEvent.LOST)
         delay_s = BASE_LIST_RETRY_DELAY_S * (1 << min(lease.failures, 5))
         lease.next_list_request_at = now + min(MAX_LIST_RETRY_DELAY_S, delay_s)
-        if not lease.listed and not lease.runs:
-            self._leases.pop(lease.upstream.upstream, None)
 
     def _record_all_ended(
         self, lease: lease_module.Lease, *, now: float
     ) -> None:
         for run in tuple(lease.runs.values()):
             self._record_end(lease, run, model.RunEnd.LOST, now=now)
-        if not lease.listed:
-            self._leases.pop(lease.upstream.upstream, None)
 
 
 def _wait_ms(lease: lease_module.Lease, *, now: float) -> int:
--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -281,6 +281,28 @@
         self.tick(0.1)
         self.assertIn(ENTRY.upstream, self.manager.leases)
 
+    def test_list_requested_before_an_upstream_was_relisted_stops_no_run(
+        self,
+    ) -> None:
+        (old_request,) = self.accept(self.start(0))
+        self.now += 0.05
+        self.manager.stop_run(
+            self.lease, self.lease.runs[self.key(0).task], now=self.now
+        )
+        (stop,) = self.take(actions.StopRun)
+        (request,) = self.accept(stop)
+        ended = (model.EndedRun(1, self.key(0), model.RunEnd.STOPPED),)
+        self.list_runs(request, instance=1_000, ended=ended)
+        self.manager.update_upstreams([], now=self.now)
+        self.tick(0.04)
+        self.manager.update_upstreams([ENTRY], now=self.now)
+        for each in self.take(actions.RenewLease):
+            self.list_runs(each, instance=1_000)
+        self.accept(self.start(1))
+        self.list_runs(old_request, 1, instance=1_000)
+        self.assertEqual(self.take(actions.StopRun), [])
+        self.assert_runs(1)
+
 
 class RejectionTest(unittest.IsolatedAsyncioTestCase):
     """Only some statuses prove that an upstream did nothing."""
