Stops: a late response to the start doesn't confirm the stop

Cause: the response to a start that came after a stop had been ordered marked the run as confirmed, so a stop without a response was never sent again and the run went on to its end.

Failed before, passes now: test_late_response_to_a_start_does_not_confirm_the_stop.

--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -304,8 +304,9 @@
             lease.record_response(event.clock_ms, now=now)
         if lease.runs.get(run.key.task) is not run:
             return
-        run.confirmed_at = now
-        if call.kind is CallKind.START and run.state is RunState.ORDERED:
+        if call.kind is CallKind.STOP or run.state is not RunState.STOPPING:
+            run.confirmed_at = now
+        if run.state is RunState.ORDERED:
             run.state = RunState.RUNNING
             run.ordered_at = now
         if call.kind is CallKind.STOP:
--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -304,6 +304,20 @@
         self.assert_runs(1)
 
 
+class StopTest(ManagerTest):
+    def test_late_response_to_a_start_does_not_confirm_the_stop(self) -> None:
+        start = self.start(0)
+        run = self.lease.runs[self.key(0).task]
+        self.manager.stop_run(self.lease, run, now=self.now)
+        (stop,) = self.take(actions.StopRun)
+        self.accept(start)
+        event = events.OrderUnanswered(stop.call)
+        self.manager.order_unanswered(event, now=self.now)
+        self.now += lease_manager.STOP_RETRY_INTERVAL_S
+        self.manager.tick(now=self.now)
+        self.assertEqual(len(self.take(actions.StopRun)), 1)
+
+
 class RejectionTest(unittest.IsolatedAsyncioTestCase):
     """Only some statuses prove that an upstream did nothing."""
 
