Starts: one that was given up is stopped at its late response

Cause: if the response to a start, or its absence, was handled after the run had been given up, as in a process that was stalled beyond the end of the lease, it was ignored: a run that was accepted went on beside the next one of its task without a stop order.

Failed before, passes now: test_start_that_was_given_up_is_stopped_at_its_late_response.

--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -303,6 +303,8 @@
         if self._follow_instance(call, event.instance_started_ms, now=now):
             lease.record_response(event.clock_ms, now=now)
         if lease.runs.get(run.key.task) is not run:
+            if call.kind is CallKind.START:
+                self._calls.stop(lease, run.key, run=None, now=now)
             return
         if call.kind is CallKind.STOP or run.state is not RunState.STOPPING:
             run.confirmed_at = now
@@ -364,10 +366,12 @@
         )
         if not call.to_former_address:
             self._record_failure(lease, now=now)
-        if run is None or lease.runs.get(run.key.task) is not run:
+        if run is None or call.kind is not CallKind.START:
             return
-        if call.kind is CallKind.START:
+        if lease.runs.get(run.key.task) is run:
             self.stop_run(lease, run, now=now)
+        else:
+            self._calls.stop(lease, run.key, run=None, now=now)
 
     def runs_listed(self, event: events.RunsListed, *, now: float) -> None:
         """Handles an upstream's list of runs, which this host has requested."""
--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -317,6 +317,28 @@
         self.manager.tick(now=self.now)
         self.assertEqual(len(self.take(actions.StopRun)), 1)
 
+    def test_start_that_was_given_up_is_stopped_at_its_late_response(
+        self,
+    ) -> None:
+        for event in (events.OrderTaken, events.OrderUnanswered):
+            with self.subTest(event=event.__name__):
+                start = self.start(0)
+                self.now += lease.MAX_LEASE_DURATION_S
+                self.manager.tick(now=self.now)
+                self.assert_runs()
+                self.take(actions.StopRun)
+                if event is events.OrderTaken:
+                    self.manager.order_taken(
+                        events.OrderTaken(start.call, 1, 0), now=self.now
+                    )
+                else:
+                    self.manager.order_unanswered(
+                        events.OrderUnanswered(start.call), now=self.now
+                    )
+                stops = [each.key for each in self.take(actions.StopRun)]
+                self.assertEqual(stops, [self.key(0)])
+                self.setUp()
+
 
 class RejectionTest(unittest.IsolatedAsyncioTestCase):
     """Only some statuses prove that an upstream did nothing."""
