--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -238,7 +238,7 @@
             if upstream in listed:
                 continue
             lease.listed = False
-            if not lease.runs:
+            if lease.unused:
                 del self._leases[upstream]
         for upstream, entry in listed.items():
             known = self._leases.get(upstream)
@@ -300,7 +300,7 @@
         self._tick_gap_s = now - self._last_tick_at
         self._last_tick_at = now
         for upstream, lease in tuple(self._leases.items()):
-            if not lease.listed and not lease.runs:
+            if lease.unused:
                 del self._leases[upstream]
                 continue
             if lease.expired(now=now) and not lease.asked_since_expiry():
@@ -323,9 +323,12 @@
         if self._follow_instance(call, event.instance_started_ms, now=now):
             lease.record_response(event.clock_ms, now=now)
         if lease.runs.get(run.key.task) is not run:
+            if call.kind is CallKind.START:
+                self._calls.stop(lease, run.key, run=None, now=now)
             return
-        run.confirmed_at = now
-        if call.kind is CallKind.START and run.state is RunState.ORDERED:
+        if call.kind is CallKind.STOP or run.state is not RunState.STOPPING:
+            run.confirmed_at = now
+        if run.state is RunState.ORDERED:
             run.state = RunState.RUNNING
             run.ordered_at = now
         if call.kind is CallKind.STOP:
@@ -387,10 +390,12 @@
             self._record_failure(lease, now=now)
             if call.kind is CallKind.LIST_RUNS:
                 self._expire_if_asked(call, now=now)
-        if run is None or lease.runs.get(run.key.task) is not run:
+        if run is None or call.kind is not CallKind.START:
             return
-        if call.kind is CallKind.START:
+        if lease.runs.get(run.key.task) is run:
             self.stop_run(lease, run, now=now)
+        else:
+            self._calls.stop(lease, run.key, run=None, now=now)
 
     def runs_listed(self, event: events.RunsListed, *, now: float) -> None:
         """Handles an upstream's list of runs, which this host has requested."""
@@ -740,16 +745,12 @@
             lease.transition(LeaseEvent.LOST)
         delay_s = BASE_LIST_RETRY_DELAY_S * (1 << min(lease.failures, 5))
         lease.next_list_request_at = now + min(MAX_LIST_RETRY_DELAY_S, delay_s)
-        if not lease.listed and not lease.runs:
-            self._leases.pop(lease.upstream.upstream, None)
 
     def _record_all_ended(
         self, lease: lease_module.Lease, end: model.RunEnd, *, now: float
     ) -> None:
         for run in tuple(lease.runs.values()):
             self._record_end(lease, run, end, now=now)
-        if not lease.listed:
-            self._leases.pop(lease.upstream.upstream, None)
 
 
 def _ago_ms(at: float, *, now: float) -> str:
--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -284,6 +284,68 @@
         self.tick(0.1)
         self.assertIn(ENTRY.upstream, self.manager.leases)
 
+    def test_list_requested_before_an_upstream_was_relisted_stops_no_run(
+        self,
+    ) -> None:
+        (old_request,) = self.accept(self.start(0))
+        self.now += 0.05
+        self.manager.stop_run(
+            self.lease, self.lease.runs[self.key(0).task], now=self.now
+        )
+        (stop,) = self.take(actions.StopRun)
+        (request,) = self.accept(stop)
+        ended = (model.EndedRun(1, self.key(0), model.RunEnd.STOPPED),)
+        self.list_runs(request, instance=1_000, ended=ended)
+        self.manager.update_upstreams([], now=self.now)
+        self.tick(0.04)
+        self.manager.update_upstreams([ENTRY], now=self.now)
+        for each in self.take(actions.RenewLease):
+            self.list_runs(each, instance=1_000)
+        self.accept(self.start(1))
+        self.list_runs(old_request, 1, instance=1_000)
+        self.assertEqual(self.take(actions.StopRun), [])
+        self.assert_runs(1)
+
+
+class StopTest(ManagerTest):
+    def test_late_response_to_a_start_does_not_confirm_the_stop(self) -> None:
+        start = self.start(0)
+        run = self.lease.runs[self.key(0).task]
+        self.manager.stop_run(self.lease, run, now=self.now)
+        (stop,) = self.take(actions.StopRun)
+        self.accept(start)
+        event = events.OrderUnanswered(stop.call)
+        self.manager.order_unanswered(event, now=self.now)
+        self.now += lease_manager.STOP_RETRY_INTERVAL_S
+        self.manager.tick(now=self.now)
+        self.assertEqual(len(self.take(actions.StopRun)), 1)
+
+    def test_start_that_was_given_up_is_stopped_at_its_late_response(
+        self,
+    ) -> None:
+        for event in (events.OrderTaken, events.OrderUnanswered):
+            with self.subTest(event=event.__name__):
+                start = self.start(0)
+                self.now += lease.MAX_LEASE_DURATION_S
+                self.manager.tick(now=self.now)
+                *_, request = self.take(actions.RenewLease)
+                self.manager.order_unanswered(
+                    events.OrderUnanswered(request.call), now=self.now
+                )
+                self.assert_runs()
+                self.take(actions.StopRun)
+                if event is events.OrderTaken:
+                    self.manager.order_taken(
+                        events.OrderTaken(start.call, 1, 0), now=self.now
+                    )
+                else:
+                    self.manager.order_unanswered(
+                        events.OrderUnanswered(start.call), now=self.now
+                    )
+                stops = [each.key for each in self.take(actions.StopRun)]
+                self.assertEqual(stops, [self.key(0)])
+                self.setUp()
+
 
 class RejectionTest(unittest.IsolatedAsyncioTestCase):
     """Only some statuses prove that an upstream did nothing."""
