--- a/tests/test_leased_histories.py
+++ b/tests/test_leased_histories.py
@@ -8,6 +8,7 @@
 import os
 import random
 import unittest
+from collections.abc import Callable
 
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import model
@@ -34,23 +35,29 @@
         rng: Source of random numbers.
         world: The simulated hosts and upstreams.
         calls: Host, job and deadline of each call that needs an answer.
+        tasks: Number of tasks of each job.
         job_count: Number of submitted jobs.
     """
 
+    FAULT_RATE = 0.06  # Faults for each job.
+
     def __init__(self, seed: int, *, divided: bool = False) -> None:
         self.rng = random.Random(seed)
         self._divided = divided
-        self.world = leased_world.World(
-            DOMAINS,
-            upstreams=3,
-            runs_per_s=1.0 if divided else float("inf"),
+        self.world = self.make_world(
+            upstreams=3, runs_per_s=1.0 if divided else float("inf")
         )
         # Hosts that have run for a minute know which upstreams left the list.
         for core in self.world.hosts.values():
             core._listing._started_at -= 60.0
         self.calls: dict[int, tuple[str, str, float]] = {}
+        self.tasks: dict[str, int] = {}
         self.job_count = 0
 
+    def make_world(self, **kwargs) -> leased_world.World:
+        """Returns the world of the history."""
+        return leased_world.World(DOMAINS, **kwargs)
+
     def run(self) -> None:
         """Runs load and failures, then ends all failures."""
         world = self.world
@@ -58,9 +65,16 @@
         end = world.now + LOAD_DURATION_S
         while world.now < end:
             self.submit_job()
-            if self.rng.random() < 0.06:
+            if self.rng.random() < self.FAULT_RATE:
                 self.inject_fault()
             world.run(self.rng.random() * 2 * MEAN_STEP_S)
+        self.end_faults()
+        world.heal(gap_s=self.rng.choice((0.0, 0.01, 0.03)))
+        world.run(RECOVERY_S)
+
+    def end_faults(self) -> None:
+        """Starts all hosts and ends the faults of the upstreams."""
+        world = self.world
         for name in tuple(world.dead):
             world.start_host(name, rank=self.rng.randrange(10))
         for upstream in world.upstreams.values():
@@ -68,8 +82,6 @@
             upstream.fails = False
             upstream.order_delay_s = 0.0
             upstream.loses_responses = False
-        world.heal(gap_s=self.rng.choice((0.0, 0.01, 0.03)))
-        world.run(RECOVERY_S)
 
     def submit_job(self) -> None:
         """Submits a job at a live host; some callers disconnect early."""
@@ -90,6 +102,7 @@
         tasks = self.rng.choice((1, 2, 4))
         call = world.submit(name, job, tasks=tasks, wait_s=wait_s)
         self.calls[call] = (name, job, world.now + wait_s)
+        self.tasks[job] = tasks
         if self.rng.random() < 0.1:
             event = events.CallerLeft(call)
             world.call_later(
@@ -107,7 +120,11 @@
 
     def inject_fault(self) -> None:
         """Injects a random fault, or ends all cuts."""
-        faults = [
+        self.rng.choice(self.faults())()
+
+    def faults(self) -> list[Callable[[], None]]:
+        """Returns the faults to choose from; some are there twice."""
+        return [
             self.kill_host,
             self.kill_host,
             self.kill_all_hosts,
@@ -122,7 +139,6 @@
             self.break_upstream,
             self.hide_upstreams,
         ]
-        self.rng.choice(faults)()
 
     def kill_host(self) -> None:
         """Kills a host, often the leader, and restarts it later."""
@@ -145,23 +161,29 @@
         """Kills hosts; each starts again after a random delay."""
         for name in names:
             self.world.kill(name)
-            self.calls = {
-                call: entry
-                for call, entry in self.calls.items()
-                if entry[0] != name or call in self.world.answers
-            }
+            self.forget_calls(name)
             delay_s = 0.3 + self.rng.random()
             self.world.call_later(
                 delay_s, lambda name=name: self.start_host_again(name)
             )
 
-    def start_host_again(self, name: str) -> None:
+    def forget_calls(self, name: str) -> None:
+        """Forgets the calls that a killed host hasn't answered."""
+        self.calls = {
+            call: entry
+            for call, entry in self.calls.items()
+            if entry[0] != name or call in self.world.answers
+        }
+
+    def start_host_again(self, name: str, *, rank: int | None = None) -> None:
         """Starts a host that was killed, and links it."""
         world = self.world
         if name not in world.dead:
             return
         world.paused_until.pop(name, None)
-        world.start_host(name, rank=self.rng.randrange(10))
+        if rank is None:
+            rank = self.rng.randrange(10)
+        world.start_host(name, rank=rank)
         world.call_later(0.05, world.link_all)
 
     def cut_host_off(self) -> None:
