A host notices a pause of its process before the event that follows it

A process that was stopped handled the events that had waited with its old beliefs if they came before its next tick: a leader started a job that an owner had sent it in the stall, at an upstream that its successor could not reach, while the successor ran it since 0.2 s (tests.test_leased_leaders, StalledLeaderTest: failed on with overlap 'waited.0', passes now). A response that waited has an old clock, so that starts at its upstream were late all the same; starts at other upstreams were not.

--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -157,6 +157,8 @@
     ) -> list[actions.Action]:
         """Handles one event and returns the actions to execute."""
         self._now = now
+        change = self._leadership.notice_pause(now=now)
+        self._apply_change(change, now=now)
         _HANDLERS[type(event)](self, event, now)
         self._update_serving()
         self._update_home_leader()
--- a/godwitnotch/core/leased/leadership.py
+++ b/godwitnotch/core/leased/leadership.py
@@ -273,16 +273,24 @@
         self._election_wait_from = now + STEP_DOWN_ELECTION_DELAY_S
         return self._lose_leader(now=now)
 
-    def tick(self, *, now: float) -> LeadershipChange:
-        """Starts a term if an election is due.
+    def notice_pause(self, *, now: float) -> LeadershipChange:
+        """Stops following the leader if this process was paused.
 
-        A gap of more than MIN_PROCESS_PAUSE_S between two calls counts as a
-        pause of this process.
+        A gap of more than MIN_PROCESS_PAUSE_S since the last tick counts as a
+        pause. Called before each event, since events that waited during a pause
+        may be handled before the next tick.
         """
-        paused = now - self._last_tick_at > MIN_PROCESS_PAUSE_S
+        if now - self._last_tick_at <= MIN_PROCESS_PAUSE_S:
+            return LeadershipChange.NONE
+        self._last_tick_at = now
+        return self._process_resumed(now=now)
+
+    def tick(self, *, now: float) -> LeadershipChange:
+        """Starts a term if an election is due."""
+        change = self.notice_pause(now=now)
+        if change is not LeadershipChange.NONE:
+            return change
         self._last_tick_at = now
-        if paused:
-            return self._process_resumed(now=now)
         self._forget_lost_hosts(now=now)
         if self._leader and not self._leader_is_draining():
             return LeadershipChange.NONE
