--- a/tests/leased_faults.py
+++ b/tests/leased_faults.py
@@ -204,6 +204,8 @@
             self.cut_some_links,
             self.slow_upstream,
             self.slow_upstream,
+            self.cut_domain_partly,
+            self.cut_domain_partly,
         ]
 
     def forget_calls(self, name: str) -> None:
@@ -354,6 +356,20 @@
         count = self.rng.randrange(1, len(others))
         world.partition({name}, set(self.rng.sample(others, count)))
 
+    def cut_domain_partly(self) -> None:
+        """Cuts a domain off from all other upstreams, but from few hosts."""
+        world = self.world
+        domain = self.rng.choice(sorted(test_leased_histories.DOMAINS))
+        inside = {name for name in world.hosts if name.startswith(domain)}
+        if self.rng.random() < 0.5:
+            inside |= {u for u in world.upstreams if u.startswith(domain)}
+        outside = sorted({*world.hosts, *world.upstreams} - inside)
+        hosts = [name for name in outside if name in world.hosts]
+        kept = self.rng.sample(hosts, self.rng.randrange(1, len(hosts)))
+        world.partition(inside, {*outside} - {*kept})
+        if self.rng.random() < 0.5:
+            world.call_later(1 + 4 * self.rng.random(), world.heal)
+
     def slow_upstream(self) -> None:
         """Makes orders to some upstreams slow, so that some overtake others."""
         world = self.world
