A list of runs proves nothing about an earlier leader of a higher term

A leader started the task of a job that it was handed over as soon as it had the lists of all upstreams, of idle ones since its election. An upstream obeys a leader of a higher term after that list, so a job that came back to the lower leader ran twice (tests.test_leased_leaders, TwoLeadersTest test_idle_lease_..: failed before with overlap 'moved.0', passes now). Handed-over jobs now name the highest earlier term instead of a flag that there was one, and a leader of a lower term waits until the earlier runs have ended (1.2 s). The same holds for a job that the leader still has. The examples of messages in two tests name a term where they had the flag; what they check is the same.

--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -181,6 +181,7 @@
         if job is not None:
             job.owner = owner
             job.deadline = now + message.deadline_in_s
+            job.record_earlier_leaders(message, now=now)
             return
         job = self._add_job(owner, message, now=now)
         job.redirected = redirected
@@ -243,8 +244,8 @@
         )
         unplaced_count = 0
         for job in self._queue.ordered(now=now):
-            if now < job.earlier_runs_end_by and (
-                job.may_run_elsewhere or not all_runs_known
+            if now < job.earlier_runs_end_by and not (
+                all_runs_known and self._lists_show_runs_of(job)
             ):
                 continue
             fits = job.request.tasks.needs.cpu_millis <= max_free_cpu_millis
@@ -253,6 +254,17 @@
             if unplaced_count >= MAX_UNPLACED_JOB_COUNT:
                 return
 
+    def _lists_show_runs_of(self, job: jobs.LeasedJob) -> bool:
+        """Returns whether upstreams list all runs of a job's earlier leaders.
+
+        An upstream accepts the orders of an earlier leader with a higher term
+        also after it has sent its list.
+        """
+        return (
+            not job.may_run_elsewhere
+            and job.earlier_term <= self._lease_manager.term
+        )
+
     def tick(self, *, now: float) -> None:
         """Handles what has become due, and starts waiting tasks."""
         if not self._leading:
@@ -418,20 +430,14 @@
         now: float,
     ) -> jobs.LeasedJob:
         request = message.request
-        earlier_runs_end_by = (
-            now + message.earlier_runs_end_in_s
-            if message.earlier_runs_end_in_s > 0
-            else 0.0
-        )
         job = jobs.LeasedJob(
             request=request,
             owner=owner,
             arrived_at=now - message.arrived_ago_s,
             deadline=now + message.deadline_in_s,
-            earlier_runs_end_by=earlier_runs_end_by,
             base_ms=self._times.base_ms(request),
-            started=message.had_earlier_leader,
         )
+        job.record_earlier_leaders(message, now=now)
         self._jobs[request.job] = job
         self._lease_manager.adopt_runs(job, now=now)
         self._queue.update(job)
--- a/godwitnotch/core/leased/jobs.py
+++ b/godwitnotch/core/leased/jobs.py
@@ -7,6 +7,7 @@
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import peer_messages
 
 
 class TaskState(enum.Enum):
@@ -48,9 +49,10 @@
         owner: The host that answers the caller.
         arrived_at: When the job reached its owner.
         deadline: When the caller stops waiting.
+        base_ms: Expected run time of a task on an upstream of average speed.
         earlier_runs_end_by: When all runs of earlier leaders have ended; 0 if
             there are none.
-        base_ms: Expected run time of a task on an upstream of average speed.
+        earlier_term: Highest term of the earlier leaders; 0 if there are none.
         base_ms_measured: Whether base_ms comes from a task of this job that
             has succeeded, rather than from estimates.
         tasks: The tasks.
@@ -66,8 +68,9 @@
     owner: ids.HostId
     arrived_at: float
     deadline: float
-    earlier_runs_end_by: float
     base_ms: float
+    earlier_runs_end_by: float = 0.0
+    earlier_term: model.Term = model.Term(0)
     base_ms_measured: bool = False
     tasks: list[LeasedTask] = field(default_factory=list)
     waiting_task_count: int = 0
@@ -84,6 +87,18 @@
         ]
         self.waiting_task_count = len(self.tasks)
 
+    def record_earlier_leaders(
+        self, message: peer_messages.JobHandedOver, *, now: float
+    ) -> None:
+        """Records the earlier leaders that an owner names."""
+        if not message.had_earlier_leader:
+            return
+        self.started = True
+        self.earlier_term = max(self.earlier_term, message.earlier_term)
+        self.earlier_runs_end_by = max(
+            self.earlier_runs_end_by, now + message.earlier_runs_end_in_s
+        )
+
     @property
     def name(self) -> model.JobName:
         """The name that the caller gave the job."""
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -137,6 +137,11 @@
         """All leases by upstream, in any state."""
         return self._leases
 
+    @property
+    def term(self) -> model.Term:
+        """The term that is sent with all calls."""
+        return self._calls.term
+
     @property
     def held_count(self) -> int:
         """How many leases are held."""
--- a/godwitnotch/core/leased/owned_jobs.py
+++ b/godwitnotch/core/leased/owned_jobs.py
@@ -47,8 +47,8 @@
         term: The term of that leader.
         leader_lost_at: When that leader was lost; None while it leads.
         handed_over: Whether the job was handed to any leader.
-        had_earlier_leader: Whether the job was handed to a leader that no
-            longer leads its cell.
+        earlier_term: Highest term of the leaders that the job was handed to
+            and that no longer lead its cell; 0 if there are none.
         redirected: Whether a leader has redirected the job.
         may_run_elsewhere: Whether tasks may have been started in another cell.
         earlier_runs_end_by: When all runs of earlier leaders have ended.
@@ -63,7 +63,7 @@
     term: model.Term = model.Term(0)
     leader_lost_at: float | None = None
     handed_over: bool = False
-    had_earlier_leader: bool = False
+    earlier_term: model.Term = model.Term(0)
     redirected: bool = False
     may_run_elsewhere: bool = False
     earlier_runs_end_by: float = 0.0
@@ -72,7 +72,7 @@
         """Records that the leader no longer leads the job's cell."""
         if self.leader_lost_at is None:
             self.leader_lost_at = now
-        self.had_earlier_leader = True
+        self.earlier_term = max(self.earlier_term, self.term)
         self.earlier_runs_end_by = max(
             self.earlier_runs_end_by, now + EARLIER_RUNS_END_S
         )
@@ -134,7 +134,7 @@
             owned.term = earlier.term
             owned.leader_lost_at = earlier.leader_lost_at
             owned.handed_over = earlier.handed_over
-            owned.had_earlier_leader = earlier.had_earlier_leader
+            owned.earlier_term = earlier.earlier_term
             owned.redirected = earlier.redirected
             owned.may_run_elsewhere = earlier.may_run_elsewhere
             owned.earlier_runs_end_by = earlier.earlier_runs_end_by
@@ -177,7 +177,7 @@
         if not final and leader != owned.leader:
             # The leader that the job is with now will answer it.
             return
-        if owned.had_earlier_leader and answer.end is model.JobEnd.REFUSED:
+        if owned.earlier_term and answer.end is model.JobEnd.REFUSED:
             # An earlier leader may have started tasks of the job.
             answer = dataclasses.replace(answer, end=model.JobEnd.GIVEN_UP)
         self._answer(owned, answer)
@@ -308,7 +308,7 @@
             max(0.0, owned.deadline - now),
             now - owned.arrived_at,
             max(0.0, owned.earlier_runs_end_by - now),
-            owned.had_earlier_leader,
+            owned.earlier_term,
         )
         if owned.redirected or owned.may_run_elsewhere:
             moved = peer_messages.JobMoved(
--- a/godwitnotch/core/leased/peer_messages.py
+++ b/godwitnotch/core/leased/peer_messages.py
@@ -101,14 +101,20 @@
         arrived_ago_s: How long ago the job reached its owner.
         earlier_runs_end_in_s: Time until all runs of earlier leaders have
             ended; 0 if there are none.
-        had_earlier_leader: Whether the job was handed to an earlier leader.
+        earlier_term: Highest term of the earlier leaders that had the job; 0 if
+            there are none.
     """
 
     request: model.JobRequest
     deadline_in_s: float
     arrived_ago_s: float
     earlier_runs_end_in_s: float
-    had_earlier_leader: bool
+    earlier_term: model.Term
+
+    @property
+    def had_earlier_leader(self) -> bool:
+        """Whether the job was handed to an earlier leader."""
+        return self.earlier_term > 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_leased_cells.py
+++ b/tests/test_leased_cells.py
@@ -318,7 +318,7 @@
         # A host that has run for a minute knows which upstreams were removed.
         world.hosts[leader]._listing._started_at -= 60.0
         handed_over = peer_messages.JobHandedOver(
-            leased_world.request("j"), 5.0, 0.0, 1.2, True
+            leased_world.request("j"), 5.0, 0.0, 1.2, model.Term(1)
         )
         moved = peer_messages.JobMoved(handed_over, False, True)
         world.deliver(leader, events.PeerTold(ids.HostId("c1"), moved))
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -583,7 +583,7 @@
                 )
             ),
             peer_messages.JobHandedOver(
-                leased_world.request("j"), 1.0, 0.5, 0.0, True
+                leased_world.request("j"), 1.0, 0.5, 0.0, model.Term(4)
             ),
             peer_messages.AllHandedOver(model.Term(5)),
             peer_messages.JobAnswered(model.JobName("j"), answer),
@@ -594,7 +594,7 @@
             peer_messages.JobRedirected(model.JobName("j"), ids.HostId("a")),
             peer_messages.JobMoved(
                 peer_messages.JobHandedOver(
-                    leased_world.request("j"), 1.0, 0.5, 0.0, False
+                    leased_world.request("j"), 1.0, 0.5, 0.0, model.Term(0)
                 ),
                 True,
                 False,
--- a/tests/test_leased_leaders.py
+++ b/tests/test_leased_leaders.py
@@ -2,7 +2,9 @@
 
 import unittest
 
+from godwitnotch.core.leased import model
 from tests import leased_faults
+from tests import leased_world
 
 DOMAINS = {"a": ["a1", "a2"], "b": ["b1", "b2"], "c": ["c1", "c2"]}
 # After this time a host knows which upstreams have left the list.
@@ -15,6 +17,32 @@
     return world
 
 
+class TwoLeadersTest(unittest.TestCase):
+    def test_idle_lease_is_no_proof_that_another_leader_started_nothing(
+        self,
+    ) -> None:
+        world = start_world()
+        self.lead_from_c1(world)
+        world.run_time_ms = 900.0
+        call = world.submit("b1", "moved", wait_s=4.0)
+        world.run(0.05)
+        self.assertEqual(world.start_count("moved"), 1)
+        world.partition({"b1"}, {"c1"})
+        world.run(4.0)
+        self.assertEqual(world.overlaps(), [])
+        self.assertEqual(world.answers[call][1].end, model.JobEnd.COMPLETED)
+
+    def lead_from_c1(self, world: leased_world.World) -> None:
+        """Makes c1 a second leader, which reaches only upstreams of c."""
+        self.cut_c_off(world)
+        world.run(3.0)
+        self.assertEqual(sorted(world.leaders()), ["a1", "c1"])
+
+    def cut_c_off(self, world: leased_world.World) -> None:
+        others = {name for name in world.upstreams if name[0] != "c"}
+        world.partition({"c1", "c2"}, {"a1", *others})
+
+
 class StalledLeaderTest(unittest.TestCase):
     def test_job_that_waited_during_a_stall_is_not_started_after_it(
         self,
