A leader stops the runs of an owner that follows another leader

An owner that is linked to two leaders that are not linked to each other follows the one of the higher term and hands its jobs over to it. The other leader learnt nothing of that: it went on with the runs and renewed their leases, and after 1.2 s (EARLIER_RUNS_END_S assumes that it stops them) the new leader started the same tasks where it could. Now such an owner counts as lost, as one whose link is lost. A lost owner is back only when it has handed over its jobs, and until then none of its tasks starts, since another leader may have had them.

--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -203,6 +203,10 @@
         """Stops the jobs of a host, unless the host is linked again in time."""
         self._owners.host_lost(owner, now=now)
 
+    def owner_left(self, owner: ids.HostId, *, now: float) -> None:
+        """Stops the jobs of a host that follows another leader for some time."""
+        self._owners.host_left(owner, now=now)
+
     def owner_linked(self, owner: ids.HostId, *, now: float) -> None:
         """Waits for a newly linked host to hand over its open jobs."""
         if self._leading:
@@ -248,6 +252,8 @@
                 all_runs_known and self._lists_show_runs_of(job)
             ):
                 continue
+            if self._owners.is_lost(job.owner):
+                continue
             fits = job.request.tasks.needs.cpu_millis <= max_free_cpu_millis
             if not fits or not self._place_job(job, leases, now=now):
                 unplaced_count += 1
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -363,6 +363,7 @@
                     host, message, now=now
                 )
                 self._apply_change(change, now=now)
+                self._check_owner_follows(host, message, now=now)
                 self._send_upstreams()
             case peer_messages.JobAnswered(job=job, answer=answer):
                 self._owned_jobs.job_answered(host, job, answer)
@@ -380,6 +381,18 @@
             case _ if self.leads:
                 self._handle_leader_message(host, message, now=now)
 
+    def _check_owner_follows(
+        self, host: ids.HostId, standing: peer_messages.Standing, *, now: float
+    ) -> None:
+        """Notices that an owner has left this leader for another one."""
+        if not self.leads or standing.leader in ("", self._host):
+            return
+        if self._fleet.divided and self._linked_domains.get(host) != (
+            self._domain
+        ):
+            return
+        self._dispatcher.owner_left(host, now=now)
+
     def _update_listing(
         self, event: events.UpstreamsListed, *, now: float
     ) -> bool:
--- a/godwitnotch/core/leased/owners.py
+++ b/godwitnotch/core/leased/owners.py
@@ -5,12 +5,17 @@
 from godwitnotch.core import ids
 
 CLAIM_PERIOD_S = 0.25  # Time for owners to hand over their open jobs.
-# Time for a lost link to open again before the owner's jobs are stopped.
+# Time for a lost owner to come back before its jobs are stopped.
 OWNER_RELINK_GRACE_S = 0.25
 
 
 class Owners:
-    """Decides when unclaimed runs and the jobs of lost owners are stopped."""
+    """Decides when unclaimed runs and the jobs of lost owners are stopped.
+
+    An owner is lost when its link is lost or it follows another leader. It is
+    back only when it has handed over its jobs, since another leader may have
+    had them meanwhile. No task of a lost owner starts.
+    """
 
     def __init__(self) -> None:
         self._awaited: set[ids.HostId] = set()
@@ -26,12 +31,18 @@
         """Starts a claim period, in which hosts hand over their open jobs."""
         for host in hosts:
             self._awaited.add(host)
-            self._lost.pop(host, None)
+            if host in self._lost:
+                self._lost[host] = now + CLAIM_PERIOD_S
         self._claim_period_ends_at = now + CLAIM_PERIOD_S
 
     def handed_over(self, host: ids.HostId) -> None:
         """Records that a host has handed over all its open jobs."""
         self._awaited.discard(host)
+        self._lost.pop(host, None)
+
+    def host_left(self, host: ids.HostId, *, now: float) -> None:
+        """Records that a linked host follows another leader."""
+        self._lost.setdefault(host, now + OWNER_RELINK_GRACE_S)
 
     def host_lost(self, host: ids.HostId, *, now: float) -> None:
         """Records that the link to a host was lost."""
@@ -42,8 +53,12 @@
         """Returns whether all hosts have handed over or the period ended."""
         return not self._awaited or now >= self._claim_period_ends_at
 
+    def is_lost(self, host: ids.HostId) -> bool:
+        """Returns whether a host was lost and has not handed over its jobs."""
+        return host in self._lost
+
     def pop_expired(self, *, now: float) -> list[ids.HostId]:
-        """Removes and returns the hosts that were not linked again in time."""
+        """Removes and returns the hosts that were not back in time."""
         expired = [host for host, at in self._lost.items() if now >= at]
         for host in expired:
             del self._lost[host]
--- a/tests/test_leased_leaders.py
+++ b/tests/test_leased_leaders.py
@@ -32,6 +32,17 @@
         self.assertEqual(world.overlaps(), [])
         self.assertEqual(world.answers[call][1].end, model.JobEnd.COMPLETED)
 
+    def test_leader_that_an_owner_has_left_stops_its_runs(self) -> None:
+        world = start_world()
+        self.cut_c_off(world)
+        world.run(1.2)
+        world.run_time_ms = 4_000.0
+        world.submit("b1", "left", wait_s=6.0)
+        world.run(6.0)
+        self.assertEqual(sorted(world.leaders()), ["a1", "c1"])
+        self.assertGreater(world.start_count("left"), 1)
+        self.assertEqual(world.overlaps(), [])
+
     def lead_from_c1(self, world: leased_world.World) -> None:
         """Makes c1 a second leader, which reaches only upstreams of c."""
         self.cut_c_off(world)
