A leader that raises its term requests all lists of runs again

Upstreams that had seen a higher term made a leader raise its own, and it kept its leases. A list that was requested in the lower term doesn't count. Owners that know only the term of the election may still report that they have handed over.

--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -138,6 +138,13 @@
         self._owners.await_hosts(hosts, now=now)
         self._lease_manager.start_leading(term, upstreams, now=now)
 
+    def raise_term(
+        self, term: model.Term, *, hosts: Iterable[ids.HostId], now: float
+    ) -> None:
+        """Leads in a higher term; the given hosts may hand over more jobs."""
+        self._owners.await_hosts(hosts, now=now)
+        self._lease_manager.raise_term(term, now=now)
+
     def stop_leading(self) -> None:
         """Forgets all jobs; their owners hand them over to the next leader."""
         self._leading = False
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -89,6 +89,7 @@
         self._term_raises = term_raises.TermRaises(now=now)
         self._draining = False
         self._told_leading = False
+        self._elected_term = model.Term(0)
         self._host_count = 1
         self._now = now
 
@@ -178,6 +179,7 @@
         self._dispatcher.stop_leading()
         self._updates.clear()
         if change is LeadershipChange.ELECTED:
+            self._elected_term = leadership.term
             self._divide_if_too_large(now=now)
             self._dispatcher.start_leading(
                 leadership.term,
@@ -344,7 +346,11 @@
         if raise_s is None:
             return
         self._leadership.raise_term(by_s=raise_s)
-        self._dispatcher.lease_manager.set_term(self._leadership.term)
+        self._dispatcher.raise_term(
+            self._leadership.term,
+            hosts=[self._host, *self._linked_domains],
+            now=now,
+        )
         self._out.add_decision(
             "term_raised", detail=f"term={self._leadership.term}"
         )
@@ -463,7 +469,8 @@
             case cell_load.CellLoad():
                 self._dispatcher.overflow.load_received(host, message, now=now)
             case peer_messages.AllHandedOver(term=term):
-                if term == self._leadership.term:
+                # The sender may not have heard yet that the term was raised.
+                if self._elected_term <= term <= self._leadership.term:
                     self._dispatcher.all_handed_over(host, now=now)
             case peer_messages.JobDropped(job=job):
                 self._dispatcher.job_dropped(host, job, now=now)
--- a/godwitnotch/core/leased/lease_calls.py
+++ b/godwitnotch/core/leased/lease_calls.py
@@ -25,6 +25,7 @@
         kind: What the call asks of the upstream.
         lease: The lease on the upstream.
         sent_at: When the call was sent.
+        term: The leader's term in the call.
         run: The run to start or stop; None for a request for the list of runs,
             or for the stop of a run that the leader doesn't know.
     """
@@ -32,6 +33,7 @@
     kind: CallKind
     lease: lease_module.Lease
     sent_at: float
+    term: model.Term
     run: lease_module.Run | None = None
 
 
@@ -70,7 +72,7 @@
         now: float,
     ) -> None:
         """Sends the order to start a run."""
-        call = self._register(PendingCall(CallKind.START, lease, now, run))
+        call = self._register(CallKind.START, lease, run=run, now=now)
         deadline_ms = lease.deadline_ms(now=now)
         self._out.add(
             actions.StartRun(
@@ -87,7 +89,7 @@
         now: float,
     ) -> None:
         """Sends the order to stop a run; `run` is None if it isn't known."""
-        call = self._register(PendingCall(CallKind.STOP, lease, now, run))
+        call = self._register(CallKind.STOP, lease, run=run, now=now)
         self._out.add(actions.StopRun(call, lease.upstream, key, self.term))
 
     def request_runs(
@@ -108,7 +110,7 @@
                 responds.
             now: The current time.
         """
-        call = self._register(PendingCall(CallKind.LIST_RUNS, lease, now))
+        call = self._register(CallKind.LIST_RUNS, lease, run=None, now=now)
         lease.pending_list_requests += 1
         self._out.add(
             actions.RenewLease(
@@ -121,7 +123,14 @@
             )
         )
 
-    def _register(self, call: PendingCall) -> model.UpstreamCallId:
+    def _register(
+        self,
+        kind: CallKind,
+        lease: lease_module.Lease,
+        *,
+        run: lease_module.Run | None,
+        now: float,
+    ) -> model.UpstreamCallId:
         call_id = self._out.next_call_id()
-        self._calls[call_id] = call
+        self._calls[call_id] = PendingCall(kind, lease, now, self.term, run)
         return call_id
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -197,9 +197,18 @@
         self._calls.clear()
         self._claim_period_open = False
 
-    def set_term(self, term: model.Term) -> None:
-        """Sends a higher term with all calls from now on."""
+    def raise_term(self, term: model.Term, *, now: float) -> None:
+        """Sends a higher term with all calls; requests all lists of runs again.
+
+        A leader with a term between both may have started runs at an upstream
+        since that sent its list.
+        """
         self._calls.term = term
+        self._claim_period_open = True
+        for lease in self._leases.values():
+            if lease.state is not LeaseState.UNHELD:
+                lease.transition(LeaseEvent.LIST_REQUESTED)
+                self._request_runs(lease, now=now, wait_ms=0)
 
     def start_claim_period(self) -> None:
         """Keeps unclaimed runs until the owners have handed over their jobs."""
@@ -388,7 +397,8 @@
         ):
             return
         lease.record_response(run_list.clock_ms, now=now)
-        if lease.state is LeaseState.AWAITING_LIST:
+        sent_in_this_term = call.term == self._calls.term
+        if lease.state is LeaseState.AWAITING_LIST and sent_in_this_term:
             self._start_reconciling(lease, run_list, now=now)
         self._record_newly_ended(lease, run_list, call.sent_at, now=now)
         self._stop_unknown(lease, run_list, now=now)
--- a/tests/test_leased_leaders.py
+++ b/tests/test_leased_leaders.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from godwitnotch.core.leased import events
 from godwitnotch.core.leased import model
 from tests import leased_faults
 from tests import leased_world
@@ -43,6 +44,23 @@
         self.assertGreater(world.start_count("left"), 1)
         self.assertEqual(world.overlaps(), [])
 
+    def test_leader_that_raises_its_term_lists_the_runs_of_idle_leases(
+        self,
+    ) -> None:
+        world = start_world()
+        self.lead_from_c1(world)
+        # One order of a1 to c-u0 is rejected, and none is sent to c-u1.
+        call = world.submit("a1", "rejected", tasks=9)
+        world.run(0.001)
+        world.deliver("a1", events.CallerLeft(call))
+        world.run(4.0)
+        world.run_time_ms = 4_000.0
+        world.submit("b1", "known", tasks=4, wait_s=6.0)
+        world.run(4.0)
+        self.assertEqual(world.hosts["b1"].leader, "a1")
+        self.assertEqual(world.overlaps(), [])
+        self.assertEqual(world.start_count("known"), 4)
+
     def lead_from_c1(self, world: leased_world.World) -> None:
         """Makes c1 a second leader, which reaches only upstreams of c."""
         self.cut_c_off(world)
