--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -138,6 +138,13 @@
         self._owners.await_hosts(hosts, now=now)
         self._lease_manager.start_leading(term, upstreams, now=now)
 
+    def raise_term(
+        self, term: model.Term, *, hosts: Iterable[ids.HostId], now: float
+    ) -> None:
+        """Leads in a higher term; the given hosts may hand over more jobs."""
+        self._owners.await_hosts(hosts, now=now)
+        self._lease_manager.raise_term(term, now=now)
+
     def stop_leading(self) -> None:
         """Forgets all jobs; their owners hand them over to the next leader."""
         self._leading = False
@@ -181,6 +188,7 @@
         if job is not None:
             job.owner = owner
             job.deadline = now + message.deadline_in_s
+            job.record_earlier_leaders(message, now=now)
             return
         job = self._add_job(owner, message, now=now)
         job.redirected = redirected
@@ -202,6 +210,10 @@
         """Stops the jobs of a host, unless the host is linked again in time."""
         self._owners.host_lost(owner, now=now)
 
+    def owner_left(self, owner: ids.HostId, *, now: float) -> None:
+        """Stops the jobs of a host that follows another leader for some time."""
+        self._owners.host_left(owner, now=now)
+
     def owner_linked(self, owner: ids.HostId, *, now: float) -> None:
         """Waits for a newly linked host to hand over its open jobs."""
         if self._leading:
@@ -243,16 +255,29 @@
         )
         unplaced_count = 0
         for job in self._queue.ordered(now=now):
-            if now < job.earlier_runs_end_by and (
-                job.may_run_elsewhere or not all_runs_known
+            if now < job.earlier_runs_end_by and not (
+                all_runs_known and self._lists_show_runs_of(job)
             ):
                 continue
+            if self._owners.is_lost(job.owner):
+                continue
             fits = job.request.tasks.needs.cpu_millis <= max_free_cpu_millis
             if not fits or not self._place_job(job, leases, now=now):
                 unplaced_count += 1
             if unplaced_count >= MAX_UNPLACED_JOB_COUNT:
                 return
 
+    def _lists_show_runs_of(self, job: jobs.LeasedJob) -> bool:
+        """Returns whether upstreams list all runs of a job's earlier leaders.
+
+        An upstream accepts the orders of an earlier leader with a higher term
+        also after it has sent its list.
+        """
+        return (
+            not job.may_run_elsewhere
+            and job.earlier_term <= self._lease_manager.term
+        )
+
     def tick(self, *, now: float) -> None:
         """Handles what has become due, and starts waiting tasks."""
         if not self._leading:
@@ -415,20 +440,14 @@
         now: float,
     ) -> jobs.LeasedJob:
         request = message.request
-        earlier_runs_end_by = (
-            now + message.earlier_runs_end_in_s
-            if message.earlier_runs_end_in_s > 0
-            else 0.0
-        )
         job = jobs.LeasedJob(
             request=request,
             owner=owner,
             arrived_at=now - message.arrived_ago_s,
             deadline=now + message.deadline_in_s,
-            earlier_runs_end_by=earlier_runs_end_by,
             base_ms=self._times.base_ms(request),
-            started=message.had_earlier_leader,
         )
+        job.record_earlier_leaders(message, now=now)
         self._jobs[request.job] = job
         self._lease_manager.adopt_runs(job, now=now)
         self._queue.update(job)
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -90,6 +90,7 @@
         self._term_raises = term_raises.TermRaises(now=now)
         self._draining = False
         self._told_leading = False
+        self._elected_term = model.Term(0)
         self._host_count = 1
         self._stalls = stalls.StallDetector()
         self._now = now
@@ -159,7 +160,8 @@
     ) -> list[actions.Action]:
         """Handles one event and returns the actions to execute."""
         self._now = now
-        self._apply_change(self._leadership.resume_if_paused(now=now), now=now)
+        change = self._leadership.notice_pause(now=now)
+        self._apply_change(change, now=now)
         _HANDLERS[type(event)](self, event, now)
         self._update_serving()
         self._update_home_leader()
@@ -190,6 +192,7 @@
         self._dispatcher.stop_leading()
         self._updates.clear()
         if change is LeadershipChange.ELECTED:
+            self._elected_term = leadership.term
             self._divide_if_too_large(now=now)
             self._dispatcher.start_leading(
                 leadership.term,
@@ -356,7 +359,11 @@
         if raise_s is None:
             return
         self._leadership.raise_term(by_s=raise_s)
-        self._dispatcher.lease_manager.set_term(self._leadership.term)
+        self._dispatcher.raise_term(
+            self._leadership.term,
+            hosts=[self._host, *self._linked_domains],
+            now=now,
+        )
         self._out.add_decision(
             "term_raised", detail=f"term={self._leadership.term}"
         )
@@ -375,6 +382,7 @@
                     host, message, now=now
                 )
                 self._apply_change(change, now=now)
+                self._check_owner_follows(host, message, now=now)
                 self._send_upstreams()
             case peer_messages.JobAnswered(job=job, answer=answer):
                 self._owned_jobs.job_answered(host, job, answer)
@@ -392,6 +400,18 @@
             case _ if self.leads:
                 self._handle_leader_message(host, message, now=now)
 
+    def _check_owner_follows(
+        self, host: ids.HostId, standing: peer_messages.Standing, *, now: float
+    ) -> None:
+        """Notices that an owner has left this leader for another one."""
+        if not self.leads or standing.leader in ("", self._host):
+            return
+        if self._fleet.divided and self._linked_domains.get(host) != (
+            self._domain
+        ):
+            return
+        self._dispatcher.owner_left(host, now=now)
+
     def _update_listing(
         self, event: events.UpstreamsListed, *, now: float
     ) -> bool:
@@ -462,7 +482,8 @@
             case cell_load.CellLoad():
                 self._dispatcher.overflow.load_received(host, message, now=now)
             case peer_messages.AllHandedOver(term=term):
-                if term == self._leadership.term:
+                # The sender may not have heard yet that the term was raised.
+                if self._elected_term <= term <= self._leadership.term:
                     self._dispatcher.all_handed_over(host, now=now)
             case peer_messages.JobDropped(job=job):
                 self._dispatcher.job_dropped(host, job, now=now)
--- a/godwitnotch/core/leased/lease_calls.py
+++ b/godwitnotch/core/leased/lease_calls.py
@@ -26,6 +26,7 @@
         lease: The lease on the upstream.
         sent_at: When the call was sent.
         address: The address that it was sent to.
+        term: The leader's term in the call.
         run: The run to start or stop; None for a request for the list of runs,
             or for the stop of a run that the leader doesn't know.
         key: The run to start or stop, also if the leader doesn't know it.
@@ -35,6 +36,7 @@
     lease: lease_module.Lease
     sent_at: float
     address: str
+    term: model.Term
     run: lease_module.Run | None = None
     key: model.RunKey | None = None
 
@@ -150,6 +152,13 @@
     ) -> model.UpstreamCallId:
         call_id = self._out.next_call_id()
         lease.pending_calls += 1
-        address = lease.upstream.address
-        self._calls[call_id] = PendingCall(kind, lease, now, address, run, key)
+        self._calls[call_id] = PendingCall(
+            kind,
+            lease,
+            sent_at=now,
+            address=lease.upstream.address,
+            term=self.term,
+            run=run,
+            key=key,
+        )
         return call_id
