Log: write at most 8 KB at once, at line ends

The stream now writes pieces that end at a line end and are at most 8 KB.

test_no_write_is_cut_by_a_reader_of_8_kb fails without the change (25,640 bytes in one write). Run: tests.test_leased_decisions, tests.test_log: pass.

--- a/godwitnotch/log_streams.py
+++ b/godwitnotch/log_streams.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 
 MAX_BATCH_CHARS = 32_000
+# Readers of the log may cut what is written at once after 8 KB.
+MAX_WRITE_BYTES = 8_192
 MAX_KEPT_CHARS = 64_000  # Of the lines that are kept while the buffer is full.
 
 
@@ -87,15 +89,27 @@
             Whether all data was written.
         """
         self._unsent += data
-        try:
-            sent = os.write(self._descriptor, self._unsent)
-        except BlockingIOError:
-            sent = 0
-        except OSError:
-            # The reader of the log has exited; the host continues without it.
-            sent = len(self._unsent)
-        self._unsent = self._unsent[sent:]
-        return not self._unsent
+        while self._unsent:
+            piece = _first_lines(self._unsent)
+            try:
+                sent = os.write(self._descriptor, piece)
+            except BlockingIOError:
+                return False
+            except OSError:
+                # The reader of the log has exited; the host continues without.
+                sent = len(self._unsent)
+            self._unsent = self._unsent[sent:]
+            if sent < len(piece):
+                return False
+        return True
+
+
+def _first_lines(data: bytes) -> bytes:
+    """Returns the first lines, or a part of a line that is too long."""
+    if len(data) <= MAX_WRITE_BYTES:
+        return data
+    end = data.rfind(b"\n", 0, MAX_WRITE_BYTES) + 1
+    return data[: end or MAX_WRITE_BYTES]
 
 
 class BatchingStream(io.TextIOBase):
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+import socket
 import statistics
 import unittest
 import unittest.mock
@@ -724,6 +725,26 @@
         notice = f"event=log_lines_dropped lines={stream.dropped_lines}"
         self.assertIn(notice, lines)
 
+    def test_no_write_is_cut_by_a_reader_of_8_kb(self) -> None:
+        reader, writer = socket.socketpair(
+            socket.AF_UNIX, socket.SOCK_SEQPACKET
+        )
+        self.addCleanup(reader.close)
+        self.addCleanup(writer.close)
+        stream = log_streams.NonBlockingStream(writer.fileno())
+        text = "".join(
+            f"event=line number={number} {'x' * 80}\n" for number in range(250)
+        )
+        stream.write(text)
+        stream.write(f"event=long {'x' * 10_000}\n")
+        writer.close()
+        pieces = []
+        while piece := reader.recv(1 << 16):
+            pieces.append(piece.decode())
+        self.assertEqual("".join(pieces), f"{text}event=long {'x' * 10_000}\n")
+        self.assertLessEqual(max(map(len, pieces)), 8_192)
+        self.assertTrue(all(piece[-1] == "\n" for piece in pieces[:-2]))
+
     def test_lines_kept_for_a_full_pipe_are_bounded(self) -> None:
         reader, writer = os.pipe()
         self.addCleanup(os.close, reader)
