--- a/tests/mutants/__main__.py
+++ b/tests/mutants/__main__.py
@@ -34,6 +34,7 @@
     "tests.test_http_client",
     "tests.test_differential",
     "tests.test_leased_host",
+    "tests.test_leased_instances",
     "tests.test_leased_decisions",
     "tests.test_leased_load_patterns",
     "tests.test_leased_cells",
--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -317,6 +317,16 @@
         self.manager.tick(now=self.now)
         self.assertEqual(len(self.take(actions.StopRun)), 1)
 
+    def test_unanswered_start_is_stopped_and_its_end_awaited(self) -> None:
+        start = self.start(0)
+        event = events.OrderUnanswered(start.call)
+        self.manager.order_unanswered(event, now=self.now)
+        (stop,) = self.take(actions.StopRun)
+        self.assert_runs(0)
+        (request,) = self.accept(stop)
+        self.list_runs(request, instance=1_000)
+        self.assertEqual(self.listener.ended, [(0, model.RunEnd.LOST)])
+
     def test_start_that_was_given_up_is_stopped_at_its_late_response(
         self,
     ) -> None:
