Owners: a job that was refused ran, as its owner had been paused

Cause: the owner's tick saw a pause of its process, it lost and found the same leader in the same term, and handed its jobs over again as if no leader had had them. The leader's refusal crossed with that; it repeats an answer only for jobs that had an earlier leader, so it admitted the job anew and ran it, while the owner passed the refusal on as 'has not run'.

Now a job that is handed over again always names its earlier leader, also if that is the same one: the leader repeats its answer, and a refusal is passed on as 'may have run' (504). Failed before, passes now: test_job_that_was_refused_ran_as_its_owner_was_paused.

--- a/godwitnotch/core/leased/owned_jobs.py
+++ b/godwitnotch/core/leased/owned_jobs.py
@@ -211,11 +211,11 @@
     ) -> None:
         """Hands the jobs of a cell over to its new leader, if there is one.
 
-        A host that leads again in a new term has forgotten its jobs.
+        A host that leads again in a new term has forgotten its jobs. One that
+        this host follows again after a pause may have dropped or refused some.
         """
         for owned in self._jobs.values():
-            unchanged = (owned.leader, owned.term) == (leader, term)
-            if owned.cell == cell and not unchanged:
+            if owned.cell == cell:
                 owned.leader_lost(now=now)
         if not leader:
             return
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -864,6 +864,34 @@
 
 
 class OwnedJobsTest(unittest.TestCase):
+    def test_job_that_was_refused_ran_as_its_owner_was_paused(self) -> None:
+        out = outbox.Outbox()
+        leaders = cells.CellLeaders()
+        sent = []
+        owned = owned_jobs.OwnedJobs(
+            out, leaders, send=lambda host, message: sent.append(message)
+        )
+        leader = cells.CellLeader(ids.HostId("one"), model.Term(1), True)
+        leaders.set(cells.WHOLE_FLEET, leader)
+        request = leased_world.request("j")
+        owned.job_received(ids.CallId(1), request, NOW + 5, now=NOW)
+        sent.clear()
+        owned.leader_changed(
+            cells.WHOLE_FLEET, leader.host, leader.term, now=NOW
+        )
+        # The leader then repeats its earlier answer instead of starting tasks.
+        self.assertTrue(sent[0].had_earlier_leader)
+        refusal = model.Answer(
+            model.JobEnd.REFUSED, model.EndReason.OVERLOADED, 1.0
+        )
+        owned.job_answered(leader.host, request.job, refusal)
+        (answer,) = [
+            each.answer
+            for each in out.take()
+            if isinstance(each, actions.AnswerCaller)
+        ]
+        self.assertIs(answer.end, model.JobEnd.GIVEN_UP)
+
     def test_refusal_by_a_second_leader_does_not_mean_not_started(self) -> None:
         out = outbox.Outbox()
         leaders = cells.CellLeaders()
