World: a stall ends with its process; random histories with clocks and stalls

Half of the faults are stalls of the leader, responses 0.1 to 0.5 s late and orders 0.9 to 1.6 s late; upstreams' clocks run at 0.98, 1.0 and 1.02.

--- a/tests/leased_world.py
+++ b/tests/leased_world.py
@@ -168,6 +168,7 @@
     def start_host(self, name: str, *, rank: int = 0) -> None:
         """Starts a host process without any state."""
         self.dead.discard(name)
+        self.stalled.pop(name, None)
         core = leased_host.LeasedHost(
             host=ids.HostId(name),
             domain=ids.DomainId(self.domains[name]),
@@ -239,14 +240,15 @@
             tick_first: Whether the tick comes before the waiting events.
         """
         core = self.hosts[name]
-        self.stalled[name] = []
+        waiting: list[events.Event] = []
+        self.stalled[name] = waiting
         for pair in [pair for pair in self.links if name in pair]:
             self.call_later(
                 SILENCE_TIMEOUT_S,
                 lambda pair=pair: self._close_stalled_link(pair, name, core),
             )
         self.call_later(
-            duration_s, lambda: self._end_stall(name, core, tick_first)
+            duration_s, lambda: self._end_stall(name, waiting, tick_first)
         )
 
     def _close_stalled_link(
@@ -256,17 +258,16 @@
             self._close_link(pair)
 
     def _end_stall(
-        self, name: str, core: leased_host.LeasedHost, tick_first: bool
+        self, name: str, waiting: list[events.Event], tick_first: bool
     ) -> None:
-        waiting = self.stalled.pop(name)
-        if self.hosts.get(name) is not core:
+        if self.stalled.get(name) is not waiting:
             return
-        waiting = [
+        del self.stalled[name]
+        due = [
             event for event in waiting if not isinstance(event, events.Ticked)
         ]
-        position = 0 if tick_first else len(waiting)
-        waiting.insert(position, events.Ticked())
-        for event in waiting:
+        due.insert(0 if tick_first else len(due), events.Ticked())
+        for event in due:
             self.deliver(name, event)
 
     def partition(self, first: set[str], second: set[str]) -> None:
--- a/tests/test_leased_clocks.py
+++ b/tests/test_leased_clocks.py
@@ -5,12 +5,14 @@
 
 import collections
 import unittest
+from collections.abc import Iterable
 
 from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import lease
 from godwitnotch.core.leased import lease_manager
 from godwitnotch.core.leased import model
 from tests import leased_world
+from tests import test_leased_histories
 
 HOSTS = ["a1", "a2", "a3"]
 START_UP_S = 1.0
@@ -209,5 +211,103 @@
                         )
 
 
+class ClockHistory(test_leased_histories.History):
+    """A random history with clocks, stalls, late orders and late responses.
+
+    Half of all faults are those of `test_leased_histories`.
+    """
+
+    JOB_SHARE = 0.15  # Sparse jobs leave upstreams idle.
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        for number, upstream in enumerate(self.world.upstreams.values()):
+            upstream.clock_rate = (0.98, 1.0, 1.02)[number % 3]
+        # Every second history begins with upstreams that have long been idle.
+        self.world.run(20.0 if seed % 2 else 0.0)
+
+    def submit_job(self) -> None:
+        if self.rng.random() < self.JOB_SHARE:
+            super().submit_job()
+
+    def inject_fault(self) -> None:
+        if self.rng.random() < 0.5:
+            super().inject_fault()
+            return
+        faults = (
+            self.stall_host,
+            self.delay_responses_of_one,
+            self.delay_responses_of_all,
+            self.delay_orders,
+        )
+        self.rng.choice(faults)()
+
+    def stall_host(self) -> None:
+        """Stalls the leader's process; without a leader, a random host's."""
+        world = self.world
+        names = [
+            name
+            for name in world.leaders() or sorted(world.hosts)
+            if name not in world.stalled and name not in world.dead
+        ]
+        if not names:
+            return
+        name = self.rng.choice(names)
+        duration_s = 0.1 + 3 * self.rng.random() ** 2
+        world.stall(name, duration_s, tick_first=self.rng.random() < 0.5)
+        world.pauses.append((name, world.now + duration_s))
+
+    def delay_responses_of_one(self) -> None:
+        """Delays the responses of a random upstream."""
+        name = self.rng.choice(sorted(self.world.upstreams))
+        self.delay_responses([self.world.upstreams[name]])
+
+    def delay_responses_of_all(self) -> None:
+        """Delays the responses of all upstreams."""
+        self.delay_responses([*self.world.upstreams.values()])
+
+    def delay_responses(self, upstreams: list[leased_world.Upstream]) -> None:
+        """Delays the responses of upstreams for a random time."""
+        delay_s = self.rng.choice((0.1, 0.2, 0.3, 0.5))
+        for upstream in upstreams:
+            upstream.response_delay_s = delay_s
+            self.world.call_later(
+                0.3 + 2 * self.rng.random(),
+                lambda upstream=upstream: setattr(
+                    upstream, "response_delay_s", 0.0
+                ),
+            )
+
+    def delay_orders(self) -> None:
+        """Delays the orders to a random upstream, by 0.9 to 1.6 s."""
+        name = self.rng.choice(sorted(self.world.upstreams))
+        upstream = self.world.upstreams[name]
+        upstream.order_delay_s = 0.9 + 0.7 * self.rng.random()
+        self.world.call_later(
+            0.1 + 0.3 * self.rng.random(),
+            lambda: setattr(upstream, "order_delay_s", 0.0),
+        )
+
+
+# With the seeds, a leader started tasks of its successor after a pause.
+PAUSED_LEADER_SEEDS = (231,)
+HISTORY_COUNT = 20
+
+
+class ClockHistoriesTest(unittest.TestCase):
+    def test_histories_in_which_a_paused_leader_started_tasks(self) -> None:
+        self.check_histories(PAUSED_LEADER_SEEDS)
+
+    def test_random_histories(self) -> None:
+        self.check_histories(range(1, HISTORY_COUNT + 1))
+
+    def check_histories(self, seeds: Iterable[int]) -> None:
+        for seed in seeds:
+            with self.subTest(seed=seed):
+                history = ClockHistory(seed)
+                history.run()
+                self.assertEqual(history.problems(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
