--- a/godwitnotch/core/leased/lease.py
+++ b/godwitnotch/core/leased/lease.py
@@ -100,6 +100,7 @@
         responded_at: When that response arrived.
         instance_started_ms: When the upstream's process started, by its own
             clock; 0 if not known. A restart is a new instance.
+        instance_seen_at: When the last response that states this time arrived.
         acknowledged_end: Serial number of the last end that was processed.
         expires_at: When all runs will have ended unless the lease is renewed.
         pending_list_requests: How many requests for the list of runs have no
@@ -107,6 +108,7 @@
         last_list_request_at: When the list of runs was last requested.
         next_list_request_at: Earliest time of the next request for the list of
             runs.
+        renewed_at: When an order was last sent that may renew the lease.
         failures: Consecutive failed calls.
         runs: The runs at the upstream, by task.
         stopping: Tasks whose runs are being stopped.
@@ -119,8 +121,10 @@
     clock_ms: int = 0
     responded_at: float = 0.0
     instance_started_ms: int = 0
+    instance_seen_at: float = 0.0
     acknowledged_end: int = 0
     expires_at: float = 0.0
+    renewed_at: float = 0.0
     pending_list_requests: int = 0
     last_list_request_at: float = float("-inf")
     next_list_request_at: float = 0.0
@@ -185,6 +189,7 @@
     def record_renewal(self, *, now: float) -> None:
         """Extends expires_at, as an order that may renew the lease is sent."""
         self.expires_at = max(self.expires_at, now + MAX_LEASE_DURATION_S)
+        self.renewed_at = now
 
     def expired(self, *, now: float) -> bool:
         """Returns whether runs should have ended, as nothing was renewed."""
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -134,6 +134,13 @@
             model.TaskKey, dict[ids.UpstreamId, lease_module.Run]
         ] = {}
         self._unclaimed_done: dict[model.TaskKey, _UnclaimedDone] = {}
+        self._last_tick_at = 0.0
+        self._tick_gap_s = 0.0
+
+    @property
+    def term(self) -> model.Term:
+        """The term that is sent with every call."""
+        return self._calls.term
 
     @property
     def leases(self) -> Mapping[ids.UpstreamId, lease_module.Lease]:
@@ -182,6 +189,7 @@
         """Starts to lead, and requests the lists of runs of all upstreams."""
         self.stop_leading()
         self._calls.term = term
+        self._last_tick_at = now
         self._claim_period_open = True
         for upstream in upstreams:
             self._leases[upstream.upstream] = lease_module.Lease(upstream)
@@ -217,9 +225,9 @@
             done = self._unclaimed_done.pop(task.key, None)
             if done is not None:
                 self._listener.adopt_done_run(done.key, now=now)
-            for run in self._runs.get(task.key, {}).values():
+            for upstream, run in self._runs.get(task.key, {}).items():
                 if run.job is None:
-                    self._adopt_run(run)
+                    self._adopt_run(upstream, run)
 
     def update_upstreams(
         self, upstreams: Iterable[model.LeasedUpstream], *, now: float
@@ -236,7 +244,7 @@
             known = self._leases.get(upstream)
             if known is None:
                 self._leases[upstream] = lease_module.Lease(entry)
-            elif known.upstream != entry:
+            elif known.upstream != entry or not known.listed:
                 self._update_entry(known, entry, now=now)
         self._maintain_all(now=now)
 
@@ -267,6 +275,12 @@
         self, lease: lease_module.Lease, run: lease_module.Run, *, now: float
     ) -> None:
         """Orders a run to stop; its resources stay reserved until it ends."""
+        if run.state is not RunState.STOPPING:  # Else it is repeated.
+            self._out.add_decision(
+                "stop_ordered",
+                job=run.key.task.job,
+                detail=f"{run.key.pairs()} upstream={lease.upstream.upstream}",
+            )
         lease.stopping.add(run.key.task)
         run.state = RunState.STOPPING
         run.confirmed_at = None
@@ -283,6 +297,8 @@
     def tick(self, *, now: float) -> None:
         """Handles expired leases; repeats stop orders and list requests."""
         self._forget_unclaimed_done(now=now)
+        self._tick_gap_s = now - self._last_tick_at
+        self._last_tick_at = now
         for upstream, lease in tuple(self._leases.items()):
             if not lease.listed and not lease.runs:
                 del self._leases[upstream]
@@ -304,16 +320,10 @@
         if call is None or call.run is None:
             return
         lease, run = call.lease, call.run
-        from_current_instance = self._check_instance(
-            lease, event.instance_started_ms, now=now
-        )
-        if from_current_instance:
+        if self._follow_instance(call, event.instance_started_ms, now=now):
             lease.record_response(event.clock_ms, now=now)
         if lease.runs.get(run.key.task) is not run:
             return
-        if not from_current_instance:
-            self._record_end(lease, run, model.RunEnd.LOST, now=now)
-            return
         run.confirmed_at = now
         if call.kind is CallKind.START and run.state is RunState.ORDERED:
             run.state = RunState.RUNNING
@@ -334,12 +344,14 @@
         rejection = event.rejection
         self._out.add_decision(
             "order_rejected",
-            job=run.key.task.job if run else "",
+            job=call.key.task.job if call.key else "",
             reason=rejection.value,
-            detail=f"upstream={lease.upstream.upstream} kind={call.kind.value}",
+            detail=call.detail(),
         )
         if call.kind is CallKind.START and run is not None:
             self._start_rejected(lease, run, rejection, now=now)
+        if call.to_former_address:
+            return
         if rejection is model.OrderRejection.TERM:
             # An upstream that has not responded lately may have been in a
             # partition with another leader. Once this host and that leader are
@@ -350,11 +362,12 @@
             self._lose_lease(lease, now=now)
             self._listener.higher_term_seen(lease, was_held=was_held, now=now)
         elif rejection is model.OrderRejection.OTHER_INSTANCE:
-            self._end_instance(lease, now=now)
+            self._leave_address(lease, now=now)
         elif rejection is model.OrderRejection.LATE:
             self._request_runs(lease, now=now, wait_ms=0)
         elif call.kind is CallKind.LIST_RUNS:
             self._record_failure(lease, now=now)
+        if call.kind is CallKind.LIST_RUNS:
             self._expire_if_asked(call, now=now)
 
     def order_unanswered(
@@ -367,12 +380,13 @@
         lease, run = call.lease, call.run
         self._out.add_decision(
             "order_unanswered",
-            job=run.key.task.job if run else "",
-            detail=f"upstream={lease.upstream.upstream} kind={call.kind.value}",
+            job=call.key.task.job if call.key else "",
+            detail=call.detail(),
         )
-        self._record_failure(lease, now=now)
-        if call.kind is CallKind.LIST_RUNS:
-            self._expire_if_asked(call, now=now)
+        if not call.to_former_address:
+            self._record_failure(lease, now=now)
+            if call.kind is CallKind.LIST_RUNS:
+                self._expire_if_asked(call, now=now)
         if run is None or lease.runs.get(run.key.task) is not run:
             return
         if call.kind is CallKind.START:
@@ -385,8 +399,8 @@
             return
         lease = call.lease
         run_list = event.runs
-        if not self._check_instance(
-            lease, run_list.instance_started_ms, now=now
+        if not self._follow_instance(
+            call, run_list.instance_started_ms, now=now
         ):
             return
         lease.record_response(run_list.clock_ms, now=now)
@@ -408,10 +422,16 @@
         *,
         now: float,
     ) -> None:
-        address_changed = lease.upstream.address != entry.address
+        former_address = lease.upstream.address
         lease.update_entry(entry)
-        if address_changed:
-            self._end_instance(lease, now=now)
+        if entry.address != former_address:
+            self._out.add_decision(
+                "upstream_moved",
+                detail=f"upstream={entry.upstream} from={former_address} "
+                f"to={entry.address}",
+            )
+            self._leave_address(lease, now=now)
+            lease.next_list_request_at = now
 
     def _maintain_all(self, *, now: float) -> None:
         for lease in tuple(self._leases.values()):
@@ -419,7 +439,10 @@
 
     def _maintain(self, lease: lease_module.Lease, *, now: float) -> None:
         """Requests the list of runs of one upstream if a request is due."""
-        if lease.state is LeaseState.UNHELD:
+        if lease.state is LeaseState.UNHELD or (
+            lease.state is LeaseState.AWAITING_LIST
+            and not lease.pending_list_requests
+        ):
             wanted = lease.listed and self._in_scope(lease.upstream)
             if wanted and now >= lease.next_list_request_at:
                 lease.transition(LeaseEvent.LIST_REQUESTED)
@@ -509,13 +532,21 @@
                 start_expires_at=now + lease_module.MAX_LEASE_DURATION_S,
             )
             self._add_run(lease, run)
-            self._adopt_run(run)
+            self._adopt_run(lease.upstream.upstream, run)
 
-    def _adopt_run(self, run: lease_module.Run) -> None:
+    def _adopt_run(
+        self, upstream: ids.UpstreamId, run: lease_module.Run
+    ) -> None:
         """Assigns a run found at an upstream to its job, if claimed."""
         if run.state is RunState.STOPPING:
             return
         run.job = self._listener.adopt_run(run.key)
+        if run.job is not None:
+            self._out.add_decision(
+                "run_adopted",
+                job=run.job.name,
+                detail=f"{run.key.pairs()} upstream={upstream}",
+            )
 
     def _reconcile(self, lease: lease_module.Lease, *, now: float) -> None:
         """Stops unclaimed runs; the lease is held once there are none."""
@@ -564,7 +595,7 @@
         for run in run_lists.missing_runs(
             lease, run_list, requested_at=requested_at
         ):
-            self._record_end(lease, run, model.RunEnd.LOST, now=now)
+            self._record_end(lease, run, model.RunEnd.MISSING, now=now)
 
     def _record_done(self, key: model.RunKey, *, now: float) -> None:
         """Records a successful run that this leader didn't know as active."""
@@ -600,7 +631,7 @@
             self._out.add_decision(
                 "run_unknown",
                 job=key.task.job,
-                detail=f"upstream={lease.upstream.upstream} run={key.run}",
+                detail=f"{key.pairs()} upstream={lease.upstream.upstream}",
             )
             self._calls.stop(lease, key, run=None, now=now)
 
@@ -626,30 +657,39 @@
             self._remove_run(lease, run)
             self._listener.order_rejected(lease, run, rejection, now=now)
 
-    def _check_instance(
-        self, lease: lease_module.Lease, instance_started_ms: int, *, now: float
+    def _follow_instance(
+        self,
+        call: lease_calls.PendingCall,
+        instance_started_ms: int,
+        *,
+        now: float,
     ) -> bool:
-        """Records the runs of an earlier instance of the upstream as ended.
+        """Notes which instance of an upstream has responded.
+
+        The order of the start times proves nothing, as a clock may have been
+        set back. An instance is newer if it has responded to a call that was
+        sent after the last response of the known one. Runs of the known one end
+        when they are missing in a list.
 
         Returns:
-            Whether the response is from the newest instance that is known.
+            Whether the response is from the newest instance that is known, at
+            the address that is listed now.
         """
+        lease = call.lease
+        if call.to_former_address:
+            return False
         if not instance_started_ms:
             return True
-        if instance_started_ms < lease.instance_started_ms:
-            return False
-        if (
-            lease.instance_started_ms
-            and instance_started_ms > lease.instance_started_ms
-        ):
+        if lease.instance_started_ms not in (0, instance_started_ms):
+            if call.sent_at < lease.instance_seen_at:
+                return False
             self._out.add_decision(
                 "upstream_restarted",
                 detail=f"upstream={lease.upstream.upstream}",
             )
             lease.acknowledged_end = 0
-            for run in run_lists.runs_of_earlier_instance(lease):
-                self._record_end(lease, run, model.RunEnd.LOST, now=now)
         lease.instance_started_ms = instance_started_ms
+        lease.instance_seen_at = now
         return True
 
     def _record_failure(self, lease: lease_module.Lease, *, now: float) -> None:
@@ -666,7 +706,7 @@
     def _expire_if_asked(
         self, call: lease_calls.PendingCall, *, now: float
     ) -> None:
-        """Expires a lease if the upstream was asked since and didn't respond."""
+        """Expires a lease if the upstream was asked since and sent no list."""
         lease = call.lease
         if lease.expired(now=now) and call.sent_at >= lease.expires_at:
             self._expire(lease, now=now)
@@ -676,17 +716,23 @@
         self._out.add_decision(
             "lease_lapsed",
             detail=f"upstream={lease.upstream.upstream} "
-            f"runs={len(lease.runs)} state={lease.state.value}",
+            f"runs={len(lease.runs)} state={lease.state.value} "
+            f"response_ago_ms={_ago_ms(lease.responded_at, now=now)} "
+            f"renewal_ago_ms={_ago_ms(lease.renewed_at, now=now)} "
+            f"expired_ago_ms={_ago_ms(lease.expires_at, now=now)} "
+            f"tick_gap_ms={self._tick_gap_s * 1_000:.0f} term={self.term}",
         )
         self._lose_lease(lease, now=now)
-        self._record_all_ended(lease, now=now)
+        self._record_all_ended(lease, model.RunEnd.LEASE_EXPIRED, now=now)
+
+    def _leave_address(self, lease: lease_module.Lease, *, now: float) -> None:
+        """Gives up a lease, as another process may use the address.
 
-    def _end_instance(self, lease: lease_module.Lease, *, now: float) -> None:
-        """Records all runs as ended, since the upstream's process changed."""
+        The entry may also be older than the last one, so this proves the end of
+        no run: the next list or the time at which the lease ends does.
+        """
         self._lose_lease(lease, now=now)
-        lease.instance_started_ms = 0
         lease.acknowledged_end = 0
-        self._record_all_ended(lease, now=now)
 
     def _lose_lease(self, lease: lease_module.Lease, *, now: float) -> None:
         """Marks a lease as unheld, to be acquired again after a delay."""
@@ -698,14 +744,19 @@
             self._leases.pop(lease.upstream.upstream, None)
 
     def _record_all_ended(
-        self, lease: lease_module.Lease, *, now: float
+        self, lease: lease_module.Lease, end: model.RunEnd, *, now: float
     ) -> None:
         for run in tuple(lease.runs.values()):
-            self._record_end(lease, run, model.RunEnd.LOST, now=now)
+            self._record_end(lease, run, end, now=now)
         if not lease.listed:
             self._leases.pop(lease.upstream.upstream, None)
 
 
+def _ago_ms(at: float, *, now: float) -> str:
+    """Returns how long ago a time was, in ms; `none` if the time isn't set."""
+    return f"{(now - at) * 1_000:.0f}" if at else "none"
+
+
 def _wait_ms(lease: lease_module.Lease, *, now: float) -> int:
     """Returns how long the upstream may wait for a run to end, in ms."""
     if lease.failures or not lease.runs:
--- a/godwitnotch/report/job_trace.py
+++ b/godwitnotch/report/job_trace.py
@@ -35,6 +35,7 @@
     WAITED_AGAIN = "waited again after a lost run"
     RUN_FAILED = "a run failed"
     RUN_LAPSED = "a run was lost with its lease"
+    RUN_GONE = "a run was gone at its upstream"
     RUN_UNANSWERED = "a start order got no response"
     RUN_OVERDUE = "a run was overdue"
     RUN_SLOW = "a run took long"
@@ -86,6 +87,8 @@
             cause = Cause.RUN_UNANSWERED
         elif reason == model.RunEnd.FAILED.value:
             cause = Cause.RUN_FAILED
+        elif reason == model.RunEnd.MISSING.value:
+            cause = Cause.RUN_GONE
         lost_s = max(0.0, at - (self.ordered_at or at))
         self.lost_s[cause] = self.lost_s.get(cause, 0.0) + lost_s
         self.waiting_since = at
--- /dev/null
+++ b/tests/test_leased_instances.py
@@ -0,0 +1,325 @@
+"""Tests that a run counts as ended only when its end at the upstream is proven.
+
+An upstream may restart under its id, at the same or another address. Its
+responses to orders don't state when its process started; its lists do.
+"""
+
+import dataclasses
+import unittest
+import unittest.mock
+
+from godwitnotch.core import ids
+from godwitnotch.core.leased import actions
+from godwitnotch.core.leased import events
+from godwitnotch.core.leased import jobs
+from godwitnotch.core.leased import lease
+from godwitnotch.core.leased import lease_manager
+from godwitnotch.core.leased import model
+from godwitnotch.core.leased import outbox
+from godwitnotch.net import http_types
+from godwitnotch.net import leased_calls
+from tests import leased_world
+
+NOW = 100.0
+ENTRY = model.LeasedUpstream(
+    upstream=ids.UpstreamId("u"),
+    address="u:1",
+    domain=ids.DomainId("d"),
+    service=leased_world.SERVICE,
+    slots=8,
+    capacity=model.Resources(8_000, 8_000, 0),
+    labels=("a",),
+    draining=False,
+)
+
+
+class _Listener:
+    """Records the ends of runs; `job` owns all runs.
+
+    Attributes:
+        ended: Task and end of each run that has ended.
+        rejected: Task of each rejected start.
+    """
+
+    def __init__(self, job: jobs.LeasedJob) -> None:
+        self._job = job
+        self.ended: list[tuple[int, model.RunEnd]] = []
+        self.rejected: list[int] = []
+
+    def adopt_run(self, key: model.RunKey) -> jobs.LeasedJob | None:
+        return self._job
+
+    def adopt_done_run(self, key: model.RunKey, *, now: float) -> bool:
+        return True
+
+    def run_ended(self, lease, run, end, *, now) -> None:
+        self.ended.append((run.key.task.index, end))
+
+    def order_rejected(self, lease, run, rejection, *, now) -> None:
+        self.rejected.append(run.key.task.index)
+
+    def higher_term_seen(self, lease, *, was_held, now) -> None:
+        pass
+
+
+class ManagerTest(unittest.TestCase):
+    """Drives a lease manager that holds a lease on one upstream."""
+
+    def setUp(self) -> None:
+        self.job = jobs.LeasedJob(
+            request=leased_world.request("j", 4),
+            owner=ids.HostId("a"),
+            arrived_at=NOW,
+            deadline=NOW + 10,
+            earlier_runs_end_by=0.0,
+            base_ms=100.0,
+        )
+        self.out = outbox.Outbox()
+        self.listener = _Listener(self.job)
+        self.manager = lease_manager.LeaseManager(
+            self.out, self.listener, in_scope=lambda _: True
+        )
+        self.now = NOW
+        self.manager.start_leading(model.Term(7), [ENTRY], now=NOW)
+        self.manager.end_claim_period(now=NOW)
+        (request,) = self.take(actions.RenewLease)
+        self.list_runs(request, instance=1_000)
+
+    @property
+    def lease(self) -> lease.Lease:
+        return self.manager.leases[ENTRY.upstream]
+
+    def key(self, index: int) -> model.RunKey:
+        return model.RunKey(self.job.tasks[index].key, model.RunNumber(1))
+
+    def take(self, kind: type) -> list:
+        return [each for each in self.out.take() if isinstance(each, kind)]
+
+    def start(self, index: int) -> actions.StartRun:
+        self.manager.start_run(
+            self.lease, self.job, self.key(index), expected_s=0.1, now=self.now
+        )
+        (order,) = self.take(actions.StartRun)
+        return order
+
+    def accept(self, order, *, instance: int = 0) -> list:
+        """Lets an upstream accept an order; returns the next list requests."""
+        event = events.OrderTaken(order.call, 1, instance)
+        self.manager.order_taken(event, now=self.now)
+        return self.take(actions.RenewLease)
+
+    def list_runs(
+        self, request, *running: int, instance: int, ended: tuple = ()
+    ) -> None:
+        run_list = model.RunList(
+            1, instance, tuple(map(self.key, running)), ended
+        )
+        self.manager.runs_listed(
+            events.RunsListed(request.call, run_list), now=self.now
+        )
+
+    def tick(self, duration_s: float) -> list:
+        """Lets time pass; returns the list requests of that time."""
+        requests = []
+        end = self.now + duration_s
+        while self.now < end:
+            self.now += 0.02
+            self.manager.tick(now=self.now)
+            requests += self.take(actions.RenewLease)
+        return requests
+
+    def assert_runs(self, *indexes: int) -> None:
+        active = [
+            index
+            for index in range(4)
+            if self.manager.has_run(self.key(index).task)
+        ]
+        self.assertEqual(active, list(indexes))
+
+
+class RestartTest(ManagerTest):
+    def test_runs_of_the_new_instance_are_kept_at_its_first_list(self) -> None:
+        first, second = self.start(0), self.start(1)
+        (request,) = self.accept(first)
+        self.now += 0.01
+        self.accept(second)
+        self.list_runs(request, 0, instance=2_000)
+        self.assertEqual(self.listener.ended, [])
+        self.assert_runs(0, 1)
+        self.assertEqual(self.take(actions.StopRun), [])
+
+    def test_runs_of_the_old_instance_end_at_the_first_list_of_the_new(
+        self,
+    ) -> None:
+        (request,) = self.accept(self.start(0))
+        self.now += 0.01
+        self.list_runs(request, instance=2_000)
+        self.assertEqual(self.listener.ended, [(0, model.RunEnd.MISSING)])
+
+    def test_end_in_the_new_instance_is_counted(self) -> None:
+        (request,) = self.accept(self.start(0))
+        ended = (model.EndedRun(5, self.key(0), model.RunEnd.DONE),)
+        self.list_runs(request, instance=1_000, ended=ended)
+        (request,) = self.accept(self.start(1))
+        ended = (model.EndedRun(1, self.key(1), model.RunEnd.DONE),)
+        self.list_runs(request, instance=2_000, ended=ended)
+        self.assertEqual(
+            self.listener.ended,
+            [(0, model.RunEnd.DONE), (1, model.RunEnd.DONE)],
+        )
+
+    def test_response_of_the_old_instance_ends_no_run(self) -> None:
+        (request,) = self.accept(self.start(0))
+        order = self.start(1)
+        self.list_runs(request, 0, instance=2_000)
+        self.accept(order, instance=1_000)
+        self.assertEqual(self.listener.ended, [])
+        self.assert_runs(0, 1)
+
+    def test_instance_that_started_at_a_smaller_time_is_followed(self) -> None:
+        (request,) = self.accept(self.start(0))
+        self.now += 0.05
+        self.list_runs(request, 0, instance=1_000)
+        (request,) = self.take(actions.RenewLease)
+        self.now += 0.05
+        self.list_runs(request, instance=900)
+        self.assertEqual(self.listener.ended, [(0, model.RunEnd.MISSING)])
+
+    def test_list_of_the_old_instance_is_ignored_after_one_of_the_new(
+        self,
+    ) -> None:
+        (old_request,) = self.accept(self.start(0))
+        self.now += 0.01
+        run = self.lease.runs[self.key(0).task]
+        self.manager.stop_run(self.lease, run, now=self.now)
+        (request,) = self.accept(*self.take(actions.StopRun))
+        self.list_runs(request, instance=2_000)
+        self.accept(self.start(1))
+        ended = (model.EndedRun(9, self.key(2), model.RunEnd.DONE),)
+        self.list_runs(old_request, 0, instance=1_000, ended=ended)
+        self.assertEqual(self.take(actions.StopRun), [])
+        self.assertEqual(self.lease.acknowledged_end, 0)
+        self.assert_runs(1)
+
+
+class IdleRestartTest(unittest.TestCase):
+    def test_first_job_after_a_restart_of_idle_upstreams_runs_once(
+        self,
+    ) -> None:
+        world = leased_world.World({"a": ["a1", "a2"]}, upstreams=2)
+        world.run(2.0)
+        for name in world.upstreams:
+            world.restart_upstream(name)
+        world.run_time_ms = 400.0
+        call = world.submit("a2", "first", tasks=2)
+        world.run(1.5)
+        self.assertEqual(world.answers[call][1].end, model.JobEnd.COMPLETED)
+        self.assertEqual(world.start_count("first"), 2)
+
+
+class AddressTest(ManagerTest):
+    def move(self, address: str) -> None:
+        entry = dataclasses.replace(ENTRY, address=address)
+        self.manager.update_upstreams([entry], now=self.now)
+
+    def test_runs_are_kept_when_an_older_list_arrives_last(self) -> None:
+        (request,) = self.accept(self.start(0))
+        self.move("u:0")
+        self.move("u:1")
+        self.assertEqual(self.listener.ended, [])
+        self.assert_runs(0)
+
+    def test_runs_end_at_the_first_list_from_a_new_address(self) -> None:
+        self.accept(self.start(0))
+        self.move("u:2")
+        (request,) = self.tick(0.1)
+        self.assertEqual(request.upstream.address, "u:2")
+        self.list_runs(request, instance=2_000)
+        self.assertEqual(self.listener.ended, [(0, model.RunEnd.MISSING)])
+        self.assert_runs()
+
+    def test_rejection_from_a_former_address_ends_no_run(self) -> None:
+        (old_request,) = self.accept(self.start(0))
+        self.move("u:2")
+        (request,) = self.tick(0.1)
+        self.list_runs(request, instance=2_000)
+        self.accept(self.start(1))
+        rejection = model.OrderRejection.OTHER_INSTANCE
+        event = events.OrderRejected(old_request.call, rejection)
+        self.manager.order_rejected(event, now=self.now)
+        self.assertIs(self.lease.state, lease.LeaseState.HELD)
+        self.assert_runs(1)
+
+    def test_list_from_a_former_address_is_ignored(self) -> None:
+        (old_request,) = self.accept(self.start(0))
+        self.move("u:2")
+        (request,) = self.tick(0.1)
+        self.list_runs(old_request, 0, instance=0)
+        self.assertIs(self.lease.state, lease.LeaseState.AWAITING_LIST)
+        self.list_runs(request, instance=2_000)
+        self.assertIs(self.lease.state, lease.LeaseState.HELD)
+
+    def test_runs_at_an_address_in_other_use_end_with_their_lease(self) -> None:
+        (request,) = self.accept(self.start(0))
+        rejection = model.OrderRejection.OTHER_INSTANCE
+        event = events.OrderRejected(request.call, rejection)
+        self.manager.order_rejected(event, now=self.now)
+        self.assert_runs(0)
+        *_, request = self.tick(lease.MAX_LEASE_DURATION_S + 0.1)
+        self.assert_runs(0)
+        event = events.OrderRejected(request.call, rejection)
+        self.manager.order_rejected(event, now=self.now)
+        self.assert_runs()
+
+
+class ListingTest(ManagerTest):
+    def test_upstream_listed_again_unchanged_accepts_runs(self) -> None:
+        (request,) = self.accept(self.start(0))
+        self.manager.update_upstreams([], now=self.now)
+        self.assertFalse(self.lease.accepts_runs())
+        self.manager.update_upstreams([ENTRY], now=self.now)
+        self.assertTrue(self.lease.accepts_runs())
+        ended = (model.EndedRun(1, self.key(0), model.RunEnd.DONE),)
+        self.list_runs(request, instance=1_000, ended=ended)
+        self.tick(0.1)
+        self.assertIn(ENTRY.upstream, self.manager.leases)
+
+
+class RejectionTest(unittest.IsolatedAsyncioTestCase):
+    """Only some statuses prove that an upstream did nothing."""
+
+    async def send_start(self, status: int, body: bytes = b"") -> object:
+        order = actions.StartRun(
+            model.UpstreamCallId(1),
+            ENTRY,
+            model.RunKey(
+                model.TaskKey(model.JobName("j"), 0), model.RunNumber(1)
+            ),
+            "spec",
+            model.Term(1),
+            deadline_ms=1,
+        )
+        client = leased_calls.OrderClient()
+        response = http_types.HttpResponse(status, body)
+        with unittest.mock.patch.object(
+            client._client, "request", return_value=response
+        ):
+            return await client.send(order)
+
+    async def test_status_that_proves_nothing_counts_as_unanswered(
+        self,
+    ) -> None:
+        for status in (201, 204, 301, 404, 405, 408, 500, 502, 504):
+            with self.subTest(status=status):
+                result = await self.send_start(status)
+                self.assertIsInstance(result, events.OrderUnanswered)
+
+    async def test_status_that_proves_no_run_is_a_rejection(self) -> None:
+        for status in (400, 409, 421, 429, 503):
+            with self.subTest(status=status):
+                result = await self.send_start(status)
+                self.assertIsInstance(result, events.OrderRejected)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -154,6 +154,36 @@
             Cause.RUN_LAPSED,
         )
 
+    def test_run_lost_with_a_lease_that_the_leader_took_for_expired(
+        self,
+    ) -> None:
+        self.assert_cause(
+            [
+                received(10.0, "j"),
+                ordered(10.0, "j"),
+                lost(11.0, "j", "lease_expired"),
+                ordered(11.1, "j"),
+                ended(11.2, "j", 100),
+                answered(11.2, "j"),
+            ],
+            Outcome.LATE,
+            Cause.RUN_LAPSED,
+        )
+
+    def test_run_that_was_gone_at_its_upstream(self) -> None:
+        self.assert_cause(
+            [
+                received(10.0, "j"),
+                ordered(10.0, "j"),
+                lost(11.0, "j", "missing"),
+                ordered(11.1, "j"),
+                ended(11.2, "j", 100),
+                answered(11.2, "j"),
+            ],
+            Outcome.LATE,
+            Cause.RUN_GONE,
+        )
+
     def test_task_that_waited_again_after_a_lost_run(self) -> None:
         self.assert_cause(
             [
@@ -300,6 +330,15 @@
 
 
 class SummaryTest(unittest.TestCase):
+    def test_lines_left_out_are_counted_however_they_are_reported(self) -> None:
+        summary = summarize(
+            [
+                line(1.0, LEADER, "run_lost", dropped=3),
+                line(2.0, LEADER, "log_lines_limited", of="x", lines=4),
+            ]
+        )
+        self.assertEqual(summary.dropped_lines, 7)
+
     def test_jobs_are_forgotten_once_they_have_ended(self) -> None:
         builder = summary_builder.SummaryBuilder()
         clocks = log_lines.Clocks()
