--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -19,6 +19,7 @@
 from godwitnotch.core.leased import overflow
 from godwitnotch.core.leased import owned_jobs
 from godwitnotch.core.leased import peer_messages
+from godwitnotch.core.leased import stalls
 from godwitnotch.core.leased import term_raises
 from godwitnotch.core.leased.leadership import LeadershipChange
 from godwitnotch.core.leased.leadership import Scope
@@ -91,6 +92,7 @@
         self._told_leading = False
         self._elected_term = model.Term(0)
         self._host_count = 1
+        self._stalls = stalls.StallDetector()
         self._now = now
 
     @property
@@ -158,13 +160,23 @@
     ) -> list[actions.Action]:
         """Handles one event and returns the actions to execute."""
         self._now = now
-        change = self._leadership.notice_pause(now=now)
-        self._apply_change(change, now=now)
+        self._apply_change(self._leadership.resume_if_paused(now=now), now=now)
         _HANDLERS[type(event)](self, event, now)
         self._update_serving()
         self._update_home_leader()
         return self._out.take()
 
+    def _report_stall(self, *, now: float) -> None:
+        """Logs a stall of this process before anything is done about it."""
+        stalled_s = self._stalls.tick(now=now)
+        if stalled_s is not None:
+            self._out.add_decision(
+                "process_stalled",
+                reason="leading" if self.leads else "",
+                detail=f"stalled_ms={stalled_s * 1_000:.0f} "
+                f"term={self._leadership.term}",
+            )
+
     def _apply_change(self, change: LeadershipChange, *, now: float) -> None:
         """Starts or stops leading, and hands jobs over to a new leader."""
         if change is LeadershipChange.NONE:
@@ -597,6 +609,7 @@
 
 @_handles(events.Ticked)
 def _ticked(host: LeasedHost, event: events.Ticked, now: float) -> None:
+    host._report_stall(now=now)
     change = host._leadership.tick(now=now)
     host._apply_change(change, now=now)
     if host.leads and host._divide_if_too_large(now=now):
--- a/godwitnotch/core/leased/leadership.py
+++ b/godwitnotch/core/leased/leadership.py
@@ -273,23 +273,14 @@
         self._election_wait_from = now + STEP_DOWN_ELECTION_DELAY_S
         return self._lose_leader(now=now)
 
-    def notice_pause(self, *, now: float) -> LeadershipChange:
-        """Stops following the leader if this process was paused.
+    def tick(self, *, now: float) -> LeadershipChange:
+        """Starts a term if an election is due.
 
-        A gap of more than MIN_PROCESS_PAUSE_S since the last tick counts as a
-        pause. Called before each event, since events that waited during a pause
-        may be handled before the next tick.
+        A gap of more than MIN_PROCESS_PAUSE_S between two calls counts as a
+        pause of this process.
         """
-        if now - self._last_tick_at <= MIN_PROCESS_PAUSE_S:
-            return LeadershipChange.NONE
-        self._last_tick_at = now
-        return self._process_resumed(now=now)
-
-    def tick(self, *, now: float) -> LeadershipChange:
-        """Starts a term if an election is due."""
-        change = self.notice_pause(now=now)
-        if change is not LeadershipChange.NONE:
-            return change
+        if self._was_paused(now=now):
+            return self.resume_if_paused(now=now)
         self._last_tick_at = now
         self._forget_lost_hosts(now=now)
         if self._leader and not self._leader_is_draining():
@@ -298,6 +289,20 @@
             return LeadershipChange.NONE
         return self._start_term()
 
+    def resume_if_paused(self, *, now: float) -> LeadershipChange:
+        """Stops leading if this process was paused since the last tick.
+
+        Call this before any event is handled. An event may come before the
+        first tick after the pause, and another host may lead by then.
+        """
+        if not self._was_paused(now=now):
+            return LeadershipChange.NONE
+        self._last_tick_at = now
+        return self._process_resumed(now=now)
+
+    def _was_paused(self, *, now: float) -> bool:
+        return now - self._last_tick_at > MIN_PROCESS_PAUSE_S
+
     def _election_wait_start(self) -> float:
         """Returns the earliest start of the wait for an election."""
         # The time keeps its initial value until this host follows a leader,
--- a/godwitnotch/core/leased/lease_calls.py
+++ b/godwitnotch/core/leased/lease_calls.py
@@ -25,16 +25,32 @@
         kind: What the call asks of the upstream.
         lease: The lease on the upstream.
         sent_at: When the call was sent.
+        address: The address that it was sent to.
         term: The leader's term in the call.
         run: The run to start or stop; None for a request for the list of runs,
             or for the stop of a run that the leader doesn't know.
+        key: The run to start or stop, also if the leader doesn't know it.
     """
 
     kind: CallKind
     lease: lease_module.Lease
     sent_at: float
+    address: str
     term: model.Term
     run: lease_module.Run | None = None
+    key: model.RunKey | None = None
+
+    def detail(self) -> str:
+        """Returns the run, the upstream and the kind as key=value pairs."""
+        place = (
+            f"upstream={self.lease.upstream.upstream} kind={self.kind.value}"
+        )
+        return f"{self.key.pairs()} {place}" if self.key else place
+
+    @property
+    def to_former_address(self) -> bool:
+        """Whether the upstream is listed at another address by now."""
+        return self.address != self.lease.upstream.address
 
 
 class LeaseCalls:
@@ -59,8 +75,10 @@
     def pop(self, call_id: model.UpstreamCallId) -> PendingCall | None:
         """Removes and returns a pending call; None if it was forgotten."""
         call = self._calls.pop(call_id, None)
-        if call is not None and call.kind is CallKind.LIST_RUNS:
-            call.lease.pending_list_requests -= 1
+        if call is not None:
+            call.lease.pending_calls -= 1
+            if call.kind is CallKind.LIST_RUNS:
+                call.lease.pending_list_requests -= 1
         return call
 
     def start(
@@ -72,7 +90,7 @@
         now: float,
     ) -> None:
         """Sends the order to start a run."""
-        call = self._register(CallKind.START, lease, run=run, now=now)
+        call = self._register(CallKind.START, lease, run, run.key, now=now)
         deadline_ms = lease.deadline_ms(now=now)
         self._out.add(
             actions.StartRun(
@@ -89,7 +107,7 @@
         now: float,
     ) -> None:
         """Sends the order to stop a run; `run` is None if it isn't known."""
-        call = self._register(CallKind.STOP, lease, run=run, now=now)
+        call = self._register(CallKind.STOP, lease, run, key, now=now)
         self._out.add(actions.StopRun(call, lease.upstream, key, self.term))
 
     def request_runs(
@@ -110,7 +128,7 @@
                 responds.
             now: The current time.
         """
-        call = self._register(CallKind.LIST_RUNS, lease, run=None, now=now)
+        call = self._register(CallKind.LIST_RUNS, lease, None, None, now=now)
         lease.pending_list_requests += 1
         self._out.add(
             actions.RenewLease(
@@ -127,10 +145,15 @@
         self,
         kind: CallKind,
         lease: lease_module.Lease,
-        *,
         run: lease_module.Run | None,
+        key: model.RunKey | None,
+        *,
         now: float,
     ) -> model.UpstreamCallId:
         call_id = self._out.next_call_id()
-        self._calls[call_id] = PendingCall(kind, lease, now, self.term, run)
+        lease.pending_calls += 1
+        address = lease.upstream.address
+        self._calls[call_id] = PendingCall(
+            kind, lease, now, address, self.term, run, key
+        )
         return call_id
