Test: runs that another leader has adopted, and their first leader leads again

The whole record's shape on the virtual clock: a1 orders two tasks of one job, c1 leads and adopts them, a1 leads again without a way to their upstream, and orders both anew together at another. It takes cuts that leave owners linked to two leaders, so that this is the users' cause isn't shown.

--- a/tests/test_leased_leaders.py
+++ b/tests/test_leased_leaders.py
@@ -1,7 +1,9 @@
 """Tests that changes of the leader start no task twice at the same time."""
 
+import dataclasses
 import unittest
 
+from godwitnotch.core import ids
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import model
 from tests import leased_faults
@@ -44,6 +46,29 @@
         self.assertGreater(world.start_count("left"), 1)
         self.assertEqual(world.overlaps(), [])
 
+    def test_leader_that_leads_again_doesnt_order_its_adopted_runs_again(
+        self,
+    ) -> None:
+        world = start_world()
+        self.cut_c_off(world)
+        world.run(1.2)
+        world.run_time_ms = 8_000.0
+        group = dataclasses.replace(
+            leased_world.request("j", 2, estimate_ms=8_000.0).tasks,
+            preferred_rack="rack-c",
+        )
+        request = dataclasses.replace(leased_world.request("j"), tasks=group)
+        asked = events.JobAsked(ids.CallId(1_000), request, world.now + 12.0)
+        world.deliver("b1", asked)
+        # c1 adopts the runs. Then a1 leads again, without their upstream.
+        world.run(2.0)
+        self.assertEqual(world.leaders(), ["c1"])
+        world.partition({"a1"}, {"c-u0", "c-u1"})
+        world.run(6.0)
+        self.assertEqual(sorted(world.leaders()), ["a1", "c1"])
+        self.assertGreater(world.start_count("j"), 2)
+        self.assertEqual(world.overlaps(), [])
+
     def test_leader_that_raises_its_term_lists_the_runs_of_idle_leases(
         self,
     ) -> None:
