Links: stalls in series kept a silent link open without end

A check of links more than two heartbeat intervals after the last one took every link for fresh, since messages may wait unread. A process that gets the processor for a moment every 0.26 s or less often thus never closed a silent link. A leader that is cut off goes on with the runs of its lost owners meanwhile, and the next leader starts their tasks elsewhere 1.2 s after the owner noticed. Now the links read what waits and are then checked as always.

--- a/godwitnotch/net/peer_links.py
+++ b/godwitnotch/net/peer_links.py
@@ -46,6 +46,8 @@
     }
 )
 _MAX_HANDSHAKE_BYTES = 4_096
+# A message that has arrived is read after a few passes of the event loop.
+_PASSES_TO_READ = 10
 
 OnNote = Callable[[actions.Note], None]
 
@@ -169,8 +171,9 @@
         last_check_at = loop.time()
         while True:
             await asyncio.sleep(limits.heartbeat_interval_s)
+            if loop.time() - last_check_at > 2 * limits.heartbeat_interval_s:
+                await _read_waiting_messages()
             now = loop.time()
-            loop_stalled = now - last_check_at > 2 * limits.heartbeat_interval_s
             last_check_at = now
             interval_s = max(
                 limits.heartbeat_interval_s,
@@ -178,9 +181,6 @@
             )
             background_interval_s = self._background_interval_s(interval_s)
             for link in list(self._links.values()):
-                if loop_stalled:
-                    # Messages received during the stall are still unread.
-                    link.record_received(now=now)
                 watched = self._is_watched(link.hello.host)
                 self._monitor_link(
                     link, interval_s if watched else background_interval_s, now
@@ -422,5 +422,11 @@
         return peer_link.LinkEndReason.HANDSHAKE_FAILED
 
 
+async def _read_waiting_messages() -> None:
+    """Lets all links read the messages that have arrived during a stall."""
+    for _ in range(_PASSES_TO_READ):
+        await asyncio.sleep(0)
+
+
 def _note(event: str, host: ids.HostId | None) -> actions.Note:
     return actions.Note(event, detail=f"peer={host}" if host else "")
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import random
+import time
 import unittest
 from collections.abc import Callable
 
@@ -112,6 +113,15 @@
         return sum(isinstance(event, events.PeerDown) for event in self.events)
 
 
+async def stall_in_series(ended: Callable[[], int]) -> None:
+    """Stalls the event loop 20 times, longer than two heartbeat intervals."""
+    for _ in range(20):
+        if ended():
+            return
+        time.sleep(2.5 * LIMITS.heartbeat_interval_s)
+        await asyncio.sleep(LIMITS.heartbeat_interval_s / 10)
+
+
 async def wait_until(condition: Callable[[], object]) -> None:
     """Waits for up to `WAIT_S` until a condition is met."""
     async with asyncio.timeout(WAIT_S):
@@ -299,6 +309,23 @@
         await wait_until(lambda: low.note_count("peer_link_wrong_host"))
         self.assertEqual(low.link_up_count(), 0)
 
+    async def test_stalls_in_series_kept_a_silent_link_open(self) -> None:
+        low, high = await self.host("a"), await self.host("b")
+        proxy = await self.relay_to(high.address)
+        low.list_host(high, proxy.address)
+        await wait_until(lambda: low.links.linked and high.links.linked)
+        proxy.silence_open_connections()
+        await stall_in_series(lambda: low.note_count("peer_link_silent"))
+        self.assertEqual(low.note_count("peer_link_silent"), 1)
+
+    async def test_stalls_in_series_leave_a_link_open(self) -> None:
+        low, high = await self.host("a"), await self.host("b")
+        low.list_host(high)
+        await wait_until(lambda: low.links.linked and high.links.linked)
+        await stall_in_series(lambda: low.link_down_count())
+        self.assertEqual(low.link_down_count(), 0)
+        self.assertEqual(high.link_down_count(), 0)
+
     async def test_silent_link_is_detected_and_dialled_again(self) -> None:
         low, high = await self.host("a"), await self.host("b")
         proxy = await self.relay_to(high.address)
