--- a/godwitnotch/core/leased/lease_calls.py
+++ b/godwitnotch/core/leased/lease_calls.py
@@ -152,8 +152,13 @@
     ) -> model.UpstreamCallId:
         call_id = self._out.next_call_id()
         lease.pending_calls += 1
-        address = lease.upstream.address
         self._calls[call_id] = PendingCall(
-            kind, lease, now, address, self.term, run, key
+            kind,
+            lease,
+            sent_at=now,
+            address=lease.upstream.address,
+            term=self.term,
+            run=run,
+            key=key,
         )
         return call_id
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -137,11 +137,6 @@
         self._last_tick_at = 0.0
         self._tick_gap_s = 0.0
 
-    @property
-    def term(self) -> model.Term:
-        """The term that is sent with every call."""
-        return self._calls.term
-
     @property
     def leases(self) -> Mapping[ids.UpstreamId, lease_module.Lease]:
         """All leases by upstream, in any state."""
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -28,6 +28,7 @@
     ),
     1.5,
 )
+VERSION = messages.PROTOCOL_VERSION
 EXAMPLES: tuple[messages.Message, ...] = (
     messages.Hello(1, ids.HostId("h"), ids.DomainId("d"), ids.Incarnation("i")),
     messages.Heartbeat(3, False),
@@ -116,7 +117,15 @@
     def test_unknown_version_and_kind(self) -> None:
         problem = codec.CodecProblem
         self.assertEqual(
-            self.decode_problem(cbor2.dumps([2, "config_wanted", []])),
+            self.decode_problem(
+                cbor2.dumps([VERSION - 1, "config_wanted", []])
+            ),
+            problem.UNKNOWN_VERSION,
+        )
+        self.assertEqual(
+            self.decode_problem(
+                cbor2.dumps([VERSION + 1, "config_wanted", []])
+            ),
             problem.UNKNOWN_VERSION,
         )
         self.assertEqual(
@@ -125,17 +134,17 @@
         )
         for name in ("nonsense", 3, []):
             self.assertEqual(
-                self.decode_problem(cbor2.dumps([1, name, []])),
+                self.decode_problem(cbor2.dumps([VERSION, name, []])),
                 problem.UNKNOWN_KIND,
             )
 
     def test_missing_extra_and_mistyped_fields(self) -> None:
         frames = [
-            cbor2.dumps([1, "config_changed", []]),
-            cbor2.dumps([1, "config_changed", [1, 2]]),
-            cbor2.dumps([1, "config_changed", {"counter": 1}]),
-            cbor2.dumps([1, "config_changed", [True]]),
-            cbor2.dumps([1, "config_changed", ["1"]]),
+            cbor2.dumps([VERSION, "config_changed", []]),
+            cbor2.dumps([VERSION, "config_changed", [1, 2]]),
+            cbor2.dumps([VERSION, "config_changed", {"counter": 1}]),
+            cbor2.dumps([VERSION, "config_changed", [True]]),
+            cbor2.dumps([VERSION, "config_changed", ["1"]]),
             self.with_field(3, ["price", [["text", None]]]),
             self.with_field(3, ["price", [[b"{}", "1"]]]),
             self.with_field(3, ["price", {}]),
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+import socket
 import statistics
 import unittest
 import unittest.mock
@@ -724,6 +725,26 @@
         notice = f"event=log_lines_dropped lines={stream.dropped_lines}"
         self.assertIn(notice, lines)
 
+    def test_no_write_is_cut_by_a_reader_of_8_kb(self) -> None:
+        reader, writer = socket.socketpair(
+            socket.AF_UNIX, socket.SOCK_SEQPACKET
+        )
+        self.addCleanup(reader.close)
+        self.addCleanup(writer.close)
+        stream = log_streams.NonBlockingStream(writer.fileno())
+        text = "".join(
+            f"event=line number={number} {'x' * 80}\n" for number in range(250)
+        )
+        stream.write(text)
+        stream.write(f"event=long {'x' * 10_000}\n")
+        writer.close()
+        pieces = []
+        while piece := reader.recv(1 << 16):
+            pieces.append(piece.decode())
+        self.assertEqual("".join(pieces), f"{text}event=long {'x' * 10_000}\n")
+        self.assertLessEqual(max(map(len, pieces)), 8_192)
+        self.assertTrue(all(piece[-1] == "\n" for piece in pieces[:-2]))
+
     def test_lines_kept_for_a_full_pipe_are_bounded(self) -> None:
         reader, writer = os.pipe()
         self.addCleanup(os.close, reader)
@@ -843,6 +864,34 @@
 
 
 class OwnedJobsTest(unittest.TestCase):
+    def test_job_that_was_refused_ran_as_its_owner_was_paused(self) -> None:
+        out = outbox.Outbox()
+        leaders = cells.CellLeaders()
+        sent = []
+        owned = owned_jobs.OwnedJobs(
+            out, leaders, send=lambda host, message: sent.append(message)
+        )
+        leader = cells.CellLeader(ids.HostId("one"), model.Term(1), True)
+        leaders.set(cells.WHOLE_FLEET, leader)
+        request = leased_world.request("j")
+        owned.job_received(ids.CallId(1), request, NOW + 5, now=NOW)
+        sent.clear()
+        owned.leader_changed(
+            cells.WHOLE_FLEET, leader.host, leader.term, now=NOW
+        )
+        # The leader then repeats its earlier answer instead of starting tasks.
+        self.assertTrue(sent[0].had_earlier_leader)
+        refusal = model.Answer(
+            model.JobEnd.REFUSED, model.EndReason.OVERLOADED, 1.0
+        )
+        owned.job_answered(leader.host, request.job, refusal)
+        (answer,) = [
+            each.answer
+            for each in out.take()
+            if isinstance(each, actions.AnswerCaller)
+        ]
+        self.assertIs(answer.end, model.JobEnd.GIVEN_UP)
+
     def test_refusal_by_a_second_leader_does_not_mean_not_started(self) -> None:
         out = outbox.Outbox()
         leaders = cells.CellLeaders()
