--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -142,6 +142,11 @@
         """All leases by upstream, in any state."""
         return self._leases
 
+    @property
+    def term(self) -> model.Term:
+        """The term that is sent with every call."""
+        return self._calls.term
+
     @property
     def held_count(self) -> int:
         """How many leases are held."""
