--- /dev/null
+++ b/tests/soak/exact_upstream.py
@@ -0,0 +1,214 @@
+"""An upstream whose run ends are exact, however late its process is scheduled.
+
+The end of a run is computed from clock values, as the earliest of its natural
+end, the end of the lease and the end of a stop.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+MAX_LEASE_MS = 1_000
+MAX_STOP_S = 0.05
+MAX_LISTED_ENDS = 500
+START_PATH = "/run-start"
+STOP_PATH = "/run-stop"
+RENEW_PATH = "/hold"
+
+# Called with the fields of a record.
+Record = Callable[..., None]
+
+
+@dataclass(slots=True)
+class Run:
+    """A run that has not ended.
+
+    Attributes:
+        task: Name of the task.
+        number: Number of the run.
+        ends_at: When the run ends by itself.
+        stops_at: When a stop takes effect; infinite without a stop.
+    """
+
+    task: str
+    number: int
+    ends_at: float
+    stops_at: float = float("inf")
+
+
+class ExactUpstream:
+    """The state of one upstream; all times are monotonic seconds.
+
+    Args:
+        upstream: Id of the upstream.
+        cpu_millis: Processor that all runs share.
+        clock_rate: Speed of its clock; 0.98 for a clock that is 2% slow.
+        started_at: When it starts; its clock shows 0 then.
+        born_ms: Unix time of its start.
+        rng: Source of run times and stop times.
+        record: Writes a record.
+    """
+
+    def __init__(
+        self,
+        upstream: str,
+        *,
+        cpu_millis: int,
+        clock_rate: float,
+        started_at: float,
+        born_ms: int,
+        rng: random.Random,
+        record: Record,
+    ) -> None:
+        self.upstream = upstream
+        self.ignores_leases = False
+        self._max_runs = max(1, cpu_millis // 1_000)
+        self._rate = clock_rate
+        self._started_at = started_at
+        self._born_ms = born_ms
+        self._rng = rng
+        self._record = record
+        self._term = 0
+        self._lease_ms = 0
+        self._runs: dict[tuple[str, int], Run] = {}
+        self._blocked: dict[str, int] = {}
+        self._ends: list[list[Any]] = []
+        self._end_count = 0
+
+    @property
+    def has_ends(self) -> bool:
+        """Whether there are ends that no order has acknowledged."""
+        return bool(self._ends)
+
+    def next_end(self) -> float:
+        """Returns when the next run ends; infinite without runs."""
+        return min(map(self._end_of, self._runs.values()), default=float("inf"))
+
+    def settle(self, now: float) -> None:
+        """Ends the runs whose end has passed, in the order of their ends."""
+        due = [
+            (self._end_of(run), run)
+            for run in self._runs.values()
+            if self._end_of(run) <= now
+        ]
+        for ended_at, run in sorted(due, key=lambda each: each[0]):
+            if ended_at == run.ends_at:
+                how = "done"
+            else:
+                how = "stopped" if ended_at == run.stops_at else "lapsed"
+            self._end(run, how, ended_at)
+
+    def execute(
+        self, path: str, body: dict[str, Any], sender: str, now: float
+    ) -> tuple[int, dict[str, Any]]:
+        """Executes an order; returns the status and the response's body."""
+        self.settle(now)
+        reason = self._execute(path, body, now)
+        self._record(
+            "order",
+            at=now,
+            up=self.upstream,
+            path=path,
+            task=body.get("task"),
+            run=body.get("run"),
+            term=body.get("fence", 0),
+            sender=sender,
+            reason=reason,
+            observed=body.get("observed"),
+            lease_until=self._lease_until(),
+        )
+        if reason:
+            return 409, {"clock_ms": self._clock_ms(now), "reason": reason}
+        return 200, {"clock_ms": self._clock_ms(now), "born": self._born_ms}
+
+    def lists(self, now: float) -> dict[str, Any]:
+        """Returns the response to a renewal."""
+        self.settle(now)
+        return {
+            "clock_ms": self._clock_ms(now),
+            "born": self._born_ms,
+            "running": [
+                [run.task, run.number, "", 100] for run in self._runs.values()
+            ],
+            "finished": self._ends[:MAX_LISTED_ENDS],
+        }
+
+    def _execute(self, path: str, body: dict[str, Any], now: float) -> str:
+        if body.get("fence", 0) < self._term:
+            return "fence"
+        self._term = body.get("fence", 0)
+        if path == START_PATH:
+            return self._start(body, now)
+        if path == STOP_PATH:
+            self._stop(body["task"], body["run"], now)
+            return ""
+        self._ends = [row for row in self._ends if row[0] > body["observed"]]
+        if "deadline_ms" in body:
+            self._extend(body["deadline_ms"], now)
+        return ""
+
+    def _start(self, body: dict[str, Any], now: float) -> str:
+        task, number = body["task"], body["run"]
+        if (task, number) in self._runs:
+            return ""
+        if body["deadline_ms"] < self._clock_ms(now):
+            return "late"
+        self._extend(body["deadline_ms"], now)
+        if number <= self._blocked.get(task, 0):
+            return "old"
+        if len(self._runs) >= self._max_runs:
+            return "room"
+        run_time_s = float(body["spec"]) * self._rng.uniform(0.9, 1.2) / 1_000
+        self._runs[task, number] = Run(task, number, now + run_time_s)
+        self._record(
+            "start",
+            at=now,
+            up=self.upstream,
+            task=task,
+            run=number,
+            term=body.get("fence", 0),
+            ends_at=now + run_time_s,
+        )
+        return ""
+
+    def _stop(self, task: str, number: int, now: float) -> None:
+        self._blocked[task] = max(self._blocked.get(task, 0), number)
+        for run in self._runs.values():
+            if run.task == task and run.number <= number:
+                stops_at = now + self._rng.uniform(0.0, MAX_STOP_S)
+                run.stops_at = min(run.stops_at, stops_at)
+
+    def _end(self, run: Run, how: str, ended_at: float) -> None:
+        del self._runs[run.task, run.number]
+        self._blocked[run.task] = max(
+            self._blocked.get(run.task, 0), run.number
+        )
+        self._end_count += 1
+        self._ends.append([self._end_count, run.task, run.number, how, ""])
+        self._record(
+            "end",
+            at=ended_at,
+            up=self.upstream,
+            task=run.task,
+            run=run.number,
+            how=how,
+            number=self._end_count,
+            stopped=run.stops_at != float("inf"),
+        )
+
+    def _end_of(self, run: Run) -> float:
+        lease_until = self._lease_until()
+        return min(run.ends_at, run.stops_at, lease_until)
+
+    def _lease_until(self) -> float:
+        if self.ignores_leases:
+            return float("inf")
+        return self._started_at + self._lease_ms / 1_000 / self._rate
+
+    def _extend(self, deadline_ms: int, now: float) -> None:
+        until = min(deadline_ms, self._clock_ms(now) + MAX_LEASE_MS)
+        self._lease_ms = max(self._lease_ms, until)
+
+    def _clock_ms(self, now: float) -> int:
+        return int((now - self._started_at) * 1_000 * self._rate)
--- /dev/null
+++ b/tests/soak/processes.py
@@ -0,0 +1,104 @@
+"""Starts, pauses and ends the processes of a soak, each by its id."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import sys
+import time
+from collections.abc import Mapping
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+START_TIMEOUT_S = 60.0
+
+
+class Process:
+    """A process that can be started again under the same name.
+
+    Args:
+        name: Name of the process and of its log.
+        folder: Folder of the log.
+
+    Attributes:
+        kills: When a process of this name was ended, and its id.
+    """
+
+    def __init__(self, name: str, folder: pathlib.Path) -> None:
+        self.name = name
+        self.log = folder / f"{name}.log"
+        self.kills: list[tuple[int, float]] = []
+        self._child: asyncio.subprocess.Process | None = None
+        self._pauses = 0
+
+    @property
+    def pid(self) -> int:
+        """Id of the current process; 0 if it doesn't run."""
+        if self._child is None or self._child.returncode is not None:
+            return 0
+        return self._child.pid
+
+    @property
+    def paused(self) -> bool:
+        """Whether the process is stopped."""
+        return self._pauses > 0
+
+    async def start(
+        self, *arguments: str, environment: Mapping[str, str] | None = None
+    ) -> None:
+        """Starts `python ARGUMENTS`; its output goes to the log."""
+        self._pauses = 0
+        with self.log.open("ab") as output:
+            self._child = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *arguments,
+                stdin=asyncio.subprocess.PIPE,
+                stdout=output,
+                stderr=output,
+                cwd=ROOT,
+                env={**os.environ, **(environment or {})},
+            )
+
+    async def wait_for_line(self, text: str, *, since: int = 0) -> None:
+        """Waits for a line of the log after the first `since` bytes."""
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while text.encode() not in self.log.read_bytes()[since:]:
+            if not self.pid or time.monotonic() > deadline:
+                raise RuntimeError(f"{self.name} didn't start; see {self.log}")
+            await asyncio.sleep(0.05)
+
+    def write_line(self, text: str) -> None:
+        """Writes a line to the standard input of the process."""
+        assert self._child is not None
+        assert self._child.stdin is not None
+        self._child.stdin.write(text.encode() + b"\n")
+
+    def pause(self) -> None:
+        """Stops the process until as many calls of `resume`."""
+        self._pauses += 1
+        self._signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Ends a pause, unless another one lasts."""
+        self._pauses = max(0, self._pauses - 1)
+        if not self._pauses:
+            self._signal(signal.SIGCONT)
+
+    async def end(self, number: signal.Signals = signal.SIGKILL) -> None:
+        """Ends the process with a signal and waits for its end."""
+        pid, child = self.pid, self._child
+        if not pid or child is None:
+            return
+        self._signal(number)
+        try:
+            await asyncio.wait_for(child.wait(), 10.0)
+        except TimeoutError:
+            self._signal(signal.SIGKILL)
+            await child.wait()
+        self.kills.append((pid, time.monotonic()))
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self.pid:
+            # The process may have ended, which asyncio has yet to notice.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.pid, number)
