--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -35,6 +35,7 @@
     parser.add_argument("--scale", type=float, default=0.6)
     parser.add_argument("--kinds", default="")
     parser.add_argument("--folder", default="")
+    parser.add_argument("--warm", type=float, default=3.0)
     parser.add_argument("--relayed", action="store_true")
     parser.add_argument("--network", type=int, default=0)
     return asyncio.run(_run(parser.parse_args()))
@@ -51,7 +52,11 @@
         relayed=options.relayed,
         kinds=kinds,
     )
-    print(f"seed={options.seed} folder={folder} faults={len(planned)}")
+    names = ",".join(sorted({fault.kind for fault in planned}))
+    print(
+        f"seed={options.seed} folder={folder} faults={len(planned)} "
+        f"kinds={names}"
+    )
     fleet = fleet_module.Fleet(
         folder,
         network=network,
@@ -74,7 +79,7 @@
     try:
         await fleet.start()
         load.start()
-        await asyncio.sleep(3.0)
+        await asyncio.sleep(options.warm)
         await executed.run(planned)
         last_fault_at = time.monotonic()
         while time.monotonic() < last_fault_at + RECOVERY_TIMEOUT_S:
@@ -136,6 +141,7 @@
             at = (
                 datetime.fromisoformat(match[1]).replace(tzinfo=UTC).timestamp()
                 - wall_offset
+                - host.ahead_s
             )
             if begin <= at <= end and (
                 any(word in line for word in words)
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -87,13 +87,13 @@
         records: The records of the upstreams.
         ended_processes: When each process of upstreams was ended, by its id.
     """
-    lives: dict[tuple[int, str], _Life] = {}
+    lives: dict[tuple[int, int, str], _Life] = {}
     found = []
     started: Run | None = None
     for record in records:
         if record["kind"] == "exit":
             continue
-        key = record["pid"], record["up"]
+        key = record["pid"], record["life"], record["up"]
         life = lives.setdefault(key, _Life())
         match record["kind"]:
             case "start":
@@ -118,7 +118,7 @@
                         if number <= record["observed"]:
                             run = life.numbers.pop(number)
                             run.acknowledged_at = record["at"]
-    for (pid, _), life in lives.items():
+    for (pid, *_), life in lives.items():
         for run in life.open.values():
             killed_at = ended_processes.get(pid, float("inf"))
             run.ended_at = min(run.ended_at, life.lease_until, killed_at)
--- a/tests/soak/exact_upstream.py
+++ b/tests/soak/exact_upstream.py
@@ -4,6 +4,7 @@
 end, the end of the lease and the end of a stop.
 """
 
+import functools
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -11,6 +12,10 @@
 
 MAX_LEASE_MS = 1_000
 MAX_STOP_S = 0.05
+FAILED_SHARE = 0.005
+SLOW_SHARE = 0.01
+SLOW_FACTOR = 6.0
+UNHEALTHY_SHARE = 0.003
 MAX_LISTED_ENDS = 500
 START_PATH = "/run-start"
 STOP_PATH = "/run-stop"
@@ -28,12 +33,14 @@
         task: Name of the task.
         number: Number of the run.
         ends_at: When the run ends by itself.
+        fails: Whether that end is a failure.
         stops_at: When a stop takes effect; infinite without a stop.
     """
 
     task: str
     number: int
     ends_at: float
+    fails: bool = False
     stops_at: float = float("inf")
 
 
@@ -68,7 +75,7 @@
         self._started_at = started_at
         self._born_ms = born_ms
         self._rng = rng
-        self._record = record
+        self._record = functools.partial(record, up=upstream, life=born_ms)
         self._term = 0
         self._lease_ms = 0
         self._runs: dict[tuple[str, int], Run] = {}
@@ -94,21 +101,27 @@
         ]
         for ended_at, run in sorted(due, key=lambda each: each[0]):
             if ended_at == run.ends_at:
-                how = "done"
+                how = "failed" if run.fails else "done"
             else:
                 how = "stopped" if ended_at == run.stops_at else "lapsed"
             self._end(run, how, ended_at)
 
+    def kill(self, now: float) -> None:
+        """Ends all runs, as the upstream's process is killed."""
+        self.settle(now)
+        for run in tuple(self._runs.values()):
+            self._end(run, "killed", now)
+
     def execute(
         self, path: str, body: dict[str, Any], sender: str, now: float
     ) -> tuple[int, dict[str, Any]]:
         """Executes an order; returns the status and the response's body."""
         self.settle(now)
-        reason = self._execute(path, body, now)
+        unhealthy = self._rng.random() < UNHEALTHY_SHARE
+        reason = "unhealthy" if unhealthy else self._execute(path, body, now)
         self._record(
             "order",
             at=now,
-            up=self.upstream,
             path=path,
             task=body.get("task"),
             run=body.get("run"),
@@ -118,9 +131,11 @@
             observed=body.get("observed"),
             lease_until=self._lease_until(),
         )
+        if unhealthy:
+            return 503, {}
         if reason:
             return 409, {"clock_ms": self._clock_ms(now), "reason": reason}
-        return 200, {"clock_ms": self._clock_ms(now), "born": self._born_ms}
+        return 200, {"clock_ms": self._clock_ms(now)}
 
     def lists(self, now: float) -> dict[str, Any]:
         """Returns the response to a renewal."""
@@ -160,11 +175,13 @@
         if len(self._runs) >= self._max_runs:
             return "room"
         run_time_s = float(body["spec"]) * self._rng.uniform(0.9, 1.2) / 1_000
-        self._runs[task, number] = Run(task, number, now + run_time_s)
+        if self._rng.random() < SLOW_SHARE:
+            run_time_s *= SLOW_FACTOR
+        fails = self._rng.random() < FAILED_SHARE
+        self._runs[task, number] = Run(task, number, now + run_time_s, fails)
         self._record(
             "start",
             at=now,
-            up=self.upstream,
             task=task,
             run=number,
             term=body.get("fence", 0),
@@ -189,7 +206,6 @@
         self._record(
             "end",
             at=ended_at,
-            up=self.upstream,
             task=run.task,
             run=run.number,
             how=how,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -18,6 +18,7 @@
     "starve_upstreams",
     "restart_upstreams",
     "move_upstreams",
+    "blink_upstreams",
     "unlist_upstream",
 )
 BUSY_CODE = "import time\nend = time.monotonic() + {}\nwhile time.monotonic() < end: pass"
@@ -86,6 +87,26 @@
     async def _pause_host(self, fault: schedule.Fault, targets: list) -> None:
         await _pause(targets[0].process, fault.duration_s)
 
+    async def _suspend_host(self, fault: schedule.Fault, targets: list) -> None:
+        """Pauses a host whose steady clock doesn't count the pause."""
+        host = targets[0]
+        begun_at, pid = time.monotonic(), host.process.pid
+        host.process.pause()
+        await asyncio.sleep(fault.duration_s)
+        if host.process.pid != pid:
+            return
+        host.suspended_s += time.monotonic() - begun_at
+        host.write_clocks()
+        host.process.signal(signal.SIGUSR1)
+        host.process.resume()
+
+    async def _step_clock(self, fault: schedule.Fault, targets: list) -> None:
+        """Steps a host's time of day."""
+        host = targets[0]
+        host.ahead_s = random.Random(fault.number).uniform(-4.0, 4.0)
+        host.write_clocks()
+        host.process.signal(signal.SIGUSR1)
+
     async def _pause_many(self, fault: schedule.Fault, targets: list) -> None:
         async def pause_one(process: processes.Process) -> None:
             await asyncio.sleep(self._rng.uniform(0.0, 0.5))
@@ -129,16 +150,31 @@
     async def _move_upstreams(self, fault: schedule.Fault, targets) -> None:
         await self._restart_group(fault, targets[0], port_step=1)
 
+    async def _blink_upstreams(self, fault: schedule.Fault, targets) -> None:
+        """Restarts upstreams at once, at the same address."""
+        targets[0].process.signal(signal.SIGUSR1)
+
     async def _unlist_upstream(self, fault: schedule.Fault, targets) -> None:
-        upstream = self._rng.choice(targets[0].upstreams)
+        upstream = random.Random(fault.number).choice(targets[0].upstreams)
+        if not upstream.listed:
+            return
         await self._fleet.unlist_upstream(upstream)
         await asyncio.sleep(fault.duration_s)
         await self._fleet.list_upstream(upstream)
 
+    async def _add_upstream(self, fault: schedule.Fault, targets: list) -> None:
+        """Lists an upstream that the hosts have never seen."""
+        unlisted = [
+            each for each in self._fleet.upstreams() if not each.listed
+        ]
+        if unlisted:
+            chosen = random.Random(fault.number).choice(unlisted)
+            await self._fleet.list_upstream(chosen)
+
     async def _delay_links(self, fault: schedule.Fault, targets: list) -> None:
         rng = random.Random(fault.number)
         others = self._others(targets[0], rng)
-        delay_s = rng.choice((0.02, 0.1, 0.3, 0.6))
+        delay_s = rng.choice((0.02, 0.1, 0.3, 0.6, 1.5))
         await self._rules("delay", fault, targets[0], others, delay_s)
 
     async def _cut_upstreams(
@@ -166,6 +202,23 @@
         ):
             await asyncio.sleep(fault.duration_s)
 
+    async def _cut_domains(self, fault: schedule.Fault, targets: list) -> None:
+        """Cuts two failure domains from each other, but not from the third."""
+        one = targets[0].domain
+        rng = random.Random(fault.number)
+        other = rng.choice([d for d in fleet_module.DOMAINS if d != one])
+        ips: dict[str, list[str]] = {}
+        for each in (*self._fleet.hosts, *self._fleet.upstreams()):
+            ips.setdefault(each.domain, []).append(each.ip)
+        with (
+            self._fleet.rule("hold", ips[one], ips[other]),
+            self._fleet.rule("hold", ips[other], ips[one]),
+        ):
+            await asyncio.sleep(2 * fault.duration_s)
+
+    async def _cut_store(self, fault: schedule.Fault, targets: list) -> None:
+        await self._rules("hold", fault, targets[0], [self._fleet.store_ip])
+
     async def _reset_links(self, fault: schedule.Fault, targets: list) -> None:
         others = self._others(targets[0], random.Random(fault.number))
         await self._rules("reset", fault, targets[0], others)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -26,6 +26,7 @@
 UPSTREAM_PORT = 9000
 SLOTS = 8
 CPU_MILLIS = 2_000
+UNLISTED = 2  # Upstreams of a domain that are not listed at first.
 CALL_TIMEOUT_S = 5.0
 _LEADER = re.compile(r"event=leader_changed leader=([\d.]+):")
 
@@ -40,6 +41,20 @@
     cores: float
     process: processes.Process
     port_step: int = 0
+    suspended_s: float = 0.0
+    ahead_s: float = 0.0
+
+    @property
+    def clock_file(self) -> pathlib.Path:
+        """File that tells the process about its clocks."""
+        return self.process.log.with_suffix(".clock")
+
+    def write_clocks(self) -> None:
+        """Writes the clocks; the process reads them on SIGUSR1."""
+        text = f"{self.suspended_s} {self.ahead_s}"
+        new = self.clock_file.with_suffix(".new")
+        new.write_text(text)
+        new.rename(self.clock_file)
 
     @property
     def callers(self) -> tuple[str, int]:
@@ -98,7 +113,7 @@
         self._rng = random.Random(seed)
         self._starts = 0
         self._client = http_client.HttpClient()
-        self._store_ip = f"127.{network}.0.1"
+        self.store_ip = f"127.{network}.0.1"
         self.store = processes.Process("store", folder)
         self.relays = processes.Process("relays", folder)
         self._relay_addresses: set[tuple[str, int]] = set()
@@ -111,6 +126,7 @@
                 # The first host of each domain is the strongest.
                 cores=(2.667 if number == 0 else 2.0) - index / 100,
                 process=processes.Process(f"host-{domain}-{number}", folder),
+                ahead_s=self._rng.uniform(-0.5, 0.5),
             )
             for index, domain in enumerate(DOMAINS)
             for number in range(hosts_per_domain)
@@ -124,6 +140,8 @@
                         domain,
                         f"127.{network}.{index + 11}.{number + 1}",
                         clock_rate=self._rng.choice((1.0, 0.98)),
+                        # The last ones are added later.
+                        listed=number < upstreams_per_domain - UNLISTED,
                     )
                     for number in range(
                         group, upstreams_per_domain, groups_per_domain
@@ -137,14 +155,14 @@
     async def start(self) -> None:
         """Starts all processes and waits until the hosts are ready."""
         await self.store.start(
-            "-m", "tests.soak.store_process", self._store_ip, str(STORE_PORT)
+            "-m", "tests.soak.store_process", self.store_ip, str(STORE_PORT)
         )
         await self.store.wait_for_line("listening")
         await self._put("op", "config", _configuration())
         if self.relayed:
             await self.relays.start("-m", "tests.soak.relay_process")
             await self.relays.wait_for_line("listening")
-            self.relay(self._store_ip, STORE_PORT)
+            self.relay(self.store_ip, STORE_PORT)
         await asyncio.gather(*map(self.start_group, self.groups))
         await asyncio.gather(*map(self.start_host, self.hosts))
         for host in self.hosts:
@@ -168,7 +186,10 @@
         self.relay(host.ip, PEERS_PORT + host.port_step)
         file = self.folder / f"{host.process.name}.conf"
         file.write_text(self._settings(host))
+        host.suspended_s = 0.0
+        host.write_clocks()
         environment = {
+            host_process.CLOCK_FILE_VARIABLE: str(host.clock_file),
             "GODWITNOTCH_NODE_FILE": str(file),
             host_process.IP_VARIABLE: host.ip,
             host_process.RELAY_VARIABLE: "1" if self.relayed else "",
@@ -290,7 +311,7 @@
                 f"listen.control={ip}:{PEERS_PORT + step}",
                 "port_range=7720,7735",
                 f"seeds={','.join(seeds[:3])}",
-                f"platform.address={self._store_ip}:{STORE_PORT}",
+                f"platform.address={self.store_ip}:{STORE_PORT}",
                 "limits.cpu_share=1.0",
                 f"limits.cores={host.cores}",
                 "bounds.grace_s=6",
@@ -303,7 +324,7 @@
 
     def _store(self) -> store_module.Store:
         return store_module.Store(
-            f"{self._store_ip}:{STORE_PORT}", self._client
+            f"{self.store_ip}:{STORE_PORT}", self._client
         )
 
     def _deadline(self) -> float:
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -16,6 +16,7 @@
 CALLERS_PER_HOST = 2
 # Jobs a second, tasks of a job, and duration of a task in ms.
 KINDS = ((17, 8, 60), (3, 4, 900), (50, 2, 200))
+GIVE_UP_SHARE = 0.01  # Callers that leave early, and send the job again.
 RESENT_STATUSES = (502, 504)
 
 
@@ -130,8 +131,11 @@
         for host in hosts[:MAX_CALLS]:
             call = Call(host.name, time.monotonic())
             job.calls.append(call)
+            wait_s = CALLER_WAIT_S
+            if self._rng.random() < GIVE_UP_SHARE:
+                wait_s = self._rng.uniform(0.0, 0.5)
             try:
-                async with asyncio.timeout(CALLER_WAIT_S):
+                async with asyncio.timeout(wait_s):
                     call.status, call.body = await self._post(
                         host, job.name, body
                     )
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -76,28 +76,29 @@
     def pause(self) -> None:
         """Stops the process until as many calls of `resume`."""
         self._pauses += 1
-        self._signal(signal.SIGSTOP)
+        self.signal(signal.SIGSTOP)
 
     def resume(self) -> None:
         """Ends a pause, unless another one lasts."""
         self._pauses = max(0, self._pauses - 1)
         if not self._pauses:
-            self._signal(signal.SIGCONT)
+            self.signal(signal.SIGCONT)
 
     async def end(self, number: signal.Signals = signal.SIGKILL) -> None:
         """Ends the process with a signal and waits for its end."""
         pid, child = self.pid, self._child
         if not pid or child is None:
             return
-        self._signal(number)
+        self.signal(number)
         try:
             await asyncio.wait_for(child.wait(), 10.0)
         except TimeoutError:
-            self._signal(signal.SIGKILL)
+            self.signal(signal.SIGKILL)
             await child.wait()
         self.kills.append((pid, time.monotonic()))
 
-    def _signal(self, number: signal.Signals) -> None:
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal, unless the process has ended."""
         if self.pid:
             # The process may have ended, which asyncio has yet to notice.
             with contextlib.suppress(ProcessLookupError):
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -9,6 +9,7 @@
     "pause_host": 10,
     "pause_series": 4,
     "pause_many": 3,
+    "suspend_host": 4,
     "starve_host": 8,
     "kill_host": 3,
     "term_host": 1,
@@ -17,7 +18,10 @@
     "starve_upstreams": 3,
     "restart_upstreams": 3,
     "move_upstreams": 2,
-    "unlist_upstream": 2,
+    "blink_upstreams": 3,
+    "unlist_upstream": 4,
+    "step_clock": 1,
+    "add_upstream": 2,
     "busy": 1,
 }
 # These need relays.
@@ -26,11 +30,14 @@
     "cut_upstreams": 4,
     "cut_hosts": 4,
     "cut_domain": 2,
+    "cut_domains": 3,
+    "cut_store": 2,
     "reset_links": 2,
     "silence_links": 3,
 }
 LEADER_SHARE = 0.6
-MEAN_GAP_S = 1.2
+KIND_SHARE = 0.4
+MEAN_GAPS_S = (0.8, 1.6, 3.2)
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,15 +79,18 @@
     """Returns the faults of a seed; only those of `kinds` if there are any."""
     rng = random.Random(seed)
     possible = {**KINDS, **LINK_KINDS} if relayed else KINDS
+    # Some faults hide what others would show, so each seed has some kinds only.
+    drawn = {kind for kind in possible if rng.random() < KIND_SHARE}
     weights = {
         kind: weight
         for kind, weight in possible.items()
-        if not kinds or kind in kinds
+        if kind in (kinds or drawn or possible)
     }
     faults = []
+    gap_s = rng.choice(MEAN_GAPS_S)
     at_s = 0.0
     while True:
-        at_s += rng.expovariate(1 / MEAN_GAP_S)
+        at_s += rng.expovariate(1 / gap_s)
         if at_s >= duration_s:
             return faults
         kind = rng.choices(tuple(weights), tuple(weights.values()))[0]
