--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.requirements-installed
 
-.PHONY: setup demo test failures scenarios histories leased-histories mutants bench capacity binary binary-cost lint types format
+.PHONY: setup demo test failures scenarios histories leased-histories mutants soak bench capacity binary binary-cost lint types format
 
 # How many histories of each kind `make histories` tries, and from which seed.
 HISTORIES ?= 2000
@@ -36,6 +36,14 @@
 	LEASED_HISTORIES=$(HISTORIES) LEASED_SEED=$(HISTORIES_SEED) \
 	    $(PY) -m unittest tests.test_leased_histories
 
+# Real processes with faults from a seed; prints the runs that broke a rule.
+SEED ?= 1
+MINUTES ?= 1
+HOSTS ?= 6
+
+soak: setup
+	$(PY) -m tests.soak --seed $(SEED) --minutes $(MINUTES) --hosts $(HOSTS)
+
 mutants: setup
 	$(PY) -m tests.mutants
 
