--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -115,11 +115,10 @@
 async def _pause_many(
     faults: Faults, fault: schedule.Fault, rng: random.Random
 ) -> str:
-    hosts = faults.fleet.hosts
-    chosen = rng.sample(hosts, rng.randint(2, max(2, len(hosts) // 2)))
-    chosen = list(
-        {host.name: host for host in (*chosen, faults.host(fault))}.values()
-    )
+    host = faults.host(fault)
+    others = [each for each in faults.fleet.hosts if each is not host]
+    count = rng.randint(1, max(1, len(others) // 2))
+    chosen = [host, *rng.sample(others, count)]
 
     async def pause_one(process: processes.Process) -> None:
         await asyncio.sleep(rng.uniform(0.0, 0.5))
