--- a/godwitnotch/core/leased/lease.py
+++ b/godwitnotch/core/leased/lease.py
@@ -193,6 +193,34 @@
         self.responded_at = now
         self.failures = 0
 
+    def follow_instance(
+        self, started_ms: int, *, sent_at: float, now: float
+    ) -> bool:
+        """Notes which instance of the upstream has responded to a call.
+
+        The order of the start times proves nothing, as a clock may have been
+        set back. An instance is newer if it has responded to a call that was
+        sent after the last response of the known one. Runs of the known one end
+        when they are missing in a list.
+
+        Args:
+            started_ms: Start time in the response; 0 if it states none.
+            sent_at: When the call was sent.
+            now: The current time.
+
+        Returns:
+            Whether the response is from the newest instance that is known.
+        """
+        if not started_ms:
+            return True
+        if self.instance_started_ms not in (0, started_ms):
+            if sent_at < self.instance_seen_at:
+                return False
+            self.acknowledged_end = 0
+        self.instance_started_ms = started_ms
+        self.instance_seen_at = now
+        return True
+
     def record_renewal(self, *, now: float) -> None:
         """Extends expires_at, as an order that may renew the lease is sent."""
         self.expires_at = max(self.expires_at, now + MAX_LEASE_DURATION_S)
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -10,8 +10,6 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
-from dataclasses import dataclass
-from typing import Protocol
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import events
@@ -20,7 +18,10 @@
 from godwitnotch.core.leased import lease_calls
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import outbox as outbox_module
+from godwitnotch.core.leased import run_index
+from godwitnotch.core.leased import run_listener
 from godwitnotch.core.leased import run_lists
+from godwitnotch.core.leased import unclaimed_done
 from godwitnotch.core.leased.lease import LeaseEvent
 from godwitnotch.core.leased.lease import LeaseState
 from godwitnotch.core.leased.lease import RunState
@@ -41,73 +42,11 @@
 RECENT_RESPONSE_S = 1.0
 BASE_LIST_RETRY_DELAY_S = 0.06
 MAX_LIST_RETRY_DELAY_S = 1.0
-# How long a run is remembered that has succeeded before its owner has handed
-# over the job.
-UNCLAIMED_DONE_RETENTION_S = 3.0
 # Resources reserved for a run that was found at an upstream, until its job is
 # known.
 UNKNOWN_NEEDS = model.Resources(0, 0, 0)
 
 
-@dataclass(frozen=True, slots=True)
-class _UnclaimedDone:
-    """A run that has succeeded, whose job no owner has handed over yet."""
-
-    key: model.RunKey
-    expires_at: float
-
-
-class RunListener(Protocol):
-    """Finds the jobs of runs and handles changes of runs."""
-
-    def adopt_run(self, key: model.RunKey) -> jobs.LeasedJob | None:
-        """Assigns a run found at an upstream to its job.
-
-        Returns:
-            The job; None if no owner has claimed the run.
-        """
-
-    def adopt_done_run(self, key: model.RunKey, *, now: float) -> bool:
-        """Handles a run that has succeeded under an earlier leader or lease.
-
-        Returns:
-            Whether an owner has claimed the job of the run.
-        """
-
-    def run_ended(
-        self,
-        lease: lease_module.Lease,
-        run: lease_module.Run,
-        end: model.RunEnd,
-        *,
-        now: float,
-    ) -> None:
-        """Handles the end of a run."""
-
-    def order_rejected(
-        self,
-        lease: lease_module.Lease,
-        run: lease_module.Run,
-        rejection: model.OrderRejection,
-        *,
-        now: float,
-    ) -> None:
-        """Handles a rejected start order; the run has not started."""
-
-    def higher_term_seen(
-        self, lease: lease_module.Lease, *, was_held: bool, now: float
-    ) -> None:
-        """Handles a rejection by an upstream that has seen a higher term.
-
-        Args:
-            lease: The lease on the upstream.
-            was_held: Whether this host held the lease until now and the
-                upstream has responded within RECENT_RESPONSE_S. Also true if
-                this host held no lease at all.
-            now: The current time.
-        """
-
-
 class LeaseManager:
     """The leases of one leader.
 
@@ -120,7 +59,7 @@
     def __init__(
         self,
         out: outbox_module.Outbox,
-        listener: RunListener,
+        listener: run_listener.RunListener,
         *,
         in_scope: Callable[[model.LeasedUpstream], bool],
     ) -> None:
@@ -130,10 +69,8 @@
         self._calls = lease_calls.LeaseCalls(out)
         self._claim_period_open = False
         self._leases: dict[ids.UpstreamId, lease_module.Lease] = {}
-        self._runs: dict[
-            model.TaskKey, dict[ids.UpstreamId, lease_module.Run]
-        ] = {}
-        self._unclaimed_done: dict[model.TaskKey, _UnclaimedDone] = {}
+        self._runs = run_index.RunIndex()
+        self._unclaimed_done = unclaimed_done.UnclaimedDone()
         self._last_tick_at = 0.0
         self._tick_gap_s = 0.0
 
@@ -231,10 +168,10 @@
     def adopt_runs(self, job: jobs.LeasedJob, *, now: float) -> None:
         """Assigns unclaimed runs to a job that an owner has handed over."""
         for task in job.tasks:
-            done = self._unclaimed_done.pop(task.key, None)
+            done = self._unclaimed_done.pop(task.key)
             if done is not None:
-                self._listener.adopt_done_run(done.key, now=now)
-            for upstream, run in self._runs.get(task.key, {}).items():
+                self._listener.adopt_done_run(done, now=now)
+            for upstream, run in self._runs.of_task(task.key):
                 if run.job is None:
                     self._adopt_run(upstream, run)
 
@@ -276,7 +213,7 @@
             expected_s=expected_s,
             start_expires_at=now + lease_module.MAX_LEASE_DURATION_S,
         )
-        self._add_run(lease, run)
+        self._runs.add(lease, run)
         lease.record_renewal(now=now)
         self._calls.start(lease, run, job.request.spec, now=now)
 
@@ -299,13 +236,13 @@
     def stop_job(self, job: jobs.LeasedJob, *, now: float) -> None:
         """Orders all runs of a job to stop."""
         for task in job.tasks:
-            for upstream, run in self._runs.get(task.key, {}).items():
+            for upstream, run in self._runs.of_task(task.key):
                 if run.job is job and run.state is not RunState.STOPPING:
                     self.stop_run(self._leases[upstream], run, now=now)
 
     def tick(self, *, now: float) -> None:
         """Handles expired leases; repeats stop orders and list requests."""
-        self._forget_unclaimed_done(now=now)
+        self._unclaimed_done.forget_expired(now=now)
         self._tick_gap_s = now - self._last_tick_at
         self._last_tick_at = now
         for upstream, lease in tuple(self._leases.items()):
@@ -506,22 +443,6 @@
             lease, deadline_ms=deadline_ms, wait_ms=wait_ms, now=now
         )
 
-    def _add_run(
-        self, lease: lease_module.Lease, run: lease_module.Run
-    ) -> None:
-        lease.add_run(run)
-        runs_by_upstream = self._runs.setdefault(run.key.task, {})
-        runs_by_upstream[lease.upstream.upstream] = run
-
-    def _remove_run(
-        self, lease: lease_module.Lease, run: lease_module.Run
-    ) -> None:
-        lease.remove_run(run)
-        runs_by_upstream = self._runs[run.key.task]
-        del runs_by_upstream[lease.upstream.upstream]
-        if not runs_by_upstream:
-            del self._runs[run.key.task]
-
     def _start_reconciling(
         self,
         lease: lease_module.Lease,
@@ -546,7 +467,7 @@
                 confirmed_at=now,
                 start_expires_at=now + lease_module.MAX_LEASE_DURATION_S,
             )
-            self._add_run(lease, run)
+            self._runs.add(lease, run)
             self._adopt_run(lease.upstream.upstream, run)
 
     def _adopt_run(
@@ -615,14 +536,7 @@
     def _record_done(self, key: model.RunKey, *, now: float) -> None:
         """Records a successful run that this leader didn't know as active."""
         if not self._listener.adopt_done_run(key, now=now):
-            self._unclaimed_done[key.task] = _UnclaimedDone(
-                key, now + UNCLAIMED_DONE_RETENTION_S
-            )
-
-    def _forget_unclaimed_done(self, *, now: float) -> None:
-        for task, done in tuple(self._unclaimed_done.items()):
-            if now >= done.expires_at:
-                del self._unclaimed_done[task]
+            self._unclaimed_done.add(key, now=now)
 
     def _record_end(
         self,
@@ -633,7 +547,7 @@
         now: float,
     ) -> None:
         """Removes a run that has ended and informs the listener."""
-        self._remove_run(lease, run)
+        self._runs.remove(lease, run)
         self._listener.run_ended(lease, run, end, now=now)
 
     def _stop_unknown(
@@ -669,7 +583,7 @@
         now: float,
     ) -> None:
         if lease.runs.get(run.key.task) is run:
-            self._remove_run(lease, run)
+            self._runs.remove(lease, run)
             self._listener.order_rejected(lease, run, rejection, now=now)
 
     def _follow_instance(
@@ -679,33 +593,20 @@
         *,
         now: float,
     ) -> bool:
-        """Notes which instance of an upstream has responded.
-
-        The order of the start times proves nothing, as a clock may have been
-        set back. An instance is newer if it has responded to a call that was
-        sent after the last response of the known one. Runs of the known one end
-        when they are missing in a list.
-
-        Returns:
-            Whether the response is from the newest instance that is known, at
-            the address that is listed now.
-        """
-        lease = call.lease
+        """Returns whether a response is from the upstream's newest instance."""
         if call.to_former_address:
             return False
-        if not instance_started_ms:
-            return True
-        if lease.instance_started_ms not in (0, instance_started_ms):
-            if call.sent_at < lease.instance_seen_at:
-                return False
+        lease = call.lease
+        known_ms = lease.instance_started_ms
+        newest = lease.follow_instance(
+            instance_started_ms, sent_at=call.sent_at, now=now
+        )
+        if newest and known_ms not in (0, lease.instance_started_ms):
             self._out.add_decision(
                 "upstream_restarted",
                 detail=f"upstream={lease.upstream.upstream}",
             )
-            lease.acknowledged_end = 0
-        lease.instance_started_ms = instance_started_ms
-        lease.instance_seen_at = now
-        return True
+        return newest
 
     def _record_failure(self, lease: lease_module.Lease, *, now: float) -> None:
         """Counts a failed call and delays the next list request."""
