A late redirect moved a job that its leader had again

A leader redirects no job that had an earlier leader, so such a redirect is late and is ignored. tests.test_leased_decisions, OwnedJobsTest test_late_redirect_..: failed before (the job went to 'two' as well), passes now.

--- a/godwitnotch/core/leased/owned_jobs.py
+++ b/godwitnotch/core/leased/owned_jobs.py
@@ -190,10 +190,16 @@
         *,
         now: float,
     ) -> None:
-        """Hands a job that its leader hasn't started to another leader."""
+        """Hands a job that its leader hasn't started to another leader.
+
+        A leader redirects no job that had an earlier leader. If this job had
+        one, it was handed over again after the leader had redirected it.
+        """
         owned = self._jobs.get(name)
         if owned is None or owned.leader != leader or owned.cell is None:
             return
+        if owned.earlier_term:
+            return
         owned.redirected = True
         cell = self._leaders.cell_of(to)
         if cell is None:
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -892,6 +892,27 @@
         ]
         self.assertIs(answer.end, model.JobEnd.GIVEN_UP)
 
+    def test_late_redirect_moved_a_job_that_its_leader_had_again(self) -> None:
+        leaders = cells.CellLeaders()
+        sent = []
+        owned = owned_jobs.OwnedJobs(
+            outbox.Outbox(),
+            leaders,
+            send=lambda host, message: sent.append((host, message)),
+        )
+        leader = cells.CellLeader(ids.HostId("one"), model.Term(1), True)
+        other = cells.CellLeader(ids.HostId("two"), model.Term(1), True)
+        leaders.set(cells.WHOLE_FLEET, leader)
+        leaders.set(model.CellId("d"), other)
+        request = leased_world.request("j")
+        owned.job_received(ids.CallId(1), request, NOW + 5, now=NOW)
+        # The leader redirects the job while its owner hands it over again.
+        owned.leader_changed(
+            cells.WHOLE_FLEET, leader.host, leader.term, now=NOW
+        )
+        owned.job_redirected(leader.host, request.job, other.host, now=NOW)
+        self.assertEqual({host for host, _ in sent}, {leader.host})
+
     def test_refusal_by_a_second_leader_does_not_mean_not_started(self) -> None:
         out = outbox.Outbox()
         leaders = cells.CellLeaders()
