--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -211,7 +211,7 @@
         self._owners.host_lost(owner, now=now)
 
     def owner_left(self, owner: ids.HostId, *, now: float) -> None:
-        """Stops the jobs of a host that follows another leader for some time."""
+        """Stops the jobs of a host, unless it follows this one again in time."""
         self._owners.host_left(owner, now=now)
 
     def owner_linked(self, owner: ids.HostId, *, now: float) -> None:
--- a/tests/test_leased_leaders.py
+++ b/tests/test_leased_leaders.py
@@ -8,6 +8,7 @@
 from godwitnotch.core.leased import model
 from tests import leased_faults
 from tests import leased_world
+from tests import test_leased_histories
 
 DOMAINS = {"a": ["a1", "a2"], "b": ["b1", "b2"], "c": ["c1", "c2"]}
 # After this time a host knows which upstreams have left the list.
@@ -113,5 +114,19 @@
         self.assertEqual(world.overlaps(), [])
 
 
+class HistoriesTest(unittest.TestCase):
+    def test_random_histories_start_no_task_twice_at_the_same_time(
+        self,
+    ) -> None:
+        first = test_leased_histories.FIRST_SEED
+        count = test_leased_histories.HISTORY_COUNT // 10
+        for divided in (False, True):
+            for seed in range(first, first + count):
+                with self.subTest(seed=seed, divided=divided):
+                    history = leased_faults.FaultyHistory(seed, divided=divided)
+                    history.run()
+                    self.assertEqual(history.world.overlaps(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
