--- a/tests/mutants/__main__.py
+++ b/tests/mutants/__main__.py
@@ -38,6 +38,8 @@
     "tests.test_leased_decisions",
     "tests.test_leased_load_patterns",
     "tests.test_leased_cells",
+    "tests.test_leased_leaders",
+    "tests.test_leased_clocks",
     "tests.test_leased_histories",
 )
 _FAILED = re.compile(r"^(?:FAIL|ERROR): (\S+)", re.MULTILINE)
