Owners: jobs of one that came back from a higher term were dropped

Callers saw an answer seconds late, or none before their deadline. An owner that has followed a leader of a higher term and returns within 0.25 s hands its jobs over and names that term in AllHandedOver. The leader ignored the message as its own term is lower, so the owner stayed lost, no task of its jobs started and all were dropped at the end of the grace.

A message of an earlier time in office still has a lower term than the election and is ignored.

--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -482,8 +482,8 @@
             case cell_load.CellLoad():
                 self._dispatcher.overflow.load_received(host, message, now=now)
             case peer_messages.AllHandedOver(term=term):
-                # The sender may not have heard yet that the term was raised.
-                if self._elected_term <= term <= self._leadership.term:
+                # The sender may know a higher term, or not yet a raised one.
+                if term >= self._elected_term:
                     self._dispatcher.all_handed_over(host, now=now)
             case peer_messages.JobDropped(job=job):
                 self._dispatcher.job_dropped(host, job, now=now)
