Leases: a list rejected for its term, after the expiry, raised KeyError

A list that is requested after the expiry and rejected for its term may make the leader step down in the same event, which forgets all leases. The expiry that followed removed runs from books that were empty already. The runtime caught the error; the rest of the event (serving state, home leader, its actions until the next event) was left undone. The test fails before with KeyError in _remove_run.

--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -723,6 +723,8 @@
     ) -> None:
         """Expires a lease if the upstream was asked since and sent no list."""
         lease = call.lease
+        if self._leases.get(lease.upstream.upstream) is not lease:
+            return
         if lease.expired(now=now) and call.sent_at >= lease.expires_at:
             self._expire(lease, now=now)
 
--- a/tests/test_leased_review.py
+++ b/tests/test_leased_review.py
@@ -2,7 +2,11 @@
 
 import unittest
 
+from godwitnotch.core.leased import actions
+from godwitnotch.core.leased import events
+from godwitnotch.core.leased import lease
 from godwitnotch.core.leased import model
+from tests import test_leased_instances
 from tests import test_leased_leaders
 
 
@@ -25,5 +29,20 @@
         self.assertEqual(world.answers[call][1].end, model.JobEnd.COMPLETED)
 
 
+class RejectionTest(test_leased_instances.ManagerTest):
+    def test_rejected_list_of_an_expired_lease_ends_the_lead(self) -> None:
+        def stop_leading(lease, *, was_held, now) -> None:
+            self.manager.stop_leading()
+
+        self.listener.higher_term_seen = stop_leading
+        self.accept(self.start(0))
+        self.now += lease.MAX_LEASE_DURATION_S + 0.1
+        self.manager.tick(now=self.now)
+        (request,) = self.take(actions.RenewLease)
+        rejected = events.OrderRejected(request.call, model.OrderRejection.TERM)
+        self.manager.order_rejected(rejected, now=self.now)
+        self.assertEqual(self.listener.ended, [])
+
+
 if __name__ == "__main__":
     unittest.main()
