Leases: another leader's later run of a known task was left out of the books

The first list of a term may name a run of a task with another number than the leader's books, if a leader of a term between both has started it again there. The listed run was skipped and the known one then ended as missing, so the task was free to start elsewhere beside the listed run. An order for the known run that is still under way has a lower term than this list and is rejected.

The test fails before: no run of the task is known after the list. Shown with the lease manager only, not seen in a history.

--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -534,8 +534,10 @@
         lease.expires_at = now + lease_module.MAX_LEASE_DURATION_S
         for key in run_list.running:
             known = lease.runs.get(key.task)
-            if known is not None:
+            if known is not None and known.key == key:
                 continue
+            if known is not None:
+                self._record_end(lease, known, model.RunEnd.MISSING, now=now)
             run = lease_module.Run(
                 key,
                 None,
--- a/tests/test_leased_review.py
+++ b/tests/test_leased_review.py
@@ -44,5 +44,24 @@
         self.assertEqual(self.listener.ended, [])
 
 
+class RaisedTermTest(test_leased_instances.ManagerTest):
+    def test_later_run_of_another_leader_is_known(self) -> None:
+        (request,) = self.accept(self.start(0))
+        self.list_runs(request, 0, instance=1_000)
+        self.take(actions.RenewLease)
+        self.now += 0.1
+        self.manager.raise_term(model.Term(9), now=self.now)
+        (request,) = self.take(actions.RenewLease)
+        later = model.RunKey(self.key(0).task, model.RunNumber(2))
+        self.now += 0.01
+        self.manager.runs_listed(
+            events.RunsListed(
+                request.call, model.RunList(1, 1_000, (later,), ())
+            ),
+            now=self.now,
+        )
+        self.assert_runs(0)
+
+
 if __name__ == "__main__":
     unittest.main()
