Red: a start outlived its lease at an upstream that had restarted with its clock

A restarted upstream's clock starts anew. Until its first response the leader computes deadlines by the former process's clock. If that was far ahead, the new process accepts a start however late it is executed. Our world's restart_upstream leaves the clock as it is, so no history could show this.

--- a/tests/test_leased_review.py
+++ b/tests/test_leased_review.py
@@ -6,6 +6,7 @@
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import lease
 from godwitnotch.core.leased import model
+from tests import leased_world
 from tests import test_leased_instances
 from tests import test_leased_leaders
 
@@ -63,5 +64,23 @@
         self.assert_runs(0)
 
 
+class RestartedClockTest(unittest.TestCase):
+    def test_start_that_a_restarted_upstream_executes_late_is_rejected(
+        self,
+    ) -> None:
+        world = leased_world.World({"a": ["a1"]}, upstreams=2)
+        world.run(40.0)
+        first, second = world.upstreams.values()
+        second.slowness = 1.0
+        world.restart_upstream(first.entry.upstream)
+        first.clock_offset_ms = -world.now * 1_000
+        first.order_delay_s = 1.7
+        world.run_time_ms = 900.0
+        world.submit("a1", "late", tasks=4, wait_s=8.0)
+        world.run(8.0)
+        self.assertGreater(world.start_count("late"), 0)
+        self.assertEqual(world.overlaps(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
