--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -455,8 +455,10 @@
         lease.expires_at = now + lease_module.MAX_LEASE_DURATION_S
         for key in run_list.running:
             known = lease.runs.get(key.task)
-            if known is not None:
+            if known is not None and known.key == key:
                 continue
+            if known is not None:
+                self._record_end(lease, known, model.RunEnd.MISSING, now=now)
             run = lease_module.Run(
                 key,
                 None,
@@ -624,6 +626,8 @@
     ) -> None:
         """Expires a lease if the upstream was asked since and sent no list."""
         lease = call.lease
+        if self._leases.get(lease.upstream.upstream) is not lease:
+            return
         if lease.expired(now=now) and call.sent_at >= lease.expires_at:
             self._expire(lease, now=now)
 
