Soak: two soaks at once don't share addresses

The number of the loopback network came from the process id, so two soaks could get the same one, with the same ids of upstreams. It is reserved by a socket now.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -2,13 +2,15 @@
 
 import argparse
 import asyncio
-import os
 import pathlib
+import socket
 import sys
 import tempfile
 
+from tests.soak import fleet
 from tests.soak import soak
 
+_LOCKS: list[socket.socket] = []
 DEFECTS = ("", "starts_twice", "refuses_after_running", "answers_twice")
 
 
@@ -24,7 +26,7 @@
     parser.add_argument("--no-relays", action="store_true")
     parser.add_argument("--defect", default="", choices=DEFECTS)
     parser.add_argument("--folder", type=pathlib.Path)
-    parser.add_argument("--network", type=int, default=network())
+    parser.add_argument("--network", type=int)
     given = parser.parse_args()
     folder = given.folder or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=given.folder is None)
@@ -36,7 +38,7 @@
                 minutes=given.minutes,
                 hosts=given.hosts,
                 folder=folder,
-                network=given.network,
+                network=given.network or network(),
                 relayed=not given.no_relays,
                 kinds=frozenset(filter(None, given.kinds.split(","))),
                 scale=given.scale,
@@ -50,8 +52,20 @@
 
 
 def network() -> int:
-    """Returns a number for loopback addresses that few processes share."""
-    return 2 * (10 + os.getpid() % 110)
+    """Returns a number for loopback addresses that no other soak uses.
+
+    A socket reserves the number until this process ends.
+    """
+    for number in range(20, 250, 2):
+        lock = socket.socket()
+        try:
+            lock.bind((f"127.{number}.255.1", fleet.STORE_PORT))
+        except OSError:
+            lock.close()
+            continue
+        _LOCKS.append(lock)
+        return number
+    raise RuntimeError("no loopback addresses are free; end other soaks")
 
 
 if __name__ == "__main__":
