Owners: a job whose drop was lost with a link ran beside its caller's repeat

Cause: the caller left, the owner's JobDropped was lost with its link to the leader, the owner was linked again within the grace and handed over its other jobs; the leader kept the dropped one and started its task while the caller's repeat ran at another leader. Now a job that its owner doesn't hand over again after it was away is dropped when the owner has handed over all.

Failed before on (['job56.0']), passes now: test_job_whose_drop_was_lost_with_a_link_ran_beside_its_repeat.

--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -188,6 +188,7 @@
         if job is not None:
             job.owner = owner
             job.deadline = now + message.deadline_in_s
+            job.handed_over_at = now
             job.record_earlier_leaders(message, now=now)
             return
         job = self._add_job(owner, message, now=now)
@@ -200,7 +201,10 @@
 
     def all_handed_over(self, owner: ids.HostId, *, now: float) -> None:
         """Records that a host has handed over all its open jobs."""
-        self._owners.handed_over(owner)
+        away_since = self._owners.handed_over(owner)
+        for job in tuple(self._jobs.values()):
+            if job.owner == owner and job.handed_over_at < away_since:
+                self._drop_job(job, reason="owner_dropped", now=now)
         if self._owners.all_handed_over(now=now):
             self._lease_manager.end_claim_period(now=now)
         self._placement_due = True
@@ -446,6 +450,7 @@
             arrived_at=now - message.arrived_ago_s,
             deadline=now + message.deadline_in_s,
             base_ms=self._times.base_ms(request),
+            handed_over_at=now,
         )
         job.record_earlier_leaders(message, now=now)
         self._jobs[request.job] = job
--- a/godwitnotch/core/leased/jobs.py
+++ b/godwitnotch/core/leased/jobs.py
@@ -49,6 +49,7 @@
         owner: The host that answers the caller.
         arrived_at: When the job reached its owner.
         deadline: When the caller stops waiting.
+        handed_over_at: When its owner last handed it over.
         base_ms: Expected run time of a task on an upstream of average speed.
         earlier_runs_end_by: When all runs of earlier leaders have ended; 0 if
             there are none.
@@ -69,6 +70,7 @@
     arrived_at: float
     deadline: float
     base_ms: float
+    handed_over_at: float = 0.0
     earlier_runs_end_by: float = 0.0
     earlier_term: model.Term = model.Term(0)
     base_ms_measured: bool = False
--- a/godwitnotch/core/leased/owners.py
+++ b/godwitnotch/core/leased/owners.py
@@ -21,32 +21,43 @@
         self._awaited: set[ids.HostId] = set()
         self._claim_period_ends_at = 0.0
         self._lost: dict[ids.HostId, float] = {}
+        self._away_since: dict[ids.HostId, float] = {}
 
     def clear(self) -> None:
         """Forgets all hosts."""
         self._awaited.clear()
         self._lost.clear()
+        self._away_since.clear()
 
     def await_hosts(self, hosts: Iterable[ids.HostId], *, now: float) -> None:
         """Starts a claim period, in which hosts hand over their open jobs."""
         for host in hosts:
             self._awaited.add(host)
+            self._away_since.setdefault(host, now)
             if host in self._lost:
                 self._lost[host] = now + CLAIM_PERIOD_S
         self._claim_period_ends_at = now + CLAIM_PERIOD_S
 
-    def handed_over(self, host: ids.HostId) -> None:
-        """Records that a host has handed over all its open jobs."""
+    def handed_over(self, host: ids.HostId) -> float:
+        """Records that a host has handed over all its open jobs.
+
+        Returns:
+            Since when messages of the host may have been lost. A job that it
+            hasn't handed over since is no longer open.
+        """
         self._awaited.discard(host)
         self._lost.pop(host, None)
+        return self._away_since.pop(host, float("-inf"))
 
     def host_left(self, host: ids.HostId, *, now: float) -> None:
         """Records that a linked host follows another leader."""
+        self._away_since.setdefault(host, now)
         self._lost.setdefault(host, now + OWNER_RELINK_GRACE_S)
 
     def host_lost(self, host: ids.HostId, *, now: float) -> None:
         """Records that the link to a host was lost."""
         self._awaited.discard(host)
+        self._away_since.setdefault(host, now)
         self._lost[host] = now + OWNER_RELINK_GRACE_S
 
     def all_handed_over(self, *, now: float) -> bool:
--- a/tests/test_leased_leaders.py
+++ b/tests/test_leased_leaders.py
@@ -127,6 +127,13 @@
                     history.run()
                     self.assertEqual(history.world.overlaps(), [])
 
+    def test_job_whose_drop_was_lost_with_a_link_ran_beside_its_repeat(
+        self,
+    ) -> None:
+        history = leased_faults.FaultyHistory(9021, divided=True)
+        history.run()
+        self.assertEqual(history.world.overlaps(), [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_leased_review.py
+++ b/tests/test_leased_stale_state.py
@@ -1,4 +1,4 @@
-"""Tests of beliefs that are older than the order that they are used for."""
+"""Tests of what a leader knew of hosts and upstreams and no longer holds."""
 
 import unittest
 
