--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -382,7 +382,7 @@
                     host, message, now=now
                 )
                 self._apply_change(change, now=now)
-                self._check_owner_follows(host, message, now=now)
+                self._notice_departed_owner(host, message, now=now)
                 self._send_upstreams()
             case peer_messages.JobAnswered(job=job, answer=answer):
                 self._owned_jobs.job_answered(host, job, answer)
@@ -400,7 +400,7 @@
             case _ if self.leads:
                 self._handle_leader_message(host, message, now=now)
 
-    def _check_owner_follows(
+    def _notice_departed_owner(
         self, host: ids.HostId, standing: peer_messages.Standing, *, now: float
     ) -> None:
         """Notices that an owner has left this leader for another one."""
--- a/godwitnotch/core/leased/model.py
+++ b/godwitnotch/core/leased/model.py
@@ -64,7 +64,7 @@
     OLD_RUN = "old_run"  # A run of the task with this or a higher number ended.
     LATE = "late"  # The order's deadline had passed.
     FULL = "full"
-    OTHER_INSTANCE = "other_life"  # Another process responds at the address.
+    OTHER_INSTANCE = "other_process"  # Another process responds at the address.
     UNHEALTHY = "unhealthy"
     MALFORMED = "malformed"
 
--- a/tests/test_leased_traces.py
+++ b/tests/test_leased_traces.py
@@ -121,7 +121,7 @@
             for _, _, decided in world.decisions
             if decided.event == "order_rejected"
         ]
-        self.assertEqual(reasons, ["other_life"])
+        self.assertEqual(reasons, ["other_process"])
 
 
 class TraceTest(unittest.TestCase):
