Log why a call to an upstream had no response

Cause: order_unanswered said neither refused, closed nor timed out, so the log could not tell a crashed upstream from a silent or cut one.

Change: OrderUnanswered carries a CallFailure, logged as cause. No decision depends on it.

--- a/godwitnotch/core/leased/events.py
+++ b/godwitnotch/core/leased/events.py
@@ -95,6 +95,7 @@
     """A call had no response; the upstream may still execute the order."""
 
     call: model.UpstreamCallId
+    failure: model.CallFailure = model.CallFailure.TIMED_OUT
 
 
 @dataclass(frozen=True, slots=True)
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -330,7 +330,7 @@
         self._out.add_decision(
             "order_unanswered",
             job=call.key.task.job if call.key else "",
-            detail=call.detail(),
+            detail=f"{call.detail()} cause={event.failure.value}",
         )
         if not call.to_former_address:
             self._record_failure(lease, now=now)
--- a/godwitnotch/core/leased/model.py
+++ b/godwitnotch/core/leased/model.py
@@ -69,6 +69,16 @@
     MALFORMED = "malformed"
 
 
+class CallFailure(enum.Enum):
+    """Why a call to an upstream has no response; written to the log."""
+
+    REFUSED = "refused"  # The address accepts no connection: nobody listens.
+    NOT_CONNECTED = "not_connected"  # No connection in time.
+    CLOSED = "closed"  # The connection was closed or reset.
+    TIMED_OUT = "timed_out"
+    UNREADABLE = "unreadable"  # A response that proves nothing.
+
+
 @dataclass(frozen=True, slots=True)
 class Resources:
     """Resources that a task needs or that an upstream has.
--- a/godwitnotch/net/leased_calls.py
+++ b/godwitnotch/net/leased_calls.py
@@ -46,18 +46,19 @@
                 max_body_bytes=MAX_RESPONSE_BYTES,
             )
         except http_client.ExchangeError as error:
+            failure = _failure(error)
             if error.progress is http_client.Progress.SENT:
-                return events.OrderUnanswered(order.call)
-            return _result_when_not_sent(order)
+                return events.OrderUnanswered(order.call, failure)
+            return _result_when_not_sent(order, failure)
         if response.status != _HTTP_OK:
             rejection = upstreams.decode_rejection(response)
             if rejection is None:
-                return events.OrderUnanswered(order.call)
+                return _unreadable(order)
             return events.OrderRejected(order.call, rejection)
         try:
             return _result_when_accepted(order, response)
         except fields.WrongFormatError:
-            return events.OrderUnanswered(order.call)
+            return _unreadable(order)
 
     async def close(self) -> None:
         """Closes all idle connections."""
@@ -80,11 +81,30 @@
             return upstreams.renew_request(order)
 
 
-def _result_when_not_sent(order: Order) -> OrderResult:
+def _failure(error: http_client.ExchangeError) -> model.CallFailure:
+    """Returns why an exchange failed."""
+    if error.progress is http_client.Progress.CONNECT_REFUSED:
+        return model.CallFailure.REFUSED
+    if error.cause is http_client.Cause.CLOSED:
+        return model.CallFailure.CLOSED
+    if error.cause is not http_client.Cause.TIMED_OUT:
+        return model.CallFailure.UNREADABLE
+    if error.progress is http_client.Progress.SENT:
+        return model.CallFailure.TIMED_OUT
+    return model.CallFailure.NOT_CONNECTED
+
+
+def _unreadable(order: Order) -> events.OrderUnanswered:
+    return events.OrderUnanswered(order.call, model.CallFailure.UNREADABLE)
+
+
+def _result_when_not_sent(
+    order: Order, failure: model.CallFailure
+) -> OrderResult:
     """Returns the result of an order of which no byte was sent."""
     if isinstance(order, actions.StartRun):
         return events.OrderRejected(order.call, model.OrderRejection.UNHEALTHY)
-    return events.OrderUnanswered(order.call)
+    return events.OrderUnanswered(order.call, failure)
 
 
 def _result_when_accepted(
--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -4,7 +4,9 @@
 responses to orders don't state when its process started; its lists do.
 """
 
+import asyncio
 import dataclasses
+import socket
 import unittest
 import unittest.mock
 
@@ -393,5 +395,56 @@
                 self.assertIsInstance(result, events.OrderRejected)
 
 
+class CallFailureTest(unittest.IsolatedAsyncioTestCase):
+    """An unanswered call names its cause, for the log."""
+
+    async def send_list_request(self, address: str) -> events.OrderUnanswered:
+        order = actions.RenewLease(
+            model.UpstreamCallId(1),
+            dataclasses.replace(ENTRY, address=address),
+            model.Term(1),
+            acknowledged_end=0,
+            deadline_ms=None,
+            wait_ms=0,
+        )
+        client = leased_calls.OrderClient()
+        try:
+            result = await client.send(order)
+        finally:
+            await client.close()
+        self.assertIsInstance(result, events.OrderUnanswered)
+        return result
+
+    async def test_refused_connection(self) -> None:
+        with socket.socket() as bound:
+            bound.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{bound.getsockname()[1]}"
+            result = await self.send_list_request(address)
+        self.assertIs(result.failure, model.CallFailure.REFUSED)
+
+    async def test_connection_that_is_closed_without_a_response(self) -> None:
+        async def close(_, writer: asyncio.StreamWriter) -> None:
+            writer.close()
+
+        server = await asyncio.start_server(close, "127.0.0.1", 0)
+        async with server:
+            port = server.sockets[0].getsockname()[1]
+            result = await self.send_list_request(f"127.0.0.1:{port}")
+        self.assertIs(result.failure, model.CallFailure.CLOSED)
+
+    async def test_server_that_never_responds(self) -> None:
+        async def read(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(read, "127.0.0.1", 0)
+        async with server:
+            port = server.sockets[0].getsockname()[1]
+            result = await self.send_list_request(f"127.0.0.1:{port}")
+        self.assertIs(result.failure, model.CallFailure.TIMED_OUT)
+
+
 if __name__ == "__main__":
     unittest.main()
