Red: a task may crash upstream after upstream (BUDGET)

Callers saw nothing but failed jobs; the operators would see one upstream after the other crash.

The world's upstreams now crash: their process is gone for 3 s, calls are refused, and requests that wait there get no response.

--- a/tests/leased_world.py
+++ b/tests/leased_world.py
@@ -19,6 +19,8 @@
 MAX_LEASE_DURATION_MS = 1_000
 SILENCE_TIMEOUT_S = 0.45
 RELINK_INTERVAL_S = 0.2
+CRASH_DOWN_S = 3.0
+CRASH_DELAY_S = 0.005  # From the start of a deadly task until the crash.
 STOP_DURATION_S = 0.04  # From a stop order until the run has ended.
 SERVICE = model.ServiceName("orders")
 
@@ -61,6 +63,7 @@
         clock_rate: Seconds that the upstream's clock counts in a second; set
             before the world runs.
         clock_offset_ms: What the upstream's clock would show at time 0.
+        down_until: Until when no process listens at the address.
         term: Highest term seen in an order.
         lease_until_ms: When the lease expires.
         last_blocked_run: Highest run number that may not start, by task.
@@ -81,6 +84,7 @@
     response_delay_s: float = 0.0
     clock_rate: float = 1.0
     clock_offset_ms: float = 0.0
+    down_until: float = 0.0
     term: int = 0
     lease_until_ms: int = 0
     last_blocked_run: dict[model.TaskKey, int] = field(default_factory=dict)
@@ -100,6 +104,23 @@
         return (clock_ms - self.clock_offset_ms) / 1_000 / self.clock_rate
 
 
+@dataclass(frozen=True)
+class Crash:
+    """A task has crashed an upstream.
+
+    Attributes:
+        at: When.
+        upstream: The upstream.
+        task: The task.
+        neighbours: The other tasks that ran there.
+    """
+
+    at: float
+    upstream: str
+    task: model.TaskKey
+    neighbours: set[model.TaskKey]
+
+
 class World:
     """Runs hosts and upstreams on a virtual clock, without randomness.
 
@@ -126,6 +147,8 @@
         decisions: Time, host and action of each decision.
         started_runs: All runs that were started, each with its upstream.
         run_time_ms: Run time of new runs at an upstream of slowness 1.
+        deadly_tasks: Tasks that crash each upstream that starts them.
+        crashes: All such crashes.
     """
 
     def __init__(
@@ -152,6 +175,8 @@
         self.decisions: list[tuple[float, str, actions.Decided]] = []
         self.started_runs: list[tuple[str, UpstreamRun]] = []
         self.run_time_ms = 100.0
+        self.deadly_tasks: set[model.TaskKey] = set()
+        self.crashes: list[Crash] = []
         self._runs_per_s = runs_per_s
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
@@ -199,6 +224,13 @@
         upstream.lease_until_ms = 0
         upstream.instance_started_ms += 1
 
+    def crash_upstream(self, upstream_id: str) -> None:
+        """Ends an upstream's process; it starts again after CRASH_DOWN_S."""
+        upstream = self.upstreams[upstream_id]
+        upstream.pending_responses.clear()
+        self.restart_upstream(upstream_id)
+        upstream.down_until = self.now + CRASH_DOWN_S
+
     def reset_link(self, one: str, other: str) -> None:
         """Resets a link, which opens again after 60 ms."""
         pair = frozenset((one, other))
@@ -500,6 +532,9 @@
         def arrive() -> None:
             if frozenset((name, upstream.entry.upstream)) in self.cut_pairs:
                 return
+            if self.now < upstream.down_until:
+                respond(_refused(action))
+                return
             if upstream.loses_responses:
                 self._execute_order(upstream, action, lambda _: None)
                 return
@@ -569,6 +604,10 @@
         run = UpstreamRun(key, self.now, self.now + run_time_s)
         upstream.running[key.task] = run
         self.started_runs.append((upstream.entry.upstream, run))
+        if key.task in self.deadly_tasks:
+            self.call_later(
+                CRASH_DELAY_S, lambda: self._crash_by(upstream, run)
+            )
         if not upstream.hangs:
             end = model.RunEnd.FAILED if upstream.fails else model.RunEnd.DONE
             self.call_later(
@@ -576,6 +615,13 @@
             )
         reply(self._order_taken(upstream, action))
 
+    def _crash_by(self, upstream: Upstream, run: UpstreamRun) -> None:
+        if upstream.running.get(run.key.task) is run:
+            name = upstream.entry.upstream
+            others = set(upstream.running) - {run.key.task}
+            self.crashes.append(Crash(self.now, name, run.key.task, others))
+            self.crash_upstream(name)
+
     def _renew(self, upstream: Upstream, action, reply) -> None:
         upstream.ended_runs = [
             ended
@@ -585,9 +631,11 @@
         if action.deadline_ms is not None:
             self._extend(upstream, action.deadline_ms)
         state = {"responded": False}
+        instance = upstream.instance_started_ms
 
         def respond() -> None:
-            if state["responded"]:
+            crashed = upstream.instance_started_ms != instance
+            if state["responded"] or crashed:
                 return
             state["responded"] = True
             listed = model.RunList(
@@ -643,6 +691,13 @@
         return events.OrderTaken(action.call, upstream.clock_ms(self.now), 0)
 
 
+def _refused(action) -> events.Event:
+    """Returns the result of an order to an address where nobody listens."""
+    if isinstance(action, actions.StartRun):
+        return events.OrderRejected(action.call, model.OrderRejection.UNHEALTHY)
+    return events.OrderUnanswered(action.call, model.CallFailure.REFUSED)
+
+
 def request(
     job: str, tasks: int = 1, *, estimate_ms: float = 100.0
 ) -> model.JobRequest:
