Count the upstreams that crash under a task, and give it up after two

Callers saw jobs that ended at their deadline, operators one upstream after the other crash (BUDGET). Cause: only ends that an upstream lists as failed were counted; a crash lists nothing. A run that ended with its upstream was started again without a limit, at the next upstream, by the same job or by its repeat.

Change: the leader records each upstream that was lost under a task, for 30 s, also for jobs that have ended. A task is given up after two proven crashes; while two losses may have been crashes it isn't started. A list from the process that is known withdraws the loss.

A job whose upstreams were cut off twice is still completed.

--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -21,8 +21,10 @@
 from godwitnotch.core.leased import placement as placement_module
 from godwitnotch.core.leased import retained_answers
 from godwitnotch.core.leased import run_times
+from godwitnotch.core.leased import task_records
 from godwitnotch.core.leased import waiting
 from godwitnotch.core.leased.jobs import TaskState
+from godwitnotch.core.leased.task_records import StartRule
 
 OVERDUE_CHECK_INTERVAL_S = 0.05
 RUN_TIMES_UPDATE_INTERVAL_S = 0.2
@@ -73,6 +75,7 @@
         self._accepting: list[lease_module.Lease] = []
         self._accepting_computed_at = float("-inf")
         self._retained_answers = retained_answers.RetainedAnswers()
+        self._task_records = task_records.TaskRecords()
         self._times = run_times.RunTimes()
         self._health = health_module.UpstreamHealth()
         self._evidence = evidence_module.EvidenceSharing(
@@ -194,7 +197,9 @@
         job = self._add_job(owner, message, now=now)
         job.redirected = redirected
         job.may_run_elsewhere = may_run_elsewhere
-        if not job.started:
+        for task in job.tasks:
+            self._check_crashes(task.key, now=now)
+        if not job.started and job.name in self._jobs:
             verdict = self._admission.check_arrival(job, now=now)
             self._apply(verdict, job, now=now)
         self.place_waiting(now=now)
@@ -302,6 +307,7 @@
             self._next_overdue_check_at = now + OVERDUE_CHECK_INTERVAL_S
             self._stop_overdue_runs(now=now)
         self._retained_answers.forget_expired(now=now)
+        self._task_records.forget_expired(now=now)
         self.place_waiting(now=now)
 
     def adopt_run(self, key: model.RunKey) -> jobs.LeasedJob | None:
@@ -362,6 +368,8 @@
     ) -> None:
         """Handles the end of a run."""
         self._placement_due = True
+        if end in (model.RunEnd.LEASE_EXPIRED, model.RunEnd.CRASHED):
+            self._record_loss(lease, run, end, now=now)
         job = self._find_open_job(run)
         if job is None:
             return
@@ -391,6 +399,8 @@
         )
         if end is model.RunEnd.FAILED:
             self._record_failure(lease, job, task, now=now)
+        else:
+            self._check_crashes(task.key, now=now)
 
     def order_rejected(
         self,
@@ -430,6 +440,26 @@
         job.set_state(task, TaskState.WAITING)
         self._queue.update(job)
 
+    def upstream_crashed(self, upstream: ids.UpstreamId, *, now: float) -> None:
+        """Gives up the tasks that have crashed enough upstreams."""
+        for task in self._task_records.upstream_crashed(upstream):
+            self._check_crashes(task, now=now)
+
+    def upstream_returned(self, upstream: ids.UpstreamId) -> None:
+        """Lets the tasks of an upstream that has not crashed start again."""
+        self._task_records.upstream_returned(upstream)
+
+    def _check_crashes(self, task: model.TaskKey, *, now: float) -> None:
+        """Fails the job of a task that crashes each upstream."""
+        job = self._jobs.get(task.job)
+        rule = self._task_records.start_rule(task)
+        if job is None or rule is not StartRule.GIVE_UP:
+            return
+        answer = model.Answer(
+            model.JobEnd.FAILED, model.EndReason.TASK_CRASHES_UPSTREAMS
+        )
+        self._end_job(job, answer, now=now)
+
     def higher_term_seen(
         self, lease: lease_module.Lease, *, was_held: bool, now: float
     ) -> None:
@@ -511,6 +541,9 @@
         for task in tuple(job.iter_waiting_tasks()):
             if self._lease_manager.has_run(task.key):
                 continue
+            rule = self._task_records.start_rule(task.key)
+            if rule is not StartRule.ALLOWED:
+                continue
             lease = self._placement.choose(job, task, leases, now=now)
             if lease is None:
                 return False
@@ -565,6 +598,26 @@
                 job.base_ms_measured = True
                 job.base_ms = ran_ms / slowness
 
+    def _record_loss(
+        self,
+        lease: lease_module.Lease,
+        run: lease_module.Run,
+        end: model.RunEnd,
+        *,
+        now: float,
+    ) -> None:
+        """Records that an upstream was lost under a run.
+
+        A draining upstream ends by itself, and its runs with it.
+        """
+        if not lease.upstream.draining:
+            self._task_records.upstream_lost(
+                run.key.task,
+                lease.upstream.upstream,
+                crashed=end is model.RunEnd.CRASHED,
+                now=now,
+            )
+
     def _record_failure(
         self,
         lease: lease_module.Lease,
--- a/godwitnotch/core/leased/lease.py
+++ b/godwitnotch/core/leased/lease.py
@@ -101,6 +101,8 @@
         instance_started_ms: When the upstream's process started, by its own
             clock; 0 if not known. A restart is a new instance.
         instance_seen_at: When the last response that states this time arrived.
+        instance_changed_at: When the first response of a new instance arrived.
+        replaced: Whether another process responds at the address.
         acknowledged_end: Serial number of the last end that was processed.
         expires_at: When all runs will have ended unless the lease is renewed.
         pending_calls: How many calls have no response yet.
@@ -123,6 +125,8 @@
     responded_at: float = 0.0
     instance_started_ms: int = 0
     instance_seen_at: float = 0.0
+    instance_changed_at: float = float("-inf")
+    replaced: bool = False
     acknowledged_end: int = 0
     expires_at: float = 0.0
     renewed_at: float = 0.0
@@ -192,6 +196,7 @@
         self.clock_ms = clock_ms
         self.responded_at = now
         self.failures = 0
+        self.replaced = False
 
     def follow_instance(
         self, started_ms: int, *, sent_at: float, now: float
@@ -217,6 +222,7 @@
             if sent_at < self.instance_seen_at:
                 return False
             self.acknowledged_end = 0
+            self.instance_changed_at = now
         self.instance_started_ms = started_ms
         self.instance_seen_at = now
         return True
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -312,6 +312,8 @@
             self._listener.higher_term_seen(lease, was_held=was_held, now=now)
         elif rejection is model.OrderRejection.OTHER_INSTANCE:
             self._leave_address(lease, now=now)
+            lease.replaced = True
+            self._listener.upstream_crashed(lease.upstream.upstream, now=now)
         elif rejection is model.OrderRejection.LATE:
             self._request_runs(lease, now=now, wait_ms=0)
         elif call.kind is CallKind.LIST_RUNS:
@@ -533,7 +535,11 @@
         for run in run_lists.missing_runs(
             lease, run_list, requested_at=requested_at
         ):
-            self._record_end(lease, run, model.RunEnd.MISSING, now=now)
+            started_before = run.ordered_at < lease.instance_changed_at
+            end = model.RunEnd.MISSING
+            if started_before:
+                end = model.RunEnd.CRASHED
+            self._record_end(lease, run, end, now=now)
 
     def _record_done(self, key: model.RunKey, *, now: float) -> None:
         """Records a successful run that this leader didn't know as active."""
@@ -608,6 +614,9 @@
                 "upstream_restarted",
                 detail=f"upstream={lease.upstream.upstream}",
             )
+            self._listener.upstream_crashed(lease.upstream.upstream, now=now)
+        elif newest and instance_started_ms:
+            self._listener.upstream_returned(lease.upstream.upstream)
         return newest
 
     def _record_failure(self, lease: lease_module.Lease, *, now: float) -> None:
@@ -643,7 +652,10 @@
             f"tick_gap_ms={self._tick_gap_s * 1_000:.0f} term={self.term}",
         )
         self._lose_lease(lease, now=now)
-        self._record_all_ended(lease, model.RunEnd.LEASE_EXPIRED, now=now)
+        end = model.RunEnd.LEASE_EXPIRED
+        if lease.replaced:
+            end = model.RunEnd.CRASHED
+        self._record_all_ended(lease, end, now=now)
 
     def _leave_address(self, lease: lease_module.Lease, *, now: float) -> None:
         """Gives up a lease, as another process may use the address.
--- a/godwitnotch/core/leased/model.py
+++ b/godwitnotch/core/leased/model.py
@@ -21,7 +21,8 @@
     """How a job ended; a part of the answer to its caller."""
 
     COMPLETED = "completed"
-    # A task failed max_failures times, or the job was cancelled or malformed.
+    # A task failed max_failures times or crashes upstreams, or the job was
+    # cancelled or malformed.
     FAILED = "failed"
     REFUSED = "refused"  # No task has started.
     GIVEN_UP = "given_up"  # Tasks may have run; running tasks are stopped.
@@ -40,6 +41,7 @@
     NO_UPSTREAM = "no_upstream"
     OVERLOADED = "overloaded"
     TASK_FAILED = "task_failed"
+    TASK_CRASHES_UPSTREAMS = "task_crashes_upstreams"
     DEADLINE_PASSED = "deadline_passed"
     DRAINING = "draining"
     CANCELLED = "cancelled"
@@ -54,6 +56,7 @@
     LOST = "lapsed"  # The upstream reports that the lease has expired.
     LEASE_EXPIRED = "lease_expired"  # By the leader's clock.
     MISSING = "missing"  # The upstream's list lacks the run.
+    CRASHED = "crashed"  # Another process answers in place of the upstream's.
     OTHER = "other"
 
 
--- a/godwitnotch/core/leased/run_listener.py
+++ b/godwitnotch/core/leased/run_listener.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol
 
+from godwitnotch.core import ids
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import lease as lease_module
 from godwitnotch.core.leased import model
@@ -44,6 +45,12 @@
     ) -> None:
         """Handles a rejected start order; the run has not started."""
 
+    def upstream_crashed(self, upstream: ids.UpstreamId, *, now: float) -> None:
+        """Handles another process that responds in place of an upstream's."""
+
+    def upstream_returned(self, upstream: ids.UpstreamId) -> None:
+        """Handles a list of runs from the process that is known."""
+
     def higher_term_seen(
         self, lease: lease_module.Lease, *, was_held: bool, now: float
     ) -> None:
--- a/godwitnotch/report/job_trace.py
+++ b/godwitnotch/report/job_trace.py
@@ -204,6 +204,7 @@
     model.EndReason.OVERLOADED.value: Cause.REFUSED_BY_LOAD,
     model.EndReason.CANCELLED.value: Cause.CALLER_LEFT,
     model.EndReason.TASK_FAILED.value: Cause.JOB_FAILS,
+    model.EndReason.TASK_CRASHES_UPSTREAMS.value: Cause.JOB_FAILS,
 }
 
 
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -771,6 +771,12 @@
     def order_rejected(self, *args: object, now: float) -> None:
         pass
 
+    def upstream_crashed(self, upstream: str, *, now: float) -> None:
+        pass
+
+    def upstream_returned(self, upstream: str) -> None:
+        pass
+
     def higher_term_seen(
         self, *args: object, was_held: bool, now: float
     ) -> None:
