Tell the next leaders which upstreams were lost under a task

Cause: the counts died with the leader, and what it tells its successors named upstreams only. A new leader also took the first list of a crashed upstream for its return, as it didn't know which process had been lost.

Change: LossesLearnt carries all losses of a task, each with the start time of the lost process, at the next tick to the hosts that may lead next and to the leaders of other cells.

A leader that dies before it has noticed a crash takes that one along.

--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -111,6 +111,11 @@
         """What this host and earlier leaders have learnt of upstreams."""
         return self._evidence
 
+    @property
+    def task_records(self) -> task_records.TaskRecords:
+        """The upstreams that were lost under tasks."""
+        return self._task_records
+
     @property
     def overflow(self) -> overflow.Overflow:
         """The loads of the other cells."""
@@ -441,13 +446,22 @@
         self._queue.update(job)
 
     def upstream_crashed(self, upstream: ids.UpstreamId, *, now: float) -> None:
-        """Gives up the tasks that have crashed enough upstreams."""
-        for task in self._task_records.upstream_crashed(upstream):
+        """Gives up the tasks that have crashed too many upstreams."""
+        for task in self._task_records.upstream_crashed(upstream, now=now):
             self._check_crashes(task, now=now)
 
-    def upstream_returned(self, upstream: ids.UpstreamId) -> None:
-        """Lets the tasks of an upstream that has not crashed start again."""
-        self._task_records.upstream_returned(upstream)
+    def upstream_seen(
+        self,
+        upstream: ids.UpstreamId,
+        *,
+        instance_started_ms: int,
+        now: float,
+    ) -> None:
+        """Learns whether an upstream that was lost has crashed."""
+        for task in self._task_records.upstream_seen(
+            upstream, instance_started_ms, now=now
+        ):
+            self._check_crashes(task, now=now)
 
     def _check_crashes(self, task: model.TaskKey, *, now: float) -> None:
         """Fails the job of a task that crashes each upstream."""
@@ -611,12 +625,12 @@
         A draining upstream ends by itself, and its runs with it.
         """
         if not lease.upstream.draining:
-            self._task_records.upstream_lost(
-                run.key.task,
+            loss = peer_messages.UpstreamLoss(
                 lease.upstream.upstream,
+                lease.instance_started_ms,
                 crashed=end is model.RunEnd.CRASHED,
-                now=now,
             )
+            self._task_records.upstream_lost(run.key.task, loss, now=now)
 
     def _record_failure(
         self,
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -85,7 +85,7 @@
             higher_term_seen=self._higher_term_seen,
         )
         self._updates = leader_updates.LeaderUpdates(
-            self._out, self._dispatcher.evidence
+            self._out, self._dispatcher.evidence, self._dispatcher.task_records
         )
         self._term_raises = term_raises.TermRaises(now=now)
         self._draining = False
@@ -397,6 +397,8 @@
             case peer_messages.UpstreamsLearnt():
                 if not self.leads:
                     self._dispatcher.evidence.apply(message, now=now)
+            case peer_messages.LossesLearnt():
+                self._dispatcher.task_records.apply(message, now=now)
             case _ if self.leads:
                 self._handle_leader_message(host, message, now=now)
 
@@ -619,5 +621,7 @@
     host._dispatcher.tick(now=now)
     host._send_load(now=now)
     if host.leads:
-        host._updates.send_evidence(host._leadership.successors(), now=now)
+        successors = host._leadership.successors()
+        host._updates.send_evidence(successors, now=now)
+        host._updates.send_losses(successors + host._fleet.other_leaders)
     host._owned_jobs.tick(now=now)
--- a/godwitnotch/core/leased/leader_updates.py
+++ b/godwitnotch/core/leased/leader_updates.py
@@ -8,31 +8,37 @@
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import outbox as outbox_module
 from godwitnotch.core.leased import peer_messages
+from godwitnotch.core.leased import task_records
 
 
 class LeaderUpdates:
-    """Sends the list of upstreams and the evidence on them, when they change.
+    """Sends the list of upstreams and what is known of them, as it changes.
 
     Args:
         out: Collects the messages to send.
         evidence: What this host has learnt of upstreams.
+        records: The upstreams that were lost under tasks.
     """
 
     def __init__(
         self,
         out: outbox_module.Outbox,
         evidence: evidence_module.EvidenceSharing,
+        records: task_records.TaskRecords,
     ) -> None:
         self._out = out
         self._evidence = evidence
+        self._records = records
         self._hosts_with_list: set[ids.HostId] = set()
         self._hosts_with_evidence: set[ids.HostId] = set()
+        self._hosts_with_losses: set[ids.HostId] = set()
         self._next_evidence_at = 0.0
 
     def clear(self) -> None:
         """Forgets what was sent, as the leader has changed."""
         self._hosts_with_list.clear()
         self._hosts_with_evidence.clear()
+        self._hosts_with_losses.clear()
 
     def list_changed(self) -> None:
         """Forgets who has the list, as it has changed."""
@@ -42,6 +48,7 @@
         """Forgets what was sent to a host."""
         self._hosts_with_list.discard(host)
         self._hosts_with_evidence.discard(host)
+        self._hosts_with_losses.discard(host)
 
     def send_list(
         self,
@@ -55,6 +62,18 @@
                 self._hosts_with_list.add(host)
                 self._out.add(actions.TellPeer(host, copy))
 
+    def send_losses(self, receivers: list[ids.HostId]) -> None:
+        """Sends all losses to new receivers, and changes to the others."""
+        changed = self._records.take_changed()
+        for host in receivers:
+            if host not in self._hosts_with_losses:
+                self._out.add(
+                    actions.TellPeer(host, self._records.all_entries())
+                )
+            elif changed is not None:
+                self._out.add(actions.TellPeer(host, changed))
+        self._hosts_with_losses = set(receivers)
+
     def send_evidence(self, receivers: list[ids.HostId], *, now: float) -> None:
         """Sends all evidence to new receivers, and changes to the others."""
         if now < self._next_evidence_at:
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -614,9 +614,12 @@
                 "upstream_restarted",
                 detail=f"upstream={lease.upstream.upstream}",
             )
-            self._listener.upstream_crashed(lease.upstream.upstream, now=now)
-        elif newest and instance_started_ms:
-            self._listener.upstream_returned(lease.upstream.upstream)
+        if newest and instance_started_ms:
+            self._listener.upstream_seen(
+                lease.upstream.upstream,
+                instance_started_ms=instance_started_ms,
+                now=now,
+            )
         return newest
 
     def _record_failure(self, lease: lease_module.Lease, *, now: float) -> None:
--- a/godwitnotch/core/leased/peer_messages.py
+++ b/godwitnotch/core/leased/peer_messages.py
@@ -91,6 +91,37 @@
     upstreams: tuple[UpstreamEvidence, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamLoss:
+    """An upstream that was lost while a task ran there.
+
+    Attributes:
+        upstream: Id of the upstream.
+        instance_started_ms: When its process started, by its own clock; 0 if
+            not known.
+        crashed: Whether a crash is proven.
+    """
+
+    upstream: ids.UpstreamId
+    instance_started_ms: int
+    crashed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class TaskLosses:
+    """All losses under one task that the sender knows."""
+
+    task: model.TaskKey
+    losses: tuple[UpstreamLoss, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LossesLearnt:
+    """The leader's records of lost upstreams: all of them, or the changed."""
+
+    tasks: tuple[TaskLosses, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class JobHandedOver:
     """Hands a job over to the leader; the sender still answers its caller.
@@ -186,6 +217,7 @@
     | ConfigurationCopy
     | UpstreamsCopy
     | UpstreamsLearnt
+    | LossesLearnt
     | JobHandedOver
     | AllHandedOver
     | JobAnswered
--- a/godwitnotch/core/leased/run_listener.py
+++ b/godwitnotch/core/leased/run_listener.py
@@ -46,10 +46,16 @@
         """Handles a rejected start order; the run has not started."""
 
     def upstream_crashed(self, upstream: ids.UpstreamId, *, now: float) -> None:
-        """Handles another process that responds in place of an upstream's."""
+        """Handles another upstream that responds at an upstream's address."""
 
-    def upstream_returned(self, upstream: ids.UpstreamId) -> None:
-        """Handles a list of runs from the process that is known."""
+    def upstream_seen(
+        self,
+        upstream: ids.UpstreamId,
+        *,
+        instance_started_ms: int,
+        now: float,
+    ) -> None:
+        """Handles a list of runs; its process may be a new one."""
 
     def higher_term_seen(
         self, lease: lease_module.Lease, *, was_held: bool, now: float
--- a/godwitnotch/core/leased/task_records.py
+++ b/godwitnotch/core/leased/task_records.py
@@ -6,18 +6,22 @@
 again until that is known.
 """
 
+import dataclasses
 import enum
+from collections.abc import Iterable
 from dataclasses import dataclass
-from dataclasses import field
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import peer_messages
 
 # A task under which so many upstreams have crashed is given up.
 MAX_CRASHES = 2
 # Callers send a job again, and lost upstreams are back, within some seconds.
 RETENTION_S = 30.0
 
+_Losses = tuple[peer_messages.UpstreamLoss, ...]
+
 
 class StartRule(enum.Enum):
     """Whether a task may start."""
@@ -27,90 +31,131 @@
     GIVE_UP = "give_up"
 
 
-@dataclass(slots=True)
-class _Loss:
-    """An upstream that was lost while the task ran there."""
-
-    upstream: ids.UpstreamId
-    crashed: bool
-
-
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class _Record:
     """The losses under one task."""
 
-    losses: list[_Loss] = field(default_factory=list)
-    expires_at: float = 0.0
-
-    @property
-    def crash_count(self) -> int:
-        return sum(loss.crashed for loss in self.losses)
+    losses: _Losses
+    expires_at: float
 
 
 class TaskRecords:
-    """The losses under the tasks of this leader, of open and ended jobs."""
+    """The losses under the tasks of a cell, of open and ended jobs.
+
+    The leader tells the hosts that may lead next, so that they don't start a
+    task from zero.
+    """
 
     def __init__(self) -> None:
         self._records: dict[model.TaskKey, _Record] = {}
+        self._changed: set[model.TaskKey] = set()
 
     def upstream_lost(
         self,
         task: model.TaskKey,
-        upstream: ids.UpstreamId,
+        loss: peer_messages.UpstreamLoss,
         *,
-        crashed: bool,
         now: float,
     ) -> None:
-        """Records that an upstream was lost while a task ran there.
+        """Records that an upstream was lost while a task ran there."""
+        self._set(task, (*self._losses(task), loss), now=now)
+
+    def upstream_crashed(
+        self, upstream: ids.UpstreamId, *, now: float
+    ) -> list[model.TaskKey]:
+        """Records that a lost upstream has crashed; returns its tasks."""
+        return self.upstream_seen(upstream, None, now=now)
+
+    def upstream_seen(
+        self,
+        upstream: ids.UpstreamId,
+        instance_started_ms: int | None,
+        *,
+        now: float,
+    ) -> list[model.TaskKey]:
+        """Records which instance of a lost upstream responds.
+
+        The instance that was lost has not crashed if it responds again.
 
         Args:
-            task: The task.
             upstream: The upstream.
-            crashed: Whether a crash is proven.
+            instance_started_ms: When the instance started; None if another
+                upstream responds at the address.
             now: The current time.
-        """
-        record = self._records.setdefault(task, _Record())
-        record.losses.append(_Loss(upstream, crashed))
-        record.expires_at = now + RETENTION_S
-
-    def upstream_crashed(self, upstream: ids.UpstreamId) -> list[model.TaskKey]:
-        """Records that a lost upstream has crashed; returns its tasks."""
-        return [
-            task
-            for task, record in self._records.items()
-            if _prove_crash(record, upstream)
-        ]
 
-    def upstream_returned(self, upstream: ids.UpstreamId) -> None:
-        """Forgets the losses of an upstream that has not crashed."""
-        for record in self._records.values():
-            record.losses = [
-                loss
-                for loss in record.losses
-                if loss.crashed or loss.upstream != upstream
-            ]
+        Returns:
+            The tasks under which the upstream was lost.
+        """
+        tasks = self._unproven_tasks(upstream)
+        for task in tasks:
+            losses = tuple(
+                dataclasses.replace(loss, crashed=True)
+                if loss.upstream == upstream
+                else loss
+                for loss in self._losses(task)
+                if loss.crashed
+                or loss.upstream != upstream
+                or loss.instance_started_ms != instance_started_ms
+            )
+            self._set(task, losses, now=now)
+        return tasks
 
     def start_rule(self, task: model.TaskKey) -> StartRule:
         """Returns whether a task may start."""
-        record = self._records.get(task)
-        if record is None or len(record.losses) < MAX_CRASHES:
+        losses = self._losses(task)
+        if len(losses) < MAX_CRASHES:
             return StartRule.ALLOWED
-        if record.crash_count < MAX_CRASHES:
+        if sum(loss.crashed for loss in losses) < MAX_CRASHES:
             return StartRule.AWAIT_PROOF
         return StartRule.GIVE_UP
 
+    def all_entries(self) -> peer_messages.LossesLearnt:
+        """Returns all records, for a host that has none."""
+        return self._entries(self._records)
+
+    def take_changed(self) -> peer_messages.LossesLearnt | None:
+        """Returns the records that have changed since the last call, if any."""
+        changed, self._changed = self._changed, set()
+        return self._entries(changed) if changed else None
+
+    def apply(self, learnt: peer_messages.LossesLearnt, *, now: float) -> None:
+        """Applies the records that a leader has sent."""
+        for entry in learnt.tasks:
+            expires_at = now + RETENTION_S
+            self._records[entry.task] = _Record(entry.losses, expires_at)
+
     def forget_expired(self, *, now: float) -> None:
         """Forgets the records that have not changed for RETENTION_S."""
         for task, record in tuple(self._records.items()):
             if now >= record.expires_at:
                 del self._records[task]
+                self._changed.discard(task)
+
+    def _losses(self, task: model.TaskKey) -> _Losses:
+        record = self._records.get(task)
+        return () if record is None else record.losses
 
+    def _set(self, task: model.TaskKey, losses: _Losses, *, now: float) -> None:
+        self._records[task] = _Record(losses, now + RETENTION_S)
+        self._changed.add(task)
+
+    def _unproven_tasks(self, upstream: ids.UpstreamId) -> list[model.TaskKey]:
+        """Returns the tasks under which an upstream was lost, cause unknown."""
+        return [
+            task
+            for task, record in self._records.items()
+            if any(
+                loss.upstream == upstream and not loss.crashed
+                for loss in record.losses
+            )
+        ]
 
-def _prove_crash(record: _Record, upstream: ids.UpstreamId) -> bool:
-    """Records a crash; returns whether this was not known."""
-    found = False
-    for loss in record.losses:
-        if loss.upstream == upstream and not loss.crashed:
-            loss.crashed = True
-            found = True
-    return found
+    def _entries(
+        self, tasks: Iterable[model.TaskKey]
+    ) -> peer_messages.LossesLearnt:
+        return peer_messages.LossesLearnt(
+            tuple(
+                peer_messages.TaskLosses(task, self._losses(task))
+                for task in tasks
+            )
+        )
--- a/godwitnotch/core/messages.py
+++ b/godwitnotch/core/messages.py
@@ -10,7 +10,7 @@
 from godwitnotch.core import model
 from godwitnotch.core.leased import peer_messages
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 
 
 @dataclass(frozen=True, slots=True)
