A start that can't be sent counts as a failed call

Operators saw order_rejected for one crashed upstream again and again. Cause: a start that no connection took was reported like a 503 of an upstream that works; it kept the upstream away for 0.15 s, and without runs or failures the leader asked it for nothing. Change: it is a rejection of its own, not_sent, and counts like any other call that failed: after two the upstream gets no more runs until it responds.

Result: test_idle_upstream_that_refuses_starts_gets_no_more failed before (the upstream went on accepting runs).

--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -316,7 +316,10 @@
             self._listener.upstream_crashed(lease.upstream.upstream, now=now)
         elif rejection is model.OrderRejection.LATE:
             self._request_runs(lease, now=now, wait_ms=0)
-        elif call.kind is CallKind.LIST_RUNS:
+        elif (
+            call.kind is CallKind.LIST_RUNS
+            or rejection is model.OrderRejection.NOT_SENT
+        ):
             self._record_failure(lease, now=now)
         if call.kind is CallKind.LIST_RUNS:
             self._expire_if_asked(call, now=now)
--- a/godwitnotch/core/leased/model.py
+++ b/godwitnotch/core/leased/model.py
@@ -70,6 +70,7 @@
     OTHER_INSTANCE = "other_process"  # Another process responds at the address.
     UNHEALTHY = "unhealthy"
     MALFORMED = "malformed"
+    NOT_SENT = "not_sent"  # The upstream accepted no connection.
 
 
 class CallFailure(enum.Enum):
--- a/godwitnotch/net/leased_calls.py
+++ b/godwitnotch/net/leased_calls.py
@@ -103,7 +103,7 @@
 ) -> OrderResult:
     """Returns the result of an order of which no byte was sent."""
     if isinstance(order, actions.StartRun):
-        return events.OrderRejected(order.call, model.OrderRejection.UNHEALTHY)
+        return events.OrderRejected(order.call, model.OrderRejection.NOT_SENT)
     return events.OrderUnanswered(order.call, failure)
 
 
--- a/tests/leased_world.py
+++ b/tests/leased_world.py
@@ -694,7 +694,7 @@
 def _refused(action) -> events.Event:
     """Returns the result of an order to an address where nobody listens."""
     if isinstance(action, actions.StartRun):
-        return events.OrderRejected(action.call, model.OrderRejection.UNHEALTHY)
+        return events.OrderRejected(action.call, model.OrderRejection.NOT_SENT)
     return events.OrderUnanswered(action.call, model.CallFailure.REFUSED)
 
 
--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -256,6 +256,17 @@
         self.assertEqual(self.listener.ended, [(0, model.RunEnd.LEASE_EXPIRED)])
 
 
+class UnreachableTest(ManagerTest):
+    def test_idle_upstream_that_refuses_starts_gets_no_more(self) -> None:
+        for index in range(lease.SUSPENSION_FAILURE_COUNT):
+            order = self.start(index)
+            rejection = model.OrderRejection.NOT_SENT
+            self.manager.order_rejected(
+                events.OrderRejected(order.call, rejection), now=self.now
+            )
+        self.assertFalse(self.lease.accepts_runs())
+
+
 class IdleRestartTest(unittest.TestCase):
     def test_first_job_after_a_restart_of_idle_upstreams_runs_once(
         self,
