Tasks that may have crashed their upstream run alone next time

Callers of other jobs lost their tasks in crash after crash. Cause: all tasks of a crashed upstream were started again at the same moment, and could meet again on the next upstream, beside tasks of other jobs; and a second crash there said nothing about which of them it was.

Change: a task under which an upstream crashed, or was lost while its address refused connections, gets an upstream without runs, which accepts no other run meanwhile. It waits for one without holding up the jobs behind it. Silence alone sets nothing apart, so a cut domain's tasks go on as before.

--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -556,12 +556,15 @@
             if self._lease_manager.has_run(task.key):
                 continue
             rule = self._task_records.start_rule(task.key)
-            if rule is not StartRule.ALLOWED:
-                continue
-            lease = self._placement.choose(job, task, leases, now=now)
-            if lease is None:
-                return False
-            self._start_run(job, task, lease, now=now)
+            if rule is StartRule.ALLOWED:
+                lease = self._placement.choose(job, task, leases, now=now)
+                if lease is None:
+                    return False
+                self._start_run(job, task, lease, now=now)
+            elif rule is StartRule.ALONE:
+                lease = self._placement.choose_idle(job, task, leases, now=now)
+                if lease is not None:
+                    self._start_run(job, task, lease, alone=True, now=now)
         self._queue.update(job)
         return True
 
@@ -571,6 +574,7 @@
         task: jobs.LeasedTask,
         lease: lease_module.Lease,
         *,
+        alone: bool = False,
         now: float,
     ) -> None:
         key = model.RunKey(task.key, model.RunNumber(task.next_run))
@@ -582,10 +586,16 @@
             "run_ordered",
             job=job.name,
             detail=f"{key.pairs()} upstream={lease.upstream.upstream} "
-            f"expected_ms={expected_ms:.0f} term={self._lease_manager.term}",
+            f"expected_ms={expected_ms:.0f} term={self._lease_manager.term}"
+            f"{' alone=true' if alone else ''}",
         )
         self._lease_manager.start_run(
-            lease, job, key, expected_s=expected_ms / 1_000, now=now
+            lease,
+            job,
+            key,
+            expected_s=expected_ms / 1_000,
+            alone=alone,
+            now=now,
         )
 
     def _record_success(
@@ -628,6 +638,7 @@
             loss = peer_messages.UpstreamLoss(
                 lease.upstream.upstream,
                 lease.instance_started_ms,
+                refused=lease.refused,
                 crashed=end is model.RunEnd.CRASHED,
             )
             self._task_records.upstream_lost(run.key.task, loss, now=now)
--- a/godwitnotch/core/leased/lease.py
+++ b/godwitnotch/core/leased/lease.py
@@ -75,6 +75,7 @@
         start_expires_at: When an unanswered start order can no longer be
             executed.
         next_stop_at: When to repeat an unanswered stop order.
+        alone: Whether no other run may share the upstream.
     """
 
     key: model.RunKey
@@ -86,6 +87,7 @@
     confirmed_at: float | None = None
     start_expires_at: float = 0.0
     next_stop_at: float = 0.0
+    alone: bool = False
 
 
 @dataclass(slots=True)
@@ -103,6 +105,8 @@
         instance_seen_at: When the last response that states this time arrived.
         instance_changed_at: When the first response of a new instance arrived.
         replaced: Whether another process responds at the address.
+        refused: Whether the address has refused a connection since the last
+            response.
         acknowledged_end: Serial number of the last end that was processed.
         expires_at: When all runs will have ended unless the lease is renewed.
         pending_calls: How many calls have no response yet.
@@ -116,6 +120,7 @@
         runs: The runs at the upstream, by task.
         stopping: Tasks whose runs are being stopped.
         free_resources: Resources that no run uses.
+        reserved_for: The run that no other run may join; None if there is none.
     """
 
     upstream: model.LeasedUpstream
@@ -127,6 +132,7 @@
     instance_seen_at: float = 0.0
     instance_changed_at: float = float("-inf")
     replaced: bool = False
+    refused: bool = False
     acknowledged_end: int = 0
     expires_at: float = 0.0
     renewed_at: float = 0.0
@@ -138,6 +144,7 @@
     runs: dict[model.TaskKey, Run] = field(default_factory=dict)
     stopping: set[model.TaskKey] = field(default_factory=set)
     free_resources: model.Resources = field(init=False)
+    reserved_for: Run | None = None
 
     def __post_init__(self) -> None:
         """Sets all resources free."""
@@ -146,12 +153,16 @@
     def add_run(self, run: Run) -> None:
         """Adds a run and reserves its resources."""
         self.runs[run.key.task] = run
+        if run.alone:
+            self.reserved_for = run
         self.free_resources = self.free_resources.minus(run.needs)
 
     def remove_run(self, run: Run) -> None:
         """Removes a run and frees its resources."""
         del self.runs[run.key.task]
         self.stopping.discard(run.key.task)
+        if self.reserved_for is run:
+            self.reserved_for = None
         self.free_resources = self.free_resources.plus(run.needs)
 
     def set_needs(self, run: Run, needs: model.Resources) -> None:
@@ -197,6 +208,7 @@
         self.responded_at = now
         self.failures = 0
         self.replaced = False
+        self.refused = False
 
     def follow_instance(
         self, started_ms: int, *, sent_at: float, now: float
@@ -266,5 +278,6 @@
             and self.listed
             and not self.upstream.draining
             and self.failures < SUSPENSION_FAILURE_COUNT
+            and self.reserved_for is None
             and len(self.runs) < self.upstream.slots
         )
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -201,9 +201,10 @@
         key: model.RunKey,
         *,
         expected_s: float,
+        alone: bool = False,
         now: float,
     ) -> None:
-        """Orders the start of a run."""
+        """Orders the start of a run, which others may join unless `alone`."""
         run = lease_module.Run(
             key,
             job,
@@ -212,6 +213,7 @@
             ordered_at=now,
             expected_s=expected_s,
             start_expires_at=now + lease_module.MAX_LEASE_DURATION_S,
+            alone=alone,
         )
         self._runs.add(lease, run)
         lease.record_renewal(now=now)
@@ -338,6 +340,8 @@
             detail=f"{call.detail()} cause={event.failure.value}",
         )
         if not call.to_former_address:
+            if event.failure is model.CallFailure.REFUSED:
+                lease.refused = True
             self._record_failure(lease, now=now)
             if call.kind is CallKind.LIST_RUNS:
                 self._expire_if_asked(call, now=now)
--- a/godwitnotch/core/leased/peer_messages.py
+++ b/godwitnotch/core/leased/peer_messages.py
@@ -99,11 +99,13 @@
         upstream: Id of the upstream.
         instance_started_ms: When its process started, by its own clock; 0 if
             not known.
+        refused: Whether its address refused connections.
         crashed: Whether a crash is proven.
     """
 
     upstream: ids.UpstreamId
     instance_started_ms: int
+    refused: bool
     crashed: bool
 
 
--- a/godwitnotch/core/leased/placement.py
+++ b/godwitnotch/core/leased/placement.py
@@ -37,6 +37,18 @@
         self._times = times
         self._health = health
 
+    def choose_idle(
+        self,
+        job: jobs.LeasedJob,
+        task: jobs.LeasedTask,
+        leases: Iterable[lease_module.Lease],
+        *,
+        now: float,
+    ) -> lease_module.Lease | None:
+        """Returns the best upstream without runs, None if the task waits."""
+        idle = [lease for lease in leases if not lease.runs]
+        return self._find_cheapest(job, task, idle, now=now)
+
     def choose(
         self,
         job: jobs.LeasedJob,
--- a/godwitnotch/core/leased/task_records.py
+++ b/godwitnotch/core/leased/task_records.py
@@ -2,8 +2,8 @@
 
 An upstream is lost to a crash, which one of its tasks may have caused, or to a
 cut. The two look alike until another process answers in place of the lost one, or
-the lost one itself. So a task that may have crashed two upstreams isn't started
-again until that is known.
+the lost one itself. So a task that may have crashed an upstream runs alone next time,
+and one that may have crashed two isn't started again until that is known.
 """
 
 import dataclasses
@@ -27,6 +27,7 @@
     """Whether a task may start."""
 
     ALLOWED = "allowed"
+    ALONE = "alone"  # At an upstream that runs nothing else meanwhile.
     AWAIT_PROOF = "await_proof"
     GIVE_UP = "give_up"
 
@@ -104,7 +105,8 @@
         """Returns whether a task may start."""
         losses = self._losses(task)
         if len(losses) < MAX_CRASHES:
-            return StartRule.ALLOWED
+            suspect = any(loss.refused or loss.crashed for loss in losses)
+            return StartRule.ALONE if suspect else StartRule.ALLOWED
         if sum(loss.crashed for loss in losses) < MAX_CRASHES:
             return StartRule.AWAIT_PROOF
         return StartRule.GIVE_UP
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -583,7 +583,10 @@
                         model.TaskKey(model.JobName("j"), 3),
                         (
                             peer_messages.UpstreamLoss(
-                                ids.UpstreamId("u"), 1_000, crashed=True
+                                ids.UpstreamId("u"),
+                                1_000,
+                                refused=True,
+                                crashed=False,
                             ),
                         ),
                     ),
