An order that was not sent renews no lease

Callers whose tasks ran at an upstream that was cut off waited for seconds until they ran elsewhere. Cause: each request for the list of runs extended the time until which the runs may go on, also a request that no connection took. With growing delays between the requests, a run that wasn't overdue was given up 9.6 s after the cut.

Change: the renewal that an order would bring is taken back when the order turns out not to have been sent (refused, or no connection in time). An order that was sent and has no response still counts, as it may have been executed.

--- a/godwitnotch/core/leased/lease.py
+++ b/godwitnotch/core/leased/lease.py
@@ -90,6 +90,17 @@
     alone: bool = False
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class Renewal:
+    """An order that may renew a lease.
+
+    Attributes:
+        former_expires_at: When the lease expires without it.
+    """
+
+    former_expires_at: float
+
+
 @dataclass(slots=True)
 class Lease:
     """The leader's lease on one upstream, and the runs that it knows there.
@@ -115,7 +126,7 @@
         last_list_request_at: When the list of runs was last requested.
         next_list_request_at: Earliest time of the next request for the list of
             runs.
-        renewed_at: When an order was last sent that may renew the lease.
+        last_renewal: The last order that may renew the lease; None if none.
         failures: Consecutive failed calls.
         runs: The runs at the upstream, by task.
         stopping: Tasks whose runs are being stopped.
@@ -135,7 +146,7 @@
     refused: bool = False
     acknowledged_end: int = 0
     expires_at: float = 0.0
-    renewed_at: float = 0.0
+    last_renewal: Renewal | None = None
     pending_calls: int = 0
     pending_list_requests: int = 0
     last_list_request_at: float = float("-inf")
@@ -239,10 +250,16 @@
         self.instance_seen_at = now
         return True
 
-    def record_renewal(self, *, now: float) -> None:
+    def record_renewal(self, *, now: float) -> Renewal:
         """Extends expires_at, as an order that may renew the lease is sent."""
+        self.last_renewal = Renewal(self.expires_at)
         self.expires_at = max(self.expires_at, now + MAX_LEASE_DURATION_S)
-        self.renewed_at = now
+        return self.last_renewal
+
+    def withdraw_renewal(self, renewal: Renewal) -> None:
+        """Takes the last renewal back, as its order was not sent."""
+        if self.last_renewal is renewal:
+            self.expires_at = renewal.former_expires_at
 
     def expired(self, *, now: float) -> bool:
         """Returns whether runs should have ended, as nothing was renewed."""
--- a/godwitnotch/core/leased/lease_calls.py
+++ b/godwitnotch/core/leased/lease_calls.py
@@ -30,6 +30,7 @@
         run: The run to start or stop; None for a request for the list of runs,
             or for the stop of a run that the leader doesn't know.
         key: The run to start or stop, also if the leader doesn't know it.
+        renewal: How the call may renew the lease; None if it can't.
     """
 
     kind: CallKind
@@ -39,6 +40,7 @@
     term: model.Term
     run: lease_module.Run | None = None
     key: model.RunKey | None = None
+    renewal: lease_module.Renewal | None = None
 
     def detail(self) -> str:
         """Returns the run, the upstream and the kind as key=value pairs."""
@@ -89,8 +91,11 @@
         *,
         now: float,
     ) -> None:
-        """Sends the order to start a run."""
-        call = self._register(CallKind.START, lease, run, run.key, now=now)
+        """Sends the order to start a run, which renews the lease."""
+        renewal = lease.record_renewal(now=now)
+        call = self._register(
+            CallKind.START, lease, run, run.key, renewal=renewal, now=now
+        )
         deadline_ms = lease.deadline_ms(now=now)
         self._out.add(
             actions.StartRun(
@@ -128,7 +133,12 @@
                 responds.
             now: The current time.
         """
-        call = self._register(CallKind.LIST_RUNS, lease, None, None, now=now)
+        renewal = None
+        if deadline_ms is not None:
+            renewal = lease.record_renewal(now=now)
+        call = self._register(
+            CallKind.LIST_RUNS, lease, None, None, renewal=renewal, now=now
+        )
         lease.pending_list_requests += 1
         self._out.add(
             actions.RenewLease(
@@ -148,6 +158,7 @@
         run: lease_module.Run | None,
         key: model.RunKey | None,
         *,
+        renewal: lease_module.Renewal | None = None,
         now: float,
     ) -> model.UpstreamCallId:
         call_id = self._out.next_call_id()
@@ -160,5 +171,6 @@
             term=self.term,
             run=run,
             key=key,
+            renewal=renewal,
         )
         return call_id
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -216,7 +216,6 @@
             alone=alone,
         )
         self._runs.add(lease, run)
-        lease.record_renewal(now=now)
         self._calls.start(lease, run, job.request.spec, now=now)
 
     def stop_run(
@@ -299,6 +298,11 @@
             reason=rejection.value,
             detail=call.detail(),
         )
+        if (
+            rejection is model.OrderRejection.NOT_SENT
+            and call.renewal is not None
+        ):
+            lease.withdraw_renewal(call.renewal)
         if call.kind is CallKind.START and run is not None:
             self._start_rejected(lease, run, rejection, now=now)
         if call.to_former_address:
@@ -339,6 +343,8 @@
             job=call.key.task.job if call.key else "",
             detail=f"{call.detail()} cause={event.failure.value}",
         )
+        if event.failure.not_sent and call.renewal is not None:
+            lease.withdraw_renewal(call.renewal)
         if not call.to_former_address:
             if event.failure is model.CallFailure.REFUSED:
                 lease.refused = True
@@ -447,7 +453,6 @@
             and not lease.expired(now=now)
         ):
             deadline_ms = lease.deadline_ms(now=now)
-            lease.record_renewal(now=now)
         self._calls.request_runs(
             lease, deadline_ms=deadline_ms, wait_ms=wait_ms, now=now
         )
@@ -652,12 +657,13 @@
 
     def _expire(self, lease: lease_module.Lease, *, now: float) -> None:
         """Records all runs of an expired lease as ended."""
+        renewed_at = lease.expires_at - lease_module.MAX_LEASE_DURATION_S
         self._out.add_decision(
             "lease_lapsed",
             detail=f"upstream={lease.upstream.upstream} "
             f"runs={len(lease.runs)} state={lease.state.value} "
             f"response_ago_ms={_ago_ms(lease.responded_at, now=now)} "
-            f"renewal_ago_ms={_ago_ms(lease.renewed_at, now=now)} "
+            f"renewal_ago_ms={_ago_ms(renewed_at, now=now)} "
             f"expired_ago_ms={_ago_ms(lease.expires_at, now=now)} "
             f"tick_gap_ms={self._tick_gap_s * 1_000:.0f} term={self.term}",
         )
--- a/godwitnotch/core/leased/model.py
+++ b/godwitnotch/core/leased/model.py
@@ -82,6 +82,11 @@
     TIMED_OUT = "timed_out"
     UNREADABLE = "unreadable"  # A response that proves nothing.
 
+    @property
+    def not_sent(self) -> bool:
+        """Whether no byte of the call was sent."""
+        return self in (CallFailure.REFUSED, CallFailure.NOT_CONNECTED)
+
 
 @dataclass(frozen=True, slots=True)
 class Resources:
--- a/tests/test_leased_crashes.py
+++ b/tests/test_leased_crashes.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from godwitnotch.core.leased import lease
+from godwitnotch.core.leased import lease_manager
 from godwitnotch.core.leased import model
 from tests import leased_world
 
@@ -96,6 +98,19 @@
         self.world.run(0.1)
         return upstream
 
+    def test_orders_that_are_not_sent_keep_a_lost_upstreams_lease(
+        self,
+    ) -> None:
+        self.world.submit("x1", "j", wait_s=60.0)
+        self.world.run(0.1)
+        cut_at = self.world.now
+        self.cut_off_running()
+        # The last order that was sent, and the question after the expiry.
+        call_s = lease_manager.MAX_LIST_WAIT_MS / 1_000
+        call_s += leased_world.ORDER_TIMEOUT_S
+        limit_s = lease.MAX_LEASE_DURATION_S + 2 * call_s
+        self.assertLessEqual(self.world.now - cut_at, limit_s + 0.1)
+
     def test_job_whose_upstreams_were_cut_off_is_completed(self) -> None:
         call = self.world.submit("x1", "j", wait_s=60.0)
         self.world.run(0.1)
