A run that only a list shows is recorded until it has ended

An upstream that doesn't guard its room could be brought over it (LIMIT), as what is being stopped still counts. Cause: a run that a list shows and the leader has no record of was told to stop, and nothing was kept of it: its upstream was filled and its task could start elsewhere meanwhile, and without other runs the next list was asked for after 15 s.

Change: such a run is recorded as stopping. Until its end is listed its upstream gets no more runs, since what it uses isn't known, and its task isn't started.

--- a/godwitnotch/core/leased/lease.py
+++ b/godwitnotch/core/leased/lease.py
@@ -24,6 +24,9 @@
 # A single failed call may be a lost response; after two in a row the upstream
 # gets no new runs.
 SUSPENSION_FAILURE_COUNT = 2
+# Resources reserved for a run that was found at an upstream, until its job is
+# known.
+UNKNOWN_NEEDS = model.Resources(0, 0, 0)
 
 
 class LeaseState(enum.Enum):
@@ -130,6 +133,7 @@
         failures: Consecutive failed calls.
         runs: The runs at the upstream, by task.
         stopping: Tasks whose runs are being stopped.
+        unknown_needs: Tasks whose runs use resources that are not known.
         free_resources: Resources that no run uses.
         reserved_for: The run that no other run may join; None if there is none.
     """
@@ -154,6 +158,7 @@
     failures: int = 0
     runs: dict[model.TaskKey, Run] = field(default_factory=dict)
     stopping: set[model.TaskKey] = field(default_factory=set)
+    unknown_needs: set[model.TaskKey] = field(default_factory=set)
     free_resources: model.Resources = field(init=False)
     reserved_for: Run | None = None
 
@@ -164,6 +169,8 @@
     def add_run(self, run: Run) -> None:
         """Adds a run and reserves its resources."""
         self.runs[run.key.task] = run
+        if run.needs is UNKNOWN_NEEDS:
+            self.unknown_needs.add(run.key.task)
         if run.alone:
             self.reserved_for = run
         self.free_resources = self.free_resources.minus(run.needs)
@@ -172,6 +179,7 @@
         """Removes a run and frees its resources."""
         del self.runs[run.key.task]
         self.stopping.discard(run.key.task)
+        self.unknown_needs.discard(run.key.task)
         if self.reserved_for is run:
             self.reserved_for = None
         self.free_resources = self.free_resources.plus(run.needs)
@@ -180,6 +188,7 @@
         """Sets the resources reserved for a run once its job is known."""
         self.free_resources = self.free_resources.plus(run.needs).minus(needs)
         run.needs = needs
+        self.unknown_needs.discard(run.key.task)
 
     def update_entry(self, upstream: model.LeasedUpstream) -> None:
         """Replaces the upstream's entry by a newer one."""
@@ -296,5 +305,6 @@
             and not self.upstream.draining
             and self.failures < SUSPENSION_FAILURE_COUNT
             and self.reserved_for is None
+            and not self.unknown_needs
             and len(self.runs) < self.upstream.slots
         )
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -42,9 +42,6 @@
 RECENT_RESPONSE_S = 1.0
 BASE_LIST_RETRY_DELAY_S = 0.06
 MAX_LIST_RETRY_DELAY_S = 1.0
-# Resources reserved for a run that was found at an upstream, until its job is
-# known.
-UNKNOWN_NEEDS = model.Resources(0, 0, 0)
 
 
 class LeaseManager:
@@ -473,19 +470,26 @@
                 continue
             if known is not None:
                 self._record_end(lease, known, model.RunEnd.MISSING, now=now)
-            run = lease_module.Run(
-                key,
-                None,
-                UNKNOWN_NEEDS,
-                RunState.RUNNING,
-                ordered_at=now,
-                expected_s=0.0,
-                confirmed_at=now,
-                start_expires_at=now + lease_module.MAX_LEASE_DURATION_S,
-            )
-            self._runs.add(lease, run)
+            run = self._add_found(lease, key, now=now)
             self._adopt_run(lease.upstream.upstream, run)
 
+    def _add_found(
+        self, lease: lease_module.Lease, key: model.RunKey, *, now: float
+    ) -> lease_module.Run:
+        """Records a run that a list shows."""
+        run = lease_module.Run(
+            key,
+            None,
+            lease_module.UNKNOWN_NEEDS,
+            RunState.RUNNING,
+            ordered_at=now,
+            expected_s=0.0,
+            confirmed_at=now,
+            start_expires_at=now + lease_module.MAX_LEASE_DURATION_S,
+        )
+        self._runs.add(lease, run)
+        return run
+
     def _adopt_run(
         self, upstream: ids.UpstreamId, run: lease_module.Run
     ) -> None:
@@ -525,7 +529,7 @@
     def _reserve_adopted_runs(self, lease: lease_module.Lease) -> None:
         """Reserves resources for adopted runs and sets their run times."""
         for run in tuple(lease.runs.values()):
-            if run.job is not None and run.needs is UNKNOWN_NEEDS:
+            if run.job is not None and run.needs is lease_module.UNKNOWN_NEEDS:
                 lease.set_needs(run, run.job.request.tasks.needs)
                 run.expected_s = run.job.base_ms / 1_000
 
@@ -573,7 +577,11 @@
     def _stop_unknown(
         self, lease: lease_module.Lease, run_list: model.RunList, *, now: float
     ) -> None:
-        """Stops runs that started after the leader had recorded their end."""
+        """Stops runs that started after the leader had recorded their end.
+
+        They stay recorded until they have ended. That isn't possible beside
+        another run of the same task at the same upstream.
+        """
         if lease.state is not LeaseState.HELD:
             return
         for key in run_lists.unknown_runs(lease, run_list):
@@ -582,7 +590,10 @@
                 job=key.task.job,
                 detail=f"{key.pairs()} upstream={lease.upstream.upstream}",
             )
-            self._calls.stop(lease, key, run=None, now=now)
+            if key.task in lease.runs:
+                self._calls.stop(lease, key, run=None, now=now)
+                continue
+            self.stop_run(lease, self._add_found(lease, key, now=now), now=now)
 
     def _retry_stops(self, lease: lease_module.Lease, *, now: float) -> None:
         for run in tuple(lease.runs.values()):
--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -267,6 +267,36 @@
         self.assertFalse(self.lease.accepts_runs())
 
 
+class UnknownRunTest(ManagerTest):
+    """A list shows a run that the leader has no record of."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        (request,) = self.accept(self.start(0))
+        self.now += 0.1
+        ended = model.EndedRun(1, self.key(0), model.RunEnd.DONE)
+        self.list_runs(request, 2, instance=1_000, ended=(ended,))
+        sent = self.out.take()
+        (self.stop,) = (
+            each for each in sent if isinstance(each, actions.StopRun)
+        )
+
+    def test_upstream_is_filled_beside_an_unknown_run_that_stops(self) -> None:
+        self.assertEqual(self.stop.key, self.key(2))
+        self.assertFalse(self.lease.accepts_runs())
+
+    def test_task_runs_elsewhere_while_its_unknown_run_stops(self) -> None:
+        self.assert_runs(2)
+        self.manager.order_taken(
+            events.OrderTaken(self.stop.call, 1, 0), now=self.now
+        )
+        (request, *_) = self.take(actions.RenewLease) + self.tick(0.1)
+        ended = model.EndedRun(2, self.key(2), model.RunEnd.STOPPED)
+        self.list_runs(request, instance=1_000, ended=(ended,))
+        self.assert_runs()
+        self.assertTrue(self.lease.accepts_runs())
+
+
 class IdleRestartTest(unittest.TestCase):
     def test_first_job_after_a_restart_of_idle_upstreams_runs_once(
         self,
