A suspect too late to be of use crashes no second upstream

Callers of other jobs lost tasks, and room for three seconds, to second crashes of jobs whose answers nobody could use any more. Cause: a task that may have crashed its upstream was started again as long as its caller waited, though a crash is known only after a second, and the users count no answer after three times its target.

Change: such a task isn't started again if its job would be answered later than that. The job is given up at once (504, upstream_lost). Tasks that are no suspects go on as before, and ready answers are delivered, also late.

--- a/godwitnotch/core/leased/admission.py
+++ b/godwitnotch/core/leased/admission.py
@@ -22,6 +22,9 @@
 # A job can't end by its deadline if even this share of its expected run time, at
 # the fastest upstream, is longer than the time left; estimates are rough.
 MIN_RUN_TIME_SHARE = 0.5
+# Callers have no use for an answer after this multiple of the target response
+# time, by the users' rules.
+MAX_USEFUL_FACTOR = 3.0
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 5.0
 
@@ -145,6 +148,12 @@
     return now + run_s <= job.deadline
 
 
+def can_end_usefully(job: jobs.LeasedJob, *, now: float) -> bool:
+    """Returns whether a job is still of use if its waiting tasks start now."""
+    latest = job.arrived_at + job.target_response_s * MAX_USEFUL_FACTOR
+    return now + job.base_ms / 1_000 <= latest
+
+
 def retry_after_s(load: Load) -> float:
     """Returns when the caller of a refused job should retry."""
     return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, load.backlog_s))
--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -562,6 +562,10 @@
                     return False
                 self._start_run(job, task, lease, now=now)
             elif rule is StartRule.ALONE:
+                verdict = self._admission.check_suspect(job, now=now)
+                if not isinstance(verdict, job_admission.Kept):
+                    self._apply(verdict, job, now=now)
+                    return True
                 lease = self._placement.choose_idle(job, task, leases, now=now)
                 if lease is not None:
                     self._start_run(job, task, lease, alone=True, now=now)
--- a/godwitnotch/core/leased/job_admission.py
+++ b/godwitnotch/core/leased/job_admission.py
@@ -141,6 +141,20 @@
             f"base_ms={job.base_ms:.0f} waiting={job.waiting_task_count}",
         )
 
+    def check_suspect(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
+        """Ends a job that is too late to risk another upstream for it."""
+        if admission.can_end_usefully(job, now=now):
+            return _KEPT
+        answer = model.Answer(
+            model.JobEnd.GIVEN_UP, model.EndReason.UPSTREAM_LOST
+        )
+        return Ended(
+            answer,
+            "job_too_late_to_risk",
+            f"waited_s={now - job.arrived_at:.3f} "
+            f"target_s={job.target_response_s:.3f}",
+        )
+
     def _find_sooner_leader(
         self, job: jobs.LeasedJob, *, now: float
     ) -> ids.HostId | None:
--- a/godwitnotch/core/leased/model.py
+++ b/godwitnotch/core/leased/model.py
@@ -42,6 +42,7 @@
     OVERLOADED = "overloaded"
     TASK_FAILED = "task_failed"
     TASK_CRASHES_UPSTREAMS = "task_crashes_upstreams"
+    UPSTREAM_LOST = "upstream_lost"
     DEADLINE_PASSED = "deadline_passed"
     DRAINING = "draining"
     CANCELLED = "cancelled"
--- a/godwitnotch/report/job_trace.py
+++ b/godwitnotch/report/job_trace.py
@@ -87,7 +87,10 @@
             cause = Cause.RUN_UNANSWERED
         elif reason == model.RunEnd.FAILED.value:
             cause = Cause.RUN_FAILED
-        elif reason == model.RunEnd.MISSING.value:
+        elif reason in (
+            model.RunEnd.MISSING.value,
+            model.RunEnd.CRASHED.value,
+        ):
             cause = Cause.RUN_GONE
         lost_s = max(0.0, at - (self.ordered_at or at))
         self.lost_s[cause] = self.lost_s.get(cause, 0.0) + lost_s
@@ -205,6 +208,7 @@
     model.EndReason.CANCELLED.value: Cause.CALLER_LEFT,
     model.EndReason.TASK_FAILED.value: Cause.JOB_FAILS,
     model.EndReason.TASK_CRASHES_UPSTREAMS.value: Cause.JOB_FAILS,
+    model.EndReason.UPSTREAM_LOST.value: Cause.RUN_LAPSED,
 }
 
 
--- a/tests/test_leased_crashes.py
+++ b/tests/test_leased_crashes.py
@@ -20,6 +20,7 @@
     def setUp(self) -> None:
         self.world = leased_world.World(HOSTS, upstreams=4)
         self.world.deadly_tasks.add(DEADLY)
+        self.world.target_ms = 20_000.0
         self.world.run(2.0)
 
     def deadly_starts(self) -> int:
@@ -52,6 +53,14 @@
         world.run(10.0)
         self.assertLessEqual(self.deadly_starts(), MAX_STARTS)
 
+    def test_job_that_is_too_late_crashes_another_upstream(self) -> None:
+        self.world.target_ms = 60.0
+        call = self.world.submit("x1", DEADLY.job, wait_s=5.0)
+        self.world.run(2.0)
+        self.assertEqual(len(self.world.crashes), 1)
+        _, answer = self.world.answers[call]
+        self.assertIs(answer.end, model.JobEnd.GIVEN_UP)
+
     def test_repeated_job_starts_a_deadly_task_from_zero(self) -> None:
         for host in ("x1", "y1", "x2", "y2", "x1", "y1"):
             self.world.submit(host, DEADLY.job, wait_s=2.0)
@@ -75,6 +84,7 @@
     def setUp(self) -> None:
         self.world = leased_world.World(HOSTS, upstreams=2)
         self.world.run_time_ms = 15_000.0
+        self.world.target_ms = 20_000.0
         self.world.run(2.0)
 
     def lost_count(self) -> int:
