Soak: tasks that crash upstreams, restarts after a crash, rooms that shrink

Now some jobs have a task that crashes each upstream that starts it; the upstream is gone for 0.02 to 3 s and comes back under its id, with counts and clock anew. Rooms shrink and grow while tasks run, and three of ten upstreams don't guard theirs. New checks: a task starts at most twice after three crashes; no start beyond a room that was reported 4.5 s ago.

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -11,6 +11,12 @@
 from tests.soak import exact_upstream
 from tests.soak import load as load_module
 
+# A task may be started twice more after it has crashed three upstreams.
+FORBIDDEN_CRASH_COUNT = 3
+FORBIDDEN_START_COUNT = 3
+# A change of room counts after the platform's contact time and one report.
+ROOM_KNOWN_AFTER_S = 3.0 + 1.5
+
 
 @dataclass(slots=True)
 class Run:
@@ -76,6 +82,8 @@
     lives: dict[tuple[int, int, str], _Life] = {}
     found: list[Run] = []
     for record in records:
+        if record["kind"] == "crash":
+            continue
         key = record["pid"], record["life"], record["up"]
         life = lives.setdefault(key, _Life())
         match record["kind"]:
@@ -123,6 +131,35 @@
     ]
 
 
+def started_after_crashes(records: Iterable[Mapping[str, Any]]) -> list[str]:
+    """Returns the tasks that were started too often after crashes."""
+    crashes: dict[str, int] = {}
+    later_starts: dict[str, int] = {}
+    for record in records:
+        task = record.get("task")
+        if record["kind"] == "crash":
+            crashes[task] = crashes.get(task, 0) + 1
+        elif crashes.get(task, 0) >= FORBIDDEN_CRASH_COUNT:
+            starts = later_starts.get(task, 0)
+            later_starts[task] = starts + (record["kind"] == "start")
+    return [
+        task
+        for task, count in later_starts.items()
+        if count >= FORBIDDEN_START_COUNT
+    ]
+
+
+def over_room(records: Iterable[Mapping[str, Any]]) -> list[str]:
+    """Returns the starts beyond the room that an upstream has had for long."""
+    return [
+        f"{record['task']} at {record['up']}"
+        for record in records
+        if record["kind"] == "start"
+        and record["over_room"]
+        and record["room_age_s"] > ROOM_KNOWN_AFTER_S
+    ]
+
+
 def _started(record: Mapping[str, Any]) -> Run:
     return Run(
         task=record["task"],
--- a/tests/soak/exact_upstream.py
+++ b/tests/soak/exact_upstream.py
@@ -16,6 +16,9 @@
 FAILED_SHARE = 0.005
 UNHEALTHY_SHARE = 0.003
 SLOW_SHARE, SLOW_FACTOR = 0.01, 6.0
+# A task with this word in its specification crashes each upstream that starts it.
+DEADLY = "deadly"
+MAX_CRASH_DELAY_S = 0.03
 START_PATH, STOP_PATH, RENEW_PATH = "/run-start", "/run-stop", "/hold"
 
 # Called with the kind and the fields of a record.
@@ -53,6 +56,11 @@
         rng: Source of run times, stop times and failures.
         record: Writes a record.
         ignores_leases: Whether runs go on when the lease ends.
+        guards_room: Whether it rejects starts that it has no room for.
+
+    Attributes:
+        crashes_at: When a task that it runs crashes it; infinite if none does.
+        crashed_by: That task; empty if there is none.
     """
 
     def __init__(
@@ -66,8 +74,13 @@
         rng: random.Random,
         record: Record,
         ignores_leases: bool = False,
+        guards_room: bool = True,
     ) -> None:
         self.upstream = upstream
+        self.crashes_at = float("inf")
+        self.crashed_by = ""
+        self._guards_room = guards_room
+        self._room_set_at = started_at
         self._max_runs = max_runs
         self._rate = clock_rate
         self._started_at = started_at
@@ -87,6 +100,11 @@
         """Whether there are ends that no order has acknowledged."""
         return bool(self._ends)
 
+    def set_room(self, max_runs: int, now: float) -> None:
+        """Changes how many runs it has room for; none is ended."""
+        self._max_runs = max_runs
+        self._room_set_at = now
+
     def next_end(self) -> float:
         """Returns when the next run ends; infinite without runs."""
         return min(map(self._end_of, self._runs.values()), default=float("inf"))
@@ -169,9 +187,11 @@
         self._extend(body["deadline_ms"], now)
         if number <= self._blocked.get(task, 0):
             return "old"
-        if len(self._runs) >= self._max_runs:
+        over = len(self._runs) >= self._max_runs
+        if over and self._guards_room:
             return "room"
-        run_time_s = float(body["spec"]) * self._rng.uniform(0.9, 1.2) / 1_000
+        spec, _, kind = body["spec"].partition(" ")
+        run_time_s = float(spec) * self._rng.uniform(0.9, 1.2) / 1_000
         if self._rng.random() < SLOW_SHARE:
             run_time_s *= SLOW_FACTOR
         fails = self._rng.random() < FAILED_SHARE
@@ -184,7 +204,13 @@
             run=number,
             term=body["fence"],
             ends_at=run.ends_at,
+            over_room=over,
+            room_age_s=now - self._room_set_at,
         )
+        if kind == DEADLY and task.endswith(".0"):
+            delay_s = self._rng.uniform(0.0, MAX_CRASH_DELAY_S)
+            self.crashes_at = min(self.crashes_at, now + delay_s)
+            self.crashed_by = task
         return ""
 
     def _stop(self, task: str, number: int, now: float) -> None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,11 +12,13 @@
 from typing import Any
 
 from tests.soak import fleet as fleet_module
+from tests.soak import load as load_module
 from tests.soak import processes
 from tests.soak import schedule
 
 STARVE_PERIOD_S = 0.1
 BUSY_PROCESSES = 2
+DEADLY_SHARE = 0.02
 MAX_CLOCK_STEP_S = 4.0
 LINK_DELAYS_S = (0.02, 0.1, 0.3, 0.6, 1.5)
 _BUSY_CODE = "import time\nwhile time.monotonic() < {}: pass"
@@ -38,14 +40,18 @@
 
     Args:
         fleet: The processes.
+        load: The callers.
 
     Attributes:
         done: The faults so far: begin, end and text.
     """
 
-    def __init__(self, fleet: fleet_module.Fleet) -> None:
+    def __init__(
+        self, fleet: fleet_module.Fleet, load: load_module.Load
+    ) -> None:
         self.done: list[tuple[float, float, str]] = []
         self.fleet = fleet
+        self.load = load
         self.restarting: set[str] = set()
 
     async def run(self, faults: Iterable[schedule.Fault]) -> None:
@@ -235,6 +241,29 @@
     return upstream.name
 
 
+@_executes("shrink_rooms")
+async def _shrink_rooms(
+    faults: Faults, fault: schedule.Fault, rng: random.Random
+) -> str:
+    """Takes room from upstreams that run tasks, and gives it back."""
+    group = faults.group(fault)
+    await faults.fleet.set_room(group, rng.randint(1, fleet_module.ROOM - 1))
+    await asyncio.sleep(fault.duration_s)
+    await faults.fleet.set_room(group, fleet_module.ROOM)
+    return group.process.name
+
+
+@_executes("deadly_jobs")
+async def _deadly_jobs(
+    faults: Faults, fault: schedule.Fault, rng: random.Random
+) -> str:
+    """Lets callers send jobs with a task that crashes its upstreams."""
+    faults.load.deadly_share += DEADLY_SHARE
+    await asyncio.sleep(fault.duration_s)
+    faults.load.deadly_share -= DEADLY_SHARE
+    return ""
+
+
 @_executes("busy")
 async def _busy(
     faults: Faults, fault: schedule.Fault, rng: random.Random
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -24,10 +24,12 @@
 CALLERS_PORT, READY_PORT, PEERS_PORT = 8161, 8167, 8166
 UPSTREAM_PORT = 9000
 SLOTS = 8
-CPU_MILLIS = 2_000
+CPU_MILLIS_PER_RUN = 1_000
+ROOM = 3  # Runs that an upstream has room for.
 UPSTREAMS_PER_DOMAIN = 8
 GROUPS_PER_DOMAIN = 2  # Processes that serve the upstreams of a domain.
 UNLISTED_PER_DOMAIN = 2  # Further upstreams, which are not listed at first.
+GUARDED_SHARE = 0.7
 CLOCK_RATES = (1.0, 0.98)
 STORE_TIMEOUT_S = 5.0
 _LEADER = re.compile(r"event=leader_changed leader=([\d.]+):")
@@ -88,7 +90,9 @@
     ip: str
     clock_rate: float
     listed: bool
+    guards_room: bool
     port: int = UPSTREAM_PORT
+    room: int = ROOM
 
 
 @dataclass(slots=True)
@@ -206,9 +210,11 @@
         settings = {
             "records": str(self.records),
             "seed": self._rng.random(),
-            "cpu_millis": CPU_MILLIS,
+            "unguarded": [
+                each.name for each in group.upstreams if not each.guards_room
+            ],
             "upstreams": [
-                [each.name, each.ip, each.port, each.clock_rate]
+                [each.name, each.ip, each.port, each.clock_rate, each.room]
                 for each in group.upstreams
             ],
         }
@@ -231,7 +237,10 @@
             "version": "v1",
             "slots": SLOTS,
             "state": "ready",
-            "capacity": {"cpu": CPU_MILLIS, "mem_mb": 4_000},
+            "capacity": {
+                "cpu": upstream.room * CPU_MILLIS_PER_RUN,
+                "mem_mb": 4_000,
+            },
             "labels": ["a", "r1"],
             "seq": next(self._starts),
         }
@@ -242,6 +251,15 @@
             deadline=time.monotonic() + STORE_TIMEOUT_S,
         )
 
+    async def set_room(self, group: UpstreamGroup, room: int) -> None:
+        """Changes the room of all upstreams of a process, and their entries."""
+        for each in group.upstreams:
+            each.room = room
+            if group.process.pid:
+                group.process.write_line(f"{each.name} {room}")
+            if each.listed:
+                await self.list_upstream(each)
+
     async def unlist_upstream(self, upstream: Upstream) -> None:
         """Removes an upstream from the store's list."""
         upstream.listed = False
@@ -307,6 +325,7 @@
                     f"127.{self._network}.{index + 11}.{number + 1}",
                     clock_rate=self._rng.choice(CLOCK_RATES),
                     listed=number < UPSTREAMS_PER_DOMAIN,
+                    guards_room=self._rng.random() < GUARDED_SHARE,
                 )
                 for number in range(group, count, GROUPS_PER_DOMAIN)
             ],
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -10,6 +10,7 @@
 from dataclasses import field
 
 from godwitnotch.standins import leased_platform
+from tests.soak import exact_upstream
 from tests.soak import fleet as fleet_module
 
 CALLER_WAIT_S = 1.5
@@ -94,6 +95,7 @@
     Attributes:
         jobs: All jobs so far.
         stray_responses: Bytes that came without a request.
+        deadly_share: Share of new jobs with a task that crashes upstreams.
     """
 
     def __init__(
@@ -101,6 +103,7 @@
     ) -> None:
         self.jobs: list[Job] = []
         self.stray_responses: list[str] = []
+        self.deadly_share = 0.0
         self._fleet = fleet
         self._scale = scale
         self._rng = random.Random(seed)
@@ -135,9 +138,12 @@
     async def _send_kind(self, rate: float, tasks: int, task_ms: int) -> None:
         step = {"count": tasks, "cpu": 1_000, "estimate_ms": task_ms}
         # The upstreams take the duration of a task from its specification.
-        body = {"best_effort": True, "spec": str(task_ms), "steps": [step]}
+        body = {"best_effort": True, "steps": [step]}
         while not self._stopped:
             await asyncio.sleep(self._rng.expovariate(rate * self._scale))
+            deadly = self._rng.random() < self.deadly_share
+            kind = exact_upstream.DEADLY if deadly else ""
+            body["spec"] = f"{task_ms} {kind}"
             job = Job(f"{next(self._numbers):016x}")
             self.jobs.append(job)
             self._spawn(self._send(job, json.dumps(body).encode()))
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -21,6 +21,8 @@
     "blink_upstreams": 3,
     "unlist_upstream": 4,
     "add_upstream": 2,
+    "shrink_rooms": 3,
+    "deadly_jobs": 4,
     "busy": 1,
 }
 # These need relays.
@@ -104,8 +106,10 @@
 
 def _duration_s(kind: str, rng: random.Random) -> float:
     match kind.partition("_")[0]:
-        case "starve" | "busy":
+        case "starve" | "busy" | "deadly":
             return rng.uniform(2.0, 6.0)
+        case "shrink":
+            return rng.uniform(1.0, 12.0)
         case "kill" | "term" | "move" | "restart":
             return rng.uniform(0.0, 2.0)
         case "unlist" | "cut":
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -58,6 +58,9 @@
         refused_but_ran: Jobs of which all calls were refused, but a task ran.
         stray_responses: Responses without a request.
         recovered: Whether jobs completed after the last fault.
+        started_after_crashes: Tasks that were started too often after they had
+            crashed upstreams.
+        over_room: Starts beyond the room of an upstream.
         lines: Counts and traces as text.
     """
 
@@ -65,13 +68,19 @@
     refused_but_ran: list[str]
     stray_responses: list[str]
     recovered: bool
+    started_after_crashes: list[str]
+    over_room: list[str]
     lines: list[str] = field(default_factory=list)
 
     @property
     def broken(self) -> bool:
         """Whether something happened that must never happen."""
         return bool(
-            self.overlaps or self.refused_but_ran or self.stray_responses
+            self.overlaps
+            or self.refused_but_ran
+            or self.stray_responses
+            or self.started_after_crashes
+            or self.over_room
         )
 
 
@@ -95,7 +104,7 @@
         seed=options.seed,
     )
     load = load_module.Load(fleet, scale=options.scale, seed=options.seed)
-    faults = faults_module.Faults(fleet)
+    faults = faults_module.Faults(fleet, load)
     task = asyncio.current_task()
     assert task is not None
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
@@ -140,6 +149,11 @@
         checker.refused_but_ran(load.jobs, runs),
         load.stray_responses,
         recovered,
+        checker.started_after_crashes(records),
+        checker.over_room(records),
+    )
+    crashes = collections.Counter(
+        record["task"] for record in records if record["kind"] == "crash"
     )
     statuses = collections.Counter(
         status for job in load.jobs for _, status in job.calls
@@ -156,6 +170,10 @@
     result.lines += [
         f"jobs={len(load.jobs)} runs={len(runs)} "
         f"statuses={dict(sorted(statuses.items()))} ends={dict(ends)}",
+        f"crashes={crashes.total()} "
+        f"most_by_a_task={max(crashes.values(), default=0)} "
+        f"started_after_crashes={result.started_after_crashes} "
+        f"over_room={result.over_room}",
         f"overlaps={len(result.overlaps)} "
         f"refused_but_ran={result.refused_but_ran} "
         f"stray_responses={result.stray_responses} recovered={recovered}",
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -21,7 +21,13 @@
 class Upstream:
     """An exact upstream with its records."""
 
-    def __init__(self, *, clock_rate: float = 1.0, defect: bool = False):
+    def __init__(
+        self,
+        *,
+        clock_rate: float = 1.0,
+        defect: bool = False,
+        guards_room: bool = True,
+    ):
         self.records: list[dict] = []
         self.state = exact_upstream.ExactUpstream(
             "u",
@@ -32,6 +38,7 @@
             rng=Even(),
             record=self._record,
             ignores_leases=defect,
+            guards_room=guards_room,
         )
 
     def _record(self, kind: str, **values) -> None:
@@ -158,6 +165,35 @@
                 refused = checker.refused_but_ran([job], runs)
                 self.assertEqual(refused, [job.name] if found else [])
 
+    def test_starts_after_three_crashes_are_found(self) -> None:
+        start = {"kind": "start", "task": TASK}
+        crash = {"kind": "crash", "task": TASK}
+        other = {"kind": "start", "task": "0000000000000002.0.0.0"}
+        records = [start, crash, start, crash, start, crash, other]
+        allowed = checker.started_after_crashes([*records, start, start])
+        self.assertEqual(allowed, [])
+        found = checker.started_after_crashes([*records, start, start, start])
+        self.assertEqual(found, [TASK])
+
+    def test_starts_beyond_a_room_that_shrank_long_ago_are_found(self) -> None:
+        for guards_room, started_at, found in (
+            (True, 107.0, []),
+            (False, 103.0, []),
+            (False, 107.0, [f"{TASK} at u"]),
+        ):
+            upstream = Upstream(guards_room=guards_room)
+            upstream.start(100.0, task="0000000000000002.0.0.0")
+            upstream.order(
+                exact_upstream.RENEW_PATH,
+                started_at - 0.5,
+                observed=0,
+                deadline_ms=1_000_000,
+            )
+            upstream.state.set_room(0, 101.0)
+            upstream.start(started_at)
+            with self.subTest(guards_room=guards_room, started_at=started_at):
+                self.assertEqual(checker.over_room(upstream.records), found)
+
 
 class ScheduleTest(unittest.TestCase):
     def test_a_seed_gives_the_same_schedule_again(self) -> None:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -29,3 +29,5 @@
         self.assertEqual(result.overlaps, [], text)
         self.assertEqual(result.refused_but_ran, [], text)
         self.assertEqual(result.stray_responses, [], text)
+        self.assertEqual(result.started_after_crashes, [], text)
+        self.assertEqual(result.over_room, [], text)
--- a/tests/soak/upstream_process.py
+++ b/tests/soak/upstream_process.py
@@ -1,7 +1,8 @@
 """Serves several exact upstreams in one process, from JSON in its argument.
 
 Each record is written at once, so that it outlives the process. SIGUSR1 begins
-a new life of all upstreams at the same addresses.
+a new life of all upstreams at the same addresses. Lines on the standard input
+change how many runs an upstream has room for: `NAME COUNT`.
 """
 
 import asyncio
@@ -20,6 +21,8 @@
 
 # Lets a run end before the timer that answers those who wait for it.
 TIMER_MARGIN_S = 0.0005
+# A crashed upstream starts again after one of these times, under its id.
+DOWN_TIMES_S = (0.02, 0.1, 0.5, 3.0)
 
 
 class _Served:
@@ -27,16 +30,35 @@
 
     Args:
         make_state: Returns the state of a new life.
+        address: Address to listen at.
+        rng: Source of the time until it starts again after a crash.
+        record: Writes a record.
     """
 
     def __init__(
-        self, make_state: Callable[[], exact_upstream.ExactUpstream]
+        self,
+        make_state: Callable[[], exact_upstream.ExactUpstream],
+        *,
+        address: tuple[str, int],
+        rng: random.Random,
+        record: exact_upstream.Record,
     ) -> None:
         self._make_state = make_state
+        self._address = address
+        self._rng = rng
+        self._record = record
+        self._server: asyncio.Server | None = None
         self.state = make_state()
         self._waiters: set[asyncio.Future[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._crash: asyncio.Task[None] | None = None
+
+    async def listen(self) -> None:
+        """Starts to accept connections."""
+        self._server = await asyncio.start_server(
+            self.serve, *self._address, backlog=256
+        )
 
     def restart(self) -> None:
         """Begins a new life at once, which resets all connections."""
@@ -45,6 +67,26 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    async def _crash_in_time(self) -> None:
+        """Crashes at the time that a deadly task has set; starts again."""
+        crashing = self.state
+        await asyncio.sleep(max(0.0, crashing.crashes_at - time.monotonic()))
+        if self.state is not crashing or self._server is None:
+            return
+        self._server.close()
+        self._server = None
+        self._record(
+            "crash",
+            at=time.monotonic(),
+            task=crashing.crashed_by,
+            up=crashing.upstream,
+            life=0,
+        )
+        self.restart()
+        await asyncio.sleep(self._rng.choice(DOWN_TIMES_S))
+        self.state = self._make_state()
+        await self.listen()
+
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -84,6 +126,9 @@
     ) -> tuple[int, dict[str, Any]]:
         """Executes one order."""
         result = self.state.execute(path, body, sender, time.monotonic())
+        if self.state.crashes_at != float("inf") and self._crash is None:
+            self._crash = asyncio.create_task(self._crash_in_time())
+            self._crash.add_done_callback(self._crash_ended)
         self._answer_waiters()
         if path != exact_upstream.RENEW_PATH or result[0] != 200:
             return result
@@ -96,6 +141,9 @@
             self._waiters.discard(waiter)
         return 200, self.state.lists(time.monotonic())
 
+    def _crash_ended(self, _: asyncio.Task[None]) -> None:
+        self._crash = None
+
     def _answer_waiters(self) -> None:
         """Answers those who wait for an end, now or when it comes."""
         self.state.settle(time.monotonic())
@@ -126,26 +174,41 @@
     ) -> exact_upstream.ExactUpstream:
         return exact_upstream.ExactUpstream(
             name,
-            max_runs=settings["cpu_millis"] // 1_000,
+            max_runs=rooms[name],
             clock_rate=clock_rate,
             started_at=time.monotonic(),
             born_ms=int(time.time() * 1_000),
             rng=rng,
             record=record,
+            guards_room=name not in settings["unguarded"],
         )
 
+    rooms = {name: room for name, _, _, _, room in settings["upstreams"]}
     upstreams = []
-    for name, ip, port, clock_rate in settings["upstreams"]:
-        served = _Served(functools.partial(make_state, name, clock_rate))
-        await asyncio.start_server(served.serve, ip, port, backlog=256)
+    for name, ip, port, clock_rate, _ in settings["upstreams"]:
+        served = _Served(
+            functools.partial(make_state, name, clock_rate),
+            address=(ip, port),
+            rng=rng,
+            record=record,
+        )
+        await served.listen()
         upstreams.append(served)
 
     def restart() -> None:
         for served in upstreams:
             served.restart()
 
+    def read_room() -> None:
+        name, count = sys.stdin.readline().split()
+        rooms[name] = int(count)
+        for served in upstreams:
+            if served.state.upstream == name:
+                served.state.set_room(rooms[name], time.monotonic())
+
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
+    loop.add_reader(sys.stdin.fileno(), read_room)
     loop.add_signal_handler(signal.SIGUSR1, restart)
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
     print("listening", flush=True)
