--- a/godwitnotch/core/leased/actions.py
+++ b/godwitnotch/core/leased/actions.py
@@ -19,7 +19,8 @@
 class StartRun:
     """Orders the start of a run, and renews the lease until `deadline_ms`.
 
-    The deadline is in ms of the upstream's clock.
+    The deadline is in ms of the upstream's clock, and holds for one instance of
+    the upstream only.
     """
 
     call: model.UpstreamCallId
@@ -28,6 +29,7 @@
     spec: str
     term: model.Term
     deadline_ms: int
+    instance_started_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +55,8 @@
             the lease as it is.
         wait_ms: How long the upstream may wait for a run to end before it
             responds.
+        instance_started_ms: When the instance started whose clock and ends are
+            meant; 0 if not known.
     """
 
     call: model.UpstreamCallId
@@ -61,6 +65,7 @@
     acknowledged_end: int
     deadline_ms: int | None
     wait_ms: int
+    instance_started_ms: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/godwitnotch/core/leased/lease_calls.py
+++ b/godwitnotch/core/leased/lease_calls.py
@@ -99,7 +99,13 @@
         deadline_ms = lease.deadline_ms(now=now)
         self._out.add(
             actions.StartRun(
-                call, lease.upstream, run.key, spec, self.term, deadline_ms
+                call,
+                lease.upstream,
+                run.key,
+                spec,
+                self.term,
+                deadline_ms,
+                lease.instance_started_ms,
             )
         )
 
@@ -148,6 +154,7 @@
                 lease.acknowledged_end,
                 deadline_ms,
                 wait_ms,
+                lease.instance_started_ms,
             )
         )
 
--- a/godwitnotch/core/leased/model.py
+++ b/godwitnotch/core/leased/model.py
@@ -71,6 +71,7 @@
     OTHER_INSTANCE = "other_process"  # Another process responds at the address.
     UNHEALTHY = "unhealthy"
     MALFORMED = "malformed"
+    RESTARTED = "restarted"  # The upstream's process is a new one.
     NOT_SENT = "not_sent"  # The upstream accepted no connection.
 
 
--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -465,6 +465,7 @@
             "spec",
             model.Term(1),
             deadline_ms=1,
+            instance_started_ms=0,
         )
         client = leased_calls.OrderClient()
         response = http_types.HttpResponse(status, body)
@@ -499,6 +500,7 @@
             acknowledged_end=0,
             deadline_ms=None,
             wait_ms=0,
+            instance_started_ms=0,
         )
         client = leased_calls.OrderClient()
         try:
