A connection names one life of an upstream: orders reach no other

Callers could get a task run twice at once after an upstream had started again under its id (TWICE). Cause: no order names the process that it is meant for. A start went to a process that the leader didn't know yet, with a deadline by the clock of the former one, so that the upstream executed it however late; and a list request acknowledged ends by the former numbers, so that the new process forgot runs that had ended well and that nobody had seen: they counted as lost and ran again.

Change: a connection ends with the process that accepted it. On a connection that isn't known to lead to the process whose clock and ends an order goes by, the client first asks for the list of runs, which changes nothing. If another process answers, a start is rejected as restarted and was not sent, and a list request gets that list. Stops go to any process. The virtual world's orders do the same.

--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -317,7 +317,10 @@
             self._leave_address(lease, now=now)
             lease.replaced = True
             self._listener.upstream_crashed(lease.upstream.upstream, now=now)
-        elif rejection is model.OrderRejection.LATE:
+        elif rejection in (
+            model.OrderRejection.LATE,
+            model.OrderRejection.RESTARTED,
+        ):
             self._request_runs(lease, now=now, wait_ms=0)
         elif (
             call.kind is CallKind.LIST_RUNS
--- a/godwitnotch/net/http_client.py
+++ b/godwitnotch/net/http_client.py
@@ -11,6 +11,7 @@
 import socket
 import urllib.parse
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -72,6 +73,40 @@
         self.cause = cause
 
 
+@dataclass(frozen=True, slots=True)
+class Greeting:
+    """Makes sure that a connection leads to one process of a server.
+
+    A connection ends with the process that has accepted it, so that a process
+    needs to be identified once on each connection.
+
+    Attributes:
+        request: A request that changes nothing at the server.
+        identify: Returns the process from a response to this request, or to
+            the request that it precedes; 0 if the response doesn't tell.
+        expected: The process to send the request to; 0 for any.
+    """
+
+    request: http_types.HttpRequest
+    identify: Callable[[http_types.HttpResponse], int]
+    expected: int
+
+
+class OtherProcessError(Exception):
+    """Raised when another process has responded to a greeting.
+
+    Attributes:
+        response: The response; the request itself was not sent.
+    """
+
+    def __init__(self, address: str, response: http_types.HttpResponse) -> None:
+        super().__init__(
+            f"another process than the expected one serves {address}; find out "
+            "which one before the next request"
+        )
+        self.response = response
+
+
 class HttpClient:
     """Sends requests over persistent connections, without pipelining.
 
@@ -124,6 +159,7 @@
         *,
         deadline: float,
         max_body_bytes: int,
+        greeting: Greeting | None = None,
     ) -> http_types.HttpResponse:
         """Sends a request and returns the whole response.
 
@@ -134,14 +170,19 @@
             request: Request to send.
             deadline: Loop time at which the exchange fails.
             max_body_bytes: Maximum size of the response body.
+            greeting: Sent before the request on a connection that is not known
+                to lead to the expected process; None for no such check.
 
         Raises:
             ExchangeError: The whole response did not arrive.
+            OtherProcessError: Another process has responded to the greeting.
         """
         pool = self._pool(address)
         await self._acquire(pool, deadline)
         try:
-            return await self._exchange(pool, request, deadline, max_body_bytes)
+            return await self._exchange(
+                pool, request, deadline, max_body_bytes, greeting
+            )
         except ExchangeError as error:
             if (
                 error.cause is Cause.TIMED_OUT
@@ -189,14 +230,20 @@
         request: http_types.HttpRequest,
         deadline: float,
         max_body_bytes: int,
+        greeting: Greeting | None,
     ) -> http_types.HttpResponse:
         while True:
             reused = pool.take_idle(self._max_idle_s)
             connection = reused or await self._connect(pool, deadline)
             try:
+                if greeting is not None:
+                    await _greet(connection, greeting, deadline, max_body_bytes)
                 response = await connection.exchange(
                     request, deadline, max_body_bytes
                 )
+            except OtherProcessError:
+                self._put_back(pool, connection)
+                raise
             except ExchangeError as error:
                 connection.abort()
                 if reused and _closed_before_send(error):
@@ -205,13 +252,20 @@
             except BaseException:
                 connection.abort()
                 raise
-            if connection.reusable:
-                pool.idle.append(connection)
-                self._schedule_sweep()
-            else:
-                connection.abort()
+            if greeting is not None:
+                process = greeting.identify(response)
+                connection.process = process or connection.process
+            self._put_back(pool, connection)
             return response
 
+    def _put_back(self, pool: "_Pool", connection: "_Connection") -> None:
+        """Keeps a connection for the next request, if it can carry one."""
+        if connection.reusable:
+            pool.idle.append(connection)
+            self._schedule_sweep()
+        else:
+            connection.abort()
+
     async def _connect(self, pool: "_Pool", deadline: float) -> "_Connection":
         loop = asyncio.get_running_loop()
         connect_deadline = min(deadline, loop.time() + self._connect_timeout_s)
@@ -247,6 +301,31 @@
             self._schedule_sweep()
 
 
+async def _greet(
+    connection: "_Connection",
+    greeting: Greeting,
+    deadline: float,
+    max_body_bytes: int,
+) -> None:
+    """Makes sure that a connection leads to the expected process."""
+    if greeting.expected in (0, connection.process):
+        return
+    try:
+        response = await connection.exchange(
+            greeting.request, deadline, max_body_bytes
+        )
+    except ExchangeError as error:
+        raise ExchangeError(
+            error.address,
+            Progress.NOTHING_SENT,
+            error.cause,
+            "the server did not respond to the greeting",
+        ) from error
+    connection.process = greeting.identify(response)
+    if connection.process != greeting.expected:
+        raise OtherProcessError(connection.address, response)
+
+
 def _closed_before_send(error: ExchangeError) -> bool:
     return (
         error.progress is Progress.NOTHING_SENT and error.cause is Cause.CLOSED
@@ -359,10 +438,18 @@
 
 
 class _Connection(asyncio.Protocol):
-    """One connection, which carries one exchange at a time."""
+    """One connection, which carries one exchange at a time.
+
+    Attributes:
+        address: IP address and port of the server.
+        process: The server's process, as a greeting has found it; 0 if not
+            known.
+        idle_since: Loop time of the last response.
+    """
 
     def __init__(self, address: str, sock: socket.socket) -> None:
-        self._address = address
+        self.address = address
+        self.process = 0
         self._sock = sock
         self._loop = asyncio.get_running_loop()
         self._http = h11.Connection(
@@ -471,7 +558,7 @@
     def _encode(self, request: http_types.HttpRequest) -> bytes:
         headers = list(request.headers.items())
         if "host" not in request.headers:
-            headers.insert(0, ("host", self._address))
+            headers.insert(0, ("host", self.address))
         if request.body or request.method not in ("GET", "HEAD", "DELETE"):
             headers.append(("content-length", str(len(request.body))))
         head = h11.Request(
@@ -581,7 +668,7 @@
         progress = progress or self._progress()
         self._closed = True
         self._response_future.set_exception(
-            ExchangeError(self._address, progress, cause, remedy)
+            ExchangeError(self.address, progress, cause, remedy)
         )
 
 
--- a/godwitnotch/net/leased_calls.py
+++ b/godwitnotch/net/leased_calls.py
@@ -44,7 +44,10 @@
                 _request(order),
                 deadline=deadline,
                 max_body_bytes=MAX_RESPONSE_BYTES,
+                greeting=_greeting(order),
             )
+        except http_client.OtherProcessError as error:
+            return _result_of_other_process(order, error.response)
         except http_client.ExchangeError as error:
             failure = _failure(error)
             if error.progress is http_client.Progress.SENT:
@@ -65,6 +68,20 @@
         await self._client.close()
 
 
+def _greeting(order: Order) -> http_client.Greeting | None:
+    """Lets an order reach only the instance that it is meant for.
+
+    A stop is sent to any instance: it can only prevent or end a run.
+    """
+    if isinstance(order, actions.StopRun):
+        return None
+    return http_client.Greeting(
+        upstreams.look_request(order.upstream, order.term),
+        identify=upstreams.decode_instance,
+        expected=order.instance_started_ms,
+    )
+
+
 def _timeout_s(order: Order) -> float:
     if isinstance(order, actions.RenewLease):
         return ORDER_TIMEOUT_S + order.wait_ms / 1_000
@@ -81,6 +98,24 @@
             return upstreams.renew_request(order)
 
 
+def _result_of_other_process(
+    order: Order, response: http_types.HttpResponse
+) -> OrderResult:
+    """Returns the result of an order that was not sent, but a greeting was."""
+    if response.status != _HTTP_OK:
+        rejection = upstreams.decode_rejection(response)
+        if rejection is not None:
+            return events.OrderRejected(order.call, rejection)
+    elif isinstance(order, actions.StartRun):
+        return events.OrderRejected(order.call, model.OrderRejection.RESTARTED)
+    else:
+        try:
+            return _result_when_accepted(order, response)
+        except fields.WrongFormatError:
+            pass
+    return _result_when_not_sent(order, model.CallFailure.UNREADABLE)
+
+
 def _failure(error: http_client.ExchangeError) -> model.CallFailure:
     """Returns why an exchange failed."""
     if error.progress is http_client.Progress.CONNECT_REFUSED:
--- a/godwitnotch/platform/upstreams.py
+++ b/godwitnotch/platform/upstreams.py
@@ -110,6 +110,28 @@
     return _order_request("/hold", order.upstream, body)
 
 
+def look_request(
+    upstream: model.LeasedUpstream, term: model.Term
+) -> http_types.HttpRequest:
+    """Returns the request that lists the runs and changes nothing.
+
+    The upstream then rejects lower terms.
+    """
+    return _order_request("/hold", upstream, {"fence": term, "observed": 0})
+
+
+def decode_instance(response: http_types.HttpResponse) -> int:
+    """Decodes which instance of an upstream has responded.
+
+    Returns:
+        When its process started, by its own clock; 0 if it doesn't state that.
+    """
+    try:
+        return fields.integer(fields.parse_object(response.body), "born", 0)
+    except fields.WrongFormatError:
+        return 0
+
+
 def decode_clock(response: http_types.HttpResponse) -> tuple[int, int]:
     """Decodes the upstream's time and the start time of its process.
 
--- a/tests/leased_world.py
+++ b/tests/leased_world.py
@@ -142,6 +142,8 @@
         cut_pairs: Pairs of hosts and upstreams that cannot reach each other.
         unconnected_pairs: Pairs of these without an open connection: a call
             has timed out, so that the next one has to connect first.
+        known_lives: Start time of the upstream's process that a host's
+            connections lead to, by the pair of both; 0 if not known.
         links: Pairs of hosts whose link is open.
         upstreams: Upstreams by id.
         orders: Time and action of each order that a host has sent.
@@ -172,6 +174,7 @@
         self.hosts_without_store: set[str] = set()
         self.cut_pairs: set[frozenset[str]] = set()
         self.unconnected_pairs: set[frozenset[str]] = set()
+        self.known_lives: dict[frozenset[str], int] = {}
         self.links: set[frozenset[str]] = set()
         self.upstreams: dict[str, Upstream] = {}
         self.orders: list[tuple[float, actions.Action]] = []
@@ -545,6 +548,9 @@
         def arrive() -> None:
             if pair in self.cut_pairs:
                 return
+            if not self._reaches_expected_life(pair, upstream, action):
+                respond(self._not_meant_for(pair, upstream, action))
+                return
             if self.now < upstream.down_until:
                 respond(_not_sent(action, model.CallFailure.REFUSED))
                 return
@@ -584,6 +590,43 @@
                 ORDER_TIMEOUT_S, lambda: respond(_not_sent(action, failure))
             )
 
+    def _reaches_expected_life(
+        self, pair: frozenset[str], upstream: Upstream, action
+    ) -> bool:
+        """Returns whether an order client's connection leads to the life.
+
+        A connection ends with the upstream's process. On a new one, the client
+        first asks for the list of runs.
+        """
+        expected = getattr(action, "instance_started_ms", 0)
+        life = upstream.instance_started_ms
+        if not expected or not life or self.now < upstream.down_until:
+            return True
+        if self.known_lives.get(pair) != life:
+            responds = not upstream.order_delay_s
+            self.known_lives[pair] = life if responds else 0
+        return self.known_lives[pair] == expected
+
+    def _not_meant_for(
+        self, pair: frozenset[str], upstream: Upstream, action
+    ) -> events.Event:
+        """Returns the result of an order that a client has not sent."""
+        if not self.known_lives[pair]:
+            return _not_sent(action, model.CallFailure.NOT_CONNECTED)
+        if isinstance(action, actions.StartRun):
+            return events.OrderRejected(
+                action.call, model.OrderRejection.RESTARTED
+            )
+        return events.RunsListed(action.call, self._list(upstream))
+
+    def _list(self, upstream: Upstream) -> model.RunList:
+        return model.RunList(
+            upstream.clock_ms(self.now),
+            upstream.instance_started_ms,
+            tuple(run.key for run in upstream.running.values()),
+            tuple(upstream.ended_runs),
+        )
+
     def _execute_order(self, upstream: Upstream, action, reply) -> None:
         if action.term < upstream.term:
             rejection = model.OrderRejection.TERM
@@ -660,13 +703,7 @@
             if state["responded"] or crashed:
                 return
             state["responded"] = True
-            listed = model.RunList(
-                upstream.clock_ms(self.now),
-                upstream.instance_started_ms,
-                tuple(run.key for run in upstream.running.values()),
-                tuple(upstream.ended_runs),
-            )
-            reply(events.RunsListed(action.call, listed))
+            reply(events.RunsListed(action.call, self._list(upstream)))
 
         if action.wait_ms and not upstream.ended_runs:
             upstream.pending_responses.append(respond)
