A run that ended well before its owner claimed it isn't run again

Callers could have a task run again after it had ended well (TWICE), when the leader changed. Cause: the next leader keeps runs that it finds until their owners have handed over their jobs; one that ended well in between left no trace, though its end was acknowledged. Change: its end waits for the owner like that of a run which had ended before the list.

Result: test_run_that_ended_well_before_it_was_claimed_runs_again failed before.

--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -547,9 +547,11 @@
         """Records the runs that have ended according to an upstream's list."""
         for ended in run_lists.newly_ended(lease, run_list):
             run = lease.runs.get(ended.key.task)
+            claimed = False
             if run is not None and run.key == ended.key:
+                claimed = run.job is not None
                 self._record_end(lease, run, ended.end, now=now)
-            elif ended.end is model.RunEnd.DONE:
+            if ended.end is model.RunEnd.DONE and not claimed:
                 self._record_done(ended.key, now=now)
         for run in run_lists.missing_runs(
             lease, run_list, requested_at=requested_at
@@ -561,7 +563,7 @@
             self._record_end(lease, run, end, now=now)
 
     def _record_done(self, key: model.RunKey, *, now: float) -> None:
-        """Records a successful run that this leader didn't know as active."""
+        """Records a successful run that belonged to no job so far."""
         if not self._listener.adopt_done_run(key, now=now):
             self._unclaimed_done.add(key, now=now)
 
--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -297,6 +297,26 @@
         self.assertTrue(self.lease.accepts_runs())
 
 
+class UnclaimedRunTest(ManagerTest):
+    def test_run_that_ended_well_before_it_was_claimed_runs_again(self) -> None:
+        done: list[model.RunKey] = []
+
+        def adopt_done_run(key: model.RunKey, *, now: float) -> bool:
+            done.append(key)
+            return len(done) > 1  # The owner claims it later.
+
+        self.listener.adopt_run = lambda key: None
+        self.listener.adopt_done_run = adopt_done_run
+        self.manager.start_leading(model.Term(8), [ENTRY], now=self.now)
+        (request,) = self.take(actions.RenewLease)
+        self.list_runs(request, 1, instance=1_000)
+        (request,) = self.tick(0.1)
+        ended = model.EndedRun(1, self.key(1), model.RunEnd.DONE)
+        self.list_runs(request, instance=1_000, ended=(ended,))
+        self.manager.adopt_runs(self.job, now=self.now)
+        self.assertEqual(done, [self.key(1), self.key(1)])
+
+
 class IdleRestartTest(unittest.TestCase):
     def test_first_job_after_a_restart_of_idle_upstreams_runs_once(
         self,
