--- a/bench/open_loop.py
+++ b/bench/open_loop.py
@@ -10,6 +10,7 @@
 from bench import recorded_load
 from godwitnotch.core import ids
 from godwitnotch.net import http_client
+from godwitnotch.net import http_connection
 from godwitnotch.net import http_types
 
 RESERVATION_BATCH_SIZE = 500
@@ -160,7 +161,7 @@
         path = f"/v1/{job.workspace.workspace}/jobs/{submission}"
         try:
             response = await self._call(job.host, "PUT", path, value)
-        except http_client.ExchangeError:
+        except http_connection.ExchangeError:
             return _NO_RESPONSE_CODE, b""
         return response.status, response.body
 
@@ -181,7 +182,7 @@
         path = f"/v1/{load_job.workspace.workspace}/jobs/{submission}"
         try:
             await self._call(load_job.host, "DELETE", path, None)
-        except http_client.ExchangeError:
+        except http_connection.ExchangeError:
             return
 
     async def _call(
--- a/godwitnotch/host_client.py
+++ b/godwitnotch/host_client.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from godwitnotch.net import http_client
+from godwitnotch.net import http_connection
 from godwitnotch.net import http_types
 
 DEFAULT_TIMEOUT_S = 10.0
@@ -118,7 +119,7 @@
                 deadline=asyncio.get_running_loop().time() + timeout_s,
                 max_body_bytes=MAX_RESPONSE_BYTES,
             )
-        except http_client.ExchangeError as error:
+        except http_connection.ExchangeError as error:
             raise HostUnreachable(str(error)) from error
         finally:
             await client.close()
--- a/godwitnotch/net/http_client.py
+++ b/godwitnotch/net/http_client.py
@@ -1,22 +1,13 @@
-"""HTTP/1.1 client, based on h11, that reports whether a request was sent.
-
-The error of a failed exchange tells whether any byte of the request was passed
-to the kernel. A request is safe to retry only if no byte was.
-"""
+"""HTTP/1.1 client that keeps connections, and may identify who serves them."""
 
 import asyncio
 import contextlib
-import enum
-import ipaddress
-import socket
-import urllib.parse
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 
-import h11
-
+from godwitnotch.net import http_connection
 from godwitnotch.net import http_types
 
 DEFAULT_MAX_CONNECTIONS = 64
@@ -24,53 +15,6 @@
 # after its last response.
 DEFAULT_MAX_IDLE_S = 2.0
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
-_MAX_HEADER_BYTES = 16_384
-_KEEPALIVE_IDLE_S = 2
-_KEEPALIVE_INTERVAL_S = 1
-_KEEPALIVE_PROBE_COUNT = 3
-_UNACKNOWLEDGED_TIMEOUT_MS = 5_000
-
-
-class Progress(enum.Enum):
-    """How much of a failed request was sent."""
-
-    # Connecting failed for a reason other than a timeout.
-    CONNECT_REFUSED = "connect_refused"
-    # No byte was passed to the kernel.
-    NOTHING_SENT = "nothing_sent"
-    # Some bytes were, or may have been, passed to the kernel.
-    SENT = "sent"
-
-
-class Cause(enum.Enum):
-    """Why an exchange failed."""
-
-    CONNECT_FAILED = "connect_failed"
-    TIMED_OUT = "timed_out"
-    CLOSED = "closed"
-    MALFORMED = "malformed"
-    TOO_LARGE = "too_large"
-
-
-class ExchangeError(Exception):
-    """Raised when an exchange fails before the whole response arrived.
-
-    Attributes:
-        address: IP address and port of the server.
-        progress: How much of the request was sent.
-        cause: Why the exchange failed.
-    """
-
-    def __init__(
-        self, address: str, progress: Progress, cause: Cause, remedy: str
-    ) -> None:
-        super().__init__(
-            f"no response from {address}: cause={cause.value} "
-            f"progress={progress.value}; {remedy}"
-        )
-        self.address = address
-        self.progress = progress
-        self.cause = cause
 
 
 @dataclass(frozen=True, slots=True)
@@ -183,10 +127,10 @@
             return await self._exchange(
                 pool, request, deadline, max_body_bytes, greeting
             )
-        except ExchangeError as error:
+        except http_connection.ExchangeError as error:
             if (
-                error.cause is Cause.TIMED_OUT
-                and error.progress is Progress.SENT
+                error.cause is http_connection.Cause.TIMED_OUT
+                and error.progress is http_connection.Progress.SENT
             ):
                 pool.close_idle()
             raise
@@ -216,10 +160,10 @@
             async with asyncio.timeout_at(deadline):
                 await pool.acquire()
         except TimeoutError:
-            raise ExchangeError(
+            raise http_connection.ExchangeError(
                 pool.address,
-                Progress.NOTHING_SENT,
-                Cause.TIMED_OUT,
+                http_connection.Progress.NOTHING_SENT,
+                http_connection.Cause.TIMED_OUT,
                 "all connections are in use; raise the limit or send fewer "
                 "requests",
             ) from None
@@ -244,7 +188,7 @@
             except OtherProcessError:
                 self._put_back(pool, connection)
                 raise
-            except ExchangeError as error:
+            except http_connection.ExchangeError as error:
                 connection.abort()
                 if reused and _closed_before_send(error):
                     continue
@@ -258,7 +202,9 @@
             self._put_back(pool, connection)
             return response
 
-    def _put_back(self, pool: "_Pool", connection: "_Connection") -> None:
+    def _put_back(
+        self, pool: "_Pool", connection: http_connection.Connection
+    ) -> None:
         """Keeps a connection for the next request, if it can carry one."""
         if connection.reusable:
             pool.idle.append(connection)
@@ -266,24 +212,26 @@
         else:
             connection.abort()
 
-    async def _connect(self, pool: "_Pool", deadline: float) -> "_Connection":
+    async def _connect(
+        self, pool: "_Pool", deadline: float
+    ) -> http_connection.Connection:
         loop = asyncio.get_running_loop()
         connect_deadline = min(deadline, loop.time() + self._connect_timeout_s)
         try:
             async with asyncio.timeout_at(connect_deadline):
-                return await _open(pool.address)
+                return await http_connection.connect(pool.address)
         except TimeoutError:
-            raise ExchangeError(
+            raise http_connection.ExchangeError(
                 pool.address,
-                Progress.NOTHING_SENT,
-                Cause.TIMED_OUT,
+                http_connection.Progress.NOTHING_SENT,
+                http_connection.Cause.TIMED_OUT,
                 "the server accepted no connection in time; check that it runs",
             ) from None
         except (OSError, ValueError, OverflowError) as error:
-            raise ExchangeError(
+            raise http_connection.ExchangeError(
                 pool.address,
-                Progress.CONNECT_REFUSED,
-                Cause.CONNECT_FAILED,
+                http_connection.Progress.CONNECT_REFUSED,
+                http_connection.Cause.CONNECT_FAILED,
                 "check that the address is an IP address and port, and that "
                 f"the server listens there ({error})",
             ) from error
@@ -302,7 +250,7 @@
 
 
 async def _greet(
-    connection: "_Connection",
+    connection: http_connection.Connection,
     greeting: Greeting,
     deadline: float,
     max_body_bytes: int,
@@ -314,10 +262,10 @@
         response = await connection.exchange(
             greeting.request, deadline, max_body_bytes
         )
-    except ExchangeError as error:
-        raise ExchangeError(
+    except http_connection.ExchangeError as error:
+        raise http_connection.ExchangeError(
             error.address,
-            Progress.NOTHING_SENT,
+            http_connection.Progress.NOTHING_SENT,
             error.cause,
             "the server did not respond to the greeting",
         ) from error
@@ -326,9 +274,10 @@
         raise OtherProcessError(connection.address, response)
 
 
-def _closed_before_send(error: ExchangeError) -> bool:
+def _closed_before_send(error: http_connection.ExchangeError) -> bool:
     return (
-        error.progress is Progress.NOTHING_SENT and error.cause is Cause.CLOSED
+        error.progress is http_connection.Progress.NOTHING_SENT
+        and error.cause is http_connection.Cause.CLOSED
     )
 
 
@@ -337,7 +286,7 @@
     address: str
     max_connections: int
     in_use: int = 0
-    idle: list["_Connection"] = field(default_factory=list)
+    idle: list[http_connection.Connection] = field(default_factory=list)
     waiters: deque[asyncio.Future[None]] = field(default_factory=deque)
 
     def set_max_connections(self, max_connections: int) -> None:
@@ -368,7 +317,7 @@
         self.in_use -= 1
         self._wake()
 
-    def take_idle(self, max_idle_s: float) -> "_Connection | None":
+    def take_idle(self, max_idle_s: float) -> http_connection.Connection | None:
         now = asyncio.get_running_loop().time()
         while self.idle:
             connection = self.idle.pop()
@@ -401,278 +350,3 @@
             if not waiter.done():
                 self.in_use += 1
                 waiter.set_result(None)
-
-
-async def _open(address: str) -> "_Connection":
-    ip_text, _, port = address.rpartition(":")
-    # Only IP addresses are accepted; resolving a name would need a thread.
-    ip = ipaddress.ip_address(ip_text.strip("[]"))
-    family = socket.AF_INET6 if ip.version == 6 else socket.AF_INET
-    loop = asyncio.get_running_loop()
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    try:
-        sock.setblocking(False)
-        _set_socket_options(sock)
-        await loop.sock_connect(sock, (str(ip), int(port)))
-    except BaseException:
-        sock.close()
-        raise
-    _, connection = await loop.create_connection(
-        lambda: _Connection(address, sock), sock=sock
-    )
-    return connection
-
-
-def _set_socket_options(sock: socket.socket) -> None:
-    """Enables keep-alive probes and timeouts that detect a failed server.
-
-    Small writes are sent at once.
-    """
-    tcp = socket.IPPROTO_TCP
-    sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPCNT, _KEEPALIVE_PROBE_COUNT)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_TIMEOUT_MS)
-
-
-class _Connection(asyncio.Protocol):
-    """One connection, which carries one exchange at a time.
-
-    Attributes:
-        address: IP address and port of the server.
-        process: The server's process, as a greeting has found it; 0 if not
-            known.
-        idle_since: Loop time of the last response.
-    """
-
-    def __init__(self, address: str, sock: socket.socket) -> None:
-        self.address = address
-        self.process = 0
-        self._sock = sock
-        self._loop = asyncio.get_running_loop()
-        self._http = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=_MAX_HEADER_BYTES
-        )
-        self._transport: asyncio.Transport
-        self._response_future: (
-            asyncio.Future[http_types.HttpResponse] | None
-        ) = None
-        self._response_head: h11.Response | None = None
-        self._body = bytearray()
-        self._max_body_bytes = 0
-        self._request_bytes = 0
-        self._closed = False
-        self.idle_since = 0.0
-
-    @property
-    def reusable(self) -> bool:
-        """Whether the connection can carry another exchange."""
-        return (
-            not self._closed
-            and self._http.our_state is h11.IDLE
-            and self._transport.get_write_buffer_size() == 0
-        )
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Stores the transport."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Fails the exchange in progress."""
-        self._closed = True
-        self._fail(Cause.CLOSED, "the connection was lost")
-
-    def eof_received(self) -> None:
-        """Handles end of input, which ends a response without a length."""
-        self._closed = True
-        self._feed(b"")
-
-    def data_received(self, data: bytes) -> None:
-        """Passes data to the parser; closes if no request is in progress."""
-        if self._response_future is None:
-            self.abort()
-            return
-        self._feed(data)
-
-    def abort(self) -> None:
-        """Closes the connection at once."""
-        self._closed = True
-        self._transport.abort()
-
-    def usable(self) -> bool:
-        """Returns whether the idle connection is open without unread data."""
-        if self._closed or self._transport.is_closing():
-            return False
-        try:
-            self._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
-
-    async def exchange(
-        self,
-        request: http_types.HttpRequest,
-        deadline: float,
-        max_body_bytes: int,
-    ) -> http_types.HttpResponse:
-        """Sends a request and waits for its response."""
-        self._response_future = self._loop.create_future()
-        self._max_body_bytes = max_body_bytes
-        timer = self._loop.call_at(deadline, self._on_timeout)
-        try:
-            self._send(request, deadline)
-            response = await self._response_future
-        finally:
-            timer.cancel()
-            self._response_future = None
-            self._response_head = None
-            self._body.clear()
-        self.idle_since = self._loop.time()
-        return response
-
-    def _send(self, request: http_types.HttpRequest, deadline: float) -> None:
-        if self._loop.time() >= deadline:
-            self._fail(
-                Cause.TIMED_OUT,
-                "the deadline passed before the request was sent; allow more "
-                "time",
-                Progress.NOTHING_SENT,
-            )
-            return
-        try:
-            data = self._encode(request)
-        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
-            self._fail(
-                Cause.MALFORMED,
-                f"correct the path or headers of the request ({error})",
-                Progress.NOTHING_SENT,
-            )
-            return
-        self._write(data)
-
-    def _encode(self, request: http_types.HttpRequest) -> bytes:
-        headers = list(request.headers.items())
-        if "host" not in request.headers:
-            headers.insert(0, ("host", self.address))
-        if request.body or request.method not in ("GET", "HEAD", "DELETE"):
-            headers.append(("content-length", str(len(request.body))))
-        head = h11.Request(
-            method=request.method, target=_target(request), headers=headers
-        )
-        parts = [self._http.send(head) or b""]
-        if request.body:
-            parts.append(self._http.send(h11.Data(data=request.body)) or b"")
-        parts.append(self._http.send(h11.EndOfMessage()) or b"")
-        return b"".join(parts)
-
-    def _write(self, data: bytes) -> None:
-        self._request_bytes = len(data)
-        if not self._transport.is_closing():
-            self._transport.write(data)
-        if self._transport.is_closing():
-            # The transport writes at once; the failed write passed no byte to
-            # the kernel.
-            self._fail(
-                Cause.CLOSED,
-                "the connection was closed before use",
-                Progress.NOTHING_SENT,
-            )
-            return
-
-    def _progress(self) -> Progress:
-        if self._closed or self._transport.is_closing():
-            # A closed transport drops its buffer, so what was sent is unknown.
-            return Progress.SENT
-        if self._transport.get_write_buffer_size() < self._request_bytes:
-            return Progress.SENT
-        return Progress.NOTHING_SENT
-
-    def _feed(self, data: bytes) -> None:
-        try:
-            self._http.receive_data(data)
-            while (
-                self._response_future is not None
-                and not self._response_future.done()
-            ):
-                event = self._http.next_event()
-                if event is h11.NEED_DATA:
-                    return
-                self._handle_event(event)
-        except h11.RemoteProtocolError as error:
-            if data:
-                self._fail(
-                    Cause.MALFORMED,
-                    f"the server sent invalid HTTP; fix the server ({error})",
-                )
-            else:
-                self._fail(Cause.CLOSED, "the server closed the connection")
-
-    def _handle_event(self, event: object) -> None:
-        match event:
-            case h11.Response():
-                self._response_head = event
-            case h11.Data():
-                self._body += event.data
-                if len(self._body) > self._max_body_bytes:
-                    self._fail(
-                        Cause.TOO_LARGE,
-                        "the response is larger than "
-                        f"{self._max_body_bytes} bytes; raise the limit or "
-                        "make the response smaller",
-                    )
-            case h11.EndOfMessage():
-                self._finish()
-            case h11.ConnectionClosed():
-                self._fail(Cause.CLOSED, "the server closed the connection")
-            case _:
-                pass
-
-    def _finish(self) -> None:
-        assert self._response_head is not None
-        assert self._response_future is not None
-        response = http_types.HttpResponse(
-            self._response_head.status_code,
-            bytes(self._body),
-            {
-                name.decode("latin-1"): value.decode("latin-1")
-                for name, value in self._response_head.headers
-            },
-        )
-        self._start_next_cycle()
-        self._response_future.set_result(response)
-
-    def _start_next_cycle(self) -> None:
-        trailing, _ = self._http.trailing_data
-        if trailing:
-            self._closed = True
-        with contextlib.suppress(h11.LocalProtocolError):
-            self._http.start_next_cycle()
-
-    def _on_timeout(self) -> None:
-        self._fail(
-            Cause.TIMED_OUT,
-            "the response did not arrive before the deadline; check the load "
-            "of the server",
-        )
-
-    def _fail(
-        self, cause: Cause, remedy: str, progress: Progress | None = None
-    ) -> None:
-        if self._response_future is None or self._response_future.done():
-            return
-        progress = progress or self._progress()
-        self._closed = True
-        self._response_future.set_exception(
-            ExchangeError(self.address, progress, cause, remedy)
-        )
-
-
-def _target(request: http_types.HttpRequest) -> str:
-    if not request.query:
-        return request.path
-    return f"{request.path}?{urllib.parse.urlencode(request.query)}"
--- a/godwitnotch/net/leased_calls.py
+++ b/godwitnotch/net/leased_calls.py
@@ -6,6 +6,7 @@
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import model
 from godwitnotch.net import http_client
+from godwitnotch.net import http_connection
 from godwitnotch.net import http_types
 from godwitnotch.platform import fields
 from godwitnotch.platform import upstreams
@@ -48,9 +49,9 @@
             )
         except http_client.OtherProcessError as error:
             return _result_of_other_process(order, error.response)
-        except http_client.ExchangeError as error:
+        except http_connection.ExchangeError as error:
             failure = _failure(error)
-            if error.progress is http_client.Progress.SENT:
+            if error.progress is http_connection.Progress.SENT:
                 return events.OrderUnanswered(order.call, failure)
             return _result_when_not_sent(order, failure)
         if response.status != _HTTP_OK:
@@ -116,15 +117,15 @@
     return _result_when_not_sent(order, model.CallFailure.UNREADABLE)
 
 
-def _failure(error: http_client.ExchangeError) -> model.CallFailure:
+def _failure(error: http_connection.ExchangeError) -> model.CallFailure:
     """Returns why an exchange failed."""
-    if error.progress is http_client.Progress.CONNECT_REFUSED:
+    if error.progress is http_connection.Progress.CONNECT_REFUSED:
         return model.CallFailure.REFUSED
-    if error.cause is http_client.Cause.CLOSED:
+    if error.cause is http_connection.Cause.CLOSED:
         return model.CallFailure.CLOSED
-    if error.cause is not http_client.Cause.TIMED_OUT:
+    if error.cause is not http_connection.Cause.TIMED_OUT:
         return model.CallFailure.UNREADABLE
-    if error.progress is http_client.Progress.SENT:
+    if error.progress is http_connection.Progress.SENT:
         return model.CallFailure.TIMED_OUT
     return model.CallFailure.NOT_CONNECTED
 
--- a/godwitnotch/net/platform_client.py
+++ b/godwitnotch/net/platform_client.py
@@ -17,6 +17,7 @@
 from godwitnotch.core import ids
 from godwitnotch.core import model
 from godwitnotch.net import http_client
+from godwitnotch.net import http_connection
 from godwitnotch.net import http_types
 
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
@@ -256,9 +257,9 @@
                 deadline=deadline,
                 max_body_bytes=MAX_RESPONSE_BYTES,
             )
-        except http_client.ExchangeError as error:
+        except http_connection.ExchangeError as error:
             self._counts.failures += 1
-            sent = error.progress is http_client.Progress.SENT
+            sent = error.progress is http_connection.Progress.SENT
             raise PlatformUnavailable(
                 str(error), uncertain=writing and sent
             ) from error
--- a/godwitnotch/net/upstream_client.py
+++ b/godwitnotch/net/upstream_client.py
@@ -14,6 +14,7 @@
 from godwitnotch.core import ids
 from godwitnotch.core import model
 from godwitnotch.net import http_client
+from godwitnotch.net import http_connection
 from godwitnotch.net import http_types
 
 SUBMISSION_HEADER = "submission-id"
@@ -30,15 +31,15 @@
 # CONNECT_FAILED can't occur after a byte was sent; it is listed so that every
 # cause has an entry.
 _OUTCOMES_AFTER_SEND = {
-    http_client.Cause.CONNECT_FAILED: model.AttemptOutcome.CONNECT_REFUSED,
-    http_client.Cause.TIMED_OUT: model.AttemptOutcome.TIMED_OUT,
-    http_client.Cause.CLOSED: model.AttemptOutcome.BROKE_OFF,
-    http_client.Cause.MALFORMED: model.AttemptOutcome.BAD_ANSWER,
-    http_client.Cause.TOO_LARGE: model.AttemptOutcome.ANSWER_TOO_LARGE,
+    http_connection.Cause.CONNECT_FAILED: model.AttemptOutcome.CONNECT_REFUSED,
+    http_connection.Cause.TIMED_OUT: model.AttemptOutcome.TIMED_OUT,
+    http_connection.Cause.CLOSED: model.AttemptOutcome.BROKE_OFF,
+    http_connection.Cause.MALFORMED: model.AttemptOutcome.BAD_ANSWER,
+    http_connection.Cause.TOO_LARGE: model.AttemptOutcome.ANSWER_TOO_LARGE,
 }
 _OUTCOMES_BEFORE_SEND = {
-    http_client.Progress.CONNECT_REFUSED: model.AttemptOutcome.CONNECT_REFUSED,
-    http_client.Progress.NOTHING_SENT: model.AttemptOutcome.NOTHING_SENT,
+    http_connection.Progress.CONNECT_REFUSED: model.AttemptOutcome.CONNECT_REFUSED,
+    http_connection.Progress.NOTHING_SENT: model.AttemptOutcome.NOTHING_SENT,
 }
 
 
@@ -84,7 +85,7 @@
                 deadline=action.deadline,
                 max_body_bytes=action.max_answer_bytes,
             )
-        except http_client.ExchangeError as error:
+        except http_connection.ExchangeError as error:
             return events.AttemptEnded(action.attempt, _outcome_of_error(error))
         return _attempt_ended(action, response)
 
@@ -104,8 +105,10 @@
     )
 
 
-def _outcome_of_error(error: http_client.ExchangeError) -> model.AttemptOutcome:
-    if error.progress is http_client.Progress.SENT:
+def _outcome_of_error(
+    error: http_connection.ExchangeError,
+) -> model.AttemptOutcome:
+    if error.progress is http_connection.Progress.SENT:
         return _OUTCOMES_AFTER_SEND[error.cause]
     return _OUTCOMES_BEFORE_SEND[error.progress]
 
--- a/godwitnotch/platform/store.py
+++ b/godwitnotch/platform/store.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from godwitnotch.net import http_client
+from godwitnotch.net import http_connection
 from godwitnotch.net import http_types
 from godwitnotch.platform import fields
 
@@ -160,7 +161,7 @@
                 deadline=deadline,
                 max_body_bytes=MAX_RESPONSE_BYTES,
             )
-        except http_client.ExchangeError as error:
+        except http_connection.ExchangeError as error:
             raise StoreUnavailable(str(error)) from error
 
 
--- a/tests/process/caller.py
+++ b/tests/process/caller.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from godwitnotch.net import http_client
+from godwitnotch.net import http_connection
 from godwitnotch.net import http_types
 
 TOKEN = "caller-of-the-process-tests"
@@ -145,6 +146,6 @@
                 deadline=now + wait_s + RESPONSE_GRACE_S,
                 max_body_bytes=MAX_RESPONSE_BYTES,
             )
-        except http_client.ExchangeError:
+        except http_connection.ExchangeError:
             return Answer(0, {})
         return Answer(response.status, json.loads(response.body))
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from godwitnotch.net import http_client
+from godwitnotch.net import http_connection
 from godwitnotch.net import http_types
 
 _Respond = Callable[
@@ -77,12 +78,12 @@
     async def _assert_fails(
         self,
         path: str,
-        progress: http_client.Progress,
-        cause: http_client.Cause,
+        progress: http_connection.Progress,
+        cause: http_connection.Cause,
         *,
         timeout_s: float = 5.0,
     ) -> None:
-        with self.assertRaises(http_client.ExchangeError) as caught:
+        with self.assertRaises(http_connection.ExchangeError) as caught:
             await self._get(path, timeout_s=timeout_s)
         error = caught.exception
         self.assertEqual((error.progress, error.cause), (progress, cause))
@@ -166,8 +167,8 @@
         self.respond = respond_late
         await self._assert_fails(
             "/slow",
-            http_client.Progress.SENT,
-            http_client.Cause.TIMED_OUT,
+            http_connection.Progress.SENT,
+            http_connection.Cause.TIMED_OUT,
             timeout_s=0.02,
         )
         release.set()
@@ -188,8 +189,8 @@
         self.assertEqual(self.client.idle_connections(self.address), 2)
         await self._assert_fails(
             "/3",
-            http_client.Progress.SENT,
-            http_client.Cause.TIMED_OUT,
+            http_connection.Progress.SENT,
+            http_connection.Cause.TIMED_OUT,
             timeout_s=0.02,
         )
         self.assertEqual(await self._get("/4"), b"/4")
@@ -224,7 +225,7 @@
 
         self.respond = break_off
         await self._assert_fails(
-            "/1", http_client.Progress.SENT, http_client.Cause.CLOSED
+            "/1", http_connection.Progress.SENT, http_connection.Cause.CLOSED
         )
         self.assertEqual(len(self.requests), 1)
 
@@ -239,9 +240,9 @@
 
         self.respond = respond_once_then_break_off
         await self._get("/1")
-        with self.assertRaises(http_client.ExchangeError) as caught:
+        with self.assertRaises(http_connection.ExchangeError) as caught:
             await self._get("/2")
-        self.assertIs(caught.exception.progress, http_client.Progress.SENT)
+        self.assertIs(caught.exception.progress, http_connection.Progress.SENT)
         self.assertEqual(self.requests, [b"/1", b"/2"])
 
     async def test_connect_refused(self) -> None:
@@ -249,8 +250,8 @@
         await self.server.wait_closed()
         await self._assert_fails(
             "/1",
-            http_client.Progress.CONNECT_REFUSED,
-            http_client.Cause.CONNECT_FAILED,
+            http_connection.Progress.CONNECT_REFUSED,
+            http_connection.Cause.CONNECT_FAILED,
         )
 
     async def test_nothing_is_sent_after_the_deadline(self) -> None:
@@ -258,8 +259,8 @@
         for timeout_s in (0.0, -1.0):
             await self._assert_fails(
                 "/late",
-                http_client.Progress.NOTHING_SENT,
-                http_client.Cause.TIMED_OUT,
+                http_connection.Progress.NOTHING_SENT,
+                http_connection.Cause.TIMED_OUT,
                 timeout_s=timeout_s,
             )
         await self._get("/2")
@@ -269,8 +270,8 @@
         for path in ("/a b", "/\xe9"):
             await self._assert_fails(
                 path,
-                http_client.Progress.NOTHING_SENT,
-                http_client.Cause.MALFORMED,
+                http_connection.Progress.NOTHING_SENT,
+                http_connection.Cause.MALFORMED,
             )
         self.assertEqual(self.requests, [])
         await self._get("/next")
@@ -280,8 +281,8 @@
             self.address = address
             await self._assert_fails(
                 "/",
-                http_client.Progress.CONNECT_REFUSED,
-                http_client.Cause.CONNECT_FAILED,
+                http_connection.Progress.CONNECT_REFUSED,
+                http_connection.Cause.CONNECT_FAILED,
             )
 
     async def test_removed_address_keeps_no_connection(self) -> None:
@@ -319,7 +320,7 @@
 
         self.respond = respond_without_end
         await self._assert_fails(
-            "/1", http_client.Progress.SENT, http_client.Cause.TOO_LARGE
+            "/1", http_connection.Progress.SENT, http_connection.Cause.TOO_LARGE
         )
 
     async def test_connections_are_limited_and_shared_in_order(self) -> None:
@@ -382,7 +383,7 @@
             await release.wait()
 
         self.respond = read_nothing
-        with self.assertRaises(http_client.ExchangeError) as caught:
+        with self.assertRaises(http_connection.ExchangeError) as caught:
             await self.client.request(
                 self.address,
                 http_types.HttpRequest("POST", "/", body=b"x" * 20_000_000),
@@ -390,4 +391,4 @@
                 max_body_bytes=1,
             )
         release.set()
-        self.assertIs(caught.exception.progress, http_client.Progress.SENT)
+        self.assertIs(caught.exception.progress, http_connection.Progress.SENT)
--- a/tests/test_leased_serving.py
+++ b/tests/test_leased_serving.py
@@ -17,6 +17,7 @@
 from godwitnotch import leased_root
 from godwitnotch.core.leased import peer_messages
 from godwitnotch.net import http_client
+from godwitnotch.net import http_connection
 from godwitnotch.net import http_types
 from godwitnotch.net import leased_calls
 from godwitnotch.net import listeners
@@ -356,7 +357,7 @@
         # open. That never happens while callers keep submitting jobs, so the
         # drain was aborted at its deadline.
         draining = self.hosts[1]
-        lost_answers: list[http_client.ExchangeError] = []
+        lost_answers: list[http_connection.ExchangeError] = []
         numbers = itertools.count(1)
         for upstream in self.upstreams:
             upstream.run_time_s = 0.9
@@ -367,8 +368,8 @@
                 path = f"/jobs/{next(numbers):016x}"
                 try:
                     await self.send(draining, "POST", path, long_job)
-                except http_client.ExchangeError as error:
-                    if error.progress is http_client.Progress.SENT:
+                except http_connection.ExchangeError as error:
+                    if error.progress is http_connection.Progress.SENT:
                         lost_answers.append(error)
                     return
 
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -11,6 +11,7 @@
 from godwitnotch.core import ids
 from godwitnotch.core import model
 from godwitnotch.net import http_client
+from godwitnotch.net import http_connection
 from godwitnotch.net import http_types
 from godwitnotch.net import upstream_client
 from godwitnotch.standins import faults
@@ -135,7 +136,7 @@
         served = upstream.Upstream()
         port = await served.start("127.0.0.1", 0)
         await self._request(port, "POST", faults.PATH, {"down": True})
-        with self.assertRaises(http_client.ExchangeError):
+        with self.assertRaises(http_connection.ExchangeError):
             await self._request(port, "POST", "/run", {"sleep_ms": 0})
         starts = await self._request(port, "GET", upstream.STARTS_PATH)
         self.assertEqual(json.loads(starts.body)["starts"], [])
