--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -20,6 +20,7 @@
 from godwitnotch.core.leased import peer_messages
 from godwitnotch.core.leased import placement as placement_module
 from godwitnotch.core.leased import retained_answers
+from godwitnotch.core.leased import run_outcomes
 from godwitnotch.core.leased import run_times
 from godwitnotch.core.leased import task_records
 from godwitnotch.core.leased import waiting
@@ -81,6 +82,9 @@
         self._evidence = evidence_module.EvidenceSharing(
             self._times, self._health
         )
+        self._outcomes = run_outcomes.RunOutcomes(
+            out, self._times, self._health, self._task_records
+        )
         self._placement = placement_module.Placement(self._times, self._health)
         self._overdue = overdue_runs.OverdueRuns(self._times, self._placement)
         self._lease_manager = lease_manager.LeaseManager(
@@ -374,7 +378,7 @@
         """Handles the end of a run."""
         self._placement_due = True
         if end in (model.RunEnd.LEASE_EXPIRED, model.RunEnd.CRASHED):
-            self._record_loss(lease, run, end, now=now)
+            self._outcomes.upstream_lost(lease, run, end, now=now)
         job = self._find_open_job(run)
         if job is None:
             return
@@ -387,7 +391,7 @@
                 detail=f"{run.key.pairs()} upstream={upstream.upstream} "
                 f"ran_ms={(now - run.ordered_at) * 1_000:.0f}",
             )
-            self._record_success(lease, run, job, now=now)
+            self._outcomes.run_succeeded(lease, run, job, now=now)
             job.set_state(task, TaskState.DONE)
             if job.finished():
                 self._end_job(
@@ -402,10 +406,13 @@
             detail=f"{run.key.pairs()} upstream={upstream.upstream} "
             f"ran_s={now - run.ordered_at:.3f}",
         )
-        if end is model.RunEnd.FAILED:
-            self._record_failure(lease, job, task, now=now)
-        else:
+        if end is not model.RunEnd.FAILED:
             self._check_crashes(task.key, now=now)
+        elif self._outcomes.run_failed(lease, job, task, now=now):
+            answer = model.Answer(
+                model.JobEnd.FAILED, model.EndReason.TASK_FAILED
+            )
+            self._end_job(job, answer, now=now)
 
     def order_rejected(
         self,
@@ -602,75 +609,6 @@
             now=now,
         )
 
-    def _record_success(
-        self,
-        lease: lease_module.Lease,
-        run: lease_module.Run,
-        job: jobs.LeasedJob,
-        *,
-        now: float,
-    ) -> None:
-        """Learns from a run that has succeeded, if its last order is confirmed.
-
-        The time of an adopted run counts from the arrival of the list in which
-        the run was found.
-        """
-        self._health.run_succeeded(lease.upstream.upstream)
-        if run.expected_s and run.confirmed_at is not None:
-            ran_ms = (now - run.ordered_at) * 1_000
-            slowness = self._times.slowness(lease.upstream)
-            self._times.run_succeeded(
-                job.request, lease.upstream, ran_ms=ran_ms, now=now
-            )
-            if not job.base_ms_measured:
-                job.base_ms_measured = True
-                job.base_ms = ran_ms / slowness
-
-    def _record_loss(
-        self,
-        lease: lease_module.Lease,
-        run: lease_module.Run,
-        end: model.RunEnd,
-        *,
-        now: float,
-    ) -> None:
-        """Records that an upstream was lost under a run.
-
-        A draining upstream ends by itself, and its runs with it.
-        """
-        if not lease.upstream.draining:
-            loss = peer_messages.UpstreamLoss(
-                lease.upstream.upstream,
-                lease.instance_started_ms,
-                refused=lease.refused,
-                crashed=end is model.RunEnd.CRASHED,
-            )
-            self._task_records.upstream_lost(run.key.task, loss, now=now)
-
-    def _record_failure(
-        self,
-        lease: lease_module.Lease,
-        job: jobs.LeasedJob,
-        task: jobs.LeasedTask,
-        *,
-        now: float,
-    ) -> None:
-        """Counts a failed run against its upstream, task and job."""
-        upstream = lease.upstream.upstream
-        task.failures += 1
-        task.excluded_upstreams.add(upstream)
-        if task.failures > 1:
-            self._health.clear_failures_of(job.name)
-        elif self._health.run_failed(upstream, job.name, now=now):
-            self._out.add_decision(
-                "upstream_ejected", detail=f"upstream={upstream}"
-            )
-        if task.failures >= job.request.settings.max_failures:
-            answer = model.Answer(
-                model.JobEnd.FAILED, model.EndReason.TASK_FAILED
-            )
-            self._end_job(job, answer, now=now)
-
     def _end_job(
         self, job: jobs.LeasedJob, answer: model.Answer, *, now: float
     ) -> None:
--- a/godwitnotch/core/leased/lease.py
+++ b/godwitnotch/core/leased/lease.py
@@ -21,6 +21,15 @@
 # exceeds LEASE_DURATION_MS on a clock of MIN_CLOCK_RATE, 0.970 s, by the time to
 # end the runs.
 MAX_LEASE_DURATION_S = 1.0
+# An upstream responds to a request for its list of runs when a run ends, or
+# after a wait in which the next run is expected to end. The maximum lets the
+# leader notice a lost response soon, the minimum limits the rate of requests,
+# and the margin lets the run end before the wait is over.
+MAX_LIST_WAIT_MS = 300
+MIN_LIST_WAIT_MS = 60
+LIST_WAIT_MARGIN_MS = 40
+BASE_LIST_RETRY_DELAY_S = 0.06
+MAX_LIST_RETRY_DELAY_S = 1.0
 # A single failed call may be a lost response; after two in a row the upstream
 # gets no new runs.
 SUSPENSION_FAILURE_COUNT = 2
@@ -230,6 +239,22 @@
         self.replaced = False
         self.refused = False
 
+    def call_failed(self, *, now: float) -> None:
+        """Counts a failed call and delays the next list request."""
+        self.failures += 1
+        if self.state in (LeaseState.AWAITING_LIST, LeaseState.RECONCILING):
+            self.lose(now=now)
+            return
+        delay_s = BASE_LIST_RETRY_DELAY_S * (self.failures - 1)
+        self.next_list_request_at = now + min(MAX_LIST_RETRY_DELAY_S, delay_s)
+
+    def lose(self, *, now: float) -> None:
+        """Marks the lease as unheld, to be acquired again after a delay."""
+        if self.state is not LeaseState.UNHELD:
+            self.transition(LeaseEvent.LOST)
+        delay_s = BASE_LIST_RETRY_DELAY_S * (1 << min(self.failures, 5))
+        self.next_list_request_at = now + min(MAX_LIST_RETRY_DELAY_S, delay_s)
+
     def follow_instance(
         self, started_ms: int, *, sent_at: float, now: float
     ) -> bool:
@@ -281,6 +306,16 @@
             and self.last_list_request_at >= self.expires_at
         )
 
+    def list_wait_ms(self, *, now: float) -> int:
+        """Returns how long the upstream may wait for a run to end, in ms."""
+        if self.failures or not self.runs:
+            return 0
+        left_s = min(
+            run.ordered_at + run.expected_s - now for run in self.runs.values()
+        )
+        wait_ms = round(left_s * 1_000) + LIST_WAIT_MARGIN_MS
+        return max(MIN_LIST_WAIT_MS, min(MAX_LIST_WAIT_MS, wait_ms))
+
     def available_at(self, needs: model.Resources, *, now: float) -> float:
         """Returns when runs are expected to have freed a task's resources.
 
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -27,21 +27,12 @@
 from godwitnotch.core.leased.lease import RunState
 from godwitnotch.core.leased.lease_calls import CallKind
 
-# An upstream responds to a request for its list of runs when a run ends, or
-# after a wait in which the next run is expected to end. The maximum lets the
-# leader notice a lost response soon, the minimum limits the rate of requests,
-# and the margin lets the run end before the wait is over.
-MAX_LIST_WAIT_MS = 300
-MIN_LIST_WAIT_MS = 60
-LIST_WAIT_MARGIN_MS = 40
 # An idle upstream is asked this often. An older reading of its clock shortens the
 # lease of the next start by 2% of its age, or 4% on a clock that is 2% fast.
 IDLE_LIST_INTERVAL_S = 15.0
 STOP_RETRY_INTERVAL_S = 0.15
 # An upstream that has responded within this time counts as reachable.
 RECENT_RESPONSE_S = 1.0
-BASE_LIST_RETRY_DELAY_S = 0.06
-MAX_LIST_RETRY_DELAY_S = 1.0
 
 
 class LeaseManager:
@@ -249,7 +240,9 @@
                 continue
             if lease.expired(now=now) and not lease.asked_since_expiry():
                 # The wait lets a slow response arrive before the timeout.
-                self._request_runs(lease, now=now, wait_ms=MAX_LIST_WAIT_MS)
+                self._request_runs(
+                    lease, now=now, wait_ms=lease_module.MAX_LIST_WAIT_MS
+                )
             if lease.stopping:
                 self._retry_stops(lease, now=now)
             if (
@@ -278,7 +271,9 @@
         if call.kind is CallKind.STOP:
             self._request_runs(lease, now=now, wait_ms=0)
         elif not lease.pending_list_requests:
-            self._request_runs(lease, now=now, wait_ms=_wait_ms(lease, now=now))
+            self._request_runs(
+                lease, now=now, wait_ms=lease.list_wait_ms(now=now)
+            )
 
     def order_rejected(
         self, event: events.OrderRejected, *, now: float
@@ -311,7 +306,7 @@
             reached = now - lease.responded_at <= RECENT_RESPONSE_S
             was_held = reached and lease.state is LeaseState.HELD
             was_held = was_held or not self.holds_any()
-            self._lose_lease(lease, now=now)
+            lease.lose(now=now)
             self._listener.higher_term_seen(lease, was_held=was_held, now=now)
         elif rejection is model.OrderRejection.OTHER_INSTANCE:
             self._leave_address(lease, now=now)
@@ -326,7 +321,7 @@
             call.kind is CallKind.LIST_RUNS
             or rejection is model.OrderRejection.NOT_SENT
         ):
-            self._record_failure(lease, now=now)
+            lease.call_failed(now=now)
         if call.kind is CallKind.LIST_RUNS:
             self._expire_if_asked(call, now=now)
 
@@ -348,7 +343,7 @@
         if not call.to_former_address:
             if event.failure is model.CallFailure.REFUSED:
                 lease.refused = True
-            self._record_failure(lease, now=now)
+            lease.call_failed(now=now)
             if call.kind is CallKind.LIST_RUNS:
                 self._expire_if_asked(call, now=now)
         if run is None or call.kind is not CallKind.START:
@@ -420,7 +415,9 @@
                 and now >= lease.next_list_request_at
                 and not lease.pending_list_requests
             ):
-                lease.next_list_request_at = now + BASE_LIST_RETRY_DELAY_S
+                lease.next_list_request_at = (
+                    now + lease_module.BASE_LIST_RETRY_DELAY_S
+                )
                 self._request_runs(lease, now=now, wait_ms=0)
         elif lease.state is LeaseState.HELD:
             due = (
@@ -434,7 +431,7 @@
                 and now >= lease.next_list_request_at
             ):
                 self._request_runs(
-                    lease, now=now, wait_ms=_wait_ms(lease, now=now)
+                    lease, now=now, wait_ms=lease.list_wait_ms(now=now)
                 )
 
     def _request_runs(
@@ -650,17 +647,6 @@
             )
         return newest
 
-    def _record_failure(self, lease: lease_module.Lease, *, now: float) -> None:
-        """Counts a failed call and delays the next list request."""
-        lease.failures += 1
-        if lease.state in (LeaseState.AWAITING_LIST, LeaseState.RECONCILING):
-            self._lose_lease(lease, now=now)
-            return
-        lease.next_list_request_at = now + min(
-            MAX_LIST_RETRY_DELAY_S,
-            BASE_LIST_RETRY_DELAY_S * (lease.failures - 1),
-        )
-
     def _expire_if_asked(
         self, call: lease_calls.PendingCall, *, now: float
     ) -> None:
@@ -683,7 +669,7 @@
             f"expired_ago_ms={_ago_ms(lease.expires_at, now=now)} "
             f"tick_gap_ms={self._tick_gap_s * 1_000:.0f} term={self.term}",
         )
-        self._lose_lease(lease, now=now)
+        lease.lose(now=now)
         end = model.RunEnd.LEASE_EXPIRED
         if lease.replaced:
             end = model.RunEnd.CRASHED
@@ -695,16 +681,9 @@
         The entry may also be older than the last one, so this proves the end of
         no run: the next list or the time at which the lease ends does.
         """
-        self._lose_lease(lease, now=now)
+        lease.lose(now=now)
         lease.acknowledged_end = 0
 
-    def _lose_lease(self, lease: lease_module.Lease, *, now: float) -> None:
-        """Marks a lease as unheld, to be acquired again after a delay."""
-        if lease.state is not LeaseState.UNHELD:
-            lease.transition(LeaseEvent.LOST)
-        delay_s = BASE_LIST_RETRY_DELAY_S * (1 << min(lease.failures, 5))
-        lease.next_list_request_at = now + min(MAX_LIST_RETRY_DELAY_S, delay_s)
-
     def _record_all_ended(
         self, lease: lease_module.Lease, end: model.RunEnd, *, now: float
     ) -> None:
@@ -715,14 +694,3 @@
 def _ago_ms(at: float, *, now: float) -> str:
     """Returns how long ago a time was, in ms; `none` if the time isn't set."""
     return f"{(now - at) * 1_000:.0f}" if at else "none"
-
-
-def _wait_ms(lease: lease_module.Lease, *, now: float) -> int:
-    """Returns how long the upstream may wait for a run to end, in ms."""
-    if lease.failures or not lease.runs:
-        return 0
-    left_s = min(
-        run.ordered_at + run.expected_s - now for run in lease.runs.values()
-    )
-    wait_ms = round(left_s * 1_000) + LIST_WAIT_MARGIN_MS
-    return max(MIN_LIST_WAIT_MS, min(MAX_LIST_WAIT_MS, wait_ms))
--- a/tests/test_leased_crashes.py
+++ b/tests/test_leased_crashes.py
@@ -3,7 +3,6 @@
 import unittest
 
 from godwitnotch.core.leased import lease
-from godwitnotch.core.leased import lease_manager
 from godwitnotch.core.leased import model
 from tests import leased_world
 
@@ -116,7 +115,7 @@
         cut_at = self.world.now
         self.cut_off_running()
         # The last order that was sent, and the question after the expiry.
-        call_s = lease_manager.MAX_LIST_WAIT_MS / 1_000
+        call_s = lease.MAX_LIST_WAIT_MS / 1_000
         call_s += leased_world.ORDER_TIMEOUT_S
         limit_s = lease.MAX_LEASE_DURATION_S + 2 * call_s
         self.assertLessEqual(self.world.now - cut_at, limit_s + 0.1)
