--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -206,8 +206,7 @@
         job = self._add_job(owner, message, now=now)
         job.redirected = redirected
         job.may_run_elsewhere = may_run_elsewhere
-        for task in job.tasks:
-            self._check_crashes(task.key, now=now)
+        self._check_history(job, now=now)
         if not job.started and job.name in self._jobs:
             verdict = self._admission.check_arrival(job, now=now)
             self._apply(verdict, job, now=now)
@@ -360,6 +359,17 @@
             self._end_job(job, model.Answer(model.JobEnd.COMPLETED), now=now)
         return True
 
+    def unclaimed_run_failed(self, key: model.RunKey, *, now: float) -> None:
+        """Counts a failed run of an earlier leader or lease."""
+        failures = self._task_records.failures(key.task) + 1
+        self._task_records.run_failed(key.task, failures=failures, now=now)
+        job = self._claimed_job(key)
+        if job is None:
+            return
+        job.tasks[key.task.index].failures = failures
+        if failures >= job.request.settings.max_failures:
+            self._fail_job(job, now=now)
+
     def _claimed_job(self, key: model.RunKey) -> jobs.LeasedJob | None:
         """Returns the job of a run, if an owner has claimed it."""
         job = self._jobs.get(key.task.job)
@@ -409,10 +419,7 @@
         if end is not model.RunEnd.FAILED:
             self._check_crashes(task.key, now=now)
         elif self._outcomes.run_failed(lease, job, task, now=now):
-            answer = model.Answer(
-                model.JobEnd.FAILED, model.EndReason.TASK_FAILED
-            )
-            self._end_job(job, answer, now=now)
+            self._fail_job(job, now=now)
 
     def order_rejected(
         self,
@@ -470,6 +477,15 @@
         ):
             self._check_crashes(task, now=now)
 
+    def _check_history(self, job: jobs.LeasedJob, *, now: float) -> None:
+        """Fails a job whose tasks have failed or crashed upstreams before."""
+        max_failures = job.request.settings.max_failures
+        if any(task.failures >= max_failures for task in job.tasks):
+            self._fail_job(job, now=now)
+            return
+        for task in job.tasks:
+            self._check_crashes(task.key, now=now)
+
     def _check_crashes(self, task: model.TaskKey, *, now: float) -> None:
         """Fails the job of a task that crashes each upstream."""
         job = self._jobs.get(task.job)
@@ -504,6 +520,9 @@
             handed_over_at=now,
         )
         job.record_earlier_leaders(message, now=now)
+        if message.had_earlier_leader:
+            for task in job.tasks:
+                task.failures = self._task_records.failures(task.key)
         self._jobs[request.job] = job
         self._lease_manager.adopt_runs(job, now=now)
         self._queue.update(job)
@@ -609,6 +628,10 @@
             now=now,
         )
 
+    def _fail_job(self, job: jobs.LeasedJob, *, now: float) -> None:
+        answer = model.Answer(model.JobEnd.FAILED, model.EndReason.TASK_FAILED)
+        self._end_job(job, answer, now=now)
+
     def _end_job(
         self, job: jobs.LeasedJob, answer: model.Answer, *, now: float
     ) -> None:
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -397,7 +397,7 @@
             case peer_messages.UpstreamsLearnt():
                 if not self.leads:
                     self._dispatcher.evidence.apply(message, now=now)
-            case peer_messages.LossesLearnt():
+            case peer_messages.TasksLearnt():
                 self._dispatcher.task_records.apply(message, now=now)
             case _ if self.leads:
                 self._handle_leader_message(host, message, now=now)
@@ -623,5 +623,5 @@
     if host.leads:
         successors = host._leadership.successors()
         host._updates.send_evidence(successors, now=now)
-        host._updates.send_losses(successors + host._fleet.other_leaders)
+        host._updates.send_task_records(successors + host._fleet.other_leaders)
     host._owned_jobs.tick(now=now)
--- a/godwitnotch/core/leased/leader_updates.py
+++ b/godwitnotch/core/leased/leader_updates.py
@@ -31,14 +31,14 @@
         self._records = records
         self._hosts_with_list: set[ids.HostId] = set()
         self._hosts_with_evidence: set[ids.HostId] = set()
-        self._hosts_with_losses: set[ids.HostId] = set()
+        self._hosts_with_records: set[ids.HostId] = set()
         self._next_evidence_at = 0.0
 
     def clear(self) -> None:
         """Forgets what was sent, as the leader has changed."""
         self._hosts_with_list.clear()
         self._hosts_with_evidence.clear()
-        self._hosts_with_losses.clear()
+        self._hosts_with_records.clear()
 
     def list_changed(self) -> None:
         """Forgets who has the list, as it has changed."""
@@ -48,7 +48,7 @@
         """Forgets what was sent to a host."""
         self._hosts_with_list.discard(host)
         self._hosts_with_evidence.discard(host)
-        self._hosts_with_losses.discard(host)
+        self._hosts_with_records.discard(host)
 
     def send_list(
         self,
@@ -62,17 +62,17 @@
                 self._hosts_with_list.add(host)
                 self._out.add(actions.TellPeer(host, copy))
 
-    def send_losses(self, receivers: list[ids.HostId]) -> None:
+    def send_task_records(self, receivers: list[ids.HostId]) -> None:
         """Sends all losses to new receivers, and changes to the others."""
         changed = self._records.take_changed()
         for host in receivers:
-            if host not in self._hosts_with_losses:
+            if host not in self._hosts_with_records:
                 self._out.add(
                     actions.TellPeer(host, self._records.all_entries())
                 )
             elif changed is not None:
                 self._out.add(actions.TellPeer(host, changed))
-        self._hosts_with_losses = set(receivers)
+        self._hosts_with_records = set(receivers)
 
     def send_evidence(self, receivers: list[ids.HostId], *, now: float) -> None:
         """Sends all evidence to new receivers, and changes to the others."""
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -548,8 +548,12 @@
             if run is not None and run.key == ended.key:
                 claimed = run.job is not None
                 self._record_end(lease, run, ended.end, now=now)
-            if ended.end is model.RunEnd.DONE and not claimed:
+            if claimed:
+                continue
+            if ended.end is model.RunEnd.DONE:
                 self._record_done(ended.key, now=now)
+            elif ended.end is model.RunEnd.FAILED:
+                self._listener.unclaimed_run_failed(ended.key, now=now)
         for run in run_lists.missing_runs(
             lease, run_list, requested_at=requested_at
         ):
--- a/godwitnotch/core/leased/peer_messages.py
+++ b/godwitnotch/core/leased/peer_messages.py
@@ -110,18 +110,25 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TaskLosses:
-    """All losses under one task that the sender knows."""
+class TaskHistory:
+    """What earlier runs of one task have shown, as far as the sender knows.
+
+    Attributes:
+        task: The task.
+        failures: How many of its runs have failed.
+        losses: The upstreams that were lost under it.
+    """
 
     task: model.TaskKey
+    failures: int
     losses: tuple[UpstreamLoss, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class LossesLearnt:
-    """The leader's records of lost upstreams: all of them, or the changed."""
+class TasksLearnt:
+    """The leader's records of tasks: all of them, or what has changed."""
 
-    tasks: tuple[TaskLosses, ...]
+    tasks: tuple[TaskHistory, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -219,7 +226,7 @@
     | ConfigurationCopy
     | UpstreamsCopy
     | UpstreamsLearnt
-    | LossesLearnt
+    | TasksLearnt
     | JobHandedOver
     | AllHandedOver
     | JobAnswered
--- a/godwitnotch/core/leased/run_outcomes.py
+++ b/godwitnotch/core/leased/run_outcomes.py
@@ -68,6 +68,7 @@
         """Counts a failed run; returns whether this fails the job."""
         upstream = lease.upstream.upstream
         task.failures += 1
+        self._records.run_failed(task.key, failures=task.failures, now=now)
         task.excluded_upstreams.add(upstream)
         if task.failures > 1:
             self._health.clear_failures_of(job.name)
--- a/godwitnotch/core/leased/task_records.py
+++ b/godwitnotch/core/leased/task_records.py
@@ -1,4 +1,4 @@
-"""Counts the upstreams that were lost while a task ran there.
+"""Counts failed runs of a task, and the upstreams that were lost under it.
 
 An upstream is lost to a crash, which one of its tasks may have caused, or to a
 cut. The two look alike until another process answers in place of the lost one, or
@@ -34,14 +34,15 @@
 
 @dataclass(frozen=True, slots=True)
 class _Record:
-    """The losses under one task."""
+    """What earlier runs of one task have shown."""
 
+    failures: int
     losses: _Losses
     expires_at: float
 
 
 class TaskRecords:
-    """The losses under the tasks of a cell, of open and ended jobs.
+    """What is known of the tasks of a cell, of open and ended jobs.
 
     The leader tells the hosts that may lead next, so that they don't start a
     task from zero.
@@ -51,6 +52,17 @@
         self._records: dict[model.TaskKey, _Record] = {}
         self._changed: set[model.TaskKey] = set()
 
+    def failures(self, task: model.TaskKey) -> int:
+        """Returns how many runs of a task have failed."""
+        record = self._records.get(task)
+        return 0 if record is None else record.failures
+
+    def run_failed(
+        self, task: model.TaskKey, *, failures: int, now: float
+    ) -> None:
+        """Records how many runs of a task have failed."""
+        self._set(task, failures, self._losses(task), now=now)
+
     def upstream_lost(
         self,
         task: model.TaskKey,
@@ -59,7 +71,8 @@
         now: float,
     ) -> None:
         """Records that an upstream was lost while a task ran there."""
-        self._set(task, (*self._losses(task), loss), now=now)
+        losses = (*self._losses(task), loss)
+        self._set(task, self.failures(task), losses, now=now)
 
     def upstream_crashed(
         self, upstream: ids.UpstreamId, *, now: float
@@ -98,7 +111,7 @@
                 or loss.upstream != upstream
                 or loss.instance_started_ms != instance_started_ms
             )
-            self._set(task, losses, now=now)
+            self._set(task, self.failures(task), losses, now=now)
         return tasks
 
     def start_rule(self, task: model.TaskKey) -> StartRule:
@@ -111,20 +124,22 @@
             return StartRule.AWAIT_PROOF
         return StartRule.GIVE_UP
 
-    def all_entries(self) -> peer_messages.LossesLearnt:
+    def all_entries(self) -> peer_messages.TasksLearnt:
         """Returns all records, for a host that has none."""
         return self._entries(self._records)
 
-    def take_changed(self) -> peer_messages.LossesLearnt | None:
+    def take_changed(self) -> peer_messages.TasksLearnt | None:
         """Returns the records that have changed since the last call, if any."""
         changed, self._changed = self._changed, set()
         return self._entries(changed) if changed else None
 
-    def apply(self, learnt: peer_messages.LossesLearnt, *, now: float) -> None:
+    def apply(self, learnt: peer_messages.TasksLearnt, *, now: float) -> None:
         """Applies the records that a leader has sent."""
         for entry in learnt.tasks:
             expires_at = now + RETENTION_S
-            self._records[entry.task] = _Record(entry.losses, expires_at)
+            self._records[entry.task] = _Record(
+                entry.failures, entry.losses, expires_at
+            )
 
     def forget_expired(self, *, now: float) -> None:
         """Forgets the records that have not changed for RETENTION_S."""
@@ -137,8 +152,15 @@
         record = self._records.get(task)
         return () if record is None else record.losses
 
-    def _set(self, task: model.TaskKey, losses: _Losses, *, now: float) -> None:
-        self._records[task] = _Record(losses, now + RETENTION_S)
+    def _set(
+        self,
+        task: model.TaskKey,
+        failures: int,
+        losses: _Losses,
+        *,
+        now: float,
+    ) -> None:
+        self._records[task] = _Record(failures, losses, now + RETENTION_S)
         self._changed.add(task)
 
     def _unproven_tasks(self, upstream: ids.UpstreamId) -> list[model.TaskKey]:
@@ -154,10 +176,12 @@
 
     def _entries(
         self, tasks: Iterable[model.TaskKey]
-    ) -> peer_messages.LossesLearnt:
-        return peer_messages.LossesLearnt(
+    ) -> peer_messages.TasksLearnt:
+        return peer_messages.TasksLearnt(
             tuple(
-                peer_messages.TaskLosses(task, self._losses(task))
+                peer_messages.TaskHistory(
+                    task, self.failures(task), self._losses(task)
+                )
                 for task in tasks
             )
         )
--- a/tests/test_leased_crashes.py
+++ b/tests/test_leased_crashes.py
@@ -77,6 +77,24 @@
         self.assertFalse(second.neighbours)
 
 
+class FailingTaskTest(unittest.TestCase):
+    def test_next_leaders_count_the_failures_of_a_task_from_zero(self) -> None:
+        world = leased_world.World(HOSTS, upstreams=4)
+        world.run(2.0)
+        for upstream in world.upstreams.values():
+            upstream.fails = True
+        (leader,) = world.leaders()
+        owner = next(name for name in world.hosts if name != leader)
+        call = world.submit(owner, "j", wait_s=20.0)
+        while world.start_count("j") < 3:
+            world.run(0.01)
+        world.run(0.05)  # The leader has told its successors.
+        world.kill(leader)
+        world.run(10.0)
+        self.assertEqual(world.start_count("j"), 3)
+        self.assertIs(world.answers[call][1].end, model.JobEnd.FAILED)
+
+
 class LostUpstreamTest(unittest.TestCase):
     """An upstream that is lost to a cut has not crashed."""
 
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -577,10 +577,11 @@
             peer_messages.ConfigurationWanted(2),
             peer_messages.ConfigurationCopy(3, b"{}"),
             peer_messages.UpstreamsCopy((upstream,)),
-            peer_messages.LossesLearnt(
+            peer_messages.TasksLearnt(
                 (
-                    peer_messages.TaskLosses(
+                    peer_messages.TaskHistory(
                         model.TaskKey(model.JobName("j"), 3),
+                        2,
                         (
                             peer_messages.UpstreamLoss(
                                 ids.UpstreamId("u"),
@@ -786,6 +787,9 @@
     def order_rejected(self, *args: object, now: float) -> None:
         pass
 
+    def unclaimed_run_failed(self, key: model.RunKey, *, now: float) -> None:
+        pass
+
     def upstream_crashed(self, upstream: str, *, now: float) -> None:
         pass
 
