--- a/tests/mutants/__main__.py
+++ b/tests/mutants/__main__.py
@@ -35,6 +35,8 @@
     "tests.test_differential",
     "tests.test_leased_host",
     "tests.test_leased_instances",
+    "tests.test_leased_crashes",
+    "tests.test_leased_lives",
     "tests.test_leased_decisions",
     "tests.test_leased_load_patterns",
     "tests.test_leased_cells",
