A failed run that is listed again counts once

Change: failed runs are told and compared by upstream and run number; a job that its caller sends again has all its attempts, as before. Lists from upstreams that were not lost no longer search the records.

--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -359,10 +359,12 @@
             self._end_job(job, model.Answer(model.JobEnd.COMPLETED), now=now)
         return True
 
-    def unclaimed_run_failed(self, key: model.RunKey, *, now: float) -> None:
+    def unclaimed_run_failed(
+        self, key: model.RunKey, upstream: ids.UpstreamId, *, now: float
+    ) -> None:
         """Counts a failed run of an earlier leader or lease."""
-        failures = self._task_records.failures(key.task) + 1
-        self._task_records.run_failed(key.task, failures=failures, now=now)
+        self._task_records.run_failed(key, upstream, now=now)
+        failures = self._task_records.failures(key.task)
         job = self._claimed_job(key)
         if job is None:
             return
@@ -418,7 +420,7 @@
         )
         if end is not model.RunEnd.FAILED:
             self._check_crashes(task.key, now=now)
-        elif self._outcomes.run_failed(lease, job, task, now=now):
+        elif self._outcomes.run_failed(lease, run, job, now=now):
             self._fail_job(job, now=now)
 
     def order_rejected(
@@ -520,9 +522,10 @@
             handed_over_at=now,
         )
         job.record_earlier_leaders(message, now=now)
-        if message.had_earlier_leader:
-            for task in job.tasks:
-                task.failures = self._task_records.failures(task.key)
+        for task in job.tasks:
+            if not message.had_earlier_leader:
+                self._task_records.forget_failures(task.key, now=now)
+            task.failures = self._task_records.failures(task.key)
         self._jobs[request.job] = job
         self._lease_manager.adopt_runs(job, now=now)
         self._queue.update(job)
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -553,7 +553,9 @@
             if ended.end is model.RunEnd.DONE:
                 self._record_done(ended.key, now=now)
             elif ended.end is model.RunEnd.FAILED:
-                self._listener.unclaimed_run_failed(ended.key, now=now)
+                self._listener.unclaimed_run_failed(
+                    ended.key, lease.upstream.upstream, now=now
+                )
         for run in run_lists.missing_runs(
             lease, run_list, requested_at=requested_at
         ):
--- a/godwitnotch/core/leased/peer_messages.py
+++ b/godwitnotch/core/leased/peer_messages.py
@@ -109,18 +109,26 @@
     crashed: bool
 
 
+@dataclass(frozen=True, slots=True)
+class FailedRun:
+    """A failed run of a task, at an upstream."""
+
+    upstream: ids.UpstreamId
+    run: model.RunNumber
+
+
 @dataclass(frozen=True, slots=True)
 class TaskHistory:
     """What earlier runs of one task have shown, as far as the sender knows.
 
     Attributes:
         task: The task.
-        failures: How many of its runs have failed.
+        failed_runs: Its runs that have failed.
         losses: The upstreams that were lost under it.
     """
 
     task: model.TaskKey
-    failures: int
+    failed_runs: tuple[FailedRun, ...]
     losses: tuple[UpstreamLoss, ...]
 
 
--- a/godwitnotch/core/leased/run_listener.py
+++ b/godwitnotch/core/leased/run_listener.py
@@ -25,7 +25,9 @@
             Whether an owner has claimed the job of the run.
         """
 
-    def unclaimed_run_failed(self, key: model.RunKey, *, now: float) -> None:
+    def unclaimed_run_failed(
+        self, key: model.RunKey, upstream: ids.UpstreamId, *, now: float
+    ) -> None:
         """Handles a run that has failed and belonged to no job so far."""
 
     def run_ended(
--- a/godwitnotch/core/leased/run_outcomes.py
+++ b/godwitnotch/core/leased/run_outcomes.py
@@ -60,15 +60,16 @@
     def run_failed(
         self,
         lease: lease_module.Lease,
+        run: lease_module.Run,
         job: jobs.LeasedJob,
-        task: jobs.LeasedTask,
         *,
         now: float,
     ) -> bool:
         """Counts a failed run; returns whether this fails the job."""
         upstream = lease.upstream.upstream
-        task.failures += 1
-        self._records.run_failed(task.key, failures=task.failures, now=now)
+        task = job.tasks[run.key.task.index]
+        self._records.run_failed(run.key, upstream, now=now)
+        task.failures = self._records.failures(task.key)
         task.excluded_upstreams.add(upstream)
         if task.failures > 1:
             self._health.clear_failures_of(job.name)
--- a/godwitnotch/core/leased/task_records.py
+++ b/godwitnotch/core/leased/task_records.py
@@ -20,6 +20,7 @@
 # Callers send a job again, and lost upstreams are back, within some seconds.
 RETENTION_S = 30.0
 
+_FailedRuns = tuple[peer_messages.FailedRun, ...]
 _Losses = tuple[peer_messages.UpstreamLoss, ...]
 
 
@@ -36,7 +37,7 @@
 class _Record:
     """What earlier runs of one task have shown."""
 
-    failures: int
+    failed_runs: _FailedRuns
     losses: _Losses
     expires_at: float
 
@@ -51,17 +52,27 @@
     def __init__(self) -> None:
         self._records: dict[model.TaskKey, _Record] = {}
         self._changed: set[model.TaskKey] = set()
+        # Upstreams whose losses may be unproven; most lists are from others.
+        self._lost_upstreams: set[ids.UpstreamId] = set()
 
     def failures(self, task: model.TaskKey) -> int:
         """Returns how many runs of a task have failed."""
-        record = self._records.get(task)
-        return 0 if record is None else record.failures
+        return len(self._failed_runs(task))
 
     def run_failed(
-        self, task: model.TaskKey, *, failures: int, now: float
+        self, key: model.RunKey, upstream: ids.UpstreamId, *, now: float
     ) -> None:
-        """Records how many runs of a task have failed."""
-        self._set(task, failures, self._losses(task), now=now)
+        """Records a failed run, once."""
+        failed_runs = self._failed_runs(key.task)
+        failed = peer_messages.FailedRun(upstream, key.run)
+        if failed not in failed_runs:
+            losses = self._losses(key.task)
+            self._set(key.task, (*failed_runs, failed), losses, now=now)
+
+    def forget_failures(self, task: model.TaskKey, *, now: float) -> None:
+        """Forgets the failed runs of a task whose caller starts it anew."""
+        if task in self._records:
+            self._set(task, (), self._losses(task), now=now)
 
     def upstream_lost(
         self,
@@ -72,7 +83,8 @@
     ) -> None:
         """Records that an upstream was lost while a task ran there."""
         losses = (*self._losses(task), loss)
-        self._set(task, self.failures(task), losses, now=now)
+        self._lost_upstreams.add(loss.upstream)
+        self._set(task, self._failed_runs(task), losses, now=now)
 
     def upstream_crashed(
         self, upstream: ids.UpstreamId, *, now: float
@@ -100,6 +112,9 @@
         Returns:
             The tasks under which the upstream was lost.
         """
+        if upstream not in self._lost_upstreams:
+            return []
+        self._lost_upstreams.discard(upstream)
         tasks = self._unproven_tasks(upstream)
         for task in tasks:
             losses = tuple(
@@ -111,7 +126,7 @@
                 or loss.upstream != upstream
                 or loss.instance_started_ms != instance_started_ms
             )
-            self._set(task, self.failures(task), losses, now=now)
+            self._set(task, self._failed_runs(task), losses, now=now)
         return tasks
 
     def start_rule(self, task: model.TaskKey) -> StartRule:
@@ -138,8 +153,9 @@
         for entry in learnt.tasks:
             expires_at = now + RETENTION_S
             self._records[entry.task] = _Record(
-                entry.failures, entry.losses, expires_at
+                entry.failed_runs, entry.losses, expires_at
             )
+            self._lost_upstreams.update(loss.upstream for loss in entry.losses)
 
     def forget_expired(self, *, now: float) -> None:
         """Forgets the records that have not changed for RETENTION_S."""
@@ -148,6 +164,10 @@
                 del self._records[task]
                 self._changed.discard(task)
 
+    def _failed_runs(self, task: model.TaskKey) -> _FailedRuns:
+        record = self._records.get(task)
+        return () if record is None else record.failed_runs
+
     def _losses(self, task: model.TaskKey) -> _Losses:
         record = self._records.get(task)
         return () if record is None else record.losses
@@ -155,12 +175,12 @@
     def _set(
         self,
         task: model.TaskKey,
-        failures: int,
+        failed_runs: _FailedRuns,
         losses: _Losses,
         *,
         now: float,
     ) -> None:
-        self._records[task] = _Record(failures, losses, now + RETENTION_S)
+        self._records[task] = _Record(failed_runs, losses, now + RETENTION_S)
         self._changed.add(task)
 
     def _unproven_tasks(self, upstream: ids.UpstreamId) -> list[model.TaskKey]:
@@ -180,7 +200,7 @@
         return peer_messages.TasksLearnt(
             tuple(
                 peer_messages.TaskHistory(
-                    task, self.failures(task), self._losses(task)
+                    task, self._failed_runs(task), self._losses(task)
                 )
                 for task in tasks
             )
--- a/tests/test_leased_crashes.py
+++ b/tests/test_leased_crashes.py
@@ -2,8 +2,10 @@
 
 import unittest
 
+from godwitnotch.core import ids
 from godwitnotch.core.leased import lease
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import task_records
 from tests import leased_world
 
 HOSTS = {"x": ["x1", "x2"], "y": ["y1", "y2"], "z": ["z1", "z2"]}
@@ -95,6 +97,22 @@
         self.assertIs(world.answers[call][1].end, model.JobEnd.FAILED)
 
 
+class TaskRecordsTest(unittest.TestCase):
+    def test_failed_run_that_is_listed_again_counts_once(self) -> None:
+        records = task_records.TaskRecords()
+        key = model.RunKey(DEADLY, model.RunNumber(1))
+        for upstream in ("u", "u", "v"):
+            records.run_failed(key, ids.UpstreamId(upstream), now=100.0)
+        self.assertEqual(records.failures(DEADLY), 2)
+
+    def test_job_that_its_caller_sends_again_has_all_its_attempts(self) -> None:
+        records = task_records.TaskRecords()
+        key = model.RunKey(DEADLY, model.RunNumber(1))
+        records.run_failed(key, ids.UpstreamId("u"), now=100.0)
+        records.forget_failures(DEADLY, now=101.0)
+        self.assertEqual(records.failures(DEADLY), 0)
+
+
 class LostUpstreamTest(unittest.TestCase):
     """An upstream that is lost to a cut has not crashed."""
 
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -581,7 +581,11 @@
                 (
                     peer_messages.TaskHistory(
                         model.TaskKey(model.JobName("j"), 3),
-                        2,
+                        (
+                            peer_messages.FailedRun(
+                                ids.UpstreamId("u"), model.RunNumber(2)
+                            ),
+                        ),
                         (
                             peer_messages.UpstreamLoss(
                                 ids.UpstreamId("u"),
@@ -787,7 +791,7 @@
     def order_rejected(self, *args: object, now: float) -> None:
         pass
 
-    def unclaimed_run_failed(self, key: model.RunKey, *, now: float) -> None:
+    def unclaimed_run_failed(self, *args: object, now: float) -> None:
         pass
 
     def upstream_crashed(self, upstream: str, *, now: float) -> None:
--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -64,7 +64,7 @@
     def order_rejected(self, lease, run, rejection, *, now) -> None:
         self.rejected.append(run.key.task.index)
 
-    def unclaimed_run_failed(self, key: model.RunKey, *, now: float) -> None:
+    def unclaimed_run_failed(self, key, upstream, *, now) -> None:
         pass
 
     def upstream_crashed(self, upstream, *, now) -> None:
