--- a/godwitnotch/core/leased/task_records.py
+++ b/godwitnotch/core/leased/task_records.py
@@ -150,6 +150,7 @@
 
     def apply(self, learnt: peer_messages.TasksLearnt, *, now: float) -> None:
         """Applies the records that a leader has sent."""
+        self.forget_expired(now=now)
         for entry in learnt.tasks:
             expires_at = now + RETENTION_S
             self._records[entry.task] = _Record(
@@ -163,6 +164,8 @@
             if now >= record.expires_at:
                 del self._records[task]
                 self._changed.discard(task)
+        if not self._records:
+            self._lost_upstreams.clear()
 
     def _failed_runs(self, task: model.TaskKey) -> _FailedRuns:
         record = self._records.get(task)
--- a/tests/test_leased_crashes.py
+++ b/tests/test_leased_crashes.py
@@ -105,6 +105,19 @@
             records.run_failed(key, ids.UpstreamId(upstream), now=100.0)
         self.assertEqual(records.failures(DEADLY), 2)
 
+    def test_records_that_a_leader_has_told_expire(self) -> None:
+        told = task_records.TaskRecords()
+        for number in range(100):
+            now = 100.0 + number
+            leader = task_records.TaskRecords()
+            task = model.TaskKey(model.JobName(f"j{number}"), 0)
+            key = model.RunKey(task, model.RunNumber(1))
+            leader.run_failed(key, ids.UpstreamId("u"), now=now)
+            told.apply(leader.all_entries(), now=now)
+        self.assertLessEqual(
+            len(told.all_entries().tasks), task_records.RETENTION_S
+        )
+
     def test_job_that_its_caller_sends_again_has_all_its_attempts(self) -> None:
         records = task_records.TaskRecords()
         key = model.RunKey(DEADLY, model.RunNumber(1))
