--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -270,6 +270,24 @@
         self.assertFalse(self.lease.accepts_runs())
 
 
+class RunAloneTest(ManagerTest):
+    def test_another_run_joins_one_that_must_be_alone(self) -> None:
+        self.manager.start_run(
+            self.lease,
+            self.job,
+            self.key(0),
+            expected_s=0.1,
+            alone=True,
+            now=self.now,
+        )
+        self.assertFalse(self.lease.accepts_runs())
+        (order,) = self.take(actions.StartRun)
+        (request,) = self.accept(order)
+        ended = model.EndedRun(1, self.key(0), model.RunEnd.DONE)
+        self.list_runs(request, instance=1_000, ended=(ended,))
+        self.assertTrue(self.lease.accepts_runs())
+
+
 class UnknownRunTest(ManagerTest):
     """A list shows a run that the leader has no record of."""
 
