--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -13,11 +13,14 @@
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import events
+from godwitnotch.core.leased import health
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import lease
 from godwitnotch.core.leased import lease_manager
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import outbox
+from godwitnotch.core.leased import placement
+from godwitnotch.core.leased import run_times
 from godwitnotch.net import http_types
 from godwitnotch.net import leased_calls
 from tests import leased_world
@@ -287,6 +290,17 @@
         self.list_runs(request, instance=1_000, ended=(ended,))
         self.assertTrue(self.lease.accepts_runs())
 
+    def test_run_that_must_be_alone_joins_another_one(self) -> None:
+        self.accept(self.start(0))
+        chooser = placement.Placement(
+            run_times.RunTimes(), health.UpstreamHealth()
+        )
+        task, leases = self.job.tasks[1], [self.lease]
+        any_lease = chooser.choose(self.job, task, leases, now=self.now)
+        self.assertIs(any_lease, self.lease)
+        idle = chooser.choose_idle(self.job, task, leases, now=self.now)
+        self.assertIsNone(idle)
+
 
 class UnknownRunTest(ManagerTest):
     """A list shows a run that the leader has no record of."""
