Leader: one listener call for who answers at an upstream, shorter functions

upstream_crashed and upstream_seen told the same in two ways; a list from another process and another upstream at the address are one event now. order_rejected, run_ended and job_handed_over had over 40 lines; what a rejection tells of the upstream, the end of a run that has succeeded and the checks of a new job are functions of their own.

--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -206,10 +206,7 @@
         job = self._add_job(owner, message, now=now)
         job.redirected = redirected
         job.may_run_elsewhere = may_run_elsewhere
-        self._check_history(job, now=now)
-        if not job.started and job.name in self._jobs:
-            verdict = self._admission.check_arrival(job, now=now)
-            self._apply(verdict, job, now=now)
+        self._check_arrival(job, now=now)
         self.place_waiting(now=now)
 
     def all_handed_over(self, owner: ids.HostId, *, now: float) -> None:
@@ -394,28 +391,16 @@
         job = self._find_open_job(run)
         if job is None:
             return
-        task = job.tasks[run.key.task.index]
-        upstream = lease.upstream
         if end is model.RunEnd.DONE:
-            self._out.add_decision(
-                "run_ended",
-                job=job.name,
-                detail=f"{run.key.pairs()} upstream={upstream.upstream} "
-                f"ran_ms={(now - run.ordered_at) * 1_000:.0f}",
-            )
-            self._outcomes.run_succeeded(lease, run, job, now=now)
-            job.set_state(task, TaskState.DONE)
-            if job.finished():
-                self._end_job(
-                    job, model.Answer(model.JobEnd.COMPLETED), now=now
-                )
+            self._handle_done(lease, run, job, now=now)
             return
+        task = job.tasks[run.key.task.index]
         self._requeue(job, task)
         self._out.add_decision(
             "run_lost",
             job=job.name,
             reason=end.value,
-            detail=f"{run.key.pairs()} upstream={upstream.upstream} "
+            detail=f"{run.key.pairs()} upstream={lease.upstream.upstream} "
             f"ran_s={now - run.ordered_at:.3f}",
         )
         if end is not model.RunEnd.FAILED:
@@ -423,6 +408,26 @@
         elif self._outcomes.run_failed(lease, run, job, now=now):
             self._fail_job(job, now=now)
 
+    def _handle_done(
+        self,
+        lease: lease_module.Lease,
+        run: lease_module.Run,
+        job: jobs.LeasedJob,
+        *,
+        now: float,
+    ) -> None:
+        """Handles the end of a run that has succeeded."""
+        self._out.add_decision(
+            "run_ended",
+            job=job.name,
+            detail=f"{run.key.pairs()} upstream={lease.upstream.upstream} "
+            f"ran_ms={(now - run.ordered_at) * 1_000:.0f}",
+        )
+        self._outcomes.run_succeeded(lease, run, job, now=now)
+        job.set_state(job.tasks[run.key.task.index], TaskState.DONE)
+        if job.finished():
+            self._end_job(job, model.Answer(model.JobEnd.COMPLETED), now=now)
+
     def order_rejected(
         self,
         lease: lease_module.Lease,
@@ -461,16 +466,11 @@
         job.set_state(task, TaskState.WAITING)
         self._queue.update(job)
 
-    def upstream_crashed(self, upstream: ids.UpstreamId, *, now: float) -> None:
-        """Gives up the tasks that have crashed too many upstreams."""
-        for task in self._task_records.upstream_crashed(upstream, now=now):
-            self._check_crashes(task, now=now)
-
     def upstream_seen(
         self,
         upstream: ids.UpstreamId,
         *,
-        instance_started_ms: int,
+        instance_started_ms: int | None,
         now: float,
     ) -> None:
         """Learns whether an upstream that was lost has crashed."""
@@ -479,6 +479,13 @@
         ):
             self._check_crashes(task, now=now)
 
+    def _check_arrival(self, job: jobs.LeasedJob, *, now: float) -> None:
+        """Ends or moves a new job, if there is no use in keeping it."""
+        self._check_history(job, now=now)
+        if not job.started and job.name in self._jobs:
+            verdict = self._admission.check_arrival(job, now=now)
+            self._apply(verdict, job, now=now)
+
     def _check_history(self, job: jobs.LeasedJob, *, now: float) -> None:
         """Fails a job whose tasks have failed or crashed upstreams before."""
         max_failures = job.request.settings.max_failures
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -297,8 +297,18 @@
             lease.withdraw_renewal(call.renewal)
         if call.kind is CallKind.START and run is not None:
             self._start_rejected(lease, run, rejection, now=now)
-        if call.to_former_address:
-            return
+        if not call.to_former_address:
+            self._handle_rejection(call, rejection, now=now)
+
+    def _handle_rejection(
+        self,
+        call: lease_calls.PendingCall,
+        rejection: model.OrderRejection,
+        *,
+        now: float,
+    ) -> None:
+        """Handles what a rejection tells about the upstream and the lease."""
+        lease = call.lease
         if rejection is model.OrderRejection.TERM:
             # An upstream that has not responded lately may have been in a
             # partition with another leader. Once this host and that leader are
@@ -311,7 +321,9 @@
         elif rejection is model.OrderRejection.OTHER_INSTANCE:
             self._leave_address(lease, now=now)
             lease.replaced = True
-            self._listener.upstream_crashed(lease.upstream.upstream, now=now)
+            self._listener.upstream_seen(
+                lease.upstream.upstream, instance_started_ms=None, now=now
+            )
         elif rejection in (
             model.OrderRejection.LATE,
             model.OrderRejection.RESTARTED,
--- a/godwitnotch/core/leased/run_listener.py
+++ b/godwitnotch/core/leased/run_listener.py
@@ -50,17 +50,21 @@
     ) -> None:
         """Handles a rejected start order; the run has not started."""
 
-    def upstream_crashed(self, upstream: ids.UpstreamId, *, now: float) -> None:
-        """Handles another upstream that responds at an upstream's address."""
-
     def upstream_seen(
         self,
         upstream: ids.UpstreamId,
         *,
-        instance_started_ms: int,
+        instance_started_ms: int | None,
         now: float,
     ) -> None:
-        """Handles a list of runs; its process may be a new one."""
+        """Handles a list of runs, or another upstream at the address.
+
+        Args:
+            upstream: The upstream.
+            instance_started_ms: When the instance started that sent the list;
+                None if another upstream responds at the address.
+            now: The current time.
+        """
 
     def higher_term_seen(
         self, lease: lease_module.Lease, *, was_held: bool, now: float
--- a/godwitnotch/core/leased/task_records.py
+++ b/godwitnotch/core/leased/task_records.py
@@ -86,12 +86,6 @@
         self._lost_upstreams.add(loss.upstream)
         self._set(task, self._failed_runs(task), losses, now=now)
 
-    def upstream_crashed(
-        self, upstream: ids.UpstreamId, *, now: float
-    ) -> list[model.TaskKey]:
-        """Records that a lost upstream has crashed; returns its tasks."""
-        return self.upstream_seen(upstream, None, now=now)
-
     def upstream_seen(
         self,
         upstream: ids.UpstreamId,
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -794,9 +794,6 @@
     def unclaimed_run_failed(self, *args: object, now: float) -> None:
         pass
 
-    def upstream_crashed(self, upstream: str, *, now: float) -> None:
-        pass
-
     def upstream_seen(
         self, upstream: str, *, instance_started_ms: int, now: float
     ) -> None:
--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -44,16 +44,15 @@
     Attributes:
         ended: Task and end of each run that has ended.
         rejected: Task of each rejected start.
-        crashed: Each upstream at whose address another one answered.
-        seen: The start time in each list of runs.
+        seen: The start time in each list of runs; None if another upstream
+            answered.
     """
 
     def __init__(self, job: jobs.LeasedJob) -> None:
         self._job = job
         self.ended: list[tuple[int, model.RunEnd]] = []
         self.rejected: list[int] = []
-        self.crashed: list[str] = []
-        self.seen: list[int] = []
+        self.seen: list[int | None] = []
 
     def adopt_run(self, key: model.RunKey) -> jobs.LeasedJob | None:
         return self._job
@@ -70,9 +69,6 @@
     def unclaimed_run_failed(self, key, upstream, *, now) -> None:
         pass
 
-    def upstream_crashed(self, upstream, *, now) -> None:
-        self.crashed.append(upstream)
-
     def upstream_seen(self, upstream, *, instance_started_ms, now) -> None:
         self.seen.append(instance_started_ms)
 
@@ -241,7 +237,7 @@
         self.manager.order_rejected(
             events.OrderRejected(self.request.call, rejection), now=self.now
         )
-        self.assertEqual(self.listener.crashed, [ENTRY.upstream])
+        self.assertEqual(self.listener.seen, [1_000, None])
         for request in self.tick(1.2):
             self.manager.order_rejected(
                 events.OrderRejected(request.call, rejection), now=self.now
@@ -258,7 +254,7 @@
                     ),
                     now=self.now,
                 )
-        self.assertEqual(self.listener.crashed, [])
+        self.assertEqual(self.listener.seen, [1_000])
         self.assertEqual(self.listener.ended, [(0, model.RunEnd.LEASE_EXPIRED)])
 
 
