--- a/tests/test_leased_crashes.py
+++ b/tests/test_leased_crashes.py
@@ -68,6 +68,18 @@
             self.world.run(3.3)
         self.assertLessEqual(self.deadly_starts(), MAX_STARTS)
 
+    def test_leader_that_is_paused_at_each_crash_counts_none(self) -> None:
+        world = self.world
+        for _ in range(8):
+            crash_count = len(world.crashes)
+            world.submit("y1", DEADLY.job, wait_s=2.0)
+            while len(world.crashes) == crash_count and world.now < 150.0:
+                world.run(0.002)
+            (leader, *_) = world.leaders()
+            world.pause(leader, 2.5)
+            world.run(4.0)
+        self.assertLessEqual(self.deadly_starts(), MAX_STARTS)
+
     def test_second_crash_takes_the_runs_of_other_jobs_along(self) -> None:
         self.world.submit("x1", "neighbour-of-the-first", wait_s=5.0)
         self.world.submit("x1", DEADLY.job, wait_s=5.0)
