A leader that stops counts its unfinished runs as unproven losses

Change: a host that stops leading records each run without a known end as a loss that isn't proven, and tells the next leader that it follows. A response of the same process withdraws it, one of another process proves the crash. Losses of one process count once.

--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -23,6 +23,7 @@
 from godwitnotch.core.leased import run_outcomes
 from godwitnotch.core.leased import run_times
 from godwitnotch.core.leased import task_records
+from godwitnotch.core.leased import unfinished_runs
 from godwitnotch.core.leased import waiting
 from godwitnotch.core.leased.jobs import TaskState
 from godwitnotch.core.leased.task_records import StartRule
@@ -77,6 +78,9 @@
         self._accepting_computed_at = float("-inf")
         self._retained_answers = retained_answers.RetainedAnswers()
         self._task_records = task_records.TaskRecords()
+        self._unfinished_runs = unfinished_runs.UnfinishedRunsLog(
+            self._task_records
+        )
         self._times = run_times.RunTimes()
         self._health = health_module.UpstreamHealth()
         self._evidence = evidence_module.EvidenceSharing(
@@ -120,6 +124,11 @@
         """The upstreams that were lost under tasks."""
         return self._task_records
 
+    @property
+    def unfinished_runs(self) -> unfinished_runs.UnfinishedRunsLog:
+        """The runs that this host left as it stopped leading."""
+        return self._unfinished_runs
+
     @property
     def overflow(self) -> overflow.Overflow:
         """The loads of the other cells."""
@@ -144,7 +153,7 @@
         now: float,
     ) -> None:
         """Starts to lead; the given hosts will hand over their open jobs."""
-        self.stop_leading()
+        self.stop_leading(now=now)
         self._leading = True
         self._admission.start_leading(now=now)
         self._owners.await_hosts(hosts, now=now)
@@ -157,9 +166,12 @@
         self._owners.await_hosts(hosts, now=now)
         self._lease_manager.raise_term(term, now=now)
 
-    def stop_leading(self) -> None:
+    def stop_leading(self, *, now: float) -> None:
         """Forgets all jobs; their owners hand them over to the next leader."""
         self._leading = False
+        self._unfinished_runs.leave(
+            self._lease_manager.leases.values(), now=now
+        )
         self._jobs.clear()
         self._queue.clear()
         self._meter.reset()
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -189,7 +189,7 @@
             f"linked={len(self._linked_domains)} "
             f"scope={leadership.scope().value}",
         )
-        self._dispatcher.stop_leading()
+        self._dispatcher.stop_leading(now=now)
         self._updates.clear()
         if change is LeadershipChange.ELECTED:
             self._elected_term = leadership.term
@@ -202,10 +202,18 @@
             )
         self._send_standing()
         self._update_home_leader()
+        self._report_unfinished_runs(now=now)
         self._owned_jobs.leader_changed(
             self._fleet.home, leadership.leader, leadership.term, now=now
         )
 
+    def _report_unfinished_runs(self, *, now: float) -> None:
+        """Tells the next leader which runs this host left without an end."""
+        message = self._dispatcher.unfinished_runs.message(now=now)
+        leader = self._leadership.leader
+        if message is not None and leader not in ("", self._host):
+            self._send(leader, message)
+
     def _update_home_leader(self) -> None:
         """Tells the fleet's state who leads this host's cell."""
         leadership = self._leadership
@@ -399,6 +407,8 @@
                     self._dispatcher.evidence.apply(message, now=now)
             case peer_messages.TasksLearnt():
                 self._dispatcher.task_records.apply(message, now=now)
+            case peer_messages.UnfinishedRuns(tasks=tasks):
+                self._dispatcher.task_records.add_losses(tasks, now=now)
             case _ if self.leads:
                 self._handle_leader_message(host, message, now=now)
 
--- a/godwitnotch/core/leased/peer_messages.py
+++ b/godwitnotch/core/leased/peer_messages.py
@@ -139,6 +139,17 @@
     tasks: tuple[TaskHistory, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class UnfinishedRuns:
+    """Runs without a known end that the sender left as it stopped leading.
+
+    Attributes:
+        tasks: Their tasks, with the upstreams as losses that aren't proven.
+    """
+
+    tasks: tuple[TaskHistory, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class JobHandedOver:
     """Hands a job over to the leader; the sender still answers its caller.
@@ -244,4 +255,5 @@
     | cell_load.CellLoad
     | JobRedirected
     | JobMoved
+    | UnfinishedRuns
 )
--- a/godwitnotch/core/leased/task_records.py
+++ b/godwitnotch/core/leased/task_records.py
@@ -81,11 +81,23 @@
         *,
         now: float,
     ) -> None:
-        """Records that an upstream was lost while a task ran there."""
-        losses = (*self._losses(task), loss)
+        """Records that an upstream was lost while a task ran there.
+
+        A process of an upstream can crash once, so a second report of its loss
+        only adds what it shows.
+        """
+        losses = _add_loss(self._losses(task), loss)
         self._lost_upstreams.add(loss.upstream)
         self._set(task, self._failed_runs(task), losses, now=now)
 
+    def add_losses(
+        self, tasks: Iterable[peer_messages.TaskHistory], *, now: float
+    ) -> None:
+        """Records losses that a former leader reports."""
+        for history in tasks:
+            for loss in history.losses:
+                self.upstream_lost(history.task, loss, now=now)
+
     def upstream_seen(
         self,
         upstream: ids.UpstreamId,
@@ -202,3 +214,20 @@
                 for task in tasks
             )
         )
+
+
+def _add_loss(losses: _Losses, new: peer_messages.UpstreamLoss) -> _Losses:
+    """Adds a loss, or merges it with that of the same process."""
+    for index, known in enumerate(losses):
+        same = (known.upstream, known.instance_started_ms) == (
+            new.upstream,
+            new.instance_started_ms,
+        )
+        if same and new.instance_started_ms:
+            merged = dataclasses.replace(
+                known,
+                refused=known.refused or new.refused,
+                crashed=known.crashed or new.crashed,
+            )
+            return (*losses[:index], merged, *losses[index + 1 :])
+    return (*losses, new)
--- a/tests/test_leased_crashes.py
+++ b/tests/test_leased_crashes.py
@@ -5,6 +5,7 @@
 from godwitnotch.core import ids
 from godwitnotch.core.leased import lease
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import peer_messages
 from godwitnotch.core.leased import task_records
 from tests import leased_world
 
@@ -110,6 +111,32 @@
 
 
 class TaskRecordsTest(unittest.TestCase):
+    def test_loss_of_one_process_that_two_leaders_report_counts_once(
+        self,
+    ) -> None:
+        records = task_records.TaskRecords()
+        for refused in (False, True):
+            loss = peer_messages.UpstreamLoss(
+                ids.UpstreamId("u"), 17, refused=refused, crashed=False
+            )
+            records.upstream_lost(DEADLY, loss, now=100.0)
+        self.assertIs(records.start_rule(DEADLY), task_records.StartRule.ALONE)
+        records.upstream_seen(ids.UpstreamId("u"), 18, now=101.0)
+        self.assertIs(records.start_rule(DEADLY), task_records.StartRule.ALONE)
+
+    def test_runs_that_a_former_leader_left_are_no_losses_once_listed(
+        self,
+    ) -> None:
+        records = task_records.TaskRecords()
+        loss = peer_messages.UpstreamLoss(
+            ids.UpstreamId("u"), 17, refused=False, crashed=False
+        )
+        history = peer_messages.TaskHistory(DEADLY, (), (loss,))
+        records.add_losses((history,), now=100.0)
+        records.upstream_seen(ids.UpstreamId("u"), 17, now=101.0)
+        (known,) = records.all_entries().tasks
+        self.assertEqual(known.losses, ())
+
     def test_failed_run_that_is_listed_again_counts_once(self) -> None:
         records = task_records.TaskRecords()
         key = model.RunKey(DEADLY, model.RunNumber(1))
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -597,6 +597,7 @@
                     ),
                 )
             ),
+            peer_messages.UnfinishedRuns(()),
             peer_messages.UpstreamsLearnt(
                 (
                     peer_messages.UpstreamEvidence(
