A restarted leader with a late clock takes a term above the last one

Cause: terms begin with the time of day. A host that restarts with a clock that is behind, and is elected before any host has a leader, took a term below that which the upstreams had seen, though its peers had told it; the upstreams rejected its orders until it had raised its term.

Change: a new term exceeds the terms that linked hosts have told, unless one of them has a leader. Ruled out: to exceed them always; a leader that is cut off from another one then took over its hosts (test_leader_that_raises_its_term_lists_the_runs_of_idle_leases).

--- a/godwitnotch/core/leased/leadership.py
+++ b/godwitnotch/core/leased/leadership.py
@@ -371,13 +371,25 @@
 
     def _start_term(self) -> LeadershipChange:
         """Makes this host the leader, with a term above all known terms."""
-        unix_s = int(self._unix_time())
-        unix_s = max(unix_s, self._term // _TERMS_PER_SECOND + 1)
+        known = max(self._term, self._term_of_lost_leader())
+        unix_s = max(int(self._unix_time()), known // _TERMS_PER_SECOND + 1)
         self._set_term(unix_s)
         self._leader = self._host
         self._serving = False
         return LeadershipChange.ELECTED
 
+    def _term_of_lost_leader(self) -> model.Term:
+        """Returns the highest term of the linked hosts; 0 if one has a leader.
+
+        This host may not know that term, as it has restarted, and its clock may
+        be behind. The term of a leader that is only cut off from this host isn't
+        exceeded, so that its hosts go on following it.
+        """
+        peers = [peer for _, peer in self._electors()]
+        if any(map(self._reports_other_leader, peers)):
+            return model.Term(0)
+        return max((peer.term for peer in peers), default=model.Term(0))
+
     def raise_term(self, *, by_s: float) -> None:
         """Raises this leader's term, as upstreams have seen a higher term.
 
--- a/tests/test_leased_clocks.py
+++ b/tests/test_leased_clocks.py
@@ -11,6 +11,7 @@
 from godwitnotch.core.leased import lease
 from godwitnotch.core.leased import lease_manager
 from godwitnotch.core.leased import model
+from tests import leased_faults
 from tests import leased_world
 from tests import test_leased_histories
 
@@ -101,6 +102,39 @@
                     self.assertEqual(world.overlaps(), [])
 
 
+class TimeOfDayTest(unittest.TestCase):
+    """Terms begin with the time of day, which may jump on some hosts."""
+
+    def test_restarted_leader_with_a_late_clock_took_a_term_below_the_last(
+        self,
+    ) -> None:
+        # It is elected before the others have a leader whom it could follow.
+        # The first task started after 0.96 s at 7 s, after 1.4 s at an hour,
+        # instead of 0.32 s.
+        for behind_s in (2.0, 7.0, 3_600.0):
+            with self.subTest(behind_s=behind_s):
+                world = leased_faults.FaultyWorld({"a": HOSTS}, upstreams=3)
+                world.run(3.0)
+                (leader,) = world.leaders()
+                world.kill(leader)
+                world.clock_offsets[leader] = -behind_s
+                world.start_host(leader, rank=9)
+                restarted_at = world.now
+                world.run(0.6)
+                self.assertEqual(world.leaders(), [leader])
+                call = world.submit(leader, "job")
+                world.run(0.3)
+                self.assertIn(call, world.answers)
+                end = world.answers[call][1].end
+                self.assertEqual(end, model.JobEnd.COMPLETED)
+                raised = [
+                    decided
+                    for at, _, decided in world.decisions
+                    if decided.event == "term_raised" and at > restarted_at
+                ]
+                self.assertEqual(raised, [])
+
+
 class SilentUpstreamTest(unittest.TestCase):
     """An upstream executes orders, but its responses don't arrive in time."""
 
