No task starts in a failure domain that the operators evacuate

Cause: nothing read the rows evacuate/ZONE of the table op.

Change: each host reads them with the operators' rows, keeps the set with the version of the store and tells it to linked hosts, on a change and as the first message of a link; the highest version wins. The leader starts nothing on leases of evacuated domains and doesn't count them; a job that only these could run is moved to another cell, or refused at once with no_upstream. Without a set a host starts nothing. Rows of other partitions in the feed are left out, a partial feed response makes the host read all rows again, and a read in pages has the version of its first page.

--- a/bench/leased_replay.py
+++ b/bench/leased_replay.py
@@ -22,6 +22,7 @@
 from godwitnotch.core.leased import host as host_module
 from godwitnotch.core.leased import leadership
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import peer_messages
 
 HOST = ids.HostId("h")
 TICK_INTERVAL_S = 0.01
@@ -105,6 +106,8 @@
 
     def run(self) -> ReplayResult:
         """Replays the load and returns the result."""
+        evacuated = peer_messages.DomainsEvacuated(1, frozenset())
+        self._handle_event(events.EvacuationsRead(evacuated))
         self._list_upstreams()
         for upstream in self._load.upstreams:
             for change_at in (
--- a/godwitnotch/core/leased/cells.py
+++ b/godwitnotch/core/leased/cells.py
@@ -32,6 +32,7 @@
 
     def __init__(self) -> None:
         self._leaders: dict[model.CellId, CellLeader] = {}
+        self._closed: frozenset[model.CellId] = frozenset()
 
     @property
     def hosts(self) -> list[ids.HostId]:
@@ -70,6 +71,15 @@
             cell for cell, leader in self._leaders.items() if leader.serving
         )
 
+    def close(self, cells: frozenset[model.CellId]) -> None:
+        """Sets the cells that are to take no jobs while others can."""
+        self._closed = cells
+
+    def open_cells(self) -> list[model.CellId]:
+        """Returns the serving cells that aren't closed, or all if all are."""
+        serving = self.serving_cells()
+        return [cell for cell in serving if cell not in self._closed] or serving
+
     def set(self, cell: model.CellId, leader: CellLeader | None) -> bool:
         """Sets the leader of a cell; returns whether host or term changed."""
         known = self._leaders.get(cell)
--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -5,6 +5,7 @@
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import cell_load
+from godwitnotch.core.leased import evacuation
 from godwitnotch.core.leased import evidence as evidence_module
 from godwitnotch.core.leased import health as health_module
 from godwitnotch.core.leased import job_admission
@@ -50,6 +51,8 @@
             usable.
         higher_term_seen: Handles a rejection by an upstream that has seen a
             higher term.
+        evacuations: The failure domains in which no task may start.
+        closed_to: Returns whether only evacuated upstreams could run a job.
     """
 
     def __init__(
@@ -62,6 +65,8 @@
         in_scope: Callable[[model.LeasedUpstream], bool],
         listing_complete: Callable[[float], bool],
         higher_term_seen: Callable[[lease_module.Lease, bool, float], None],
+        evacuations: evacuation.Evacuations,
+        closed_to: Callable[[model.JobRequest], bool],
     ) -> None:
         self._out = out
         self._answer_owner = answer_owner
@@ -69,6 +74,7 @@
         self._overflow = overflow.Overflow()
         self._listing_complete = listing_complete
         self._higher_term_seen = higher_term_seen
+        self._evacuations = evacuations
         self._leading = False
         self._owners = owners.Owners()
         self._jobs: dict[model.JobName, jobs.LeasedJob] = {}
@@ -91,7 +97,7 @@
             out, self, in_scope=in_scope
         )
         self._meter = load_meter.LoadMeter(
-            self._queue, self._lease_manager, self._times
+            self._queue, self._lease_manager, self._times, evacuations
         )
         self._admission = job_admission.JobAdmission(
             self._queue,
@@ -100,6 +106,8 @@
             overflow=self._overflow,
             suitability=suitability,
             least_slowness=self._least_slowness,
+            evacuations=evacuations,
+            closed_to=closed_to,
         )
         self._placement_due = False
         self._next_overdue_check_at = 0.0
@@ -292,6 +300,13 @@
             and job.earlier_term <= self._lease_manager.term
         )
 
+    def evacuations_changed(self, *, now: float) -> None:
+        """Applies another set of evacuated domains at once."""
+        self._accepting_computed_at = float("-inf")
+        self._meter.reset()
+        self._placement_due = True
+        self.place_waiting(now=now)
+
     def tick(self, *, now: float) -> None:
         """Handles what has become due, and starts waiting tasks."""
         if not self._leading:
@@ -571,7 +586,9 @@
         """Returns the leases that accept runs, the fastest upstream first."""
         if now >= self._accepting_computed_at + ACCEPTING_LEASES_CACHE_S:
             self._accepting_computed_at = now
-            leases = self._lease_manager.leases.values()
+            leases = self._evacuations.open_leases(
+                self._lease_manager.leases.values(), now=now
+            )
             self._accepting = self._placement.fastest_first(leases)
         return self._accepting
 
@@ -675,10 +692,7 @@
             if now >= job.deadline:
                 self._drop_job(job, reason="deadline_passed", now=now)
                 continue
-            verdict = self._admission.check_deadline(job, now=now)
-            if isinstance(verdict, job_admission.Kept) and not job.started:
-                verdict = self._admission.check_waiting(job, now=now)
-            self._apply(verdict, job, now=now)
+            self._apply(self._admission.check_open(job, now=now), job, now=now)
 
     def _stop_overdue_runs(self, *, now: float) -> None:
         overdue = self._overdue.find(
--- a/godwitnotch/core/leased/events.py
+++ b/godwitnotch/core/leased/events.py
@@ -43,6 +43,13 @@
     unreadable: tuple[ids.UpstreamId, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationsRead:
+    """The set of evacuated failure domains was read from the store."""
+
+    evacuated: peer_messages.DomainsEvacuated
+
+
 @dataclass(frozen=True, slots=True)
 class PeerLinked:
     """A link to another host has opened."""
@@ -134,6 +141,7 @@
     | CallerLeft
     | CancelAsked
     | UpstreamsListed
+    | EvacuationsRead
     | PeerLinked
     | PeerLost
     | PeerTold
--- a/godwitnotch/core/leased/fleet.py
+++ b/godwitnotch/core/leased/fleet.py
@@ -6,6 +6,7 @@
 from godwitnotch.core import ids
 from godwitnotch.core.leased import cell_map
 from godwitnotch.core.leased import cells
+from godwitnotch.core.leased import evacuation
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import overflow
 from godwitnotch.core.leased import peer_messages
@@ -24,11 +25,19 @@
     Args:
         host: This host.
         domain: Failure domain of this host.
+        evacuations: The evacuated failure domains.
     """
 
-    def __init__(self, *, host: ids.HostId, domain: ids.DomainId) -> None:
+    def __init__(
+        self,
+        *,
+        host: ids.HostId,
+        domain: ids.DomainId,
+        evacuations: evacuation.Evacuations,
+    ) -> None:
         self._host = host
         self._domain = domain
+        self._evacuations = evacuations
         self._divided = False
         self._leaders = cells.CellLeaders()
         self._map = cell_map.CellMap()
@@ -68,6 +77,11 @@
         """Whether this host, if it leads, reads the list for all leaders."""
         return self._host == min(self._leaders.hosts, default=self._host)
 
+    @property
+    def domains(self) -> frozenset[ids.DomainId]:
+        """The failure domains that have upstreams or hosts."""
+        return self._map.domains | self._host_domains
+
     def hosts_seen(self, domains: Iterable[ids.DomainId]) -> None:
         """Records that failure domains have hosts."""
         self._host_domains.update(domains)
@@ -139,15 +153,36 @@
 
     def suitability(self, request: model.JobRequest) -> overflow.Suitability:
         """Returns how long the tasks of a job take in each cell."""
-        own = self._map.run_factor(request, {self._domain, *self._adopted})
+        evacuated = self._evacuations.domains
+        own_domains = {self._domain, *self._adopted} - evacuated
+        own = self._map.run_factor(request, own_domains)
         others = {}
         for cell in self._leaders.serving_cells():
             domain = ids.DomainId(cell)
             factor = self._map.run_factor(request, (domain,))
-            if domain != self._domain and factor is not None:
+            if domain in evacuated or domain == self._domain:
+                continue
+            if factor is not None:
                 others[self._leaders.host(cell)] = factor
         return overflow.Suitability(own, others)
 
+    def closed_to(self, request: model.JobRequest) -> bool:
+        """Returns whether only evacuated upstreams could run a job here."""
+        evacuated = self._evacuations.domains
+        if not evacuated:
+            return False
+        held = {domain for domain in self._map.domains if self.holds(domain)}
+        return (
+            self._map.run_factor(request, held - evacuated) is None
+            and self._map.run_factor(request, held) is not None
+        )
+
+    def evacuations_changed(self) -> None:
+        """Keeps jobs from the cells of evacuated domains."""
+        self._leaders.close(
+            frozenset(map(model.CellId, self._evacuations.domains))
+        )
+
     def update_adopted(self, *, now: float) -> bool:
         """Decides which domains without any host this host's leader adopts.
 
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -8,6 +8,7 @@
 from godwitnotch.core.leased import capacity
 from godwitnotch.core.leased import cell_load
 from godwitnotch.core.leased import dispatcher as dispatcher_module
+from godwitnotch.core.leased import evacuation
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import fleet as fleet_module
 from godwitnotch.core.leased import leader_updates
@@ -64,8 +65,14 @@
         self._host = host
         self._domain = domain
         self._runs_per_s = runs_per_s
-        self._fleet = fleet_module.Fleet(host=host, domain=domain)
         self._out = outbox_module.Outbox()
+        self._evacuations = evacuation.Evacuations()
+        self._evacuation_sharing = evacuation.EvacuationSharing(
+            self._out, self._evacuations
+        )
+        self._fleet = fleet_module.Fleet(
+            host=host, domain=domain, evacuations=self._evacuations
+        )
         self._next_load_at = 0.0
         self._linked_domains: dict[ids.HostId, ids.DomainId] = {}
         self._listing = listing_module.UpstreamListing(now=now)
@@ -83,6 +90,8 @@
             in_scope=self._in_scope,
             listing_complete=lambda now: self._listing.complete(now=now),
             higher_term_seen=self._higher_term_seen,
+            evacuations=self._evacuations,
+            closed_to=self._fleet.closed_to,
         )
         self._updates = leader_updates.LeaderUpdates(
             self._out, self._dispatcher.evidence, self._dispatcher.task_records
@@ -155,10 +164,16 @@
         """How many upstreams this host holds a lease on."""
         return self._dispatcher.lease_manager.held_count
 
+    @property
+    def evacuated(self) -> peer_messages.DomainsEvacuated | None:
+        """The newest set of evacuated domains; None before the first."""
+        return self._evacuations.newest
+
     def handle(
         self, event: events.Event, *, now: float
     ) -> list[actions.Action]:
         """Handles one event and returns the actions to execute."""
+        self._evacuations.time_passed(now - self._now, now=now)
         self._now = now
         change = self._leadership.notice_pause(now=now)
         self._apply_change(change, now=now)
@@ -299,7 +314,11 @@
 
     def _update_serving(self) -> None:
         """Tells linked hosts when this leader gets or loses all its leases."""
-        serving = self.leads and self._dispatcher.lease_manager.holds_any()
+        serving = (
+            self.leads
+            and self._evacuations.newest is not None
+            and self._dispatcher.lease_manager.holds_any()
+        )
         if self._leadership.set_serving(serving):
             self._send_standing()
 
@@ -397,6 +416,8 @@
             case peer_messages.UpstreamsLearnt():
                 if not self.leads:
                     self._dispatcher.evidence.apply(message, now=now)
+            case peer_messages.DomainsEvacuated():
+                self._learn_evacuations(message, host, now=now)
             case peer_messages.TasksLearnt():
                 self._dispatcher.task_records.apply(message, now=now)
             case _ if self.leads:
@@ -414,6 +435,25 @@
             return
         self._dispatcher.owner_left(host, now=now)
 
+    def _learn_evacuations(
+        self,
+        told: peer_messages.DomainsEvacuated,
+        source: ids.HostId | None,
+        *,
+        now: float,
+    ) -> None:
+        """Applies a set of evacuated domains that was read or told."""
+        if self._evacuation_sharing.learn(
+            told, source=source, linked=self._linked_domains
+        ):
+            self._fleet.evacuations_changed()
+            self._dispatcher.evacuations_changed(now=now)
+            self._report_unknown_evacuations()
+
+    def _report_unknown_evacuations(self) -> None:
+        if self.leads and self._listing.upstreams:
+            self._evacuation_sharing.report_unknown(self._fleet.domains)
+
     def _update_listing(
         self, event: events.UpstreamsListed, *, now: float
     ) -> bool:
@@ -433,6 +473,7 @@
         changed = self._update_listing(event, now=now)
         if not changed or not self.leads:
             return
+        self._report_unknown_evacuations()
         self._divide_if_too_large(now=now)
         self._hold_upstreams(now=now)
         self._updates.list_changed()
@@ -524,11 +565,21 @@
     host._apply_listing(event, now=now)
 
 
+@_handles(events.EvacuationsRead)
+def _evacuations_read(
+    host: LeasedHost, event: events.EvacuationsRead, now: float
+) -> None:
+    host._learn_evacuations(event.evacuated, None, now=now)
+
+
 @_handles(events.PeerLinked)
 def _peer_linked(
     host: LeasedHost, event: events.PeerLinked, now: float
 ) -> None:
     host._linked_domains[event.host] = event.domain
+    # Before the standing, so that no host follows a leader that it knows and
+    # starts tasks in a domain of whose evacuation it doesn't.
+    host._evacuation_sharing.tell(event.host)
     host._fleet.hosts_seen((event.domain,))
     host._leadership.peer_linked(event.host, event.domain, now=now)
     host._dispatcher.owner_linked(event.host, now=now)
--- a/godwitnotch/core/leased/job_admission.py
+++ b/godwitnotch/core/leased/job_admission.py
@@ -10,12 +10,14 @@
 from godwitnotch.core import ids
 from godwitnotch.core.leased import admission
 from godwitnotch.core.leased import cell_load
+from godwitnotch.core.leased import evacuation
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import lease_manager as lease_manager_module
 from godwitnotch.core.leased import load_meter
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import overflow as overflow_module
 from godwitnotch.core.leased import waiting
+from godwitnotch.core.leased.jobs import TaskState
 
 # A leader that holds no lease refuses jobs that have not had a run, once it has
 # led for this time.
@@ -68,6 +70,8 @@
         suitability: Tells how long a job's tasks take in each cell.
         least_slowness: Returns the slowness of the fastest upstream that
             accepts runs; 0 if there is none.
+        evacuations: The evacuated failure domains.
+        closed_to: Returns whether only evacuated upstreams could run a job.
     """
 
     def __init__(
@@ -79,6 +83,8 @@
         overflow: overflow_module.Overflow,
         suitability: Callable[[model.JobRequest], overflow_module.Suitability],
         least_slowness: Callable[[float], float],
+        evacuations: evacuation.Evacuations,
+        closed_to: Callable[[model.JobRequest], bool],
     ) -> None:
         self._queue = queue
         self._meter = meter
@@ -86,6 +92,8 @@
         self._overflow = overflow
         self._suitability = suitability
         self._least_slowness = least_slowness
+        self._evacuations = evacuations
+        self._closed_to = closed_to
         self._leading_since = 0.0
 
     def start_leading(self, *, now: float) -> None:
@@ -97,22 +105,30 @@
         hopeless = self.check_deadline(job, now=now)
         if isinstance(hopeless, Ended):
             return hopeless
-        leader = self._find_sooner_leader(job, now=now)
-        if leader is not None:
-            return Moved(leader)
+        if self._closed_to(job.request):
+            return self._check_closed(job, now=now)
+        if not job.redirected:
+            leader = self._find_sooner_leader(job, now=now)
+            if leader is not None:
+                return Moved(leader)
         return self._check_load(job, now=now)
 
-    def check_waiting(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
+    def check_open(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
+        """Decides again about a job that has not ended."""
+        verdict = self.check_deadline(job, now=now)
+        if not isinstance(verdict, Kept):
+            return verdict
+        if job.started:
+            return self._check_started(job, now=now)
+        return self._check_waiting(job, now=now)
+
+    def _check_waiting(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
         """Decides again about a job that still has had no run."""
+        if self._closed_to(job.request):
+            return self._check_closed(job, now=now)
         leading_s = now - self._leading_since
-        if not self._leases.holds_any() and leading_s >= NO_UPSTREAM_TIMEOUT_S:
-            return Ended(
-                model.Answer(
-                    model.JobEnd.REFUSED,
-                    model.EndReason.NO_UPSTREAM,
-                    NO_UPSTREAM_RETRY_AFTER_S,
-                )
-            )
+        if leading_s >= NO_UPSTREAM_TIMEOUT_S and not self._any_open(now=now):
+            return _no_upstream(model.JobEnd.REFUSED)
         waited_s = now - job.arrived_at
         due = waited_s >= job.target_response_s * admission.RECHECK_SHARE
         if due and not job.rechecked and not self._settling(now=now):
@@ -120,6 +136,34 @@
             return self.check_arrival(job, now=now)
         return _KEPT
 
+    def _check_closed(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
+        """Moves or refuses a job that only evacuated upstreams could run.
+
+        A job that another leader has redirected here moves once more. All hosts
+        know one set of domains within milliseconds, so it doesn't go to and fro.
+        """
+        leader = self._find_sooner_leader(job, now=now)
+        if leader is not None:
+            return Moved(leader)
+        others = self._suitability(job.request).others
+        if others and now - job.arrived_at < NO_UPSTREAM_TIMEOUT_S:
+            return _KEPT  # The loads of the other cells aren't known yet.
+        return _no_upstream(model.JobEnd.REFUSED)
+
+    def _check_started(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
+        """Gives up a job whose waiting tasks no upstream may run any more.
+
+        Its runs, also those of earlier leaders, end by themselves first.
+        """
+        if (
+            not job.waiting_task_count
+            or now < job.earlier_runs_end_by
+            or not self._closed_to(job.request)
+            or any(task.state is TaskState.ORDERED for task in job.tasks)
+        ):
+            return _KEPT
+        return _no_upstream(model.JobEnd.GIVEN_UP)
+
     def check_deadline(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
         """Ends a job whose waiting tasks can't end by its deadline."""
         if not job.waiting_task_count:
@@ -158,11 +202,8 @@
     def _find_sooner_leader(
         self, job: jobs.LeasedJob, *, now: float
     ) -> ids.HostId | None:
-        """Returns the leader of a cell in which a job ends sooner, if any.
-
-        A job is moved at most once.
-        """
-        if job.redirected or not self._overflow.any_known:
+        """Returns the leader of a cell in which a job ends sooner, if any."""
+        if not self._overflow.any_known:
             return None
         load = self._meter.load(now=now)
         own = cell_load.CellLoad(
@@ -174,7 +215,7 @@
 
     def _check_load(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
         """Refuses a job that is expected to miss its target response time."""
-        if not self._leases.holds_any() or self._settling(now=now):
+        if not self._any_open(now=now) or self._settling(now=now):
             return _KEPT
         ahead_ms = self._queue.ahead_ms(job, now=now)
         load = self._meter.load(now=now)
@@ -193,9 +234,22 @@
             f"slots={load.slots:.1f} base_ms={job.base_ms:.0f}",
         )
 
+    def _any_open(self, *, now: float) -> bool:
+        """Returns whether this leader holds a lease under which tasks start."""
+        return self._evacuations.any_open(self._leases.leases.values(), now=now)
+
     def _settling(self, *, now: float) -> bool:
         """Returns whether this new leader doesn't know its capacity yet."""
         return (
             now - self._leading_since < SETTLING_TIMEOUT_S
             and self._leases.awaits_first_lists()
         )
+
+
+def _no_upstream(end: model.JobEnd) -> Ended:
+    """Ends a job as no upstream may run it."""
+    return Ended(
+        model.Answer(
+            end, model.EndReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_AFTER_S
+        )
+    )
--- a/godwitnotch/core/leased/load_meter.py
+++ b/godwitnotch/core/leased/load_meter.py
@@ -1,6 +1,7 @@
 """Measures the load of one leader: its queue and the upstreams it holds."""
 
 from godwitnotch.core.leased import admission
+from godwitnotch.core.leased import evacuation
 from godwitnotch.core.leased import lease_manager as lease_manager_module
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import run_times
@@ -18,6 +19,7 @@
         queue: The jobs that wait.
         leases: The leases on the upstreams.
         times: Tells how slow upstreams are.
+        evacuations: The failure domains whose upstreams don't count.
     """
 
     def __init__(
@@ -25,10 +27,12 @@
         queue: waiting.WaitingQueue,
         leases: lease_manager_module.LeaseManager,
         times: run_times.RunTimes,
+        evacuations: evacuation.Evacuations,
     ) -> None:
         self._queue = queue
         self._lease_manager = leases
         self._times = times
+        self._evacuations = evacuations
         self._average_cpu_millis = 0.0
         self._cached = admission.Load(0.0, 0.0, 0.0)
         self._measured_at = float("-inf")
@@ -53,7 +57,9 @@
         return self._cached
 
     def _measure(self, *, now: float) -> admission.Load:
-        leases = self._lease_manager.leases.values()
+        leases = self._evacuations.open_leases(
+            self._lease_manager.leases.values(), now=now
+        )
         remaining_s = sum(
             max(0.0, run.expected_s - (now - run.ordered_at))
             for lease in leases
--- a/godwitnotch/core/leased/owned_jobs.py
+++ b/godwitnotch/core/leased/owned_jobs.py
@@ -270,7 +270,8 @@
             self._hand_over(owned, self._home, now=now)
         elif serving:
             self._cells_chosen += 1
-            cell = serving[self._cells_chosen % len(serving)]
+            cells_in_turn = self._leaders.open_cells()
+            cell = cells_in_turn[self._cells_chosen % len(cells_in_turn)]
             self._hand_over(owned, cell, now=now)
         elif self._leaders.host(self._home):
             self._hand_over(owned, self._home, now=now)
@@ -279,7 +280,7 @@
         """Hands a job whose cell has no leader to another cell, if any."""
         others = [
             cell
-            for cell in self._leaders.serving_cells()
+            for cell in self._leaders.open_cells()
             if cell != owned.cell or self._leaders.host(cell) != owned.leader
         ]
         if not others:
--- a/godwitnotch/core/leased/peer_messages.py
+++ b/godwitnotch/core/leased/peer_messages.py
@@ -199,6 +199,19 @@
     """Each failure domain has a leader of its own from now on."""
 
 
+@dataclass(frozen=True, slots=True)
+class DomainsEvacuated:
+    """The failure domains in which no task may start.
+
+    Attributes:
+        version: Version of the store at which the set was read.
+        domains: All evacuated domains.
+    """
+
+    version: int
+    domains: frozenset[ids.DomainId]
+
+
 @dataclass(frozen=True, slots=True)
 class JobRedirected:
     """The sender has started no task of a job; another leader takes it sooner.
@@ -241,6 +254,7 @@
     | JobDropped
     | JobCancelled
     | FleetDivided
+    | DomainsEvacuated
     | cell_load.CellLoad
     | JobRedirected
     | JobMoved
--- a/godwitnotch/net/leased_runtime.py
+++ b/godwitnotch/net/leased_runtime.py
@@ -219,6 +219,13 @@
             )
         )
 
+    def update_evacuations(
+        self, version: int, domains: frozenset[ids.DomainId]
+    ) -> None:
+        """Passes the evacuated domains that were read to the host core."""
+        told = peer_messages.DomainsEvacuated(version, domains)
+        self.feed(events.EvacuationsRead(told))
+
     def update_upstreams(self, listed: events.UpstreamsListed) -> None:
         """Passes a new list of upstreams to the host core."""
         self.feed(listed)
--- a/godwitnotch/net/leased_store.py
+++ b/godwitnotch/net/leased_store.py
@@ -12,6 +12,7 @@
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import model
 from godwitnotch.platform import configuration as configuration_module
+from godwitnotch.platform import evacuations
 from godwitnotch.platform import fields
 from godwitnotch.platform import store as store_module
 from godwitnotch.platform import upstreams
@@ -47,6 +48,11 @@
     ) -> None:
         """Applies a configuration if it is newer than the current one."""
 
+    def update_evacuations(
+        self, version: int, domains: frozenset[ids.DomainId]
+    ) -> None:
+        """Handles the evacuated domains at a version of the store."""
+
     def update_upstreams(self, listed: events.UpstreamsListed) -> None:
         """Handles a new list of upstreams."""
 
@@ -82,6 +88,7 @@
         self._loop = asyncio.get_running_loop()
         self._store_reachable = True
         self._config_version: int | None = None
+        self._evacuated: dict[str, ids.DomainId] = {}
         self._unreadable_rows: dict[str, bytes] = {}
         self._registered = False
         self._refresh_requested = asyncio.Event()
@@ -91,11 +98,14 @@
         self._refresh_requested.set()
 
     async def watch_configuration(self) -> None:
-        """Passes each new configuration to the listener, by long polling."""
+        """Passes the operators' rows to the listener, by long polling.
+
+        These are the configuration and the evacuations.
+        """
         failures = 0
         while True:
             try:
-                await self._read_configuration()
+                await self._read_operators_rows()
                 failures = 0
             except store_module.StoreUnavailable as error:
                 failures += 1
@@ -143,7 +153,8 @@
         except store_module.StoreUnavailable as error:
             self._mark_unreachable(error)
 
-    async def _read_configuration(self) -> None:
+    async def _read_operators_rows(self) -> None:
+        read_all = self._config_version is None
         if self._config_version is None:
             rows = await self._store.rows(
                 store_module.CONFIG_TABLE, deadline=self._deadline()
@@ -163,8 +174,40 @@
         for row in rows.rows:
             if row.key == store_module.CONFIG_KEY and row.value is not None:
                 self._apply_document(row.value)
+        self._apply_evacuations(rows, read_all=read_all)
         self._config_version = rows.version
 
+    def _apply_evacuations(
+        self, rows: store_module.StoreRows, *, read_all: bool
+    ) -> None:
+        """Passes on the evacuations in all rows, or in the changed ones."""
+        evacuated = {} if read_all else dict(self._evacuated)
+        for row in rows.rows:
+            if not evacuations.is_evacuation(row.key):
+                continue
+            evacuated.pop(row.key, None)
+            if row.value is None:
+                self._unreadable_rows.pop(row.key, None)
+                continue
+            domain = self._decode_evacuation(row.key, row.value)
+            if domain is not None:
+                evacuated[row.key] = domain
+        self._evacuated = evacuated
+        self._listener.update_evacuations(
+            rows.version, frozenset(evacuated.values())
+        )
+
+    def _decode_evacuation(self, key: str, value: bytes) -> ids.DomainId | None:
+        """Returns the domain that a row evacuates; None if it names none."""
+        decoded = evacuations.decode_row(key, value)
+        if not decoded.problem:
+            self._unreadable_rows.pop(key, None)
+        elif self._unreadable_rows.get(key) != value:
+            self._unreadable_rows[key] = value
+            self._count("evacuation_unreadable", "")
+            log.event("evacuation_unreadable", key=key, cause=decoded.problem)
+        return decoded.domain
+
     def _apply_document(self, document: bytes) -> None:
         try:
             configuration = configuration_module.decode(document)
--- a/godwitnotch/platform/store.py
+++ b/godwitnotch/platform/store.py
@@ -62,12 +62,15 @@
     async def rows(self, table: str, *, deadline: float) -> StoreRows:
         """Reads all rows of a table in the partition with the empty name.
 
-        Requests further pages until the store has no more rows.
+        Requests further pages until the store has no more rows. The version is
+        that of the first page: rows that change while the others are read are
+        among the changes after it.
 
         Raises:
             StoreUnavailable: There was no usable response by the deadline.
         """
         found: list[StoreRow] = []
+        version: int | None = None
         start = ""
         while True:
             query = {"table": table, "part": ""}
@@ -75,8 +78,10 @@
                 query["from"] = start
             values = await self._read("/rows-get", query, deadline)
             found += _decode_rows(values)
+            if version is None:
+                version = _decode_version(values)
             if not values.get("has_more") or not found:
-                return StoreRows(tuple(found), _decode_version(values))
+                return StoreRows(tuple(found), version)
             start = found[-1].key + "\0"
 
     async def changes(
@@ -93,7 +98,8 @@
 
         Returns:
             The changed rows; None if the store no longer keeps the changes
-            since that version, so that all rows have to be read again.
+            since that version, or responds with a part of them, so that all rows
+            have to be read again.
 
         Raises:
             StoreUnavailable: There was no usable response by the deadline.
@@ -108,6 +114,8 @@
         if response.status == _HTTP_GONE:
             return None
         values = _parse_response(response)
+        if values.get("has_more"):
+            return None
         return StoreRows(tuple(_decode_rows(values)), _decode_version(values))
 
     async def put(
@@ -195,6 +203,8 @@
 def _decode_row(row: Any) -> StoreRow | None:
     if not isinstance(row, dict) or not isinstance(row.get("key"), str):
         return None
+    if isinstance(row.get("part"), str) and row["part"]:
+        return None  # Changes of a table include rows of all its partitions.
     if row.get("deleted"):
         return StoreRow(row["key"], None)
     try:
--- a/tests/leased_faults.py
+++ b/tests/leased_faults.py
@@ -59,6 +59,7 @@
             runs_per_s=self._runs_per_s,
         )
         self.hosts[name] = core
+        self.read_evacuations(name)
         self.list_upstreams(name)
         self._tick(name, core)
 
--- a/tests/leased_world.py
+++ b/tests/leased_world.py
@@ -11,6 +11,7 @@
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import host as leased_host
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import peer_messages
 
 NETWORK_LATENCY_S = 0.002
 TICK_INTERVAL_S = 0.04
@@ -138,7 +139,10 @@
         pauses: Host and end of each pause so far.
         stalled: Events that wait for a stalled host, by host.
         unlisted: Upstreams that are missing from the upstream list.
-        hosts_without_store: Hosts that cannot read the upstream list.
+        hosts_without_store: Hosts that cannot read the store.
+        store_down: Whether no host can read the operators' rows.
+        store_version: Version of the store.
+        evacuated: The failure domains that the operators evacuate.
         cut_pairs: Pairs of hosts and upstreams that cannot reach each other.
         unconnected_pairs: Pairs of these without an open connection: a call
             has timed out, so that the next one has to connect first.
@@ -172,6 +176,9 @@
         self.stalled: dict[str, list[events.Event]] = {}
         self.unlisted: frozenset[str] = frozenset()
         self.hosts_without_store: set[str] = set()
+        self.store_down = False
+        self.store_version = 1
+        self.evacuated: set[str] = set()
         self.cut_pairs: set[frozenset[str]] = set()
         self.unconnected_pairs: set[frozenset[str]] = set()
         self.known_lives: dict[frozenset[str], int] = {}
@@ -211,9 +218,33 @@
             runs_per_s=self._runs_per_s,
         )
         self.hosts[name] = core
+        self.read_evacuations(name)
         self.list_upstreams(name)
         self._tick(name, core)
 
+    def read_evacuations(self, name: str) -> None:
+        """Delivers the evacuated domains to a host that can read the store."""
+        if not self.store_down and name not in self.hosts_without_store:
+            told = peer_messages.DomainsEvacuated(
+                self.store_version,
+                frozenset(map(ids.DomainId, self.evacuated)),
+            )
+            self.deliver(name, events.EvacuationsRead(told))
+
+    def evacuate(self, *domains: str) -> None:
+        """Sets the evacuated domains; hosts read them after a latency."""
+        self.evacuated = set(domains)
+        self.store_version += 1
+        for name, core in self.hosts.items():
+            self.call_later(
+                NETWORK_LATENCY_S,
+                lambda name=name, core=core: self._read_if_same(name, core),
+            )
+
+    def _read_if_same(self, name: str, core: leased_host.LeasedHost) -> None:
+        if self.hosts.get(name) is core:
+            self.read_evacuations(name)
+
     def kill(self, name: str) -> None:
         """Ends a host's process; its links break at once."""
         self.dead.add(name)
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -612,6 +612,9 @@
             peer_messages.JobDropped(model.JobName("j")),
             peer_messages.JobCancelled(model.JobName("j")),
             peer_messages.FleetDivided(),
+            peer_messages.DomainsEvacuated(
+                7, frozenset({ids.DomainId("a"), ids.DomainId("b")})
+            ),
             cell_load.CellLoad(12.5, 3.0, 800.0),
             peer_messages.JobRedirected(model.JobName("j"), ids.HostId("a")),
             peer_messages.JobMoved(
