A fault in a watch of the store ends no watch; text that can't be sent

Cause: an unexpected error while a row was handled ended the task that watches the operators' rows, the upstreams or the hosts, and the host never read that table again: it would have missed an evacuation. One such error: JSON may hold lone surrogates, which no message between hosts can carry, so an entry of an upstream with one ended the watch of the leader, and a job with one in its spec or rack was not answered with 400.

Change: each watch repeats the read after the usual delay, with the log event store_watch_failed; texts that aren't Unicode are rejected where rows and jobs are decoded. The stand-in of the store has pages, a lost history, other partitions and malformed values.

The new tests of test_leased_serving pass: a leader that the store turns away and a host that starts in an outage start nothing in the evacuated domain.

--- a/godwitnotch/net/leased_store.py
+++ b/godwitnotch/net/leased_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 from typing import Protocol
@@ -102,22 +103,17 @@
 
         These are the configuration and the evacuations.
         """
-        failures = 0
-        while True:
-            try:
-                await self._read_operators_rows()
-                failures = 0
-            except store_module.StoreUnavailable as error:
-                failures += 1
-                self._mark_unreachable(error)
-                await asyncio.sleep(self._retry_delay_s(failures))
+        await self._repeat(self._read_operators_rows)
 
     async def watch_upstreams(self) -> None:
         """Reads the list of upstreams periodically while this host leads."""
         while True:
             self._refresh_requested.clear()
             if self._listener.leads:
-                await self._read_upstreams()
+                try:
+                    await self._read_upstreams()
+                except Exception as error:
+                    self._record_fault(error)
             interval_s = UPSTREAMS_POLL_INTERVAL_S
             if self._listener.leads and not self._listener.lists_upstreams:
                 interval_s = SECONDARY_POLL_INTERVAL_S
@@ -129,16 +125,25 @@
 
     async def watch_hosts(self) -> None:
         """Registers this host; reads the other hosts while they are wanted."""
+        await self._repeat(self._discover_hosts, HOSTS_POLL_INTERVAL_S)
+
+    async def _repeat(
+        self, read: Callable[[], Awaitable[None]], interval_s: float = 0.0
+    ) -> None:
+        """Reads for ever; an error delays the next read, and ends nothing."""
         failures = 0
         while True:
             try:
-                await self._discover_hosts()
+                await read()
                 failures = 0
-                await asyncio.sleep(HOSTS_POLL_INTERVAL_S)
+                await asyncio.sleep(interval_s)
+                continue
             except store_module.StoreUnavailable as error:
-                failures += 1
                 self._mark_unreachable(error)
-                await asyncio.sleep(self._retry_delay_s(failures))
+            except Exception as error:
+                self._record_fault(error)
+            failures += 1
+            await asyncio.sleep(self._retry_delay_s(failures))
 
     async def deregister(self) -> None:
         """Removes this host from the table of hosts."""
@@ -274,6 +279,14 @@
             known for row in rows.rows if (known := _decode_host(row))
         )
 
+    def _record_fault(self, error: Exception) -> None:
+        self._count("store_watch_failed", type(error).__name__)
+        log.event(
+            "store_watch_failed",
+            cause=repr(error),
+            remedy="report it; the read is repeated",
+        )
+
     def _mark_reachable(self) -> None:
         if not self._store_reachable:
             self._store_reachable = True
--- a/godwitnotch/platform/evacuations.py
+++ b/godwitnotch/platform/evacuations.py
@@ -36,7 +36,7 @@
 def decode_row(key: str, value: bytes) -> EvacuationRow:
     """Decodes a row whose key is that of an evacuation."""
     name = key.removeprefix(KEY_PREFIX)
-    if not name or len(name) > MAX_DOMAIN_CHARS or not _encodable(name):
+    if not name or len(name) > MAX_DOMAIN_CHARS or not fields.is_unicode(name):
         return EvacuationRow(
             None,
             "the key names no failure domain; remove the row and write "
@@ -51,12 +51,3 @@
             "or remove the row",
         )
     return EvacuationRow(ids.DomainId(name))
-
-
-def _encodable(name: str) -> bool:
-    """Returns whether a name is Unicode text; JSON may have lone surrogates."""
-    try:
-        name.encode()
-    except UnicodeEncodeError:
-        return False
-    return True
--- a/godwitnotch/platform/fields.py
+++ b/godwitnotch/platform/fields.py
@@ -23,16 +23,29 @@
     return value
 
 
+def is_unicode(value: str) -> bool:
+    """Returns whether a text can be encoded; JSON may have lone surrogates.
+
+    Neither a message to a peer nor the log can carry other texts.
+    """
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def text(fields: dict[str, Any], name: str, default: str | None = None) -> str:
     """Returns a text field.
 
     Raises:
-        WrongFormatError: The field is absent without a default, or not text.
+        WrongFormatError: The field is absent without a default, or not Unicode
+            text.
     """
     value = fields.get(name, default)
-    if isinstance(value, str):
+    if isinstance(value, str) and is_unicode(value):
         return value
-    raise _wrong_type(name, "text", value)
+    raise _wrong_type(name, "Unicode text", value)
 
 
 def integer(
--- a/godwitnotch/platform/upstreams.py
+++ b/godwitnotch/platform/upstreams.py
@@ -48,6 +48,10 @@
     Raises:
         WrongFormatError: The entry is malformed or has an unknown state.
     """
+    if not fields.is_unicode(key):
+        raise fields.WrongFormatError(
+            "the key is not Unicode text; remove the entry"
+        )
     entry = fields.parse_object(value)
     state = fields.text(entry, "state")
     if state not in (_READY, _DRAINING):
@@ -55,8 +59,12 @@
             f"state {state!r} is unknown; correct the entry"
         )
     labels = fields.array(entry, "labels")
-    if not all(isinstance(label, str) for label in labels):
-        raise fields.WrongFormatError("a label is not text; correct the entry")
+    if not all(
+        isinstance(label, str) and fields.is_unicode(label) for label in labels
+    ):
+        raise fields.WrongFormatError(
+            "a label is not Unicode text; correct the entry"
+        )
     return model.LeasedUpstream(
         upstream=ids.UpstreamId(key),
         address=fields.text(entry, "address"),
--- a/godwitnotch/standins/leased_platform.py
+++ b/godwitnotch/standins/leased_platform.py
@@ -8,6 +8,7 @@
 import base64
 import itertools
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Any
@@ -26,9 +27,10 @@
 class _Row:
     """A row of a table, its value encoded as Base64."""
 
-    value: str
+    value: Any
     version: int
     deleted: bool = False
+    part: str = ""
 
 
 def job_request(
@@ -59,6 +61,9 @@
 
     Attributes:
         down: Whether every request gets status 503.
+        history_gone: Whether requests for changes get status 410.
+        page_rows: Maximum number of rows in a response; 0 for no maximum.
+        on_page: Called after each page of rows that isn't the last one.
         request_count: Number of requests so far.
     """
 
@@ -69,6 +74,9 @@
         self._rows: dict[tuple[str, str], _Row] = {}
         self._version = 0
         self.down = False
+        self.history_gone = False
+        self.page_rows = 0
+        self.on_page: Callable[[], None] = lambda: None
         self.request_count = 0
 
     async def start(self, ip: str = "127.0.0.1", port: int = 0) -> str:
@@ -82,9 +90,14 @@
 
     def put(self, table: str, key: str, value: bytes) -> None:
         """Writes a row, as the operators or an upstream do."""
+        self.put_text(table, key, base64.b64encode(value).decode())
+
+    def put_text(
+        self, table: str, key: str, text: Any, *, part: str = ""
+    ) -> None:
+        """Writes a row whose encoded value may be malformed."""
         self._version += 1
-        text = base64.b64encode(value).decode()
-        self._rows[table, key] = _Row(text, self._version)
+        self._rows[table, key] = _Row(text, self._version, part=part)
 
     def put_configuration(self, service: str) -> None:
         """Writes a configuration with one route."""
@@ -124,8 +137,7 @@
             return http_types.HttpResponse(503)
         match request.path:
             case "/rows-get":
-                table = request.query["table"]
-                return _json_response(200, self._select(table, after=-1))
+                return self._page(request)
             case "/rows-feed":
                 return await self._feed(request)
             case "/rows-tx":
@@ -135,15 +147,34 @@
     async def _feed(
         self, request: http_types.HttpRequest
     ) -> http_types.HttpResponse:
+        if self.history_gone:
+            return http_types.HttpResponse(410)
         loop = asyncio.get_running_loop()
         end = loop.time() + int(request.query["wait_ms"]) / 1_000
         after = int(request.query["after"])
         while True:
+            if self.down:
+                return http_types.HttpResponse(503)
             found = self._select(request.query["table"], after=after)
             if found["rows"] or loop.time() >= end:
                 return _json_response(200, found)
             await asyncio.sleep(FEED_POLL_S)
 
+    def _page(self, request: http_types.HttpRequest) -> http_types.HttpResponse:
+        found = self._select(request.query["table"], after=-1)
+        start = request.query.get("from", "")
+        rows = [
+            row
+            for row in found["rows"]
+            if row["key"] >= start
+            and row["part"] == request.query.get("part", "")
+        ]
+        found["rows"] = rows[: self.page_rows or None]
+        found["has_more"] = len(rows) > len(found["rows"])
+        if found["has_more"]:
+            self.on_page()
+        return _json_response(200, found)
+
     def _select(self, table: str, *, after: int) -> dict[str, Any]:
         rows = []
         for (name, key), row in sorted(self._rows.items()):
@@ -154,7 +185,7 @@
             rows.append(
                 {
                     "table": table,
-                    "part": "",
+                    "part": row.part,
                     "key": key,
                     "value": row.value,
                     "ver": row.version,
--- a/tests/test_leased_serving.py
+++ b/tests/test_leased_serving.py
@@ -52,6 +52,8 @@
     "steps": [{"count": 3, "cpu": 1000, "mem_mb": 1, "estimate_ms": 50}],
 }
 
+UNSENDABLE_STEP = {**JOB["steps"][0], "affinity": "\ud800"}
+
 
 class DemoTest(unittest.TestCase):
     def test_jobs_complete_although_the_leader_fails(self) -> None:
@@ -246,6 +248,59 @@
         response = await self.send(self.hosts[0], "GET", "/jobs/")
         self.assertEqual(response.status, 404)
 
+    def knows(self, host: leased_root.LeasedHost, *domains: str) -> bool:
+        evacuated = host._core.evacuated
+        return evacuated is not None and evacuated.domains == set(domains)
+
+    async def test_evacuated_domain_gets_no_tasks_also_in_an_outage(
+        self,
+    ) -> None:
+        (leader,) = (host for host in self.hosts if host.leads)
+        # The store turns the leader away; the other hosts tell it.
+        leader._store_watcher._store._address = f"{IP}:1"
+        await asyncio.sleep(1.1)  # Ends the long poll that is under way.
+        self.store.put("op", "evacuate/a", b"{}")
+        await self.wait_until(
+            lambda: all(self.knows(host, "a") for host in self.hosts)
+        )
+        self.store.down = True
+        await self.start_host("b", [self.hosts[0]._settings.peers])
+        await self.wait_until(lambda: self.is_ready(self.hosts[-1]))
+        for number, host in enumerate(self.hosts):
+            response = await self.send(
+                host, "POST", f"/jobs/{number:016x}", JOB
+            )
+            self.assertEqual(response.status, 200)
+        evacuated = self.upstreams[:2]
+        self.assertEqual([each.starts for each in evacuated], [[], []])
+        self.store.down = False
+        self.store.remove("op", "evacuate/a")
+        await self.wait_until(
+            lambda: all(self.knows(host) for host in self.hosts)
+        )
+        responses = await asyncio.gather(
+            *(
+                self.send(host, "POST", f"/jobs/{number:016x}", JOB)
+                for number, host in enumerate(self.hosts * 3, start=100)
+            )
+        )
+        self.assertEqual({each.status for each in responses}, {200})
+        self.assertTrue(any(each.starts for each in evacuated))
+
+    async def test_evacuation_of_all_domains_refuses_at_once(self) -> None:
+        for domain in "ab":
+            self.store.put("op", f"evacuate/{domain}", b"{}")
+        await self.wait_until(
+            lambda: all(self.knows(host, "a", "b") for host in self.hosts)
+        )
+        response = await self.send(
+            self.hosts[2], "POST", f"/jobs/{1:016x}", JOB
+        )
+        self.assertEqual(response.status, 503)
+        self.assertIn(b"no_upstream", response.body)
+        self.assertIn("retry-after", response.headers)
+        self.assertEqual(self.starts(), [])
+
     async def test_host_that_starts_in_an_outage_asks_its_peers(
         self,
     ) -> None:
@@ -303,6 +358,9 @@
             (f"/jobs/{1:016x}", {**JOB, "steps": [{"count": 0}]}, 400),
             (f"/jobs/{1:016x}", {**JOB, "steps": [{"cpu": "x"}]}, 400),
             (f"/jobs/{1:016x}", {**JOB, "spec": "x" * 5_000}, 400),
+            # Text that no message between hosts can carry: the job was lost.
+            (f"/jobs/{1:016x}", {**JOB, "spec": "\ud800"}, 400),
+            (f"/jobs/{1:016x}", {**JOB, "steps": [UNSENDABLE_STEP]}, 400),
         ):
             with self.subTest(path=path, body=str(body)[:60]):
                 response = await self.send(self.hosts[0], "POST", path, body)
