--- a/godwitnotch/net/leased_store.py
+++ b/godwitnotch/net/leased_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 from typing import Protocol
@@ -12,6 +13,7 @@
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import model
 from godwitnotch.platform import configuration as configuration_module
+from godwitnotch.platform import evacuations
 from godwitnotch.platform import fields
 from godwitnotch.platform import store as store_module
 from godwitnotch.platform import upstreams
@@ -47,6 +49,11 @@
     ) -> None:
         """Applies a configuration if it is newer than the current one."""
 
+    def update_evacuations(
+        self, version: int, domains: frozenset[ids.DomainId]
+    ) -> None:
+        """Handles the evacuated domains at a version of the store."""
+
     def update_upstreams(self, listed: events.UpstreamsListed) -> None:
         """Handles a new list of upstreams."""
 
@@ -82,6 +89,7 @@
         self._loop = asyncio.get_running_loop()
         self._store_reachable = True
         self._config_version: int | None = None
+        self._evacuated: dict[str, ids.DomainId] = {}
         self._unreadable_rows: dict[str, bytes] = {}
         self._registered = False
         self._refresh_requested = asyncio.Event()
@@ -91,23 +99,21 @@
         self._refresh_requested.set()
 
     async def watch_configuration(self) -> None:
-        """Passes each new configuration to the listener, by long polling."""
-        failures = 0
-        while True:
-            try:
-                await self._read_configuration()
-                failures = 0
-            except store_module.StoreUnavailable as error:
-                failures += 1
-                self._mark_unreachable(error)
-                await asyncio.sleep(self._retry_delay_s(failures))
+        """Passes the operators' rows to the listener, by long polling.
+
+        These are the configuration and the evacuations.
+        """
+        await self._repeat(self._read_operators_rows)
 
     async def watch_upstreams(self) -> None:
         """Reads the list of upstreams periodically while this host leads."""
         while True:
             self._refresh_requested.clear()
             if self._listener.leads:
-                await self._read_upstreams()
+                try:
+                    await self._read_upstreams()
+                except Exception as error:
+                    self._record_fault(error)
             interval_s = UPSTREAMS_POLL_INTERVAL_S
             if self._listener.leads and not self._listener.lists_upstreams:
                 interval_s = SECONDARY_POLL_INTERVAL_S
@@ -119,16 +125,25 @@
 
     async def watch_hosts(self) -> None:
         """Registers this host; reads the other hosts while they are wanted."""
+        await self._repeat(self._discover_hosts, HOSTS_POLL_INTERVAL_S)
+
+    async def _repeat(
+        self, read: Callable[[], Awaitable[None]], interval_s: float = 0.0
+    ) -> None:
+        """Reads for ever; an error delays the next read, and ends nothing."""
         failures = 0
         while True:
             try:
-                await self._discover_hosts()
+                await read()
                 failures = 0
-                await asyncio.sleep(HOSTS_POLL_INTERVAL_S)
+                await asyncio.sleep(interval_s)
+                continue
             except store_module.StoreUnavailable as error:
-                failures += 1
                 self._mark_unreachable(error)
-                await asyncio.sleep(self._retry_delay_s(failures))
+            except Exception as error:
+                self._record_fault(error)
+            failures += 1
+            await asyncio.sleep(self._retry_delay_s(failures))
 
     async def deregister(self) -> None:
         """Removes this host from the table of hosts."""
@@ -143,7 +158,8 @@
         except store_module.StoreUnavailable as error:
             self._mark_unreachable(error)
 
-    async def _read_configuration(self) -> None:
+    async def _read_operators_rows(self) -> None:
+        read_all = self._config_version is None
         if self._config_version is None:
             rows = await self._store.rows(
                 store_module.CONFIG_TABLE, deadline=self._deadline()
@@ -163,8 +179,40 @@
         for row in rows.rows:
             if row.key == store_module.CONFIG_KEY and row.value is not None:
                 self._apply_document(row.value)
+        self._apply_evacuations(rows, read_all=read_all)
         self._config_version = rows.version
 
+    def _apply_evacuations(
+        self, rows: store_module.StoreRows, *, read_all: bool
+    ) -> None:
+        """Passes on the evacuations in all rows, or in the changed ones."""
+        evacuated = {} if read_all else dict(self._evacuated)
+        for row in rows.rows:
+            if not evacuations.is_evacuation(row.key):
+                continue
+            evacuated.pop(row.key, None)
+            if row.value is None:
+                self._unreadable_rows.pop(row.key, None)
+                continue
+            domain = self._decode_evacuation(row.key, row.value)
+            if domain is not None:
+                evacuated[row.key] = domain
+        self._evacuated = evacuated
+        self._listener.update_evacuations(
+            rows.version, frozenset(evacuated.values())
+        )
+
+    def _decode_evacuation(self, key: str, value: bytes) -> ids.DomainId | None:
+        """Returns the domain that a row evacuates; None if it names none."""
+        decoded = evacuations.decode_row(key, value)
+        if not decoded.problem:
+            self._unreadable_rows.pop(key, None)
+        elif self._unreadable_rows.get(key) != value:
+            self._unreadable_rows[key] = value
+            self._count("evacuation_unreadable", "")
+            log.event("evacuation_unreadable", key=key, cause=decoded.problem)
+        return decoded.domain
+
     def _apply_document(self, document: bytes) -> None:
         try:
             configuration = configuration_module.decode(document)
@@ -231,6 +279,14 @@
             known for row in rows.rows if (known := _decode_host(row))
         )
 
+    def _record_fault(self, error: Exception) -> None:
+        self._count("store_watch_failed", type(error).__name__)
+        log.event(
+            "store_watch_failed",
+            cause=repr(error),
+            remedy="report it; the read is repeated",
+        )
+
     def _mark_reachable(self) -> None:
         if not self._store_reachable:
             self._store_reachable = True
