Order relays: thin path

Change: while the forecast of its starts is above half of what it can order, the leader lets linked hosts send its calls (core/leased/order_relays.py). Two messages carry orders and results in batches of one pass of the event loop; results are handled like those of direct calls, with one pass of placement for each message. Calls for a lease that isn't held, or has expired, are always direct. Takeovers are therefore as before.

A response without a start time doesn't set the clock of an upstream any more if its call was sent before the first response of the newest process: with two ways to an upstream, such a response may come late, and its clock reading would make the deadline of a start too late.

The results moved from events.py to order_results.py, as messages carry them; the four handlers of results in host.py are one now.

--- a/godwitnotch/core/leased/actions.py
+++ b/godwitnotch/core/leased/actions.py
@@ -24,7 +24,7 @@
     """
 
     call: model.UpstreamCallId
-    upstream: model.LeasedUpstream
+    upstream: model.CalledUpstream
     key: model.RunKey
     spec: str
     term: model.Term
@@ -37,7 +37,7 @@
     """Orders a run to stop, or not to start if the start arrives later."""
 
     call: model.UpstreamCallId
-    upstream: model.LeasedUpstream
+    upstream: model.CalledUpstream
     key: model.RunKey
     term: model.Term
 
@@ -60,7 +60,7 @@
     """
 
     call: model.UpstreamCallId
-    upstream: model.LeasedUpstream
+    upstream: model.CalledUpstream
     term: model.Term
     acknowledged_end: int
     deadline_ms: int | None
@@ -68,6 +68,32 @@
     instance_started_ms: int
 
 
+Order = StartRun | StopRun | RenewLease
+
+
+@dataclass(frozen=True, slots=True)
+class RelayOrder:
+    """Lets a linked host send an order of this leader to an upstream."""
+
+    relay: ids.HostId
+    order: Order
+
+
+@dataclass(frozen=True, slots=True)
+class SendForLeader:
+    """Sends the orders of a leader to upstreams, and the results to it.
+
+    Attributes:
+        leader: The leader.
+        term: The term of the orders.
+        orders: The orders.
+    """
+
+    leader: ids.HostId
+    term: model.Term
+    orders: tuple[Order, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class TellPeer:
     """Sends a message to a linked host."""
@@ -93,4 +119,13 @@
     detail: str = ""
 
 
-Action = AnswerCaller | StartRun | StopRun | RenewLease | TellPeer | Decided
+Action = (
+    AnswerCaller
+    | StartRun
+    | StopRun
+    | RenewLease
+    | RelayOrder
+    | SendForLeader
+    | TellPeer
+    | Decided
+)
--- a/godwitnotch/core/leased/capacity.py
+++ b/godwitnotch/core/leased/capacity.py
@@ -8,6 +8,12 @@
 BYTES_PER_RUN = 1_500
 # Runs of a busy upstream: two at a time, a fifth of a second each.
 RUNS_PER_UPSTREAM_S = 10.0
+# Relays send a leader's calls when it orders more than the first of these shares
+# of its runs, until it orders less than the second. A run costs a leader some
+# 1.7 ms of a reference core without relays, so that it can order little more than
+# half of RUNS_PER_CORE_S by itself.
+RELAY_START_SHARE = 0.5
+RELAY_STOP_SHARE = 0.35
 # With more hosts, a link between each two of them costs more than it serves.
 MAX_LINKED_HOSTS = 80
 
--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -13,6 +13,7 @@
 from godwitnotch.core.leased import lease_manager
 from godwitnotch.core.leased import load_meter
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import order_relays
 from godwitnotch.core.leased import outbox as outbox_module
 from godwitnotch.core.leased import overdue_runs
 from godwitnotch.core.leased import overflow
@@ -50,6 +51,7 @@
             usable.
         higher_term_seen: Handles a rejection by an upstream that has seen a
             higher term.
+        relays: Chooses the hosts that send calls; None if this host sends all.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         in_scope: Callable[[model.LeasedUpstream], bool],
         listing_complete: Callable[[float], bool],
         higher_term_seen: Callable[[lease_module.Lease, bool, float], None],
+        relays: order_relays.OrderRelays | None = None,
     ) -> None:
         self._out = out
         self._answer_owner = answer_owner
@@ -88,7 +91,7 @@
         self._placement = placement_module.Placement(self._times, self._health)
         self._overdue = overdue_runs.OverdueRuns(self._times, self._placement)
         self._lease_manager = lease_manager.LeaseManager(
-            out, self, in_scope=in_scope
+            out, self, in_scope=in_scope, relays=relays
         )
         self._meter = load_meter.LoadMeter(
             self._queue, self._lease_manager, self._times
--- a/godwitnotch/core/leased/events.py
+++ b/godwitnotch/core/leased/events.py
@@ -4,6 +4,7 @@
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import order_results
 from godwitnotch.core.leased import peer_messages
 
 
@@ -66,44 +67,10 @@
     message: peer_messages.Message
 
 
-@dataclass(frozen=True, slots=True)
-class OrderTaken:
-    """An upstream has accepted an order to start or stop a run.
-
-    Attributes:
-        call: The call that carried the order.
-        clock_ms: The upstream's clock when it responded.
-        instance_started_ms: When the upstream's process started, by its own
-            clock; 0 if not known.
-    """
-
-    call: model.UpstreamCallId
-    clock_ms: int
-    instance_started_ms: int
-
-
-@dataclass(frozen=True, slots=True)
-class OrderRejected:
-    """An upstream has rejected an order or a request for its list of runs."""
-
-    call: model.UpstreamCallId
-    rejection: model.OrderRejection
-
-
-@dataclass(frozen=True, slots=True)
-class OrderUnanswered:
-    """A call had no response; the upstream may still execute the order."""
-
-    call: model.UpstreamCallId
-    failure: model.CallFailure = model.CallFailure.TIMED_OUT
-
-
-@dataclass(frozen=True, slots=True)
-class RunsListed:
-    """An upstream has sent its list of runs, as requested."""
-
-    call: model.UpstreamCallId
-    runs: model.RunList
+OrderTaken = order_results.OrderTaken
+OrderRejected = order_results.OrderRejected
+OrderUnanswered = order_results.OrderUnanswered
+RunsListed = order_results.RunsListed
 
 
 @dataclass(frozen=True, slots=True)
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -15,6 +15,9 @@
 from godwitnotch.core.leased import lease as lease_module
 from godwitnotch.core.leased import listing as listing_module
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import order_batches
+from godwitnotch.core.leased import order_relays
+from godwitnotch.core.leased import order_results
 from godwitnotch.core.leased import outbox as outbox_module
 from godwitnotch.core.leased import overflow
 from godwitnotch.core.leased import owned_jobs
@@ -75,6 +78,7 @@
         self._owned_jobs = owned_jobs.OwnedJobs(
             self._out, self._fleet.leaders, send=self._send
         )
+        self._relays = order_relays.OrderRelays(runs_per_s=runs_per_s)
         self._dispatcher = dispatcher_module.Dispatcher(
             self._out,
             answer_owner=self._answer_owner,
@@ -83,6 +87,7 @@
             in_scope=self._in_scope,
             listing_complete=lambda now: self._listing.complete(now=now),
             higher_term_seen=self._higher_term_seen,
+            relays=self._relays,
         )
         self._updates = leader_updates.LeaderUpdates(
             self._out, self._dispatcher.evidence, self._dispatcher.task_records
@@ -150,6 +155,11 @@
         """How many jobs have not had a run; 0 unless this host leads."""
         return self._dispatcher.waiting_jobs
 
+    @property
+    def relays(self) -> order_relays.OrderRelays:
+        """The hosts that send this leader's calls."""
+        return self._relays
+
     @property
     def held_upstreams(self) -> int:
         """How many upstreams this host holds a lease on."""
@@ -190,6 +200,7 @@
             f"scope={leadership.scope().value}",
         )
         self._dispatcher.stop_leading()
+        self._relays.reset()
         self._updates.clear()
         if change is LeadershipChange.ELECTED:
             self._elected_term = leadership.term
@@ -399,9 +410,49 @@
                     self._dispatcher.evidence.apply(message, now=now)
             case peer_messages.TasksLearnt():
                 self._dispatcher.task_records.apply(message, now=now)
+            case peer_messages.OrdersRelayed():
+                self._relay_orders(host, message)
             case _ if self.leads:
                 self._handle_leader_message(host, message, now=now)
 
+    def _relay_orders(
+        self, leader: ids.HostId, message: peer_messages.OrdersRelayed
+    ) -> None:
+        """Sends orders for the leader that this host follows.
+
+        Another host may have lost its office without knowing it.
+        """
+        leadership = self._leadership
+        if leadership.leader == leader and message.term >= leadership.term:
+            orders = tuple(order_batches.unpack_orders(message))
+            self._out.add(actions.SendForLeader(leader, message.term, orders))
+        else:
+            self._send(leader, order_batches.refuse(message))
+
+    def _results_received(
+        self,
+        relay: ids.HostId,
+        results: peer_messages.OrderResults,
+        *,
+        now: float,
+    ) -> None:
+        """Handles the results of calls that a relay has sent."""
+        for result in results.all():
+            if self._relays.take_result(relay, result, now=now):
+                self._dispatcher.lease_manager.call_ended(result, now=now)
+        self._dispatcher.place_waiting(now=now)
+
+    def _update_relays(self, *, now: float) -> None:
+        """Begins or ends the use of relays; gives up calls without a result."""
+        if not self.leads:
+            return
+        for lost in self._relays.take_overdue(now=now):
+            self._dispatcher.lease_manager.order_unanswered(lost, now=now)
+        switch = self._relays.update(self._leadership.relay_candidates, now=now)
+        if switch is not None:
+            event = "relays_started" if switch.active else "relays_ended"
+            self._out.add_decision(event, detail=switch.pairs())
+
     def _notice_departed_owner(
         self, host: ids.HostId, standing: peer_messages.Standing, *, now: float
     ) -> None:
@@ -481,6 +532,8 @@
                     may_run_elsewhere=may_run_elsewhere,
                     now=now,
                 )
+            case peer_messages.OrderResults():
+                self._results_received(host, message, now=now)
             case cell_load.CellLoad():
                 self._dispatcher.overflow.load_received(host, message, now=now)
             case peer_messages.AllHandedOver(term=term):
@@ -545,6 +598,8 @@
     host._updates.host_lost(event.host)
     host._dispatcher.overflow.host_lost(event.host)
     change = host._leadership.peer_lost(event.host, now=now)
+    for lost in host._relays.host_lost(event.host, now=now):
+        host._dispatcher.lease_manager.order_unanswered(lost, now=now)
     if host.leads:
         host._dispatcher.owner_lost(event.host, now=now)
     host._apply_change(change, now=now)
@@ -559,35 +614,16 @@
     host._handle_message(event.host, event.message, now=now)
 
 
-@_handles(events.OrderTaken)
-def _order_taken(
-    host: LeasedHost, event: events.OrderTaken, now: float
-) -> None:
-    host._dispatcher.lease_manager.order_taken(event, now=now)
-    host._dispatcher.place_waiting(now=now)
-
-
-@_handles(events.OrderRejected)
-def _order_rejected(
-    host: LeasedHost, event: events.OrderRejected, now: float
-) -> None:
-    host._dispatcher.lease_manager.order_rejected(event, now=now)
-    host._dispatcher.place_waiting(now=now)
-
-
-@_handles(events.OrderUnanswered)
-def _order_unanswered(
-    host: LeasedHost, event: events.OrderUnanswered, now: float
-) -> None:
-    host._dispatcher.lease_manager.order_unanswered(event, now=now)
-    host._dispatcher.place_waiting(now=now)
-
-
-@_handles(events.RunsListed)
-def _runs_listed(
-    host: LeasedHost, event: events.RunsListed, now: float
+@_handles(
+    events.OrderTaken,
+    events.OrderRejected,
+    events.OrderUnanswered,
+    events.RunsListed,
+)
+def _call_ended(
+    host: LeasedHost, event: order_results.OrderResult, now: float
 ) -> None:
-    host._dispatcher.lease_manager.runs_listed(event, now=now)
+    host._dispatcher.lease_manager.call_ended(event, now=now)
     host._dispatcher.place_waiting(now=now)
 
 
@@ -618,6 +654,7 @@
     if host.leads and host._divide_if_too_large(now=now):
         host._hold_upstreams(now=now)
     host._update_adopted(now=now)
+    host._update_relays(now=now)
     host._dispatcher.tick(now=now)
     host._send_load(now=now)
     if host.leads:
--- a/godwitnotch/core/leased/leadership.py
+++ b/godwitnotch/core/leased/leadership.py
@@ -18,6 +18,7 @@
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import order_relays
 from godwitnotch.core.leased import peer_messages
 
 # Lets links to other hosts open after the start of the process.
@@ -213,6 +214,16 @@
             ]
         ]
 
+    def relay_candidates(self) -> list[order_relays.Candidate]:
+        """Returns the successors that don't drain."""
+        return [
+            order_relays.Candidate(
+                host, self._known_hosts[host].domain, self._peers[host].rank
+            )
+            for host in self.successors()
+            if not self._peers[host].draining
+        ]
+
     def scope(self) -> Scope:
         """Returns the hosts of which the linked hosts are a majority.
 
--- a/godwitnotch/core/leased/lease.py
+++ b/godwitnotch/core/leased/lease.py
@@ -239,8 +239,18 @@
         self.replaced = False
         self.refused = False
 
-    def call_failed(self, *, now: float) -> None:
-        """Counts a failed call and delays the next list request."""
+    def call_failed(self, *, now: float, relayed: bool = False) -> None:
+        """Counts a failed call and delays the next list request.
+
+        A relay may be cut off from an upstream that this host reaches, so the
+        failures of relayed calls count as one, and the list is requested at
+        once.
+        """
+        if relayed:
+            if not self.failures:
+                self.failures = 1
+                self.next_list_request_at = min(self.next_list_request_at, now)
+            return
         self.failures += 1
         if self.state in (LeaseState.AWAITING_LIST, LeaseState.RECONCILING):
             self.lose(now=now)
@@ -265,6 +275,10 @@
         sent after the last response of the known one. Runs of the known one end
         when they are missing in a list.
 
+        A response without a start time may be from an earlier instance unless
+        its call was sent after the first response of the newest one. Its clock
+        reading would give deadlines by another clock.
+
         Args:
             started_ms: Start time in the response; 0 if it states none.
             sent_at: When the call was sent.
@@ -274,7 +288,7 @@
             Whether the response is from the newest instance that is known.
         """
         if not started_ms:
-            return True
+            return sent_at >= self.instance_changed_at
         if self.instance_started_ms not in (0, started_ms):
             if sent_at < self.instance_seen_at:
                 return False
--- a/godwitnotch/core/leased/lease_calls.py
+++ b/godwitnotch/core/leased/lease_calls.py
@@ -3,11 +3,17 @@
 import enum
 from dataclasses import dataclass
 
+from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import lease as lease_module
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import order_relays
 from godwitnotch.core.leased import outbox as outbox_module
 
+# An upstream responds to a call within this time, plus the wait that a request
+# for its list of runs names.
+CALL_TIMEOUT_S = 0.15
+
 
 class CallKind(enum.Enum):
     """What a call asks of the upstream; the values are written to the log."""
@@ -31,6 +37,7 @@
             or for the stop of a run that the leader doesn't know.
         key: The run to start or stop, also if the leader doesn't know it.
         renewal: How the call may renew the lease; None if it can't.
+        relay: The host that sends the call for this leader; empty if none.
     """
 
     kind: CallKind
@@ -41,14 +48,22 @@
     run: lease_module.Run | None = None
     key: model.RunKey | None = None
     renewal: lease_module.Renewal | None = None
+    relay: ids.HostId = order_relays.NO_RELAY
 
     def detail(self) -> str:
         """Returns the run, the upstream and the kind as key=value pairs."""
         place = (
             f"upstream={self.lease.upstream.upstream} kind={self.kind.value}"
         )
+        if self.relay:
+            place = f"{place} relay={self.relay}"
         return f"{self.key.pairs()} {place}" if self.key else place
 
+    @property
+    def relayed(self) -> bool:
+        """Whether another host sends the call for this leader."""
+        return self.relay != order_relays.NO_RELAY
+
     @property
     def to_former_address(self) -> bool:
         """Whether the upstream is listed at another address by now."""
@@ -63,11 +78,17 @@
 
     Args:
         out: Collects the calls to send.
+        relays: Chooses the host that sends a call; None if this host sends all.
     """
 
-    def __init__(self, out: outbox_module.Outbox) -> None:
+    def __init__(
+        self,
+        out: outbox_module.Outbox,
+        relays: order_relays.OrderRelays | None = None,
+    ) -> None:
         self.term = model.Term(0)
         self._out = out
+        self._relays = relays
         self._calls: dict[model.UpstreamCallId, PendingCall] = {}
 
     def clear(self) -> None:
@@ -92,12 +113,21 @@
         now: float,
     ) -> None:
         """Sends the order to start a run, which renews the lease."""
+        if self._relays is not None:
+            self._relays.count_start(now=now)
         renewal = lease.record_renewal(now=now)
-        call = self._register(
-            CallKind.START, lease, run, run.key, renewal=renewal, now=now
+        call, relay = self._register(
+            CallKind.START,
+            lease,
+            run,
+            run.key,
+            renewal=renewal,
+            spec_bytes=len(spec),
+            now=now,
         )
         deadline_ms = lease.deadline_ms(now=now)
-        self._out.add(
+        self._send(
+            relay,
             actions.StartRun(
                 call,
                 lease.upstream,
@@ -106,7 +136,7 @@
                 self.term,
                 deadline_ms,
                 lease.instance_started_ms,
-            )
+            ),
         )
 
     def stop(
@@ -118,8 +148,8 @@
         now: float,
     ) -> None:
         """Sends the order to stop a run; `run` is None if it isn't known."""
-        call = self._register(CallKind.STOP, lease, run, key, now=now)
-        self._out.add(actions.StopRun(call, lease.upstream, key, self.term))
+        call, relay = self._register(CallKind.STOP, lease, run, key, now=now)
+        self._send(relay, actions.StopRun(call, lease.upstream, key, self.term))
 
     def request_runs(
         self,
@@ -142,11 +172,18 @@
         renewal = None
         if deadline_ms is not None:
             renewal = lease.record_renewal(now=now)
-        call = self._register(
-            CallKind.LIST_RUNS, lease, None, None, renewal=renewal, now=now
+        call, relay = self._register(
+            CallKind.LIST_RUNS,
+            lease,
+            None,
+            None,
+            renewal=renewal,
+            wait_s=wait_ms / 1_000,
+            now=now,
         )
         lease.pending_list_requests += 1
-        self._out.add(
+        self._send(
+            relay,
             actions.RenewLease(
                 call,
                 lease.upstream,
@@ -155,9 +192,16 @@
                 deadline_ms,
                 wait_ms,
                 lease.instance_started_ms,
-            )
+            ),
         )
 
+    def _send(self, relay: ids.HostId, order: actions.Order) -> None:
+        """Sends an order, or lets a relay send it."""
+        if relay == order_relays.NO_RELAY:
+            self._out.add(order)
+        else:
+            self._out.add(actions.RelayOrder(relay, order))
+
     def _register(
         self,
         kind: CallKind,
@@ -166,9 +210,28 @@
         key: model.RunKey | None,
         *,
         renewal: lease_module.Renewal | None = None,
+        spec_bytes: int = 0,
+        wait_s: float = 0.0,
         now: float,
-    ) -> model.UpstreamCallId:
+    ) -> tuple[model.UpstreamCallId, ids.HostId]:
+        """Records a call; returns its id and the relay that sends it."""
         call_id = self._out.next_call_id()
+        relay = order_relays.NO_RELAY
+        # A lost relay must not delay a takeover, nor stand for an upstream
+        # that didn't respond when its lease had expired.
+        if (
+            self._relays is not None
+            and self._relays.active
+            and lease.state is lease_module.LeaseState.HELD
+            and not lease.expired(now=now)
+        ):
+            relay = self._relays.open_call(
+                call_id,
+                lease.upstream,
+                spec_bytes=spec_bytes,
+                timeout_s=CALL_TIMEOUT_S + wait_s,
+                now=now,
+            )
         lease.pending_calls += 1
         self._calls[call_id] = PendingCall(
             kind,
@@ -179,5 +242,6 @@
             run=run,
             key=key,
             renewal=renewal,
+            relay=relay,
         )
-        return call_id
+        return call_id, relay
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -17,6 +17,8 @@
 from godwitnotch.core.leased import lease as lease_module
 from godwitnotch.core.leased import lease_calls
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import order_relays
+from godwitnotch.core.leased import order_results
 from godwitnotch.core.leased import outbox as outbox_module
 from godwitnotch.core.leased import run_index
 from godwitnotch.core.leased import run_listener
@@ -42,6 +44,7 @@
         out: Collects the actions to execute.
         listener: Finds the jobs of runs and handles changes of runs.
         in_scope: Returns whether this host may hold a lease on an upstream.
+        relays: Chooses the hosts that send calls; None if this host sends all.
     """
 
     def __init__(
@@ -50,11 +53,12 @@
         listener: run_listener.RunListener,
         *,
         in_scope: Callable[[model.LeasedUpstream], bool],
+        relays: order_relays.OrderRelays | None = None,
     ) -> None:
         self._out = out
         self._listener = listener
         self._in_scope = in_scope
-        self._calls = lease_calls.LeaseCalls(out)
+        self._calls = lease_calls.LeaseCalls(out, relays)
         self._claim_period_open = False
         self._leases: dict[ids.UpstreamId, lease_module.Lease] = {}
         self._runs = run_index.RunIndex()
@@ -251,6 +255,20 @@
             ):
                 self._maintain(lease, now=now)
 
+    def call_ended(
+        self, result: order_results.OrderResult, *, now: float
+    ) -> None:
+        """Handles the result of a call, whichever host has sent it."""
+        match result:
+            case order_results.OrderTaken():
+                self.order_taken(result, now=now)
+            case order_results.OrderRejected():
+                self.order_rejected(result, now=now)
+            case order_results.OrderUnanswered():
+                self.order_unanswered(result, now=now)
+            case order_results.RunsListed():
+                self.runs_listed(result, now=now)
+
     def order_taken(self, event: events.OrderTaken, *, now: float) -> None:
         """Handles the response to an order to start or stop a run."""
         call = self._calls.pop(event.call)
@@ -333,7 +351,8 @@
             call.kind is CallKind.LIST_RUNS
             or rejection is model.OrderRejection.NOT_SENT
         ):
-            lease.call_failed(now=now)
+            not_sent = rejection is model.OrderRejection.NOT_SENT
+            lease.call_failed(now=now, relayed=call.relayed and not_sent)
         if call.kind is CallKind.LIST_RUNS:
             self._expire_if_asked(call, now=now)
 
@@ -353,10 +372,10 @@
         if event.failure.not_sent and call.renewal is not None:
             lease.withdraw_renewal(call.renewal)
         if not call.to_former_address:
-            if event.failure is model.CallFailure.REFUSED:
+            if event.failure is model.CallFailure.REFUSED and not call.relayed:
                 lease.refused = True
-            lease.call_failed(now=now)
-            if call.kind is CallKind.LIST_RUNS:
+            lease.call_failed(now=now, relayed=call.relayed)
+            if call.kind is CallKind.LIST_RUNS and not call.relayed:
                 self._expire_if_asked(call, now=now)
         if run is None or call.kind is not CallKind.START:
             return
--- a/godwitnotch/core/leased/model.py
+++ b/godwitnotch/core/leased/model.py
@@ -83,11 +83,18 @@
     CLOSED = "closed"  # The connection was closed or reset.
     TIMED_OUT = "timed_out"
     UNREADABLE = "unreadable"  # A response that proves nothing.
+    RELAY_LOST = "relay_lost"  # The link to the relay closed.
+    RELAY_SILENT = "relay_silent"  # The relay sent no result in time.
+    RELAY_REFUSED = "relay_refused"  # The relay follows another leader.
 
     @property
     def not_sent(self) -> bool:
-        """Whether no byte of the call was sent."""
-        return self in (CallFailure.REFUSED, CallFailure.NOT_CONNECTED)
+        """Whether no byte of the call was sent, and none will be."""
+        return self in (
+            CallFailure.REFUSED,
+            CallFailure.NOT_CONNECTED,
+            CallFailure.RELAY_REFUSED,
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -209,6 +216,22 @@
     draining: bool
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamAddress:
+    """What a call needs to know of an upstream.
+
+    Attributes:
+        upstream: Id of the upstream.
+        address: IP address and port.
+    """
+
+    upstream: ids.UpstreamId
+    address: str
+
+
+CalledUpstream = LeasedUpstream | UpstreamAddress
+
+
 @dataclass(frozen=True, slots=True, order=True)
 class TaskKey:
     """Identifies a task of a job."""
--- a/godwitnotch/core/leased/peer_messages.py
+++ b/godwitnotch/core/leased/peer_messages.py
@@ -3,11 +3,13 @@
 Times are sent relative to the time of sending, as the clocks of hosts differ.
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import cell_load
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import order_results
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,6 +229,106 @@
     may_run_elsewhere: bool
 
 
+@dataclass(frozen=True, slots=True)
+class RelayedStart:
+    """An order to start a run, see `actions.StartRun`.
+
+    The fields are flat, which halves the time to encode them.
+
+    Attributes:
+        call: Id of the leader's call.
+        upstream: Id of the upstream.
+        address: IP address and port of the upstream.
+        job: Job of the task.
+        index: Index of the task in the job.
+        run: Number of the run.
+        spec: Index of the spec in the message.
+        deadline_ms: New end of the lease by the upstream's clock.
+        instance_started_ms: When the instance started that is meant.
+    """
+
+    call: model.UpstreamCallId
+    upstream: ids.UpstreamId
+    address: str
+    job: model.JobName
+    index: int
+    run: model.RunNumber
+    spec: int
+    deadline_ms: int
+    instance_started_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedStop:
+    """An order to stop a run, see `actions.StopRun`."""
+
+    call: model.UpstreamCallId
+    upstream: ids.UpstreamId
+    address: str
+    job: model.JobName
+    index: int
+    run: model.RunNumber
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedRenewal:
+    """A request for a list of runs, see `actions.RenewLease`."""
+
+    call: model.UpstreamCallId
+    upstream: ids.UpstreamId
+    address: str
+    acknowledged_end: int
+    deadline_ms: int | None
+    wait_ms: int
+    instance_started_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class OrdersRelayed:
+    """Orders of the leader that the receiver sends to the upstreams.
+
+    Attributes:
+        term: The leader's term.
+        specs: The specs of the runs to start, each once.
+        starts: Runs to start.
+        stops: Runs to stop.
+        renewals: Requests for lists of runs.
+    """
+
+    term: model.Term
+    specs: tuple[str, ...]
+    starts: tuple[RelayedStart, ...]
+    stops: tuple[RelayedStop, ...]
+    renewals: tuple[RelayedRenewal, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class OrderResults:
+    """The results of orders that the sender has sent for the leader.
+
+    Attributes:
+        term: The term of the orders.
+        taken: Orders that the upstreams have accepted.
+        rejected: Orders that have no effect.
+        unanswered: Orders that may or may not be executed, unless the failure
+            says that they were not sent.
+        lists: Lists of runs.
+    """
+
+    term: model.Term
+    taken: tuple[order_results.OrderTaken, ...]
+    rejected: tuple[order_results.OrderRejected, ...]
+    unanswered: tuple[order_results.OrderUnanswered, ...]
+    lists: tuple[order_results.RunsListed, ...]
+
+    def all(self) -> Iterator[order_results.OrderResult]:
+        """Yields all results."""
+        yield from self.taken
+        yield from self.rejected
+        yield from self.unanswered
+        yield from self.lists
+
+
 Message = (
     Standing
     | HostsKnown
@@ -244,4 +346,6 @@
     | cell_load.CellLoad
     | JobRedirected
     | JobMoved
+    | OrdersRelayed
+    | OrderResults
 )
--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -357,6 +357,9 @@
             ("open_jobs", float(self._core.open_jobs)),
             ("waiting_jobs", float(self._core.waiting_jobs)),
             ("held_upstreams", float(self._core.held_upstreams)),
+            ("relays_active", float(self._core.relays.active)),
+            ("relayed_calls", float(self._core.relays.relayed_count)),
+            ("relayed_calls_lost", float(self._core.relays.lost_count)),
             ("linked_hosts", float(len(self._links.linked))),
             ("log_lines_dropped", float(self._dropped_lines())),
         )
--- a/godwitnotch/net/leased_calls.py
+++ b/godwitnotch/net/leased_calls.py
@@ -4,27 +4,24 @@
 
 from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import events
+from godwitnotch.core.leased import lease_calls
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import order_results
 from godwitnotch.net import http_client
 from godwitnotch.net import http_connection
 from godwitnotch.net import http_types
 from godwitnotch.platform import fields
 from godwitnotch.platform import upstreams
 
-ORDER_TIMEOUT_S = 0.15
+ORDER_TIMEOUT_S = lease_calls.CALL_TIMEOUT_S
 MAX_RESPONSE_BYTES = 1024 * 1024
 MAX_CONNECTION_IDLE_S = 20.0
 CONNECT_TIMEOUT_S = 0.15
 
 _HTTP_OK = 200
 
-Order = actions.StartRun | actions.StopRun | actions.RenewLease
-OrderResult = (
-    events.OrderTaken
-    | events.OrderRejected
-    | events.OrderUnanswered
-    | events.RunsListed
-)
+Order = actions.Order
+OrderResult = order_results.OrderResult
 
 
 class OrderClient:
--- a/godwitnotch/net/leased_runtime.py
+++ b/godwitnotch/net/leased_runtime.py
@@ -17,6 +17,7 @@
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import peer_messages
 from godwitnotch.net import leased_calls
+from godwitnotch.net import order_queues
 from godwitnotch.net import peer_links
 from godwitnotch.platform import configuration as configuration_module
 from godwitnotch.platform import fields
@@ -60,6 +61,7 @@
         self._identity = identity
         self._links = links
         self._order_client = order_client
+        self._order_queues = order_queues.OrderQueues(links.send)
         self._on_decided = on_decided
         self._on_fault = on_fault
         self._loop = asyncio.get_running_loop()
@@ -169,10 +171,12 @@
         """Handles an event of a peer link."""
         match event:
             case peer_events.PeerUp(host=host, domain=domain):
+                self._order_queues.link_changed(host)
                 self.add_hosts([model.KnownHost(host, domain)])
                 self._send_known_hosts(host)
                 self.feed(events.PeerLinked(host, domain))
             case peer_events.PeerDown(host=host):
+                self._order_queues.link_changed(host)
                 self.feed(events.PeerLost(host))
             case peer_events.LeasedPeerSaid(
                 message=peer_messages.HostsKnown(hosts=hosts)
@@ -312,12 +316,30 @@
                 self._links.send(host, message)
             case actions.Decided():
                 self._on_decided(action)
+            case actions.RelayOrder(relay=relay, order=order):
+                self._order_queues.add_order(relay, order)
+            case actions.SendForLeader():
+                link_number = self._order_queues.link_number(action.leader)
+                for order in action.orders:
+                    self.spawn(self._relay_order(action, order, link_number))
             case _:
                 self.spawn(self._send_order(action))
 
     async def _send_order(self, order: leased_calls.Order) -> None:
         self.feed(await self._order_client.send(order))
 
+    async def _relay_order(
+        self,
+        action: actions.SendForLeader,
+        order: actions.Order,
+        link_number: int,
+    ) -> None:
+        """Sends an order for a leader, and the result to the leader."""
+        result = await self._order_client.send(order)
+        self._order_queues.add_result(
+            action.leader, action.term, result, link_number=link_number
+        )
+
     def _tick(self) -> None:
         self._timer = self._loop.call_later(TICK_INTERVAL_S, self._tick)
         self.feed(events.Ticked())
--- a/godwitnotch/platform/upstreams.py
+++ b/godwitnotch/platform/upstreams.py
@@ -111,7 +111,7 @@
 
 
 def look_request(
-    upstream: model.LeasedUpstream, term: model.Term
+    upstream: model.CalledUpstream, term: model.Term
 ) -> http_types.HttpRequest:
     """Returns the request that lists the runs and changes nothing.
 
@@ -189,7 +189,7 @@
 
 
 def _order_request(
-    path: str, upstream: model.LeasedUpstream, body: dict[str, Any]
+    path: str, upstream: model.CalledUpstream, body: dict[str, Any]
 ) -> http_types.HttpRequest:
     return http_types.HttpRequest(
         "POST",
--- a/tests/leased_faults.py
+++ b/tests/leased_faults.py
@@ -146,6 +146,8 @@
         pair = frozenset((name, host))
         if pair not in self.links or pair in self.cut_pairs:
             return
+        if (name, host) in self.lost_messages:
+            return
         opened = self._open_count.get(pair)
         event = events.PeerTold(ids.HostId(name), action.message)
 
@@ -159,21 +161,23 @@
             name, host, leased_world.NETWORK_LATENCY_S + delay_s, arrive
         )
 
-    def _send_order(self, name: str, core, action) -> None:
+    def _send_order(self, name: str, core, action, *, report=None) -> None:
         delay_s = self.order_delays.get(name, 0.0)
         if delay_s:
-            self.call_later(delay_s, lambda: self._send_now(name, core, action))
+            self.call_later(
+                delay_s, lambda: self._send_now(name, core, action, report)
+            )
         else:
-            self._send_now(name, core, action)
+            self._send_now(name, core, action, report)
 
-    def _send_now(self, name: str, core, action) -> None:
+    def _send_now(self, name: str, core, action, report) -> None:
         if name not in self.dead and self.hosts.get(name) is core:
             upstream = self.upstreams[action.upstream.upstream]
             most_s = self.jitter.get(action.upstream.upstream, 0.0)
             upstream.latency_s = (
                 leased_world.NETWORK_LATENCY_S + most_s * self.rng.random()
             )
-            super()._send_order(name, core, action)
+            super()._send_order(name, core, action, report=report)
 
 
 class FaultyHistory(test_leased_histories.History):
--- a/tests/leased_world.py
+++ b/tests/leased_world.py
@@ -1,5 +1,6 @@
 """Simulates hosts, upstreams and links for the tests of leased runs."""
 
+import collections
 import heapq
 import itertools
 from collections.abc import Callable
@@ -11,6 +12,7 @@
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import host as leased_host
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import order_batches
 
 NETWORK_LATENCY_S = 0.002
 TICK_INTERVAL_S = 0.04
@@ -145,6 +147,12 @@
         known_lives: Start time of the upstream's process that a host's
             connections lead to, by the pair of both; 0 if not known.
         links: Pairs of hosts whose link is open.
+        link_openings: How often the link of a pair has opened.
+        lost_messages: Sender and receiver of messages that don't arrive: a cut
+            one way, which the receiver alone could notice.
+        relay_delays: How much later a relay sends the orders of a leader.
+        relayed_orders: Time, relay and action of each order that a relay has
+            sent.
         upstreams: Upstreams by id.
         orders: Time and action of each order that a host has sent.
         answers: Time and answer of each answered call.
@@ -176,6 +184,12 @@
         self.unconnected_pairs: set[frozenset[str]] = set()
         self.known_lives: dict[frozenset[str], int] = {}
         self.links: set[frozenset[str]] = set()
+        self.link_openings: collections.Counter[frozenset[str]] = (
+            collections.Counter()
+        )
+        self.lost_messages: set[tuple[str, str]] = set()
+        self.relay_delays: dict[str, float] = {}
+        self.relayed_orders: list[tuple[float, str, actions.Order]] = []
         self.upstreams: dict[str, Upstream] = {}
         self.orders: list[tuple[float, actions.Action]] = []
         self.answers: dict[int, tuple[float, model.Answer]] = {}
@@ -363,6 +377,7 @@
         if pair in self.links or pair & self.dead or pair in self.cut_pairs:
             return
         self.links.add(pair)
+        self.link_openings[pair] += 1
         one, other = sorted(pair)
         self._report_link(one, other)
         self._report_link(other, one)
@@ -516,22 +531,69 @@
                 self.decisions.append((self.now, name, action))
             case actions.TellPeer(host=host, message=message):
                 pair = frozenset((name, host))
+                if (name, host) in self.lost_messages:
+                    return
                 if pair in self.links and pair not in self.cut_pairs:
                     event = events.PeerTold(ids.HostId(name), message)
                     self.call_later(
                         NETWORK_LATENCY_S,
                         lambda: self._deliver_message(pair, host, event),
                     )
+            case actions.RelayOrder(relay=relay, order=order):
+                message = order_batches.pack_orders(order.term, [order])
+                told = actions.TellPeer(relay, message)
+                self._execute_action(name, core, told)
+            case actions.SendForLeader():
+                self._send_for_leader(name, core, action)
             case _:
                 self._send_order(name, core, action)
 
+    def _send_for_leader(
+        self,
+        name: str,
+        core: leased_host.LeasedHost,
+        action: actions.SendForLeader,
+    ) -> None:
+        """Lets a relay send orders, and the results on the same link."""
+        pair = frozenset((name, action.leader))
+        opening = self.link_openings[pair]
+
+        def report(event: events.Event) -> None:
+            if self.link_openings[pair] != opening or pair not in self.links:
+                return
+            if self.now < self.paused_until.get(name, 0.0):
+                resume_in_s = self.paused_until[name] - self.now
+                self.call_later(resume_in_s, lambda: report(event))
+                return
+            results = order_batches.pack_results(action.term, [event])
+            told = actions.TellPeer(action.leader, results)
+            self._execute_action(name, core, told)
+
+        def send(order: actions.Order) -> None:
+            if self.hosts.get(name) is not core or name in self.dead:
+                return
+            if self.now < self.paused_until.get(name, 0.0):
+                resume_in_s = self.paused_until[name] - self.now
+                self.call_later(resume_in_s, lambda: send(order))
+                return
+            self.relayed_orders.append((self.now, name, order))
+            self._send_order(name, core, order, report=report)
+
+        for order in action.orders:
+            delay_s = self.relay_delays.get(name, 0.0)
+            if delay_s:
+                self.call_later(delay_s, lambda order=order: send(order))
+            else:
+                send(order)
+
     def _deliver_message(
         self, pair: frozenset[str], host: str, event: events.PeerTold
     ) -> None:
         if pair in self.links and pair not in self.cut_pairs:
             self.deliver(host, event)
 
-    def _send_order(self, name: str, core, action) -> None:
+    def _send_order(self, name: str, core, action, *, report=None) -> None:
+        """Sends an order; `report` takes the result in place of the host."""
         upstream = self.upstreams[action.upstream.upstream]
         self.orders.append((self.now, action))
         pair = frozenset((name, upstream.entry.upstream))
@@ -543,7 +605,10 @@
             if state["responded"] or self.hosts.get(name) is not core:
                 return
             state["responded"] = True
-            self.deliver(name, event)
+            if report is not None:
+                report(event)
+            else:
+                self.deliver(name, event)
 
         def arrive() -> None:
             if pair in self.cut_pairs:
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -37,6 +37,7 @@
 from godwitnotch.platform import settings
 from godwitnotch.platform import upstreams
 from tests import leased_world
+from tests import relay_messages
 
 NOW = 100.0
 
@@ -621,6 +622,7 @@
                 True,
                 False,
             ),
+            *relay_messages.EXAMPLES,
         )
         message_types = set(peer_messages.Message.__args__)
         self.assertEqual({type(each) for each in examples}, message_types)
--- a/tests/test_leased_serving.py
+++ b/tests/test_leased_serving.py
@@ -210,6 +210,38 @@
             max(u.max_concurrent_runs for u in self.upstreams), 2
         )
 
+    async def test_jobs_whose_calls_go_through_relays(self) -> None:
+        (leader,) = [host for host in self.hosts if host.leads]
+        relays = leader._core.relays
+        relays._start_limit = relays._stop_limit = 0.0
+        await self.send(leader, "POST", f"/jobs/{99:016x}", JOB)
+        await self.wait_until(lambda: relays.active)
+        sent_by_leader = []
+        send = leader._order_client.send
+
+        def send_order(order):
+            sent_by_leader.append(order)
+            return send(order)
+
+        leader._order_client.send = send_order
+        responses = await asyncio.gather(
+            *(
+                self.send(host, "POST", f"/jobs/{number:016x}", JOB)
+                for number, host in enumerate(self.hosts * 4)
+            )
+        )
+        self.assertEqual({each.status for each in responses}, {200})
+        self.assert_each_task_done_once(39)
+        self.assertEqual(sent_by_leader, [])
+        # The starts of 36 tasks, and lists that may show some ends each.
+        self.assertGreater(relays.relayed_count, 36)
+        self.assertEqual(relays.lost_count, 0)
+        metrics = (await leader._handle_metrics(None)).body.decode()
+        self.assertIn("godwitnotch_relays_active 1\n", metrics)
+        self.assertIn(
+            f"godwitnotch_relayed_calls {relays.relayed_count}\n", metrics
+        )
+
     async def test_slow_responses_start_tasks_again_but_not_at_the_same_time(
         self,
     ) -> None:
