--- a/bench/order_relays.py
+++ b/bench/order_relays.py
@@ -11,9 +11,11 @@
 import asyncio
 import multiprocessing
 import multiprocessing.connection
+import multiprocessing.context
 import random
 import statistics
 import time
+from collections.abc import Callable
 from typing import Annotated
 
 import typer
@@ -118,7 +120,12 @@
 class _Process:
     """A process of the measurement, with a pipe to it."""
 
-    def __init__(self, context, target, *args) -> None:  # type: ignore[no-untyped-def]
+    def __init__(
+        self,
+        context: multiprocessing.context.SpawnContext,
+        target: Callable[..., None],
+        *args: str,
+    ) -> None:
         self.pipe, other = context.Pipe()
         self._process = context.Process(
             target=target, args=(other, *args), daemon=True
@@ -194,7 +201,9 @@
     asyncio.run(serve())
 
 
-async def _start_links(name: str, handle) -> tuple[peer_links.PeerLinks, str]:  # type: ignore[no-untyped-def]
+async def _start_links(
+    name: str, handle: Callable[[peer_events.LinkEvent], None]
+) -> tuple[peer_links.PeerLinks, str]:
     links = peer_links.PeerLinks(
         hello=messages.Hello(
             messages.PROTOCOL_VERSION,
