--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -14,6 +14,7 @@
 from godwitnotch.core.leased import lease_manager
 from godwitnotch.core.leased import load_meter
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import order_relays
 from godwitnotch.core.leased import outbox as outbox_module
 from godwitnotch.core.leased import overdue_runs
 from godwitnotch.core.leased import overflow
@@ -54,6 +55,7 @@
             higher term.
         evacuations: The failure domains in which no task may start.
         closed_to: Returns whether only evacuated upstreams could run a job.
+        relays: Chooses the hosts that send calls; None if this host sends all.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         higher_term_seen: Callable[[lease_module.Lease, bool, float], None],
         evacuations: evacuation.Evacuations,
         closed_to: Callable[[model.JobRequest], bool],
+        relays: order_relays.OrderRelays | None = None,
     ) -> None:
         self._out = out
         self._answer_owner = answer_owner
@@ -98,7 +101,7 @@
         self._placement = placement_module.Placement(self._times, self._health)
         self._overdue = overdue_runs.OverdueRuns(self._times, self._placement)
         self._lease_manager = lease_manager.LeaseManager(
-            out, self, in_scope=in_scope
+            out, self, in_scope=in_scope, relays=relays
         )
         self._meter = load_meter.LoadMeter(
             self._queue, self._lease_manager, self._times, evacuations
