--- a/godwitnotch/core/leased/job_admission.py
+++ b/godwitnotch/core/leased/job_admission.py
@@ -4,6 +4,7 @@
 to come back.
 """
 
+import dataclasses
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -148,7 +149,7 @@
         others = self._suitability(job.request).others
         if others and now - job.arrived_at < NO_UPSTREAM_TIMEOUT_S:
             return _KEPT  # The loads of the other cells aren't known yet.
-        return _no_upstream(model.JobEnd.REFUSED)
+        return self._evacuated(model.JobEnd.REFUSED)
 
     def _check_started(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
         """Gives up a job whose waiting tasks no upstream may run any more.
@@ -162,7 +163,16 @@
             or any(task.state is TaskState.ORDERED for task in job.tasks)
         ):
             return _KEPT
-        return _no_upstream(model.JobEnd.GIVEN_UP)
+        return self._evacuated(model.JobEnd.GIVEN_UP)
+
+    def _evacuated(self, end: model.JobEnd) -> Ended:
+        """Ends a job that only evacuated upstreams could run."""
+        domains = ",".join(sorted(self._evacuations.domains))
+        return dataclasses.replace(
+            _no_upstream(end),
+            event="job_upstreams_evacuated",
+            detail=f"domains={domains}",
+        )
 
     def check_deadline(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
         """Ends a job whose waiting tasks can't end by its deadline."""
--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -351,6 +351,9 @@
     async def _handle_metrics(
         self, request: http_types.HttpRequest
     ) -> http_types.HttpResponse:
+        evacuated = self._core.evacuated
+        evacuated_count = len(evacuated.domains) if evacuated else 0
+        evacuations_version = evacuated.version if evacuated else -1
         gauges = (
             ("ready", float(self._runtime.ready)),
             ("leads", float(self._core.leads)),
@@ -358,6 +361,8 @@
             ("waiting_jobs", float(self._core.waiting_jobs)),
             ("held_upstreams", float(self._core.held_upstreams)),
             ("linked_hosts", float(len(self._links.linked))),
+            ("evacuated_domains", float(evacuated_count)),
+            ("evacuations_version", float(evacuations_version)),
             ("log_lines_dropped", float(self._dropped_lines())),
         )
         return http_types.HttpResponse(
--- a/tests/test_leased_cells.py
+++ b/tests/test_leased_cells.py
@@ -183,6 +183,46 @@
         self.assertIs(answer.end, model.JobEnd.GIVEN_UP)
 
 
+class EvacuatedCellTest(unittest.TestCase):
+    """Jobs of a lost leader went to an evacuated cell by turns."""
+
+    def test_jobs_go_by_turns_to_the_other_cells(self) -> None:
+        sent: list[ids.HostId] = []
+        leaders = cells.CellLeaders()
+        owned = owned_jobs.OwnedJobs(
+            outbox.Outbox(), leaders, send=lambda host, _: sent.append(host)
+        )
+        home = model.CellId("home")
+        owned.set_home(home)
+        for name in ("home", "evacuated", "open"):
+            leader = cells.CellLeader(ids.HostId(name), model.Term(1), True)
+            leaders.set(model.CellId(name), leader)
+        leaders.close(frozenset({model.CellId("evacuated")}))
+        for number in range(4):
+            request = dataclasses.replace(
+                leased_world.request("j"), job=model.JobName(f"j{number}")
+            )
+            call = ids.CallId(number)
+            owned.job_received(call, request, NOW + 9, now=NOW)
+        leaders.set(home, None)
+        nobody = ids.HostId("")
+        owned.leader_changed(home, nobody, model.Term(0), now=NOW)
+        sent.clear()
+        owned.tick(now=NOW + 1.0)
+        late = dataclasses.replace(
+            leased_world.request("j"), job=model.JobName("late")
+        )
+        owned.job_received(ids.CallId(9), late, NOW + 9, now=NOW + 1.0)
+        self.assertEqual(sent, ["open"] * 5)
+
+    def test_cells_that_are_all_evacuated_refuse_themselves(self) -> None:
+        leaders = cells.CellLeaders()
+        cell = model.CellId("b")
+        leaders.set(cell, cells.CellLeader(OTHER, model.Term(1), True))
+        leaders.close(frozenset({cell}))
+        self.assertEqual(leaders.open_cells(), [cell])
+
+
 class CellMapTest(unittest.TestCase):
     def test_run_factor_by_service_label_and_rack(self) -> None:
         world = leased_world.World({"a": ["a1"], "b": ["b1"]})
