--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -351,6 +351,9 @@
     async def _handle_metrics(
         self, request: http_types.HttpRequest
     ) -> http_types.HttpResponse:
+        evacuated = self._core.evacuated
+        evacuated_count = len(evacuated.domains) if evacuated else 0
+        evacuations_version = evacuated.version if evacuated else -1
         gauges = (
             ("ready", float(self._runtime.ready)),
             ("leads", float(self._core.leads)),
@@ -361,6 +364,8 @@
             ("relayed_calls", float(self._core.relays.relayed_count)),
             ("relayed_calls_lost", float(self._core.relays.lost_count)),
             ("linked_hosts", float(len(self._links.linked))),
+            ("evacuated_domains", float(evacuated_count)),
+            ("evacuations_version", float(evacuations_version)),
             ("log_lines_dropped", float(self._dropped_lines())),
         )
         return http_types.HttpResponse(
