--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -15,13 +15,13 @@
 from godwitnotch.core.leased import lease as lease_module
 from godwitnotch.core.leased import listing as listing_module
 from godwitnotch.core.leased import model
-from godwitnotch.core.leased import order_batches
 from godwitnotch.core.leased import order_relays
 from godwitnotch.core.leased import order_results
 from godwitnotch.core.leased import outbox as outbox_module
 from godwitnotch.core.leased import overflow
 from godwitnotch.core.leased import owned_jobs
 from godwitnotch.core.leased import peer_messages
+from godwitnotch.core.leased import relaying
 from godwitnotch.core.leased import stalls
 from godwitnotch.core.leased import term_raises
 from godwitnotch.core.leased.leadership import LeadershipChange
@@ -89,6 +89,9 @@
             higher_term_seen=self._higher_term_seen,
             relays=self._relays,
         )
+        self._relaying = relaying.Relaying(
+            self._out, self._leadership, self._dispatcher, self._relays
+        )
         self._updates = leader_updates.LeaderUpdates(
             self._out, self._dispatcher.evidence, self._dispatcher.task_records
         )
@@ -411,48 +414,10 @@
             case peer_messages.TasksLearnt():
                 self._dispatcher.task_records.apply(message, now=now)
             case peer_messages.OrdersRelayed():
-                self._relay_orders(host, message)
+                self._relaying.orders_received(host, message)
             case _ if self.leads:
                 self._handle_leader_message(host, message, now=now)
 
-    def _relay_orders(
-        self, leader: ids.HostId, message: peer_messages.OrdersRelayed
-    ) -> None:
-        """Sends orders for the leader that this host follows.
-
-        Another host may have lost its office without knowing it.
-        """
-        leadership = self._leadership
-        if leadership.leader == leader and message.term >= leadership.term:
-            orders = tuple(order_batches.unpack_orders(message))
-            self._out.add(actions.SendForLeader(leader, message.term, orders))
-        else:
-            self._send(leader, order_batches.refuse(message))
-
-    def _results_received(
-        self,
-        relay: ids.HostId,
-        results: peer_messages.OrderResults,
-        *,
-        now: float,
-    ) -> None:
-        """Handles the results of calls that a relay has sent."""
-        for result in results.all():
-            if self._relays.take_result(relay, result, now=now):
-                self._dispatcher.lease_manager.call_ended(result, now=now)
-        self._dispatcher.place_waiting(now=now)
-
-    def _update_relays(self, *, now: float) -> None:
-        """Begins or ends the use of relays; gives up calls without a result."""
-        if not self.leads:
-            return
-        for lost in self._relays.take_overdue(now=now):
-            self._dispatcher.lease_manager.order_unanswered(lost, now=now)
-        switch = self._relays.update(self._leadership.relay_candidates, now=now)
-        if switch is not None:
-            event = "relays_started" if switch.active else "relays_ended"
-            self._out.add_decision(event, detail=switch.pairs())
-
     def _notice_departed_owner(
         self, host: ids.HostId, standing: peer_messages.Standing, *, now: float
     ) -> None:
@@ -533,7 +498,7 @@
                     now=now,
                 )
             case peer_messages.OrderResults():
-                self._results_received(host, message, now=now)
+                self._relaying.results_received(host, message, now=now)
             case cell_load.CellLoad():
                 self._dispatcher.overflow.load_received(host, message, now=now)
             case peer_messages.AllHandedOver(term=term):
@@ -598,8 +563,7 @@
     host._updates.host_lost(event.host)
     host._dispatcher.overflow.host_lost(event.host)
     change = host._leadership.peer_lost(event.host, now=now)
-    for lost in host._relays.host_lost(event.host, now=now):
-        host._dispatcher.lease_manager.order_unanswered(lost, now=now)
+    host._relaying.host_lost(event.host, now=now)
     if host.leads:
         host._dispatcher.owner_lost(event.host, now=now)
     host._apply_change(change, now=now)
@@ -654,7 +618,7 @@
     if host.leads and host._divide_if_too_large(now=now):
         host._hold_upstreams(now=now)
     host._update_adopted(now=now)
-    host._update_relays(now=now)
+    host._relaying.tick(now=now)
     host._dispatcher.tick(now=now)
     host._send_load(now=now)
     if host.leads:
--- a/godwitnotch/core/leased/lease.py
+++ b/godwitnotch/core/leased/lease.py
@@ -313,6 +313,17 @@
         """Returns whether runs should have ended, as nothing was renewed."""
         return bool(self.runs) and now >= self.expires_at
 
+    def expiry_pairs(self, *, now: float) -> str:
+        """Returns what preceded the expiry as key=value pairs for the log."""
+        renewed_at = self.expires_at - MAX_LEASE_DURATION_S
+        return (
+            f"upstream={self.upstream.upstream} "
+            f"runs={len(self.runs)} state={self.state.value} "
+            f"response_ago_ms={_ago_ms(self.responded_at, now=now)} "
+            f"renewal_ago_ms={_ago_ms(renewed_at, now=now)} "
+            f"expired_ago_ms={_ago_ms(self.expires_at, now=now)}"
+        )
+
     def asked_since_expiry(self) -> bool:
         """Returns whether a request sent after the expiry has no result yet."""
         return (
@@ -357,3 +368,8 @@
             and not self.unknown_needs
             and len(self.runs) < self.upstream.slots
         )
+
+
+def _ago_ms(at: float, *, now: float) -> str:
+    """Returns how long ago a time was, in ms; `none` if the time isn't set."""
+    return f"{(now - at) * 1_000:.0f}" if at else "none"
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -696,14 +696,9 @@
 
     def _expire(self, lease: lease_module.Lease, *, now: float) -> None:
         """Records all runs of an expired lease as ended."""
-        renewed_at = lease.expires_at - lease_module.MAX_LEASE_DURATION_S
         self._out.add_decision(
             "lease_lapsed",
-            detail=f"upstream={lease.upstream.upstream} "
-            f"runs={len(lease.runs)} state={lease.state.value} "
-            f"response_ago_ms={_ago_ms(lease.responded_at, now=now)} "
-            f"renewal_ago_ms={_ago_ms(renewed_at, now=now)} "
-            f"expired_ago_ms={_ago_ms(lease.expires_at, now=now)} "
+            detail=f"{lease.expiry_pairs(now=now)} "
             f"tick_gap_ms={self._tick_gap_s * 1_000:.0f} term={self.term}",
         )
         lease.lose(now=now)
@@ -726,8 +721,3 @@
     ) -> None:
         for run in tuple(lease.runs.values()):
             self._record_end(lease, run, end, now=now)
-
-
-def _ago_ms(at: float, *, now: float) -> str:
-    """Returns how long ago a time was, in ms; `none` if the time isn't set."""
-    return f"{(now - at) * 1_000:.0f}" if at else "none"
