Read the factor away from a rack from the settings; learn without it

Cause: tasks away from the rack of their data take bounds.slowdown_factor times as long (1.5, 2 or 3 on deployments in service), while placement and the choice of a cell used a fixed 1.5. Learnt run times counted the factor as slowness of the upstream, as a longer run time of the route, and as the run time of the job whose task ran away from its rack first.

Change: the leader's settings give the factor. A field that is missing or malformed falls back to 1.5 and logs setting_defaulted with the remedy. RunTimes divides by the factor before it learns, and one Racks object serves prediction, learning and the choice of a cell.

--- a/godwitnotch/core/leased/cell_map.py
+++ b/godwitnotch/core/leased/cell_map.py
@@ -4,14 +4,19 @@
 from collections.abc import Iterable
 
 from godwitnotch.core import ids
+from godwitnotch.core.leased import locality
 from godwitnotch.core.leased import model
-from godwitnotch.core.leased import placement
 
 
 class CellMap:
-    """Tells how well the upstreams of a failure domain suit a job."""
+    """Tells how well the upstreams of a failure domain suit a job.
 
-    def __init__(self) -> None:
+    Args:
+        racks: How much longer tasks take away from the rack of their data.
+    """
+
+    def __init__(self, racks: locality.Racks) -> None:
+        self._racks = racks
         self._labels: dict[ids.DomainId, set[str]] = {}
         self._services: dict[ids.DomainId, set[model.ServiceName]] = {}
 
@@ -54,4 +59,4 @@
         rack = tasks.preferred_rack
         if not rack or any(rack in self._labels[domain] for domain in suited):
             return 1.0
-        return placement.OTHER_RACK_FACTOR
+        return self._racks.slowdown_factor
--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -12,6 +12,7 @@
 from godwitnotch.core.leased import lease as lease_module
 from godwitnotch.core.leased import lease_manager
 from godwitnotch.core.leased import load_meter
+from godwitnotch.core.leased import locality
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import outbox as outbox_module
 from godwitnotch.core.leased import overdue_runs
@@ -42,6 +43,7 @@
 
     Args:
         out: Collects the actions to execute.
+        racks: How much longer tasks take away from the rack of their data.
         answer_owner: Sends the answer for a job to its owner.
         redirect_owner: Tells the owner of a job which other leader takes it.
         suitability: Tells how long a job's tasks take in each cell.
@@ -56,6 +58,7 @@
         self,
         out: outbox_module.Outbox,
         *,
+        racks: locality.Racks,
         answer_owner: AnswerOwner,
         redirect_owner: RedirectOwner,
         suitability: Callable[[model.JobRequest], overflow.Suitability],
@@ -77,7 +80,7 @@
         self._accepting_computed_at = float("-inf")
         self._retained_answers = retained_answers.RetainedAnswers()
         self._task_records = task_records.TaskRecords()
-        self._times = run_times.RunTimes()
+        self._times = run_times.RunTimes(racks)
         self._health = health_module.UpstreamHealth()
         self._evidence = evidence_module.EvidenceSharing(
             self._times, self._health
@@ -334,6 +337,12 @@
         job.started = True
         return job
 
+    def expected_s(
+        self, job: jobs.LeasedJob, lease: lease_module.Lease
+    ) -> float:
+        """Returns the expected run time of a job's task on an upstream."""
+        return self._placement.expected_ms(job, lease) / 1_000
+
     def adopt_done_run(self, key: model.RunKey, *, now: float) -> bool:
         """Counts a waiting task as done, by a run of an earlier leader or lease.
 
--- a/godwitnotch/core/leased/fleet.py
+++ b/godwitnotch/core/leased/fleet.py
@@ -6,6 +6,7 @@
 from godwitnotch.core import ids
 from godwitnotch.core.leased import cell_map
 from godwitnotch.core.leased import cells
+from godwitnotch.core.leased import locality
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import overflow
 from godwitnotch.core.leased import peer_messages
@@ -24,14 +25,21 @@
     Args:
         host: This host.
         domain: Failure domain of this host.
+        racks: How much longer tasks take away from the rack of their data.
     """
 
-    def __init__(self, *, host: ids.HostId, domain: ids.DomainId) -> None:
+    def __init__(
+        self,
+        *,
+        host: ids.HostId,
+        domain: ids.DomainId,
+        racks: locality.Racks,
+    ) -> None:
         self._host = host
         self._domain = domain
         self._divided = False
         self._leaders = cells.CellLeaders()
-        self._map = cell_map.CellMap()
+        self._map = cell_map.CellMap(racks)
         self._orphaned_since: dict[ids.DomainId, float] = {}
         self._adopted: frozenset[ids.DomainId] = frozenset()
         self._host_domains = {domain}
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -14,6 +14,7 @@
 from godwitnotch.core.leased import leadership as leadership_module
 from godwitnotch.core.leased import lease as lease_module
 from godwitnotch.core.leased import listing as listing_module
+from godwitnotch.core.leased import locality
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import outbox as outbox_module
 from godwitnotch.core.leased import overflow
@@ -49,6 +50,7 @@
         unix_time: Returns the Unix time in seconds.
         now: The current time.
         runs_per_s: How many runs a second this host can order as a leader.
+        racks: How much longer tasks take away from the rack of their data.
     """
 
     def __init__(
@@ -60,11 +62,12 @@
         unix_time: Callable[[], float],
         now: float,
         runs_per_s: float = float("inf"),
+        racks: locality.Racks = locality.DEFAULT_RACKS,
     ) -> None:
         self._host = host
         self._domain = domain
         self._runs_per_s = runs_per_s
-        self._fleet = fleet_module.Fleet(host=host, domain=domain)
+        self._fleet = fleet_module.Fleet(host=host, domain=domain, racks=racks)
         self._out = outbox_module.Outbox()
         self._next_load_at = 0.0
         self._linked_domains: dict[ids.HostId, ids.DomainId] = {}
@@ -77,6 +80,7 @@
         )
         self._dispatcher = dispatcher_module.Dispatcher(
             self._out,
+            racks=racks,
             answer_owner=self._answer_owner,
             redirect_owner=self._redirect_owner,
             suitability=self._fleet.suitability,
--- a/godwitnotch/core/leased/placement.py
+++ b/godwitnotch/core/leased/placement.py
@@ -17,7 +17,6 @@
 
 # An upstream with a recent failure is rated as slower by this factor.
 RECENT_FAILURE_FACTOR = 3.0
-OTHER_RACK_FACTOR = 1.5
 # An entirely free upstream costs this share more than a full one, so that free
 # CPU decides between upstreams of nearly equal run time.
 FREE_CPU_COST_SHARE = 0.1
@@ -145,11 +144,7 @@
         self, job: jobs.LeasedJob, lease: lease_module.Lease
     ) -> float:
         """Returns the expected run time of a job's task on an upstream."""
-        factor = self._times.slowness(lease.upstream)
-        rack = job.request.tasks.preferred_rack
-        if rack and rack not in lease.upstream.labels:
-            factor *= OTHER_RACK_FACTOR
-        return job.base_ms * factor
+        return job.base_ms * self._times.run_factor(job.request, lease.upstream)
 
     def _is_eligible(
         self,
--- a/godwitnotch/core/leased/run_outcomes.py
+++ b/godwitnotch/core/leased/run_outcomes.py
@@ -49,13 +49,13 @@
         if not run.expected_s or run.confirmed_at is None:
             return
         ran_ms = (now - run.ordered_at) * 1_000
-        slowness = self._times.slowness(lease.upstream)
+        factor = self._times.run_factor(job.request, lease.upstream)
         self._times.run_succeeded(
             job.request, lease.upstream, ran_ms=ran_ms, now=now
         )
         if not job.base_ms_measured:
             job.base_ms_measured = True
-            job.base_ms = ran_ms / slowness
+            job.base_ms = ran_ms / factor
 
     def run_failed(
         self,
--- a/godwitnotch/core/leased/run_times.py
+++ b/godwitnotch/core/leased/run_times.py
@@ -5,8 +5,9 @@
 expected run time of a task is the geometric mean of two values: its caller's
 estimate, corrected by the bias of earlier estimates, and its route's average.
 
-A run tells only the product of work and slowness. The scale is fixed by the
-median upstream, whose slowness is 1. An upstream without recent runs returns to
+A run tells only the product of work, slowness and the factor away from the rack
+of its data, which is known. The scale is fixed by the median upstream, whose
+slowness is 1. An upstream without recent runs returns to
 the slowness of its kind, so that one that has recovered gets runs again.
 """
 
@@ -15,6 +16,7 @@
 from dataclasses import dataclass
 
 from godwitnotch.core import ids
+from godwitnotch.core.leased import locality
 from godwitnotch.core.leased import model
 
 # Weights of a new run in the moving averages.
@@ -48,9 +50,14 @@
 
 
 class RunTimes:
-    """Learns from ended runs and predicts the run times of new ones."""
+    """Learns from ended runs and predicts the run times of new ones.
 
-    def __init__(self) -> None:
+    Args:
+        racks: How much longer tasks take away from the rack of their data.
+    """
+
+    def __init__(self, racks: locality.Racks = locality.DEFAULT_RACKS) -> None:
+        self._racks = racks
         self._routes: dict[model.RouteName, _Route] = {}
         self._log_slowness: dict[ids.UpstreamId, float] = {}
         self._kind_log_slowness: dict[str, float] = {}
@@ -78,6 +85,12 @@
             return slowness
         return math.exp(self._kind_log_slowness.get(_kind(upstream), 0.0))
 
+    def run_factor(
+        self, request: model.JobRequest, upstream: model.LeasedUpstream
+    ) -> float:
+        """Returns the factor of `base_ms` by which a job's tasks take there."""
+        return self.slowness(upstream) * self._racks.factor(request, upstream)
+
     def known_upstreams(self) -> frozenset[ids.UpstreamId]:
         """Returns the upstreams whose slowness was learnt."""
         return frozenset(self._slowness)
@@ -141,6 +154,7 @@
         """Learns from a run that has succeeded."""
         self._record_run(upstream, now=now)
         log_ran = math.log(max(MIN_RUN_MS, ran_ms))
+        log_ran -= math.log(self._racks.factor(request, upstream))
         log_base = math.log(self.base_ms(request))
         log_slowness = math.log(self.slowness(upstream))
         self._learn_upstream(upstream, log_ran - log_base)
@@ -156,7 +170,8 @@
     ) -> None:
         """Raises the slowness of an upstream to that of an overdue run."""
         self._record_run(upstream, now=now)
-        observed = math.log(max(1.0, running_ms / self.base_ms(request)))
+        usual_ms = self.base_ms(request) * self._racks.factor(request, upstream)
+        observed = math.log(max(1.0, running_ms / usual_ms))
         observed = min(observed, math.log(MAX_SLOWNESS))
         known = math.log(self.slowness(upstream))
         if observed > known:
--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -23,6 +23,7 @@
 from godwitnotch.core.leased import capacity
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import host as host_module
+from godwitnotch.core.leased import locality
 from godwitnotch.core.leased import model
 from godwitnotch.net import http_client
 from godwitnotch.net import http_server
@@ -135,6 +136,7 @@
             unix_time=time.time,
             now=self._loop.time(),
             runs_per_s=runs_per_s,
+            racks=locality.Racks(settings.slowdown_factor),
         )
         self._links = self._make_links()
         self._order_client = leased_calls.OrderClient()
@@ -227,7 +229,9 @@
             id=self._settings.peers,
             domain=self._settings.domain,
             cores=self._settings.relative_cpu_speed,
+            slowdown_factor=self._settings.slowdown_factor,
         )
+        _log_defaulted(self._settings)
 
     async def wait_drained(self) -> None:
         """Waits until a drain starts, then for `MIN_DRAIN_S`."""
@@ -392,6 +396,7 @@
         except settings_module.PlatformSettingsError as error:
             log.event("settings_rejected", cause=error)
             return
+        _log_defaulted(loaded)
         changed = loaded != self._settings
         log.event("settings_reloaded", changed=changed, seeds=len(loaded.seeds))
         self._runtime.add_hosts(
@@ -409,3 +414,13 @@
     def _record_fault(self, where: str, error: BaseException) -> None:
         self._metrics.count_event("internal_fault", type(error).__name__)
         process.log_fault(where, error)
+
+
+def _log_defaulted(settings: settings_module.PlatformSettings) -> None:
+    for each in settings.defaulted:
+        log.event(
+            "setting_defaulted",
+            field=each.field,
+            cause=each.cause,
+            default=each.default,
+        )
--- a/godwitnotch/platform/settings.py
+++ b/godwitnotch/platform/settings.py
@@ -4,22 +4,40 @@
 the platform can add fields.
 """
 
+import math
 import os
 import pathlib
 from collections.abc import Mapping
 from dataclasses import dataclass
 
 from godwitnotch.core import ids
+from godwitnotch.core.leased import locality
 
 PATH_VARIABLE = "GODWITNOTCH_NODE_FILE"
 DEFAULT_PATH = "/etc/godwitnotch/settings.conf"
 DEFAULT_LINK_MBPS = 1_000.0
+SLOWDOWN_FACTOR = "bounds.slowdown_factor"
 
 
 class PlatformSettingsError(Exception):
     """The settings file can't be used; the message names the remedy."""
 
 
+@dataclass(frozen=True, slots=True)
+class DefaultedSetting:
+    """A field that is missing or malformed, and has its default instead.
+
+    Attributes:
+        field: Name of the field.
+        cause: What is wrong, and the remedy.
+        default: The value in force.
+    """
+
+    field: str
+    cause: str
+    default: float
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformSettings:
     """Settings that the platform gives a process.
@@ -41,6 +59,9 @@
             speed of that core as a multiple of a reference core.
         link_mbps: Bandwidth of the machine's network link, in Mbit/s.
         termination_grace_s: Time between SIGTERM and SIGKILL.
+        slowdown_factor: Factor by which tasks take longer away from the rack
+            that they name; at least 1.
+        defaulted: Fields that have their default instead.
     """
 
     name: str
@@ -54,6 +75,8 @@
     relative_cpu_speed: float
     link_mbps: float
     termination_grace_s: float
+    slowdown_factor: float = locality.DEFAULT_SLOWDOWN_FACTOR
+    defaulted: tuple[DefaultedSetting, ...] = ()
 
 
 def path() -> pathlib.Path:
@@ -85,6 +108,7 @@
         PlatformSettingsError: A field is missing or malformed.
     """
     values = dict(_parse_pairs(text))
+    factor, defaulted = _parse_slowdown_factor(values)
     try:
         return PlatformSettings(
             name=values["node"],
@@ -98,6 +122,8 @@
             relative_cpu_speed=_parse_cpu_speed(values),
             link_mbps=float(values.get("limits.link_mbps", DEFAULT_LINK_MBPS)),
             termination_grace_s=float(values.get("bounds.grace_s", "6")),
+            slowdown_factor=factor,
+            defaulted=defaulted,
         )
     except KeyError as error:
         raise PlatformSettingsError(
@@ -124,6 +150,24 @@
     return tuple(ids.HostId(seed.strip()) for seed in seeds if seed.strip())
 
 
+def _parse_slowdown_factor(
+    values: Mapping[str, str],
+) -> tuple[float, tuple[DefaultedSetting, ...]]:
+    """Returns the factor, and the record of its default if that is used."""
+    text = values.get(SLOWDOWN_FACTOR)
+    cause = "the field is missing; declare the factor of this deployment"
+    if text is not None:
+        try:
+            factor = float(text)
+        except ValueError:
+            factor = math.nan
+        if math.isfinite(factor) and factor >= 1:
+            return factor, ()
+        cause = f"{text} is not a number of 1 or more; correct the field"
+    default = locality.DEFAULT_SLOWDOWN_FACTOR
+    return default, (DefaultedSetting(SLOWDOWN_FACTOR, cause, default),)
+
+
 def _parse_cpu_speed(values: Mapping[str, str]) -> float:
     # The share is of one core. Despite its name, `limits.cores` isn't a number
     # of cores, but the speed of that core as a multiple of a reference core.
