Expect adopted runs to take as long as placed ones

Cause: a new leader expected an adopted run to take the base time of its job, without the slowness of the upstream or the factor away from its rack. At a factor of 3 a sound run passed the limit of 2.5 times the expected time, was stopped as overdue, and its task was started again.

Change: the lease manager asks for the expected time at that upstream.

--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -543,7 +543,7 @@
         for run in tuple(lease.runs.values()):
             if run.job is not None and run.needs is lease_module.UNKNOWN_NEEDS:
                 lease.set_needs(run, run.job.request.tasks.needs)
-                run.expected_s = run.job.base_ms / 1_000
+                run.expected_s = self._listener.expected_s(run.job, lease)
 
     def _record_newly_ended(
         self,
--- a/godwitnotch/core/leased/run_listener.py
+++ b/godwitnotch/core/leased/run_listener.py
@@ -18,6 +18,11 @@
             The job; None if no owner has claimed the run.
         """
 
+    def expected_s(
+        self, job: jobs.LeasedJob, lease: lease_module.Lease
+    ) -> float:
+        """Returns the expected run time of a job's task on an upstream."""
+
     def adopt_done_run(self, key: model.RunKey, *, now: float) -> bool:
         """Handles a run that has succeeded under an earlier leader or lease.
 
--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -57,6 +57,9 @@
     def adopt_run(self, key: model.RunKey) -> jobs.LeasedJob | None:
         return self._job
 
+    def expected_s(self, job, lease) -> float:
+        return 0.1
+
     def adopt_done_run(self, key: model.RunKey, *, now: float) -> bool:
         return True
 
