--- a/bench/leased_load.py
+++ b/bench/leased_load.py
@@ -18,6 +18,7 @@
 from dataclasses import field
 
 from godwitnotch.core import ids
+from godwitnotch.core.leased import locality
 from godwitnotch.core.leased import model
 
 SERVICE = model.ServiceName("service")
@@ -84,12 +85,14 @@
         upstreams: Upstreams that were available at some time.
         outages: Begin and end of each interval without a leader.
         completed_at: When jobs were completed according to the log.
+        racks: How much longer tasks take away from the rack of their data.
     """
 
     jobs: tuple[Job, ...]
     upstreams: tuple[Upstream, ...]
     outages: tuple[tuple[float, float], ...] = ()
     completed_at: Mapping[model.JobName, float] = field(default_factory=dict)
+    racks: locality.Racks = locality.DEFAULT_RACKS
 
 
 @dataclass(slots=True)
@@ -286,7 +289,7 @@
 
 
 def make_upstream(
-    name: str, cpu_millis: int, slots: int, slowness: float
+    name: str, cpu_millis: int, slots: int, slowness: float, *, rack: str = ""
 ) -> Upstream:
     """Returns an upstream that is always available."""
     entry = model.LeasedUpstream(
@@ -296,7 +299,7 @@
         service=SERVICE,
         slots=slots,
         capacity=model.Resources(cpu_millis, MEMORY_MB, 0),
-        labels=(name,),
+        labels=(name, rack) if rack else (name,),
         draining=False,
     )
     return Upstream(entry, slowness)
@@ -311,6 +314,7 @@
     route: str = "route",
     stretch: float = 1.6,
     target_ms: float = 60.0,
+    rack: str = "",
 ) -> model.JobRequest:
     """Returns a request whose tasks run on any upstream of SERVICE."""
     return model.JobRequest(
@@ -321,7 +325,7 @@
             needs=model.Resources(cpu_millis, 64, 0),
             estimate_ms=estimate_ms,
             required_label="",
-            preferred_rack="",
+            preferred_rack=rack,
             max_per_upstream=0,
         ),
         model.RouteSettings(
--- a/bench/leased_replay.py
+++ b/bench/leased_replay.py
@@ -44,12 +44,16 @@
             start of the load.
         refused_jobs: Jobs that were refused.
         run_count: Number of runs that were ordered.
+        rack_run_count: Number of these whose job names a rack.
+        away_count: Number of these that were away from that rack.
         cpu_s: CPU time of the host core, in seconds.
     """
 
     ended_at: dict[model.JobName, float] = field(default_factory=dict)
     refused_jobs: set[model.JobName] = field(default_factory=set)
     run_count: int = 0
+    rack_run_count: int = 0
+    away_count: int = 0
     cpu_s: float = 0.0
 
 
@@ -101,6 +105,7 @@
             rank=1,
             unix_time=lambda: self._now,
             now=self._now,
+            racks=load.racks,
         )
 
     def run(self) -> ReplayResult:
@@ -187,8 +192,16 @@
         self._result.run_count += 1
         key = action.key
         upstream.running[key.task] = key
-        work_ms = self._jobs[key.task.job].work_ms[key.task.index]
-        run_s = work_ms * upstream.load_upstream.slowness / 1_000
+        job = self._jobs[key.task.job]
+        rack = job.request.tasks.preferred_rack
+        self._result.rack_run_count += bool(rack)
+        self._result.away_count += bool(
+            rack and rack not in action.upstream.labels
+        )
+        factor = upstream.load_upstream.slowness * self._load.racks.factor(
+            job.request, action.upstream
+        )
+        run_s = job.work_ms[key.task.index] * factor / 1_000
         end = model.RunEnd.DONE
         self._call_later(run_s, lambda: self._end_run(upstream, key, end))
         self._respond(self._order_taken(action.call))
--- a/bench/load_sweep.py
+++ b/bench/load_sweep.py
@@ -89,13 +89,19 @@
     while arrives_at < DURATION_S:
         arrives_at += rng.expovariate(jobs_per_s)
         (route,) = rng.choices(ROUTES, [route.share for route in ROUTES])
-        jobs.append(_job(rng, route, len(jobs), arrives_at))
+        jobs.append(make_job(rng, route, len(jobs), arrives_at))
     return leased_load.Load(tuple(jobs), upstreams)
 
 
-def _job(
-    rng: random.Random, route: Route, number: int, arrives_at: float
+def make_job(
+    rng: random.Random,
+    route: Route,
+    number: int,
+    arrives_at: float,
+    *,
+    rack: str = "",
 ) -> leased_load.Job:
+    """Generates a job of a route, which may name a rack."""
     drawn = round(route.tasks * math.exp(rng.gauss(0, 0.7)))
     count = min(32, max(1, drawn))
     base_ms = route.task_ms * math.exp(rng.gauss(0, 0.4))
@@ -108,6 +114,7 @@
         rng.randint(20, 34) * 1_000,
         base_ms * math.exp(rng.gauss(0, 0.42)),
         route=route.name,
+        rack=rack,
     )
     max_wait_s = 1.5 + 2 * rng.random() + base_ms / 300
     return leased_load.Job(arrives_at, request, work_ms, max_wait_s)
