Wait for the rack of a task's data while that pays

Cause: a task whose rack had no free place went to another rack at once, where it takes 1.5 to 3 times as long.

Change: locality.decide lets a task wait for a place of its rack that is expected to be free so soon that the task ends there first, at most until a start there would end no sooner than the start elsewhere. Places that tasks wait for count as taken. The search for places to come is shared with the wait for faster upstreams, which now compares expected run times: it ended at the first upstream where the job would be late, although a slower one of the job's rack came later. Overdue runs ask for a verdict that changes nothing. Each wait ends with rack_wait_ended, reason gained or lost.

--- a/bench/rack_sweep.py
+++ b/bench/rack_sweep.py
@@ -151,7 +151,9 @@
                         )
     for name, values in means.items():
         if name != "mean":
-            print(f"{name} seeds={len(values)} mean={statistics.fmean(values):.4f}")
+            print(
+                f"{name} seeds={len(values)} mean={statistics.fmean(values):.4f}"
+            )
     print(f"mean={statistics.fmean(means['mean']):.4f}")
 
 
--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -88,7 +88,9 @@
         self._outcomes = run_outcomes.RunOutcomes(
             out, self._times, self._health, self._task_records
         )
-        self._placement = placement_module.Placement(self._times, self._health)
+        self._placement = placement_module.Placement(
+            self._times, self._health, out
+        )
         self._overdue = overdue_runs.OverdueRuns(self._times, self._placement)
         self._lease_manager = lease_manager.LeaseManager(
             out, self, in_scope=in_scope
--- a/godwitnotch/core/leased/jobs.py
+++ b/godwitnotch/core/leased/jobs.py
@@ -6,6 +6,7 @@
 from dataclasses import field
 
 from godwitnotch.core import ids
+from godwitnotch.core.leased import locality
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import peer_messages
 
@@ -30,6 +31,8 @@
         excluded_upstreams: Upstreams on which a run failed or was overdue.
         last_overdue_run_s: How long its last overdue run had lasted when it was
             stopped, in seconds; 0 if there was none.
+        rack_wait: Its wait for the rack of its data; None if it had none. A
+            task waits once, so this stays after the wait.
     """
 
     key: model.TaskKey
@@ -38,6 +41,7 @@
     failures: int = 0
     excluded_upstreams: set[ids.UpstreamId] = field(default_factory=set)
     last_overdue_run_s: float = 0.0
+    rack_wait: locality.RackWait | None = None
 
 
 @dataclass(slots=True)
--- a/godwitnotch/core/leased/lease.py
+++ b/godwitnotch/core/leased/lease.py
@@ -316,10 +316,17 @@
         wait_ms = round(left_s * 1_000) + LIST_WAIT_MARGIN_MS
         return max(MIN_LIST_WAIT_MS, min(MAX_LIST_WAIT_MS, wait_ms))
 
-    def available_at(self, needs: model.Resources, *, now: float) -> float:
+    def available_at(
+        self, needs: model.Resources, *, now: float, places_taken: int = 0
+    ) -> float:
         """Returns when runs are expected to have freed a task's resources.
 
         The result is infinite if the resources are never free.
+
+        Args:
+            needs: The resources of the task.
+            now: The current time.
+            places_taken: How many places of this size other tasks take first.
         """
         free = self.free_resources
         ends = sorted(
@@ -328,8 +335,11 @@
         )
         for end, _, freed in ends:
             free = free.plus(freed)
-            if needs.fits_in(free):
-                return end
+            while needs.fits_in(free):
+                if not places_taken:
+                    return end
+                places_taken -= 1
+                free = free.minus(needs)
         return float("inf")
 
     def accepts_runs(self) -> bool:
--- a/godwitnotch/core/leased/overdue_runs.py
+++ b/godwitnotch/core/leased/overdue_runs.py
@@ -119,10 +119,10 @@
         """Excludes the upstream for the task; returns if another is free."""
         task = overdue.job.tasks[overdue.run.key.task.index]
         task.excluded_upstreams.add(overdue.lease.upstream.upstream)
-        other = self._placement.choose(
+        verdict = self._placement.decide(
             overdue.job, task, accepting_leases, now=now
         )
-        return other is not None
+        return isinstance(verdict, placement_module.Placed)
 
 
 def _others_run_as_long(
--- a/godwitnotch/core/leased/placement.py
+++ b/godwitnotch/core/leased/placement.py
@@ -4,15 +4,21 @@
 equal upstreams the upstream with the smallest share of free CPU is preferred,
 so that large tasks still fit on the others. If the job would end too late
 there, the task waits for a faster upstream, provided that a faster upstream is
-expected to be free in time.
+expected to be free in time. A task that names a rack also waits for a place
+there, as `locality` decides.
 """
 
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Sequence
+from dataclasses import dataclass
 
+from godwitnotch.core import ids
 from godwitnotch.core.leased import health as health_module
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import lease as lease_module
+from godwitnotch.core.leased import locality
+from godwitnotch.core.leased import outbox as outbox_module
 from godwitnotch.core.leased import run_times
 
 # An upstream with a recent failure is rated as slower by this factor.
@@ -22,19 +28,53 @@
 FREE_CPU_COST_SHARE = 0.1
 
 
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """The task goes to an upstream now."""
+
+    lease: lease_module.Lease
+
+
+@dataclass(frozen=True, slots=True)
+class NoRoom:
+    """No upstream that can run the task has a free place."""
+
+
+@dataclass(frozen=True, slots=True)
+class WaitsForRack:
+    """The task waits for a place in the rack of its data."""
+
+    wait: locality.RackWait
+
+
+@dataclass(frozen=True, slots=True)
+class WaitsForFaster:
+    """The task would end late now, and in time at a place to come."""
+
+    place: locality.Place
+
+
+Verdict = Placed | NoRoom | WaitsForRack | WaitsForFaster
+
+
 class Placement:
     """Chooses upstreams for tasks.
 
     Args:
         times: Tells how slow upstreams are.
         health: Tells which upstreams are ejected.
+        out: Collects the decisions for the log; None for none.
     """
 
     def __init__(
-        self, times: run_times.RunTimes, health: health_module.UpstreamHealth
+        self,
+        times: run_times.RunTimes,
+        health: health_module.UpstreamHealth,
+        out: outbox_module.Outbox | None = None,
     ) -> None:
         self._times = times
         self._health = health
+        self._waits = locality.RackWaits(out or outbox_module.Outbox())
 
     def choose_idle(
         self,
@@ -58,6 +98,36 @@
     ) -> lease_module.Lease | None:
         """Returns the lease of the upstream for a task, None if the task waits.
 
+        Records the wait for a rack, and its end.
+
+        Args:
+            job: The job of the task.
+            task: The task.
+            leases: The leases that accept runs, the fastest upstream first.
+            now: The current time.
+        """
+        match self.decide(job, task, leases, now=now):
+            case Placed(lease=lease):
+                if task.rack_wait is not None:
+                    end_at = now + self.expected_ms(job, lease) / 1_000
+                    self._waits.end(task.key, task.rack_wait, end_at, now=now)
+                return lease
+            case WaitsForRack(wait=wait):
+                if wait is not task.rack_wait:
+                    self._waits.begin(task.key, wait, now=now)
+                    task.rack_wait = wait
+        return None
+
+    def decide(
+        self,
+        job: jobs.LeasedJob,
+        task: jobs.LeasedTask,
+        leases: Sequence[lease_module.Lease],
+        *,
+        now: float,
+    ) -> Verdict:
+        """Decides where a task goes now, or why it waits; changes nothing.
+
         Args:
             job: The job of the task.
             task: The task.
@@ -65,20 +135,55 @@
             now: The current time.
         """
         best = self._find_cheapest(job, task, leases, now=now)
-        if best is None or self._ends_in_time(job, best, start=now):
-            return best
-        wait_for_faster = self._faster_available_in_time(
-            job, task, leases, best, now=now
-        )
-        return None if wait_for_faster else best
+        if best is None:
+            return NoRoom()
+        away_end_at = now + self.expected_ms(job, best) / 1_000
+        wait = self._rack_wait(job, task, leases, best, now=now)
+        if wait is not None:
+            return WaitsForRack(wait)
+        if away_end_at <= job.target_end_at:
+            return Placed(best)
+        for place in self._sooner_places(job, task, leases, best, now=now):
+            if place.end_at <= job.target_end_at:
+                return WaitsForFaster(place)
+        return Placed(best)
 
-    def _ends_in_time(
-        self, job: jobs.LeasedJob, lease: lease_module.Lease, *, start: float
-    ) -> bool:
-        end = start + self.expected_ms(job, lease) / 1_000
-        return end <= job.target_end_at
+    def _rack_wait(
+        self,
+        job: jobs.LeasedJob,
+        task: jobs.LeasedTask,
+        leases: Sequence[lease_module.Lease],
+        best: lease_module.Lease,
+        *,
+        now: float,
+    ) -> locality.RackWait | None:
+        """Returns the wait of a task for its rack; None if it doesn't wait."""
+        rack = job.request.tasks.preferred_rack
+        if not rack or rack in best.upstream.labels:
+            return None
+        wait = task.rack_wait
+        if wait is not None:
+            if now >= wait.until:
+                return None
+            lease = self._find_lease(wait.upstream, leases)
+            if lease is not None and self._is_eligible(
+                job, task, lease, now=now, ignore_free_resources=True
+            ):
+                return wait
+        in_rack = [lease for lease in leases if rack in lease.upstream.labels]
+        places = self._sooner_places(job, task, in_rack, best, now=now)
+        away_s = self.expected_ms(job, best) / 1_000
+        return locality.decide(places, wait, away_s=away_s, now=now)
+
+    def _find_lease(
+        self, upstream: ids.UpstreamId, leases: Iterable[lease_module.Lease]
+    ) -> lease_module.Lease | None:
+        for lease in leases:
+            if lease.upstream.upstream == upstream:
+                return lease
+        return None
 
-    def _faster_available_in_time(
+    def _sooner_places(
         self,
         job: jobs.LeasedJob,
         task: jobs.LeasedTask,
@@ -86,24 +191,34 @@
         best: lease_module.Lease,
         *,
         now: float,
-    ) -> bool:
-        """Returns whether a faster upstream is expected to be free in time."""
+    ) -> Iterator[locality.Place]:
+        """Yields the places to come where a task runs shorter than at `best`.
+
+        Args:
+            job: The job of the task.
+            task: The task.
+            leases: The leases to look at, the fastest upstream first.
+            best: The best lease with a free place.
+            now: The current time.
+        """
         needs = job.request.tasks.needs
-        best_slowness = self._times.slowness(best.upstream)
+        best_ms = self.expected_ms(job, best)
         for lease in leases:
             # The leases are sorted by slowness: no further upstream is faster.
-            if self._times.slowness(lease.upstream) >= best_slowness:
-                return False
-            if not self._ends_in_time(job, lease, start=now):
-                return False
+            if job.base_ms * self._times.slowness(lease.upstream) >= best_ms:
+                return
+            expected_ms = self.expected_ms(job, lease)
+            # One with a free place was compared with `best` already.
+            if expected_ms >= best_ms or needs.fits_in(lease.free_resources):
+                continue
             if not self._is_eligible(
                 job, task, lease, now=now, ignore_free_resources=True
             ):
                 continue
-            free_at = lease.available_at(needs, now=now)
-            if self._ends_in_time(job, lease, start=free_at):
-                return True
-        return False
+            upstream = lease.upstream.upstream
+            taken = self._waits.count(upstream, now=now)
+            free_at = lease.available_at(needs, now=now, places_taken=taken)
+            yield locality.Place(upstream, free_at, expected_ms / 1_000)
 
     def _find_cheapest(
         self,
