--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -14,6 +14,7 @@
 from godwitnotch.core.leased import lease as lease_module
 from godwitnotch.core.leased import lease_manager
 from godwitnotch.core.leased import load_meter
+from godwitnotch.core.leased import locality
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import order_relays
 from godwitnotch.core.leased import outbox as outbox_module
@@ -46,6 +47,7 @@
 
     Args:
         out: Collects the actions to execute.
+        racks: How much longer tasks take away from the rack of their data.
         answer_owner: Sends the answer for a job to its owner.
         redirect_owner: Tells the owner of a job which other leader takes it.
         suitability: Tells how long a job's tasks take in each cell.
@@ -63,6 +65,7 @@
         self,
         out: outbox_module.Outbox,
         *,
+        racks: locality.Racks,
         answer_owner: AnswerOwner,
         redirect_owner: RedirectOwner,
         suitability: Callable[[model.JobRequest], overflow.Suitability],
@@ -91,7 +94,7 @@
         self._unfinished_runs = unfinished_runs.UnfinishedRunsLog(
             self._task_records
         )
-        self._times = run_times.RunTimes()
+        self._times = run_times.RunTimes(racks)
         self._health = health_module.UpstreamHealth()
         self._evidence = evidence_module.EvidenceSharing(
             self._times, self._health
@@ -101,7 +104,7 @@
         )
         self._cold = cold_upstreams.ColdUpstreams()
         self._placement = placement_module.Placement(
-            self._times, self._health, self._cold
+            self._times, self._health, cold=self._cold, out=out
         )
         self._overdue = overdue_runs.OverdueRuns(self._times, self._placement)
         self._lease_manager = lease_manager.LeaseManager(
@@ -373,6 +376,12 @@
         job.started = True
         return job
 
+    def expected_s(
+        self, job: jobs.LeasedJob, lease: lease_module.Lease
+    ) -> float:
+        """Returns the expected run time of a job's task on an upstream."""
+        return self._placement.expected_ms(job, lease) / 1_000
+
     def adopt_done_run(self, key: model.RunKey, *, now: float) -> bool:
         """Counts a waiting task as done, by a run of an earlier leader or lease.
 
--- a/godwitnotch/core/leased/fleet.py
+++ b/godwitnotch/core/leased/fleet.py
@@ -7,6 +7,7 @@
 from godwitnotch.core.leased import cell_map
 from godwitnotch.core.leased import cells
 from godwitnotch.core.leased import evacuation
+from godwitnotch.core.leased import locality
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import overflow
 from godwitnotch.core.leased import peer_messages
@@ -26,6 +27,7 @@
         host: This host.
         domain: Failure domain of this host.
         evacuations: The evacuated failure domains.
+        racks: How much longer tasks take away from the rack of their data.
     """
 
     def __init__(
@@ -34,13 +36,14 @@
         host: ids.HostId,
         domain: ids.DomainId,
         evacuations: evacuation.Evacuations,
+        racks: locality.Racks,
     ) -> None:
         self._host = host
         self._domain = domain
         self._evacuations = evacuations
         self._divided = False
         self._leaders = cells.CellLeaders()
-        self._map = cell_map.CellMap()
+        self._map = cell_map.CellMap(racks)
         self._orphaned_since: dict[ids.DomainId, float] = {}
         self._adopted: frozenset[ids.DomainId] = frozenset()
         self._host_domains = {domain}
--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -12,7 +12,6 @@
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
-from godwitnotch.core.leased import cold_upstreams
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import health
 from godwitnotch.core.leased import jobs
@@ -58,6 +57,9 @@
     def adopt_run(self, key: model.RunKey) -> jobs.LeasedJob | None:
         return self._job
 
+    def expected_s(self, job, lease) -> float:
+        return 0.1
+
     def adopt_done_run(self, key: model.RunKey, *, now: float) -> bool:
         return True
 
@@ -292,7 +294,6 @@
         chooser = placement.Placement(
             run_times.RunTimes(),
             health.UpstreamHealth(),
-            cold_upstreams.ColdUpstreams(),
         )
         task, leases = self.job.tasks[1], [self.lease]
         any_lease = chooser.choose(self.job, task, leases, now=self.now)
