--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -7,7 +7,8 @@
 `module.CONSTANT`, that is doubled or halved. `all` stands for every mechanism.
 
 With `--generated` in place of SITE and `--bench`, the days are the loads of
-`bench.load_sweep`, which have no faults and need no bench.
+`bench.load_sweep`, which have no faults and need no bench; with `--uneven` those
+of `bench.uneven_load`.
 
 The copies lie beside the repository. Their journal entries are moved to the
 journal of the repository.
@@ -33,6 +34,12 @@
 DECISIONS = "core/leased"
 DAYS = ("trouble-1", "scale-1", "trouble-2", "scale-2", "trouble-3")
 RATES = ("85", "100", "120")  # Jobs a second of a generated load.
+SHAPES = ("burst_long", "burst_narrow", "burst_wide", "swing", "overload")
+# Whether the loads are uneven, their module and its option for the day.
+GENERATORS = {
+    False: ("bench.load_sweep", "--rate"),
+    True: ("bench.uneven_load", "--shape"),
+}
 SEEDS = (11, 12)
 IGNORED = shutil.ignore_patterns(
     ".git", ".venv", "journal", "__pycache__", ".mypy_cache", ".ruff_cache"
@@ -60,6 +67,7 @@
         jobs: How many plays run at once.
         with_cpu: Whether processor time counts.
         generated: Whether to play generated loads instead of a site's days.
+        generator: Module that generates loads, and its option for the day.
         scratch: Folder of the copies.
     """
 
@@ -70,6 +78,7 @@
     jobs: int
     with_cpu: bool
     generated: bool
+    generator: tuple[str, str]
     scratch: pathlib.Path
 
 
@@ -165,8 +174,7 @@
             [
                 sys.executable,
                 "-m",
-                "bench.load_sweep",
-                "--rate",
+                *self._options.generator,
                 play.day,
                 "--seed",
                 str(play.seed),
@@ -273,6 +281,7 @@
     )
     parser.add_argument("--bench", type=pathlib.Path, default=pathlib.Path())
     parser.add_argument("--generated", action="store_true")
+    parser.add_argument("--uneven", action="store_true")
     parser.add_argument("--without", action="append", default=[])
     parser.add_argument("--day", action="append", default=[])
     parser.add_argument("--seed", action="append", type=int, default=[])
@@ -284,14 +293,20 @@
         default=source_edits.ROOT.parent / "ablation",
     )
     found = parser.parse_args()
+    days = DAYS
+    if found.uneven:
+        days = SHAPES
+    elif found.generated:
+        days = RATES
     options = Options(
         bench=found.bench.resolve(),
         site=found.site.resolve(),
-        days=tuple(found.day) or (RATES if found.generated else DAYS),
+        days=tuple(found.day) or days,
         seeds=tuple(found.seed) or SEEDS,
         jobs=found.jobs,
         with_cpu=found.with_cpu,
-        generated=found.generated,
+        generated=found.generated or found.uneven,
+        generator=GENERATORS[found.uneven],
         scratch=found.scratch,
     )
     Ablation(options, find_variants(found.without)).run()
--- a/bench/leased_replay.py
+++ b/bench/leased_replay.py
@@ -43,12 +43,14 @@
         ended_at: When each completed job was answered, in seconds from the
             start of the load.
         refused_jobs: Jobs that were refused.
+        returned_jobs: New requests of callers that were refused before.
         run_count: Number of runs that were ordered.
         cpu_s: CPU time of the host core, in seconds.
     """
 
     ended_at: dict[model.JobName, float] = field(default_factory=dict)
     refused_jobs: set[model.JobName] = field(default_factory=set)
+    returned_jobs: list[leased_load.Job] = field(default_factory=list)
     run_count: int = 0
     cpu_s: float = 0.0
 
@@ -80,10 +82,16 @@
 
     Args:
         load: The load to replay.
+        max_returns: How often a refused caller comes back with a new request,
+            once its Retry-After has passed.
     """
 
-    def __init__(self, load: leased_load.Load) -> None:
+    def __init__(
+        self, load: leased_load.Load, *, max_returns: int = 0
+    ) -> None:
         self._load = load
+        self._max_returns = max_returns
+        self._return_counts: dict[model.JobName, int] = {}
         self._now = START_TIME_S
         self._timers: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
@@ -181,6 +189,28 @@
             self._result.ended_at[name] = self._now - self._load_started_at
         elif answer.end is model.JobEnd.REFUSED:
             self._result.refused_jobs.add(name)
+            self._return_later(name, answer.retry_after_s)
+
+    def _return_later(self, name: model.JobName, retry_after_s: float) -> None:
+        """Sends a new request of a refused caller after its Retry-After.
+
+        The header has whole seconds, and at least one.
+        """
+        return_count = self._return_counts.get(name, 0) + 1
+        if return_count > self._max_returns:
+            return
+        job = self._jobs[name]
+        delay_s = max(1, math.ceil(retry_after_s))
+        new_name = model.JobName(f"{name}r")
+        again = dataclasses.replace(
+            job,
+            arrives_at=self._now - self._load_started_at + delay_s,
+            request=dataclasses.replace(job.request, job=new_name),
+        )
+        self._jobs[new_name] = again
+        self._return_counts[new_name] = return_count
+        self._result.returned_jobs.append(again)
+        self._call_later(delay_s, functools.partial(self._submit, again))
 
     def _start_run(self, action: actions.StartRun) -> None:
         upstream = self._upstreams[action.upstream.upstream]
--- a/godwitnotch/core/leased/admission.py
+++ b/godwitnotch/core/leased/admission.py
@@ -51,6 +51,15 @@
         """How many more tasks of average size can run now."""
         return max(0.0, self.slots - self.used_slots)
 
+    @property
+    def capacity_ms_per_s(self) -> float:
+        """Work that the upstreams do in a second, in ms of run time.
+
+        Tasks that run beside each other show how many fit, also if that is
+        more than the mean size of a task lets expect.
+        """
+        return 1_000 * max(self.slots, self.used_slots)
+
     @property
     def backlog_s(self) -> float:
         """Expected time until all waiting and running tasks end, in seconds."""
@@ -65,6 +74,7 @@
 
     Attributes:
         admitted: Whether the job is admitted.
+        in_time: Whether it is expected to meet its target response time.
         wait_s: Expected time until its last task starts, in seconds.
         retry_after_s: When the caller of a refused job should retry.
     """
@@ -72,6 +82,7 @@
     admitted: bool
     wait_s: float
     retry_after_s: float = 0.0
+    in_time: bool = True
 
 
 def count_slots(
@@ -108,7 +119,12 @@
 
 
 def decide(
-    job: jobs.LeasedJob, ahead_ms: float, load: Load, *, now: float
+    job: jobs.LeasedJob,
+    ahead_ms: float,
+    load: Load,
+    *,
+    slack_share: float = 1.0,
+    now: float,
 ) -> AdmissionDecision:
     """Returns whether a job may wait behind the work ahead of it.
 
@@ -118,10 +134,11 @@
         job: The job.
         ahead_ms: Expected run time of the waiting tasks ahead of it.
         load: The work at all upstreams and in the queue.
+        slack_share: Share of the job's slack that it may wait.
         now: The current time.
     """
     if load.slots <= 0:
-        return AdmissionDecision(False, 0.0, MAX_RETRY_AFTER_S)
+        return AdmissionDecision(False, 0.0, MAX_RETRY_AFTER_S, False)
     # The last `slots` tasks run side by side, so only the tasks before them
     # delay the start of the last task.
     own_ms = max(0.0, waiting.work_left_ms(job) - load.slots * job.base_ms)
@@ -129,9 +146,12 @@
     end = now + wait_s + job.base_ms / 1_000
     latest = job.arrived_at + job.target_response_s * MAX_RESPONSE_FACTOR
     latest = min(latest, job.deadline)
+    in_time = not ahead_ms or end <= latest
+    slack_s = max(0.0, latest - now - job.base_ms / 1_000)
+    latest -= slack_s * (1 - slack_share)
     if not ahead_ms or end <= latest:
         return AdmissionDecision(True, wait_s)
-    return AdmissionDecision(False, wait_s, retry_after_s(load))
+    return AdmissionDecision(False, wait_s, retry_after_s(load), in_time)
 
 
 def can_end_by_deadline(
--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -538,7 +538,7 @@
         self._queue.update(job)
         self._placement_due = True
         if not job.started:
-            self._meter.job_added(request)
+            self._meter.job_added(job, now=now)
         return job
 
     def _apply(
@@ -546,6 +546,8 @@
     ) -> None:
         """Moves or ends a job, as the admission has decided."""
         match verdict:
+            case job_admission.Kept(event=event, detail=detail) if event:
+                self._out.add_decision(event, job=job.name, detail=detail)
             case job_admission.Moved(leader=leader):
                 self._out.add_decision(
                     "job_redirected", job=job.name, detail=f"leader={leader}"
--- a/godwitnotch/core/leased/job_admission.py
+++ b/godwitnotch/core/leased/job_admission.py
@@ -11,10 +11,12 @@
 from godwitnotch.core.leased import admission
 from godwitnotch.core.leased import cell_load
 from godwitnotch.core.leased import jobs
+from godwitnotch.core.leased import late_jobs
 from godwitnotch.core.leased import lease_manager as lease_manager_module
 from godwitnotch.core.leased import load_meter
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import overflow as overflow_module
+from godwitnotch.core.leased import shares as shares_module
 from godwitnotch.core.leased import waiting
 
 # A leader that holds no lease refuses jobs that have not had a run, once it has
@@ -28,7 +30,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Kept:
-    """The job stays in the queue."""
+    """The job stays in the queue.
+
+    Attributes:
+        event: The log event; empty for none.
+        detail: The figures behind the decision, for the log.
+    """
+
+    event: str = ""
+    detail: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,11 +96,14 @@
         self._overflow = overflow
         self._suitability = suitability
         self._least_slowness = least_slowness
+        self._shares = shares_module.RouteShares(meter.trend)
         self._leading_since = 0.0
 
     def start_leading(self, *, now: float) -> None:
         """Records when this host has started to lead."""
         self._leading_since = now
+        self._meter.reset(now=now)
+        self._shares.reset()
 
     def check_arrival(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
         """Decides about a job that has had no run."""
@@ -178,9 +191,22 @@
             return _KEPT
         ahead_ms = self._queue.ahead_ms(job, now=now)
         load = self._meter.load(now=now)
-        decision = admission.decide(job, ahead_ms, load, now=now)
+        if not job.rechecked:
+            self._take_share(job, load, now=now)
+        decision = admission.decide(
+            job,
+            ahead_ms,
+            load,
+            slack_share=shares_module.slack_share(over_share=job.over_share),
+            now=now,
+        )
         if decision.admitted:
             return _KEPT
+        if not decision.in_time:
+            self._shares.record_short(now=now)
+        kept = self._keep_late(job, load, now=now)
+        if kept is not None:
+            return kept
         answer = model.Answer(
             model.JobEnd.REFUSED,
             model.EndReason.OVERLOADED,
@@ -189,10 +215,46 @@
         return Ended(
             answer,
             "job_refused",
+            f"route={job.request.settings.route} "
+            f"over_share={str(job.over_share).lower()} "
             f"wait_s={decision.wait_s:.3f} ahead_ms={ahead_ms:.0f} "
             f"slots={load.slots:.1f} base_ms={job.base_ms:.0f}",
         )
 
+    def _take_share(
+        self, job: jobs.LeasedJob, load: admission.Load, *, now: float
+    ) -> None:
+        """Counts a job against its route's share while room is short."""
+        standing = self._shares.take(
+            job.request.settings.route,
+            waiting.work_left_ms(job),
+            load.capacity_ms_per_s,
+            now=now,
+        )
+        job.over_share = standing is shares_module.Standing.EXCESS
+
+    def _keep_late(
+        self, job: jobs.LeasedJob, load: admission.Load, *, now: float
+    ) -> Kept | None:
+        """Keeps a late job behind all others if its answer will be of use."""
+        drain = late_jobs.Drain(
+            waiting_ms=self._queue.total_ms(now=now),
+            capacity_ms_per_s=load.capacity_ms_per_s,
+        )
+        if not late_jobs.can_be_useful(job, drain, now=now):
+            return None
+        if job.kept_late:
+            return _KEPT
+        job.kept_late = True
+        self._queue.reorder()
+        return Kept(
+            "job_kept_late",
+            f"route={job.request.settings.route} "
+            f"waiting_ms={drain.waiting_ms:.0f} "
+            f"capacity_ms_per_s={drain.capacity_ms_per_s:.0f} "
+            f"base_ms={job.base_ms:.0f}",
+        )
+
     def _settling(self, *, now: float) -> bool:
         """Returns whether this new leader doesn't know its capacity yet."""
         return (
--- a/godwitnotch/core/leased/jobs.py
+++ b/godwitnotch/core/leased/jobs.py
@@ -63,6 +63,9 @@
         rechecked: Whether the job was checked for admission a second time.
         redirected: Whether the leader of another cell has redirected it.
         may_run_elsewhere: Whether tasks may have been started in another cell.
+        kept_late: Whether it was kept though it is expected to end late, so
+            that it waits behind all jobs that can end in time.
+        over_share: Whether it is beyond its route's share of scarce room.
     """
 
     request: model.JobRequest
@@ -80,6 +83,8 @@
     rechecked: bool = False
     redirected: bool = False
     may_run_elsewhere: bool = False
+    kept_late: bool = False
+    over_share: bool = False
 
     def __post_init__(self) -> None:
         """Creates the tasks."""
--- a/godwitnotch/core/leased/load_meter.py
+++ b/godwitnotch/core/leased/load_meter.py
@@ -1,8 +1,9 @@
 """Measures the load of one leader: its queue and the upstreams it holds."""
 
 from godwitnotch.core.leased import admission
+from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import lease_manager as lease_manager_module
-from godwitnotch.core.leased import model
+from godwitnotch.core.leased import load_trend
 from godwitnotch.core.leased import run_times
 from godwitnotch.core.leased import waiting
 
@@ -32,14 +33,31 @@
         self._average_cpu_millis = 0.0
         self._cached = admission.Load(0.0, 0.0, 0.0)
         self._measured_at = float("-inf")
+        self._trend = load_trend.LoadTrend()
+        self._counts_from = float("-inf")
 
-    def reset(self) -> None:
-        """Forgets the last measurement."""
+    @property
+    def trend(self) -> load_trend.LoadTrend:
+        """The rate of arriving work."""
+        return self._trend
+
+    def reset(self, *, now: float = float("-inf")) -> None:
+        """Forgets the last measurement, and all arrivals before now."""
         self._measured_at = float("-inf")
+        self._trend.reset()
+        self._counts_from = now
+
+    def job_added(self, job: jobs.LeasedJob, *, now: float) -> None:
+        """Includes a job in the average size of a task and in the rates.
 
-    def job_added(self, request: model.JobRequest) -> None:
-        """Includes a job in the average size of a task."""
-        new = request.tasks.needs.cpu_millis
+        Jobs that arrived before this host led come all at once, which tells
+        nothing about the rate of arrivals.
+        """
+        if job.arrived_at >= self._counts_from:
+            self._trend.add(
+                job.request.settings.route, waiting.work_left_ms(job), now=now
+            )
+        new = job.request.tasks.needs.cpu_millis
         average = self._average_cpu_millis or new
         self._average_cpu_millis = average + CPU_AVERAGE_WEIGHT * (
             new - average
--- /dev/null
+++ b/godwitnotch/core/leased/shares.py
@@ -0,0 +1,134 @@
+"""Answers a burst of one route while room is short: max-min shares of room.
+
+Routes that send less than an equal share get all they send; what they leave is
+lent to the others in equal parts. A route's work beyond its share is excess. It is
+taken only if it need not wait long, so that it fills room that is free and not
+the queue of the others. Nothing is excess unless a job was expected to end late
+within the last SHORT_HOLD_S.
+"""
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from godwitnotch.core.leased import load_trend
+from godwitnotch.core.leased import model
+
+# Overload lasts this long after the last job that was expected to end late.
+SHORT_HOLD_S = 0.5
+# A route may use this much of its share at once, as jobs arrive unevenly.
+BURST_S = 0.4
+# A job beyond its route's share may wait for this share of its slack. With a
+# quarter, narrow jobs were refused without a gain for other routes
+# (bench.uneven_load); the order of the queue stays as it is, since excess behind
+# all others left upstreams idle.
+EXCESS_SLACK_SHARE = 0.5
+
+
+class Standing(enum.Enum):
+    """Where a job stands in regard to its route's share of room."""
+
+    UNLIMITED = "unlimited"  # There is room for all.
+    WITHIN = "within"
+    EXCESS = "excess"
+
+
+@dataclass(slots=True)
+class _Credit:
+    """Work that a route may still send within its share.
+
+    Attributes:
+        left_ms: The work; below 0 after a job larger than what was left.
+        updated_at: When left_ms was brought up to date.
+    """
+
+    left_ms: float
+    updated_at: float
+
+
+def allocate(
+    demands: Mapping[model.RouteName, float], capacity: float
+) -> dict[model.RouteName, float]:
+    """Returns the max-min shares of a capacity.
+
+    Args:
+        demands: What each route asks for.
+        capacity: What there is, in the same unit.
+    """
+    shares: dict[model.RouteName, float] = {}
+    left = max(0.0, capacity)
+    ordered = sorted(demands.items(), key=lambda pair: pair[1])
+    for position, (route, demand) in enumerate(ordered):
+        shares[route] = min(demand, left / (len(ordered) - position))
+        left -= shares[route]
+    return shares
+
+
+def slack_share(*, over_share: bool) -> float:
+    """Returns the share of its slack that a job may wait."""
+    return EXCESS_SLACK_SHARE if over_share else 1.0
+
+
+class RouteShares:
+    """Tells which jobs are beyond their route's share of room.
+
+    Args:
+        trend: The rates of arriving work.
+    """
+
+    def __init__(self, trend: load_trend.LoadTrend) -> None:
+        self._trend = trend
+        self._short_until = float("-inf")
+        self._credits: dict[model.RouteName, _Credit] = {}
+
+    def reset(self) -> None:
+        """Forgets all shares."""
+        self._short_until = float("-inf")
+        self._credits.clear()
+
+    def is_short(self, *, now: float) -> bool:
+        """Returns whether more work waits than can end in time."""
+        return now < self._short_until
+
+    def record_short(self, *, now: float) -> None:
+        """Records that a job is expected to end late."""
+        if not self.is_short(now=now):
+            self._credits.clear()
+        self._short_until = now + SHORT_HOLD_S
+
+    def take(
+        self,
+        route: model.RouteName,
+        work_ms: float,
+        capacity_ms_per_s: float,
+        *,
+        now: float,
+    ) -> Standing:
+        """Returns where a job stands, and counts it against its route's share.
+
+        Args:
+            route: The route of the job.
+            work_ms: Expected run time of its tasks.
+            capacity_ms_per_s: Work that the upstreams do per second.
+            now: The current time.
+        """
+        if not self.is_short(now=now) or not self._trend.known(now=now):
+            return Standing.UNLIMITED
+        demands = self._trend.rates(now=now)
+        share = allocate(demands, capacity_ms_per_s).get(route, 0.0)
+        if share >= demands.get(route, 0.0):
+            return Standing.WITHIN
+        credit = self._credits.get(route)
+        if credit is None:
+            credit = self._credits[route] = _Credit(share * BURST_S, now)
+        elapsed_s = max(0.0, now - credit.updated_at)
+        credit.left_ms = min(
+            share * BURST_S, credit.left_ms + share * elapsed_s
+        )
+        credit.updated_at = now
+        if credit.left_ms <= 0:
+            return Standing.EXCESS
+        # A job larger than what is left counts as within the share, so that
+        # wide jobs are served as often as narrow ones.
+        credit.left_ms -= work_ms
+        return Standing.WITHIN
--- a/godwitnotch/core/leased/waiting.py
+++ b/godwitnotch/core/leased/waiting.py
@@ -55,6 +55,10 @@
         else:
             self.discard(job)
 
+    def reorder(self) -> None:
+        """Sorts the queue anew, as a job was kept late."""
+        self._sorted_at = float("-inf")
+
     def discard(self, job: jobs.LeasedJob) -> None:
         """Removes a job."""
         if self._jobs.get(job.name) is job:
@@ -121,7 +125,7 @@
 
 def _sort_key(job: jobs.LeasedJob, now: float) -> _SortKey:
     """Returns whether a job is late, its weighted slack and its arrival."""
-    late = not can_end_in_time(job, now=now)
+    late = job.kept_late or not can_end_in_time(job, now=now)
     slack_s = max(0.0, job.target_end_at - now - job.base_ms / 1_000)
     weighted = math.sqrt(work_left_ms(job)) * (slack_s + SLACK_MARGIN_S)
     return late, weighted, job.arrived_at
