Trial: useless jobs end while room is short; retry times spread; metrics by route

Cause: jobs that can no longer end within three times their target keep waiting tasks and take room until their deadline. A priority out of range in one route cost the operators the whole configuration, although no decision reads it. Change: useless_jobs.py ends them while room is short; retry_times.py spreads Retry-After by the job's name; godwitnotch_route_decisions_total counts refusals by cause and route; a wrong priority is replaced, logged with the remedy. Measured: tests.test_leased_shares BadInputTest and MetricsTest pass.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -293,7 +293,7 @@
         default=source_edits.ROOT.parent / "ablation",
     )
     found = parser.parse_args()
-    days = DAYS
+    days: tuple[str, ...] = DAYS
     if found.uneven:
         days = SHAPES
     elif found.generated:
--- a/bench/leased_replay.py
+++ b/bench/leased_replay.py
@@ -86,9 +86,7 @@
             once its Retry-After has passed.
     """
 
-    def __init__(
-        self, load: leased_load.Load, *, max_returns: int = 0
-    ) -> None:
+    def __init__(self, load: leased_load.Load, *, max_returns: int = 0) -> None:
         self._load = load
         self._max_returns = max_returns
         self._return_counts: dict[model.JobName, int] = {}
--- a/bench/uneven_load.py
+++ b/bench/uneven_load.py
@@ -26,7 +26,6 @@
 from bench import leased_load
 from bench import leased_replay
 from bench import leased_yardstick
-from godwitnotch.core.leased import model
 
 UPSTREAM_COUNT = 24
 UPSTREAM_CPU_MILLIS = (32_000, 32_000, 48_000)
@@ -163,7 +162,9 @@
         ) / max(1, self.jobs)
 
 
-def generate(seed: int, rate: Shape, *, factor: float = 1.0) -> leased_load.Load:
+def generate(
+    seed: int, rate: Shape, *, factor: float = 1.0
+) -> leased_load.Load:
     """Generates a load.
 
     Args:
--- a/godwitnotch/core/leased/actions.py
+++ b/godwitnotch/core/leased/actions.py
@@ -85,12 +85,17 @@
         job: The job concerned; empty if none.
         reason: Second label of the metric, after the event; empty if none.
         detail: Inputs of the decision as key=value pairs.
+        route: Route of the job if the metrics count the event by route, else
+            empty.
+        amount: What the metrics by route add.
     """
 
     event: str
     job: str = ""
     reason: str = ""
     detail: str = ""
+    route: str = ""
+    amount: int = 1
 
 
 Action = AnswerCaller | StartRun | StopRun | RenewLease | TellPeer | Decided
--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -305,6 +305,14 @@
         self._placement_due = True
         self.place_waiting(now=now)
         self._check_open_jobs(now=now)
+        for use in self._admission.take_share_uses(now=now):
+            self._out.add_decision(
+                "route_share_used",
+                reason=use.standing.value,
+                detail=use.pairs(),
+                route=use.route,
+                amount=round(use.work_ms),
+            )
         if now >= self._next_run_times_update_at:
             self._next_run_times_update_at = now + RUN_TIMES_UPDATE_INTERVAL_S
             self._times.update(now=now)
@@ -547,20 +555,26 @@
         """Moves or ends a job, as the admission has decided."""
         match verdict:
             case job_admission.Kept(event=event, detail=detail) if event:
-                self._out.add_decision(event, job=job.name, detail=detail)
+                self._out.add_decision(
+                    event,
+                    job=job.name,
+                    detail=detail,
+                    route=job.request.settings.route,
+                )
             case job_admission.Moved(leader=leader):
                 self._out.add_decision(
                     "job_redirected", job=job.name, detail=f"leader={leader}"
                 )
                 self._remove_job(job, now=now)
                 self._redirect_owner(job.owner, job.name, leader)
-            case job_admission.Ended(answer=answer, event=event, detail=detail):
+            case job_admission.Ended(answer=answer, event=event):
                 if event:
                     self._out.add_decision(
                         event,
                         job=job.name,
-                        reason=answer.reason.value,
-                        detail=detail,
+                        reason=verdict.cause or answer.reason.value,
+                        detail=verdict.detail,
+                        route=job.request.settings.route,
                     )
                 self._end_job(job, answer, now=now)
 
--- a/godwitnotch/core/leased/job_admission.py
+++ b/godwitnotch/core/leased/job_admission.py
@@ -16,7 +16,9 @@
 from godwitnotch.core.leased import load_meter
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import overflow as overflow_module
+from godwitnotch.core.leased import retry_times
 from godwitnotch.core.leased import shares as shares_module
+from godwitnotch.core.leased import useless_jobs
 from godwitnotch.core.leased import waiting
 
 # A leader that holds no lease refuses jobs that have not had a run, once it has
@@ -56,11 +58,14 @@
         answer: The answer.
         event: The log event; empty for none.
         detail: The figures behind the decision, for the log.
+        cause: Why, for the log and the metrics, if that says more than the
+            answer's reason; else empty.
     """
 
     answer: model.Answer
     event: str = ""
     detail: str = ""
+    cause: str = ""
 
 
 Verdict = Kept | Moved | Ended
@@ -133,10 +138,19 @@
             return self.check_arrival(job, now=now)
         return _KEPT
 
+    def take_share_uses(
+        self, *, now: float
+    ) -> tuple[shares_module.ShareUse, ...]:
+        """Returns the use of shares since the last call, if that is due."""
+        return self._shares.take_uses(now=now)
+
     def check_deadline(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
         """Ends a job whose waiting tasks can't end by its deadline."""
         if not job.waiting_task_count:
             return _KEPT
+        useless = self._check_use(job, now=now)
+        if isinstance(useless, Ended):
+            return useless
         if admission.can_end_by_deadline(
             job, least_slowness=self._least_slowness(now), now=now
         ):
@@ -145,7 +159,7 @@
         answer = model.Answer(
             end,
             model.EndReason.DEADLINE_PASSED,
-            admission.retry_after_s(self._meter.load(now=now)),
+            self._retry_after_s(job, now=now),
         )
         return Ended(
             answer,
@@ -154,6 +168,30 @@
             f"base_ms={job.base_ms:.0f} waiting={job.waiting_task_count}",
         )
 
+    def _check_use(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
+        """Ends a job whose answer would be of no use, while room is short."""
+        if not self._shares.is_short(now=now):
+            return _KEPT
+        if not useless_jobs.is_useless(
+            job, least_slowness=self._least_slowness(now), now=now
+        ):
+            return _KEPT
+        self._shares.record_short(now=now)
+        end = model.JobEnd.GIVEN_UP if job.started else model.JobEnd.REFUSED
+        answer = model.Answer(
+            end,
+            model.EndReason.OVERLOADED,
+            self._retry_after_s(job, now=now),
+        )
+        return Ended(
+            answer,
+            "job_of_no_use",
+            f"route={job.request.settings.route} "
+            f"waited_s={now - job.arrived_at:.3f} "
+            f"target_s={job.target_response_s:.3f} base_ms={job.base_ms:.0f} "
+            f"waiting={job.waiting_task_count}",
+        )
+
     def check_suspect(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
         """Ends a job that is too late to risk another upstream for it."""
         if admission.can_end_usefully(job, now=now):
@@ -210,15 +248,15 @@
         answer = model.Answer(
             model.JobEnd.REFUSED,
             model.EndReason.OVERLOADED,
-            decision.retry_after_s,
+            self._retry_after_s(job, now=now),
         )
         return Ended(
             answer,
             "job_refused",
             f"route={job.request.settings.route} "
-            f"over_share={str(job.over_share).lower()} "
             f"wait_s={decision.wait_s:.3f} ahead_ms={ahead_ms:.0f} "
             f"slots={load.slots:.1f} base_ms={job.base_ms:.0f}",
+            "over_share" if decision.in_time else "",
         )
 
     def _take_share(
@@ -255,6 +293,11 @@
             f"base_ms={job.base_ms:.0f}",
         )
 
+    def _retry_after_s(self, job: jobs.LeasedJob, *, now: float) -> float:
+        """Returns when the caller of a job that is refused should come back."""
+        drained_s = admission.retry_after_s(self._meter.load(now=now))
+        return retry_times.spread(drained_s, job.name)
+
     def _settling(self, *, now: float) -> bool:
         """Returns whether this new leader doesn't know its capacity yet."""
         return (
--- a/godwitnotch/core/leased/outbox.py
+++ b/godwitnotch/core/leased/outbox.py
@@ -18,10 +18,19 @@
         self._actions.append(action)
 
     def add_decision(
-        self, event: str, *, job: str = "", reason: str = "", detail: str = ""
+        self,
+        event: str,
+        *,
+        job: str = "",
+        reason: str = "",
+        detail: str = "",
+        route: str = "",
+        amount: int = 1,
     ) -> None:
         """Adds a decision for the log and the metrics."""
-        self._actions.append(actions.Decided(event, job, reason, detail))
+        self._actions.append(
+            actions.Decided(event, job, reason, detail, route, amount)
+        )
 
     def next_call_id(self) -> model.UpstreamCallId:
         """Returns a new id for a call to an upstream."""
--- a/godwitnotch/core/leased/shares.py
+++ b/godwitnotch/core/leased/shares.py
@@ -7,6 +7,7 @@
 within the last SHORT_HOLD_S.
 """
 
+import collections
 import enum
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -18,6 +19,7 @@
 SHORT_HOLD_S = 0.5
 # A route may use this much of its share at once, as jobs arrive unevenly.
 BURST_S = 0.4
+REPORT_INTERVAL_S = 1.0
 # A job beyond its route's share may wait for this share of its slack. With a
 # quarter, narrow jobs were refused without a gain for other routes
 # (bench.uneven_load); the order of the queue stays as it is, since excess behind
@@ -33,6 +35,25 @@
     EXCESS = "excess"
 
 
+@dataclass(frozen=True, slots=True)
+class ShareUse:
+    """Work of one route that was counted against its share.
+
+    Attributes:
+        route: The route.
+        standing: Whether the work was within the share or beyond it.
+        work_ms: Expected run time of the tasks.
+    """
+
+    route: model.RouteName
+    standing: Standing
+    work_ms: float
+
+    def pairs(self) -> str:
+        """Returns the use as key=value pairs for the log."""
+        return f"route={self.route} work_ms={self.work_ms:.0f}"
+
+
 @dataclass(slots=True)
 class _Credit:
     """Work that a route may still send within its share.
@@ -80,11 +101,16 @@
         self._trend = trend
         self._short_until = float("-inf")
         self._credits: dict[model.RouteName, _Credit] = {}
+        self._used_ms: dict[tuple[model.RouteName, Standing], float] = (
+            collections.defaultdict(float)
+        )
+        self._next_report_at = float("-inf")
 
     def reset(self) -> None:
         """Forgets all shares."""
         self._short_until = float("-inf")
         self._credits.clear()
+        self._used_ms.clear()
 
     def is_short(self, *, now: float) -> bool:
         """Returns whether more work waits than can end in time."""
@@ -114,6 +140,30 @@
         """
         if not self.is_short(now=now) or not self._trend.known(now=now):
             return Standing.UNLIMITED
+        standing = self._standing(route, work_ms, capacity_ms_per_s, now=now)
+        self._used_ms[route, standing] += work_ms
+        return standing
+
+    def take_uses(self, *, now: float) -> tuple[ShareUse, ...]:
+        """Returns the use since the last call, at most each REPORT_INTERVAL_S."""
+        if not self._used_ms or now < self._next_report_at:
+            return ()
+        self._next_report_at = now + REPORT_INTERVAL_S
+        uses = tuple(
+            ShareUse(route, standing, work_ms)
+            for (route, standing), work_ms in self._used_ms.items()
+        )
+        self._used_ms.clear()
+        return uses
+
+    def _standing(
+        self,
+        route: model.RouteName,
+        work_ms: float,
+        capacity_ms_per_s: float,
+        *,
+        now: float,
+    ) -> Standing:
         demands = self._trend.rates(now=now)
         share = allocate(demands, capacity_ms_per_s).get(route, 0.0)
         if share >= demands.get(route, 0.0):
--- a/godwitnotch/core/leased/waiting.py
+++ b/godwitnotch/core/leased/waiting.py
@@ -1,6 +1,7 @@
 """The queue of jobs that wait for free resources, and its order.
 
-Jobs that can still end in time go before those that can't. Within each group
+Jobs that can still end in time go before those that can't; between them go jobs
+that were kept though they were expected to end late. Within each group
 the order weighs a job's waiting work against its slack (spare time until its
 target end). By work alone, wide jobs of short tasks miss their target behind
 narrow jobs that could have waited; by slack alone, an overload makes all jobs
@@ -22,7 +23,7 @@
 MAX_UNCACHED_JOB_COUNT = 16
 SORT_CACHE_S = 0.025
 
-_SortKey = tuple[bool, float, float]
+_SortKey = tuple[int, float, float]
 
 
 class WaitingQueue:
@@ -124,8 +125,8 @@
 
 
 def _sort_key(job: jobs.LeasedJob, now: float) -> _SortKey:
-    """Returns whether a job is late, its weighted slack and its arrival."""
-    late = job.kept_late or not can_end_in_time(job, now=now)
+    """Returns a job's group, its weighted slack and its arrival."""
+    late = not can_end_in_time(job, now=now)
     slack_s = max(0.0, job.target_end_at - now - job.base_ms / 1_000)
     weighted = math.sqrt(work_left_ms(job)) * (slack_s + SLACK_MARGIN_S)
-    return late, weighted, job.arrived_at
+    return 2 * late + job.kept_late * (not late), weighted, job.arrived_at
--- a/godwitnotch/leased_metrics.py
+++ b/godwitnotch/leased_metrics.py
@@ -10,6 +10,7 @@
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 MAX_LATENCY_S = 600
 MAX_EVENT_SERIES = 400
+MAX_ROUTE_SERIES = 2_000
 
 _PREFIX = "godwitnotch"
 
@@ -19,6 +20,7 @@
 
     def __init__(self) -> None:
         self._events: Counter[tuple[str, str]] = Counter()
+        self._route_events: Counter[tuple[str, str, str]] = Counter()
         self._answers: Counter[tuple[model.JobEnd, model.EndReason]] = Counter()
         self._latency = latency.LatencySummary(
             f"{_PREFIX}_job_seconds", max_s=MAX_LATENCY_S
@@ -30,6 +32,17 @@
         if key in self._events or len(self._events) < MAX_EVENT_SERIES:
             self._events[key] += 1
 
+    def count_route_event(
+        self, event: str, reason: str, route: str, amount: int
+    ) -> None:
+        """Counts a log event by route; ignores series beyond the maximum."""
+        key = (event, reason, route)
+        if (
+            key in self._route_events
+            or len(self._route_events) < MAX_ROUTE_SERIES
+        ):
+            self._route_events[key] += amount
+
     def count_answer(self, answer: model.Answer, *, latency_s: float) -> None:
         """Counts an answer to a caller and records its latency."""
         self._answers[answer.end, answer.reason] += 1
@@ -40,6 +53,7 @@
         lines = [
             *self._answer_lines(),
             *self._event_lines(),
+            *self._route_lines(),
             *self._latency.lines(),
         ]
         for name, value in gauges:
@@ -60,3 +74,18 @@
         yield f"# TYPE {name} counter"
         for (event, reason), count in sorted(self._events.items()):
             yield f'{name}{{event="{event}",reason="{reason}"}} {count}'
+
+    def _route_lines(self) -> Iterator[str]:
+        name = f"{_PREFIX}_route_decisions_total"
+        yield f"# TYPE {name} counter"
+        for (event, reason, route), count in sorted(self._route_events.items()):
+            yield (
+                f'{name}{{event="{event}",reason="{reason}",'
+                f'route="{_escape(route)}"}} {count}'
+            )
+
+
+def _escape(label: str) -> str:
+    """Returns a label value, as operators choose names of routes freely."""
+    escaped = label.replace("\\", "\\\\").replace('"', '\\"')
+    return escaped.replace("\n", "\\n")
--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -400,6 +400,13 @@
 
     def _record_decision(self, decision: actions.Decided) -> None:
         self._metrics.count_event(decision.event, decision.reason)
+        if decision.route:
+            self._metrics.count_route_event(
+                decision.event,
+                decision.reason,
+                decision.route,
+                decision.amount,
+            )
         log.decision(decision)
 
     def _record_note(self, note: Any) -> None:
--- a/godwitnotch/net/leased_runtime.py
+++ b/godwitnotch/net/leased_runtime.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from typing import Any
 
+from godwitnotch import log
 from godwitnotch.core import events as peer_events
 from godwitnotch.core import ids
 from godwitnotch.core import messages
@@ -218,6 +219,13 @@
                 detail=f"version={configuration.version} routes={routes}",
             )
         )
+        for remark in configuration.remarks:
+            self._on_decided(
+                actions.Decided(
+                    "configuration_value_replaced",
+                    detail=f"cause={log.format_value(remark)}",
+                )
+            )
 
     def update_upstreams(self, listed: events.UpstreamsListed) -> None:
         """Passes a new list of upstreams to the host core."""
