--- a/bench/uneven_load.py
+++ b/bench/uneven_load.py
@@ -126,6 +126,12 @@
     return 1.2 * (1 + 0.55 * math.sin(2 * math.pi * at / 8.0))
 
 
+@shape("crowds")
+def _crowds(route: Route, at: float) -> float:
+    del route
+    return 6.0 if at % 3.0 < 0.4 else 0.4
+
+
 @shape("overload")
 def _overload(route: Route, at: float) -> float:
     del route, at
--- a/godwitnotch/core/leased/job_admission.py
+++ b/godwitnotch/core/leased/job_admission.py
@@ -101,7 +101,7 @@
         self._overflow = overflow
         self._suitability = suitability
         self._least_slowness = least_slowness
-        self._shares = shares_module.RouteShares(meter.trend)
+        self._shares = shares_module.RouteShares(meter.rates)
         self._leading_since = 0.0
 
     def start_leading(self, *, now: float) -> None:
@@ -278,6 +278,7 @@
         drain = late_jobs.Drain(
             waiting_ms=self._queue.total_ms(now=now),
             capacity_ms_per_s=load.capacity_ms_per_s,
+            sustained_ms_per_s=self._meter.rates.sustained(now=now),
         )
         if not late_jobs.can_be_useful(job, drain, now=now):
             return None
--- a/godwitnotch/core/leased/late_jobs.py
+++ b/godwitnotch/core/leased/late_jobs.py
@@ -2,7 +2,9 @@
 
 A job that is expected to miss its target waits behind all jobs that can be in
 time, so that it starts only in room that none of them takes. It is kept only
-if the work ahead of it is expected to drain in time for a useful answer.
+if the work ahead of it is expected to drain in time for a useful answer, and not
+in an overload that lasts: there the jobs that arrive meanwhile need the room
+that its tasks take.
 """
 
 import math
@@ -19,10 +21,12 @@
     Attributes:
         waiting_ms: Expected run time of all waiting tasks.
         capacity_ms_per_s: Work that the upstreams do per second.
+        sustained_ms_per_s: Long average of the work that arrives per second.
     """
 
     waiting_ms: float
     capacity_ms_per_s: float
+    sustained_ms_per_s: float
 
     def wait_s(self) -> float:
         """Returns how long all waiting work takes."""
@@ -47,4 +51,6 @@
         drain: How fast waiting work drains.
         now: The current time.
     """
+    if drain.sustained_ms_per_s > drain.capacity_ms_per_s:
+        return False
     return now + drain.wait_s() + job.base_ms / 1_000 <= useful_until(job)
--- a/godwitnotch/core/leased/load_meter.py
+++ b/godwitnotch/core/leased/load_meter.py
@@ -1,9 +1,9 @@
 """Measures the load of one leader: its queue and the upstreams it holds."""
 
 from godwitnotch.core.leased import admission
+from godwitnotch.core.leased import arrival_rates
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import lease_manager as lease_manager_module
-from godwitnotch.core.leased import load_trend
 from godwitnotch.core.leased import run_times
 from godwitnotch.core.leased import waiting
 
@@ -33,18 +33,18 @@
         self._average_cpu_millis = 0.0
         self._cached = admission.Load(0.0, 0.0, 0.0)
         self._measured_at = float("-inf")
-        self._trend = load_trend.LoadTrend()
+        self._rates = arrival_rates.ArrivalRates()
         self._counts_from = float("-inf")
 
     @property
-    def trend(self) -> load_trend.LoadTrend:
+    def rates(self) -> arrival_rates.ArrivalRates:
         """The rate of arriving work."""
-        return self._trend
+        return self._rates
 
     def reset(self, *, now: float = float("-inf")) -> None:
         """Forgets the last measurement, and all arrivals before now."""
         self._measured_at = float("-inf")
-        self._trend.reset()
+        self._rates.reset()
         self._counts_from = now
 
     def job_added(self, job: jobs.LeasedJob, *, now: float) -> None:
@@ -54,7 +54,7 @@
         nothing about the rate of arrivals.
         """
         if job.arrived_at >= self._counts_from:
-            self._trend.add(
+            self._rates.add(
                 job.request.settings.route, waiting.work_left_ms(job), now=now
             )
         new = job.request.tasks.needs.cpu_millis
--- a/godwitnotch/core/leased/shares.py
+++ b/godwitnotch/core/leased/shares.py
@@ -12,7 +12,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from godwitnotch.core.leased import load_trend
+from godwitnotch.core.leased import arrival_rates
 from godwitnotch.core.leased import model
 
 # Overload lasts this long after the last job that was expected to end late.
@@ -94,11 +94,11 @@
     """Tells which jobs are beyond their route's share of room.
 
     Args:
-        trend: The rates of arriving work.
+        rates: The rates of arriving work.
     """
 
-    def __init__(self, trend: load_trend.LoadTrend) -> None:
-        self._trend = trend
+    def __init__(self, rates: arrival_rates.ArrivalRates) -> None:
+        self._rates = rates
         self._short_until = float("-inf")
         self._credits: dict[model.RouteName, _Credit] = {}
         self._used_ms: dict[tuple[model.RouteName, Standing], float] = (
@@ -138,7 +138,7 @@
             capacity_ms_per_s: Work that the upstreams do per second.
             now: The current time.
         """
-        if not self.is_short(now=now) or not self._trend.known(now=now):
+        if not self.is_short(now=now) or not self._rates.known(now=now):
             return Standing.UNLIMITED
         standing = self._standing(route, work_ms, capacity_ms_per_s, now=now)
         self._used_ms[route, standing] += work_ms
@@ -164,7 +164,7 @@
         *,
         now: float,
     ) -> Standing:
-        demands = self._trend.rates(now=now)
+        demands = self._rates.by_route(now=now)
         share = allocate(demands, capacity_ms_per_s).get(route, 0.0)
         if share >= demands.get(route, 0.0):
             return Standing.WITHIN
--- a/tests/test_leased_shares.py
+++ b/tests/test_leased_shares.py
@@ -1,6 +1,9 @@
 """Tests who waits and who is refused while room is short."""
 
+import collections
+import contextlib
 import json
+import math
 import unittest
 import unittest.mock
 
@@ -9,11 +12,13 @@
 from bench import uneven_load
 from godwitnotch import leased_metrics
 from godwitnotch.core import ids
+from godwitnotch.core.leased import arrival_rates
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import late_jobs
-from godwitnotch.core.leased import load_trend
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import retry_times
 from godwitnotch.core.leased import shares
+from godwitnotch.core.leased import useless_jobs
 from godwitnotch.platform import configuration
 from tests import leased_world
 
@@ -40,6 +45,23 @@
     )
 
 
+def without_useless_jobs() -> unittest.mock._patch:
+    """Ends no job because its answer would be of no use."""
+    return unittest.mock.patch.object(
+        useless_jobs, "is_useless", return_value=False
+    )
+
+
+def make_job() -> jobs.LeasedJob:
+    return jobs.LeasedJob(
+        request=leased_world.request("j", 1),
+        owner=ids.HostId("a"),
+        arrived_at=NOW,
+        deadline=NOW + 10,
+        base_ms=100.0,
+    )
+
+
 class LateJobsTest(unittest.TestCase):
     """A crowd arrives at once, and its callers wait long for the answers."""
 
@@ -80,6 +102,16 @@
         ended_at = replay(load).ended_at
         self.assertLess(ended_at[model.JobName("urgent")], 0.1 + 0.38)
 
+    def test_none_is_kept_late_in_an_overload_that_lasts(self) -> None:
+        job = make_job()
+        for sustained, kept in ((900.0, True), (1_100.0, False)):
+            drain = late_jobs.Drain(100.0, 1_000.0, sustained)
+            self.assertEqual(late_jobs.can_be_useful(job, drain, now=NOW), kept)
+
+    def test_none_is_kept_late_without_capacity(self) -> None:
+        drain = late_jobs.Drain(0.0, 0.0, 0.0)
+        self.assertFalse(late_jobs.can_be_useful(make_job(), drain, now=NOW))
+
     def test_jobs_that_can_be_of_no_use_are_refused_at_once(self) -> None:
         result = replay(
             leased_load.Load(
@@ -106,14 +138,14 @@
     """One route sends far more than its share while room is short."""
 
     def setUp(self) -> None:
-        self.trend = load_trend.LoadTrend()
-        self.shares = shares.RouteShares(self.trend)
+        self.rates = arrival_rates.ArrivalRates()
+        self.shares = shares.RouteShares(self.rates)
         # For 2 s the small route sends 1,000 and the large one 4,000 ms of
         # work per second.
         for step in range(100):
             at = NOW + 0.02 * step
-            self.trend.add(SMALL, 20.0, now=at)
-            self.trend.add(LARGE, 80.0, now=at)
+            self.rates.add(SMALL, 20.0, now=at)
+            self.rates.add(LARGE, 80.0, now=at)
         self.now = NOW + 2.0
 
     def take_all(self, capacity_ms_per_s: float) -> dict[object, int]:
@@ -123,7 +155,7 @@
             at = self.now + 0.02 * step
             self.shares.record_short(now=at)
             for route, work_ms in ((SMALL, 20.0), (LARGE, 80.0)):
-                self.trend.add(route, work_ms, now=at)
+                self.rates.add(route, work_ms, now=at)
                 standing = self.shares.take(
                     route, work_ms, capacity_ms_per_s, now=at
                 )
@@ -203,36 +235,116 @@
     def test_all_answers_are_the_same_as_without_this_part(self) -> None:
         load = uneven_load.generate(1, uneven_load.SHAPES["quiet"])
         result = replay(load)
-        with without_shares(), without_late_jobs():
+        with without_shares(), without_late_jobs(), without_useless_jobs():
             before = replay(load)
         self.assertEqual(result.ended_at, before.ended_at)
         self.assertEqual(result.run_count, before.run_count)
         self.assertEqual(result.refused_jobs, set())
 
 
-class LoadTrendTest(unittest.TestCase):
+class ArrivalRatesTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.trend = load_trend.LoadTrend()
+        self.rates = arrival_rates.ArrivalRates()
 
     def test_steady_rate_is_known_after_the_least_span(self) -> None:
         for step in range(200):
             at = NOW + 0.01 * step
-            self.assertEqual(self.trend.known(now=at), step >= 100)
-            self.trend.add(SMALL, 10.0, now=at)
+            self.assertEqual(self.rates.known(now=at), step >= 100)
+            self.rates.add(SMALL, 10.0, now=at)
         self.assertAlmostEqual(
-            self.trend.rates(now=NOW + 2.0)[SMALL], 1_000.0, delta=30.0
+            self.rates.by_route(now=NOW + 2.0)[SMALL], 1_000.0, delta=30.0
         )
 
+    def test_long_average_tells_a_crowd_from_an_overload(self) -> None:
+        for step in range(40):
+            self.rates.add(SMALL, 100.0, now=NOW + 0.01 * step)
+        later = NOW + 2.0
+        self.assertLess(self.rates.sustained(now=later), 2_500.0)
+        for step in range(300):
+            self.rates.add(SMALL, 100.0, now=later + 0.01 * step)
+        self.assertGreater(self.rates.sustained(now=later + 3.0), 5_000.0)
+
     def test_route_without_arrivals_is_forgotten(self) -> None:
-        self.trend.add(SMALL, 10.0, now=NOW)
-        later = NOW + load_trend.RETENTION_S + 1.0
-        self.assertEqual(self.trend.rates(now=later), {})
+        self.rates.add(SMALL, 10.0, now=NOW)
+        later = NOW + arrival_rates.RETENTION_S + 1.0
+        self.assertEqual(self.rates.by_route(now=later), {})
 
     def test_clock_that_goes_back_raises_no_error(self) -> None:
-        self.trend.add(SMALL, 10.0, now=NOW)
-        self.trend.add(SMALL, 10.0, now=NOW - 5.0)
-        self.assertEqual(self.trend.rates(now=NOW - 5.0), {SMALL: 0.0})
-        self.assertGreater(self.trend.rates(now=NOW + 1.0)[SMALL], 0.0)
+        self.rates.add(SMALL, 10.0, now=NOW)
+        self.rates.add(SMALL, 10.0, now=NOW - 5.0)
+        self.assertEqual(self.rates.by_route(now=NOW - 5.0), {SMALL: 0.0})
+        self.assertGreater(self.rates.by_route(now=NOW + 1.0)[SMALL], 0.0)
+
+
+class UselessJobsTest(unittest.TestCase):
+    """Jobs wait until their answers are of no use, and others could run."""
+
+    def test_job_is_useless_after_three_times_its_target(self) -> None:
+        # Its target response time is 0.22 s.
+        job = make_job()
+        latest = NOW + 3 * job.target_response_s - 0.1
+        for at, useless in ((latest - 0.01, False), (latest + 0.01, True)):
+            self.assertEqual(
+                useless_jobs.is_useless(job, least_slowness=1.0, now=at),
+                useless,
+            )
+
+    def test_job_is_useless_once_its_caller_has_left(self) -> None:
+        job = make_job()
+        job.deadline = NOW + 0.15
+        self.assertFalse(
+            useless_jobs.is_useless(job, least_slowness=1.0, now=NOW + 0.04)
+        )
+        self.assertTrue(
+            useless_jobs.is_useless(job, least_slowness=1.0, now=NOW + 0.06)
+        )
+
+    def test_without_upstreams_a_job_is_not_called_useless(self) -> None:
+        self.assertFalse(
+            useless_jobs.is_useless(make_job(), least_slowness=0.0, now=NOW)
+        )
+
+    def test_more_jobs_are_served_in_an_overload(self) -> None:
+        served = {True: 0.0, False: 0.0}
+        for seed in (1, 2):
+            load = uneven_load.generate(seed, uneven_load.SHAPES["overload"])
+            for ends in (True, False):
+                with contextlib.ExitStack() as stack:
+                    stack.enter_context(without_shares())
+                    stack.enter_context(without_late_jobs())
+                    if not ends:
+                        stack.enter_context(without_useless_jobs())
+                    counts = uneven_load.count(load, replay(load))
+                served[ends] += uneven_load.served(counts)
+        self.assertGreater(served[True], served[False])
+
+
+class RetryTimesTest(unittest.TestCase):
+    """Many callers are refused in the same moment."""
+
+    def test_callers_are_told_different_times(self) -> None:
+        told = [retry_times.spread(0.3, f"job{n}") for n in range(400)]
+        seconds = collections.Counter(map(math.ceil, told))
+        self.assertGreaterEqual(min(told), 0.3)
+        self.assertLessEqual(max(told), retry_times.MAX_RETRY_AFTER_S)
+        # In whole seconds, as in the header, no second gets most of them.
+        self.assertGreaterEqual(len(seconds), 4)
+        self.assertLess(max(seconds.values()), 150)
+
+    def test_a_caller_is_told_the_same_time_again(self) -> None:
+        self.assertEqual(
+            retry_times.spread(0.3, "job"), retry_times.spread(0.3, "job")
+        )
+
+    def test_names_that_are_no_valid_text_raise_no_error(self) -> None:
+        self.assertGreaterEqual(retry_times.spread(0.3, "\udc80"), 0.3)
+
+    def test_the_time_is_bounded(self) -> None:
+        for number in range(50):
+            self.assertLessEqual(
+                retry_times.spread(1e9, f"job{number}"),
+                retry_times.MAX_RETRY_AFTER_S,
+            )
 
 
 class NewLeaderTest(unittest.TestCase):
@@ -247,7 +359,7 @@
             world.submit("a1", f"job{number}", tasks=2, wait_s=5.0)
             world.run(0.04)
         (leader,) = world.leaders()
-        self.assertTrue(self.meter(world, leader).trend.known(now=world.now))
+        self.assertTrue(self.meter(world, leader).rates.known(now=world.now))
         world.kill(leader)
         survivor = next(name for name in world.hosts if name != leader)
         for number in range(10):
@@ -257,7 +369,7 @@
         self.assertNotEqual(successor, leader)
         # Jobs that were handed over tell nothing about the rate of arrivals.
         self.assertEqual(
-            self.meter(world, successor).trend.rates(now=world.now), {}
+            self.meter(world, successor).rates.by_route(now=world.now), {}
         )
         world.run(5.0)
         self.assertEqual(world.overlaps(), [])
@@ -270,13 +382,7 @@
     def test_job_handed_to_a_new_leader_is_neither_late_nor_excess(
         self,
     ) -> None:
-        job = jobs.LeasedJob(
-            request=leased_world.request("j", 1),
-            owner=ids.HostId("a"),
-            arrived_at=NOW,
-            deadline=NOW + 1,
-            base_ms=100.0,
-        )
+        job = make_job()
         self.assertFalse(job.kept_late)
         self.assertFalse(job.over_share)
 
