A job of an earlier leader is not ended as of no use while its run may end

Cause: after a change of leader the tasks of a job count as waiting until the upstream that runs them has sent its list. useless_jobs would have given such a job up although its run was about to end (common failure: a host that is slow to report has its running work given up). Change: nothing is judged before the earlier runs are over; its test fails without the change. Measured: tests.test_leased_shares.UselessJobsTest passes.

--- a/godwitnotch/core/leased/useless_jobs.py
+++ b/godwitnotch/core/leased/useless_jobs.py
@@ -13,10 +13,15 @@
 ) -> bool:
     """Returns whether the waiting tasks of a job can't end in time for a use.
 
+    A task of a job from an earlier leader may run at an upstream whose list is
+    late, so that nothing is known of such a job until its earlier runs are over.
+
     Args:
         job: A job with waiting tasks.
         least_slowness: Slowness of the fastest upstream; 0 if none accepts runs.
         now: The current time.
     """
+    if now < job.earlier_runs_end_by:
+        return False
     run_s = job.base_ms * least_slowness / 1_000
     return now + run_s > late_jobs.useful_until(job)
--- a/tests/test_leased_shares.py
+++ b/tests/test_leased_shares.py
@@ -299,6 +299,16 @@
             useless_jobs.is_useless(job, least_slowness=1.0, now=NOW + 0.06)
         )
 
+    def test_job_whose_earlier_run_may_still_end_is_kept(self) -> None:
+        # An upstream that reports late after a change of leader may run it.
+        job = make_job()
+        job.earlier_runs_end_by = NOW + 2.0
+        for at, useless in ((NOW + 1.9, False), (NOW + 2.1, True)):
+            self.assertEqual(
+                useless_jobs.is_useless(job, least_slowness=1.0, now=at),
+                useless,
+            )
+
     def test_without_upstreams_a_job_is_not_called_useless(self) -> None:
         self.assertFalse(
             useless_jobs.is_useless(make_job(), least_slowness=0.0, now=NOW)
