--- a/godwitnotch/core/leased/job_admission.py
+++ b/godwitnotch/core/leased/job_admission.py
@@ -13,10 +13,14 @@
 from godwitnotch.core.leased import cell_load
 from godwitnotch.core.leased import evacuation
 from godwitnotch.core.leased import jobs
+from godwitnotch.core.leased import late_jobs
 from godwitnotch.core.leased import lease_manager as lease_manager_module
 from godwitnotch.core.leased import load_meter
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import overflow as overflow_module
+from godwitnotch.core.leased import retry_times
+from godwitnotch.core.leased import shares as shares_module
+from godwitnotch.core.leased import useless_jobs
 from godwitnotch.core.leased import waiting
 from godwitnotch.core.leased.jobs import TaskState
 
@@ -31,7 +35,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Kept:
-    """The job stays in the queue."""
+    """The job stays in the queue.
+
+    Attributes:
+        event: The log event; empty for none.
+        detail: The figures behind the decision, for the log.
+    """
+
+    event: str = ""
+    detail: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,11 +61,14 @@
         answer: The answer.
         event: The log event; empty for none.
         detail: The figures behind the decision, for the log.
+        cause: Why, for the log and the metrics, if that says more than the
+            answer's reason; else empty.
     """
 
     answer: model.Answer
     event: str = ""
     detail: str = ""
+    cause: str = ""
 
 
 Verdict = Kept | Moved | Ended
@@ -95,11 +110,14 @@
         self._least_slowness = least_slowness
         self._evacuations = evacuations
         self._closed_to = closed_to
+        self._shares = shares_module.RouteShares(meter.rates)
         self._leading_since = 0.0
 
     def start_leading(self, *, now: float) -> None:
         """Records when this host has started to lead."""
         self._leading_since = now
+        self._meter.reset(now=now)
+        self._shares.reset()
 
     def check_arrival(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
         """Decides about a job that has had no run."""
@@ -174,10 +192,19 @@
             detail=f"domains={domains}",
         )
 
+    def take_share_uses(
+        self, *, now: float
+    ) -> tuple[shares_module.ShareUse, ...]:
+        """Returns the use of shares since the last call, if that is due."""
+        return self._shares.take_uses(now=now)
+
     def check_deadline(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
         """Ends a job whose waiting tasks can't end by its deadline."""
         if not job.waiting_task_count:
             return _KEPT
+        useless = self._check_use(job, now=now)
+        if isinstance(useless, Ended):
+            return useless
         if admission.can_end_by_deadline(
             job, least_slowness=self._least_slowness(now), now=now
         ):
@@ -186,7 +213,7 @@
         answer = model.Answer(
             end,
             model.EndReason.DEADLINE_PASSED,
-            admission.retry_after_s(self._meter.load(now=now)),
+            self._retry_after_s(job, now=now),
         )
         return Ended(
             answer,
@@ -195,6 +222,30 @@
             f"base_ms={job.base_ms:.0f} waiting={job.waiting_task_count}",
         )
 
+    def _check_use(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
+        """Ends a job whose answer would be of no use, while room is short."""
+        if not self._shares.is_short(now=now):
+            return _KEPT
+        if not useless_jobs.is_useless(
+            job, least_slowness=self._least_slowness(now), now=now
+        ):
+            return _KEPT
+        self._shares.record_short(now=now)
+        end = model.JobEnd.GIVEN_UP if job.started else model.JobEnd.REFUSED
+        answer = model.Answer(
+            end,
+            model.EndReason.OVERLOADED,
+            self._retry_after_s(job, now=now),
+        )
+        return Ended(
+            answer,
+            "job_of_no_use",
+            f"route={job.request.settings.route} "
+            f"waited_s={now - job.arrived_at:.3f} "
+            f"target_s={job.target_response_s:.3f} base_ms={job.base_ms:.0f} "
+            f"waiting={job.waiting_task_count}",
+        )
+
     def check_suspect(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
         """Ends a job that is too late to risk another upstream for it."""
         if admission.can_end_usefully(job, now=now):
@@ -229,25 +280,80 @@
             return _KEPT
         ahead_ms = self._queue.ahead_ms(job, now=now)
         load = self._meter.load(now=now)
-        decision = admission.decide(job, ahead_ms, load, now=now)
+        if not job.rechecked:
+            self._take_share(job, load, now=now)
+        decision = admission.decide(
+            job,
+            ahead_ms,
+            load,
+            slack_share=shares_module.slack_share(over_share=job.over_share),
+            now=now,
+        )
         if decision.admitted:
             return _KEPT
+        if not decision.in_time:
+            self._shares.record_short(now=now)
+        kept = self._keep_late(job, load, now=now)
+        if kept is not None:
+            return kept
         answer = model.Answer(
             model.JobEnd.REFUSED,
             model.EndReason.OVERLOADED,
-            decision.retry_after_s,
+            self._retry_after_s(job, now=now),
         )
         return Ended(
             answer,
             "job_refused",
+            f"route={job.request.settings.route} "
             f"wait_s={decision.wait_s:.3f} ahead_ms={ahead_ms:.0f} "
             f"slots={load.slots:.1f} base_ms={job.base_ms:.0f}",
+            "over_share" if decision.in_time else "",
         )
 
     def _any_open(self, *, now: float) -> bool:
         """Returns whether this leader holds a lease under which tasks start."""
         return self._evacuations.any_open(self._leases.leases.values(), now=now)
 
+    def _take_share(
+        self, job: jobs.LeasedJob, load: admission.Load, *, now: float
+    ) -> None:
+        """Counts a job against its route's share while room is short."""
+        standing = self._shares.take(
+            job.request.settings.route,
+            waiting.work_left_ms(job),
+            load.capacity_ms_per_s,
+            now=now,
+        )
+        job.over_share = standing is shares_module.Standing.EXCESS
+
+    def _keep_late(
+        self, job: jobs.LeasedJob, load: admission.Load, *, now: float
+    ) -> Kept | None:
+        """Keeps a late job behind all others if its answer will be of use."""
+        drain = late_jobs.Drain(
+            waiting_ms=self._queue.total_ms(now=now),
+            capacity_ms_per_s=load.capacity_ms_per_s,
+            sustained_ms_per_s=self._meter.rates.sustained(now=now),
+        )
+        if not late_jobs.can_be_useful(job, drain, now=now):
+            return None
+        if job.kept_late:
+            return _KEPT
+        job.kept_late = True
+        self._queue.reorder()
+        return Kept(
+            "job_kept_late",
+            f"route={job.request.settings.route} "
+            f"waiting_ms={drain.waiting_ms:.0f} "
+            f"capacity_ms_per_s={drain.capacity_ms_per_s:.0f} "
+            f"base_ms={job.base_ms:.0f}",
+        )
+
+    def _retry_after_s(self, job: jobs.LeasedJob, *, now: float) -> float:
+        """Returns when the caller of a job that is refused should come back."""
+        drained_s = admission.retry_after_s(self._meter.load(now=now))
+        return retry_times.spread(drained_s, job.name)
+
     def _settling(self, *, now: float) -> bool:
         """Returns whether this new leader doesn't know its capacity yet."""
         return (
