Dispatcher: passes over the queue move to a module of their own

Cause: packing and reservations change these passes, and dispatcher.py is to shrink. Change: place_waiting's loop, _place_job and _start_run are now queue_pass.QueuePass, unchanged. Dispatcher.place_waiting calls it. tests/test_leased_cells.py reads MAX_UNPLACED_JOB_COUNT from there.

--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -19,6 +19,7 @@
 from godwitnotch.core.leased import owners
 from godwitnotch.core.leased import peer_messages
 from godwitnotch.core.leased import placement as placement_module
+from godwitnotch.core.leased import queue_pass
 from godwitnotch.core.leased import retained_answers
 from godwitnotch.core.leased import run_outcomes
 from godwitnotch.core.leased import run_times
@@ -30,8 +31,6 @@
 OVERDUE_CHECK_INTERVAL_S = 0.05
 RUN_TIMES_UPDATE_INTERVAL_S = 0.2
 ACCEPTING_LEASES_CACHE_S = 0.01  # The list needs a scan of all upstreams.
-# A pass over the queue ends after this many jobs that could not be placed.
-MAX_UNPLACED_JOB_COUNT = 4
 
 AnswerOwner = Callable[[ids.HostId, model.JobName, model.Answer], None]
 RedirectOwner = Callable[[ids.HostId, model.JobName, ids.HostId], None]
@@ -67,7 +66,6 @@
         self._answer_owner = answer_owner
         self._redirect_owner = redirect_owner
         self._overflow = overflow.Overflow()
-        self._listing_complete = listing_complete
         self._higher_term_seen = higher_term_seen
         self._leading = False
         self._owners = owners.Owners()
@@ -101,6 +99,18 @@
             suitability=suitability,
             least_slowness=self._least_slowness,
         )
+        self._queue_pass = queue_pass.QueuePass(
+            out,
+            queue=self._queue,
+            leases=self._lease_manager,
+            placement=self._placement,
+            task_records=self._task_records,
+            owners=self._owners,
+            admission=self._admission,
+            accepting_leases=lambda now: self._accepting_leases(now=now),
+            listing_complete=listing_complete,
+            apply_verdict=self._apply,
+        )
         self._placement_due = False
         self._next_overdue_check_at = 0.0
         self._next_run_times_update_at = 0.0
@@ -258,39 +268,7 @@
         if not self._placement_due or not self._leading:
             return
         self._placement_due = False
-        if not len(self._queue):
-            return
-        leases = self._accepting_leases(now=now)
-        max_free_cpu_millis = max(
-            (lease.free_resources.cpu_millis for lease in leases), default=0
-        )
-        all_runs_known = (
-            self._listing_complete(now) and self._lease_manager.all_runs_known()
-        )
-        unplaced_count = 0
-        for job in self._queue.ordered(now=now):
-            if now < job.earlier_runs_end_by and not (
-                all_runs_known and self._lists_show_runs_of(job)
-            ):
-                continue
-            if self._owners.is_lost(job.owner):
-                continue
-            fits = job.request.tasks.needs.cpu_millis <= max_free_cpu_millis
-            if not fits or not self._place_job(job, leases, now=now):
-                unplaced_count += 1
-            if unplaced_count >= MAX_UNPLACED_JOB_COUNT:
-                return
-
-    def _lists_show_runs_of(self, job: jobs.LeasedJob) -> bool:
-        """Returns whether upstreams list all runs of a job's earlier leaders.
-
-        An upstream accepts the orders of an earlier leader with a higher term
-        also after it has sent its list.
-        """
-        return (
-            not job.may_run_elsewhere
-            and job.earlier_term <= self._lease_manager.term
-        )
+        self._queue_pass.run(now=now)
 
     def tick(self, *, now: float) -> None:
         """Handles what has become due, and starts waiting tasks."""
@@ -580,64 +558,6 @@
         leases = self._accepting_leases(now=now)
         return self._times.slowness(leases[0].upstream) if leases else 0.0
 
-    def _place_job(
-        self,
-        job: jobs.LeasedJob,
-        leases: list[lease_module.Lease],
-        *,
-        now: float,
-    ) -> bool:
-        """Starts a job's waiting tasks; returns whether all were placed."""
-        for task in tuple(job.iter_waiting_tasks()):
-            if self._lease_manager.has_run(task.key):
-                continue
-            rule = self._task_records.start_rule(task.key)
-            if rule is StartRule.ALLOWED:
-                lease = self._placement.choose(job, task, leases, now=now)
-                if lease is None:
-                    return False
-                self._start_run(job, task, lease, now=now)
-            elif rule is StartRule.ALONE:
-                verdict = self._admission.check_suspect(job, now=now)
-                if not isinstance(verdict, job_admission.Kept):
-                    self._apply(verdict, job, now=now)
-                    return True
-                lease = self._placement.choose_idle(job, task, leases, now=now)
-                if lease is not None:
-                    self._start_run(job, task, lease, alone=True, now=now)
-        self._queue.update(job)
-        return True
-
-    def _start_run(
-        self,
-        job: jobs.LeasedJob,
-        task: jobs.LeasedTask,
-        lease: lease_module.Lease,
-        *,
-        alone: bool = False,
-        now: float,
-    ) -> None:
-        key = model.RunKey(task.key, model.RunNumber(task.next_run))
-        task.next_run += 1
-        job.set_state(task, TaskState.ORDERED)
-        job.started = True
-        expected_ms = self._placement.expected_ms(job, lease)
-        self._out.add_decision(
-            "run_ordered",
-            job=job.name,
-            detail=f"{key.pairs()} upstream={lease.upstream.upstream} "
-            f"expected_ms={expected_ms:.0f} term={self._lease_manager.term}"
-            f"{' alone=true' if alone else ''}",
-        )
-        self._lease_manager.start_run(
-            lease,
-            job,
-            key,
-            expected_s=expected_ms / 1_000,
-            alone=alone,
-            now=now,
-        )
-
     def _fail_job(self, job: jobs.LeasedJob, *, now: float) -> None:
         answer = model.Answer(model.JobEnd.FAILED, model.EndReason.TASK_FAILED)
         self._end_job(job, answer, now=now)
--- /dev/null
+++ b/godwitnotch/core/leased/queue_pass.py
@@ -0,0 +1,170 @@
+"""Passes over the queue when jobs wait that free resources may serve.
+
+A pass starts waiting tasks in the order of service.
+"""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from godwitnotch.core.leased import job_admission
+from godwitnotch.core.leased import jobs
+from godwitnotch.core.leased import lease as lease_module
+from godwitnotch.core.leased import lease_manager as lease_manager_module
+from godwitnotch.core.leased import model
+from godwitnotch.core.leased import outbox as outbox_module
+from godwitnotch.core.leased import owners as owners_module
+from godwitnotch.core.leased import placement as placement_module
+from godwitnotch.core.leased import task_records as task_records_module
+from godwitnotch.core.leased import waiting
+from godwitnotch.core.leased.jobs import TaskState
+from godwitnotch.core.leased.task_records import StartRule
+
+# A pass over the queue ends after this many jobs that could not be placed.
+MAX_UNPLACED_JOB_COUNT = 4
+
+
+class ApplyVerdict(Protocol):
+    """Moves or ends a job, as the admission has decided."""
+
+    def __call__(
+        self, verdict: job_admission.Verdict, job: jobs.LeasedJob, *, now: float
+    ) -> None:
+        """Applies the verdict."""
+
+
+class QueuePass:
+    """Starts waiting tasks.
+
+    Args:
+        out: Collects the actions to execute.
+        queue: The jobs that wait.
+        leases: The leases on the upstreams.
+        placement: Chooses upstreams.
+        task_records: Tells which tasks may have crashed upstreams.
+        owners: Tells which hosts are lost.
+        admission: Decides about jobs whose tasks may have crashed upstreams.
+        accepting_leases: Returns the leases that accept runs, the fastest
+            upstream first.
+        listing_complete: Returns whether all upstreams that can have runs are
+            usable.
+        apply_verdict: Moves or ends a job.
+    """
+
+    def __init__(
+        self,
+        out: outbox_module.Outbox,
+        *,
+        queue: waiting.WaitingQueue,
+        leases: lease_manager_module.LeaseManager,
+        placement: placement_module.Placement,
+        task_records: task_records_module.TaskRecords,
+        owners: owners_module.Owners,
+        admission: job_admission.JobAdmission,
+        accepting_leases: Callable[[float], list[lease_module.Lease]],
+        listing_complete: Callable[[float], bool],
+        apply_verdict: ApplyVerdict,
+    ) -> None:
+        self._out = out
+        self._queue = queue
+        self._lease_manager = leases
+        self._placement = placement
+        self._task_records = task_records
+        self._owners = owners
+        self._admission = admission
+        self._accepting_leases = accepting_leases
+        self._listing_complete = listing_complete
+        self._apply_verdict = apply_verdict
+
+    def run(self, *, now: float) -> None:
+        """Starts the waiting tasks for which there are resources."""
+        if not len(self._queue):
+            return
+        leases = self._accepting_leases(now)
+        max_free_cpu_millis = max(
+            (lease.free_resources.cpu_millis for lease in leases), default=0
+        )
+        all_runs_known = (
+            self._listing_complete(now) and self._lease_manager.all_runs_known()
+        )
+        unplaced_count = 0
+        for job in self._queue.ordered(now=now):
+            if now < job.earlier_runs_end_by and not (
+                all_runs_known and self._lists_show_runs_of(job)
+            ):
+                continue
+            if self._owners.is_lost(job.owner):
+                continue
+            fits = job.request.tasks.needs.cpu_millis <= max_free_cpu_millis
+            if not fits or not self._place_job(job, leases, now=now):
+                unplaced_count += 1
+            if unplaced_count >= MAX_UNPLACED_JOB_COUNT:
+                return
+
+    def _lists_show_runs_of(self, job: jobs.LeasedJob) -> bool:
+        """Returns whether upstreams list all runs of a job's earlier leaders.
+
+        An upstream accepts the orders of an earlier leader with a higher term
+        also after it has sent its list.
+        """
+        return (
+            not job.may_run_elsewhere
+            and job.earlier_term <= self._lease_manager.term
+        )
+
+    def _place_job(
+        self,
+        job: jobs.LeasedJob,
+        leases: list[lease_module.Lease],
+        *,
+        now: float,
+    ) -> bool:
+        """Starts a job's waiting tasks; returns whether all were placed."""
+        for task in tuple(job.iter_waiting_tasks()):
+            if self._lease_manager.has_run(task.key):
+                continue
+            rule = self._task_records.start_rule(task.key)
+            if rule is StartRule.ALLOWED:
+                lease = self._placement.choose(job, task, leases, now=now)
+                if lease is None:
+                    return False
+                self._start_run(job, task, lease, now=now)
+            elif rule is StartRule.ALONE:
+                verdict = self._admission.check_suspect(job, now=now)
+                if not isinstance(verdict, job_admission.Kept):
+                    self._apply_verdict(verdict, job, now=now)
+                    return True
+                lease = self._placement.choose_idle(job, task, leases, now=now)
+                if lease is not None:
+                    self._start_run(job, task, lease, alone=True, now=now)
+        self._queue.update(job)
+        return True
+
+    def _start_run(
+        self,
+        job: jobs.LeasedJob,
+        task: jobs.LeasedTask,
+        lease: lease_module.Lease,
+        *,
+        alone: bool = False,
+        now: float,
+    ) -> None:
+        key = model.RunKey(task.key, model.RunNumber(task.next_run))
+        task.next_run += 1
+        job.set_state(task, TaskState.ORDERED)
+        job.started = True
+        expected_ms = self._placement.expected_ms(job, lease)
+        self._out.add_decision(
+            "run_ordered",
+            job=job.name,
+            detail=f"{key.pairs()} upstream={lease.upstream.upstream} "
+            f"expected_ms={expected_ms:.0f} term={self._lease_manager.term}"
+            f"{' alone=true' if alone else ''}",
+        )
+        self._lease_manager.start_run(
+            lease,
+            job,
+            key,
+            expected_s=expected_ms / 1_000,
+            alone=alone,
+            now=now,
+        )
--- a/tests/test_leased_cells.py
+++ b/tests/test_leased_cells.py
@@ -10,7 +10,6 @@
 from godwitnotch.core.leased import cell_load
 from godwitnotch.core.leased import cell_map
 from godwitnotch.core.leased import cells
-from godwitnotch.core.leased import dispatcher
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import model
@@ -18,6 +17,7 @@
 from godwitnotch.core.leased import overflow
 from godwitnotch.core.leased import owned_jobs
 from godwitnotch.core.leased import peer_messages
+from godwitnotch.core.leased import queue_pass
 from godwitnotch.core.leased import waiting
 from tests import leased_world
 
@@ -92,7 +92,7 @@
             waiting.WaitingQueue, "ordered", count_jobs
         ):
             world.deliver("a1", events.Ticked())
-        self.assertEqual(len(looked_at), dispatcher.MAX_UNPLACED_JOB_COUNT)
+        self.assertEqual(len(looked_at), queue_pass.MAX_UNPLACED_JOB_COUNT)
 
 
 class OverflowTest(unittest.TestCase):
