--- a/bench/load_sweep.py
+++ b/bench/load_sweep.py
@@ -5,6 +5,11 @@
 within its target response time is worth 1, within three times that 0.2. Each
 line gives the mean worth of the routes, and that of the worst part of a route:
 its widest tenth, the fifth below it, or all of it.
+
+`--load scarce` replays large tasks on small upstreams: each task needs 8 to 24
+cores of 32 or 48, and a burst arrives in the middle. Its rates are shares of the
+capacity of the upstreams. `served` is how often the parts with the largest work
+or the largest tasks are served, relative to their route, in the worst case.
 """
 
 import argparse
@@ -12,6 +17,7 @@
 import math
 import random
 import statistics
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -29,6 +35,21 @@
 UPSTREAM_CPU_MILLIS = (64_000, 64_000, 96_000)
 SLOWNESSES = (0.62, 1.0, 1.52)
 
+# The scarce load follows the deployments of docs/design/scarce-room.md.
+SCARCE_UPSTREAM_COUNT = 48
+SCARCE_DURATION_S = 12.0
+SCARCE_SHARES = (0.9, 1.0, 1.1, 1.2)
+SCARCE_CPU_MILLIS = (32_000, 32_000, 48_000)
+SCARCE_SPEEDS = (0.6, 1.0, 1.6)
+SCARCE_TASK_CPU_MILLIS = 16_000
+SCARCE_CPU_SPREAD = 0.2
+SCARCE_CPU_LIMITS = (8_000, 24_000)
+SCARCE_WAIT_S = 1.541
+SCARCE_TARGET_MS = 62.0
+BURST_FACTOR = 1.7
+BURST_S = (5.0, 7.0)
+MEAN_WORK_SAMPLE_COUNT = 4_000  # Jobs drawn to find the mean work of one.
+
 
 @dataclass(frozen=True, slots=True)
 class Route:
@@ -54,6 +75,13 @@
 )
 
 
+SCARCE_ROUTES = (
+    Route("wide", 0.244, 60.0, 8.0),
+    Route("long", 0.045, 900.0, 4.0),
+    Route("narrow", 0.711, 200.0, 2.0),
+)
+
+
 @dataclass(frozen=True, slots=True)
 class Worth:
     """What a replay was worth, from 0 to 1.
@@ -61,10 +89,130 @@
     Attributes:
         mean: Mean of the routes.
         worst: The worst part of a route.
+        served: How often the parts with the most work or the largest tasks are
+            served, divided by how often their route is, in the worst case.
     """
 
     mean: float
     worst: float
+    served: float
+
+
+Generator = Callable[[int, float], leased_load.Load]
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """A kind of load.
+
+    Attributes:
+        generate: Generates a load from a seed and a rate.
+        rates: The rates that are replayed by default.
+    """
+
+    generate: Generator
+    rates: tuple[float, ...]
+
+
+_KINDS: dict[str, Kind] = {}
+
+
+def _kind(
+    name: str, rates: tuple[float, ...]
+) -> Callable[[Generator], Generator]:
+    """Registers a kind of load under a name."""
+
+    def register(generator: Generator) -> Generator:
+        _KINDS[name] = Kind(generator, rates)
+        return generator
+
+    return register
+
+
+@_kind("mixed", JOBS_PER_S)
+def _generate_mixed(seed: int, rate: float) -> leased_load.Load:
+    return generate(seed, jobs_per_s=rate)
+
+
+@_kind("scarce", SCARCE_SHARES)
+def _generate_scarce(seed: int, rate: float) -> leased_load.Load:
+    return generate_scarce(seed, rate)
+
+
+def generate_scarce(
+    seed: int,
+    share: float,
+    *,
+    duration_s: float = SCARCE_DURATION_S,
+    upstream_count: int = SCARCE_UPSTREAM_COUNT,
+) -> leased_load.Load:
+    """Generates a load of large tasks on small upstreams, with a burst.
+
+    Args:
+        seed: Seed of the random numbers.
+        share: Offered work outside the burst, as a share of the cores.
+        duration_s: Time in which jobs arrive, in seconds.
+        upstream_count: Number of upstreams.
+    """
+    rng = random.Random(seed)
+    upstreams = tuple(
+        leased_load.make_upstream(
+            f"u{number}",
+            SCARCE_CPU_MILLIS[number % len(SCARCE_CPU_MILLIS)],
+            8,
+            1 / rng.choice(SCARCE_SPEEDS),
+        )
+        for number in range(upstream_count)
+    )
+    capacity = sum(
+        upstream.entry.capacity.cpu_millis / upstream.slowness
+        for upstream in upstreams
+    )
+    sample = random.Random(0)
+    mean_work = statistics.fmean(
+        sum(job.work_ms) / 1_000 * job.request.tasks.needs.cpu_millis
+        for job in (
+            _scarce_job(sample, number, 0.0)
+            for number in range(MEAN_WORK_SAMPLE_COUNT)
+        )
+    )
+    jobs: list[leased_load.Job] = []
+    arrives_at = 0.0
+    while arrives_at < duration_s:
+        in_burst = BURST_S[0] <= arrives_at < BURST_S[1]
+        jobs_per_s = share * capacity / mean_work
+        arrives_at += rng.expovariate(
+            jobs_per_s * (BURST_FACTOR if in_burst else 1.0)
+        )
+        jobs.append(_scarce_job(rng, len(jobs), arrives_at))
+    return leased_load.Load(tuple(jobs), upstreams)
+
+
+def _scarce_job(
+    rng: random.Random, number: int, arrives_at: float
+) -> leased_load.Job:
+    (route,) = rng.choices(
+        SCARCE_ROUTES, [route.share for route in SCARCE_ROUTES]
+    )
+    drawn = round(route.tasks * math.exp(rng.gauss(0, 0.7)))
+    count = min(round(4 * route.tasks), max(1, drawn))
+    base_ms = route.task_ms * math.exp(rng.gauss(0, 0.4))
+    cpu_millis = SCARCE_TASK_CPU_MILLIS * math.exp(
+        rng.gauss(0, SCARCE_CPU_SPREAD)
+    )
+    least, most = SCARCE_CPU_LIMITS
+    request = leased_load.make_request(
+        f"j{number}",
+        count,
+        round(min(most, max(least, cpu_millis))),
+        base_ms * math.exp(rng.gauss(0, 0.4)),
+        route=route.name,
+        target_ms=SCARCE_TARGET_MS,
+    )
+    work_ms = tuple(
+        base_ms * math.exp(rng.gauss(0, 0.18)) for _ in range(count)
+    )
+    return leased_load.Job(arrives_at, request, work_ms, SCARCE_WAIT_S)
 
 
 def generate(seed: int, *, jobs_per_s: float) -> leased_load.Load:
@@ -122,16 +270,40 @@
         by_route[job.request.settings.route].append(job)
     means = []
     parts = []
+    served = []
     for jobs in by_route.values():
-        jobs.sort(key=lambda job: sum(job.work_ms))
-        widest, wide = round(len(jobs) * 0.9), round(len(jobs) * 0.7)
         means.append(_mean_worth(jobs, ended_at))
+        by_work = _largest(jobs, lambda job: sum(job.work_ms))
         parts += [
             means[-1],
-            _mean_worth(jobs[widest:], ended_at),
-            _mean_worth(jobs[wide:widest], ended_at),
+            *(_mean_worth(part, ended_at) for part in by_work),
         ]
-    return Worth(statistics.fmean(means), min(parts))
+        by_cpu = _largest(jobs, lambda job: job.request.tasks.needs.cpu_millis)
+        of_route = max(_served_share(jobs, ended_at), 1e-9)
+        served += [
+            _served_share(part, ended_at) / of_route
+            for part in (*by_work, *by_cpu)
+        ]
+    return Worth(statistics.fmean(means), min(parts), min(served))
+
+
+def _largest(
+    jobs: Iterable[leased_load.Job], size: Callable[[leased_load.Job], float]
+) -> tuple[list[leased_load.Job], list[leased_load.Job]]:
+    """Returns the largest tenth of the jobs and the fifth below it."""
+    by_size = sorted(jobs, key=size)
+    tenth, third = round(len(by_size) * 0.9), round(len(by_size) * 0.7)
+    return by_size[tenth:], by_size[third:tenth]
+
+
+def _served_share(
+    jobs: Iterable[leased_load.Job], ended_at: Mapping[model.JobName, float]
+) -> float:
+    """Returns the share of the jobs that are answered while it is of use."""
+    return statistics.fmean(
+        _job_worth(job, ended_at.get(job.request.job, math.inf)) > 0
+        for job in jobs
+    )
 
 
 def _mean_worth(
@@ -153,20 +325,29 @@
 def main() -> None:
     """Prints a line for each rate, and the mean over all."""
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("--load", choices=sorted(_KINDS), default="mixed")
     parser.add_argument("--seed", action="append", type=int, default=[])
     parser.add_argument("--rate", action="append", type=float, default=[])
     found = parser.parse_args()
-    means = []
-    for rate in found.rate or JOBS_PER_S:
+    kind = _KINDS[found.load]
+    name = "share" if found.load == "scarce" else "jobs_per_s"
+    worths = []
+    for rate in found.rate or kind.rates:
         for seed in found.seed or [1]:
-            load = generate(seed, jobs_per_s=rate)
-            worth = measure(load, leased_replay.Replay(load).run().ended_at)
-            means.append(worth.mean)
+            load = kind.generate(seed, rate)
+            result = leased_replay.Replay(load).run()
+            worth = measure(load, result.ended_at)
+            worths.append(worth)
             print(
-                f"jobs_per_s={rate:g} seed={seed} mean={worth.mean:.4f} "
-                f"worst={worth.worst:.4f}"
+                f"{name}={rate:g} seed={seed} mean={worth.mean:.4f} "
+                f"worst={worth.worst:.4f} served={worth.served:.3f} "
+                f"jobs={len(load.jobs)} refused={len(result.refused_jobs)} "
+                f"runs={result.run_count} cpu_s={result.cpu_s:.2f}",
+                flush=True,
             )
-    print(f"mean={statistics.fmean(means):.4f}")
+    print(f"worst={statistics.fmean(worth.worst for worth in worths):.4f}")
+    print(f"served={statistics.fmean(worth.served for worth in worths):.4f}")
+    print(f"mean={statistics.fmean(worth.mean for worth in worths):.4f}")
 
 
 if __name__ == "__main__":
