Queue pass: no start for a job whose deadline has passed

Cause: a leader that has stalled for less than 0.35 s (no pause by leadership.MIN_PROCESS_PAUSE_S) may handle a list of runs before its tick. The pass over the queue then started tasks of jobs whose callers had stopped waiting; the tick dropped the jobs and stopped the runs. Change: the pass leaves out jobs whose deadline has passed. Result: the new test StalledLeaderTest saw 1 start before, and sees none.

--- a/godwitnotch/core/leased/queue_pass.py
+++ b/godwitnotch/core/leased/queue_pass.py
@@ -92,7 +92,9 @@
                 all_runs_known and self._lists_show_runs_of(job)
             ):
                 continue
-            if self._owners.is_lost(job.owner):
+            # After a stall, responses may be handled before the tick that drops
+            # jobs whose callers have stopped waiting.
+            if now >= job.deadline or self._owners.is_lost(job.owner):
                 continue
             fits = job.request.tasks.needs.cpu_millis <= max_free_cpu_millis
             if not fits or not self._place_job(job, leases, now=now):
