--- a/godwitnotch/core/leased/jobs.py
+++ b/godwitnotch/core/leased/jobs.py
@@ -66,6 +66,7 @@
             ordered a run.
         rechecked: Whether the job was checked for admission a second time.
         redirected: Whether the leader of another cell has redirected it.
+        passed_by: Whether tasks of a later job were started while it waited.
         may_run_elsewhere: Whether tasks may have been started in another cell.
         kept_late: Whether it was kept though it is expected to end late, so
             that it waits behind all jobs that can end in time.
@@ -86,6 +87,7 @@
     started: bool = False
     rechecked: bool = False
     redirected: bool = False
+    passed_by: bool = False
     may_run_elsewhere: bool = False
     kept_late: bool = False
     over_share: bool = False
--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -358,11 +358,14 @@
         evacuated = self._core.evacuated
         evacuated_count = len(evacuated.domains) if evacuated else 0
         evacuations_version = evacuated.version if evacuated else -1
+        queue = self._core.queue_figures
         gauges = (
             ("ready", float(self._runtime.ready)),
             ("leads", float(self._core.leads)),
             ("open_jobs", float(self._core.open_jobs)),
             ("waiting_jobs", float(self._core.waiting_jobs)),
+            ("passed_by_jobs", float(queue.passed_by_count)),
+            ("unfit_free_cores", queue.unfit_cpu_millis / 1_000),
             ("held_upstreams", float(self._core.held_upstreams)),
             ("relays_active", float(self._core.relays.active)),
             ("relayed_calls", float(self._core.relays.relayed_count)),
