--- a/godwitnotch/core/leased/jobs.py
+++ b/godwitnotch/core/leased/jobs.py
@@ -71,6 +71,8 @@
         kept_late: Whether it was kept though it is expected to end late, so
             that it waits behind all jobs that can end in time.
         over_share: Whether it is beyond its route's share of scarce room.
+        rack_wait_since: When a task of the job first waited for the rack of its
+            data; None if none did.
     """
 
     request: model.JobRequest
@@ -91,6 +93,7 @@
     may_run_elsewhere: bool = False
     kept_late: bool = False
     over_share: bool = False
+    rack_wait_since: float | None = None
 
     def __post_init__(self) -> None:
         """Creates the tasks."""
