Random histories with evacuations of failure domains

Cause: the tests of single failures don't show that several of them at once let no task start in an evacuated domain.

--- a/tests/test_leased_evacuation.py
+++ b/tests/test_leased_evacuation.py
@@ -7,6 +7,7 @@
 from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import evacuation
 from godwitnotch.core.leased import events
+from godwitnotch.core.leased import lease
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import peer_messages
 from tests import leased_faults
@@ -452,6 +453,71 @@
         self.assertEqual(world.answers[call][1].end, model.JobEnd.COMPLETED)
 
 
+class EvacuationHistory(leased_faults.FaultyHistory):
+    """A random history in which operators evacuate failure domains.
+
+    Attributes:
+        windows: Domain, beginning and end of each evacuation.
+    """
+
+    def __init__(self, seed: int, *, divided: bool = False) -> None:
+        super().__init__(seed, divided=divided)
+        self.windows: list[tuple[str, float, float]] = []
+
+    def submit_job(self) -> None:
+        """Submits a job; sometimes changes the evacuated domains as well."""
+        if self.rng.random() < 0.02:
+            count = self.rng.choice((0, 1, 1, 2, 3))
+            self.evacuate(self.rng.sample("abc", count))
+        super().submit_job()
+
+    def end_faults(self) -> None:
+        """Ends the evacuations with the faults."""
+        self.evacuate([])
+        super().end_faults()
+
+    def evacuate(self, domains: list[str]) -> None:
+        now = self.world.now
+        former = self.world.evacuated
+        self.windows = [
+            (domain, since, min(until, now))
+            if domain not in domains
+            else (domain, since, until)
+            for domain, since, until in self.windows
+        ]
+        for domain in set(domains) - former:
+            self.windows.append((domain, now, float("inf")))
+        self.world.evacuate(*domains)
+
+    def late_starts(self, grace_s: float) -> list[tuple[str, float]]:
+        """Returns upstream and delay of starts later than a grace allows."""
+        return [
+            (upstream, run.started_at - since)
+            for domain, since, until in self.windows
+            for upstream, run in self.world.started_runs
+            if upstream.startswith(domain)
+            and since + grace_s <= run.started_at < until
+        ]
+
+
+class HistoriesTest(unittest.TestCase):
+    def test_no_task_starts_in_an_evacuated_domain_after_random_failures(
+        self,
+    ) -> None:
+        # An order that is under way starts within the upstream's lease.
+        window_count = 0
+        for divided in (False, True):
+            for seed in range(1, 7):
+                with self.subTest(seed=seed, divided=divided):
+                    history = EvacuationHistory(seed, divided=divided)
+                    history.run()
+                    late = history.late_starts(lease.MAX_LEASE_DURATION_S)
+                    self.assertEqual(late, [])
+                    self.assertEqual(history.world.overlaps(), [])
+                    window_count += len(history.windows)
+        self.assertGreater(window_count, 20)
+
+
 class EvacuationsTest(unittest.TestCase):
     def test_a_set_of_a_higher_version_replaces_a_lower_one(self) -> None:
         evacuations = evacuation.Evacuations()
