--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -17,7 +17,6 @@
 from godwitnotch.core.leased import listing as listing_module
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import outbox as outbox_module
-from godwitnotch.core.leased import overflow
 from godwitnotch.core.leased import owned_jobs
 from godwitnotch.core.leased import peer_messages
 from godwitnotch.core.leased import stalls
@@ -73,7 +72,6 @@
         self._fleet = fleet_module.Fleet(
             host=host, domain=domain, evacuations=self._evacuations
         )
-        self._next_load_at = 0.0
         self._linked_domains: dict[ids.HostId, ids.DomainId] = {}
         self._listing = listing_module.UpstreamListing(now=now)
         self._leadership = leadership_module.Leadership(
@@ -101,7 +99,7 @@
         self._told_leading = False
         self._elected_term = model.Term(0)
         self._host_count = 1
-        self._stalls = stalls.StallDetector()
+        self._stalls = stalls.StallDetector(self._out)
         self._now = now
 
     @property
@@ -182,17 +180,6 @@
         self._update_home_leader()
         return self._out.take()
 
-    def _report_stall(self, *, now: float) -> None:
-        """Logs a stall of this process before anything is done about it."""
-        stalled_s = self._stalls.tick(now=now)
-        if stalled_s is not None:
-            self._out.add_decision(
-                "process_stalled",
-                reason="leading" if self.leads else "",
-                detail=f"stalled_ms={stalled_s * 1_000:.0f} "
-                f"term={self._leadership.term}",
-            )
-
     def _apply_change(self, change: LeadershipChange, *, now: float) -> None:
         """Starts or stops leading, and hands jobs over to a new leader."""
         if change is LeadershipChange.NONE:
@@ -287,17 +274,6 @@
         if self._fleet.update_adopted(now=now):
             self._hold_upstreams(now=now)
 
-    def _send_load(self, *, now: float) -> None:
-        """Tells the other leaders the load of this leader's cell."""
-        if not self.leads or not self._fleet.divided:
-            return
-        if now < self._next_load_at:
-            return
-        self._next_load_at = now + overflow.SEND_INTERVAL_S
-        load = self._dispatcher.cell_load(now=now)
-        for host in self._fleet.other_leaders:
-            self._out.add(actions.TellPeer(host, load))
-
     def _send_standing(self) -> None:
         """Tells the linked hosts what this host knows of its leader.
 
@@ -666,15 +642,18 @@
 
 @_handles(events.Ticked)
 def _ticked(host: LeasedHost, event: events.Ticked, now: float) -> None:
-    host._report_stall(now=now)
+    host._stalls.tick(leading=host.leads, term=host._leadership.term, now=now)
     change = host._leadership.tick(now=now)
     host._apply_change(change, now=now)
     if host.leads and host._divide_if_too_large(now=now):
         host._hold_upstreams(now=now)
     host._update_adopted(now=now)
     host._dispatcher.tick(now=now)
-    host._send_load(now=now)
     if host.leads:
+        if host._fleet.divided:
+            host._updates.send_load(
+                host._dispatcher.cell_load, host._fleet.other_leaders, now=now
+            )
         successors = host._leadership.successors()
         host._updates.send_evidence(successors, now=now)
         host._updates.send_task_records(successors + host._fleet.other_leaders)
--- a/godwitnotch/core/leased/leader_updates.py
+++ b/godwitnotch/core/leased/leader_updates.py
@@ -1,16 +1,26 @@
 """Tells the hosts that may lead next what a leader knows of upstreams."""
 
 from collections.abc import Iterable
+from typing import Protocol
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
+from godwitnotch.core.leased import cell_load
 from godwitnotch.core.leased import evidence as evidence_module
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import outbox as outbox_module
+from godwitnotch.core.leased import overflow
 from godwitnotch.core.leased import peer_messages
 from godwitnotch.core.leased import task_records
 
 
+class LoadMeasurement(Protocol):
+    """Measures the load of a cell."""
+
+    def __call__(self, *, now: float) -> cell_load.CellLoad:
+        """Returns the load."""
+
+
 class LeaderUpdates:
     """Sends the list of upstreams and what is known of them, as it changes.
 
@@ -33,6 +43,7 @@
         self._hosts_with_evidence: set[ids.HostId] = set()
         self._hosts_with_records: set[ids.HostId] = set()
         self._next_evidence_at = 0.0
+        self._next_load_at = 0.0
 
     def clear(self) -> None:
         """Forgets what was sent, as the leader has changed."""
@@ -62,6 +73,21 @@
                 self._hosts_with_list.add(host)
                 self._out.add(actions.TellPeer(host, copy))
 
+    def send_load(
+        self,
+        measure: LoadMeasurement,
+        receivers: Iterable[ids.HostId],
+        *,
+        now: float,
+    ) -> None:
+        """Tells the other leaders the load of this leader's cell."""
+        if now < self._next_load_at:
+            return
+        self._next_load_at = now + overflow.SEND_INTERVAL_S
+        load = measure(now=now)
+        for host in receivers:
+            self._out.add(actions.TellPeer(host, load))
+
     def send_task_records(self, receivers: list[ids.HostId]) -> None:
         """Sends all losses to new receivers, and changes to the others."""
         changed = self._records.take_changed()
--- a/tests/test_leased_traces.py
+++ b/tests/test_leased_traces.py
@@ -6,6 +6,7 @@
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import outbox
 from godwitnotch.core.leased import stalls
 from tests import leased_world
 
@@ -193,11 +194,17 @@
         self.assertRegex(line, r"^reason=leading stalled_ms=3\d\d term=\d+")
 
     def test_usual_ticks_are_no_stall(self) -> None:
-        detector = stalls.StallDetector()
-        self.assertIsNone(detector.tick(now=1_000.0))
-        self.assertIsNone(detector.tick(now=1_000.04))
-        self.assertAlmostEqual(detector.tick(now=1_000.3) or 0.0, 0.26)
-        self.assertIsNone(detector.tick(now=1_000.34))
+        out = outbox.Outbox()
+        detector = stalls.StallDetector(out)
+        for now, logged in (
+            (1_000.0, []),
+            (1_000.04, []),
+            (1_000.3, ["stalled_ms=260 term=7"]),
+            (1_000.34, []),
+        ):
+            detector.tick(leading=False, term=model.Term(7), now=now)
+            details_logged = [decided.detail for decided in out.take()]
+            self.assertEqual(details_logged, logged)
 
     def test_a_host_that_follows_reports_its_stall(self) -> None:
         world = start_world()
