--- a/tests/test_leased_store.py
+++ b/tests/test_leased_store.py
@@ -162,7 +162,9 @@
 
     async def test_row_that_changes_while_pages_are_read(self) -> None:
         # Its key is on the first page, which was read before.
+        self.store.remove("op", "config")
         self.evacuate("m")
+        self.evacuate("z")
         self.store.page_rows = 1
         changed = []
 
@@ -170,11 +172,10 @@
             if not changed:
                 changed.append(1)
                 self.evacuate("a")
-                self.store.remove("op", "config")
 
         self.store.on_page = change
         self.watch(self.watcher.watch_configuration())
-        await self.wait_for("a", "m")
+        await self.wait_for("a", "m", "z")
 
     async def test_known_set_stays_in_an_outage(self) -> None:
         self.evacuate("a")
