--- a/godwitnotch/core/leased/jobs.py
+++ b/godwitnotch/core/leased/jobs.py
@@ -43,6 +43,10 @@
     last_overdue_run_s: float = 0.0
     rack_wait: locality.RackWait | None = None
 
+    def waits_for_rack(self, *, now: float) -> bool:
+        """Returns whether the task waits for the rack of its data by choice."""
+        return self.rack_wait is not None and now < self.rack_wait.until
+
 
 @dataclass(slots=True)
 class LeasedJob:
--- a/godwitnotch/core/leased/queue_pass.py
+++ b/godwitnotch/core/leased/queue_pass.py
@@ -147,16 +147,20 @@
         *,
         now: float,
     ) -> bool:
-        """Starts a job's waiting tasks; returns whether all were placed."""
+        """Starts a job's waiting tasks; returns whether there was room for all.
+
+        A task that waits for the rack of its data leaves room for others.
+        """
         for task in tuple(job.iter_waiting_tasks()):
             if self._lease_manager.has_run(task.key):
                 continue
             rule = self._task_records.start_rule(task.key)
             if rule is StartRule.ALLOWED:
                 lease = self._placement.choose(job, task, leases, now=now)
-                if lease is None:
+                if lease is not None:
+                    self._start_run(job, task, lease, now=now)
+                elif not task.waits_for_rack(now=now):
                     return False
-                self._start_run(job, task, lease, now=now)
             elif rule is StartRule.ALONE:
                 verdict = self._admission.check_suspect(job, now=now)
                 if not isinstance(verdict, job_admission.Kept):
--- a/tests/test_leased_locality.py
+++ b/tests/test_leased_locality.py
@@ -326,6 +326,34 @@
         self.assertGreater(share, 0.5)
 
 
+class QueuePassTest(unittest.TestCase):
+    def test_jobs_that_wait_for_a_rack_hold_up_no_job_behind_them(self) -> None:
+        # A pass over the queue ends after four jobs without room; jobs that wait
+        # for their rack by choice counted among them.
+        upstreams = tuple(
+            leased_load.make_upstream(rack, 6_000, 8, 1.0, rack=rack)
+            for rack in ("near", "far")
+        )
+        load_jobs = [
+            leased_load.Job(
+                arrives_at,
+                leased_load.make_request(name, 1, 1_000, 100.0, rack=rack),
+                (100.0,),
+                2.0,
+            )
+            for name, arrives_at, rack in (
+                *((f"first{number}", 0.0, "near") for number in range(6)),
+                *((f"waiting{number}", 0.06, "near") for number in range(5)),
+                ("other", 0.07, ""),
+            )
+        ]
+        load = leased_load.Load(
+            tuple(load_jobs), upstreams, racks=locality.Racks(3.0)
+        )
+        ended_at = leased_replay.Replay(load).run().ended_at
+        self.assertLess(ended_at["other"], 0.07 + 0.1 + 0.02)
+
+
 class NewLeaderTest(unittest.TestCase):
     def test_next_leader_decides_anew_on_a_task_that_waits(self) -> None:
         world = leased_world.World(
