Keep a waiting task without a search while its rack is full

Change: while no upstream of the rack has free CPU and the awaited one can be used, the wait goes on at once. Upstreams are looked up by rack once for each list of leases. A test of the log line of a defaulted setting.

--- a/godwitnotch/core/leased/placement.py
+++ b/godwitnotch/core/leased/placement.py
@@ -74,6 +74,9 @@
     ) -> None:
         self._times = times
         self._health = health
+        # The leases by rack, of the list that they were last looked up in.
+        self._indexed_leases: Sequence[lease_module.Lease] = ()
+        self._leases_by_rack: dict[str, list[lease_module.Lease]] = {}
         self._waits = locality.RackWaits(out or outbox_module.Outbox())
 
     def choose_idle(
@@ -135,6 +138,13 @@
             leases: The leases that accept runs, the fastest upstream first.
             now: The current time.
         """
+        wait = task.rack_wait
+        if (
+            wait is not None
+            and now < wait.until
+            and self._rack_is_full(job, wait, leases, now=now)
+        ):
+            return WaitsForRack(wait)
         best = self._find_cheapest(job, task, leases, now=now)
         if best is None:
             return NoRoom()
@@ -149,6 +159,44 @@
                 return WaitsForFaster(place)
         return Placed(best)
 
+    def _rack_is_full(
+        self,
+        job: jobs.LeasedJob,
+        wait: locality.RackWait,
+        leases: Sequence[lease_module.Lease],
+        *,
+        now: float,
+    ) -> bool:
+        """Returns whether a wait goes on, as the rack has no free place.
+
+        Checked first, since each pass over the queue meets the waiting tasks.
+        """
+        group = job.request.tasks
+        awaited = None
+        for lease in self._in_rack(group.preferred_rack, leases):
+            if group.needs.cpu_millis <= lease.free_resources.cpu_millis:
+                return False
+            if lease.upstream.upstream == wait.upstream:
+                awaited = lease
+        return (
+            awaited is not None
+            and awaited.accepts_runs()
+            and self._health.usable(wait.upstream, now=now)
+        )
+
+    def _in_rack(
+        self, rack: str, leases: Sequence[lease_module.Lease]
+    ) -> list[lease_module.Lease]:
+        """Returns those of the leases that are in a rack, in their order."""
+        if leases is not self._indexed_leases:
+            self._indexed_leases = leases
+            self._leases_by_rack = {}
+        found = self._leases_by_rack.get(rack)
+        if found is None:
+            found = [lease for lease in leases if rack in lease.upstream.labels]
+            self._leases_by_rack[rack] = found
+        return found
+
     def _rack_wait(
         self,
         job: jobs.LeasedJob,
@@ -166,12 +214,12 @@
         if wait is not None:
             if now >= wait.until:
                 return None
-            lease = self._find_lease(wait.upstream, leases)
+            lease = self._find_lease(wait.upstream, self._in_rack(rack, leases))
             if lease is not None and self._is_eligible(
                 job, task, lease, now=now, ignore_free_resources=True
             ):
                 return wait
-        in_rack = [lease for lease in leases if rack in lease.upstream.labels]
+        in_rack = self._in_rack(rack, leases)
         places = self._sooner_places(job, task, in_rack, best, now=now)
         away_s = self.expected_ms(job, best) / 1_000
         since = now if job.rack_wait_since is None else job.rack_wait_since
--- a/tests/test_leased_locality.py
+++ b/tests/test_leased_locality.py
@@ -3,10 +3,12 @@
 import math
 import random
 import unittest
+import unittest.mock
 
 from bench import leased_load
 from bench import leased_replay
 from bench import leased_yardstick
+from godwitnotch import leased_root
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import health
@@ -17,6 +19,7 @@
 from godwitnotch.core.leased import outbox
 from godwitnotch.core.leased import placement
 from godwitnotch.core.leased import run_times
+from godwitnotch.platform import settings
 from tests import leased_world
 
 NOW = 100.0
@@ -324,6 +327,23 @@
         self.assertGreater(share, 0.5)
 
 
+class SettingsTest(unittest.TestCase):
+    def test_factor_that_falls_back_is_logged_with_its_remedy(self) -> None:
+        loaded = settings.parse(
+            "node=a\nzone=d\nlisten.front=127.0.0.1:1\n"
+            "listen.ready=127.0.0.1:2\nlisten.control=127.0.0.1:3\n"
+            "port_range=9,12\nplatform.address=127.0.0.1:4\n"
+            "bounds.slowdown_factor=0.5\n"
+        )
+        with unittest.mock.patch.object(leased_root.log, "event") as event:
+            leased_root._log_defaulted(loaded)
+        ((name,), pairs) = event.call_args
+        self.assertEqual(name, "setting_defaulted")
+        self.assertEqual(pairs["field"], "bounds.slowdown_factor")
+        self.assertEqual(pairs["default"], 1.5)
+        self.assertIn("correct the field", pairs["cause"])
+
+
 class NewLeaderTest(unittest.TestCase):
     def test_next_leader_decides_anew_on_a_task_that_waits(self) -> None:
         world = leased_world.World(
