--- a/tests/test_leased_queue_pass.py
+++ b/tests/test_leased_queue_pass.py
@@ -1,9 +1,11 @@
 """Tests of the passes over the queue of waiting jobs."""
 
+import dataclasses
 import unittest
 
 from bench import leased_load
 from godwitnotch.core import ids
+from godwitnotch.core.leased import events
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import lease
 from godwitnotch.core.leased import model
@@ -56,6 +58,32 @@
             queue_pass.QueueFigures(1, 12_000),
         )
 
+    def test_job_that_a_later_one_passes_is_counted_while_it_waits(
+        self,
+    ) -> None:
+        world = leased_world.World({"a": ["a1"]}, upstreams=1)
+        world.run(3.0)
+        world.submit("a1", "first")
+        plain = leased_world.request("large")
+        needs = dataclasses.replace(plain.tasks.needs, cpu_millis=1_500)
+        large = dataclasses.replace(
+            plain, tasks=dataclasses.replace(plain.tasks, needs=needs)
+        )
+        event = events.JobAsked(ids.CallId(99), large, world.now + 2.0)
+        world.deliver("a1", event)
+        self.assertEqual(
+            world.hosts["a1"].queue_figures, queue_pass.QueueFigures(0, 1_000)
+        )
+        world.submit("a1", "small")
+        self.assertEqual(
+            world.hosts["a1"].queue_figures, queue_pass.QueueFigures(1, 0)
+        )
+        world.run(1.0)
+        self.assertEqual(world.start_count("large"), 1)
+        self.assertEqual(
+            world.hosts["a1"].queue_figures, queue_pass.QueueFigures(0, 0)
+        )
+
     def test_nothing_is_unfit_while_no_task_waits(self) -> None:
         held = held_lease("u", 32_000)
         self.assertEqual(
