Order relays: a late leader doesn't lose results that wait in its sockets

Change: after a gap between two checks the open calls get the gap as well, up to 0.3 s. The lease arithmetic doesn't depend on when a call is given up.

--- a/godwitnotch/core/leased/order_relays.py
+++ b/godwitnotch/core/leased/order_relays.py
@@ -22,6 +22,11 @@
 # a direct call. A list request with the longest wait, its loss and the direct
 # request after it must fit in the rest of a lease.
 RESULT_MARGIN_S = 0.1
+# Checks for missing results come each 40 ms. After a longer gap this host was late
+# itself, and results wait in its sockets: they get the gap as well, up to a limit
+# that leaves a lost list request time to be repeated.
+CHECK_INTERVAL_S = 0.04
+MAX_OWN_DELAY_S = 0.3
 # After a missing result the relay may be paused or its link cut one way.
 SILENT_RELAY_DELAY_S = 2.0
 # A cut between a relay and an upstream rarely ends sooner.
@@ -107,6 +112,7 @@
         self._stop_limit = capacity.RELAY_STOP_SHARE * runs_per_s
         self._rate = start_rate.StartRate()
         self._active_until = 0.0
+        self._last_check_at: float | None = None
         self._candidates: tuple[Candidate, ...] = ()
         self._assigned: dict[ids.UpstreamId, ids.HostId] = {}
         self._open_calls: dict[model.UpstreamCallId, _OpenCall] = {}
@@ -121,6 +127,7 @@
         self.active = False
         self._rate.clear()
         self._active_until = 0.0
+        self._last_check_at = None
         self._candidates = ()
         self._assigned.clear()
         self._open_calls.clear()
@@ -227,10 +234,16 @@
         self, *, now: float
     ) -> list[order_results.OrderUnanswered]:
         """Closes the calls without a result in time, and avoids their relays."""
+        own_delay_s = 0.0
+        if self._last_check_at is not None:
+            gap_s = now - self._last_check_at
+            own_delay_s = min(MAX_OWN_DELAY_S, gap_s - CHECK_INTERVAL_S)
+        self._last_check_at = now
+        due_until = now - max(0.0, own_delay_s)
         overdue = [
             (call_id, call)
             for call_id, call in self._open_calls.items()
-            if now >= call.result_due_at
+            if due_until >= call.result_due_at
         ]
         for _, call in overdue:
             self._silent_until[call.relay] = now + SILENT_RELAY_DELAY_S
--- a/tests/test_leased_relays.py
+++ b/tests/test_leased_relays.py
@@ -321,6 +321,26 @@
             )
         )
 
+    def test_results_that_waited_for_a_late_leader_counted_as_lost(
+        self,
+    ) -> None:
+        self.relays.take_overdue(now=self.now)
+        self.open_call(1)
+        # The process does nothing for 0.4 s; its timer fires before it reads.
+        self.now += 0.4
+        self.assertEqual(self.relays.take_overdue(now=self.now), [])
+        self.assertTrue(
+            self.relays.take_result(
+                ids.HostId("h1"), self.taken(1), now=self.now
+            )
+        )
+        # What has not come by the next check is lost.
+        self.open_call(2)
+        self.now += 0.4
+        self.assertEqual(self.relays.take_overdue(now=self.now), [])
+        self.now += 0.04
+        self.assertEqual(len(self.relays.take_overdue(now=self.now)), 1)
+
     def test_silent_relay_is_passed_over_for_a_while(self) -> None:
         self.open_call(1)
         self.now += 0.15 + order_relays.RESULT_MARGIN_S
