--- a/bench/load_sweep.py
+++ b/bench/load_sweep.py
@@ -8,8 +8,11 @@
 
 `--load scarce` replays large tasks on small upstreams: each task needs 8 to 24
 cores of 32 or 48, and a burst arrives in the middle. Its rates are shares of the
-capacity of the upstreams. `served` is how often the parts with the largest work
-or the largest tasks are served, relative to their route, in the worst case.
+capacity of the upstreams.
+
+The last lines say how often parts of the routes are served, relative to their
+whole route, over all replays: the tenth of the jobs with the most work or the
+largest tasks, and the fifth below it.
 """
 
 import argparse
@@ -19,6 +22,7 @@
 import statistics
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -89,13 +93,10 @@
     Attributes:
         mean: Mean of the routes.
         worst: The worst part of a route.
-        served: How often the parts with the most work or the largest tasks are
-            served, divided by how often their route is, in the worst case.
     """
 
     mean: float
     worst: float
-    served: float
 
 
 Generator = Callable[[int, float], leased_load.Load]
@@ -270,7 +271,6 @@
         by_route[job.request.settings.route].append(job)
     means = []
     parts = []
-    served = []
     for jobs in by_route.values():
         means.append(_mean_worth(jobs, ended_at))
         by_work = _largest(jobs, lambda job: sum(job.work_ms))
@@ -278,13 +278,52 @@
             means[-1],
             *(_mean_worth(part, ended_at) for part in by_work),
         ]
-        by_cpu = _largest(jobs, lambda job: job.request.tasks.needs.cpu_millis)
-        of_route = max(_served_share(jobs, ended_at), 1e-9)
-        served += [
-            _served_share(part, ended_at) / of_route
-            for part in (*by_work, *by_cpu)
-        ]
-    return Worth(statistics.fmean(means), min(parts), min(served))
+    return Worth(statistics.fmean(means), min(parts))
+
+
+class ServedParts:
+    """How often the jobs of parts of the routes are served, over replays."""
+
+    def __init__(self) -> None:
+        self._served: dict[tuple[str, str], list[bool]] = (
+            collections.defaultdict(list)
+        )
+
+    def add(
+        self, load: leased_load.Load, ended_at: Mapping[model.JobName, float]
+    ) -> None:
+        """Adds the jobs of a replay."""
+        by_route = collections.defaultdict(list)
+        for job in load.jobs:
+            by_route[job.request.settings.route].append(job)
+        for route, jobs in by_route.items():
+            by_work = _largest(jobs, lambda job: sum(job.work_ms))
+            by_cpu = _largest(
+                jobs, lambda job: job.request.tasks.needs.cpu_millis
+            )
+            parts = {
+                "all": jobs,
+                "most_work": by_work[0],
+                "more_work": by_work[1],
+                "largest_tasks": by_cpu[0],
+                "larger_tasks": by_cpu[1],
+            }
+            for part, part_jobs in parts.items():
+                self._served[route, part] += [
+                    _job_worth(job, ended_at.get(job.request.job, math.inf)) > 0
+                    for job in part_jobs
+                ]
+
+    def lines(self) -> Iterator[str]:
+        """Yields a line for each route."""
+        for route in sorted({route for route, _ in self._served}):
+            whole = statistics.fmean(self._served[route, "all"])
+            ratios = " ".join(
+                f"{part}={statistics.fmean(served) / max(whole, 1e-9):.3f}"
+                for (name, part), served in self._served.items()
+                if name == route and part != "all"
+            )
+            yield f"route={route} served={whole:.3f} {ratios}"
 
 
 def _largest(
@@ -296,16 +335,6 @@
     return by_size[tenth:], by_size[third:tenth]
 
 
-def _served_share(
-    jobs: Iterable[leased_load.Job], ended_at: Mapping[model.JobName, float]
-) -> float:
-    """Returns the share of the jobs that are answered while it is of use."""
-    return statistics.fmean(
-        _job_worth(job, ended_at.get(job.request.job, math.inf)) > 0
-        for job in jobs
-    )
-
-
 def _mean_worth(
     jobs: Iterable[leased_load.Job], ended_at: Mapping[model.JobName, float]
 ) -> float:
@@ -332,21 +361,24 @@
     kind = _KINDS[found.load]
     name = "share" if found.load == "scarce" else "jobs_per_s"
     worths = []
+    parts = ServedParts()
     for rate in found.rate or kind.rates:
         for seed in found.seed or [1]:
             load = kind.generate(seed, rate)
             result = leased_replay.Replay(load).run()
             worth = measure(load, result.ended_at)
             worths.append(worth)
+            parts.add(load, result.ended_at)
             print(
                 f"{name}={rate:g} seed={seed} mean={worth.mean:.4f} "
-                f"worst={worth.worst:.4f} served={worth.served:.3f} "
+                f"worst={worth.worst:.4f} "
                 f"jobs={len(load.jobs)} refused={len(result.refused_jobs)} "
                 f"runs={result.run_count} cpu_s={result.cpu_s:.2f}",
                 flush=True,
             )
     print(f"worst={statistics.fmean(worth.worst for worth in worths):.4f}")
-    print(f"served={statistics.fmean(worth.served for worth in worths):.4f}")
+    for line in parts.lines():
+        print(line)
     print(f"mean={statistics.fmean(worth.mean for worth in worths):.4f}")
 
 
--- a/bench/pass_cost.py
+++ b/bench/pass_cost.py
@@ -46,7 +46,7 @@
         due = dispatcher._placement_due
         started_at = time.thread_time()
         self._place_waiting(dispatcher, now=now)
-        if due and length > QUEUE_LENGTH // 2:
+        if due and abs(length - QUEUE_LENGTH) <= QUEUE_LENGTH // 5:
             self.cpu_s += time.thread_time() - started_at
             self.pass_count += 1
             self.queue_sum += length
@@ -65,7 +65,7 @@
     )
     first = [
         _patient(dataclasses.replace(job, arrives_at=0.001), "first")
-        for job in waiting.jobs[: QUEUE_LENGTH + UPSTREAM_COUNT]
+        for job in waiting.jobs[: QUEUE_LENGTH + 2 * UPSTREAM_COUNT]
     ]
     rest = [_patient(job, "rest") for job in load.jobs]
     return leased_load.Load((*first, *rest), load.upstreams)
--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -145,6 +145,11 @@
         """How many jobs have not had a run."""
         return sum(not job.started for job in self._jobs.values())
 
+    @property
+    def queue_figures(self) -> queue_pass.QueueFigures:
+        """Figures about the queue."""
+        return queue_pass.measure(self._jobs.values(), self._accepting)
+
     def start_leading(
         self,
         term: model.Term,
@@ -173,6 +178,7 @@
         self._jobs.clear()
         self._queue.clear()
         self._meter.reset()
+        self._accepting = []
         self._accepting_computed_at = float("-inf")
         self._retained_answers.clear()
         self._owners.clear()
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -19,6 +19,7 @@
 from godwitnotch.core.leased import overflow
 from godwitnotch.core.leased import owned_jobs
 from godwitnotch.core.leased import peer_messages
+from godwitnotch.core.leased import queue_pass
 from godwitnotch.core.leased import stalls
 from godwitnotch.core.leased import term_raises
 from godwitnotch.core.leased.leadership import LeadershipChange
@@ -145,6 +146,11 @@
         """How many callers wait for an answer from this host."""
         return self._owned_jobs.open_count
 
+    @property
+    def queue_figures(self) -> queue_pass.QueueFigures:
+        """Figures about this leader's queue; all 0 if it isn't the leader."""
+        return self._dispatcher.queue_figures
+
     @property
     def waiting_jobs(self) -> int:
         """How many jobs have not had a run; 0 unless this host leads."""
--- a/godwitnotch/core/leased/jobs.py
+++ b/godwitnotch/core/leased/jobs.py
@@ -62,6 +62,7 @@
             ordered a run.
         rechecked: Whether the job was checked for admission a second time.
         redirected: Whether the leader of another cell has redirected it.
+        passed_by: Whether tasks of a later job were started while it waited.
         may_run_elsewhere: Whether tasks may have been started in another cell.
     """
 
@@ -79,6 +80,7 @@
     started: bool = False
     rechecked: bool = False
     redirected: bool = False
+    passed_by: bool = False
     may_run_elsewhere: bool = False
 
     def __post_init__(self) -> None:
--- a/godwitnotch/core/leased/queue_pass.py
+++ b/godwitnotch/core/leased/queue_pass.py
@@ -4,6 +4,8 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Protocol
 
 from godwitnotch.core.leased import job_admission
@@ -23,6 +25,21 @@
 MAX_UNPLACED_JOB_COUNT = 4
 
 
+@dataclass(frozen=True, slots=True)
+class QueueFigures:
+    """Figures about the queue, for the metrics.
+
+    Attributes:
+        passed_by_count: How many waiting jobs were passed by, as a later one had
+            tasks that fit.
+        unfit_cpu_millis: Free CPU of upstreams on which no waiting task fits, in
+            thousandths of a core; 0 if no task waits.
+    """
+
+    passed_by_count: int
+    unfit_cpu_millis: int
+
+
 class ApplyVerdict(Protocol):
     """Moves or ends a job, as the admission has decided."""
 
@@ -80,26 +97,36 @@
         if not len(self._queue):
             return
         leases = self._accepting_leases(now)
+        # A list is faster to go through than a generator.
         max_free_cpu_millis = max(
-            (lease.free_resources.cpu_millis for lease in leases), default=0
-        )
-        all_runs_known = (
-            self._listing_complete(now) and self._lease_manager.all_runs_known()
+            [lease.free_resources.cpu_millis for lease in leases], default=0
         )
-        unplaced_count = 0
+        # Needs a scan of all upstreams, so it is computed only for a job that
+        # an earlier leader has had.
+        all_runs_known: bool | None = None
+        unplaced: list[jobs.LeasedJob] = []
         for job in self._queue.ordered(now=now):
-            if now < job.earlier_runs_end_by and not (
-                all_runs_known and self._lists_show_runs_of(job)
-            ):
-                continue
+            if now < job.earlier_runs_end_by:
+                if all_runs_known is None:
+                    all_runs_known = (
+                        self._listing_complete(now)
+                        and self._lease_manager.all_runs_known()
+                    )
+                if not all_runs_known or not self._lists_show_runs_of(job):
+                    continue
             # After a stall, responses may be handled before the tick that drops
             # jobs whose callers have stopped waiting.
             if now >= job.deadline or self._owners.is_lost(job.owner):
                 continue
             fits = job.request.tasks.needs.cpu_millis <= max_free_cpu_millis
+            waiting_count = job.waiting_task_count
             if not fits or not self._place_job(job, leases, now=now):
-                unplaced_count += 1
-            if unplaced_count >= MAX_UNPLACED_JOB_COUNT:
+                unplaced.append(job)
+            if job.waiting_task_count < waiting_count:
+                for earlier in unplaced:
+                    if earlier is not job:
+                        earlier.passed_by = True
+            if len(unplaced) >= MAX_UNPLACED_JOB_COUNT:
                 return
 
     def _lists_show_runs_of(self, job: jobs.LeasedJob) -> bool:
@@ -170,3 +197,23 @@
             alone=alone,
             now=now,
         )
+
+
+def measure(
+    open_jobs: Iterable[jobs.LeasedJob], leases: Iterable[lease_module.Lease]
+) -> QueueFigures:
+    """Returns figures about the queue.
+
+    Args:
+        open_jobs: All open jobs, also those without a waiting task.
+        leases: The leases that accept runs.
+    """
+    waiting_jobs = [job for job in open_jobs if job.waiting_task_count]
+    if not waiting_jobs:
+        return QueueFigures(0, 0)
+    least = min(job.request.tasks.needs.cpu_millis for job in waiting_jobs)
+    free = (lease.free_resources.cpu_millis for lease in leases)
+    return QueueFigures(
+        sum(job.passed_by for job in waiting_jobs),
+        sum(cpu_millis for cpu_millis in free if 0 < cpu_millis < least),
+    )
--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -351,11 +351,14 @@
     async def _handle_metrics(
         self, request: http_types.HttpRequest
     ) -> http_types.HttpResponse:
+        queue = self._core.queue_figures
         gauges = (
             ("ready", float(self._runtime.ready)),
             ("leads", float(self._core.leads)),
             ("open_jobs", float(self._core.open_jobs)),
             ("waiting_jobs", float(self._core.waiting_jobs)),
+            ("passed_by_jobs", float(queue.passed_by_count)),
+            ("unfit_free_cores", queue.unfit_cpu_millis / 1_000),
             ("held_upstreams", float(self._core.held_upstreams)),
             ("linked_hosts", float(len(self._links.linked))),
             ("log_lines_dropped", float(self._dropped_lines())),
--- a/tests/test_leased_queue_pass.py
+++ b/tests/test_leased_queue_pass.py
@@ -1,10 +1,96 @@
 """Tests of the passes over the queue of waiting jobs."""
 
+import dataclasses
 import unittest
 
+from bench import leased_load
+from godwitnotch.core import ids
+from godwitnotch.core.leased import events
+from godwitnotch.core.leased import jobs
+from godwitnotch.core.leased import lease
+from godwitnotch.core.leased import model
+from godwitnotch.core.leased import queue_pass
 from tests import leased_world
 
 
+def held_lease(name: str, cpu_millis: int, slots: int = 8) -> lease.Lease:
+    entry = leased_load.make_upstream(name, cpu_millis, slots, 1.0).entry
+    return lease.Lease(entry, state=lease.LeaseState.HELD)
+
+
+def add_run(held: lease.Lease, cpu_millis: int) -> None:
+    job = make_job("running", cpu_millis)
+    key = model.RunKey(job.tasks[0].key, model.RunNumber(1))
+    held.add_run(
+        lease.Run(
+            key,
+            job,
+            job.request.tasks.needs,
+            lease.RunState.RUNNING,
+            ordered_at=0.0,
+            expected_s=0.3,
+        )
+    )
+
+
+def make_job(name: str, cpu_millis: int) -> jobs.LeasedJob:
+    return jobs.LeasedJob(
+        leased_load.make_request(name, 1, cpu_millis, 300.0),
+        ids.HostId("a"),
+        0.0,
+        10.0,
+        300.0,
+    )
+
+
+class QueueFiguresTest(unittest.TestCase):
+    def test_free_cores_below_the_smallest_waiting_task_are_unfit(
+        self,
+    ) -> None:
+        held = held_lease("u", 32_000)
+        add_run(held, 20_000)
+        wide_open = held_lease("v", 32_000)
+        passed_by = make_job("large", 24_000)
+        passed_by.passed_by = True
+        waiting = [passed_by, make_job("small", 16_000)]
+        self.assertEqual(
+            queue_pass.measure(waiting, (held, wide_open)),
+            queue_pass.QueueFigures(1, 12_000),
+        )
+
+    def test_job_that_a_later_one_passes_is_counted_while_it_waits(
+        self,
+    ) -> None:
+        world = leased_world.World({"a": ["a1"]}, upstreams=1)
+        world.run(3.0)
+        world.submit("a1", "first")
+        plain = leased_world.request("large")
+        needs = dataclasses.replace(plain.tasks.needs, cpu_millis=1_500)
+        large = dataclasses.replace(
+            plain, tasks=dataclasses.replace(plain.tasks, needs=needs)
+        )
+        event = events.JobAsked(ids.CallId(99), large, world.now + 2.0)
+        world.deliver("a1", event)
+        self.assertEqual(
+            world.hosts["a1"].queue_figures, queue_pass.QueueFigures(0, 1_000)
+        )
+        world.submit("a1", "small")
+        self.assertEqual(
+            world.hosts["a1"].queue_figures, queue_pass.QueueFigures(1, 0)
+        )
+        world.run(1.0)
+        self.assertEqual(world.start_count("large"), 1)
+        self.assertEqual(
+            world.hosts["a1"].queue_figures, queue_pass.QueueFigures(0, 0)
+        )
+
+    def test_nothing_is_unfit_while_no_task_waits(self) -> None:
+        held = held_lease("u", 32_000)
+        self.assertEqual(
+            queue_pass.measure((), (held,)), queue_pass.QueueFigures(0, 0)
+        )
+
+
 class StalledLeaderTest(unittest.TestCase):
     """The leader has stalled while callers' deadlines passed."""
 
