Retry-After is spread only while room is short; a test of the log lines

Cause: a job refused for its near deadline while there is room was told up to 4 s more than before, so a load below capacity was answered otherwise. LogTest replays an overload and looks for each cause with its route.

--- a/godwitnotch/core/leased/job_admission.py
+++ b/godwitnotch/core/leased/job_admission.py
@@ -297,6 +297,8 @@
     def _retry_after_s(self, job: jobs.LeasedJob, *, now: float) -> float:
         """Returns when the caller of a job that is refused should come back."""
         drained_s = admission.retry_after_s(self._meter.load(now=now))
+        if not self._shares.is_short(now=now):
+            return drained_s
         return retry_times.spread(drained_s, job.name)
 
     def _settling(self, *, now: float) -> bool:
--- a/tests/test_leased_shares.py
+++ b/tests/test_leased_shares.py
@@ -12,6 +12,7 @@
 from bench import uneven_load
 from godwitnotch import leased_metrics
 from godwitnotch.core import ids
+from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import arrival_rates
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import late_jobs
@@ -229,6 +230,50 @@
         )
 
 
+class DecisionRecorder(leased_replay.Replay):
+    """Replays a load and keeps the decisions for the log."""
+
+    def __init__(self, load: leased_load.Load) -> None:
+        super().__init__(load)
+        self.decisions: list[actions.Decided] = []
+
+    def _execute(self, action: actions.Action) -> None:
+        if isinstance(action, actions.Decided):
+            self.decisions.append(action)
+        super()._execute(action)
+
+
+class LogTest(unittest.TestCase):
+    """Operators can't tell why a job was refused without these lines."""
+
+    def test_causes_and_shares_are_logged_with_their_route(self) -> None:
+        load = uneven_load.generate(
+            1, uneven_load.SHAPES["overload"], duration_s=6.0
+        )
+        recorder = DecisionRecorder(load)
+        recorder.run()
+        found = {
+            (decision.event, decision.reason)
+            for decision in recorder.decisions
+            if decision.route and f"route={decision.route}" in decision.detail
+        }
+        self.assertLessEqual(
+            {
+                ("job_refused", "overloaded"),
+                ("job_refused", "over_share"),
+                ("job_kept_late", ""),
+                ("job_of_no_use", "overloaded"),
+                ("route_share_used", "within"),
+                ("route_share_used", "excess"),
+            },
+            found,
+        )
+        used = [d for d in recorder.decisions if d.event == "route_share_used"]
+        self.assertTrue(all(decision.amount > 0 for decision in used))
+        # A line each second for each route and standing, not for each job.
+        self.assertLess(len(used), 6 * 6 * 2)
+
+
 class BelowCapacityTest(unittest.TestCase):
     """Loads that the upstreams can serve are served as before."""
 
@@ -334,6 +379,22 @@
 class RetryTimesTest(unittest.TestCase):
     """Many callers are refused in the same moment."""
 
+    def test_caller_refused_while_there_is_room_may_return_at_once(
+        self,
+    ) -> None:
+        world = leased_world.World({"a": ["a1", "a2", "a3"]}, upstreams=2)
+        world.link_all()
+        world.run(1.0)
+        calls = [
+            world.submit("a1", f"job{number}", wait_s=0.02)
+            for number in range(8)
+        ]
+        world.run(0.05)
+        for call in calls:
+            answer = world.answers[call][1]
+            self.assertEqual(answer.end, model.JobEnd.REFUSED)
+            self.assertLess(answer.retry_after_s, 1.0)
+
     def test_callers_are_told_different_times(self) -> None:
         told = [retry_times.spread(0.3, f"job{n}") for n in range(400)]
         seconds = collections.Counter(map(math.ceil, told))
