--- a/godwitnotch/core/leased/shares.py
+++ b/godwitnotch/core/leased/shares.py
@@ -20,10 +20,8 @@
 # A route may use this much of its share at once, as jobs arrive unevenly.
 BURST_S = 0.4
 REPORT_INTERVAL_S = 1.0
-# A job beyond its route's share may wait for this share of its slack. With a
-# quarter, narrow jobs were refused without a gain for other routes
-# (bench.uneven_load); the order of the queue stays as it is, since excess behind
-# all others left upstreams idle.
+# A job beyond its route's share may wait for this share of its slack. It keeps
+# its place in the queue, as excess behind all others would leave upstreams idle.
 EXCESS_SLACK_SHARE = 0.5
 
 
