Test of relays on loopback: counts only if no call has failed

After a relay was late all calls go directly for 2 s, so on a busy machine 13 in place of 36 calls were relayed, and the test failed. That each task is done once is asked for in any case.

--- a/tests/test_leased_serving.py
+++ b/tests/test_leased_serving.py
@@ -242,8 +242,9 @@
         if not failed:
             self.assertEqual(sent_by_leader, [])
             self.assertEqual(relays.lost_count, 0)
-        # The starts of 36 tasks, and lists that may show some ends each.
-        self.assertGreater(relays.relayed_count, 36)
+            # The starts of 36 tasks, and lists that may show some ends each.
+            self.assertGreater(relays.relayed_count, 36)
+        self.assertGreater(relays.relayed_count, 0)
         metrics = (await leader._handle_metrics(None)).body.decode()
         self.assertIn("godwitnotch_relays_active 1\n", metrics)
         self.assertIn(
