Runtime: an action that fails takes no other along

Cause: feed executed the actions of an event in one loop without a guard, so a message that can't be encoded dropped the orders after it. Change: each action is executed by itself; a fault is logged with the action. Result: tests/test_leased_runtime.py, red before, passes.

--- a/godwitnotch/net/leased_runtime.py
+++ b/godwitnotch/net/leased_runtime.py
@@ -162,7 +162,11 @@
             self._on_fault(f"handling {type(event).__name__}", error)
             return
         for action in resulting_actions:
-            self._execute(action)
+            try:
+                self._execute(action)
+            except Exception as error:
+                # The actions after it are of other jobs and hosts.
+                self._on_fault(f"executing {type(action).__name__}", error)
         if self._core.leads != self._was_leader:
             self._was_leader = self._core.leads
             if self._was_leader and self._on_elected is not None:
