Explain where a job would go, without sending it

Cause: operators on the users' platform could see what became of a job only after it was sent; `explain` knows the ids of submissions alone. Change: a host asks the leader by JobReportWanted and gets JobReported. The leader runs its own admission on copies of the queue, meter, shares and loads of other cells, and Placement.decide, which changes nothing. RouteShares.take is split into claim, which takes nothing, and its effect; OwnedJobs tells the next leader without a turn. The metrics address serves POST /explain-job, and `godwitnotch explain-job` prints the report. The HTTP part has no test yet.

--- a/godwitnotch/commands/views.py
+++ b/godwitnotch/commands/views.py
@@ -1,4 +1,4 @@
-"""Commands that show what hosts do: explain, top and demo."""
+"""Commands that show what hosts do: explain, explain-job, top and demo."""
 
 import asyncio
 import datetime
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Annotated
+from typing import Any
 from typing import TYPE_CHECKING
 
 import typer
@@ -28,6 +29,7 @@
 def register(app: typer.Typer) -> None:
     """Registers the commands."""
     app.command()(explain)
+    app.command("explain-job")(explain_job)
     app.command()(top)
     app.command()(demo)
 
@@ -91,6 +93,86 @@
         options.fail("\n".join(problems), options.ExitCode.UNREACHABLE)
 
 
+def explain_job(
+    job: Annotated[
+        typer.FileBinaryRead,
+        typer.Argument(
+            metavar="FILE", help="Body of the request; - for stdin."
+        ),
+    ],
+    host: Annotated[
+        str,
+        typer.Option(
+            metavar="IP:METRICS_PORT",
+            help="Metrics address of a host on the users' platform.",
+        ),
+    ],
+    authority: Annotated[str, typer.Option(help="Host header of the request.")],
+    path: Annotated[
+        str, typer.Option(help="Path of the request, with the id of the job.")
+    ],
+    wait_ms: Annotated[
+        float | None,
+        typer.Option(min=0, help="X-Request-Deadline of the request."),
+    ] = None,
+    timeout: Annotated[
+        float, typer.Option(min=0.1, help="Seconds to wait for the host.")
+    ] = 3.0,
+) -> None:
+    """Prints where a job would go now, and why, without sending it.
+
+    The job goes on as if a caller had sent it to this host; nothing is run,
+    counted or recorded. The first task is placed as if no other task waited.
+
+    Example: godwitnotch explain-job --host 10.0.1.11:9100 --authority
+    jobs.example --path /jobs/00000000000000a1 job.json
+    """
+    from godwitnotch import host_client
+    from godwitnotch import settings
+
+    try:
+        settings.parse_address(host)
+    except ValueError as error:
+        options.fail(f"--host: {error}", options.ExitCode.USAGE)
+    headers = {} if wait_ms is None else {"x-request-deadline": f"{wait_ms}"}
+    try:
+        response = host_client.HostClient(host, "").call(
+            "POST",
+            "/explain-job",
+            body=job.read(),
+            query={"authority": authority, "path": path},
+            headers=headers,
+            timeout_s=timeout,
+        )
+    except host_client.HostUnreachable as error:
+        options.fail(
+            f"host {host} gave no report: {error}. Check that --host is the "
+            "metrics address of a host on the users' platform, or ask another "
+            "host; nothing was run.",
+            options.ExitCode.UNREACHABLE,
+        )
+    if not response.ok:
+        options.fail(response.error, options.ExitCode.REFUSED)
+    for section, values in response.value.items():
+        print(section, *_pairs(values))
+
+
+def _pairs(values: dict[str, Any]) -> list[str]:
+    """Returns the values of a section as key=value pairs for one line."""
+    from godwitnotch import log
+
+    pairs = []
+    for name, value in values.items():
+        if isinstance(value, list):
+            value = ",".join(value)
+        elif isinstance(value, bool):
+            value = str(value).lower()
+        elif isinstance(value, float):
+            value = f"{value:.3f}"
+        pairs.append(f"{name}={log.format_value(value)}")
+    return pairs
+
+
 def top(
     host: options.Hosts,
     operator_token_file: options.OperatorTokenFile = None,
--- a/godwitnotch/core/leased/actions.py
+++ b/godwitnotch/core/leased/actions.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from godwitnotch.core import ids
+from godwitnotch.core.leased import explanation
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import peer_messages
 
@@ -15,6 +16,19 @@
     answer: model.Answer
 
 
+@dataclass(frozen=True, slots=True)
+class ReportJob:
+    """Passes a leader's report on a job to the operator who asked for it.
+
+    Attributes:
+        call: Id of the call.
+        report: The report; None without a leader.
+    """
+
+    call: ids.CallId
+    report: explanation.JobReport | None
+
+
 @dataclass(frozen=True, slots=True)
 class StartRun:
     """Orders the start of a run, and renews the lease until `deadline_ms`.
@@ -126,6 +140,7 @@
 
 Action = (
     AnswerCaller
+    | ReportJob
     | StartRun
     | StopRun
     | RenewLease
--- a/godwitnotch/core/leased/arrival_rates.py
+++ b/godwitnotch/core/leased/arrival_rates.py
@@ -5,6 +5,7 @@
 change of leader.
 """
 
+import copy
 import math
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -59,6 +60,16 @@
         self._total = _Average(LONG_AVERAGE_S, 0.0, float("-inf"))
         self._since = math.inf
 
+    def copy(self) -> "ArrivalRates":
+        """Returns the same rates, which then change independently."""
+        twin = ArrivalRates()
+        twin._routes = {
+            route: copy.copy(average) for route, average in self._routes.items()
+        }
+        twin._total = copy.copy(self._total)
+        twin._since = self._since
+        return twin
+
     def reset(self) -> None:
         """Forgets all arrivals."""
         self._routes.clear()
--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -10,6 +10,7 @@
 from godwitnotch.core.leased import evidence as evidence_module
 from godwitnotch.core.leased import health as health_module
 from godwitnotch.core.leased import job_admission
+from godwitnotch.core.leased import job_explainer
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import lease as lease_module
 from godwitnotch.core.leased import lease_manager
@@ -121,6 +122,17 @@
             evacuations=evacuations,
             closed_to=closed_to,
         )
+        self._explainer = job_explainer.JobExplainer(
+            self._jobs,
+            queue=self._queue,
+            meter=self._meter,
+            admission=self._admission,
+            placement=self._placement,
+            leases=self._lease_manager,
+            times=self._times,
+            task_records=self._task_records,
+            evacuations=evacuations,
+        )
         self._queue_pass = queue_pass.QueuePass(
             out,
             queue=self._queue,
@@ -167,6 +179,11 @@
         """The loads of the other cells."""
         return self._overflow
 
+    @property
+    def explainer(self) -> job_explainer.JobExplainer:
+        """Reports where a job would go, without an effect."""
+        return self._explainer
+
     @property
     def any_started(self) -> bool:
         """Whether any open job has, or may have, runs."""
--- a/godwitnotch/core/leased/events.py
+++ b/godwitnotch/core/leased/events.py
@@ -18,6 +18,21 @@
     deadline: float
 
 
+@dataclass(frozen=True, slots=True)
+class ReportAsked:
+    """An operator asks where a job would go now, without sending it.
+
+    Attributes:
+        call: Id of the call.
+        request: The job.
+        wait_s: How long its caller would wait.
+    """
+
+    call: ids.CallId
+    request: model.JobRequest
+    wait_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class CallerLeft:
     """The caller of a job has disconnected."""
@@ -109,6 +124,7 @@
 
 Event = (
     JobAsked
+    | ReportAsked
     | CallerLeft
     | CancelAsked
     | UpstreamsListed
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -11,6 +11,7 @@
 from godwitnotch.core.leased import evacuation
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import fleet as fleet_module
+from godwitnotch.core.leased import job_reports
 from godwitnotch.core.leased import leader_updates
 from godwitnotch.core.leased import leadership as leadership_module
 from godwitnotch.core.leased import lease as lease_module
@@ -107,6 +108,14 @@
         self._relaying = relaying.Relaying(
             self._out, self._leadership, self._dispatcher, self._relays
         )
+        self._job_reports = job_reports.JobReports(
+            self._out,
+            host,
+            self._leadership,
+            self._owned_jobs,
+            self._dispatcher.explainer,
+            send=self._send,
+        )
         self._updates = leader_updates.LeaderUpdates(
             self._out, self._dispatcher.evidence, self._dispatcher.task_records
         )
@@ -435,6 +444,10 @@
                 self._dispatcher.task_records.add_losses(tasks, now=now)
             case peer_messages.OrdersRelayed():
                 self._relaying.orders_received(host, message)
+            case peer_messages.JobReportWanted():
+                self._job_reports.wanted(host, message, now=now)
+            case peer_messages.JobReported():
+                self._job_reports.reported(message)
             case _ if self.leads:
                 self._handle_leader_message(host, message, now=now)
 
@@ -561,6 +574,13 @@
     )
 
 
+@_handles(events.ReportAsked)
+def _report_asked(
+    host: LeasedHost, event: events.ReportAsked, now: float
+) -> None:
+    host._job_reports.asked(event)
+
+
 @_handles(events.CallerLeft)
 def _caller_left(
     host: LeasedHost, event: events.CallerLeft, now: float
--- a/godwitnotch/core/leased/job_admission.py
+++ b/godwitnotch/core/leased/job_admission.py
@@ -4,6 +4,7 @@
 to come back.
 """
 
+import copy
 import dataclasses
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -71,6 +72,27 @@
     cause: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class LoadAssessment:
+    """How a job stands in regard to the load, without an effect on it.
+
+    Attributes:
+        any_open: Whether this leader holds a lease under which tasks start.
+        settling: Whether this new leader doesn't know its capacity yet.
+        ahead_ms: Expected run time of the waiting tasks ahead of the job.
+        load: The load.
+        share: Where the job stands in regard to its route's share.
+        decision: Whether it may wait.
+    """
+
+    any_open: bool
+    settling: bool
+    ahead_ms: float
+    load: admission.Load
+    share: shares_module.Standing
+    decision: admission.AdmissionDecision
+
+
 Verdict = Kept | Moved | Ended
 _KEPT = Kept()
 
@@ -113,6 +135,28 @@
         self._shares = shares_module.RouteShares(meter.rates)
         self._leading_since = 0.0
 
+    def copy(
+        self,
+        queue: waiting.WaitingQueue,
+        meter: load_meter.LoadMeter,
+        *,
+        least_slowness: Callable[[float], float],
+    ) -> "JobAdmission":
+        """Returns an admission that decides the same, without an effect here.
+
+        Args:
+            queue: A copy of the queue.
+            meter: A copy of the meter, for that queue.
+            least_slowness: See the class.
+        """
+        twin = copy.copy(self)
+        twin._queue = queue
+        twin._meter = meter
+        twin._overflow = self._overflow.copy()
+        twin._shares = self._shares.copy(meter.rates)
+        twin._least_slowness = least_slowness
+        return twin
+
     def start_leading(self, *, now: float) -> None:
         """Records when this host has started to lead."""
         self._leading_since = now
@@ -282,12 +326,8 @@
         load = self._meter.load(now=now)
         if not job.rechecked:
             self._take_share(job, load, now=now)
-        decision = admission.decide(
-            job,
-            ahead_ms,
-            load,
-            slack_share=shares_module.slack_share(over_share=job.over_share),
-            now=now,
+        decision = _decide(
+            job, ahead_ms, load, over_share=job.over_share, now=now
         )
         if decision.admitted:
             return _KEPT
@@ -310,6 +350,28 @@
             "over_share" if decision.in_time else "",
         )
 
+    def assess_load(self, job: jobs.LeasedJob, *, now: float) -> LoadAssessment:
+        """Returns how a new job stands in regard to the load; takes no share."""
+        ahead_ms = self._queue.ahead_ms(job, now=now)
+        load = self._meter.load(now=now)
+        claim = self._shares.claim(
+            job.request.settings.route,
+            waiting.work_left_ms(job),
+            load.capacity_ms_per_s,
+            now=now,
+        )
+        over_share = claim.standing is shares_module.Standing.EXCESS
+        return LoadAssessment(
+            any_open=self._any_open(now=now),
+            settling=self._settling(now=now),
+            ahead_ms=ahead_ms,
+            load=load,
+            share=claim.standing,
+            decision=_decide(
+                job, ahead_ms, load, over_share=over_share, now=now
+            ),
+        )
+
     def _any_open(self, *, now: float) -> bool:
         """Returns whether this leader holds a lease under which tasks start."""
         return self._evacuations.any_open(self._leases.leases.values(), now=now)
@@ -362,6 +424,24 @@
         )
 
 
+def _decide(
+    job: jobs.LeasedJob,
+    ahead_ms: float,
+    load: admission.Load,
+    *,
+    over_share: bool,
+    now: float,
+) -> admission.AdmissionDecision:
+    """Returns whether a job may wait, given its route's share."""
+    return admission.decide(
+        job,
+        ahead_ms,
+        load,
+        slack_share=shares_module.slack_share(over_share=over_share),
+        now=now,
+    )
+
+
 def _no_upstream(end: model.JobEnd) -> Ended:
     """Ends a job as no upstream may run it."""
     return Ended(
--- a/godwitnotch/core/leased/load_meter.py
+++ b/godwitnotch/core/leased/load_meter.py
@@ -1,5 +1,7 @@
 """Measures the load of one leader: its queue and the upstreams it holds."""
 
+import copy
+
 from godwitnotch.core.leased import admission
 from godwitnotch.core.leased import arrival_rates
 from godwitnotch.core.leased import evacuation
@@ -45,6 +47,13 @@
         """The rate of arriving work."""
         return self._rates
 
+    def copy(self, queue: waiting.WaitingQueue) -> "LoadMeter":
+        """Returns a meter with the same averages, for a copy of the queue."""
+        twin = copy.copy(self)
+        twin._queue = queue
+        twin._rates = self._rates.copy()
+        return twin
+
     def reset(self, *, now: float = float("-inf")) -> None:
         """Forgets the last measurement, and all arrivals before now."""
         self._measured_at = float("-inf")
--- a/godwitnotch/core/leased/overflow.py
+++ b/godwitnotch/core/leased/overflow.py
@@ -48,6 +48,12 @@
         """Whether another leader has told its load."""
         return bool(self._loads)
 
+    def copy(self) -> "Overflow":
+        """Returns the same loads, which then change independently."""
+        twin = Overflow()
+        twin._loads = dict(self._loads)
+        return twin
+
     def load_received(
         self, host: ids.HostId, load: cell_load.CellLoad, *, now: float
     ) -> None:
--- a/godwitnotch/core/leased/owned_jobs.py
+++ b/godwitnotch/core/leased/owned_jobs.py
@@ -265,16 +265,27 @@
 
         Jobs go to the other cells by turns.
         """
+        cell = self._next_cell()
+        if cell is None:
+            return
+        if cell != self._home:
+            self._cells_chosen += 1
+        self._hand_over(owned, cell, now=now)
+
+    def next_leader(self) -> ids.HostId:
+        """Returns the leader that gets the next new job; empty if none."""
+        cell = self._next_cell()
+        return ids.HostId("") if cell is None else self._leaders.host(cell)
+
+    def _next_cell(self) -> model.CellId | None:
+        """Returns the cell that gets the next new job; None if there is none."""
         serving = self._leaders.serving_cells()
         if self._home in serving:
-            self._hand_over(owned, self._home, now=now)
-        elif serving:
-            self._cells_chosen += 1
+            return self._home
+        if serving:
             cells_in_turn = self._leaders.open_cells()
-            cell = cells_in_turn[self._cells_chosen % len(cells_in_turn)]
-            self._hand_over(owned, cell, now=now)
-        elif self._leaders.host(self._home):
-            self._hand_over(owned, self._home, now=now)
+            return cells_in_turn[(self._cells_chosen + 1) % len(cells_in_turn)]
+        return self._home if self._leaders.host(self._home) else None
 
     def _move(self, owned: _OwnedJob, *, now: float) -> None:
         """Hands a job whose cell has no leader to another cell, if any."""
--- a/godwitnotch/core/leased/peer_messages.py
+++ b/godwitnotch/core/leased/peer_messages.py
@@ -8,6 +8,7 @@
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import cell_load
+from godwitnotch.core.leased import explanation
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import order_results
 
@@ -353,6 +354,34 @@
         yield from self.lists
 
 
+@dataclass(frozen=True, slots=True)
+class JobReportWanted:
+    """Asks a leader where a job would go now; the job isn't handed over.
+
+    Attributes:
+        call: Id of the sender's call.
+        request: The job, without its spec, which no decision reads.
+        wait_s: How long its caller would wait.
+    """
+
+    call: ids.CallId
+    request: model.JobRequest
+    wait_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class JobReported:
+    """The answer to `JobReportWanted`.
+
+    Attributes:
+        call: Id of the receiver's call.
+        report: The report; None if the sender doesn't lead.
+    """
+
+    call: ids.CallId
+    report: explanation.JobReport | None
+
+
 Message = (
     Standing
     | HostsKnown
@@ -374,4 +403,6 @@
     | UnfinishedRuns
     | OrdersRelayed
     | OrderResults
+    | JobReportWanted
+    | JobReported
 )
--- a/godwitnotch/core/leased/placement.py
+++ b/godwitnotch/core/leased/placement.py
@@ -168,6 +168,23 @@
                 return WaitsForFaster(place)
         return Placed(best)
 
+    def count_suitable(
+        self,
+        job: jobs.LeasedJob,
+        task: jobs.LeasedTask,
+        leases: Iterable[lease_module.Lease],
+        *,
+        now: float,
+    ) -> int:
+        """Returns how many upstreams can run a task once they have room."""
+        return sum(
+            job.request.tasks.needs.fits_in(lease.upstream.capacity)
+            and self._is_eligible(
+                job, task, lease, now=now, ignore_free_resources=True
+            )
+            for lease in leases
+        )
+
     def _rack_is_full(
         self,
         job: jobs.LeasedJob,
--- a/godwitnotch/core/leased/shares.py
+++ b/godwitnotch/core/leased/shares.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import copy
 import enum
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -54,8 +55,8 @@
         return f"route={self.route} work_ms={self.work_ms:.0f}"
 
 
-@dataclass(slots=True)
-class _Credit:
+@dataclass(frozen=True, slots=True)
+class Credit:
     """Work that a route may still send within its share.
 
     Attributes:
@@ -67,6 +68,20 @@
     updated_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """What a job would take of its route's share.
+
+    Attributes:
+        standing: Where the job stands.
+        credit: What is left of the share then; None if the route sends less
+            than its share.
+    """
+
+    standing: Standing
+    credit: Credit | None = None
+
+
 def allocate(
     demands: Mapping[model.RouteName, float], capacity: float
 ) -> dict[model.RouteName, float]:
@@ -100,12 +115,20 @@
     def __init__(self, rates: arrival_rates.ArrivalRates) -> None:
         self._rates = rates
         self._short_until = float("-inf")
-        self._credits: dict[model.RouteName, _Credit] = {}
+        self._credits: dict[model.RouteName, Credit] = {}
         self._used_ms: dict[tuple[model.RouteName, Standing], float] = (
             collections.defaultdict(float)
         )
         self._next_report_at = float("-inf")
 
+    def copy(self, rates: arrival_rates.ArrivalRates) -> "RouteShares":
+        """Returns the same shares, which then change independently."""
+        twin = copy.copy(self)
+        twin._rates = rates
+        twin._credits = dict(self._credits)
+        twin._used_ms = self._used_ms.copy()
+        return twin
+
     def reset(self) -> None:
         """Forgets all shares."""
         self._short_until = float("-inf")
@@ -138,11 +161,12 @@
             capacity_ms_per_s: Work that the upstreams do per second.
             now: The current time.
         """
-        if not self.is_short(now=now) or not self._rates.known(now=now):
-            return Standing.UNLIMITED
-        standing = self._standing(route, work_ms, capacity_ms_per_s, now=now)
-        self._used_ms[route, standing] += work_ms
-        return standing
+        claim = self.claim(route, work_ms, capacity_ms_per_s, now=now)
+        if claim.credit is not None:
+            self._credits[route] = claim.credit
+        if claim.standing is not Standing.UNLIMITED:
+            self._used_ms[route, claim.standing] += work_ms
+        return claim.standing
 
     def take_uses(self, *, now: float) -> tuple[ShareUse, ...]:
         """Returns the use since the last call, at most each REPORT_INTERVAL_S."""
@@ -156,29 +180,34 @@
         self._used_ms.clear()
         return uses
 
-    def _standing(
+    def claim(
         self,
         route: model.RouteName,
         work_ms: float,
         capacity_ms_per_s: float,
         *,
         now: float,
-    ) -> Standing:
+    ) -> Claim:
+        """Returns what a job would take of its route's share; takes nothing.
+
+        Args:
+            route: The route of the job.
+            work_ms: Expected run time of its tasks.
+            capacity_ms_per_s: Work that the upstreams do per second.
+            now: The current time.
+        """
+        if not self.is_short(now=now) or not self._rates.known(now=now):
+            return Claim(Standing.UNLIMITED)
         demands = self._rates.by_route(now=now)
         share = allocate(demands, capacity_ms_per_s).get(route, 0.0)
         if share >= demands.get(route, 0.0):
-            return Standing.WITHIN
-        credit = self._credits.get(route)
-        if credit is None:
-            credit = self._credits[route] = _Credit(share * BURST_S, now)
+            return Claim(Standing.WITHIN)
+        credit = self._credits.get(route, Credit(share * BURST_S, now))
         elapsed_s = max(0.0, now - credit.updated_at)
-        credit.left_ms = min(
-            share * BURST_S, credit.left_ms + share * elapsed_s
-        )
-        credit.updated_at = now
-        if credit.left_ms <= 0:
-            return Standing.EXCESS
+        left_ms = min(share * BURST_S, credit.left_ms + share * elapsed_s)
+        if left_ms <= 0:
+            return Claim(Standing.EXCESS, Credit(left_ms, now))
         # A job larger than what is left counts as within the share, so that
         # wide jobs are served as often as narrow ones.
-        credit.left_ms -= work_ms
-        return Standing.WITHIN
+        left = Credit(left_ms - work_ms, now)
+        return Claim(Standing.WITHIN, left)
--- a/godwitnotch/core/leased/waiting.py
+++ b/godwitnotch/core/leased/waiting.py
@@ -9,6 +9,7 @@
 """
 
 import bisect
+import copy
 import itertools
 import math
 from collections.abc import Iterable
@@ -41,6 +42,13 @@
         """Returns how many jobs wait."""
         return len(self._jobs)
 
+    def copy(self) -> "WaitingQueue":
+        """Returns a queue of the same jobs, with caches of its own."""
+        twin = copy.copy(self)
+        twin._jobs = dict(self._jobs)
+        twin._added_since_sort_ms = dict(self._added_since_sort_ms)
+        return twin
+
     def clear(self) -> None:
         """Removes all jobs."""
         self._jobs.clear()
--- a/godwitnotch/host_client.py
+++ b/godwitnotch/host_client.py
@@ -69,12 +69,15 @@
         path: str,
         *,
         value: object = None,
+        body: bytes = b"",
         query: Mapping[str, str] = EMPTY_MAPPING,
         headers: Mapping[str, str] = EMPTY_MAPPING,
         timeout_s: float = DEFAULT_TIMEOUT_S,
     ) -> HostResponse:
         """Sends a request and waits for the response.
 
+        The body is the value as JSON; without a value it is `body` as it is.
+
         Raises:
             HostUnreachable: There was no complete response.
         """
@@ -83,6 +86,7 @@
                 method,
                 path,
                 value=value,
+                body=body,
                 query=query,
                 headers=headers,
                 timeout_s=timeout_s,
@@ -95,6 +99,7 @@
         path: str,
         *,
         value: object = None,
+        body: bytes = b"",
         query: Mapping[str, str] = EMPTY_MAPPING,
         headers: Mapping[str, str] = EMPTY_MAPPING,
         timeout_s: float = DEFAULT_TIMEOUT_S,
@@ -109,7 +114,7 @@
                 "content-type": "application/json",
                 **headers,
             },
-            b"" if value is None else json.dumps(value).encode(),
+            body if value is None else json.dumps(value).encode(),
         )
         client = http_client.HttpClient(max_connections=1)
         try:
--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -25,6 +25,7 @@
 from godwitnotch.core.leased import host as host_module
 from godwitnotch.core.leased import locality
 from godwitnotch.core.leased import model
+from godwitnotch.net import explain_api
 from godwitnotch.net import http_client
 from godwitnotch.net import http_server
 from godwitnotch.net import http_types
@@ -158,12 +159,13 @@
             rng=self._rng,
             count=self._metrics.count_event,
         )
+        self._explain_api = explain_api.ExplainApi(self._runtime)
         self._servers = {
             settings.callers: self._make_server(
                 leased_api.LeasedApi(self).handle
             ),
             settings.ready: self._make_server(self._handle_ready),
-            self._metrics_address(): self._make_server(self._handle_metrics),
+            self._metrics_address(): self._make_server(self._handle_operators),
         }
         self._draining = asyncio.Event()
         self._abort_at = 0.0
@@ -352,6 +354,14 @@
         ready = self._runtime.ready and not self._draining.is_set()
         return http_types.HttpResponse(200 if ready else 503)
 
+    async def _handle_operators(
+        self, request: http_types.HttpRequest
+    ) -> http_types.HttpResponse:
+        """Serves the metrics, and reports on jobs that aren't sent."""
+        if request.path == explain_api.PATH:
+            return await self._explain_api.handle(request)
+        return await self._handle_metrics(request)
+
     async def _handle_metrics(
         self, request: http_types.HttpRequest
     ) -> http_types.HttpResponse:
--- a/godwitnotch/net/leased_api.py
+++ b/godwitnotch/net/leased_api.py
@@ -130,7 +130,7 @@
                 job_name, model.EndReason.MALFORMED_JOB, str(error)
             )
             return http_server.error_response(400, "malformed_job", str(error))
-        wait_s = _wait_s(request, route)
+        wait_s = caller_wait_s(request, route)
         self._host.log_received(job, wait_s, version)
         deadline = asyncio.get_running_loop().time() + wait_s
         answer = await self._host.run_job(job, deadline=deadline)
@@ -145,7 +145,7 @@
         )
 
 
-def _wait_s(
+def caller_wait_s(
     request: http_types.HttpRequest, route: configuration_module.Route
 ) -> float:
     """Returns the time in seconds within which an answer must leave this host.
--- a/godwitnotch/net/leased_runtime.py
+++ b/godwitnotch/net/leased_runtime.py
@@ -14,6 +14,7 @@
 from godwitnotch.core import model as host_model
 from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import events
+from godwitnotch.core.leased import explanation
 from godwitnotch.core.leased import host as host_module
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import peer_messages
@@ -70,6 +71,9 @@
         self._pending_answers: dict[
             ids.CallId, asyncio.Future[model.Answer]
         ] = {}
+        self._pending_reports: dict[
+            ids.CallId, asyncio.Future[explanation.JobReport | None]
+        ] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
         self._known_hosts: dict[ids.HostId, model.KnownHost] = {}
         self._configuration: configuration_module.Configuration | None = None
@@ -154,6 +158,34 @@
             if not answer_future.done() or answer_future.cancelled():
                 self.feed(events.CallerLeft(call))
 
+    async def report_job(
+        self, request: model.JobRequest, *, wait_s: float, deadline: float
+    ) -> explanation.JobReport | None:
+        """Returns a leader's report on a job, which isn't run.
+
+        Args:
+            request: The job.
+            wait_s: How long its caller would wait.
+            deadline: Loop time at which this call gives up.
+
+        Returns:
+            The report; None without a leader.
+
+        Raises:
+            TimeoutError: The leader has not answered by the deadline.
+        """
+        call = ids.CallId(next(self._call_ids))
+        future: asyncio.Future[explanation.JobReport | None] = (
+            self._loop.create_future()
+        )
+        self._pending_reports[call] = future
+        try:
+            self.feed(events.ReportAsked(call, request, wait_s))
+            async with asyncio.timeout_at(deadline):
+                return await future
+        finally:
+            del self._pending_reports[call]
+
     def feed(self, event: events.Event) -> None:
         """Passes an event to the host core; executes the resulting actions."""
         try:
@@ -327,6 +359,10 @@
                 answer_future = self._pending_answers.get(call)
                 if answer_future is not None and not answer_future.done():
                     answer_future.set_result(answer)
+            case actions.ReportJob(call=call, report=report):
+                report_future = self._pending_reports.get(call)
+                if report_future is not None and not report_future.done():
+                    report_future.set_result(report)
             case actions.TellPeer(host=host, message=message):
                 self._links.send(host, message)
             case actions.Decided():
--- a/tests/leased_world.py
+++ b/tests/leased_world.py
@@ -10,6 +10,7 @@
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import events
+from godwitnotch.core.leased import explanation
 from godwitnotch.core.leased import host as leased_host
 from godwitnotch.core.leased import locality
 from godwitnotch.core.leased import model
@@ -163,6 +164,7 @@
         upstreams: Upstreams by id.
         orders: Time and action of each order that a host has sent.
         answers: Time and answer of each answered call.
+        reports: The report of each call that asked for one.
         decisions: Time, host and action of each decision.
         started_runs: All runs that were started, each with its upstream.
         run_time_ms: Run time of new runs at an upstream of slowness 1.
@@ -207,6 +209,7 @@
         self.upstreams: dict[str, Upstream] = {}
         self.orders: list[tuple[float, actions.Action]] = []
         self.answers: dict[int, tuple[float, model.Answer]] = {}
+        self.reports: dict[int, explanation.JobReport | None] = {}
         self.decisions: list[tuple[float, str, actions.Decided]] = []
         self.started_runs: list[tuple[str, UpstreamRun]] = []
         self.run_time_ms = 100.0
@@ -581,6 +584,8 @@
             case actions.AnswerCaller(call=call, answer=answer):
                 assert call not in self.answers, "answered twice"
                 self.answers[call] = (self.now, answer)
+            case actions.ReportJob(call=call, report=report):
+                self.reports[call] = report
             case actions.Decided():
                 self.decisions.append((self.now, name, action))
             case actions.TellPeer(host=host, message=message):
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -40,6 +40,7 @@
 from godwitnotch.platform import fields
 from godwitnotch.platform import settings
 from godwitnotch.platform import upstreams
+from tests import explain_messages
 from tests import leased_world
 from tests import relay_messages
 
@@ -685,6 +686,7 @@
                 False,
             ),
             *relay_messages.EXAMPLES,
+            *explain_messages.EXAMPLES,
         )
         message_types = set(peer_messages.Message.__args__)
         self.assertEqual({type(each) for each in examples}, message_types)
