--- a/tests/test_leased_explain.py
+++ b/tests/test_leased_explain.py
@@ -4,9 +4,15 @@
 import unittest
 
 from godwitnotch.core import ids
+from godwitnotch.core.leased import arrival_rates
+from godwitnotch.core.leased import cells
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import explanation
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import outbox
+from godwitnotch.core.leased import owned_jobs
+from godwitnotch.core.leased import peer_messages
+from godwitnotch.core.leased import shares
 from godwitnotch.core.leased.explanation import AdmissionOutcome
 from godwitnotch.core.leased.explanation import PlacementOutcome
 from tests import leased_world
@@ -39,7 +45,7 @@
 
 
 def make_world(
-    hosts: dict[str, list[str]] | None = None, **options: int
+    hosts: dict[str, list[str]] | None = None, **options: float
 ) -> ExplainedWorld:
     """Returns a world with a leader that holds all upstreams."""
     world = ExplainedWorld(hosts or {"d": ["a", "b"]}, **options)
@@ -128,7 +134,7 @@
         world = make_world()
         call = ids.CallId(FIRST_CALL)
         request = leased_world.request("j")
-        wanted = events.peer_messages.JobReportWanted(call, request, 1.0)
+        wanted = peer_messages.JobReportWanted(call, request, 1.0)
         world.deliver("b", events.PeerTold(ids.HostId("a"), wanted))
         world.run(3 * leased_world.NETWORK_LATENCY_S)
         self.assertIsNone(world.reports[call])
@@ -143,31 +149,82 @@
             self.assertNotIn(value, (float("inf"), float("-inf")))
 
 
+class NextLeaderTest(unittest.TestCase):
+    def test_report_comes_from_the_leader_that_gets_the_next_job(self) -> None:
+        # Without a leader of its own, a host gives jobs to cells by turns.
+        told = []
+        leaders = cells.CellLeaders()
+        owned = owned_jobs.OwnedJobs(
+            outbox.Outbox(), leaders, send=lambda *sent: told.append(sent)
+        )
+        owned.set_home(model.CellId("home"))
+        self.assertEqual(owned.next_leader(), "")
+        for name in ("b", "c", "d"):
+            leader = cells.CellLeader(ids.HostId(name), model.Term(1), True)
+            leaders.set(model.CellId(name), leader)
+        for number in range(7):
+            expected = owned.next_leader()
+            self.assertEqual(owned.next_leader(), expected)
+            request = leased_world.request(f"j{number}")
+            owned.job_received(ids.CallId(number), request, 200.0, now=100.0)
+            self.assertEqual(told[-1][0], expected)
+        self.assertEqual({host for host, _ in told}, {"b", "c", "d"})
+
+
+class CopiedSharesTest(unittest.TestCase):
+    def test_what_a_copy_takes_leaves_the_shares_as_they_are(self) -> None:
+        # Credits that a copy shared with its original would be spent by
+        # reports, and jobs of callers would be beyond their share.
+        route = model.RouteName("r")
+        rates = arrival_rates.ArrivalRates()
+        for step in range(40):
+            rates.add(route, 600.0, now=100.0 + step * 0.1)
+        now = 104.0
+        original = shares.RouteShares(rates)
+        original.record_short(now=now)
+        original.take(route, 1.0, 3_000.0, now=now)
+        copied = original.copy(rates.copy())
+        standings = [
+            copied.take(route, 600.0, 3_000.0, now=now) for _ in range(4)
+        ]
+        self.assertIs(standings[-1], shares.Standing.EXCESS)
+        standing = original.take(route, 600.0, 3_000.0, now=now)
+        self.assertIs(standing, shares.Standing.WITHIN)
+
+
 class NothingChangesTest(unittest.TestCase):
-    def run_day(self, *, asks: bool) -> tuple[object, ...]:
-        """Replays an overload of two routes; returns all that hosts did."""
-        world = make_world({"d": ["a"], "e": ["b"]}, upstreams=3)
-        outcomes = set()
+    """Replays a load with and without reports; hosts must act the same.
+
+    A report that took a share, counted a job or refreshed a cache would change
+    what becomes of the jobs of callers.
+    """
+
+    def run_day(
+        self,
+        hosts: dict[str, list[str]],
+        *,
+        asks: bool,
+        outcomes: set[AdmissionOutcome],
+        **options: float,
+    ) -> tuple[object, ...]:
+        """Replays overloads of two routes; returns all that hosts did."""
+        world = make_world(hosts, upstreams=3, **options)
+        world.run(1.5)
+        names = sorted(world.domains)
         for step in range(300):
             if step % 100 < 60:
-                for number in range(2 + step % 3):
-                    world.submit(
-                        "ab"[number % 2],
-                        f"j{step}.{number}",
-                        tasks=1 + (step + number) % 5,
-                        rack=("", "rack-d", "rack-e")[number % 3],
-                    )
+                for number in range(2 + step % 4):
+                    self.submit(world, names, step, number)
             if asks:
-                for name in "ab":
+                for name in names:
                     world.ask(name, f"x{step}", 1 + step % 7, rack="rack-d")
             world.run(0.011)
         world.run(3.0)
-        for report in world.reports.values():
-            outcomes.add(report.admission.outcome)
         if asks:
-            self.assertEqual(len(world.reports), 600)
+            self.assertEqual(len(world.reports), 300 * len(names))
+            reports = [each for each in world.reports.values() if each]
             self.assertEqual(
-                outcomes, {AdmissionOutcome.KEPT, AdmissionOutcome.ENDED}
+                {each.admission.outcome for each in reports}, outcomes
             )
         return (
             world.answers,
@@ -176,11 +233,41 @@
             [(name, vars(run)) for name, run in world.started_runs],
         )
 
-    def test_hosts_act_the_same_with_and_without_reports(self) -> None:
-        # A report that took a share, counted a job or refreshed a cache would
-        # change what becomes of the jobs of callers.
-        for with_asks, without in zip(
-            self.run_day(asks=True), self.run_day(asks=False), strict=True
-        ):
-            self.assertGreater(len(without), 100)
-            self.assertEqual(with_asks, without)
+    def submit(
+        self, world: ExplainedWorld, names: list[str], step: int, number: int
+    ) -> None:
+        """Submits a job of one of two routes, most of them at one host."""
+        request = leased_world.request(
+            f"j{step}.{number}",
+            1 + (step + number) % 5,
+            rack=("", "rack-d", "rack-e")[number % 3],
+        )
+        settings = dataclasses.replace(
+            request.settings, route=model.RouteName(f"r{step % 3 == 0}")
+        )
+        request = dataclasses.replace(request, settings=settings)
+        name = names[0] if number % 3 else names[-1]
+        call = ids.CallId(step * 10 + number)
+        world.deliver(name, events.JobAsked(call, request, world.now + 2.0))
+
+    def assert_no_effect(
+        self, hosts: dict[str, list[str]], **options: object
+    ) -> None:
+        with_asks = self.run_day(hosts, asks=True, **options)
+        without = self.run_day(hosts, asks=False, **options)
+        for one, other in zip(with_asks, without, strict=True):
+            self.assertGreater(len(other), 100)
+            self.assertEqual(one, other)
+
+    def test_reports_of_one_leader_change_nothing(self) -> None:
+        self.assert_no_effect(
+            {"d": ["a"], "e": ["b"]},
+            outcomes={AdmissionOutcome.KEPT, AdmissionOutcome.ENDED},
+        )
+
+    def test_reports_in_a_divided_fleet_change_nothing(self) -> None:
+        self.assert_no_effect(
+            {"d": ["a", "b"], "e": ["c", "f"]},
+            outcomes=set(AdmissionOutcome) - {AdmissionOutcome.OPEN},
+            runs_per_s=1.0,
+        )
--- a/tests/test_leased_serving.py
+++ b/tests/test_leased_serving.py
@@ -474,6 +474,118 @@
         self.assertEqual(lost_answers, [])
         self.assertGreater(next(numbers), 8)
 
+    async def explain(
+        self,
+        host: leased_root.LeasedHost,
+        body: bytes,
+        *,
+        path: str = f"/jobs/{1:016x}",
+        method: str = "POST",
+    ) -> http_types.HttpResponse:
+        return await self.client.request(
+            host._metrics_address(),
+            http_types.HttpRequest(
+                method,
+                "/explain-job",
+                {"authority": "nony24.example:80", "path": path},
+                body=body,
+            ),
+            deadline=asyncio.get_running_loop().time() + TIMEOUT_S,
+            max_body_bytes=100_000,
+        )
+
+    async def test_every_host_explains_a_job_that_is_not_sent(self) -> None:
+        async def read_counts() -> list[list[bytes]]:
+            # Others may change meanwhile, as the count of stalls.
+            bodies = [(await h._handle_metrics(None)).body for h in self.hosts]
+            return [
+                [each for each in body.splitlines() if b"job" in each]
+                for body in bodies
+            ]
+
+        counts = await read_counts()
+        (leader,) = [host for host in self.hosts if host.leads]
+        for host in self.hosts:
+            response = await self.explain(host, json.dumps(JOB).encode())
+            self.assertEqual(response.status, 200, response.body)
+            report = json.loads(response.body)
+            self.assertEqual(report["route"]["name"], "r-1")
+            self.assertEqual(report["leader"]["id"], leader._settings.peers)
+            self.assertEqual(report["admission"]["outcome"], "kept")
+            self.assertEqual(report["placement"]["outcome"], "placed")
+            self.assertEqual(report["placement"]["suitable"], 4)
+        self.assertEqual(self.starts(), [])
+        self.assertEqual(await read_counts(), counts)
+
+    async def test_what_cannot_be_explained_names_the_remedy(self) -> None:
+        host = self.hosts[0]
+        body = json.dumps(JOB).encode()
+        stored = json.dumps({**JOB, "best_effort": False}).encode()
+        get = await self.explain(host, b"", method="GET")
+        self.assertEqual(get.status, 405)
+        for sent, path, status, kind, remedy in (
+            (body, "/other/1", 404, "no_route", "check both"),
+            (body, "/jobs/1", 404, "no_job", "append one to /jobs/"),
+            (b"{", None, 400, "malformed_job", "ask its writer"),
+            (stored, None, 422, "shape_not_served", "send the job without"),
+        ):
+            response = await self.explain(
+                host, sent, path=path or f"/jobs/{1:016x}"
+            )
+            with self.subTest(kind=kind):
+                self.assertEqual(response.status, status)
+                error = json.loads(response.body)["error"]
+                self.assertEqual(error["kind"], kind)
+                self.assertIn(remedy, error["detail"])
+
+    async def test_silent_leader_and_full_host_are_told_apart(self) -> None:
+        (leader,) = [host for host in self.hosts if host.leads]
+        asking = next(host for host in self.hosts if not host.leads)
+        body = json.dumps(JOB).encode()
+        # The leader drops the requests, as one that is paused would.
+        leader._core._job_reports.wanted = lambda *_, **__: None
+        responses = await asyncio.gather(
+            *(self.explain(asking, body) for _ in range(3))
+        )
+        kinds = [json.loads(r.body)["error"]["kind"] for r in responses]
+        self.assertEqual(
+            sorted(kinds), ["no_answer", "no_answer", "too_many_requests"]
+        )
+        self.assertEqual(asking._runtime._pending_reports, {})
+        asking._core._owned_jobs.next_leader = lambda: ""
+        response = await self.explain(asking, body)
+        self.assertEqual(response.status, 503)
+        self.assertIn(b"no_leader", response.body)
+
+    async def test_explain_job_command(self) -> None:
+        runner = testing.CliRunner()
+
+        def run(address: str, body: str) -> testing.Result:
+            return runner.invoke(
+                cli.app,
+                [
+                    *("explain-job", "-", "--host", address),
+                    *("--authority", "nony24.example"),
+                    *("--path", f"/jobs/{1:016x}", "--wait-ms", "900"),
+                ],
+                input=body,
+            )
+
+        host = self.hosts[0]
+        address = host._metrics_address()
+        result = await asyncio.to_thread(run, address, json.dumps(JOB))
+        self.assertEqual(result.exit_code, 0, result.output)
+        self.assertIn("route name=r-1 service=orders", result.output)
+        self.assertIn("wait_s=0.880", result.output)
+        self.assertIn("placement outcome=placed upstream=i-", result.output)
+        result = await asyncio.to_thread(run, address, "{")
+        self.assertEqual(result.exit_code, 1)
+        self.assertIn("malformed_job", result.output)
+        ready = host._settings.ready
+        result = await asyncio.to_thread(run, ready, json.dumps(JOB))
+        self.assertEqual(result.exit_code, 5)
+        self.assertIn("Check that --host is the", result.output)
+
     async def test_metrics_and_readiness(self) -> None:
         await self.send(self.hosts[0], "POST", f"/jobs/{1:016x}", JOB)
         loop = asyncio.get_running_loop()
