Test explain-job at a host without a configuration

Cause: of the errors that explain-job names, no_configuration had no test. Change: a test over HTTP. Result: the five tests of explain-job in test_leased_serving pass in 5.3 s.

--- a/tests/test_leased_serving.py
+++ b/tests/test_leased_serving.py
@@ -538,6 +538,16 @@
                 self.assertEqual(error["kind"], kind)
                 self.assertIn(remedy, error["detail"])
 
+    async def test_host_without_a_configuration_explains_nothing(self) -> None:
+        # The command must not take that for a missing route.
+        host = self.hosts[0]
+        host._runtime._configuration = None
+        response = await self.explain(host, json.dumps(JOB).encode())
+        self.assertEqual(response.status, 503)
+        error = json.loads(response.body)["error"]
+        self.assertEqual(error["kind"], "no_configuration")
+        self.assertIn("ask another host", error["detail"])
+
     async def test_silent_leader_and_full_host_are_told_apart(self) -> None:
         (leader,) = [host for host in self.hosts if host.leads]
         asking = next(host for host in self.hosts if not host.leads)
