Callers' API: a wait that is no finite number is that of the route

Cause: X-Request-Deadline: inf reached JobHandedOver; the leader's decoder rejects infinite numbers and closes the link to the owner, with all its jobs. Result: test_wait_that_is_no_finite_number_is_that_of_the_route, red before for inf, -inf, nan and 1e999, passes.

--- a/godwitnotch/net/leased_api.py
+++ b/godwitnotch/net/leased_api.py
@@ -157,9 +157,12 @@
     header = request.headers.get(jobs.DEADLINE_HEADER)
     if header is not None:
         try:
-            wait_s = float(header) / 1_000
+            stated_s = float(header) / 1_000
         except ValueError:
-            wait_s = route.timeout_s
+            stated_s = math.nan
+        # Peers reject infinite numbers and close the link that carries one.
+        if math.isfinite(stated_s):
+            wait_s = stated_s
     return max(0.0, wait_s - ANSWER_MARGIN_S)
 
 
--- a/tests/test_leased_runtime.py
+++ b/tests/test_leased_runtime.py
@@ -8,9 +8,26 @@
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import peer_messages
+from godwitnotch.net import http_types
+from godwitnotch.net import leased_api
 from godwitnotch.net import leased_runtime
 
 
+class CallerWaitTest(unittest.TestCase):
+    def test_wait_that_is_no_finite_number_is_that_of_the_route(self) -> None:
+        # An infinite wait went to the leader, whose decoder closed the link.
+        route = unittest.mock.Mock(timeout_s=1.5)
+        for header in ("inf", "-inf", "nan", "1e999", "soon"):
+            with self.subTest(header=header):
+                request = http_types.HttpRequest(
+                    "POST", "/", headers={"x-request-deadline": header}
+                )
+                self.assertEqual(
+                    leased_api.caller_wait_s(request, route),
+                    1.5 - leased_api.ANSWER_MARGIN_S,
+                )
+
+
 class FaultTest(unittest.IsolatedAsyncioTestCase):
     async def test_action_that_fails_takes_no_other_along(self) -> None:
         # A message that couldn't be encoded dropped the orders of other jobs
