--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -14,12 +14,11 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
-from dataclasses import asdict
 from dataclasses import dataclass
-from dataclasses import replace
 from typing import Any
 from typing import TypeVar
 
+import msgspec
 import yaml
 
 from godwitnotch import host_client
@@ -291,13 +290,15 @@
         self, upstreams: Sequence[model.UpstreamEntry]
     ) -> None:
         listed_entries = [
-            asdict(
-                replace(entry, address=self.upstreams[entry.upstream].address)
+            msgspec.to_builtins(
+                msgspec.structs.replace(
+                    entry, address=self.upstreams[entry.upstream].address
+                )
             )
             for entry in upstreams
         ]
         listed_entries += [
-            asdict(entry) for entry in self._listed_only_upstreams
+            msgspec.to_builtins(entry) for entry in self._listed_only_upstreams
         ]
         file = self._folder / "upstreams.yaml"
         file.write_text(yaml.safe_dump(listed_entries))
--- a/bench/fleet_bench.py
+++ b/bench/fleet_bench.py
@@ -31,6 +31,7 @@
 from dataclasses import replace
 from typing import Annotated
 
+import msgspec
 import rich.console
 import rich.table
 import typer
@@ -234,7 +235,7 @@
     deployment: fleet.Deployment, load: recorded_load.Load, time_scale: float
 ) -> None:
     templates = {
-        job.template.name: replace(
+        job.template.name: msgspec.structs.replace(
             job.template, max_wait_s=job.max_wait_s * time_scale
         )
         for job in load.jobs
--- a/bench/leased_replay.py
+++ b/bench/leased_replay.py
@@ -15,6 +15,8 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+import msgspec
+
 from bench import leased_load
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
@@ -150,7 +152,7 @@
         """Tells the leader which upstreams accept runs now."""
         load_time = self._now - self._load_started_at
         entries = (
-            dataclasses.replace(
+            msgspec.structs.replace(
                 upstream.entry, draining=not upstream.is_available(load_time)
             )
             for upstream in self._load.upstreams
@@ -211,7 +213,7 @@
         again = dataclasses.replace(
             job,
             arrives_at=self._now - self._load_started_at + delay_s,
-            request=dataclasses.replace(job.request, job=new_name),
+            request=msgspec.structs.replace(job.request, job=new_name),
         )
         self._jobs[new_name] = again
         self._return_counts[new_name] = return_count
--- a/bench/pass_cost.py
+++ b/bench/pass_cost.py
@@ -10,6 +10,8 @@
 import time
 import unittest.mock
 
+import msgspec
+
 from bench import leased_load
 from bench import leased_replay
 from bench import load_sweep
@@ -73,10 +75,10 @@
 
 def _patient(job: leased_load.Job, prefix: str) -> leased_load.Job:
     """Returns a job whose caller waits long, under a name of its own."""
-    settings = dataclasses.replace(
+    settings = msgspec.structs.replace(
         job.request.settings, target_ms=PATIENT_TARGET_MS
     )
-    request = dataclasses.replace(
+    request = msgspec.structs.replace(
         job.request,
         job=type(job.request.job)(f"{prefix}-{job.request.job}"),
         settings=settings,
--- a/bench/policy_cost.py
+++ b/bench/policy_cost.py
@@ -11,7 +11,8 @@
 import heapq
 import random
 import time
-from dataclasses import replace
+
+import msgspec
 
 from bench import recorded_load
 from godwitnotch.core import ids
@@ -71,7 +72,7 @@
     policy.update_hosts(others, now=0.0)
     policy.update_upstreams(load.upstreams, now=0.0)
     workspace = model.WorkspaceConfig(ids.WorkspaceId("team"), 1)
-    workspace = replace(workspace, max_running_tasks=1_000_000)
+    workspace = msgspec.structs.replace(workspace, max_running_tasks=1_000_000)
     template = model.Template(ids.TemplateName("check"), "/run")
     running: list[tuple[float, int, scheduler.Assignment, float]] = []
     now, policy_cpu_s, ended_count, submitted_count = 1.0, 0.0, 0, 0
--- a/bench/uneven_load.py
+++ b/bench/uneven_load.py
@@ -13,7 +13,6 @@
 
 import argparse
 import collections
-import dataclasses
 import enum
 import math
 import random
@@ -23,6 +22,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+import msgspec
+
 from bench import leased_load
 from bench import leased_replay
 from bench import leased_yardstick
@@ -224,9 +225,11 @@
         stretch=STRETCH,
         target_ms=TARGET_MS,
     )
-    request = dataclasses.replace(
+    request = msgspec.structs.replace(
         request,
-        settings=dataclasses.replace(request.settings, priority=route.priority),
+        settings=msgspec.structs.replace(
+            request.settings, priority=route.priority
+        ),
     )
     work_ms = tuple(
         base_ms * math.exp(rng.gauss(0, 0.15)) for _ in range(count)
--- a/godwitnotch/checked_yaml.py
+++ b/godwitnotch/checked_yaml.py
@@ -7,10 +7,10 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Any
 from typing import TypeVar
 
+import msgspec
 import pydantic
 import pydantic_core
 import yaml
@@ -41,8 +41,7 @@
 Model = TypeVar("Model", bound=StrictDocument)
 
 
-@dataclass(frozen=True, slots=True)
-class Problem:
+class Problem(msgspec.Struct, frozen=True):
     """A problem of a document.
 
     Attributes:
@@ -72,8 +71,7 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class InvalidDocument:
+class InvalidDocument(msgspec.Struct, frozen=True):
     """All problems of a document, ordered by line."""
 
     problems: tuple[Problem, ...]
@@ -224,8 +222,7 @@
     )
 
 
-@dataclass(slots=True)
-class _PathInfo:
+class _PathInfo(msgspec.Struct):
     """The part of a model's declaration that applies to one path.
 
     Attributes:
--- a/godwitnotch/commands/views.py
+++ b/godwitnotch/commands/views.py
@@ -4,11 +4,11 @@
 import datetime
 import time
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Annotated
 from typing import Any
 from typing import TYPE_CHECKING
 
+import msgspec
 import typer
 
 from godwitnotch.commands import options
@@ -17,8 +17,7 @@
     from godwitnotch import host_client
 
 
-@dataclass(frozen=True, slots=True)
-class _EventLine:
+class _EventLine(msgspec.Struct, frozen=True):
     """An event of a submission, with its Unix time by the local clock."""
 
     time_s: float
--- a/godwitnotch/core/actions.py
+++ b/godwitnotch/core/actions.py
@@ -1,22 +1,20 @@
 """Actions: what the host core asks the runtime to do."""
 
-from dataclasses import dataclass
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core import messages
 from godwitnotch.core import model
 
 
-@dataclass(frozen=True, slots=True)
-class Reply:
+class Reply(msgspec.Struct, frozen=True):
     """Sends a caller the answer about its job."""
 
     call: ids.CallId
     answer: model.JobAnswer
 
 
-@dataclass(frozen=True, slots=True)
-class ReplyReserved:
+class ReplyReserved(msgspec.Struct, frozen=True):
     """Sends a caller its reserved ids.
 
     Attributes:
@@ -31,8 +29,7 @@
     open_for_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class ReplyConfig:
+class ReplyConfig(msgspec.Struct, frozen=True):
     """Replies to an operator who replaces a workspace's settings.
 
     Attributes:
@@ -50,16 +47,14 @@
     detail: str
 
 
-@dataclass(frozen=True, slots=True)
-class SendPeer:
+class SendPeer(msgspec.Struct, frozen=True):
     """Sends a message to a linked peer; it is lost if the link is down."""
 
     host: ids.HostId
     message: messages.Message
 
 
-@dataclass(frozen=True, slots=True)
-class StartAttempt:
+class StartAttempt(msgspec.Struct, frozen=True):
     """Sends one task to an upstream; the runtime must not send it again.
 
     Attributes:
@@ -85,39 +80,34 @@
     deadline: float
 
 
-@dataclass(frozen=True, slots=True)
-class AbortAttempt:
+class AbortAttempt(msgspec.Struct, frozen=True):
     """Aborts an attempt by closing its connection."""
 
     attempt: ids.AttemptId
 
 
-@dataclass(frozen=True, slots=True)
-class StoreTransact:
+class StoreTransact(msgspec.Struct, frozen=True):
     """Writes rows of the store in one transaction."""
 
     call: ids.StoreCallId
     writes: tuple[model.RowWrite, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class StoreRead:
+class StoreRead(msgspec.Struct, frozen=True):
     """Reads rows of the store by key."""
 
     call: ids.StoreCallId
     keys: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class StoreScan:
+class StoreScan(msgspec.Struct, frozen=True):
     """Reads the rows of the store whose key starts with a prefix."""
 
     call: ids.StoreCallId
     prefix: str
 
 
-@dataclass(frozen=True, slots=True)
-class Note:
+class Note(msgspec.Struct, frozen=True):
     """Records a log event in the log, the event ring and the metrics.
 
     Attributes:
@@ -133,8 +123,7 @@
     detail: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class Stopped:
+class Stopped(msgspec.Struct, frozen=True):
     """Reports that the drain is complete and the process may exit."""
 
 
--- a/godwitnotch/core/admission.py
+++ b/godwitnotch/core/admission.py
@@ -6,7 +6,7 @@
 queue empties, so that callers don't retry all at once.
 """
 
-from dataclasses import dataclass
+import msgspec
 
 from godwitnotch.core import model
 from godwitnotch.core import random_source
@@ -23,8 +23,7 @@
 NO_UPSTREAM_RETRY_AFTER_S = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class QueueState:
+class QueueState(msgspec.Struct, frozen=True):
     """The queue and the slots at the time when a new job is checked.
 
     Attributes:
--- a/godwitnotch/core/baselines.py
+++ b/godwitnotch/core/baselines.py
@@ -3,7 +3,8 @@
 import zlib
 from collections import deque
 from collections.abc import Sequence
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core import messages
@@ -15,16 +16,14 @@
 REFUSED_FULL_PAUSE_S = 0.02
 
 
-@dataclass(slots=True)
-class _QueuedTask:
+class _QueuedTask(msgspec.Struct):
     """A queued task and its job."""
 
     job: scheduler.JobRequest
     task_index: int
 
 
-@dataclass(slots=True)
-class _UpstreamLoad:
+class _UpstreamLoad(msgspec.Struct):
     """An upstream and the number of tasks that this host runs there."""
 
     entry: model.UpstreamEntry
--- a/godwitnotch/core/bindings.py
+++ b/godwitnotch/core/bindings.py
@@ -8,8 +8,8 @@
 
 import collections
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
+
+import msgspec
 
 from godwitnotch.core import events
 from godwitnotch.core import ids
@@ -21,8 +21,7 @@
 from godwitnotch.core import token_bucket
 
 
-@dataclass(frozen=True, slots=True)
-class BindingUnavailable:
+class BindingUnavailable(msgspec.Struct, frozen=True):
     """The key can't be bound or looked up now.
 
     Attributes:
@@ -40,8 +39,7 @@
 FindCallback = Callable[[FindResult, float], None]
 
 
-@dataclass(frozen=True, slots=True)
-class BindRequest:
+class BindRequest(msgspec.Struct, frozen=True):
     """A request to bind a key.
 
     Attributes:
@@ -318,8 +316,7 @@
         return BindingUnavailable(model.Reason.STORE_UNAVAILABLE, wait_s)
 
 
-@dataclass(slots=True, eq=False)
-class _Waiter:
+class _Waiter(msgspec.Struct, eq=False):
     """A call that waits for a binding."""
 
     digest: bytes
@@ -327,8 +324,7 @@
     timer: timers_module.Timer | None = None
 
 
-@dataclass(slots=True, eq=False)
-class _PendingBind:
+class _PendingBind(msgspec.Struct, eq=False):
     """A key that is being bound.
 
     Attributes:
@@ -350,7 +346,7 @@
     expected_version: int = 0
     uncertain: bool = False
     retained: bool = False
-    waiters: list[_Waiter] = field(default_factory=list)
+    waiters: list[_Waiter] = msgspec.field(default_factory=list)
 
     def write(self) -> model.RowWrite:
         value = records.encode_binding(self.submission, self.digest)
--- a/godwitnotch/core/charts.py
+++ b/godwitnotch/core/charts.py
@@ -1,26 +1,27 @@
-"""State charts (finite state machines) that are loaded from YAML files.
+"""State charts (finite state machines) that are loaded from TOML files.
 
 A chart file has a name, an initial state, and for each state the accepted
 events with the state that each leads to:
 
-    name: door
-    initial: closed
-    states:
-      closed:
-        open: opened
-      opened:
-        close: closed
+    name = "door"
+    initial = "closed"
+
+    [states.closed]
+    open = "opened"
+
+    [states.opened]
+    close = "closed"
 """
 
 import enum
+import pkgutil
+import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass
-from importlib import resources
 from typing import Any
 from typing import Generic
 from typing import TypeVar
 
-import yaml
+import msgspec
 
 _State = TypeVar("_State", bound=enum.Enum)
 _Event = TypeVar("_Event", bound=enum.Enum)
@@ -36,7 +37,7 @@
     def __init__(self, chart: str, state: str, event: str) -> None:
         super().__init__(
             f"chart {chart!r} defines no transition for event {event!r} in "
-            f"state {state!r}; add it to core/charts/{chart}.yaml, or don't "
+            f"state {state!r}; add it to core/charts/{chart}.toml, or don't "
             "send the event in that state"
         )
         self.chart = chart
@@ -44,8 +45,7 @@
         self.event = event
 
 
-@dataclass(frozen=True, slots=True)
-class Chart(Generic[_State, _Event]):
+class Chart(msgspec.Struct, Generic[_State, _Event], frozen=True):
     """A state machine as a transition table.
 
     Attributes:
@@ -82,7 +82,7 @@
     """Loads a chart from core/charts/.
 
     Args:
-        name: Name of the file, without `.yaml`.
+        name: Name of the file, without `.toml`.
         states: States of the chart; the file must describe all of them.
         events: Events of the chart; the file must use all of them.
 
@@ -90,14 +90,16 @@
         ChartError: The file is invalid, or doesn't match the states and
             events.
     """
-    path = resources.files("godwitnotch.core") / "charts" / f"{name}.yaml"
-    return parse(path.read_text(), states, events)
+    content = pkgutil.get_data("godwitnotch.core", f"charts/{name}.toml")
+    if content is None:
+        raise ChartError(f"core/charts/{name}.toml can't be read")
+    return parse(content.decode(), states, events)
 
 
 def parse(
     text: str, states: type[_State], events: type[_Event]
 ) -> Chart[_State, _Event]:
-    """Parses the YAML text of a chart.
+    """Parses the TOML text of a chart.
 
     Raises:
         ChartError: The text is invalid, or doesn't match the states and
@@ -108,7 +110,7 @@
     transitions = {}
     for state_name, row in document["states"].items():
         state = _parse_member(name, states, state_name)
-        for event_name, next_name in (row or {}).items():
+        for event_name, next_name in row.items():
             event = _parse_member(name, events, event_name)
             transitions[state, event] = _parse_member(name, states, next_name)
     described = {
@@ -122,14 +124,17 @@
 
 
 def _load_document(text: str) -> Mapping[str, Any]:
-    document = yaml.safe_load(text)
+    try:
+        document = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise ChartError(f"a chart must be valid TOML: {error}") from error
     expected_keys = {"name", "initial", "states"}
-    if not isinstance(document, dict) or set(document) != expected_keys:
+    if set(document) != expected_keys:
         raise ChartError(
             "a chart must have exactly the keys name, initial and states; "
-            f"found {sorted(document) if document else 'nothing'}"
+            f"found {sorted(document) or 'nothing'}"
         )
-    return dict(document)
+    return document
 
 
 _Member = TypeVar("_Member", bound=enum.Enum)
--- a/godwitnotch/core/config_changes.py
+++ b/godwitnotch/core/config_changes.py
@@ -6,8 +6,8 @@
 
 import collections
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
+
+import msgspec
 
 from godwitnotch.core import actions
 from godwitnotch.core import configuration
@@ -23,8 +23,7 @@
 NONCE_LIMIT = 10**18
 
 
-@dataclass(slots=True)
-class _Change:
+class _Change(msgspec.Struct):
     """An operator's change and its progress.
 
     Attributes:
@@ -45,7 +44,7 @@
     nonce: str
     deadline: float
     counter: int | None = None
-    unconfirmed: set[ids.HostId] = field(default_factory=set)
+    unconfirmed: set[ids.HostId] = msgspec.field(default_factory=set)
     answered: bool = False
     may_be_recorded: bool = False
 
--- a/godwitnotch/core/credit_scheduler.py
+++ b/godwitnotch/core/credit_scheduler.py
@@ -7,7 +7,8 @@
 
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import admission
 from godwitnotch.core import fair_queue
@@ -54,16 +55,14 @@
 REQUEST_INTERVAL_S = 0.01
 
 
-@dataclass(frozen=True, slots=True)
-class _AdmittedJob:
+class _AdmittedJob(msgspec.Struct, frozen=True):
     """An admitted job and the expected sizes of its tasks."""
 
     request: scheduler.JobRequest
     sizes: fair_queue.TaskSizes
 
 
-@dataclass(slots=True)
-class _RunningTask:
+class _RunningTask(msgspec.Struct):
     """Data of a running task that is needed when the attempt ends.
 
     Attributes:
--- a/godwitnotch/core/credit_state.py
+++ b/godwitnotch/core/credit_state.py
@@ -1,15 +1,14 @@
 """State of a credit ledger: resources, loans and pending requests."""
 
 import math
-from dataclasses import dataclass
-from dataclasses import field
+
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core import ledger_messages
 
 
-@dataclass(slots=True)
-class PendingRequest:
+class PendingRequest(msgspec.Struct):
     """A request for units of any resources of one lender.
 
     Attributes:
@@ -23,8 +22,7 @@
     expires_at: float
 
 
-@dataclass(slots=True)
-class Loan:
+class Loan(msgspec.Struct):
     """The lender's view of one borrower of one resource.
 
     Attributes:
@@ -55,8 +53,7 @@
         return max(self.wanted - self.reserved, 0)
 
 
-@dataclass(slots=True)
-class Credit:
+class Credit(msgspec.Struct):
     """The units of one resource that this host uses, borrows or lends.
 
     Attributes:
@@ -91,7 +88,7 @@
     recall_limit: int | None = None
     serial: int = 0
     requested: int = 0
-    loans: dict[ids.HostId, Loan] = field(default_factory=dict)
+    loans: dict[ids.HostId, Loan] = msgspec.field(default_factory=dict)
 
     @property
     def free(self) -> int:
--- a/godwitnotch/core/events.py
+++ b/godwitnotch/core/events.py
@@ -1,6 +1,6 @@
 """Events: the inputs of the host core."""
 
-from dataclasses import dataclass
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core import messages
@@ -8,8 +8,7 @@
 from godwitnotch.core.leased import peer_messages
 
 
-@dataclass(frozen=True, slots=True)
-class ReserveAsked:
+class ReserveAsked(msgspec.Struct, frozen=True):
     """A caller reserves submission ids.
 
     Attributes:
@@ -26,8 +25,7 @@
     key: ids.IdempotencyKey | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class SubmitAsked:
+class SubmitAsked(msgspec.Struct, frozen=True):
     """A caller submits a job under a reserved id.
 
     Attributes:
@@ -45,8 +43,7 @@
     deadline: float
 
 
-@dataclass(frozen=True, slots=True)
-class KeyedSubmitAsked:
+class KeyedSubmitAsked(msgspec.Struct, frozen=True):
     """A caller submits a job under an idempotency key.
 
     Attributes:
@@ -64,8 +61,7 @@
     deadline: float
 
 
-@dataclass(frozen=True, slots=True)
-class StatusAsked:
+class StatusAsked(msgspec.Struct, frozen=True):
     """A caller asks for the status of a submission."""
 
     call: ids.CallId
@@ -73,8 +69,7 @@
     submission: ids.SubmissionId
 
 
-@dataclass(frozen=True, slots=True)
-class CancelAsked:
+class CancelAsked(msgspec.Struct, frozen=True):
     """A caller cancels a submission."""
 
     call: ids.CallId
@@ -82,15 +77,13 @@
     submission: ids.SubmissionId
 
 
-@dataclass(frozen=True, slots=True)
-class CallerGone:
+class CallerGone(msgspec.Struct, frozen=True):
     """A caller closed its connection; its job continues."""
 
     call: ids.CallId
 
 
-@dataclass(frozen=True, slots=True)
-class PeerUp:
+class PeerUp(msgspec.Struct, frozen=True):
     """A link to a peer is open and the handshake has succeeded."""
 
     host: ids.HostId
@@ -98,31 +91,27 @@
     incarnation: ids.Incarnation
 
 
-@dataclass(frozen=True, slots=True)
-class PeerDown:
+class PeerDown(msgspec.Struct, frozen=True):
     """A link to a peer was closed, for example because the peer was silent."""
 
     host: ids.HostId
 
 
-@dataclass(frozen=True, slots=True)
-class PeerSaid:
+class PeerSaid(msgspec.Struct, frozen=True):
     """A message arrived from a linked peer."""
 
     host: ids.HostId
     message: messages.Message
 
 
-@dataclass(frozen=True, slots=True)
-class LeasedPeerSaid:
+class LeasedPeerSaid(msgspec.Struct, frozen=True):
     """A message about leased runs arrived from a linked peer."""
 
     host: ids.HostId
     message: peer_messages.Message
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptEnded:
+class AttemptEnded(msgspec.Struct, frozen=True):
     """An attempt (one request to an upstream) ended.
 
     Attributes:
@@ -143,15 +132,13 @@
     retry_after_s: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class StoreCommitted:
+class StoreCommitted(msgspec.Struct, frozen=True):
     """A transaction of the store was committed."""
 
     call: ids.StoreCallId
 
 
-@dataclass(frozen=True, slots=True)
-class StoreConflict:
+class StoreConflict(msgspec.Struct, frozen=True):
     """A transaction was rejected and wrote nothing.
 
     Attributes:
@@ -163,8 +150,7 @@
     rows: tuple[model.Row, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class StoreRows:
+class StoreRows(msgspec.Struct, frozen=True):
     """A read or scan of the store succeeded.
 
     Attributes:
@@ -176,8 +162,7 @@
     rows: tuple[model.Row, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class StoreFailed:
+class StoreFailed(msgspec.Struct, frozen=True):
     """A store call failed.
 
     Attributes:
@@ -189,15 +174,13 @@
     uncertain: bool
 
 
-@dataclass(frozen=True, slots=True)
-class DirectorySeen:
+class DirectorySeen(msgspec.Struct, frozen=True):
     """A directory arrived, from the platform or from a peer."""
 
     directory: model.Directory
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigPutAsked:
+class ConfigPutAsked(msgspec.Struct, frozen=True):
     """An operator replaces a workspace's settings.
 
     Attributes:
@@ -213,8 +196,7 @@
     deadline: float
 
 
-@dataclass(frozen=True, slots=True)
-class DrainAsked:
+class DrainAsked(msgspec.Struct, frozen=True):
     """The process was asked to stop.
 
     Attributes:
@@ -224,8 +206,7 @@
     deadline: float
 
 
-@dataclass(frozen=True, slots=True)
-class TimePassed:
+class TimePassed(msgspec.Struct, frozen=True):
     """The time that `HostCore.next_deadline` returned has come."""
 
 
--- a/godwitnotch/core/fair_queue.py
+++ b/godwitnotch/core/fair_queue.py
@@ -10,8 +10,8 @@
 import heapq
 import itertools
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
+
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core import scheduler
@@ -22,8 +22,7 @@
 _TASK_COUNT_CLASSES = 8
 
 
-@dataclass(frozen=True, slots=True)
-class TaskSizes:
+class TaskSizes(msgspec.Struct, frozen=True):
     """Expected sizes of the tasks of a job.
 
     Attributes:
@@ -36,8 +35,7 @@
     costs_s: tuple[float, ...]
 
 
-@dataclass(slots=True)
-class QueuedJob:
+class QueuedJob(msgspec.Struct):
     """A job with queued tasks.
 
     Attributes:
@@ -297,8 +295,7 @@
     return min(task_count.bit_length(), _TASK_COUNT_CLASSES - 1)
 
 
-@dataclass(slots=True)
-class _Backlog:
+class _Backlog(msgspec.Struct):
     """The queued jobs of one workspace.
 
     The heaps may hold jobs that have no queued tasks any more. These jobs are
@@ -319,19 +316,19 @@
 
     count: int = 0
     heap_entry_number: int = -1
-    count_by_class: list[int] = field(
+    count_by_class: list[int] = msgspec.field(
         default_factory=lambda: [0] * _TASK_COUNT_CLASSES
     )
-    smallest_first: list[tuple[float, int, QueuedJob]] = field(
+    smallest_first: list[tuple[float, int, QueuedJob]] = msgspec.field(
         default_factory=list
     )
-    largest_first: list[tuple[float, int, QueuedJob]] = field(
+    largest_first: list[tuple[float, int, QueuedJob]] = msgspec.field(
         default_factory=list
     )
-    by_urgent_at: list[tuple[float, int, QueuedJob]] = field(
+    by_urgent_at: list[tuple[float, int, QueuedJob]] = msgspec.field(
         default_factory=list
     )
-    by_deadline: list[tuple[float, int, QueuedJob]] = field(
+    by_deadline: list[tuple[float, int, QueuedJob]] = msgspec.field(
         default_factory=list
     )
 
--- a/godwitnotch/core/health.py
+++ b/godwitnotch/core/health.py
@@ -12,8 +12,8 @@
 import enum
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
-from dataclasses import field
+
+import msgspec
 
 from godwitnotch.core import charts
 from godwitnotch.core import ids
@@ -38,7 +38,7 @@
 
 
 class State(enum.Enum):
-    """States of the chart core/charts/upstream_health.yaml."""
+    """States of the chart core/charts/upstream_health.toml."""
 
     HEALTHY = "healthy"
     EJECTED = "ejected"
@@ -46,7 +46,7 @@
 
 
 class Event(enum.Enum):
-    """Events of the chart core/charts/upstream_health.yaml."""
+    """Events of the chart core/charts/upstream_health.toml."""
 
     FAILURES_EXCEEDED = "failures_exceeded"
     PROBE_DUE = "probe_due"
@@ -84,8 +84,7 @@
     return _EVIDENCE.get(outcome, Evidence.NONE)
 
 
-@dataclass(slots=True)
-class _Record:
+class _Record(msgspec.Struct):
     """Health of one upstream.
 
     Attributes:
@@ -110,11 +109,10 @@
     last_failed_job: ids.SubmissionId | None = None
 
 
-@dataclass(slots=True)
-class _TemplateRates:
+class _TemplateRates(msgspec.Struct):
     """Failure rates of one template by upstream, and the sum of the rates."""
 
-    rates: dict[ids.UpstreamId, float] = field(default_factory=dict)
+    rates: dict[ids.UpstreamId, float] = msgspec.field(default_factory=dict)
     rates_sum: float = 0.0
 
     def mean_elsewhere(self, upstream: ids.UpstreamId) -> float | None:
--- a/godwitnotch/core/host.py
+++ b/godwitnotch/core/host.py
@@ -7,10 +7,11 @@
 import enum
 from collections.abc import Callable
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Any
 from typing import get_args
 
+import msgspec
+
 from godwitnotch.core import actions
 from godwitnotch.core import bindings
 from godwitnotch.core import charts
@@ -37,7 +38,7 @@
 
 
 class HostState(enum.Enum):
-    """States of core/charts/host.yaml."""
+    """States of core/charts/host.toml."""
 
     STARTING = "starting"
     SERVING = "serving"
@@ -47,7 +48,7 @@
 
 
 class HostEvent(enum.Enum):
-    """Events of core/charts/host.yaml."""
+    """Events of core/charts/host.toml."""
 
     CONFIGURED = "configured"
     DRAIN = "drain"
@@ -67,8 +68,7 @@
 UPSTREAM_REFRESH_WAIT_S = 1.5
 
 
-@dataclass(frozen=True, slots=True)
-class HostStatus:
+class HostStatus(msgspec.Struct, frozen=True):
     """A summary of the state of a host.
 
     Attributes:
--- a/godwitnotch/core/ids.py
+++ b/godwitnotch/core/ids.py
@@ -8,9 +8,9 @@
 import hashlib
 import hmac
 import re
-from dataclasses import dataclass
 from typing import NewType
 
+import msgspec
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -38,8 +38,7 @@
 _ID_PART_COUNT = 5
 
 
-@dataclass(frozen=True, slots=True)
-class SubmissionOwner:
+class SubmissionOwner(msgspec.Struct, frozen=True):
     """The parts of a submission id: its owner and its sequence number.
 
     Attributes:
@@ -56,8 +55,7 @@
     sequence: Sequence
 
 
-@dataclass(frozen=True, slots=True)
-class InvalidId:
+class InvalidId(msgspec.Struct, frozen=True):
     """An id that no host of this deployment issued to this workspace."""
 
     text: str
--- a/godwitnotch/core/jobs.py
+++ b/godwitnotch/core/jobs.py
@@ -3,8 +3,8 @@
 import enum
 import itertools
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
+
+import msgspec
 
 from godwitnotch.core import actions
 from godwitnotch.core import charts
@@ -25,8 +25,7 @@
 AnswerCallback = Callable[[model.JobAnswer, float], None]
 
 
-@dataclass(frozen=True, slots=True)
-class SubmitCall:
+class SubmitCall(msgspec.Struct, frozen=True):
     """A call that submits a job.
 
     Attributes:
@@ -43,7 +42,7 @@
 
 
 class JobState(enum.Enum):
-    """States of core/charts/job.yaml."""
+    """States of core/charts/job.toml."""
 
     QUEUED = "queued"
     RUNNING = "running"
@@ -53,7 +52,7 @@
 
 
 class JobEvent(enum.Enum):
-    """Events of core/charts/job.yaml."""
+    """Events of core/charts/job.toml."""
 
     START = "start"
     PROVE_NOT_STARTED = "prove_unstarted"
@@ -75,8 +74,7 @@
 MAX_ERROR_DETAIL_BYTES = 200
 
 
-@dataclass(slots=True, eq=False)
-class Job:
+class Job(msgspec.Struct, eq=False):
     """A job at its owner, from its admission to its answer.
 
     Attributes:
@@ -85,7 +83,7 @@
         body: The job as the caller sent it.
         digest: Digest of the body.
         waiters: Callbacks that get the answer.
-        state: State of core/charts/job.yaml.
+        state: State of core/charts/job.toml.
         results: Results by task index; empty for tasks without a result.
         unanswered_count: Number of tasks without a result.
         sent_count: Number of tasks sent to an upstream, without those that
@@ -99,13 +97,13 @@
     sequence: ids.Sequence
     body: model.JobBody
     digest: bytes
-    waiters: list[AnswerCallback] = field(default_factory=list)
+    waiters: list[AnswerCallback] = msgspec.field(default_factory=list)
     state: JobState = _CHART.initial
-    results: list[bytes] = field(default_factory=list)
+    results: list[bytes] = msgspec.field(default_factory=list)
     unanswered_count: int = 0
     sent_count: int = 0
     start_confirmed: bool = False
-    attempts: set[ids.AttemptId] = field(default_factory=set)
+    attempts: set[ids.AttemptId] = msgspec.field(default_factory=set)
     deadline_timer: timers_module.Timer | None = None
 
     def __post_init__(self) -> None:
@@ -118,8 +116,7 @@
         return self.state not in (JobState.QUEUED, JobState.RUNNING)
 
 
-@dataclass(frozen=True, slots=True)
-class _Attempt:
+class _Attempt(msgspec.Struct, frozen=True):
     """An attempt in progress."""
 
     job: Job
--- a/godwitnotch/core/kept_answers.py
+++ b/godwitnotch/core/kept_answers.py
@@ -1,15 +1,15 @@
 """Final answers that are kept for callers that submit the same job again."""
 
 import collections
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core import limits as limits_module
 from godwitnotch.core import records
 
 
-@dataclass(frozen=True, slots=True)
-class _KeptAnswer:
+class _KeptAnswer(msgspec.Struct, frozen=True):
     """A kept answer, the size of its results and when it expires."""
 
     outcome: records.JobOutcome
--- a/godwitnotch/core/keyed_jobs.py
+++ b/godwitnotch/core/keyed_jobs.py
@@ -5,9 +5,10 @@
 """
 
 from collections.abc import Callable
-from dataclasses import replace
 from typing import Protocol
 
+import msgspec
+
 from godwitnotch.core import answer_once
 from godwitnotch.core import bindings
 from godwitnotch.core import ids
@@ -124,7 +125,7 @@
             timeout_answer=timeout_answer,
             timers=self._timers,
         )
-        call = replace(call, on_answer=on_answer)
+        call = msgspec.structs.replace(call, on_answer=on_answer)
 
         def on_found(result: bindings.FindResult, now: float) -> None:
             if isinstance(result, bindings.BindingUnavailable):
@@ -183,7 +184,9 @@
                 call.on_answer(answer, now)
 
         self._submit(
-            replace(call, on_answer=on_answer), binding.submission, now=now
+            msgspec.structs.replace(call, on_answer=on_answer),
+            binding.submission,
+            now=now,
         )
 
     def _rebind(
--- a/godwitnotch/core/late_binding.py
+++ b/godwitnotch/core/late_binding.py
@@ -2,8 +2,8 @@
 
 import heapq
 import math
-from dataclasses import dataclass
-from dataclasses import field
+
+import msgspec
 
 from godwitnotch.core import fair_queue
 from godwitnotch.core import ids
@@ -31,8 +31,7 @@
 RankedUpstream = tuple[float, ids.UpstreamId, upstream_pool.Upstream]
 
 
-@dataclass(slots=True)
-class UpstreamGroup:
+class UpstreamGroup(msgspec.Struct):
     """A set of upstreams and the queue of the jobs that may use it.
 
     Attributes:
@@ -49,11 +48,12 @@
     queue: fair_queue.FairQueue
     slots: int = 0
     max_wait_s: float = 0.0
-    upstreams: list[upstream_pool.Upstream] = field(default_factory=list)
+    upstreams: list[upstream_pool.Upstream] = msgspec.field(
+        default_factory=list
+    )
 
 
-@dataclass(frozen=True, slots=True)
-class FreeSlot:
+class FreeSlot(msgspec.Struct, frozen=True):
     """A free slot of an upstream.
 
     Attributes:
--- a/godwitnotch/core/leased/actions.py
+++ b/godwitnotch/core/leased/actions.py
@@ -1,6 +1,6 @@
 """The actions that a LeasedHost returns, for the runtime to execute."""
 
-from dataclasses import dataclass
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import explanation
@@ -8,16 +8,14 @@
 from godwitnotch.core.leased import peer_messages
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerCaller:
+class AnswerCaller(msgspec.Struct, frozen=True):
     """Sends the answer to the caller of a job."""
 
     call: ids.CallId
     answer: model.Answer
 
 
-@dataclass(frozen=True, slots=True)
-class ReportJob:
+class ReportJob(msgspec.Struct, frozen=True):
     """Passes a leader's report on a job to the operator who asked for it.
 
     Attributes:
@@ -29,8 +27,7 @@
     report: explanation.JobReport | None
 
 
-@dataclass(frozen=True, slots=True)
-class StartRun:
+class StartRun(msgspec.Struct, frozen=True):
     """Orders the start of a run, and renews the lease until `deadline_ms`.
 
     The deadline is in ms of the upstream's clock, and holds for one instance of
@@ -46,8 +43,7 @@
     instance_started_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class StopRun:
+class StopRun(msgspec.Struct, frozen=True):
     """Orders a run to stop, or not to start if the start arrives later."""
 
     call: model.UpstreamCallId
@@ -56,8 +52,7 @@
     term: model.Term
 
 
-@dataclass(frozen=True, slots=True)
-class RenewLease:
+class RenewLease(msgspec.Struct, frozen=True):
     """Requests an upstream's list of runs; may also renew the lease.
 
     Attributes:
@@ -85,16 +80,14 @@
 Order = StartRun | StopRun | RenewLease
 
 
-@dataclass(frozen=True, slots=True)
-class RelayOrder:
+class RelayOrder(msgspec.Struct, frozen=True):
     """Lets a linked host send an order of this leader to an upstream."""
 
     relay: ids.HostId
     order: Order
 
 
-@dataclass(frozen=True, slots=True)
-class SendForLeader:
+class SendForLeader(msgspec.Struct, frozen=True):
     """Sends the orders of a leader to upstreams, and the results to it.
 
     Attributes:
@@ -108,16 +101,14 @@
     orders: tuple[Order, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class TellPeer:
+class TellPeer(msgspec.Struct, frozen=True):
     """Sends a message to a linked host."""
 
     host: ids.HostId
     message: peer_messages.Message
 
 
-@dataclass(frozen=True, slots=True)
-class Decided:
+class Decided(msgspec.Struct, frozen=True):
     """A decision or a change of state, for the log and the metrics.
 
     Attributes:
--- a/godwitnotch/core/leased/admission.py
+++ b/godwitnotch/core/leased/admission.py
@@ -6,7 +6,8 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import lease as lease_module
@@ -29,8 +30,7 @@
 MAX_RETRY_AFTER_S = 5.0
 
 
-@dataclass(frozen=True, slots=True)
-class Load:
+class Load(msgspec.Struct, frozen=True):
     """The work at all upstreams and in the queue.
 
     Attributes:
@@ -68,8 +68,7 @@
         return (self.waiting_ms + self.remaining_ms) / self.slots / 1_000
 
 
-@dataclass(frozen=True, slots=True)
-class AdmissionDecision:
+class AdmissionDecision(msgspec.Struct, frozen=True):
     """Whether a job is admitted to the queue.
 
     Attributes:
--- a/godwitnotch/core/leased/arrival_rates.py
+++ b/godwitnotch/core/leased/arrival_rates.py
@@ -8,7 +8,8 @@
 import copy
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core.leased import model
 
@@ -22,8 +23,7 @@
 RETENTION_S = 15.0
 
 
-@dataclass(slots=True)
-class _Average:
+class _Average(msgspec.Struct):
     """A moving average of a rate, in ms of work per second.
 
     Attributes:
--- a/godwitnotch/core/leased/capacity.py
+++ b/godwitnotch/core/leased/capacity.py
@@ -1,6 +1,6 @@
 """How many runs a host can order a second, and how many a fleet may need."""
 
-from dataclasses import dataclass
+import msgspec
 
 # What a leader on a core of relative speed 1 can order, with room for bursts.
 RUNS_PER_CORE_S = 1_000.0
@@ -21,8 +21,7 @@
 _BYTES_PER_MBIT = 125_000
 
 
-@dataclass(frozen=True, slots=True)
-class HostCapacity:
+class HostCapacity(msgspec.Struct, frozen=True):
     """What a host has for leading.
 
     Attributes:
--- a/godwitnotch/core/leased/cell_load.py
+++ b/godwitnotch/core/leased/cell_load.py
@@ -1,11 +1,9 @@
 """The load of a cell, which its leader tells the other leaders."""
 
-from dataclasses import dataclass
-from dataclasses import replace
+import msgspec
 
 
-@dataclass(frozen=True, slots=True)
-class CellLoad:
+class CellLoad(msgspec.Struct, frozen=True):
     """The load of the cell that the sender leads; also a message.
 
     Attributes:
@@ -30,7 +28,7 @@
     def with_job(self, task_count: int, task_ms: float) -> "CellLoad":
         """Returns the load after a job has been added."""
         started = min(self.free_slots, task_count)
-        return replace(
+        return msgspec.structs.replace(
             self,
             free_slots=self.free_slots - started,
             waiting_ms=self.waiting_ms + (task_count - started) * task_ms,
--- a/godwitnotch/core/leased/cells.py
+++ b/godwitnotch/core/leased/cells.py
@@ -4,7 +4,7 @@
 upstreams of each failure domain are a cell, led by a host of that domain.
 """
 
-from dataclasses import dataclass
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import model
@@ -12,8 +12,7 @@
 WHOLE_FLEET = model.CellId("")
 
 
-@dataclass(frozen=True, slots=True)
-class CellLeader:
+class CellLeader(msgspec.Struct, frozen=True):
     """The leader of a cell.
 
     Attributes:
--- a/godwitnotch/core/leased/cold_upstreams.py
+++ b/godwitnotch/core/leased/cold_upstreams.py
@@ -5,13 +5,13 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import ids
 
 
-@dataclass(frozen=True, slots=True)
-class _ColdState:
+class _ColdState(msgspec.Struct, frozen=True):
     """What the last list says of a cold upstream.
 
     Attributes:
--- a/godwitnotch/core/leased/events.py
+++ b/godwitnotch/core/leased/events.py
@@ -1,7 +1,8 @@
 """The events that a LeasedHost handles."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import model
@@ -9,8 +10,7 @@
 from godwitnotch.core.leased import peer_messages
 
 
-@dataclass(frozen=True, slots=True)
-class JobAsked:
+class JobAsked(msgspec.Struct, frozen=True):
     """A caller has sent a job and waits for its answer until a deadline."""
 
     call: ids.CallId
@@ -18,8 +18,7 @@
     deadline: float
 
 
-@dataclass(frozen=True, slots=True)
-class ReportAsked:
+class ReportAsked(msgspec.Struct, frozen=True):
     """An operator asks where a job would go now, without sending it.
 
     Attributes:
@@ -33,22 +32,19 @@
     wait_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class CallerLeft:
+class CallerLeft(msgspec.Struct, frozen=True):
     """The caller of a job has disconnected."""
 
     call: ids.CallId
 
 
-@dataclass(frozen=True, slots=True)
-class CancelAsked:
+class CancelAsked(msgspec.Struct, frozen=True):
     """A caller cancels a job by its name; another host may own the job."""
 
     job: model.JobName
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamsListed:
+class UpstreamsListed(msgspec.Struct, frozen=True):
     """The list of upstreams was read from the store or sent by the leader.
 
     Attributes:
@@ -63,30 +59,26 @@
     cold_remaining_ms: Mapping[ids.UpstreamId, int] | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class EvacuationsRead:
+class EvacuationsRead(msgspec.Struct, frozen=True):
     """The set of evacuated failure domains was read from the store."""
 
     evacuated: peer_messages.DomainsEvacuated
 
 
-@dataclass(frozen=True, slots=True)
-class PeerLinked:
+class PeerLinked(msgspec.Struct, frozen=True):
     """A link to another host has opened."""
 
     host: ids.HostId
     domain: ids.DomainId
 
 
-@dataclass(frozen=True, slots=True)
-class PeerLost:
+class PeerLost(msgspec.Struct, frozen=True):
     """The link to another host has closed."""
 
     host: ids.HostId
 
 
-@dataclass(frozen=True, slots=True)
-class PeerTold:
+class PeerTold(msgspec.Struct, frozen=True):
     """A linked host has sent a message."""
 
     host: ids.HostId
@@ -99,8 +91,7 @@
 RunsListed = order_results.RunsListed
 
 
-@dataclass(frozen=True, slots=True)
-class HostsCounted:
+class HostsCounted(msgspec.Struct, frozen=True):
     """The hosts that this host knows, linked or not.
 
     Attributes:
@@ -112,13 +103,11 @@
     domains: frozenset[ids.DomainId]
 
 
-@dataclass(frozen=True, slots=True)
-class DrainStarted:
+class DrainStarted(msgspec.Struct, frozen=True):
     """This host drains: it reports not ready and lets another host lead."""
 
 
-@dataclass(frozen=True, slots=True)
-class Ticked:
+class Ticked(msgspec.Struct, frozen=True):
     """The regular timer of the runtime has fired."""
 
 
--- a/godwitnotch/core/leased/explanation.py
+++ b/godwitnotch/core/leased/explanation.py
@@ -1,7 +1,8 @@
 """Reports of where a job would go now, and why; nothing is sent or recorded."""
 
 import enum
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import model
@@ -28,8 +29,7 @@
     SUSPECT = "suspect"  # A job of this name may have crashed upstreams.
 
 
-@dataclass(frozen=True, slots=True)
-class AdmissionReport:
+class AdmissionReport(msgspec.Struct, frozen=True):
     """The verdict of the admission, with its figures.
 
     Attributes:
@@ -71,8 +71,7 @@
     evacuated: tuple[ids.DomainId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class PlacementReport:
+class PlacementReport(msgspec.Struct, frozen=True):
     """Where the first task would go.
 
     Attributes:
@@ -96,8 +95,7 @@
     suitable: int
 
 
-@dataclass(frozen=True, slots=True)
-class JobReport:
+class JobReport(msgspec.Struct, frozen=True):
     """A leader's report on a job.
 
     Attributes:
--- a/godwitnotch/core/leased/health.py
+++ b/godwitnotch/core/leased/health.py
@@ -5,8 +5,7 @@
 that the upstream is half-open: it gets one run at a time until a run succeeds.
 """
 
-from dataclasses import dataclass
-from dataclasses import field
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import model
@@ -17,8 +16,7 @@
 REJECTION_DELAY_S = 0.15
 
 
-@dataclass(slots=True)
-class _Record:
+class _Record(msgspec.Struct):
     """Failures and ejections of one upstream.
 
     Attributes:
@@ -28,13 +26,12 @@
         unusable_until: When the upstream may get runs again.
     """
 
-    failed_jobs: set[model.JobName] = field(default_factory=set)
+    failed_jobs: set[model.JobName] = msgspec.field(default_factory=set)
     ejections: int = 0
     unusable_until: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class Ejection:
+class Ejection(msgspec.Struct, frozen=True):
     """An upstream that is ejected or half-open.
 
     Attributes:
--- a/godwitnotch/core/leased/job_admission.py
+++ b/godwitnotch/core/leased/job_admission.py
@@ -5,9 +5,9 @@
 """
 
 import copy
-import dataclasses
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import admission
@@ -34,8 +34,7 @@
 SETTLING_TIMEOUT_S = 0.4
 
 
-@dataclass(frozen=True, slots=True)
-class Kept:
+class Kept(msgspec.Struct, frozen=True):
     """The job stays in the queue.
 
     Attributes:
@@ -47,15 +46,13 @@
     detail: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class Moved:
+class Moved(msgspec.Struct, frozen=True):
     """The job goes to the leader of another cell."""
 
     leader: ids.HostId
 
 
-@dataclass(frozen=True, slots=True)
-class Ended:
+class Ended(msgspec.Struct, frozen=True):
     """The job is answered at once.
 
     Attributes:
@@ -72,8 +69,7 @@
     cause: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class LoadAssessment:
+class LoadAssessment(msgspec.Struct, frozen=True):
     """How a job stands in regard to the load, without an effect on it.
 
     Attributes:
@@ -230,7 +226,7 @@
     def _evacuated(self, end: model.JobEnd) -> Ended:
         """Ends a job that only evacuated upstreams could run."""
         domains = ",".join(sorted(self._evacuations.domains))
-        return dataclasses.replace(
+        return msgspec.structs.replace(
             _no_upstream(end),
             event="job_upstreams_evacuated",
             detail=f"domains={domains}",
--- a/godwitnotch/core/leased/job_explainer.py
+++ b/godwitnotch/core/leased/job_explainer.py
@@ -5,11 +5,12 @@
 and has no effect on them.
 """
 
-import dataclasses
 from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Any
 
+import msgspec
+
 from godwitnotch.core import ids
 from godwitnotch.core.leased import evacuation
 from godwitnotch.core.leased import explanation
@@ -198,11 +199,11 @@
             verdict = admission.check_open(job, now=now)
         match verdict:
             case job_admission.Moved(leader=leader):
-                return dataclasses.replace(
+                return msgspec.structs.replace(
                     report, outcome=AdmissionOutcome.MOVED, moved_to=leader
                 )
             case job_admission.Ended(answer=answer):
-                return dataclasses.replace(
+                return msgspec.structs.replace(
                     report,
                     outcome=AdmissionOutcome.ENDED,
                     reason=answer.reason,
@@ -210,7 +211,7 @@
                     detail=verdict.detail,
                     retry_after_s=_bounded(answer.retry_after_s),
                 )
-        return dataclasses.replace(
+        return msgspec.structs.replace(
             report,
             outcome=AdmissionOutcome.KEPT,
             event=verdict.event,
@@ -251,7 +252,7 @@
         for lease in leases:
             if lease.upstream.upstream == upstream:
                 rack = job.request.tasks.preferred_rack
-                return dataclasses.replace(
+                return msgspec.structs.replace(
                     report,
                     domain=lease.upstream.domain,
                     in_rack=bool(rack) and rack in lease.upstream.labels,
--- a/godwitnotch/core/leased/jobs.py
+++ b/godwitnotch/core/leased/jobs.py
@@ -2,8 +2,8 @@
 
 import enum
 from collections.abc import Iterator
-from dataclasses import dataclass
-from dataclasses import field
+
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import locality
@@ -19,8 +19,7 @@
     DONE = "done"
 
 
-@dataclass(slots=True)
-class LeasedTask:
+class LeasedTask(msgspec.Struct):
     """One task of a job.
 
     Attributes:
@@ -39,7 +38,7 @@
     state: TaskState = TaskState.WAITING
     next_run: int = 1
     failures: int = 0
-    excluded_upstreams: set[ids.UpstreamId] = field(default_factory=set)
+    excluded_upstreams: set[ids.UpstreamId] = msgspec.field(default_factory=set)
     last_overdue_run_s: float = 0.0
     rack_wait: locality.RackWait | None = None
 
@@ -48,8 +47,7 @@
         return self.rack_wait is not None and now < self.rack_wait.until
 
 
-@dataclass(slots=True)
-class LeasedJob:
+class LeasedJob(msgspec.Struct):
     """One job at the leader.
 
     Attributes:
@@ -88,7 +86,7 @@
     earlier_runs_end_by: float = 0.0
     earlier_term: model.Term = model.Term(0)
     base_ms_measured: bool = False
-    tasks: list[LeasedTask] = field(default_factory=list)
+    tasks: list[LeasedTask] = msgspec.field(default_factory=list)
     waiting_task_count: int = 0
     started: bool = False
     rechecked: bool = False
--- a/godwitnotch/core/leased/late_jobs.py
+++ b/godwitnotch/core/leased/late_jobs.py
@@ -8,14 +8,14 @@
 """
 
 import math
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core.leased import admission
 from godwitnotch.core.leased import jobs
 
 
-@dataclass(frozen=True, slots=True)
-class Drain:
+class Drain(msgspec.Struct, frozen=True):
     """How fast waiting work drains.
 
     Attributes:
--- a/godwitnotch/core/leased/leadership.py
+++ b/godwitnotch/core/leased/leadership.py
@@ -14,7 +14,8 @@
 import zlib
 from collections.abc import Callable
 from collections.abc import Iterator
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import model
@@ -67,8 +68,7 @@
     NONE = "nothing"  # Neither of these groups.
 
 
-@dataclass(slots=True)
-class _LinkRecord:
+class _LinkRecord(msgspec.Struct):
     """A host that is linked, or was within LOST_HOST_RETENTION_S.
 
     Attributes:
@@ -80,8 +80,7 @@
     link_lost_at: float | None
 
 
-@dataclass(slots=True)
-class _Peer:
+class _Peer(msgspec.Struct):
     """The last Standing message of a linked host."""
 
     term: model.Term
--- a/godwitnotch/core/leased/lease.py
+++ b/godwitnotch/core/leased/lease.py
@@ -7,8 +7,8 @@
 
 import enum
 import math
-from dataclasses import dataclass
-from dataclasses import field
+
+import msgspec
 
 from godwitnotch.core import charts
 from godwitnotch.core.leased import jobs
@@ -39,7 +39,7 @@
 
 
 class LeaseState(enum.Enum):
-    """States of charts/lease.yaml; their values are written to the log."""
+    """States of charts/lease.toml; their values are written to the log."""
 
     UNHELD = "unheld"
     AWAITING_LIST = "looking"
@@ -48,7 +48,7 @@
 
 
 class LeaseEvent(enum.Enum):
-    """Events of charts/lease.yaml."""
+    """Events of charts/lease.toml."""
 
     LIST_REQUESTED = "look"
     RUNS_LISTED = "seen"
@@ -67,8 +67,7 @@
     STOPPING = "stopping"
 
 
-@dataclass(slots=True)
-class Run:
+class Run(msgspec.Struct):
     """A run that is active, or may be active, at an upstream.
 
     Attributes:
@@ -102,8 +101,7 @@
     alone: bool = False
 
 
-@dataclass(frozen=True, slots=True, eq=False)
-class Renewal:
+class Renewal(msgspec.Struct, frozen=True, eq=False):
     """An order that may renew a lease.
 
     Attributes:
@@ -113,8 +111,7 @@
     former_expires_at: float
 
 
-@dataclass(slots=True)
-class Lease:
+class Lease(msgspec.Struct):
     """The leader's lease on one upstream, and the runs that it knows there.
 
     Attributes:
@@ -165,10 +162,10 @@
     last_list_request_at: float = float("-inf")
     next_list_request_at: float = 0.0
     failures: int = 0
-    runs: dict[model.TaskKey, Run] = field(default_factory=dict)
-    stopping: set[model.TaskKey] = field(default_factory=set)
-    unknown_needs: set[model.TaskKey] = field(default_factory=set)
-    free_resources: model.Resources = field(init=False)
+    runs: dict[model.TaskKey, Run] = msgspec.field(default_factory=dict)
+    stopping: set[model.TaskKey] = msgspec.field(default_factory=set)
+    unknown_needs: set[model.TaskKey] = msgspec.field(default_factory=set)
+    free_resources: model.Resources = UNKNOWN_NEEDS
     reserved_for: Run | None = None
 
     def __post_init__(self) -> None:
@@ -212,7 +209,7 @@
         return not self.listed and not self.runs and not self.pending_calls
 
     def transition(self, event: LeaseEvent) -> None:
-        """Applies an event to the state, as charts/lease.yaml defines."""
+        """Applies an event to the state, as charts/lease.toml defines."""
         self.state = CHART.next(self.state, event)
 
     def deadline_ms(self, *, now: float) -> int:
--- a/godwitnotch/core/leased/lease_calls.py
+++ b/godwitnotch/core/leased/lease_calls.py
@@ -1,7 +1,8 @@
 """The leader's calls to upstreams, and which responses are outstanding."""
 
 import enum
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
@@ -23,8 +24,7 @@
     LIST_RUNS = "renew"
 
 
-@dataclass(frozen=True, slots=True)
-class PendingCall:
+class PendingCall(msgspec.Struct, frozen=True):
     """A call that has no response yet.
 
     Attributes:
--- a/godwitnotch/core/leased/locality.py
+++ b/godwitnotch/core/leased/locality.py
@@ -9,7 +9,8 @@
 
 import enum
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import model
@@ -21,8 +22,7 @@
 DEFAULT_SLOWDOWN_FACTOR = 1.5  # The smallest of the known deployments.
 
 
-@dataclass(frozen=True, slots=True)
-class Racks:
+class Racks(msgspec.Struct, frozen=True):
     """How much longer tasks take away from the rack of their data.
 
     Attributes:
@@ -44,8 +44,7 @@
 DEFAULT_RACKS = Racks()
 
 
-@dataclass(frozen=True, slots=True)
-class Place:
+class Place(msgspec.Struct, frozen=True):
     """A place at an upstream that a run is expected to free.
 
     Attributes:
@@ -64,8 +63,7 @@
         return self.free_at + self.expected_s
 
 
-@dataclass(frozen=True, slots=True)
-class RackWait:
+class RackWait(msgspec.Struct, frozen=True):
     """The wait of a task for its rack.
 
     Attributes:
--- a/godwitnotch/core/leased/model.py
+++ b/godwitnotch/core/leased/model.py
@@ -1,9 +1,10 @@
 """Value types for leased runs: jobs, tasks, runs, upstreams and answers."""
 
 import enum
-from dataclasses import dataclass
 from typing import NewType
 
+import msgspec
+
 from godwitnotch.core import ids
 
 JobName = NewType("JobName", str)  # Chosen by the caller.
@@ -97,8 +98,7 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class Resources:
+class Resources(msgspec.Struct, frozen=True):
     """Resources that a task needs or that an upstream has.
 
     Attributes:
@@ -136,8 +136,7 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class TaskGroup:
+class TaskGroup(msgspec.Struct, frozen=True):
     """The tasks of a job, which all need the same resources.
 
     Attributes:
@@ -159,8 +158,7 @@
     max_per_upstream: int
 
 
-@dataclass(frozen=True, slots=True)
-class RouteSettings:
+class RouteSettings(msgspec.Struct, frozen=True):
     """What a route's configuration sets for its jobs.
 
     Attributes:
@@ -180,8 +178,7 @@
     target_ms: float
 
 
-@dataclass(frozen=True, slots=True)
-class JobRequest:
+class JobRequest(msgspec.Struct, frozen=True):
     """A job as its caller sent it, with the settings of its route."""
 
     job: JobName
@@ -190,8 +187,7 @@
     settings: RouteSettings
 
 
-@dataclass(frozen=True, slots=True)
-class LeasedUpstream:
+class LeasedUpstream(msgspec.Struct, frozen=True):
     """An upstream, as an entry in the platform's list of upstreams.
 
     Attributes:
@@ -216,8 +212,7 @@
     draining: bool
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamAddress:
+class UpstreamAddress(msgspec.Struct, frozen=True):
     """What a call needs to know of an upstream.
 
     Attributes:
@@ -232,16 +227,14 @@
 CalledUpstream = LeasedUpstream | UpstreamAddress
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class TaskKey:
+class TaskKey(msgspec.Struct, frozen=True, order=True):
     """Identifies a task of a job."""
 
     job: JobName
     index: int
 
 
-@dataclass(frozen=True, slots=True)
-class RunKey:
+class RunKey(msgspec.Struct, frozen=True):
     """Identifies one run of a task."""
 
     task: TaskKey
@@ -252,8 +245,7 @@
         return f"task={self.task.index} run={self.run}"
 
 
-@dataclass(frozen=True, slots=True)
-class EndedRun:
+class EndedRun(msgspec.Struct, frozen=True):
     """An ended run in an upstream's list.
 
     Attributes:
@@ -268,8 +260,7 @@
     end: RunEnd
 
 
-@dataclass(frozen=True, slots=True)
-class RunList:
+class RunList(msgspec.Struct, frozen=True):
     """An upstream's list of its active and ended runs.
 
     Attributes:
@@ -286,8 +277,7 @@
     ended: tuple[EndedRun, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class KnownHost:
+class KnownHost(msgspec.Struct, frozen=True):
     """A host and its failure domain, which is empty while not known.
 
     The id of the host is the address at which other hosts link to it.
@@ -297,8 +287,7 @@
     domain: ids.DomainId
 
 
-@dataclass(frozen=True, slots=True)
-class Answer:
+class Answer(msgspec.Struct, frozen=True):
     """The answer to the caller of a job.
 
     Attributes:
--- a/godwitnotch/core/leased/order_relays.py
+++ b/godwitnotch/core/leased/order_relays.py
@@ -7,7 +7,8 @@
 import math
 from collections.abc import Callable
 from collections.abc import Sequence
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import capacity
@@ -40,8 +41,7 @@
 _HASH_BYTES = 8
 
 
-@dataclass(frozen=True, slots=True)
-class Candidate:
+class Candidate(msgspec.Struct, frozen=True):
     """A linked host that may relay.
 
     Attributes:
@@ -55,8 +55,7 @@
     rank: int
 
 
-@dataclass(frozen=True, slots=True)
-class _OpenCall:
+class _OpenCall(msgspec.Struct, frozen=True):
     """A call at a relay that has no result yet."""
 
     relay: ids.HostId
@@ -65,8 +64,7 @@
     result_due_at: float
 
 
-@dataclass(frozen=True, slots=True)
-class Switch:
+class Switch(msgspec.Struct, frozen=True):
     """That relays begin or end, with the figures.
 
     Attributes:
--- a/godwitnotch/core/leased/order_results.py
+++ b/godwitnotch/core/leased/order_results.py
@@ -1,12 +1,11 @@
 """The results of a leader's calls to upstreams, whichever host has sent them."""
 
-from dataclasses import dataclass
+import msgspec
 
 from godwitnotch.core.leased import model
 
 
-@dataclass(frozen=True, slots=True)
-class OrderTaken:
+class OrderTaken(msgspec.Struct, frozen=True):
     """An upstream has accepted an order to start or stop a run.
 
     Attributes:
@@ -21,24 +20,21 @@
     instance_started_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class OrderRejected:
+class OrderRejected(msgspec.Struct, frozen=True):
     """An upstream has rejected an order or a request for its list of runs."""
 
     call: model.UpstreamCallId
     rejection: model.OrderRejection
 
 
-@dataclass(frozen=True, slots=True)
-class OrderUnanswered:
+class OrderUnanswered(msgspec.Struct, frozen=True):
     """A call had no response; the upstream may still execute the order."""
 
     call: model.UpstreamCallId
     failure: model.CallFailure = model.CallFailure.TIMED_OUT
 
 
-@dataclass(frozen=True, slots=True)
-class RunsListed:
+class RunsListed(msgspec.Struct, frozen=True):
     """An upstream has sent its list of runs, as requested."""
 
     call: model.UpstreamCallId
--- a/godwitnotch/core/leased/overdue_runs.py
+++ b/godwitnotch/core/leased/overdue_runs.py
@@ -6,7 +6,8 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import lease as lease_module
@@ -24,8 +25,7 @@
 SIMILAR_RUN_TIME_SHARE = 0.7
 
 
-@dataclass(frozen=True, slots=True)
-class OverdueRun:
+class OverdueRun(msgspec.Struct, frozen=True):
     """A run to stop, so that its task can run on another upstream."""
 
     lease: lease_module.Lease
--- a/godwitnotch/core/leased/overflow.py
+++ b/godwitnotch/core/leased/overflow.py
@@ -8,7 +8,8 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import cell_load
@@ -22,8 +23,7 @@
 MIN_GAIN_S = 0.03
 
 
-@dataclass(frozen=True, slots=True)
-class Suitability:
+class Suitability(msgspec.Struct, frozen=True):
     """How long the tasks of a job take in each cell.
 
     Attributes:
--- a/godwitnotch/core/leased/owned_jobs.py
+++ b/godwitnotch/core/leased/owned_jobs.py
@@ -6,9 +6,9 @@
 own has no leader that can take it, or if a leader redirects it.
 """
 
-import dataclasses
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
@@ -32,8 +32,7 @@
 SendMessage = Callable[[ids.HostId, peer_messages.Message], None]
 
 
-@dataclass(slots=True)
-class _OwnedJob:
+class _OwnedJob(msgspec.Struct):
     """A job whose caller waits at this host.
 
     Attributes:
@@ -179,7 +178,7 @@
             return
         if owned.earlier_term and answer.end is model.JobEnd.REFUSED:
             # An earlier leader may have started tasks of the job.
-            answer = dataclasses.replace(answer, end=model.JobEnd.GIVEN_UP)
+            answer = msgspec.structs.replace(answer, end=model.JobEnd.GIVEN_UP)
         self._answer(owned, answer)
 
     def job_redirected(
--- a/godwitnotch/core/leased/peer_messages.py
+++ b/godwitnotch/core/leased/peer_messages.py
@@ -4,7 +4,8 @@
 """
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import cell_load
@@ -13,8 +14,7 @@
 from godwitnotch.core.leased import order_results
 
 
-@dataclass(frozen=True, slots=True)
-class Standing:
+class Standing(msgspec.Struct, frozen=True):
     """The sender's view of the leadership.
 
     Attributes:
@@ -32,15 +32,13 @@
     serving: bool
 
 
-@dataclass(frozen=True, slots=True)
-class HostsKnown:
+class HostsKnown(msgspec.Struct, frozen=True):
     """The hosts that the sender knows."""
 
     hosts: tuple[model.KnownHost, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigurationWanted:
+class ConfigurationWanted(msgspec.Struct, frozen=True):
     """Requests the receiver's configuration if it is newer.
 
     Attributes:
@@ -50,8 +48,7 @@
     newer_than: int
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigurationCopy:
+class ConfigurationCopy(msgspec.Struct, frozen=True):
     """The sender's newest configuration.
 
     Attributes:
@@ -63,15 +60,13 @@
     document: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamsCopy:
+class UpstreamsCopy(msgspec.Struct, frozen=True):
     """The leader's list of usable upstreams."""
 
     upstreams: tuple[model.LeasedUpstream, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamEvidence:
+class UpstreamEvidence(msgspec.Struct, frozen=True):
     """What the leader has learnt of an upstream from its runs.
 
     Attributes:
@@ -87,15 +82,13 @@
     unusable_for_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamsLearnt:
+class UpstreamsLearnt(msgspec.Struct, frozen=True):
     """The leader's evidence on upstreams: all of it, or what has changed."""
 
     upstreams: tuple[UpstreamEvidence, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamLoss:
+class UpstreamLoss(msgspec.Struct, frozen=True):
     """An upstream that was lost while a task ran there.
 
     Attributes:
@@ -112,16 +105,14 @@
     crashed: bool
 
 
-@dataclass(frozen=True, slots=True)
-class FailedRun:
+class FailedRun(msgspec.Struct, frozen=True):
     """A failed run of a task, at an upstream."""
 
     upstream: ids.UpstreamId
     run: model.RunNumber
 
 
-@dataclass(frozen=True, slots=True)
-class TaskHistory:
+class TaskHistory(msgspec.Struct, frozen=True):
     """What earlier runs of one task have shown, as far as the sender knows.
 
     Attributes:
@@ -135,15 +126,13 @@
     losses: tuple[UpstreamLoss, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class TasksLearnt:
+class TasksLearnt(msgspec.Struct, frozen=True):
     """The leader's records of tasks: all of them, or what has changed."""
 
     tasks: tuple[TaskHistory, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class UnfinishedRuns:
+class UnfinishedRuns(msgspec.Struct, frozen=True):
     """Runs without a known end that the sender left as it stopped leading.
 
     Attributes:
@@ -153,8 +142,7 @@
     tasks: tuple[TaskHistory, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class JobHandedOver:
+class JobHandedOver(msgspec.Struct, frozen=True):
     """Hands a job over to the leader; the sender still answers its caller.
 
     Attributes:
@@ -179,42 +167,36 @@
         return self.earlier_term > 0
 
 
-@dataclass(frozen=True, slots=True)
-class AllHandedOver:
+class AllHandedOver(msgspec.Struct, frozen=True):
     """The sender has handed all its open jobs over to the leader of a term."""
 
     term: model.Term
 
 
-@dataclass(frozen=True, slots=True)
-class JobAnswered:
+class JobAnswered(msgspec.Struct, frozen=True):
     """The leader's answer for the owner of a job."""
 
     job: model.JobName
     answer: model.Answer
 
 
-@dataclass(frozen=True, slots=True)
-class JobDropped:
+class JobDropped(msgspec.Struct, frozen=True):
     """The owner has dropped a job; the leader stops its runs."""
 
     job: model.JobName
 
 
-@dataclass(frozen=True, slots=True)
-class JobCancelled:
+class JobCancelled(msgspec.Struct, frozen=True):
     """A caller has cancelled a job at a host that doesn't own it."""
 
     job: model.JobName
 
 
-@dataclass(frozen=True, slots=True)
-class FleetDivided:
+class FleetDivided(msgspec.Struct, frozen=True):
     """Each failure domain has a leader of its own from now on."""
 
 
-@dataclass(frozen=True, slots=True)
-class DomainsEvacuated:
+class DomainsEvacuated(msgspec.Struct, frozen=True):
     """The failure domains in which no task may start.
 
     Attributes:
@@ -226,8 +208,7 @@
     domains: frozenset[ids.DomainId]
 
 
-@dataclass(frozen=True, slots=True)
-class JobRedirected:
+class JobRedirected(msgspec.Struct, frozen=True):
     """The sender has started no task of a job; another leader takes it sooner.
 
     Attributes:
@@ -239,8 +220,7 @@
     leader: ids.HostId
 
 
-@dataclass(frozen=True, slots=True)
-class JobMoved:
+class JobMoved(msgspec.Struct, frozen=True):
     """Hands a job over that was handed to the leader of another cell before.
 
     Attributes:
@@ -254,8 +234,7 @@
     may_run_elsewhere: bool
 
 
-@dataclass(frozen=True, slots=True)
-class RelayedStart:
+class RelayedStart(msgspec.Struct, frozen=True):
     """An order to start a run, see `actions.StartRun`.
 
     The fields are flat, which halves the time to encode them.
@@ -283,8 +262,7 @@
     instance_started_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class RelayedStop:
+class RelayedStop(msgspec.Struct, frozen=True):
     """An order to stop a run, see `actions.StopRun`."""
 
     call: model.UpstreamCallId
@@ -295,8 +273,7 @@
     run: model.RunNumber
 
 
-@dataclass(frozen=True, slots=True)
-class RelayedRenewal:
+class RelayedRenewal(msgspec.Struct, frozen=True):
     """A request for a list of runs, see `actions.RenewLease`."""
 
     call: model.UpstreamCallId
@@ -308,8 +285,7 @@
     instance_started_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class OrdersRelayed:
+class OrdersRelayed(msgspec.Struct, frozen=True):
     """Orders of the leader that the receiver sends to the upstreams.
 
     Attributes:
@@ -327,8 +303,7 @@
     renewals: tuple[RelayedRenewal, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class OrderResults:
+class OrderResults(msgspec.Struct, frozen=True):
     """The results of orders that the sender has sent for the leader.
 
     Attributes:
@@ -354,8 +329,7 @@
         yield from self.lists
 
 
-@dataclass(frozen=True, slots=True)
-class JobReportWanted:
+class JobReportWanted(msgspec.Struct, frozen=True):
     """Asks a leader where a job would go now; the job isn't handed over.
 
     Attributes:
@@ -369,8 +343,7 @@
     wait_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class JobReported:
+class JobReported(msgspec.Struct, frozen=True):
     """The answer to `JobReportWanted`.
 
     Attributes:
--- a/godwitnotch/core/leased/placement.py
+++ b/godwitnotch/core/leased/placement.py
@@ -11,7 +11,8 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Sequence
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import cold_upstreams
@@ -32,27 +33,23 @@
 FREE_CPU_COST_SHARE = 0.1
 
 
-@dataclass(frozen=True, slots=True)
-class Placed:
+class Placed(msgspec.Struct, frozen=True):
     """The task goes to an upstream now."""
 
     lease: lease_module.Lease
 
 
-@dataclass(frozen=True, slots=True)
-class NoRoom:
+class NoRoom(msgspec.Struct, frozen=True):
     """No upstream that can run the task has a free place."""
 
 
-@dataclass(frozen=True, slots=True)
-class WaitsForRack:
+class WaitsForRack(msgspec.Struct, frozen=True):
     """The task waits for a place in the rack of its data."""
 
     wait: locality.RackWait
 
 
-@dataclass(frozen=True, slots=True)
-class WaitsForFaster:
+class WaitsForFaster(msgspec.Struct, frozen=True):
     """The task would end late now, and in time at a place to come."""
 
     place: locality.Place
--- a/godwitnotch/core/leased/queue_pass.py
+++ b/godwitnotch/core/leased/queue_pass.py
@@ -5,9 +5,10 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
+
 from godwitnotch.core.leased import job_admission
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import lease as lease_module
@@ -25,8 +26,7 @@
 MAX_UNPLACED_JOB_COUNT = 4
 
 
-@dataclass(frozen=True, slots=True)
-class QueueFigures:
+class QueueFigures(msgspec.Struct, frozen=True):
     """Figures about the queue, for the metrics.
 
     Attributes:
--- a/godwitnotch/core/leased/retained_answers.py
+++ b/godwitnotch/core/leased/retained_answers.py
@@ -3,15 +3,14 @@
 An owner does so when it loses its link before the answer arrives.
 """
 
-from dataclasses import dataclass
+import msgspec
 
 from godwitnotch.core.leased import model
 
 RETENTION_S = 3.0
 
 
-@dataclass(frozen=True, slots=True)
-class _RetainedAnswer:
+class _RetainedAnswer(msgspec.Struct, frozen=True):
     answer: model.Answer
     expires_at: float
 
--- a/godwitnotch/core/leased/run_times.py
+++ b/godwitnotch/core/leased/run_times.py
@@ -12,8 +12,9 @@
 """
 
 import math
-import statistics
-from dataclasses import dataclass
+from collections.abc import Iterable
+
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import locality
@@ -34,8 +35,7 @@
 MAX_SLOWNESS = 20.0
 
 
-@dataclass(slots=True)
-class _Route:
+class _Route(msgspec.Struct):
     """Moving averages over the successful runs of a route.
 
     Attributes:
@@ -134,7 +134,7 @@
         """Makes the slowness of the median upstream 1."""
         if not self._routes or not self._log_slowness:
             return
-        shift = statistics.median(self._log_slowness.values())
+        shift = _median(self._log_slowness.values())
         for kind in self._kind_log_slowness:
             self._kind_log_slowness[kind] -= shift
         for upstream, known in self._log_slowness.items():
@@ -217,5 +217,14 @@
         route.log_bias += weight * (log_bias - route.log_bias)
 
 
+def _median(values: Iterable[float]) -> float:
+    """Returns the median; `statistics` would lengthen each start of a host."""
+    ordered = sorted(values)
+    middle = len(ordered) // 2
+    if len(ordered) % 2:
+        return ordered[middle]
+    return (ordered[middle - 1] + ordered[middle]) / 2
+
+
 def _kind(upstream: model.LeasedUpstream) -> str:
     return upstream.labels[0] if upstream.labels else ""
--- a/godwitnotch/core/leased/shares.py
+++ b/godwitnotch/core/leased/shares.py
@@ -11,7 +11,8 @@
 import copy
 import enum
 from collections.abc import Mapping
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core.leased import arrival_rates
 from godwitnotch.core.leased import model
@@ -34,8 +35,7 @@
     EXCESS = "excess"
 
 
-@dataclass(frozen=True, slots=True)
-class ShareUse:
+class ShareUse(msgspec.Struct, frozen=True):
     """Work of one route that was counted against its share.
 
     Attributes:
@@ -53,8 +53,7 @@
         return f"route={self.route} work_ms={self.work_ms:.0f}"
 
 
-@dataclass(frozen=True, slots=True)
-class Credit:
+class Credit(msgspec.Struct, frozen=True):
     """Work that a route may still send within its share.
 
     Attributes:
@@ -66,8 +65,7 @@
     updated_at: float
 
 
-@dataclass(frozen=True, slots=True)
-class Claim:
+class Claim(msgspec.Struct, frozen=True):
     """What a job would take of its route's share.
 
     Attributes:
--- a/godwitnotch/core/leased/task_records.py
+++ b/godwitnotch/core/leased/task_records.py
@@ -6,10 +6,10 @@
 and one that may have crashed two isn't started again until that is known.
 """
 
-import dataclasses
 import enum
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import model
@@ -33,8 +33,7 @@
     GIVE_UP = "give_up"
 
 
-@dataclass(frozen=True, slots=True)
-class _Record:
+class _Record(msgspec.Struct, frozen=True):
     """What earlier runs of one task have shown."""
 
     failed_runs: _FailedRuns
@@ -124,7 +123,7 @@
         tasks = self._unproven_tasks(upstream)
         for task in tasks:
             losses = tuple(
-                dataclasses.replace(loss, crashed=True)
+                msgspec.structs.replace(loss, crashed=True)
                 if loss.upstream == upstream
                 else loss
                 for loss in self._losses(task)
@@ -224,7 +223,7 @@
             new.instance_started_ms,
         )
         if same and new.instance_started_ms:
-            merged = dataclasses.replace(
+            merged = msgspec.structs.replace(
                 known,
                 refused=known.refused or new.refused,
                 crashed=known.crashed or new.crashed,
--- a/godwitnotch/core/leased/unclaimed_done.py
+++ b/godwitnotch/core/leased/unclaimed_done.py
@@ -1,14 +1,13 @@
 """Runs that have succeeded, whose jobs no owner has handed over yet."""
 
-from dataclasses import dataclass
+import msgspec
 
 from godwitnotch.core.leased import model
 
 RETENTION_S = 3.0  # Time for an owner to hand over the job.
 
 
-@dataclass(frozen=True, slots=True)
-class _DoneRun:
+class _DoneRun(msgspec.Struct, frozen=True):
     key: model.RunKey
     expires_at: float
 
--- a/godwitnotch/core/ledger_messages.py
+++ b/godwitnotch/core/ledger_messages.py
@@ -1,12 +1,11 @@
 """Messages between the credit ledgers of hosts, and the shared resources."""
 
-from dataclasses import dataclass
+import msgspec
 
 from godwitnotch.core import ids
 
 
-@dataclass(frozen=True, slots=True)
-class Resource:
+class Resource(msgspec.Struct, frozen=True):
     """A limited resource whose units the hosts share.
 
     Attributes:
@@ -21,8 +20,7 @@
     domain: ids.DomainId | None
 
 
-@dataclass(frozen=True, slots=True)
-class BorrowerReport:
+class BorrowerReport(msgspec.Struct, frozen=True):
     """Tells the lender of a resource what a borrower has and wants.
 
     Attributes:
@@ -38,8 +36,7 @@
     serial: int
 
 
-@dataclass(frozen=True, slots=True)
-class LoanUpdate:
+class LoanUpdate(msgspec.Struct, frozen=True):
     """Tells a borrower how many units of a resource it may use.
 
     Attributes:
@@ -57,8 +54,7 @@
     slowness: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class LoanRequest:
+class LoanRequest(msgspec.Struct, frozen=True):
     """Requests units of any resources that the receiver lends.
 
     Attributes:
@@ -71,8 +67,7 @@
     max_slowness: int
 
 
-@dataclass(frozen=True, slots=True)
-class OutgoingMessage:
+class OutgoingMessage(msgspec.Struct, frozen=True):
     """A message that a ledger sends to the ledger of another host."""
 
     host: ids.HostId
--- a/godwitnotch/core/membership.py
+++ b/godwitnotch/core/membership.py
@@ -1,6 +1,6 @@
 """The other hosts: in the directory, linked, or only possibly live."""
 
-from dataclasses import dataclass
+import msgspec
 
 from godwitnotch.core import events
 from godwitnotch.core import ids
@@ -8,8 +8,7 @@
 from godwitnotch.core import model
 
 
-@dataclass(slots=True)
-class _KnownHost:
+class _KnownHost(msgspec.Struct):
     """A possibly live host; expires unless the host is seen again."""
 
     entry: model.HostEntry
--- a/godwitnotch/core/messages.py
+++ b/godwitnotch/core/messages.py
@@ -4,7 +4,7 @@
 differ. The receiver converts them to deadlines of its own clock at once.
 """
 
-from dataclasses import dataclass
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core import model
@@ -13,8 +13,7 @@
 PROTOCOL_VERSION = 3
 
 
-@dataclass(frozen=True, slots=True)
-class Hello:
+class Hello(msgspec.Struct, frozen=True):
     """The first message on a link, sent by both sides.
 
     Attributes:
@@ -30,8 +29,7 @@
     incarnation: ids.Incarnation
 
 
-@dataclass(frozen=True, slots=True)
-class Heartbeat:
+class Heartbeat(msgspec.Struct, frozen=True):
     """Shows that the sender's event loop is running.
 
     Attributes:
@@ -49,8 +47,7 @@
     probe: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class ForwardSubmit:
+class ForwardSubmit(msgspec.Struct, frozen=True):
     """Forwards a job to the owner of its id.
 
     Attributes:
@@ -69,8 +66,7 @@
     timeout_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class ForwardStatus:
+class ForwardStatus(msgspec.Struct, frozen=True):
     """Asks the owner of an id for the status of the submission."""
 
     call: ids.CallId
@@ -78,8 +74,7 @@
     submission: ids.SubmissionId
 
 
-@dataclass(frozen=True, slots=True)
-class ForwardCancel:
+class ForwardCancel(msgspec.Struct, frozen=True):
     """Asks the owner of an id to cancel the submission."""
 
     call: ids.CallId
@@ -87,8 +82,7 @@
     submission: ids.SubmissionId
 
 
-@dataclass(frozen=True, slots=True)
-class ForwardReply:
+class ForwardReply(msgspec.Struct, frozen=True):
     """Replies to a forwarded call.
 
     Attributes:
@@ -100,8 +94,7 @@
     answer: model.JobAnswer
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigChanged:
+class ConfigChanged(msgspec.Struct, frozen=True):
     """Announces a recorded configuration change.
 
     Attributes:
@@ -111,8 +104,7 @@
     counter: int
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigApplied:
+class ConfigApplied(msgspec.Struct, frozen=True):
     """Confirms that the sender has applied all changes up to `counter`.
 
     Attributes:
@@ -122,13 +114,11 @@
     counter: int
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigWanted:
+class ConfigWanted(msgspec.Struct, frozen=True):
     """Asks a peer for its configuration because the sender has none."""
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigSnapshot:
+class ConfigSnapshot(msgspec.Struct, frozen=True):
     """The sender's configuration.
 
     Attributes:
@@ -140,20 +130,17 @@
     configs: tuple[model.WorkspaceConfig, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class DirectoryWanted:
+class DirectoryWanted(msgspec.Struct, frozen=True):
     """Asks for the directory because the sender can't reach the platform."""
 
 
-@dataclass(frozen=True, slots=True)
-class DirectorySnapshot:
+class DirectorySnapshot(msgspec.Struct, frozen=True):
     """The latest directory that the sender has."""
 
     directory: model.Directory
 
 
-@dataclass(frozen=True, slots=True)
-class SlotsWanted:
+class SlotsWanted(msgspec.Struct, frozen=True):
     """A borrower reports its use of an upstream's slots and its demand.
 
     One host, the lender, lends the slots of an upstream to other hosts, the
@@ -173,8 +160,7 @@
     serial: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class SlotsLent:
+class SlotsLent(msgspec.Struct, frozen=True):
     """A lender tells a borrower how many slots of an upstream it may use.
 
     Attributes:
@@ -192,8 +178,7 @@
     slowness: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class SlotsAsked:
+class SlotsAsked(msgspec.Struct, frozen=True):
     """A borrower asks for more slots of any upstreams that the peer lends.
 
     Unlike `SlotsWanted`, it names no upstream.
@@ -209,16 +194,14 @@
     max_slowness: int
 
 
-@dataclass(frozen=True, slots=True)
-class SlotsBatch:
+class SlotsBatch(msgspec.Struct, frozen=True):
     """A batch of messages about slots."""
 
     wanted: tuple[SlotsWanted, ...]
     lent: tuple[SlotsLent, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class QuotaWanted:
+class QuotaWanted(msgspec.Struct, frozen=True):
     """Like `SlotsWanted`, for a workspace's quota of running tasks.
 
     Attributes:
@@ -238,8 +221,7 @@
     limit: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class QuotaLent:
+class QuotaLent(msgspec.Struct, frozen=True):
     """Like `SlotsLent`, for a workspace's quota of running tasks."""
 
     workspace: ids.WorkspaceId
--- a/godwitnotch/core/model.py
+++ b/godwitnotch/core/model.py
@@ -3,8 +3,8 @@
 import enum
 import hashlib
 from collections.abc import Mapping
-from dataclasses import dataclass
-from dataclasses import field
+
+import msgspec
 
 from godwitnotch.core import ids
 
@@ -88,8 +88,7 @@
     ABORTED = "aborted"  # This host closed the connection.
 
 
-@dataclass(frozen=True, slots=True)
-class TaskSpec:
+class TaskSpec(msgspec.Struct, frozen=True):
     """One task of a job.
 
     Attributes:
@@ -101,8 +100,7 @@
     declared_ms: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class JobBody:
+class JobBody(msgspec.Struct, frozen=True):
     """The content of a job; can't change after the job was submitted."""
 
     template: ids.TemplateName
@@ -117,8 +115,7 @@
         return hasher.digest()
 
 
-@dataclass(frozen=True, slots=True)
-class JobAnswer:
+class JobAnswer(msgspec.Struct, frozen=True):
     """The answer to a caller about a submission.
 
     Attributes:
@@ -142,8 +139,7 @@
     retry_after_s: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Template:
+class Template(msgspec.Struct, frozen=True):
     """How tasks are sent to upstreams; each job names a template.
 
     Attributes:
@@ -164,8 +160,7 @@
     max_answer_bytes: int = 65_536
 
 
-@dataclass(frozen=True, slots=True)
-class WorkspaceConfig:
+class WorkspaceConfig(msgspec.Struct, frozen=True):
     """One recorded version of a workspace's settings.
 
     Attributes:
@@ -180,14 +175,15 @@
 
     workspace: ids.WorkspaceId
     version: int
-    templates: Mapping[ids.TemplateName, Template] = field(default_factory=dict)
+    templates: Mapping[ids.TemplateName, Template] = msgspec.field(
+        default_factory=dict
+    )
     token_sha256: str = ""
     max_running_tasks: int = 1_000
     max_queued_tasks: int = 10_000
 
 
-@dataclass(frozen=True, slots=True)
-class HostEntry:
+class HostEntry(msgspec.Struct, frozen=True):
     """A host in the directory.
 
     Attributes:
@@ -207,8 +203,7 @@
     leaving: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamEntry:
+class UpstreamEntry(msgspec.Struct, frozen=True):
     """An upstream in the directory.
 
     Attributes:
@@ -231,16 +226,14 @@
     leaving: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Directory:
+class Directory(msgspec.Struct, frozen=True):
     """The platform's list of hosts and upstreams; updated with a delay."""
 
     hosts: tuple[HostEntry, ...] = ()
     upstreams: tuple[UpstreamEntry, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Row:
+class Row(msgspec.Struct, frozen=True):
     """A row of the store; version 0 means that the row is absent."""
 
     key: str
@@ -248,8 +241,7 @@
     value: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class RowWrite:
+class RowWrite(msgspec.Struct, frozen=True):
     """One write of a transaction.
 
     Attributes:
--- a/godwitnotch/core/outcomes.py
+++ b/godwitnotch/core/outcomes.py
@@ -8,9 +8,8 @@
 
 import collections
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
-from dataclasses import replace
+
+import msgspec
 
 from godwitnotch.core import events
 from godwitnotch.core import ids
@@ -75,8 +74,8 @@
         """
         size_bytes = sum(map(len, outcome.answer.results))
         if size_bytes > self._limits.max_outcome_bytes:
-            answer = replace(outcome.answer, results=())
-            outcome = replace(outcome, answer=answer)
+            answer = msgspec.structs.replace(outcome.answer, results=())
+            outcome = msgspec.structs.replace(outcome, answer=answer)
         self._unwritten.append(_UnwrittenOutcome(sequence, outcome))
         if len(self._unwritten) > self._limits.max_unwritten_outcomes:
             dropped = self._unwritten.popleft()
@@ -205,16 +204,14 @@
             self._on_sealed(now)
 
 
-@dataclass(frozen=True, slots=True)
-class _UnwrittenOutcome:
+class _UnwrittenOutcome(msgspec.Struct, frozen=True):
     """An outcome that waits for the next batch."""
 
     sequence: ids.Sequence
     outcome: records.JobOutcome
 
 
-@dataclass(frozen=True, slots=True)
-class _WrittenRow:
+class _WrittenRow(msgspec.Struct, frozen=True):
     """A row in the store and when it is due to be deleted.
 
     Attributes:
@@ -228,16 +225,14 @@
     expires_at: float
 
 
-@dataclass(frozen=True, slots=True)
-class _Batch:
+class _Batch(msgspec.Struct, frozen=True):
     """The writes of one transaction and the number of their outcomes."""
 
     writes: list[model.RowWrite]
     outcome_count: int
 
 
-@dataclass(frozen=True, slots=True)
-class LookupResult:
+class LookupResult(msgspec.Struct, frozen=True):
     """What the store knows about an id whose owner can't be reached.
 
     Attributes:
@@ -325,8 +320,7 @@
                 return
 
 
-@dataclass(frozen=True, slots=True)
-class _LookupWaiter:
+class _LookupWaiter(msgspec.Struct, frozen=True):
     """A call that waits for a lookup."""
 
     owner: ids.SubmissionOwner
@@ -334,8 +328,7 @@
     on_found: LookupCallback
 
 
-@dataclass(slots=True)
-class _Lookup:
+class _Lookup(msgspec.Struct):
     """A running or cached scan of the outcome rows with one prefix.
 
     Attributes:
@@ -356,10 +349,10 @@
     sealed: bool = False
     deleted_below: int = 0
     expires_at: float = 0.0
-    outcomes: dict[ids.SubmissionId, records.JobOutcome] = field(
+    outcomes: dict[ids.SubmissionId, records.JobOutcome] = msgspec.field(
         default_factory=dict
     )
-    waiters: list[_LookupWaiter] = field(default_factory=list)
+    waiters: list[_LookupWaiter] = msgspec.field(default_factory=list)
 
     def is_usable(self, submission: ids.SubmissionId, now: float) -> bool:
         if self.running or self.failed:
--- a/godwitnotch/core/owner_calls.py
+++ b/godwitnotch/core/owner_calls.py
@@ -1,7 +1,8 @@
 """Forwards calls to the owner of an id, or answers from recorded outcomes."""
 
 import itertools
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import actions
 from godwitnotch.core import answer_once
@@ -24,8 +25,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class OwnerCall:
+class OwnerCall(msgspec.Struct, frozen=True):
     """A call about an id that another process owns.
 
     Attributes:
@@ -178,8 +178,7 @@
         return current is not None and current != owner.incarnation
 
 
-@dataclass(frozen=True, slots=True)
-class _ForwardedCall:
+class _ForwardedCall(msgspec.Struct, frozen=True):
     """A call that waits for the owner's reply."""
 
     host: ids.HostId
--- a/godwitnotch/core/quotas.py
+++ b/godwitnotch/core/quotas.py
@@ -7,7 +7,8 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import credit_ledger
 from godwitnotch.core import credit_state
@@ -20,8 +21,7 @@
 MAX_REQUEST_TASKS = 16
 
 
-@dataclass(slots=True)
-class _Quota:
+class _Quota(msgspec.Struct):
     """The quota of one workspace and this host's use of the quota.
 
     Attributes:
--- a/godwitnotch/core/records.py
+++ b/godwitnotch/core/records.py
@@ -1,10 +1,10 @@
 """Keys and CBOR values of the rows in the store."""
 
 import hashlib
-from dataclasses import dataclass
 from typing import Any
 
 import cbor2
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core import model
@@ -15,8 +15,7 @@
 KEY_DIGEST_BYTES = 16
 
 
-@dataclass(frozen=True, slots=True)
-class Binding:
+class Binding(msgspec.Struct, frozen=True):
     """A submission id bound to an idempotency key.
 
     Attributes:
@@ -31,8 +30,7 @@
     version: int
 
 
-@dataclass(frozen=True, slots=True)
-class LoggedChange:
+class LoggedChange(msgspec.Struct, frozen=True):
     """One recorded configuration change.
 
     Attributes:
@@ -46,8 +44,7 @@
     nonce: str
 
 
-@dataclass(frozen=True, slots=True)
-class JobOutcome:
+class JobOutcome(msgspec.Struct, frozen=True):
     """The final answer of a job whose tasks may have started.
 
     Attributes:
--- a/godwitnotch/core/remedies.py
+++ b/godwitnotch/core/remedies.py
@@ -1,6 +1,6 @@
 """What a caller can do about each reason, and when to retry."""
 
-from dataclasses import dataclass
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core import model
@@ -9,8 +9,7 @@
 from godwitnotch.core.model import Reason
 
 
-@dataclass(frozen=True, slots=True)
-class Remedy:
+class Remedy(msgspec.Struct, frozen=True):
     """What a caller can do about a reason.
 
     Attributes:
--- a/godwitnotch/core/reservations.py
+++ b/godwitnotch/core/reservations.py
@@ -8,7 +8,8 @@
 
 import enum
 from collections import deque
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import ids
 
@@ -23,8 +24,7 @@
     NEVER_RESERVED = "never_reserved"
 
 
-@dataclass(frozen=True, slots=True)
-class _Block:
+class _Block(msgspec.Struct, frozen=True):
     """A reservation: the end of its range of numbers and when it expires."""
 
     end: int
--- a/godwitnotch/core/scheduler.py
+++ b/godwitnotch/core/scheduler.py
@@ -5,17 +5,17 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
+
 from godwitnotch.core import ids
 from godwitnotch.core import messages
 from godwitnotch.core import model
 from godwitnotch.core import random_source
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
+class Refusal(msgspec.Struct, frozen=True):
     """Why a job is refused before any of its tasks starts.
 
     Attributes:
@@ -30,8 +30,7 @@
     retry_after_s: float | None
 
 
-@dataclass(frozen=True, slots=True)
-class JobRequest:
+class JobRequest(msgspec.Struct, frozen=True):
     """A job that is submitted to the scheduler.
 
     Attributes:
@@ -50,8 +49,7 @@
     deadline: float
 
 
-@dataclass(frozen=True, slots=True)
-class Assignment:
+class Assignment(msgspec.Struct, frozen=True):
     """A task that is to start now at an upstream."""
 
     submission: ids.SubmissionId
@@ -59,8 +57,7 @@
     upstream: model.UpstreamEntry
 
 
-@dataclass(frozen=True, slots=True)
-class PeerMessage:
+class PeerMessage(msgspec.Struct, frozen=True):
     """A message from the policy of this host to that of another host."""
 
     host: ids.HostId
--- a/godwitnotch/core/services.py
+++ b/godwitnotch/core/services.py
@@ -1,6 +1,6 @@
 """Services that the parts of the host core share."""
 
-from dataclasses import dataclass
+import msgspec
 
 from godwitnotch.core import backoff
 from godwitnotch.core import limits as limits_module
@@ -10,8 +10,7 @@
 from godwitnotch.core import timers as timers_module
 
 
-@dataclass(frozen=True, slots=True)
-class Services:
+class Services(msgspec.Struct, frozen=True):
     """The shared services of one host core.
 
     Attributes:
--- a/godwitnotch/core/sizes.py
+++ b/godwitnotch/core/sizes.py
@@ -7,7 +7,8 @@
 """
 
 import math
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import ids
 
@@ -23,8 +24,7 @@
 _PRIOR_VARIANCE = 0.2
 
 
-@dataclass(slots=True)
-class _Regression:
+class _Regression(msgspec.Struct):
     """Linear regression of y on x, with decaying weights."""
 
     mean_x: float
--- a/godwitnotch/core/speeds.py
+++ b/godwitnotch/core/speeds.py
@@ -8,7 +8,8 @@
 """
 
 import math
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import ids
 
@@ -23,8 +24,7 @@
 _MIN_RUN_TIME_S = 1e-4
 
 
-@dataclass(slots=True)
-class _Term:
+class _Term(msgspec.Struct):
     """A term of the model, a natural logarithm, and its observation count."""
 
     value: float
--- a/godwitnotch/core/submissions.py
+++ b/godwitnotch/core/submissions.py
@@ -5,7 +5,8 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import answer_once
 from godwitnotch.core import bindings
@@ -37,8 +38,7 @@
 ]
 
 
-@dataclass(frozen=True, slots=True)
-class Collaborators:
+class Collaborators(msgspec.Struct, frozen=True):
     """The parts of the host core that `Submissions` uses.
 
     Attributes:
--- a/godwitnotch/core/upstream_pool.py
+++ b/godwitnotch/core/upstream_pool.py
@@ -4,8 +4,8 @@
 import itertools
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass
-from dataclasses import field
+
+import msgspec
 
 from godwitnotch.core import credit_ledger
 from godwitnotch.core import credit_state
@@ -30,8 +30,7 @@
 TaskKey = tuple[ids.SubmissionId, int]
 
 
-@dataclass(slots=True, eq=False)
-class Upstream:
+class Upstream(msgspec.Struct, eq=False):
     """An upstream and this host's use of it.
 
     Attributes:
@@ -51,9 +50,9 @@
 
     entry: model.UpstreamEntry
     credit: credit_state.Credit
-    start_times: dict[TaskKey, float] = field(default_factory=dict)
+    start_times: dict[TaskKey, float] = msgspec.field(default_factory=dict)
     start_times_sum: float = 0.0
-    cap: slot_caps.SlotCap = field(default_factory=slot_caps.SlotCap)
+    cap: slot_caps.SlotCap = msgspec.field(default_factory=slot_caps.SlotCap)
     paused_until: float = 0.0
     pause_s: float = FIRST_PAUSE_S
     leaving_until: float = 0.0
--- a/godwitnotch/demo.py
+++ b/godwitnotch/demo.py
@@ -6,9 +6,9 @@
 import secrets
 import time
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
 import rich.console
 import rich.progress
 import rich.table
@@ -44,8 +44,7 @@
     """The demo failed."""
 
 
-@dataclass(frozen=True, slots=True)
-class _DemoResult:
+class _DemoResult(msgspec.Struct, frozen=True):
     """Result of the demo's job.
 
     Attributes:
--- a/godwitnotch/event_ring.py
+++ b/godwitnotch/event_ring.py
@@ -1,7 +1,8 @@
 """Keeps the latest notes of recent submissions in memory."""
 
 from collections import OrderedDict
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import actions
 from godwitnotch.core import ids
@@ -9,8 +10,7 @@
 MAX_NOTES_PER_SUBMISSION = 512
 
 
-@dataclass(frozen=True, slots=True)
-class TimedNote:
+class TimedNote(msgspec.Struct, frozen=True):
     """A note and its time on the host's clock, in seconds."""
 
     time_s: float
--- a/godwitnotch/latency.py
+++ b/godwitnotch/latency.py
@@ -1,8 +1,10 @@
 """Summary of latencies in the Prometheus text format."""
 
 from collections.abc import Iterator
+from typing import TYPE_CHECKING
 
-from hdrh import histogram
+if TYPE_CHECKING:
+    from hdrh import histogram
 
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
 SIGNIFICANT_DIGITS = 2
@@ -23,11 +25,22 @@
     def __init__(self, name: str, *, max_s: int) -> None:
         self._name = name
         self._max_us = max_s * _US_PER_S
-        self._recorded = histogram.HdrHistogram(
-            1, self._max_us, SIGNIFICANT_DIGITS
-        )
+        self._histogram: histogram.HdrHistogram | None = None
         self._sum_s = 0.0
 
+    @property
+    def _recorded(self) -> "histogram.HdrHistogram":
+        """The recorded latencies."""
+        if self._histogram is None:
+            # Imported with the first latency: a starting host has none, and
+            # its callers wait for it.
+            from hdrh import histogram
+
+            self._histogram = histogram.HdrHistogram(
+                1, self._max_us, SIGNIFICANT_DIGITS
+            )
+        return self._histogram
+
     def record(self, latency_s: float) -> None:
         """Records one latency."""
         latency_us = min(round(latency_s * _US_PER_S), self._max_us)
--- a/godwitnotch/leased_demo.py
+++ b/godwitnotch/leased_demo.py
@@ -5,7 +5,8 @@
 """
 
 import asyncio
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch import leased_root
 from godwitnotch import log
@@ -27,8 +28,7 @@
 _POLL_S = 0.02
 
 
-@dataclass(frozen=True, slots=True)
-class _DemoResult:
+class _DemoResult(msgspec.Struct, frozen=True):
     """Result of the demo's jobs.
 
     Attributes:
--- a/godwitnotch/log.py
+++ b/godwitnotch/log.py
@@ -8,9 +8,10 @@
 import time
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import TextIO
 
+import msgspec
+
 from godwitnotch.core import actions
 from godwitnotch.core.leased import actions as leased_actions
 
@@ -166,8 +167,7 @@
     return json.dumps(text)
 
 
-@dataclass(slots=True)
-class _Window:
+class _Window(msgspec.Struct):
     """Counts of the lines of one log event in the current window."""
 
     started_at: float
--- a/godwitnotch/net/codec.py
+++ b/godwitnotch/net/codec.py
@@ -1,9 +1,9 @@
 """Encodes typed messages as CBOR and decodes them with strict checks.
 
 A message is the array `[version, kind, [field, ...]]`, with the fields in the
-order of the dataclass. Nested dataclasses are encoded as arrays of their
-fields, sets as sorted arrays, and enum members as their values. Any change of a
-message requires a new protocol version.
+order of the struct. Nested structs are encoded as arrays of their fields, sets
+as sorted arrays, and enum members as their values. Any change of a message
+requires a new protocol version.
 """
 
 import enum
@@ -15,15 +15,13 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
-from dataclasses import dataclass
-from dataclasses import fields
-from dataclasses import is_dataclass
 from operator import attrgetter
 from typing import Any
 from typing import Generic
 from typing import TypeVar
 
 import cbor2
+import msgspec
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -34,7 +32,7 @@
 _MAX_DETAIL_CHARS = 120
 _MAX_NESTING_DEPTH = 16
 
-_T = TypeVar("_T")
+_T = TypeVar("_T", bound=msgspec.Struct)
 _Converter = Callable[[Any], Any]
 
 
@@ -48,8 +46,7 @@
     WRONG_FIELDS = "wrong_fields"
 
 
-@dataclass(frozen=True, slots=True)
-class CodecError:
+class CodecError(msgspec.Struct, frozen=True):
     """Why received bytes were rejected, with details."""
 
     problem: CodecProblem
@@ -73,17 +70,22 @@
 
     def __init__(self, kinds: Sequence[type[_T]], *, version: int) -> None:
         self._version = version
+        self._names = {kind: _kind_name(kind) for kind in kinds}
+        self._kinds = {name: kind for kind, name in self._names.items()}
+        # Made when a kind is first sent or received: most kinds never are in
+        # the first seconds of a process, in which callers wait for it.
         self._encoders: dict[type[_T], tuple[str, _Converter]] = {}
         self._decoders: dict[str, _Converter] = {}
-        for kind in kinds:
-            name = _kind_name(kind)
-            self._encoders[kind] = (name, _dataclass_encoder(kind))
-            self._decoders[name] = _dataclass_decoder(kind)
 
     def encode(self, message: _T) -> bytes:
         """Returns the encoded message."""
-        name, encoder = self._encoders[type(message)]
-        return cbor2.dumps((self._version, name, encoder(message)))
+        kind = type(message)
+        encoder = self._encoders.get(kind)
+        if encoder is None:
+            encoder = (self._names[kind], _struct_encoder(kind))
+            self._encoders[kind] = encoder
+        name, convert = encoder
+        return cbor2.dumps((self._version, name, convert(message)))
 
     def decode(self, data: bytes) -> Result[_T, CodecError]:
         """Returns the message or why it was rejected; never raises."""
@@ -98,7 +100,7 @@
         version, name, values = items
         if type(version) is not int or version != self._version:
             return _failure(CodecProblem.UNKNOWN_VERSION, repr(version))
-        decoder = self._decoders.get(name) if isinstance(name, str) else None
+        decoder = self._decoder(name) if isinstance(name, str) else None
         if decoder is None:
             return _failure(CodecProblem.UNKNOWN_KIND, repr(name))
         try:
@@ -106,6 +108,14 @@
         except _WrongFieldsError as error:
             return _failure(CodecProblem.WRONG_FIELDS, f"{name}: {error}")
 
+    def _decoder(self, name: str) -> _Converter | None:
+        """Returns the decoder of a kind, None if there is no such kind."""
+        decoder = self._decoders.get(name)
+        if decoder is None and name in self._kinds:
+            decoder = _struct_decoder(self._kinds[name])
+            self._decoders[name] = decoder
+        return decoder
+
 
 def _decode_cbor(data: bytes) -> Any:
     stream = io.BytesIO(data)
@@ -134,9 +144,9 @@
     return re.sub(r"(?<!^)(?=[A-Z])", "_", kind.__name__).lower()
 
 
-def _dataclass_encoder(kind: type) -> _Converter:
+def _struct_encoder(kind: type[msgspec.Struct]) -> _Converter:
     hints = typing.get_type_hints(kind)
-    names = [field.name for field in fields(kind)]
+    names = kind.__struct_fields__
     converters = [_encoder(hints[name]) for name in names]
     if not names:
         return lambda _: ()
@@ -180,8 +190,8 @@
         return sorted
     if origin is Mapping:
         return _mapping_encoder(_encoder(typing.get_args(hint)[1]))
-    if is_dataclass(hint):
-        return _dataclass_encoder(typing.cast(type, hint))
+    if _is_struct(hint):
+        return _struct_encoder(hint)
     if isinstance(hint, type) and issubclass(hint, enum.Enum):
         return attrgetter("value")
     return None
@@ -205,9 +215,9 @@
     return lambda value: {key: converter(item) for key, item in value.items()}
 
 
-def _dataclass_decoder(kind: type) -> _Converter:
+def _struct_decoder(kind: type[msgspec.Struct]) -> _Converter:
     hints = typing.get_type_hints(kind)
-    names = [field.name for field in fields(kind)]
+    names = kind.__struct_fields__
     decoders = [_decoder(hints[name]) for name in names]
     count = len(names)
 
@@ -236,8 +246,8 @@
     if origin is Mapping:
         key_type, value_type = typing.get_args(hint)
         return _mapping_decoder(_decoder(key_type), _decoder(value_type))
-    if is_dataclass(hint):
-        return _dataclass_decoder(typing.cast(type, hint))
+    if _is_struct(hint):
+        return _struct_decoder(hint)
     if isinstance(hint, type) and issubclass(hint, enum.Enum):
         return _enum_decoder(hint)
     return _SCALAR_DECODERS[hint]
@@ -306,6 +316,10 @@
 }
 
 
+def _is_struct(hint: Any) -> bool:
+    return isinstance(hint, type) and issubclass(hint, msgspec.Struct)
+
+
 def _wrong_type(expected: str, value: Any) -> _WrongFieldsError:
     return _WrongFieldsError(
         f"{expected} expected, {type(value).__name__} found"
--- a/godwitnotch/net/explain_api.py
+++ b/godwitnotch/net/explain_api.py
@@ -4,12 +4,12 @@
 """
 
 import asyncio
-import dataclasses
-import enum
 import json
 from typing import Any
 from typing import Protocol
 
+import msgspec
+
 from godwitnotch.core.leased import explanation
 from godwitnotch.core.leased import model
 from godwitnotch.net import http_server
@@ -120,9 +120,8 @@
         self, job: model.JobRequest, wait_s: float, version: int
     ) -> http_types.HttpResponse:
         deadline = asyncio.get_running_loop().time() + ANSWER_TIMEOUT_S
-        unsent = dataclasses.replace(
-            job, spec=""
-        )  # No decision reads the spec.
+        # No decision reads the spec.
+        unsent = msgspec.structs.replace(job, spec="")
         try:
             report = await self._host.report_job(
                 unsent, wait_s=wait_s, deadline=deadline
@@ -168,7 +167,5 @@
     report: explanation.AdmissionReport | explanation.PlacementReport,
 ) -> dict[str, Any]:
     """Returns the fields of a report as JSON values."""
-    return {
-        name: value.value if isinstance(value, enum.Enum) else value
-        for name, value in dataclasses.asdict(report).items()
-    }
+    fields_by_name: dict[str, Any] = msgspec.to_builtins(report)
+    return fields_by_name
--- a/godwitnotch/net/http_client.py
+++ b/godwitnotch/net/http_client.py
@@ -4,8 +4,8 @@
 import contextlib
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
+
+import msgspec
 
 from godwitnotch.net import http_connection
 from godwitnotch.net import http_types
@@ -17,8 +17,7 @@
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class Greeting:
+class Greeting(msgspec.Struct, frozen=True):
     """Makes sure that a connection leads to one process of a server.
 
     A connection ends with the process that has accepted it, so that a process
@@ -281,13 +280,12 @@
     )
 
 
-@dataclass(slots=True)
-class _Pool:
+class _Pool(msgspec.Struct):
     address: str
     max_connections: int
     in_use: int = 0
-    idle: list[http_connection.Connection] = field(default_factory=list)
-    waiters: deque[asyncio.Future[None]] = field(default_factory=deque)
+    idle: list[http_connection.Connection] = msgspec.field(default_factory=list)
+    waiters: deque[asyncio.Future[None]] = msgspec.field(default_factory=deque)
 
     def set_max_connections(self, max_connections: int) -> None:
         self.max_connections = max_connections
--- a/godwitnotch/net/http_server.py
+++ b/godwitnotch/net/http_server.py
@@ -7,10 +7,9 @@
 import socket
 import urllib.parse
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
 
 import h11
+import msgspec
 
 from godwitnotch.net import http_types
 from godwitnotch.net import listeners
@@ -105,11 +104,10 @@
             connection.close_if_idle()
 
 
-@dataclass(slots=True)
-class _ServerState:
+class _ServerState(msgspec.Struct):
     handler: http_types.Handler
     limits: http_types.HttpLimits
-    connections: set["_Connection"] = field(default_factory=set)
+    connections: set["_Connection"] = msgspec.field(default_factory=set)
     stopping: bool = False
 
 
--- a/godwitnotch/net/http_types.py
+++ b/godwitnotch/net/http_types.py
@@ -3,32 +3,29 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
-from dataclasses import dataclass
-from dataclasses import field
 
+import msgspec
 
-@dataclass(frozen=True, slots=True)
-class HttpRequest:
+
+class HttpRequest(msgspec.Struct, frozen=True):
     """A request with its whole body; header names are lower case."""
 
     method: str
     path: str
-    query: Mapping[str, str] = field(default_factory=dict)
-    headers: Mapping[str, str] = field(default_factory=dict)
+    query: Mapping[str, str] = msgspec.field(default_factory=dict)
+    headers: Mapping[str, str] = msgspec.field(default_factory=dict)
     body: bytes = b""
 
 
-@dataclass(frozen=True, slots=True)
-class HttpResponse:
+class HttpResponse(msgspec.Struct, frozen=True):
     """A response with its whole body; header names are lower case."""
 
     status: int
     body: bytes = b""
-    headers: Mapping[str, str] = field(default_factory=dict)
+    headers: Mapping[str, str] = msgspec.field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
-class HttpLimits:
+class HttpLimits(msgspec.Struct, frozen=True):
     """Limits for the requests and connections of a server.
 
     Attributes:
--- a/godwitnotch/net/job_json.py
+++ b/godwitnotch/net/job_json.py
@@ -5,10 +5,10 @@
 import math
 import re
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Any
 from typing import NoReturn
 
+import msgspec
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -31,15 +31,13 @@
 _RESERVATION_KEYS = ("count", "key")
 
 
-@dataclass(frozen=True, slots=True)
-class BadBody:
+class BadBody(msgspec.Struct, frozen=True):
     """Why a request body is invalid; `detail` names cause and remedy."""
 
     detail: str
 
 
-@dataclass(frozen=True, slots=True)
-class JobRequest:
+class JobRequest(msgspec.Struct, frozen=True):
     """A job as a caller sent it.
 
     Attributes:
@@ -51,8 +49,7 @@
     timeout_s: float | None
 
 
-@dataclass(frozen=True, slots=True)
-class ReservationRequest:
+class ReservationRequest(msgspec.Struct, frozen=True):
     """A reservation as a caller sent it.
 
     Attributes:
--- a/godwitnotch/net/link_limits.py
+++ b/godwitnotch/net/link_limits.py
@@ -1,10 +1,9 @@
 """Timeouts and limits of the links between hosts."""
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass(frozen=True, slots=True)
-class PeerLimits:
+class PeerLimits(msgspec.Struct, frozen=True):
     """Timeouts and limits of the links of one host.
 
     Attributes:
--- a/godwitnotch/net/peer_auth.py
+++ b/godwitnotch/net/peer_auth.py
@@ -12,11 +12,10 @@
 import secrets
 from collections.abc import Awaitable
 from collections.abc import Callable
-from dataclasses import astuple
-from dataclasses import dataclass
 from typing import TypeVar
 
 import cbor2
+import msgspec
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -28,23 +27,20 @@
 _KEY_LABEL = b"godwitnotch peer link"
 
 
-@dataclass(frozen=True, slots=True)
-class Challenge:
+class Challenge(msgspec.Struct, frozen=True):
     """The sender's hello and the nonce that the peer's proof must cover."""
 
     hello: messages.Hello
     nonce: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Proof:
+class Proof(msgspec.Struct, frozen=True):
     """A MAC that proves knowledge of the shared secret."""
 
     mac: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Accepted:
+class Accepted(msgspec.Struct, frozen=True):
     """Confirms to the dialler that the link is open."""
 
 
@@ -68,27 +64,34 @@
     ACCEPTOR = "acceptor"
 
 
-@dataclass(frozen=True, slots=True)
-class Channel:
+class Channel(msgspec.Struct, frozen=True):
     """Sends and receives the frames of one connection."""
 
     send: Callable[[bytes], Awaitable[None]]
     receive: Callable[[], Awaitable[bytes]]
 
 
-@dataclass(frozen=True, slots=True)
-class _Transcript:
+class _Transcript(msgspec.Struct, frozen=True):
     dialler: Challenge
     acceptor: Challenge
 
     def mac(self, key: bytes, role: _Role) -> bytes:
         """Returns the MAC that a host sends as its proof in the given role."""
         text = cbor2.dumps(
-            (role.value, astuple(self.dialler), astuple(self.acceptor))
+            (
+                role.value,
+                _signed_fields(self.dialler),
+                _signed_fields(self.acceptor),
+            )
         )
         return hmac.digest(key, text, hashlib.sha256)
 
 
+def _signed_fields(challenge: Challenge) -> tuple[object, ...]:
+    hello = msgspec.structs.astuple(challenge.hello)
+    return (hello, challenge.nonce)
+
+
 class Authenticator:
     """Performs handshakes for one host.
 
--- a/godwitnotch/net/peer_link.py
+++ b/godwitnotch/net/peer_link.py
@@ -4,10 +4,8 @@
 import enum
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
-from dataclasses import replace
 
+import msgspec
 import websockets
 import websockets.asyncio.connection
 from returns.result import Failure
@@ -146,7 +144,7 @@
         return deadline
 
     def _send_heartbeat(self, interval_s: float, *, probe: bool) -> None:
-        heartbeat = replace(
+        heartbeat = msgspec.structs.replace(
             self._heartbeat(), interval_s=interval_s, probe=probe
         )
         self._push(codec.MESSAGES.encode(heartbeat))
@@ -248,14 +246,13 @@
             await queue.not_empty.wait()
 
 
-@dataclass(slots=True)
-class _SendQueue:
+class _SendQueue(msgspec.Struct):
     """Encoded messages that wait to be sent."""
 
-    messages: deque[bytes] = field(default_factory=deque)
+    messages: deque[bytes] = msgspec.field(default_factory=deque)
     size_bytes: int = 0
-    not_empty: asyncio.Event = field(default_factory=asyncio.Event)
-    empty: asyncio.Event = field(default_factory=asyncio.Event)
+    not_empty: asyncio.Event = msgspec.field(default_factory=asyncio.Event)
+    empty: asyncio.Event = msgspec.field(default_factory=asyncio.Event)
 
     def push(self, data: bytes) -> None:
         """Adds a message."""
--- a/godwitnotch/net/platform_client.py
+++ b/godwitnotch/net/platform_client.py
@@ -9,11 +9,11 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
-from dataclasses import asdict
-from dataclasses import dataclass
 from typing import Any
 from typing import Protocol
 
+import msgspec
+
 from godwitnotch.core import ids
 from godwitnotch.core import model
 from godwitnotch.net import http_client
@@ -28,13 +28,11 @@
 _HTTP_SERVER_ERROR = 500
 
 
-@dataclass(frozen=True, slots=True)
-class Committed:
+class Committed(msgspec.Struct, frozen=True):
     """Result of a transaction that took effect."""
 
 
-@dataclass(frozen=True, slots=True)
-class Conflict:
+class Conflict(msgspec.Struct, frozen=True):
     """Result of a transaction that was rejected.
 
     Attributes:
@@ -44,8 +42,7 @@
     rows: tuple[model.Row, ...]
 
 
-@dataclass(slots=True)
-class PlatformCounts:
+class PlatformCounts(msgspec.Struct):
     """Counters of the exchanges with the platform.
 
     Attributes:
@@ -63,8 +60,7 @@
     bytes_received: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class _CachedDirectory:
+class _CachedDirectory(msgspec.Struct, frozen=True):
     etag: str
     directory: model.Directory
 
@@ -195,7 +191,7 @@
         self, entry: model.HostEntry, *, deadline: float
     ) -> None:
         """Registers a host in the directory until its registration expires."""
-        body = json.dumps(asdict(entry)).encode()
+        body = json.dumps(msgspec.to_builtins(entry)).encode()
         response = await self._write("POST", "/hosts", body, deadline)
         self._check_status(response, writing=True)
 
--- a/godwitnotch/net/redial.py
+++ b/godwitnotch/net/redial.py
@@ -3,9 +3,10 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import TypeVar
 
+import msgspec
+
 from godwitnotch.core import ids
 from godwitnotch.core import random_source
 
@@ -14,14 +15,12 @@
 ConnectionT = TypeVar("ConnectionT")
 
 
-@dataclass(slots=True)
-class _Wait:
+class _Wait(msgspec.Struct):
     domain: ids.DomainId
     ended: asyncio.Event
 
 
-@dataclass(slots=True)
-class _Attempt:
+class _Attempt(msgspec.Struct):
     """A connection that is being opened.
 
     Attributes:
--- a/godwitnotch/net/routes.py
+++ b/godwitnotch/net/routes.py
@@ -9,9 +9,10 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from godwitnotch import event_ring
 from godwitnotch import metrics
 from godwitnotch.core import ids
@@ -31,8 +32,7 @@
     OPERATOR = "operator"
 
 
-@dataclass(frozen=True, slots=True)
-class HostContext:
+class HostContext(msgspec.Struct, frozen=True):
     """The runtime, metrics and settings of a host that the routes use.
 
     Attributes:
@@ -55,8 +55,7 @@
         self.counts.record(latency, self.runtime.now() - started_at)
 
 
-@dataclass(frozen=True, slots=True)
-class RoutedRequest:
+class RoutedRequest(msgspec.Struct, frozen=True):
     """A request and the path parameters of its route."""
 
     request: http_types.HttpRequest
@@ -78,8 +77,7 @@
 ]
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(msgspec.Struct, frozen=True):
     """A method and path pattern, its required access, and its handler."""
 
     method: str
--- a/godwitnotch/net/runtime.py
+++ b/godwitnotch/net/runtime.py
@@ -7,11 +7,11 @@
 from collections.abc import Coroutine
 from collections.abc import Iterable
 from collections.abc import Mapping
-from dataclasses import dataclass
-from dataclasses import replace
 from typing import Any
 from typing import Protocol
 
+import msgspec
+
 from godwitnotch.core import actions
 from godwitnotch.core import events
 from godwitnotch.core import host as host_module
@@ -84,8 +84,7 @@
         """Queues a message for a peer."""
 
 
-@dataclass(frozen=True, slots=True)
-class Clients:
+class Clients(msgspec.Struct, frozen=True):
     """The clients and links with which the runtime executes actions."""
 
     platform: platform_client.Platform
@@ -196,7 +195,9 @@
         """Starts a drain; the earliest given deadline applies."""
         if not self._draining.done():
             self._draining.set_result(deadline)
-            self._identity = replace(self._identity, leaving=True)
+            self._identity = msgspec.structs.replace(
+                self._identity, leaving=True
+            )
             self._spawn(
                 self._directory_watcher.register_leaving(self._identity),
                 self._report_exception,
--- a/godwitnotch/net/runtime_port.py
+++ b/godwitnotch/net/runtime_port.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
+
 from godwitnotch.core import actions
 from godwitnotch.core import events
 from godwitnotch.core import ids
@@ -14,8 +15,7 @@
 EventFactory = Callable[[ids.CallId], events.Event]
 
 
-@dataclass(frozen=True, slots=True)
-class PeerStatus:
+class PeerStatus(msgspec.Struct, frozen=True):
     """Another host, as seen by this host.
 
     Attributes:
@@ -29,8 +29,7 @@
     linked: bool
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamStatus:
+class UpstreamStatus(msgspec.Struct, frozen=True):
     """An upstream, as seen by this host.
 
     Attributes:
@@ -48,8 +47,7 @@
     leaving: bool
 
 
-@dataclass(frozen=True, slots=True)
-class HostStatus:
+class HostStatus(msgspec.Struct, frozen=True):
     """State of one host process.
 
     Attributes:
--- a/godwitnotch/platform/configuration.py
+++ b/godwitnotch/platform/configuration.py
@@ -1,9 +1,10 @@
 """Decodes the operators' configuration that the platform's store holds."""
 
 import math
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from godwitnotch.core.leased import model
 from godwitnotch.platform import fields
 
@@ -17,8 +18,7 @@
 MAX_BODY_BYTES = 262_144
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(msgspec.Struct, frozen=True):
     """Configuration of the jobs of one kind, which the platform calls a queue.
 
     Attributes:
@@ -37,16 +37,14 @@
     settings: model.RouteSettings
 
 
-@dataclass(frozen=True, slots=True)
-class Limits:
+class Limits(msgspec.Struct, frozen=True):
     """Size limits of callers' requests, in bytes."""
 
     max_header_bytes: int = MAX_HEADER_BYTES
     max_body_bytes: int = MAX_BODY_BYTES
 
 
-@dataclass(frozen=True, slots=True)
-class Configuration:
+class Configuration(msgspec.Struct, frozen=True):
     """One version of the operators' configuration.
 
     Attributes:
--- a/godwitnotch/platform/evacuations.py
+++ b/godwitnotch/platform/evacuations.py
@@ -4,7 +4,7 @@
 the platform calls a zone, until the row is removed.
 """
 
-from dataclasses import dataclass
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.platform import fields
@@ -14,8 +14,7 @@
 MAX_DOMAIN_CHARS = 128
 
 
-@dataclass(frozen=True, slots=True)
-class EvacuationRow:
+class EvacuationRow(msgspec.Struct, frozen=True):
     """A row that evacuates a failure domain.
 
     Attributes:
--- a/godwitnotch/platform/settings.py
+++ b/godwitnotch/platform/settings.py
@@ -8,7 +8,8 @@
 import os
 import pathlib
 from collections.abc import Mapping
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import locality
@@ -23,8 +24,7 @@
     """The settings file can't be used; the message names the remedy."""
 
 
-@dataclass(frozen=True, slots=True)
-class DefaultedSetting:
+class DefaultedSetting(msgspec.Struct, frozen=True):
     """A field that is missing or malformed, and has its default instead.
 
     Attributes:
@@ -38,8 +38,7 @@
     default: float
 
 
-@dataclass(frozen=True, slots=True)
-class PlatformSettings:
+class PlatformSettings(msgspec.Struct, frozen=True):
     """Settings that the platform gives a process.
 
     Addresses have the form IP:PORT.
--- a/godwitnotch/platform/store.py
+++ b/godwitnotch/platform/store.py
@@ -3,9 +3,10 @@
 import base64
 import binascii
 import json
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from godwitnotch.net import http_client
 from godwitnotch.net import http_connection
 from godwitnotch.net import http_types
@@ -25,16 +26,14 @@
     """The store gave no usable response; retry later."""
 
 
-@dataclass(frozen=True, slots=True)
-class StoreRow:
+class StoreRow(msgspec.Struct, frozen=True):
     """A row; `value` is None if the row was removed."""
 
     key: str
     value: bytes | None
 
 
-@dataclass(frozen=True, slots=True)
-class StoreRows:
+class StoreRows(msgspec.Struct, frozen=True):
     """Rows of a table at one version of the store."""
 
     rows: tuple[StoreRow, ...]
--- a/godwitnotch/platform/upstreams.py
+++ b/godwitnotch/platform/upstreams.py
@@ -5,9 +5,10 @@
 """
 
 import json
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import model
@@ -39,8 +40,7 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class ListedUpstream:
+class ListedUpstream(msgspec.Struct, frozen=True):
     """An entry of the list of upstreams.
 
     Attributes:
--- a/godwitnotch/report/job_trace.py
+++ b/godwitnotch/report/job_trace.py
@@ -1,8 +1,8 @@
 """What the logs tell about one job, and why it missed its target time."""
 
 import enum
-from dataclasses import dataclass
-from dataclasses import field
+
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import model
@@ -44,8 +44,7 @@
     NOT_EXPLAINED = "not explained"
 
 
-@dataclass(slots=True)
-class TaskTrace:
+class TaskTrace(msgspec.Struct):
     """The runs of one task.
 
     Attributes:
@@ -63,7 +62,7 @@
     ordered_at: float | None = None
     waiting_since: float = 0.0
     waited_again_s: float = 0.0
-    lost_s: dict[Cause, float] = field(default_factory=dict)
+    lost_s: dict[Cause, float] = msgspec.field(default_factory=dict)
     unanswered: bool = False
     overdue: bool = False
     ended_at: float | None = None
@@ -97,8 +96,7 @@
         self.waiting_since = at
 
 
-@dataclass(slots=True)
-class JobTrace:
+class JobTrace(msgspec.Struct):
     """What the logs tell about one job; times are in seconds.
 
     Attributes:
@@ -132,7 +130,7 @@
     target_ms: float
     deadline: float
     work_ms: float
-    tasks: dict[int, TaskTrace] = field(default_factory=dict)
+    tasks: dict[int, TaskTrace] = msgspec.field(default_factory=dict)
     answered_at: float | None = None
     end: str = ""
     reason: str = ""
--- a/godwitnotch/report/log_lines.py
+++ b/godwitnotch/report/log_lines.py
@@ -6,10 +6,11 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
-from dataclasses import dataclass
 from pathlib import Path
 from typing import TextIO
 
+import msgspec
+
 from godwitnotch.core import ids
 
 # A log that several hosts share gives the time in seconds and the host before
@@ -26,8 +27,7 @@
 MAX_CLOCK_DRIFT_S = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class LogLine:
+class LogLine(msgspec.Struct, frozen=True):
     """One event in the log of a host.
 
     Attributes:
--- a/godwitnotch/report/speeds.py
+++ b/godwitnotch/report/speeds.py
@@ -2,7 +2,8 @@
 
 import math
 import statistics
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.core import ids
 
@@ -11,8 +12,7 @@
 MEDIAN_INTERVAL_RUNS = 50
 
 
-@dataclass(slots=True)
-class _Average:
+class _Average(msgspec.Struct):
     """A moving average of logarithms."""
 
     count: int = 0
--- a/godwitnotch/report/summary.py
+++ b/godwitnotch/report/summary.py
@@ -1,8 +1,8 @@
 """What the logs tell about all jobs: how they ended, and why."""
 
 from collections import Counter
-from dataclasses import dataclass
-from dataclasses import field
+
+import msgspec
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import model
@@ -10,8 +10,7 @@
 from godwitnotch.report.job_trace import Outcome
 
 
-@dataclass(frozen=True, slots=True)
-class LostJob:
+class LostJob(msgspec.Struct, frozen=True):
     """A job that missed its target time."""
 
     at: float
@@ -24,8 +23,7 @@
     detail: str
 
 
-@dataclass(frozen=True, slots=True)
-class Change:
+class Change(msgspec.Struct, frozen=True):
     """A change of a host, leader or upstream."""
 
     at: float
@@ -34,17 +32,15 @@
     detail: str
 
 
-@dataclass(slots=True)
-class UpstreamSummary:
+class UpstreamSummary(msgspec.Struct):
     """What the logs tell about one upstream."""
 
     run_count: int = 0
-    lost_counts: Counter[str] = field(default_factory=Counter)
+    lost_counts: Counter[str] = msgspec.field(default_factory=Counter)
     slowness: float = 1.0
 
 
-@dataclass(slots=True)
-class Summary:
+class Summary(msgspec.Struct):
     """How the jobs in the logs ended, and why.
 
     Attributes:
@@ -61,17 +57,17 @@
         span: Times of the first and the last event.
     """
 
-    outcomes: Counter[Outcome] = field(default_factory=Counter)
-    outcomes_by_second: dict[int, Counter[Outcome]] = field(
+    outcomes: Counter[Outcome] = msgspec.field(default_factory=Counter)
+    outcomes_by_second: dict[int, Counter[Outcome]] = msgspec.field(
         default_factory=dict
     )
-    causes: Counter[Cause] = field(default_factory=Counter)
-    lost_work_ms: dict[Cause, float] = field(default_factory=dict)
+    causes: Counter[Cause] = msgspec.field(default_factory=Counter)
+    lost_work_ms: dict[Cause, float] = msgspec.field(default_factory=dict)
     total_work_ms: float = 0.0
-    lost_jobs: list[LostJob] = field(default_factory=list)
-    changes: list[Change] = field(default_factory=list)
-    leaders: list[Change] = field(default_factory=list)
-    upstreams: dict[ids.UpstreamId, UpstreamSummary] = field(
+    lost_jobs: list[LostJob] = msgspec.field(default_factory=list)
+    changes: list[Change] = msgspec.field(default_factory=list)
+    leaders: list[Change] = msgspec.field(default_factory=list)
+    upstreams: dict[ids.UpstreamId, UpstreamSummary] = msgspec.field(
         default_factory=dict
     )
     dropped_lines: int = 0
--- a/godwitnotch/report/summary_builder.py
+++ b/godwitnotch/report/summary_builder.py
@@ -5,10 +5,10 @@
 from collections import deque
 from collections.abc import Callable
 from collections.abc import Iterable
-from dataclasses import dataclass
-from dataclasses import field
 from typing import TypeVar
 
+import msgspec
+
 from godwitnotch.core import ids
 from godwitnotch.core.leased import model
 from godwitnotch.report import job_trace
@@ -42,8 +42,7 @@
 )
 
 
-@dataclass(slots=True)
-class _OwnerView:
+class _OwnerView(msgspec.Struct):
     """What one host has logged about its leader.
 
     Attributes:
@@ -52,7 +51,7 @@
     """
 
     leader_away_since: float | None = None
-    absences: deque[tuple[float, float]] = field(
+    absences: deque[tuple[float, float]] = msgspec.field(
         default_factory=lambda: deque(maxlen=64)
     )
 
--- a/godwitnotch/report/tables.py
+++ b/godwitnotch/report/tables.py
@@ -1,7 +1,8 @@
 """The tables of a report, for the terminal and for the page."""
 
 import datetime
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch.report import summary as summary_module
 from godwitnotch.report.job_trace import Outcome
@@ -11,8 +12,7 @@
 MIN_UNIX_TIME_S = 1e9
 
 
-@dataclass(frozen=True, slots=True)
-class Table:
+class Table(msgspec.Struct, frozen=True):
     """A table of texts.
 
     Attributes:
--- a/godwitnotch/standins/leased_platform.py
+++ b/godwitnotch/standins/leased_platform.py
@@ -9,10 +9,10 @@
 import itertools
 import json
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
 from typing import Any
 
+import msgspec
+
 from godwitnotch.net import http_server
 from godwitnotch.net import http_types
 
@@ -23,8 +23,7 @@
 _JSON = {"content-type": "application/json"}
 
 
-@dataclass(slots=True)
-class _Row:
+class _Row(msgspec.Struct):
     """A row of a table, its value encoded as Base64."""
 
     value: Any
@@ -202,8 +201,7 @@
         return _json_response(200, {"ver": self._version})
 
 
-@dataclass(slots=True)
-class RunRecord:
+class RunRecord(msgspec.Struct):
     """A run that was started.
 
     Attributes:
@@ -227,8 +225,7 @@
         )
 
 
-@dataclass(slots=True)
-class _Run:
+class _Run(msgspec.Struct):
     """A running task.
 
     Attributes:
@@ -242,8 +239,7 @@
     record: RunRecord
 
 
-@dataclass(slots=True)
-class UpstreamFaults:
+class UpstreamFaults(msgspec.Struct):
     """Faults of an upstream.
 
     Attributes:
@@ -261,8 +257,7 @@
     response_delay_s: float = 0.0
 
 
-@dataclass(slots=True)
-class _UpstreamState:
+class _UpstreamState(msgspec.Struct):
     """State that an upstream keeps about orders and runs.
 
     Attributes:
@@ -278,9 +273,9 @@
 
     highest_term: int = 0
     lease_expires_at: float = 0.0
-    running: dict[str, _Run] = field(default_factory=dict)
-    highest_ended_run: dict[str, int] = field(default_factory=dict)
-    unacknowledged_ends: list[list[Any]] = field(default_factory=list)
+    running: dict[str, _Run] = msgspec.field(default_factory=dict)
+    highest_ended_run: dict[str, int] = msgspec.field(default_factory=dict)
+    unacknowledged_ends: list[list[Any]] = msgspec.field(default_factory=list)
 
 
 class StandInUpstream:
--- a/godwitnotch/standins/platform.py
+++ b/godwitnotch/standins/platform.py
@@ -5,10 +5,8 @@
 import json
 from collections.abc import Callable
 from collections.abc import Sequence
-from dataclasses import asdict
-from dataclasses import dataclass
-from dataclasses import replace
 
+import msgspec
 import yaml
 
 from godwitnotch.core import ids
@@ -85,7 +83,7 @@
             KeyError: The directory has no such upstream.
         """
         entry = self._upstreams[upstream]
-        self.set_upstream(replace(entry, leaving=leaving))
+        self.set_upstream(msgspec.structs.replace(entry, leaving=leaving))
 
     async def _handle(
         self, request: http_types.HttpRequest
@@ -148,14 +146,17 @@
             or self._cached_directory.hosts != hosts
         ):
             value = {
-                "hosts": [asdict(entry) for entry in hosts],
+                "hosts": [msgspec.to_builtins(entry) for entry in hosts],
                 "upstreams": [
-                    asdict(upstream) for upstream in self._upstreams.values()
+                    msgspec.to_builtins(upstream)
+                    for upstream in self._upstreams.values()
                 ],
             }
             response = _json_response(value)
             digest = hashlib.blake2b(response.body, digest_size=8).hexdigest()
-            response = replace(response, headers={"etag": digest})
+            response = msgspec.structs.replace(
+                response, headers={"etag": digest}
+            )
             self._cached_directory = _CachedDirectory(hosts, response)
         return self._cached_directory.response
 
@@ -195,14 +196,12 @@
         return _json_response({})
 
 
-@dataclass(frozen=True, slots=True)
-class _Registration:
+class _Registration(msgspec.Struct, frozen=True):
     entry: model.HostEntry
     expires_at: float
 
 
-@dataclass(frozen=True, slots=True)
-class _CachedDirectory:
+class _CachedDirectory(msgspec.Struct, frozen=True):
     hosts: list[model.HostEntry]
     response: http_types.HttpResponse
 
--- a/godwitnotch/standins/upstream.py
+++ b/godwitnotch/standins/upstream.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import json
-from dataclasses import asdict
-from dataclasses import dataclass
+
+import msgspec
 
 from godwitnotch import log
 from godwitnotch.net import http_server
@@ -16,8 +16,7 @@
 _RETRY_AFTER_S = 1
 
 
-@dataclass(slots=True)
-class Start:
+class Start(msgspec.Struct):
     """One task start, as `GET /starts` lists it.
 
     Attributes:
@@ -99,7 +98,7 @@
 
     def _list_starts(self) -> http_types.HttpResponse:
         body = {
-            "starts": [asdict(start) for start in self.starts],
+            "starts": [msgspec.to_builtins(start) for start in self.starts],
             "refused": self._refused_count,
         }
         return http_types.HttpResponse(200, json.dumps(body).encode())
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,7 +2,8 @@
 
 import random
 import unittest
-from dataclasses import replace
+
+import msgspec
 
 from godwitnotch.core import admission
 from godwitnotch.core import model
@@ -41,7 +42,7 @@
         job = fixtures.job("s", 10)
         # 600 tasks at 20 per second take 30 s, but the queue may take only half
         # of the time until the deadline, 15 s.
-        busy = replace(
+        busy = msgspec.structs.replace(
             IDLE, tasks_before=600, max_tasks_before=600, workspace_queued=600
         )
         refusal = self.admission.check(job, busy, now=0.0)
@@ -49,12 +50,16 @@
         self.assertIs(refusal.reason, model.Reason.DEADLINE_UNREACHABLE)
         assert refusal.retry_after_s is not None
         drained = round(600 - 20 * refusal.retry_after_s)
-        later = replace(busy, tasks_before=drained, max_tasks_before=drained)
+        later = msgspec.structs.replace(
+            busy, tasks_before=drained, max_tasks_before=drained
+        )
         self.assertIsNone(self.admission.check(job, later, now=0.0))
 
     def test_retry_times_of_refused_callers_are_spread_out(self) -> None:
         job = fixtures.job("s", 10)
-        busy = replace(IDLE, tasks_before=600, max_tasks_before=600)
+        busy = msgspec.structs.replace(
+            IDLE, tasks_before=600, max_tasks_before=600
+        )
         times = []
         for _ in range(5):
             refusal = self.admission.check(job, busy, now=0.0)
@@ -75,7 +80,7 @@
         self,
     ) -> None:
         short = fixtures.job("s", 1)
-        busy = replace(
+        busy = msgspec.structs.replace(
             IDLE, tasks_before=0, max_tasks_before=1_000, max_wait_s=30.0
         )
         self.assertIsNotNone(self.admission.check(short, busy, now=0.0))
@@ -83,17 +88,17 @@
     def test_an_idle_host_admits_short_deadlines(self) -> None:
         job = fixtures.job("s", 1, deadline=0.7)
         self.assertIsNone(self.admission.check(job, IDLE, now=0.0))
-        unknown = replace(IDLE, mean_known=False)
+        unknown = msgspec.structs.replace(IDLE, mean_known=False)
         job = fixtures.job("s", 1, deadline=0.1)
         self.assertIsNone(self.admission.check(job, unknown, now=0.0))
         self.assertIsNotNone(self.admission.check(job, IDLE, now=0.0))
 
     def test_the_queue_limit_is_enforced(self) -> None:
         job = fixtures.job("s", 10, max_queued=100)
-        near = replace(IDLE, workspace_queued=90)
+        near = msgspec.structs.replace(IDLE, workspace_queued=90)
         self.assertIsNone(self.admission.check(job, near, now=0.0))
         refusal = self.admission.check(
-            job, replace(IDLE, workspace_queued=91), now=0.0
+            job, msgspec.structs.replace(IDLE, workspace_queued=91), now=0.0
         )
         assert refusal is not None
         self.assertIs(refusal.reason, model.Reason.QUEUE_FULL)
@@ -101,7 +106,7 @@
     def test_a_job_without_an_upstream_or_a_quota_is_refused(self) -> None:
         job = fixtures.job("s", 1)
         refusal = self.admission.check(
-            job, replace(IDLE, has_upstream=False), now=0.0
+            job, msgspec.structs.replace(IDLE, has_upstream=False), now=0.0
         )
         assert refusal is not None
         self.assertIs(refusal.reason, model.Reason.NO_UPSTREAM)
--- a/tests/test_charts.py
+++ b/tests/test_charts.py
@@ -17,11 +17,11 @@
 
 
 TEXT = """
-name: door
-initial: closed
-states:
-  closed: {open: opened}
-  opened: {close: closed}
+name = "door"
+initial = "closed"
+[states]
+closed = {open = "opened"}
+opened = {close = "closed"}
 """
 
 
@@ -42,17 +42,20 @@
         with self.assertRaises(charts.UndefinedTransitionError) as caught:
             chart.next(DoorState.CLOSED, DoorEvent.CLOSE)
         self.assertEqual(caught.exception.event, "close")
-        self.assertIn("core/charts/door.yaml", str(caught.exception))
+        self.assertIn("core/charts/door.toml", str(caught.exception))
 
     def test_an_inconsistent_chart_is_rejected(self) -> None:
         faults = {
-            "unknown target": TEXT.replace("opened}", "ajar}"),
-            "unknown event": TEXT.replace("{open:", "{kick:"),
-            "unknown initial": TEXT.replace("initial: closed", "initial: x"),
-            "missing state": TEXT.replace("opened: {close: closed}", ""),
-            "unused event": TEXT.replace("{close: closed}", "{}"),
-            "unknown key": TEXT + "final: closed\n",
+            "unknown target": TEXT.replace('"opened"}', '"ajar"}'),
+            "unknown event": TEXT.replace("{open =", "{kick ="),
+            "unknown initial": TEXT.replace(
+                'initial = "closed"', 'initial = "x"'
+            ),
+            "missing state": TEXT.replace('opened = {close = "closed"}', ""),
+            "unused event": TEXT.replace('{close = "closed"}', "{}"),
+            "unknown key": 'final = "closed"' + TEXT,
             "empty": "",
+            "no TOML": TEXT.replace("[states]", "[states"),
         }
         for fault, text in faults.items():
             with self.subTest(fault), self.assertRaises(charts.ChartError):
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -1,10 +1,11 @@
 """Tests of the core of one host, event by event."""
 
-import dataclasses
 import random
 import typing
 import unittest
 
+import msgspec
+
 from godwitnotch.core import actions
 from godwitnotch.core import events
 from godwitnotch.core import host
@@ -262,7 +263,7 @@
             )
         read = driver.take(actions.StoreRead)
         driver.feed(events.StoreFailed(read.call, False))
-        newer = dataclasses.replace(CONFIG, version=2)
+        newer = msgspec.structs.replace(CONFIG, version=2)
         for name, config, counter in (("h2", CONFIG, 4), ("h3", newer, 5)):
             self.assertFalse(driver.core.ready)
             snapshot = messages.ConfigSnapshot(counter, (config,))
--- a/tests/test_leased_cells.py
+++ b/tests/test_leased_cells.py
@@ -1,9 +1,10 @@
 """Tests of a fleet that is divided into cells, each with its own leader."""
 
-import dataclasses
 import unittest
 import unittest.mock
 
+import msgspec
+
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import capacity
@@ -72,9 +73,9 @@
         world = leased_world.World({"a": ["a1"]}, upstreams=1)
         world.run(3.0)
         plain = leased_world.request("j")
-        patient = dataclasses.replace(plain.settings, target_ms=1e6)
+        patient = msgspec.structs.replace(plain.settings, target_ms=1e6)
         for number in range(300):
-            request = dataclasses.replace(
+            request = msgspec.structs.replace(
                 plain, job=model.JobName(f"j{number}"), settings=patient
             )
             call = ids.CallId(number)
@@ -200,7 +201,7 @@
             leaders.set(model.CellId(name), leader)
         leaders.close(frozenset({model.CellId("evacuated")}))
         for number in range(4):
-            request = dataclasses.replace(
+            request = msgspec.structs.replace(
                 leased_world.request("j"), job=model.JobName(f"j{number}")
             )
             call = ids.CallId(number)
@@ -210,7 +211,7 @@
         owned.leader_changed(home, nobody, model.Term(0), now=NOW)
         sent.clear()
         owned.tick(now=NOW + 1.0)
-        late = dataclasses.replace(
+        late = msgspec.structs.replace(
             leased_world.request("j"), job=model.JobName("late")
         )
         owned.job_received(ids.CallId(9), late, NOW + 9, now=NOW + 1.0)
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -1,6 +1,5 @@
 """Tests of single components for leased runs, such as the queue."""
 
-import dataclasses
 import json
 import os
 import random
@@ -9,6 +8,8 @@
 import unittest
 import unittest.mock
 
+import msgspec
+
 from godwitnotch import log
 from godwitnotch import log_streams
 from godwitnotch.core import ids
@@ -106,13 +107,13 @@
         self.assertIn(self.far, self.listing.upstreams)
 
     def test_leaving_upstream_is_removed_with_its_entry(self) -> None:
-        leaving = dataclasses.replace(self.far, draining=True)
+        leaving = msgspec.structs.replace(self.far, draining=True)
         self.listing.update((self.near, leaving), now=NOW + 1)
         self.assertTrue(self.listing.update((self.near,), now=NOW + 2))
         self.assertEqual(self.listing.upstreams, (self.near,))
 
     def test_upstream_whose_address_was_reused_is_removed(self) -> None:
-        successor = dataclasses.replace(self.near, address=self.far.address)
+        successor = msgspec.structs.replace(self.near, address=self.far.address)
         self.listing.update((successor,), now=NOW + 1)
         self.assertEqual(self.listing.upstreams, (successor,))
 
--- a/tests/test_leased_explain.py
+++ b/tests/test_leased_explain.py
@@ -1,8 +1,9 @@
 """Tests of reports on jobs that aren't sent."""
 
-import dataclasses
 import unittest
 
+import msgspec
+
 from godwitnotch.core import ids
 from godwitnotch.core.leased import arrival_rates
 from godwitnotch.core.leased import cells
@@ -145,7 +146,7 @@
         world.run_time_ms = 1e308
         world.submit("a", "w")
         report = world.explain("b", "j", 100)
-        for value in dataclasses.astuple(report.admission):
+        for value in msgspec.structs.astuple(report.admission):
             self.assertNotIn(value, (float("inf"), float("-inf")))
 
 
@@ -242,10 +243,10 @@
             1 + (step + number) % 5,
             rack=("", "rack-d", "rack-e")[number % 3],
         )
-        settings = dataclasses.replace(
+        settings = msgspec.structs.replace(
             request.settings, route=model.RouteName(f"r{step % 3 == 0}")
         )
-        request = dataclasses.replace(request, settings=settings)
+        request = msgspec.structs.replace(request, settings=settings)
         name = names[0] if number % 3 else names[-1]
         call = ids.CallId(step * 10 + number)
         world.deliver(name, events.JobAsked(call, request, world.now + 2.0))
--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -5,11 +5,12 @@
 """
 
 import asyncio
-import dataclasses
 import socket
 import unittest
 import unittest.mock
 
+import msgspec
+
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import events
@@ -369,7 +370,7 @@
 
 class AddressTest(ManagerTest):
     def move(self, address: str) -> None:
-        entry = dataclasses.replace(ENTRY, address=address)
+        entry = msgspec.structs.replace(ENTRY, address=address)
         self.manager.update_upstreams([entry], now=self.now)
 
     def test_runs_are_kept_when_an_older_list_arrives_last(self) -> None:
@@ -550,7 +551,7 @@
     async def send_list_request(self, address: str) -> events.OrderUnanswered:
         order = actions.RenewLease(
             model.UpstreamCallId(1),
-            dataclasses.replace(ENTRY, address=address),
+            msgspec.structs.replace(ENTRY, address=address),
             model.Term(1),
             acknowledged_end=0,
             deadline_ms=None,
--- a/tests/test_leased_leaders.py
+++ b/tests/test_leased_leaders.py
@@ -1,8 +1,9 @@
 """Tests that changes of the leader start no task twice at the same time."""
 
-import dataclasses
 import unittest
 
+import msgspec
+
 from godwitnotch.core import ids
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import model
@@ -54,11 +55,13 @@
         self.cut_c_off(world)
         world.run(1.2)
         world.run_time_ms = 8_000.0
-        group = dataclasses.replace(
+        group = msgspec.structs.replace(
             leased_world.request("j", 2, estimate_ms=8_000.0).tasks,
             preferred_rack="rack-c",
         )
-        request = dataclasses.replace(leased_world.request("j"), tasks=group)
+        request = msgspec.structs.replace(
+            leased_world.request("j"), tasks=group
+        )
         asked = events.JobAsked(ids.CallId(1_000), request, world.now + 12.0)
         world.deliver("b1", asked)
         # c1 adopts the runs. Then a1 leads again, without their upstream.
--- a/tests/test_leased_queue_pass.py
+++ b/tests/test_leased_queue_pass.py
@@ -1,8 +1,9 @@
 """Tests of the passes over the queue of waiting jobs."""
 
-import dataclasses
 import unittest
 
+import msgspec
+
 from bench import leased_load
 from godwitnotch.core import ids
 from godwitnotch.core.leased import events
@@ -65,9 +66,9 @@
         world.run(3.0)
         world.submit("a1", "first")
         plain = leased_world.request("large")
-        needs = dataclasses.replace(plain.tasks.needs, cpu_millis=1_500)
-        large = dataclasses.replace(
-            plain, tasks=dataclasses.replace(plain.tasks, needs=needs)
+        needs = msgspec.structs.replace(plain.tasks.needs, cpu_millis=1_500)
+        large = msgspec.structs.replace(
+            plain, tasks=msgspec.structs.replace(plain.tasks, needs=needs)
         )
         event = events.JobAsked(ids.CallId(99), large, world.now + 2.0)
         world.deliver("a1", event)
--- a/tests/test_leased_relays.py
+++ b/tests/test_leased_relays.py
@@ -1,12 +1,13 @@
 """Tests of order relays: hosts that send the leader's calls to upstreams."""
 
 import asyncio
-import dataclasses
 import math
 import random
 import unittest
 from collections.abc import Callable
 
+import msgspec
+
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import events
@@ -728,7 +729,7 @@
     async def test_orders_of_two_terms_are_not_mixed(self) -> None:
         queues = self.make_queues()
         for term in (7, 8):
-            order = dataclasses.replace(
+            order = msgspec.structs.replace(
                 relay_messages.ORDERS[2], term=model.Term(term)
             )
             queues.add_order(self.relay, order)
--- a/tests/test_leased_traces.py
+++ b/tests/test_leased_traces.py
@@ -1,9 +1,10 @@
 """Tests that the lines of the log tell why a run was started again."""
 
-import dataclasses
 import re
 import unittest
 
+import msgspec
+
 from godwitnotch.core import ids
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import outbox
@@ -97,7 +98,7 @@
         world = start_world()
         upstream = start_run(world)
         before = upstream.entry.address
-        upstream.entry = dataclasses.replace(
+        upstream.entry = msgspec.structs.replace(
             upstream.entry, address="elsewhere:1"
         )
         (leader,) = world.leaders()
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -1,12 +1,12 @@
 """Tests of the links between hosts over loopback sockets."""
 
 import asyncio
-import dataclasses
 import random
 import time
 import unittest
 from collections.abc import Callable
 
+import msgspec
 import websockets
 import websockets.asyncio.client
 
@@ -46,7 +46,7 @@
     ),
 )
 # With a single link, a heartbeat is sent every 10 s.
-RARE_HEARTBEATS = dataclasses.replace(LIMITS, max_heartbeats_per_s=0.1)
+RARE_HEARTBEATS = msgspec.structs.replace(LIMITS, max_heartbeats_per_s=0.1)
 
 
 class Host:
@@ -241,7 +241,7 @@
     async def test_background_link_has_rare_heartbeats_and_stays_open(
         self,
     ) -> None:
-        limits = dataclasses.replace(
+        limits = msgspec.structs.replace(
             LIMITS, max_background_heartbeats_per_s=2.0
         )
         low = await self.host("a", limits=limits)
@@ -265,7 +265,7 @@
         self.assertEqual(high.link_down_count(), 0)
 
     async def test_an_open_link_does_not_count_as_a_handshake(self) -> None:
-        one = dataclasses.replace(LIMITS, max_handshakes=1)
+        one = msgspec.structs.replace(LIMITS, max_handshakes=1)
         high = await self.host("c", limits=one)
         for name in ("a", "b"):
             low = await self.host(name)
--- a/tests/world.py
+++ b/tests/world.py
@@ -6,7 +6,8 @@
 import random
 from collections.abc import Callable
 from collections.abc import Iterable
-from dataclasses import replace
+
+import msgspec
 
 from godwitnotch.core import actions
 from godwitnotch.core import events
@@ -147,7 +148,7 @@
     def mark_leaving(self, name: str) -> None:
         """Marks an upstream as leaving in the platform's list."""
         upstream = self.upstreams[name]
-        upstream.entry = replace(upstream.entry, leaving=True)
+        upstream.entry = msgspec.structs.replace(upstream.entry, leaving=True)
         upstream.leaving_since = self.now
         self._record_directory()
 
