--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -162,15 +162,24 @@
 
     @property
     def watched_hosts(self) -> frozenset[ids.HostId] | None:
-        """The hosts whose loss this host must notice soon; None for all."""
-        if not self._fleet.divided or self.leads:
+        """The hosts whose loss this host must notice soon; None for all.
+
+        A host that follows a leader sends its jobs to leaders only, so it has to
+        notice no other loss. While it has no leader, an election goes by the
+        hosts that it is linked to.
+        """
+        if self.leads or not self.leader:
             return None
-        own = {
-            host
-            for host, domain in self._linked_domains.items()
-            if domain == self._domain
-        }
-        return frozenset(own | set(self._fleet.leaders.hosts))
+        return frozenset((self.leader, *self._fleet.leaders.hosts))
+
+    @property
+    def idle(self) -> bool:
+        """Whether this host follows a leader and no caller waits for it."""
+        return (
+            bool(self.leader)
+            and not self.leads
+            and not self._owned_jobs.open_count
+        )
 
     @property
     def open_jobs(self) -> int:
@@ -325,11 +334,11 @@
         that it leads, and that it no longer does.
         """
         standing = self._leadership.standing()
-        told_all = self.leads or self._told_leading
+        told_all = self.leads or self._told_leading or not self._fleet.divided
         self._told_leading = self.leads
-        told = None if told_all else self.watched_hosts
-        for host in self._linked_domains:
-            if told is None or host in told:
+        leaders = self._fleet.leaders.hosts
+        for host, domain in self._linked_domains.items():
+            if told_all or domain == self._domain or host in leaders:
                 self._out.add(actions.TellPeer(host, standing))
 
     def _update_serving(self) -> None:
--- a/godwitnotch/net/leased_runtime.py
+++ b/godwitnotch/net/leased_runtime.py
@@ -25,6 +25,8 @@
 from godwitnotch.platform import fields
 
 TICK_INTERVAL_S = 0.04
+# While this host only follows a leader and has no job, little can become due.
+IDLE_TICK_INTERVAL_S = 0.12
 # A configuration is large, so a peer is asked for a newer version only if the
 # store has not delivered it after this delay, and at most once per delay.
 CONFIGURATION_REQUEST_DELAY_S = 0.8
@@ -83,6 +85,7 @@
         self._was_leader = False
         self._linked_to_all = True
         self._next_watched_update_at = 0.0
+        self._watches_leader = ids.HostId("")
         self._timer: asyncio.TimerHandle | None = None
 
     @property
@@ -199,6 +202,9 @@
             except Exception as error:
                 # The actions after it are of other jobs and hosts.
                 self._on_fault(f"executing {type(action).__name__}", error)
+        if self._core.leader != self._watches_leader:
+            self._update_watched()
+        self._hasten_tick()
         if self._core.leads != self._was_leader:
             self._was_leader = self._core.leads
             if self._was_leader and self._on_elected is not None:
@@ -396,15 +402,38 @@
         )
 
     def _tick(self) -> None:
-        self._timer = self._loop.call_later(TICK_INTERVAL_S, self._tick)
+        self._timer = None
         self.feed(events.Ticked())
-        now = self._loop.time()
-        if now >= self._next_watched_update_at:
-            self._next_watched_update_at = now + WATCHED_UPDATE_INTERVAL_S
-            self._links.set_watched(self._core.watched_hosts)
+        interval_s = (
+            IDLE_TICK_INTERVAL_S if self._core.idle else TICK_INTERVAL_S
+        )
+        self._schedule_tick(self._loop.time() + interval_s)
+        if self._loop.time() >= self._next_watched_update_at:
+            self._update_watched()
         if self._core.links_to_all != self._linked_to_all:
             self._update_links()
 
+    def _schedule_tick(self, at: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_at(at, self._tick)
+
+    def _hasten_tick(self) -> None:
+        """Schedules the next tick as usual if this host is idle no more."""
+        if self._timer is None or self._core.idle:
+            return
+        latest = self._loop.time() + TICK_INTERVAL_S
+        if self._timer.when() > latest:
+            self._schedule_tick(latest)
+
+    def _update_watched(self) -> None:
+        """Tells the links which hosts must be watched closely."""
+        self._watches_leader = self._core.leader
+        self._next_watched_update_at = (
+            self._loop.time() + WATCHED_UPDATE_INTERVAL_S
+        )
+        self._links.set_watched(self._core.watched_hosts)
+
     def _operation_done(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
--- a/godwitnotch/net/link_limits.py
+++ b/godwitnotch/net/link_limits.py
@@ -13,6 +13,8 @@
             many links, the interval on each link grows.
         max_background_heartbeats_per_s: Maximum rate of heartbeats over all
             background links, see `PeerLinks.set_watched`.
+        background_probe_interval_s: Minimum time between two probes of all
+            background links while a watched host is overdue.
         silence_timeout_s: A link is closed if the peer sends no message for
             this long after a message was sent to it. A link without traffic is
             closed after this time or three heartbeat intervals, whichever is
@@ -37,6 +39,7 @@
     heartbeat_interval_s: float = 1.0
     max_heartbeats_per_s: float = 8.0
     max_background_heartbeats_per_s: float = 8.0
+    background_probe_interval_s: float = 1.0
     silence_timeout_s: float = 3.0
     handshake_timeout_s: float = 2.0
     min_backoff_s: float = 0.1
--- a/godwitnotch/net/peer_link.py
+++ b/godwitnotch/net/peer_link.py
@@ -93,6 +93,11 @@
         self._peer_heartbeat_interval_s = limits.heartbeat_interval_s
         self._heartbeat_interval_s = limits.heartbeat_interval_s
         self._last_heartbeat_at = 0.0
+        # Most heartbeats on a link equal the one before, sent and received.
+        self._sent_heartbeat: messages.Heartbeat | None = None
+        self._sent_heartbeat_data = b""
+        self._received_heartbeat: messages.Heartbeat | None = None
+        self._received_heartbeat_data = b""
         self._unanswered_since: float | None = None
 
     def record_received(self, *, now: float) -> None:
@@ -100,20 +105,25 @@
         self._last_received_at = now
         self._unanswered_since = None
 
-    def check(self, interval_s: float, *, now: float) -> None:
+    def check(
+        self, interval_s: float, *, now: float, news: bool = False
+    ) -> None:
         """Sends a heartbeat if one is due, or closes a silent link.
 
         If the peer has sent nothing for a heartbeat interval since a message
         was sent to it, the heartbeat demands an immediate reply. A dead link
         can thus be closed after `silence_timeout_s` while calls wait for a
         reply of the peer.
+
+        Args:
+            interval_s: The interval between heartbeats.
+            now: The current time.
+            news: Whether this host's heartbeat has changed, so that it is due.
         """
         if now > self._silence_deadline():
             self.stop(LinkEndReason.SILENT)
             return
-        probe_due = self._unanswered_before(
-            now - self._limits.heartbeat_interval_s
-        )
+        probe_due = self.overdue(now=now)
         # Except for replies, only checks send heartbeats. They run every
         # `limits.heartbeat_interval_s`, so a heartbeat that is due within half
         # of this interval is sent now.
@@ -121,17 +131,25 @@
         # A longer interval holds only once a heartbeat has announced it.
         wait_s = min(interval_s, self._heartbeat_interval_s) - slack_s
         heartbeat_due = now >= self._last_heartbeat_at + wait_s
-        if probe_due or heartbeat_due:
+        if probe_due or heartbeat_due or news:
             self._last_heartbeat_at = now
             self._heartbeat_interval_s = interval_s
             self._send_heartbeat(interval_s, probe=probe_due)
 
-    def _unanswered_before(self, time: float) -> bool:
+    def overdue(self, *, now: float) -> bool:
+        """Returns whether the peer owes a reply for a heartbeat interval."""
         return (
             self._unanswered_since is not None
-            and self._unanswered_since <= time
+            and now
+            >= self._unanswered_since + self._limits.heartbeat_interval_s
         )
 
+    def probe(self, *, now: float) -> None:
+        """Demands a reply; without one, the link is closed as silent."""
+        if self._unanswered_since is None:
+            self._unanswered_since = now
+            self._send_heartbeat(self._heartbeat_interval_s, probe=True)
+
     def _silence_deadline(self) -> float:
         """Returns the loop time at which the link is closed as silent."""
         timeout_s = self._limits.silence_timeout_s
@@ -147,7 +165,10 @@
         heartbeat = msgspec.structs.replace(
             self._heartbeat(), interval_s=interval_s, probe=probe
         )
-        self._push(codec.MESSAGES.encode(heartbeat))
+        if heartbeat != self._sent_heartbeat:
+            self._sent_heartbeat = heartbeat
+            self._sent_heartbeat_data = codec.MESSAGES.encode(heartbeat)
+        self._push(self._sent_heartbeat_data)
 
     def send(self, message: messages.LinkMessage) -> SendResult:
         """Queues a message unless the link has ended or a limit is exceeded."""
@@ -218,13 +239,26 @@
         loop = asyncio.get_running_loop()
         while True:
             data = await self._connection.recv(decode=False)
-            result = codec.MESSAGES.decode(data)
+            message = self._decode(data)
             if self._end_reason.done():
                 return LinkEndReason.CLOSED
-            if isinstance(result, Failure):
+            if message is None:
                 return LinkEndReason.BAD_MESSAGE
             self.record_received(now=loop.time())
-            self._handle_message(result.unwrap())
+            self._handle_message(message)
+
+    def _decode(self, data: bytes) -> messages.LinkMessage | None:
+        """Returns a received message; None if it is malformed."""
+        if data == self._received_heartbeat_data:
+            return self._received_heartbeat
+        result = codec.MESSAGES.decode(data)
+        if isinstance(result, Failure):
+            return None
+        message = result.unwrap()
+        if isinstance(message, messages.Heartbeat):
+            self._received_heartbeat = message
+            self._received_heartbeat_data = data
+        return message
 
     def _handle_message(self, message: messages.LinkMessage) -> None:
         if isinstance(message, messages.Heartbeat):
--- a/godwitnotch/net/peer_links.py
+++ b/godwitnotch/net/peer_links.py
@@ -92,6 +92,8 @@
         self._links: dict[ids.HostId, peer_link.PeerLink] = {}
         self._listed_hosts: dict[ids.HostId, model.HostEntry] = {}
         self._watched: frozenset[ids.HostId] | None = None
+        self._next_background_probe_at = 0.0
+        self._told: messages.Heartbeat | None = None
         self._dial_tasks: dict[ids.HostId, asyncio.Task[None]] = {}
         self._open_handshakes = 0
         self._closing = False
@@ -135,7 +137,8 @@
 
         The other links are background links: they get fewer heartbeats, so that
         the cost of a host doesn't grow with the number of hosts. A message to
-        such a host that isn't answered still shows its loss.
+        such a host that isn't answered still shows its loss, and while a watched
+        host is overdue, all are asked whether they are there.
         """
         self._watched = hosts
 
@@ -180,11 +183,19 @@
                 len(self._links) / limits.max_heartbeats_per_s,
             )
             background_interval_s = self._background_interval_s(interval_s)
+            news = self._take_news()
+            watched_overdue = False
             for link in list(self._links.values()):
                 watched = self._is_watched(link.hello.host)
                 self._monitor_link(
-                    link, interval_s if watched else background_interval_s, now
+                    link,
+                    interval_s if watched else background_interval_s,
+                    now,
+                    news=news,
                 )
+                watched_overdue |= watched and link.overdue(now=now)
+            if watched_overdue and self._watched is not None:
+                self._probe_background_links(now=now)
 
     def _is_watched(self, host: ids.HostId) -> bool:
         return self._watched is None or host in self._watched
@@ -195,11 +206,44 @@
         rate = self._limits.max_background_heartbeats_per_s
         return max(interval_s, count / rate)
 
+    def _take_news(self) -> bool:
+        """Returns whether this host's heartbeat has changed since the last call.
+
+        Peers learn of a newer configuration at once, also on background links.
+        """
+        try:
+            current = self._heartbeat()
+        except Exception:  # Noted for each link on which it can't be sent.
+            return False
+        changed = current != self._told
+        self._told = current
+        return changed
+
+    def _probe_background_links(self, *, now: float) -> None:
+        """Asks all background links for a reply, at most once in a while.
+
+        Hosts that were lost together with a watched one are thus noticed soon
+        after it, before they can mislead an election.
+        """
+        if now < self._next_background_probe_at:
+            return
+        self._next_background_probe_at = (
+            now + self._limits.background_probe_interval_s
+        )
+        for host, link in self._links.items():
+            if not self._is_watched(host):
+                link.probe(now=now)
+
     def _monitor_link(
-        self, link: peer_link.PeerLink, interval_s: float, now: float
+        self,
+        link: peer_link.PeerLink,
+        interval_s: float,
+        now: float,
+        *,
+        news: bool,
     ) -> None:
         try:
-            link.check(interval_s, now=now)
+            link.check(interval_s, now=now, news=news)
         except Exception:  # A fault on one link must not stop the others.
             self._on_note(_note("peer_watch_fault", link.hello.host))
             link.stop(peer_link.LinkEndReason.CLOSED)
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -46,6 +46,10 @@
     ),
 )
 # With a single link, a heartbeat is sent every 10 s.
+# Alone, a link that isn't watched is silent for 300 s before it is closed.
+BACKGROUND = msgspec.structs.replace(
+    LIMITS, max_background_heartbeats_per_s=0.01
+)
 RARE_HEARTBEATS = msgspec.structs.replace(LIMITS, max_heartbeats_per_s=0.1)
 
 
@@ -264,6 +268,59 @@
         self.assertLessEqual(len(high.received(messages.Heartbeat)), count + 4)
         self.assertEqual(high.link_down_count(), 0)
 
+    async def background_pair(self, limits: link_limits.PeerLimits):
+        low = await self.host("a", limits=limits)
+        high = await self.host("b", limits=limits)
+        proxy = await self.relay_to(high.address)
+        low.list_host(high, proxy.address)
+        await wait_until(lambda: low.links.linked and high.links.linked)
+        for host in (low, high):
+            host.links.set_watched(frozenset())
+        await wait_until(
+            lambda: (
+                [beat.interval_s for beat in low.received(messages.Heartbeat)][
+                    -1:
+                ]
+                == [100.0]
+            )
+        )
+        return low, high, proxy
+
+    async def test_news_goes_out_on_a_background_link_at_once(self) -> None:
+        # A host that the store doesn't answer learns of a newer configuration
+        # from its peers, within the bound for configurations.
+        low, high, _ = await self.background_pair(BACKGROUND)
+        high.heartbeat = lambda: messages.Heartbeat(2, False)
+        count = len(low.received(messages.Heartbeat))
+        await wait_until(lambda: len(low.received(messages.Heartbeat)) > count)
+        self.assertEqual(
+            low.received(messages.Heartbeat)[count].config_counter, 2
+        )
+        self.assertEqual(low.link_down_count(), 0)
+
+    async def test_overdue_watched_host_shows_others_that_are_gone(
+        self,
+    ) -> None:
+        # A failure domain that is cut off takes the leader along; an election
+        # must not wait for the other hosts there.
+        low, high, proxy = await self.background_pair(BACKGROUND)
+        leader = await self.host("c", limits=BACKGROUND)
+        leader_proxy = await self.relay_to(leader.address)
+        entries = [
+            model.HostEntry(
+                host.name, ids.DomainId("d"), ids.Incarnation(""), via.address
+            )
+            for host, via in ((high, proxy), (leader, leader_proxy))
+        ]
+        low.links.update_hosts(entries)
+        await wait_until(lambda: len(low.links.linked) == 2)
+        low.links.set_watched(frozenset((leader.name,)))
+        proxy.silence()
+        leader_proxy.silence()
+        low.links.send(leader.name, messages.ConfigChanged(1))
+        await wait_until(lambda: low.link_down_count() == 2)
+        self.assertEqual(low.note_count("peer_link_silent"), 2)
+
     async def test_an_open_link_does_not_count_as_a_handshake(self) -> None:
         one = msgspec.structs.replace(LIMITS, max_handshakes=1)
         high = await self.host("c", limits=one)
