--- a/bench/leased_replay.py
+++ b/bench/leased_replay.py
@@ -51,6 +51,8 @@
         rack_run_count: Number of these whose job names a rack.
         away_count: Number of these that were away from that rack.
         cpu_s: CPU time of the host core, in seconds.
+        ran_cpu_s: Core-seconds that the runs of each job took, also of runs that
+            were stopped.
     """
 
     ended_at: dict[model.JobName, float] = field(default_factory=dict)
@@ -60,6 +62,7 @@
     rack_run_count: int = 0
     away_count: int = 0
     cpu_s: float = 0.0
+    ran_cpu_s: dict[model.JobName, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -69,6 +72,7 @@
     Attributes:
         load_upstream: The upstream in the load.
         running: Current run of each running task.
+        started_at: When these runs started.
         unacknowledged_ends: Ended runs that the leader has not acknowledged.
         end_numbers: Source of the numbers of ended runs.
         pending_responses: Responses to requests for the list of runs; they wait
@@ -77,6 +81,7 @@
 
     load_upstream: leased_load.Upstream
     running: dict[model.TaskKey, model.RunKey] = field(default_factory=dict)
+    started_at: dict[model.TaskKey, float] = field(default_factory=dict)
     unacknowledged_ends: deque[model.EndedRun] = field(default_factory=deque)
     end_numbers: "itertools.count[int]" = field(
         default_factory=lambda: itertools.count(1)
@@ -226,6 +231,7 @@
         self._result.run_count += 1
         key = action.key
         upstream.running[key.task] = key
+        upstream.started_at[key.task] = self._now
         job = self._jobs[key.task.job]
         rack = job.request.tasks.preferred_rack
         self._result.rack_run_count += bool(rack)
@@ -251,8 +257,10 @@
     def _end_run(
         self, upstream: _Upstream, key: model.RunKey, end: model.RunEnd
     ) -> None:
-        if upstream.running.pop(key.task, None) is None:
+        if upstream.running.get(key.task) != key:
             return
+        del upstream.running[key.task]
+        self._record_use(key, upstream.started_at.pop(key.task))
         number = next(upstream.end_numbers)
         upstream.unacknowledged_ends.append(model.EndedRun(number, key, end))
         pending_responses, upstream.pending_responses = (
@@ -262,6 +270,14 @@
         for respond in pending_responses:
             respond()
 
+    def _record_use(self, key: model.RunKey, started_at: float) -> None:
+        job = self._jobs[key.task.job]
+        cores = job.request.tasks.needs.cpu_millis / 1_000
+        used = self._result.ran_cpu_s
+        used[key.task.job] = used.get(key.task.job, 0.0) + cores * (
+            self._now - started_at
+        )
+
     def _handle_list_request(self, action: actions.RenewLease) -> None:
         """Responds with the list of runs.
 
--- a/godwitnotch/core/leased/health.py
+++ b/godwitnotch/core/leased/health.py
@@ -113,6 +113,22 @@
         record = self._records.get(upstream)
         return record is None or now >= record.unusable_until
 
+    def admits(
+        self, upstream: ids.UpstreamId, *, probe: bool, now: float
+    ) -> bool:
+        """Returns whether an upstream may get a certain run now.
+
+        Args:
+            upstream: The upstream.
+            probe: Whether the run could show that a half-open upstream works: it
+                would be alone there, and its task has not failed before.
+            now: The current time.
+        """
+        record = self._records.get(upstream)
+        if record is None:
+            return True
+        return now >= record.unusable_until and (probe or not record.ejections)
+
     def half_open(self, upstream: ids.UpstreamId) -> bool:
         """Returns whether an upstream was ejected and no run succeeded since.
 
--- a/godwitnotch/core/leased/placement.py
+++ b/godwitnotch/core/leased/placement.py
@@ -304,19 +304,19 @@
         best = None
         best_cost = 0.0
         cpu_millis = job.request.tasks.needs.cpu_millis
+        base_ms = job.base_ms
+        slowness_of = self._times.slowness
         for lease in leases:
             # Checked first, since most upstreams are full at high load.
             if cpu_millis > lease.free_resources.cpu_millis:
                 continue
-            min_cost = job.base_ms * self._times.slowness(lease.upstream)
+            min_cost = base_ms * slowness_of(lease.upstream)
             # The leases are sorted by slowness: no further upstream costs less.
             if best is not None and min_cost >= best_cost:
                 return best
             if not self._is_eligible(job, task, lease, now=now):
                 continue
-            cost = self._cost(job, task, lease)
-            if self._cold.is_cold(lease.upstream.upstream, now=now):
-                cost *= COLD_FACTOR
+            cost = self._cost(job, lease, min_cost, now=now)
             if best is None or cost < best_cost:
                 best, best_cost = lease, cost
         return best
@@ -356,11 +356,8 @@
             lease.free_resources
         ):
             return False
-        if not self._health.usable(upstream.upstream, now=now):
-            return False
-        if self._health.half_open(upstream.upstream) and (
-            lease.runs or task.failures
-        ):
+        probe = not lease.runs and not task.failures
+        if not self._health.admits(upstream.upstream, probe=probe, now=now):
             return False
         if group.required_label and group.required_label not in upstream.labels:
             return False
@@ -371,15 +368,29 @@
     def _cost(
         self,
         job: jobs.LeasedJob,
-        task: jobs.LeasedTask,
         lease: lease_module.Lease,
+        in_rack_ms: float,
+        *,
+        now: float,
     ) -> float:
-        """Returns the expected run time, raised for failures and free CPU."""
-        cost = self.expected_ms(job, lease)
-        if self._health.has_recent_failure(lease.upstream.upstream):
+        """Returns the expected run time, raised for failures and free CPU.
+
+        Args:
+            job: The job.
+            lease: The lease of an upstream with a free place.
+            in_rack_ms: Expected run time there if it is in the job's rack.
+            now: The current time.
+        """
+        upstream = lease.upstream
+        cost = in_rack_ms * self._times.rack_factor(job.request, upstream)
+        if self._health.has_recent_failure(upstream.upstream):
             cost *= RECENT_FAILURE_FACTOR
-        left = lease.free_resources.minus(job.request.tasks.needs).cpu_millis
-        share = left / max(1, lease.upstream.capacity.cpu_millis)
+        if self._cold.is_cold(upstream.upstream, now=now):
+            cost *= COLD_FACTOR
+        left = (
+            lease.free_resources.cpu_millis - job.request.tasks.needs.cpu_millis
+        )
+        share = left / max(1, upstream.capacity.cpu_millis)
         return cost * (1 + FREE_CPU_COST_SHARE * share)
 
 
--- a/godwitnotch/core/leased/retained_answers.py
+++ b/godwitnotch/core/leased/retained_answers.py
@@ -25,6 +25,7 @@
         self, job: model.JobName, answer: model.Answer, *, now: float
     ) -> None:
         """Keeps the answer for a job."""
+        self._answers.pop(job, None)  # Answers are kept in the order of time.
         self._answers[job] = _RetainedAnswer(answer, now + RETENTION_S)
 
     def get(self, job: model.JobName) -> model.Answer | None:
@@ -34,9 +35,14 @@
 
     def forget_expired(self, *, now: float) -> None:
         """Forgets answers that are older than RETENTION_S."""
-        for job, retained in tuple(self._answers.items()):
-            if now >= retained.expires_at:
-                del self._answers[job]
+        expired = []
+        # The oldest answer comes first.
+        for job, retained in self._answers.items():
+            if now < retained.expires_at:
+                break
+            expired.append(job)
+        for job in expired:
+            del self._answers[job]
 
     def clear(self) -> None:
         """Forgets all answers."""
--- a/godwitnotch/core/leased/run_times.py
+++ b/godwitnotch/core/leased/run_times.py
@@ -89,7 +89,13 @@
         self, request: model.JobRequest, upstream: model.LeasedUpstream
     ) -> float:
         """Returns the factor of `base_ms` by which a job's tasks take there."""
-        return self.slowness(upstream) * self._racks.factor(request, upstream)
+        return self.slowness(upstream) * self.rack_factor(request, upstream)
+
+    def rack_factor(
+        self, request: model.JobRequest, upstream: model.LeasedUpstream
+    ) -> float:
+        """Returns how much longer a job's tasks take there for their rack."""
+        return self._racks.factor(request, upstream)
 
     def known_upstreams(self) -> frozenset[ids.UpstreamId]:
         """Returns the upstreams whose slowness was learnt."""
