--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -17,6 +17,7 @@
 from godwitnotch.core.leased import load_meter
 from godwitnotch.core.leased import locality
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import open_jobs
 from godwitnotch.core.leased import order_relays
 from godwitnotch.core.leased import outbox as outbox_module
 from godwitnotch.core.leased import overdue_runs
@@ -25,7 +26,6 @@
 from godwitnotch.core.leased import peer_messages
 from godwitnotch.core.leased import placement as placement_module
 from godwitnotch.core.leased import queue_pass
-from godwitnotch.core.leased import retained_answers
 from godwitnotch.core.leased import run_outcomes
 from godwitnotch.core.leased import run_times
 from godwitnotch.core.leased import task_records
@@ -38,9 +38,6 @@
 RUN_TIMES_UPDATE_INTERVAL_S = 0.2
 ACCEPTING_LEASES_CACHE_S = 0.01  # The list needs a scan of all upstreams.
 
-AnswerOwner = Callable[[ids.HostId, model.JobName, model.Answer], None]
-RedirectOwner = Callable[[ids.HostId, model.JobName, ids.HostId], None]
-
 
 class Dispatcher:
     """Queues jobs, starts their tasks on upstreams and answers their owners.
@@ -66,8 +63,8 @@
         out: outbox_module.Outbox,
         *,
         racks: locality.Racks,
-        answer_owner: AnswerOwner,
-        redirect_owner: RedirectOwner,
+        answer_owner: open_jobs.AnswerOwner,
+        redirect_owner: open_jobs.RedirectOwner,
         suitability: Callable[[model.JobRequest], overflow.Suitability],
         in_scope: Callable[[model.LeasedUpstream], bool],
         listing_complete: Callable[[float], bool],
@@ -77,18 +74,22 @@
         relays: order_relays.OrderRelays | None = None,
     ) -> None:
         self._out = out
-        self._answer_owner = answer_owner
-        self._redirect_owner = redirect_owner
         self._overflow = overflow.Overflow()
         self._higher_term_seen = higher_term_seen
         self._evacuations = evacuations
         self._leading = False
         self._owners = owners.Owners()
-        self._jobs: dict[model.JobName, jobs.LeasedJob] = {}
         self._queue = waiting.WaitingQueue()
+        self._open_jobs = open_jobs.OpenJobs(
+            out,
+            self._queue,
+            answer_owner=answer_owner,
+            redirect_owner=redirect_owner,
+            stop_runs=self._stop_runs,
+            on_removed=self._request_placement,
+        )
         self._accepting: list[lease_module.Lease] = []
         self._accepting_computed_at = float("-inf")
-        self._retained_answers = retained_answers.RetainedAnswers()
         self._task_records = task_records.TaskRecords()
         self._unfinished_runs = unfinished_runs.UnfinishedRunsLog(
             self._task_records
@@ -123,7 +124,7 @@
             closed_to=closed_to,
         )
         self._explainer = job_explainer.JobExplainer(
-            self._jobs,
+            self._open_jobs.by_name,
             queue=self._queue,
             meter=self._meter,
             admission=self._admission,
@@ -143,7 +144,7 @@
             admission=self._admission,
             accepting_leases=lambda now: self._accepting_leases(now=now),
             listing_complete=listing_complete,
-            apply_verdict=self._apply,
+            apply_verdict=self._open_jobs.apply,
         )
         self._placement_due = False
         self._next_overdue_check_at = 0.0
@@ -187,17 +188,17 @@
     @property
     def any_started(self) -> bool:
         """Whether any open job has, or may have, runs."""
-        return any(job.started for job in self._jobs.values())
+        return self._open_jobs.any_started
 
     @property
     def waiting_jobs(self) -> int:
         """How many jobs have not had a run."""
-        return sum(not job.started for job in self._jobs.values())
+        return self._open_jobs.unstarted_count
 
     @property
     def queue_figures(self) -> queue_pass.QueueFigures:
         """Figures about the queue."""
-        return queue_pass.measure(self._jobs.values(), self._accepting)
+        return queue_pass.measure(self._open_jobs, self._accepting)
 
     def start_leading(
         self,
@@ -227,12 +228,11 @@
         self._unfinished_runs.leave(
             self._lease_manager.leases.values(), now=now
         )
-        self._jobs.clear()
+        self._open_jobs.clear()
         self._queue.clear()
         self._meter.reset()
         self._accepting = []
         self._accepting_computed_at = float("-inf")
-        self._retained_answers.clear()
         self._owners.clear()
         self._overflow.clear()
         self._lease_manager.stop_leading()
@@ -260,11 +260,11 @@
             now: The current time.
         """
         name = message.request.job
-        retained = self._retained_answers.get(name)
+        retained = self._open_jobs.retained_answer(name)
         if retained is not None and message.had_earlier_leader:
-            self._answer_owner(owner, name, retained)
+            self._open_jobs.answer_again(owner, name, retained)
             return
-        job = self._jobs.get(name)
+        job = self._open_jobs.get(name)
         if job is not None:
             job.owner = owner
             job.deadline = now + message.deadline_in_s
@@ -280,9 +280,9 @@
     def all_handed_over(self, owner: ids.HostId, *, now: float) -> None:
         """Records that a host has handed over all its open jobs."""
         away_since = self._owners.handed_over(owner)
-        for job in tuple(self._jobs.values()):
+        for job in self._open_jobs:
             if job.owner == owner and job.handed_over_at < away_since:
-                self._drop_job(job, reason="owner_dropped", now=now)
+                self._open_jobs.drop(job, reason="owner_dropped", now=now)
         if self._owners.all_handed_over(now=now):
             self._lease_manager.end_claim_period(now=now)
         self._placement_due = True
@@ -306,19 +306,16 @@
         self, owner: ids.HostId, name: model.JobName, *, now: float
     ) -> None:
         """Stops a job that its owner has dropped."""
-        job = self._jobs.get(name)
+        job = self._open_jobs.get(name)
         if job is not None and job.owner == owner:
-            self._drop_job(job, reason="owner_dropped", now=now)
+            self._open_jobs.drop(job, reason="owner_dropped", now=now)
             self.place_waiting(now=now)
 
     def job_cancelled(self, name: model.JobName, *, now: float) -> None:
         """Stops a job that its caller has cancelled."""
-        job = self._jobs.get(name)
+        job = self._open_jobs.get(name)
         if job is not None:
-            answer = model.Answer(
-                model.JobEnd.FAILED, model.EndReason.CANCELLED
-            )
-            self._end_job(job, answer, now=now)
+            self._open_jobs.fail(job, model.EndReason.CANCELLED, now=now)
             self.place_waiting(now=now)
 
     def place_waiting(self, *, now: float) -> None:
@@ -343,7 +340,7 @@
             self._lease_manager.end_claim_period(now=now)
         self._lease_manager.tick(now=now)
         for owner in self._owners.pop_expired(now=now):
-            self._drop_jobs_of(owner, now=now)
+            self._open_jobs.drop_all_of(owner, now=now)
         # Jobs are checked after those ahead of them have taken free upstreams.
         self._placement_due = True
         self.place_waiting(now=now)
@@ -362,7 +359,7 @@
         if now >= self._next_overdue_check_at:
             self._next_overdue_check_at = now + OVERDUE_CHECK_INTERVAL_S
             self._stop_overdue_runs(now=now)
-        self._retained_answers.forget_expired(now=now)
+        self._open_jobs.forget_expired(now=now)
         self._task_records.forget_expired(now=now)
         self.place_waiting(now=now)
 
@@ -374,7 +371,7 @@
         Returns:
             The job; None if no owner has claimed the run.
         """
-        job = self._claimed_job(key)
+        job = self._open_jobs.claimed(key)
         if job is None:
             return None
         task = job.tasks[key.task.index]
@@ -397,7 +394,7 @@
         Returns:
             Whether an owner has claimed the job of the run.
         """
-        job = self._claimed_job(key)
+        job = self._open_jobs.claimed(key)
         if job is None:
             return False
         task = job.tasks[key.task.index]
@@ -410,7 +407,7 @@
             "done_run_adopted", job=job.name, detail=key.pairs()
         )
         if job.finished():
-            self._end_job(job, model.Answer(model.JobEnd.COMPLETED), now=now)
+            self._open_jobs.complete(job, now=now)
         return True
 
     def unclaimed_run_failed(
@@ -419,19 +416,12 @@
         """Counts a failed run of an earlier leader or lease."""
         self._task_records.run_failed(key, upstream, now=now)
         failures = self._task_records.failures(key.task)
-        job = self._claimed_job(key)
+        job = self._open_jobs.claimed(key)
         if job is None:
             return
         job.tasks[key.task.index].failures = failures
         if failures >= job.request.settings.max_failures:
-            self._fail_job(job, now=now)
-
-    def _claimed_job(self, key: model.RunKey) -> jobs.LeasedJob | None:
-        """Returns the job of a run, if an owner has claimed it."""
-        job = self._jobs.get(key.task.job)
-        if job is None or key.task.index >= len(job.tasks):
-            return None
-        return job
+            self._open_jobs.fail(job, model.EndReason.TASK_FAILED, now=now)
 
     def run_ended(
         self,
@@ -445,7 +435,7 @@
         self._placement_due = True
         if end in (model.RunEnd.LEASE_EXPIRED, model.RunEnd.CRASHED):
             self._outcomes.upstream_lost(lease, run, end, now=now)
-        job = self._find_open_job(run)
+        job = self._open_jobs.of_run(run)
         if job is None:
             return
         if end is model.RunEnd.DONE:
@@ -463,7 +453,7 @@
         if end is not model.RunEnd.FAILED:
             self._check_crashes(task.key, now=now)
         elif self._outcomes.run_failed(lease, run, job, now=now):
-            self._fail_job(job, now=now)
+            self._open_jobs.fail(job, model.EndReason.TASK_FAILED, now=now)
 
     def _handle_done(
         self,
@@ -483,7 +473,7 @@
         self._outcomes.run_succeeded(lease, run, job, now=now)
         job.set_state(job.tasks[run.key.task.index], TaskState.DONE)
         if job.finished():
-            self._end_job(job, model.Answer(model.JobEnd.COMPLETED), now=now)
+            self._open_jobs.complete(job, now=now)
 
     def order_rejected(
         self,
@@ -495,7 +485,7 @@
     ) -> None:
         """Handles a rejected start order; the run has not started."""
         self._placement_due = True
-        job = self._find_open_job(run)
+        job = self._open_jobs.of_run(run)
         if job is None:
             return
         task = job.tasks[run.key.task.index]
@@ -505,20 +495,10 @@
             # name the number. Doubling passes it after few tries.
             task.next_run = run.key.run * 2 + 1
         elif rejection is model.OrderRejection.MALFORMED:
-            answer = model.Answer(
-                model.JobEnd.FAILED, model.EndReason.MALFORMED_JOB
-            )
-            self._end_job(job, answer, now=now)
+            self._open_jobs.fail(job, model.EndReason.MALFORMED_JOB, now=now)
         else:
             self._health.order_rejected(lease.upstream.upstream, now=now)
 
-    def _find_open_job(self, run: lease_module.Run) -> jobs.LeasedJob | None:
-        """Returns the job of a run; None if the job has ended."""
-        job = run.job
-        if job is None or self._jobs.get(job.name) is not job:
-            return None
-        return job
-
     def _requeue(self, job: jobs.LeasedJob, task: jobs.LeasedTask) -> None:
         job.set_state(task, TaskState.WAITING)
         self._queue.update(job)
@@ -539,29 +519,27 @@
     def _check_arrival(self, job: jobs.LeasedJob, *, now: float) -> None:
         """Ends or moves a new job, if there is no use in keeping it."""
         self._check_history(job, now=now)
-        if not job.started and job.name in self._jobs:
+        if not job.started and job.name in self._open_jobs:
             verdict = self._admission.check_arrival(job, now=now)
-            self._apply(verdict, job, now=now)
+            self._open_jobs.apply(verdict, job, now=now)
 
     def _check_history(self, job: jobs.LeasedJob, *, now: float) -> None:
         """Fails a job whose tasks have failed or crashed upstreams before."""
         max_failures = job.request.settings.max_failures
         if any(task.failures >= max_failures for task in job.tasks):
-            self._fail_job(job, now=now)
+            self._open_jobs.fail(job, model.EndReason.TASK_FAILED, now=now)
             return
         for task in job.tasks:
             self._check_crashes(task.key, now=now)
 
     def _check_crashes(self, task: model.TaskKey, *, now: float) -> None:
         """Fails the job of a task that crashes each upstream."""
-        job = self._jobs.get(task.job)
+        job = self._open_jobs.get(task.job)
         rule = self._task_records.start_rule(task)
         if job is None or rule is not StartRule.GIVE_UP:
             return
-        answer = model.Answer(
-            model.JobEnd.FAILED, model.EndReason.TASK_CRASHES_UPSTREAMS
-        )
-        self._end_job(job, answer, now=now)
+        reason = model.EndReason.TASK_CRASHES_UPSTREAMS
+        self._open_jobs.fail(job, reason, now=now)
 
     def higher_term_seen(
         self, lease: lease_module.Lease, *, was_held: bool, now: float
@@ -590,7 +568,7 @@
             if not message.had_earlier_leader:
                 self._task_records.forget_failures(task.key, now=now)
             task.failures = self._task_records.failures(task.key)
-        self._jobs[request.job] = job
+        self._open_jobs.add(job)
         self._lease_manager.adopt_runs(job, now=now)
         self._queue.update(job)
         self._placement_due = True
@@ -598,35 +576,6 @@
             self._meter.job_added(job, now=now)
         return job
 
-    def _apply(
-        self, verdict: job_admission.Verdict, job: jobs.LeasedJob, *, now: float
-    ) -> None:
-        """Moves or ends a job, as the admission has decided."""
-        match verdict:
-            case job_admission.Kept(event=event, detail=detail) if event:
-                self._out.add_decision(
-                    event,
-                    job=job.name,
-                    detail=detail,
-                    route=job.request.settings.route,
-                )
-            case job_admission.Moved(leader=leader):
-                self._out.add_decision(
-                    "job_redirected", job=job.name, detail=f"leader={leader}"
-                )
-                self._remove_job(job, now=now)
-                self._redirect_owner(job.owner, job.name, leader)
-            case job_admission.Ended(answer=answer, event=event):
-                if event:
-                    self._out.add_decision(
-                        event,
-                        job=job.name,
-                        reason=verdict.cause or answer.reason.value,
-                        detail=verdict.detail,
-                        route=job.request.settings.route,
-                    )
-                self._end_job(job, answer, now=now)
-
     def cell_load(self, *, now: float) -> cell_load.CellLoad:
         """Returns the load of this leader's upstreams, for other leaders."""
         load = self._meter.load(now=now)
@@ -647,44 +596,20 @@
         leases = self._accepting_leases(now=now)
         return self._times.slowness(leases[0].upstream) if leases else 0.0
 
-    def _fail_job(self, job: jobs.LeasedJob, *, now: float) -> None:
-        answer = model.Answer(model.JobEnd.FAILED, model.EndReason.TASK_FAILED)
-        self._end_job(job, answer, now=now)
-
-    def _end_job(
-        self, job: jobs.LeasedJob, answer: model.Answer, *, now: float
-    ) -> None:
-        """Removes a job and answers its owner."""
-        self._retained_answers.add(job.name, answer, now=now)
-        self._remove_job(job, now=now)
-        self._answer_owner(job.owner, job.name, answer)
-
-    def _drop_jobs_of(self, owner: ids.HostId, *, now: float) -> None:
-        for job in tuple(self._jobs.values()):
-            if job.owner == owner:
-                self._drop_job(job, reason="owner_lost", now=now)
-
-    def _drop_job(
-        self, job: jobs.LeasedJob, *, reason: str, now: float
-    ) -> None:
-        self._out.add_decision("job_dropped", job=job.name, reason=reason)
-        self._remove_job(job, now=now)
-
-    def _remove_job(self, job: jobs.LeasedJob, *, now: float) -> None:
-        """Removes a job and stops its runs."""
-        del self._jobs[job.name]
-        self._queue.discard(job)
-        self._placement_due = True
-        if not job.finished():
-            self._lease_manager.stop_job(job, now=now)
-
     def _check_open_jobs(self, *, now: float) -> None:
         """Ends jobs that can't be served any more."""
-        for job in tuple(self._jobs.values()):
+        for job in self._open_jobs:
             if now >= job.deadline:
-                self._drop_job(job, reason="deadline_passed", now=now)
+                self._open_jobs.drop(job, reason="deadline_passed", now=now)
                 continue
-            self._apply(self._admission.check_open(job, now=now), job, now=now)
+            verdict = self._admission.check_open(job, now=now)
+            self._open_jobs.apply(verdict, job, now=now)
+
+    def _stop_runs(self, job: jobs.LeasedJob, *, now: float) -> None:
+        self._lease_manager.stop_job(job, now=now)
+
+    def _request_placement(self) -> None:
+        self._placement_due = True
 
     def _stop_overdue_runs(self, *, now: float) -> None:
         overdue = self._overdue.find(
