--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -20,10 +20,10 @@
 from godwitnotch.core.leased import order_relays
 from godwitnotch.core.leased import order_results
 from godwitnotch.core.leased import outbox as outbox_module
+from godwitnotch.core.leased import reconciliation
 from godwitnotch.core.leased import run_index
 from godwitnotch.core.leased import run_listener
 from godwitnotch.core.leased import run_lists
-from godwitnotch.core.leased import unclaimed_done
 from godwitnotch.core.leased.lease import LeaseEvent
 from godwitnotch.core.leased.lease import LeaseState
 from godwitnotch.core.leased.lease import RunState
@@ -59,10 +59,15 @@
         self._listener = listener
         self._in_scope = in_scope
         self._calls = lease_calls.LeaseCalls(out, relays)
-        self._claim_period_open = False
         self._leases: dict[ids.UpstreamId, lease_module.Lease] = {}
         self._runs = run_index.RunIndex()
-        self._unclaimed_done = unclaimed_done.UnclaimedDone()
+        self._reconciliation = reconciliation.Reconciliation(
+            out,
+            listener,
+            self._runs,
+            stop_run=self.stop_run,
+            record_end=self._record_end,
+        )
         self._last_tick_at = 0.0
         self._tick_gap_s = 0.0
 
@@ -119,7 +124,7 @@
         self.stop_leading()
         self._calls.term = term
         self._last_tick_at = now
-        self._claim_period_open = True
+        self._reconciliation.start_claim_period()
         for upstream in upstreams:
             self._leases[upstream.upstream] = lease_module.Lease(upstream)
         self._maintain_all(now=now)
@@ -128,9 +133,8 @@
         """Forgets all leases; upstreams end the runs when a lease expires."""
         self._leases.clear()
         self._runs.clear()
-        self._unclaimed_done.clear()
+        self._reconciliation.clear()
         self._calls.clear()
-        self._claim_period_open = False
 
     def raise_term(self, term: model.Term, *, now: float) -> None:
         """Sends a higher term with all calls; requests all lists of runs again.
@@ -139,7 +143,7 @@
         since that sent its list.
         """
         self._calls.term = term
-        self._claim_period_open = True
+        self._reconciliation.start_claim_period()
         for lease in self._leases.values():
             if lease.state is not LeaseState.UNHELD:
                 lease.transition(LeaseEvent.LIST_REQUESTED)
@@ -147,25 +151,16 @@
 
     def start_claim_period(self) -> None:
         """Keeps unclaimed runs until the owners have handed over their jobs."""
-        self._claim_period_open = True
+        self._reconciliation.start_claim_period()
 
     def end_claim_period(self, *, now: float) -> None:
         """Stops the runs that no owner has claimed."""
-        if not self._claim_period_open:
-            return
-        self._claim_period_open = False
-        for lease in tuple(self._leases.values()):
-            self._reconcile(lease, now=now)
+        leases = tuple(self._leases.values())
+        self._reconciliation.end_claim_period(leases, self.term, now=now)
 
     def adopt_runs(self, job: jobs.LeasedJob, *, now: float) -> None:
         """Assigns unclaimed runs to a job that an owner has handed over."""
-        for task in job.tasks:
-            done = self._unclaimed_done.pop(task.key)
-            if done is not None:
-                self._listener.adopt_done_run(done, now=now)
-            for upstream, run in self._runs.of_task(task.key):
-                if run.job is None:
-                    self._adopt_run(upstream, run)
+        self._reconciliation.adopt_runs(job, now=now)
 
     def update_upstreams(
         self, upstreams: Iterable[model.LeasedUpstream], *, now: float
@@ -235,7 +230,7 @@
 
     def tick(self, *, now: float) -> None:
         """Handles expired leases; repeats stop orders and list requests."""
-        self._unclaimed_done.forget_expired(now=now)
+        self._reconciliation.forget_expired(now=now)
         self._tick_gap_s = now - self._last_tick_at
         self._last_tick_at = now
         for upstream, lease in tuple(self._leases.items()):
@@ -398,14 +393,14 @@
         lease.record_response(run_list.clock_ms, now=now)
         sent_in_this_term = call.term == self._calls.term
         if lease.state is LeaseState.AWAITING_LIST and sent_in_this_term:
-            self._start_reconciling(lease, run_list, now=now)
+            self._reconciliation.first_list_received(lease, run_list, now=now)
         self._record_newly_ended(lease, run_list, call.sent_at, now=now)
         self._stop_unknown(lease, run_list, now=now)
         if lease.expired(now=now):
             # The other runs are not known to have ended.
             lease.record_renewal(now=now)
         if lease.state is LeaseState.RECONCILING:
-            self._reconcile(lease, now=now)
+            self._reconciliation.reconcile(lease, self.term, now=now)
         self._maintain(lease, now=now)
 
     def _update_entry(
@@ -485,85 +480,6 @@
             lease, deadline_ms=deadline_ms, wait_ms=wait_ms, now=now
         )
 
-    def _start_reconciling(
-        self,
-        lease: lease_module.Lease,
-        run_list: model.RunList,
-        *,
-        now: float,
-    ) -> None:
-        """Records the runs in the first list of an upstream in this term."""
-        lease.transition(LeaseEvent.RUNS_LISTED)
-        lease.expires_at = now + lease_module.MAX_LEASE_DURATION_S
-        for key in run_list.running:
-            known = lease.runs.get(key.task)
-            if known is not None and known.key == key:
-                continue
-            if known is not None:
-                self._record_end(lease, known, model.RunEnd.MISSING, now=now)
-            run = self._add_found(lease, key, now=now)
-            self._adopt_run(lease.upstream.upstream, run)
-
-    def _add_found(
-        self, lease: lease_module.Lease, key: model.RunKey, *, now: float
-    ) -> lease_module.Run:
-        """Records a run that a list shows."""
-        run = lease_module.Run(
-            key,
-            None,
-            lease_module.UNKNOWN_NEEDS,
-            RunState.RUNNING,
-            ordered_at=now,
-            expected_s=0.0,
-            confirmed_at=now,
-            start_expires_at=now + lease_module.MAX_LEASE_DURATION_S,
-        )
-        self._runs.add(lease, run)
-        return run
-
-    def _adopt_run(
-        self, upstream: ids.UpstreamId, run: lease_module.Run
-    ) -> None:
-        """Assigns a run found at an upstream to its job, if claimed."""
-        if run.state is RunState.STOPPING:
-            return
-        run.job = self._listener.adopt_run(run.key)
-        if run.job is not None:
-            self._out.add_decision(
-                "run_adopted",
-                job=run.job.name,
-                detail=f"{run.key.pairs()} upstream={upstream}",
-            )
-
-    def _reconcile(self, lease: lease_module.Lease, *, now: float) -> None:
-        """Stops unclaimed runs; the lease is held once there are none."""
-        if lease.state is not LeaseState.RECONCILING:
-            return
-        unclaimed = [run for run in lease.runs.values() if run.job is None]
-        if not unclaimed:
-            lease.transition(LeaseEvent.RECONCILED)
-            self._reserve_adopted_runs(lease)
-            self._out.add_decision(
-                "lease_held",
-                detail=f"upstream={lease.upstream.upstream} "
-                f"adopted={len(lease.runs)} "
-                f"cpu_millis={lease.upstream.capacity.cpu_millis} "
-                f"slots={lease.upstream.slots} term={self._calls.term}",
-            )
-            return
-        if self._claim_period_open:
-            return
-        for run in unclaimed:
-            if run.state is not RunState.STOPPING:
-                self.stop_run(lease, run, now=now)
-
-    def _reserve_adopted_runs(self, lease: lease_module.Lease) -> None:
-        """Reserves resources for adopted runs and sets their run times."""
-        for run in tuple(lease.runs.values()):
-            if run.job is not None and run.needs is lease_module.UNKNOWN_NEEDS:
-                lease.set_needs(run, run.job.request.tasks.needs)
-                run.expected_s = self._listener.expected_s(run.job, lease)
-
     def _record_newly_ended(
         self,
         lease: lease_module.Lease,
@@ -582,7 +498,7 @@
             if claimed:
                 continue
             if ended.end is model.RunEnd.DONE:
-                self._record_done(ended.key, now=now)
+                self._reconciliation.record_done(ended.key, now=now)
             elif ended.end is model.RunEnd.FAILED:
                 self._listener.unclaimed_run_failed(
                     ended.key, lease.upstream.upstream, now=now
@@ -596,11 +512,6 @@
                 end = model.RunEnd.CRASHED
             self._record_end(lease, run, end, now=now)
 
-    def _record_done(self, key: model.RunKey, *, now: float) -> None:
-        """Records a successful run that belonged to no job so far."""
-        if not self._listener.adopt_done_run(key, now=now):
-            self._unclaimed_done.add(key, now=now)
-
     def _record_end(
         self,
         lease: lease_module.Lease,
@@ -632,7 +543,8 @@
             if key.task in lease.runs:
                 self._calls.stop(lease, key, run=None, now=now)
                 continue
-            self.stop_run(lease, self._add_found(lease, key, now=now), now=now)
+            found = self._reconciliation.add_found(lease, key, now=now)
+            self.stop_run(lease, found, now=now)
 
     def _retry_stops(self, lease: lease_module.Lease, *, now: float) -> None:
         for run in tuple(lease.runs.values()):
