--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -45,8 +45,7 @@
     Args:
         out: Collects the actions to execute.
         racks: How much longer tasks take away from the rack of their data.
-        answer_owner: Sends the answer for a job to its owner.
-        redirect_owner: Tells the owner of a job which other leader takes it.
+        send: Sends a message to the owner of a job.
         suitability: Tells how long a job's tasks take in each cell.
         in_scope: Returns whether this host may hold a lease on an upstream.
         listing_complete: Returns whether all upstreams that can have runs are
@@ -63,8 +62,7 @@
         out: outbox_module.Outbox,
         *,
         racks: locality.Racks,
-        answer_owner: open_jobs.AnswerOwner,
-        redirect_owner: open_jobs.RedirectOwner,
+        send: open_jobs.Send,
         suitability: Callable[[model.JobRequest], overflow.Suitability],
         in_scope: Callable[[model.LeasedUpstream], bool],
         listing_complete: Callable[[float], bool],
@@ -83,8 +81,7 @@
         self._open_jobs = open_jobs.OpenJobs(
             out,
             self._queue,
-            answer_owner=answer_owner,
-            redirect_owner=redirect_owner,
+            send=send,
             stop_runs=self._stop_runs,
             on_removed=self._request_placement,
         )
@@ -262,7 +259,7 @@
         name = message.request.job
         retained = self._open_jobs.retained_answer(name)
         if retained is not None and message.had_earlier_leader:
-            self._open_jobs.answer_again(owner, name, retained)
+            self._open_jobs.tell_answer(owner, name, retained)
             return
         job = self._open_jobs.get(name)
         if job is not None:
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -5,12 +5,12 @@
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
-from godwitnotch.core.leased import capacity
 from godwitnotch.core.leased import cell_load
 from godwitnotch.core.leased import dispatcher as dispatcher_module
 from godwitnotch.core.leased import evacuation
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import fleet as fleet_module
+from godwitnotch.core.leased import fleet_division
 from godwitnotch.core.leased import job_reports
 from godwitnotch.core.leased import leader_updates
 from godwitnotch.core.leased import leadership as leadership_module
@@ -71,7 +71,6 @@
     ) -> None:
         self._host = host
         self._domain = domain
-        self._runs_per_s = runs_per_s
         self._out = outbox_module.Outbox()
         self._evacuations = evacuation.Evacuations()
         self._evacuation_sharing = evacuation.EvacuationSharing(
@@ -95,8 +94,7 @@
         self._dispatcher = dispatcher_module.Dispatcher(
             self._out,
             racks=racks,
-            answer_owner=self._answer_owner,
-            redirect_owner=self._redirect_owner,
+            send=self._send,
             suitability=self._fleet.suitability,
             in_scope=self._in_scope,
             listing_complete=lambda now: self._listing.complete(now=now),
@@ -105,6 +103,18 @@
             closed_to=self._fleet.closed_to,
             relays=self._relays,
         )
+        self._division = fleet_division.FleetDivision(
+            self._out,
+            self._fleet,
+            self._leadership,
+            self._dispatcher,
+            self._owned_jobs,
+            self._listing,
+            domain=domain,
+            linked_domains=self._linked_domains,
+            runs_per_s=runs_per_s,
+            on_divided=self._follow_cell_leader,
+        )
         self._relaying = relaying.Relaying(
             self._out, self._leadership, self._dispatcher, self._relays
         )
@@ -123,7 +133,6 @@
         self._draining = False
         self._told_leading = False
         self._elected_term = model.Term(0)
-        self._host_count = 1
         self._stalls = stalls.StallDetector(self._out)
         self._now = now
 
@@ -240,7 +249,7 @@
         self._updates.clear()
         if change is LeadershipChange.ELECTED:
             self._elected_term = leadership.term
-            self._divide_if_too_large(now=now)
+            self._division.divide_if_too_large(now=now)
             self._dispatcher.start_leading(
                 leadership.term,
                 hosts=[self._host, *self._linked_domains],
@@ -270,62 +279,12 @@
             serving=leadership.leader_serving,
         )
 
-    def _divide_if_too_large(self, *, now: float) -> bool:
-        """Divides the fleet if one leader is too few for it.
-
-        A leader whose jobs have runs doesn't, since these jobs would have to
-        wait until all their runs have ended; the next leader then does.
-
-        Returns:
-            Whether the fleet was divided; a leader then holds fewer upstreams.
-        """
-        if self._fleet.divided or not self._fleet.can_divide:
-            return False
-        too_large = (
-            self._host_count > capacity.MAX_LINKED_HOSTS
-            or capacity.exceeds_one_leader(
-                len(self._listing.upstreams), runs_per_s=self._runs_per_s
-            )
-        )
-        if not too_large or self._dispatcher.any_started:
-            return False
-        self._divide_fleet(now=now)
-        return True
-
-    def _divide_fleet(self, *, now: float) -> None:
-        """Lets each failure domain elect a leader of its own, from now on."""
-        if self._fleet.divided:
-            return
-        self._out.add_decision(
-            "fleet_divided",
-            detail=f"domain={self._domain} "
-            f"upstreams={len(self._listing.upstreams)}",
-        )
-        self._fleet.divide()
-        self._owned_jobs.fleet_divided(self._fleet.home, now=now)
-        for host in self._linked_domains:
-            self._out.add(actions.TellPeer(host, peer_messages.FleetDivided()))
-        change = self._leadership.divide(now=now)
+    def _follow_cell_leader(
+        self, change: LeadershipChange, *, now: float
+    ) -> None:
+        """Follows the leader of this host's cell, as the fleet was divided."""
         self._apply_change(change, now=now)
         self._send_standing()
-        for host, standing in self._leadership.standings():
-            self._other_standing(host, standing, now=now)
-
-    def _hold_upstreams(self, *, now: float) -> None:
-        """Gives the lease manager the upstreams that this leader holds."""
-        if not self.leads:
-            return
-        held = self._fleet.held(self._listing.upstreams)
-        self._dispatcher.lease_manager.update_upstreams(held, now=now)
-
-    def _update_adopted(self, *, now: float) -> None:
-        """Adopts upstreams of domains that have no host, or releases them."""
-        if not self._fleet.divided or not self.leads:
-            return
-        if self._leadership.scope() is not Scope.ALL:
-            return
-        if self._fleet.update_adopted(now=now):
-            self._hold_upstreams(now=now)
 
     def _send_standing(self) -> None:
         """Tells the linked hosts what this host knows of its leader.
@@ -358,16 +317,6 @@
         else:
             self._out.add(actions.TellPeer(host, message))
 
-    def _answer_owner(
-        self, owner: ids.HostId, job: model.JobName, answer: model.Answer
-    ) -> None:
-        self._send(owner, peer_messages.JobAnswered(job, answer))
-
-    def _redirect_owner(
-        self, owner: ids.HostId, job: model.JobName, leader: ids.HostId
-    ) -> None:
-        self._send(owner, peer_messages.JobRedirected(job, leader))
-
     def _in_scope(self, upstream: model.LeasedUpstream) -> bool:
         """Returns whether this host may hold a lease on an upstream."""
         if self._fleet.divided:
@@ -422,10 +371,10 @@
     ) -> None:
         match message:
             case peer_messages.FleetDivided():
-                self._divide_fleet(now=now)
-                self._hold_upstreams(now=now)
+                self._division.divide(now=now)
+                self._division.hold_upstreams(now=now)
             case peer_messages.Standing():
-                self._other_standing(host, message, now=now)
+                self._division.other_standing(host, message, now=now)
                 change = self._leadership.standing_received(
                     host, message, now=now
                 )
@@ -514,26 +463,12 @@
         if not changed or not self.leads:
             return
         self._report_unknown_evacuations()
-        self._divide_if_too_large(now=now)
-        self._hold_upstreams(now=now)
+        self._division.divide_if_too_large(now=now)
+        self._division.hold_upstreams(now=now)
         self._updates.list_changed()
         self._send_upstreams()
         self._dispatcher.place_waiting(now=now)
 
-    def _other_standing(
-        self, host: ids.HostId, standing: peer_messages.Standing, *, now: float
-    ) -> None:
-        """Handles who leads the cell of another failure domain."""
-        domain = self._linked_domains.get(host)
-        if not self._fleet.divided or domain in (None, self._domain):
-            return
-        assert domain is not None
-        cell = self._fleet.other_standing(host, domain, standing)
-        if cell is not None:
-            self._owned_jobs.leader_changed(
-                cell, self._fleet.leaders.host(cell), standing.term, now=now
-            )
-
     def _send_upstreams(self) -> None:
         """Sends the list of upstreams to the hosts that may lead next."""
         if not self.leads or not self._listing.upstreams:
@@ -678,9 +613,9 @@
     host: LeasedHost, event: events.HostsCounted, now: float
 ) -> None:
     host._fleet.hosts_seen(event.domains)
-    host._host_count = event.count
+    host._division.count_hosts(event.count)
     if not host.leader:
-        host._divide_if_too_large(now=now)
+        host._division.divide_if_too_large(now=now)
 
 
 @_handles(events.DrainStarted)
@@ -697,9 +632,9 @@
     host._stalls.tick(leading=host.leads, term=host._leadership.term, now=now)
     change = host._leadership.tick(now=now)
     host._apply_change(change, now=now)
-    if host.leads and host._divide_if_too_large(now=now):
-        host._hold_upstreams(now=now)
-    host._update_adopted(now=now)
+    if host.leads and host._division.divide_if_too_large(now=now):
+        host._division.hold_upstreams(now=now)
+    host._division.update_adopted(now=now)
     host._relaying.tick(now=now)
     host._dispatcher.tick(now=now)
     if host.leads:
--- a/godwitnotch/core/leased/open_jobs.py
+++ b/godwitnotch/core/leased/open_jobs.py
@@ -11,11 +11,11 @@
 from godwitnotch.core.leased import lease as lease_module
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import outbox as outbox_module
+from godwitnotch.core.leased import peer_messages
 from godwitnotch.core.leased import retained_answers
 from godwitnotch.core.leased import waiting
 
-AnswerOwner = Callable[[ids.HostId, model.JobName, model.Answer], None]
-RedirectOwner = Callable[[ids.HostId, model.JobName, ids.HostId], None]
+Send = Callable[[ids.HostId, peer_messages.Message], None]
 
 
 class StopRuns(Protocol):
@@ -31,8 +31,7 @@
     Args:
         out: Collects the actions to execute.
         queue: The jobs that wait.
-        answer_owner: Sends the answer for a job to its owner.
-        redirect_owner: Tells the owner of a job which other leader takes it.
+        send: Sends a message to the owner of a job.
         stop_runs: Stops the runs of a job that ends without having finished.
         on_removed: Called after a job was removed, as its room may be free.
     """
@@ -42,15 +41,13 @@
         out: outbox_module.Outbox,
         queue: waiting.WaitingQueue,
         *,
-        answer_owner: AnswerOwner,
-        redirect_owner: RedirectOwner,
+        send: Send,
         stop_runs: StopRuns,
         on_removed: Callable[[], None],
     ) -> None:
         self._out = out
         self._queue = queue
-        self._answer_owner = answer_owner
-        self._redirect_owner = redirect_owner
+        self._send = send
         self._stop_runs = stop_runs
         self._on_removed = on_removed
         self._jobs: dict[model.JobName, jobs.LeasedJob] = {}
@@ -122,7 +119,8 @@
                     "job_redirected", job=job.name, detail=f"leader={leader}"
                 )
                 self._remove(job, now=now)
-                self._redirect_owner(job.owner, job.name, leader)
+                redirected = peer_messages.JobRedirected(job.name, leader)
+                self._send(job.owner, redirected)
             case job_admission.Ended(answer=answer, event=event):
                 if event:
                     self._out.add_decision(
@@ -150,7 +148,7 @@
         """Removes a job and answers its owner."""
         self._retained_answers.add(job.name, answer, now=now)
         self._remove(job, now=now)
-        self._answer_owner(job.owner, job.name, answer)
+        self.tell_answer(job.owner, job.name, answer)
 
     def drop(self, job: jobs.LeasedJob, *, reason: str, now: float) -> None:
         """Removes a job that nobody waits for."""
@@ -163,11 +161,11 @@
             if job.owner == owner:
                 self.drop(job, reason="owner_lost", now=now)
 
-    def answer_again(
+    def tell_answer(
         self, owner: ids.HostId, name: model.JobName, answer: model.Answer
     ) -> None:
-        """Answers an owner that hands over a job which has ended."""
-        self._answer_owner(owner, name, answer)
+        """Tells an owner the answer for its job."""
+        self._send(owner, peer_messages.JobAnswered(name, answer))
 
     def forget_expired(self, *, now: float) -> None:
         """Forgets the answers of jobs that ended long ago."""
