Placement counts on long runs, and waiting jobs leave slow places to others

Cause: a third of the upstreams of shifted/ take 1.67 times as long as the middle ones, and a job may take 1.6 times its run time. Long tasks were placed there as they were expected to end in time by a few milliseconds; run times are known to a fifth or a third only, so every second such job ended late, and its other tasks had run for nothing. A pass over the queue also ended after four jobs that waited for a faster upstream, while slow ones that later jobs could use stood idle.

Change: RunSpread learns by route how far runs go past their expected time; a task is placed, or a place to come counts as in time, by the expected time times one standard deviation of that (1.2 while nothing was learnt, at most 1.5). A job that waits for a faster upstream no longer ends a pass, keeps its place in the order of service, and is decided on anew when a faster one has room or each 10 ms; eight such jobs end a pass.

--- a/bench/mixed_work.py
+++ b/bench/mixed_work.py
@@ -123,8 +123,14 @@
     return 3.0 if route.name == "long" and 2.0 <= at < 4.0 else 1.0
 
 
-def generate(seed: int, rate: Shape) -> leased_load.Load:
-    """Generates a load."""
+def generate(seed: int, rate: Shape, scale: float = 1.0) -> leased_load.Load:
+    """Generates a load.
+
+    Args:
+        seed: Seed of the random numbers.
+        rate: Factor on a route's rate at a time.
+        scale: Share of the upstreams and of the jobs.
+    """
     rng = random.Random(seed)
     upstreams = tuple(
         leased_load.make_upstream(
@@ -134,12 +140,12 @@
             rng.choice(SLOWNESSES),
             rack=f"rack{number // RACK_SIZE}",
         )
-        for number in range(UPSTREAM_COUNT)
+        for number in range(round(UPSTREAM_COUNT * scale))
     )
     arrivals = sorted(
         (arrives_at, index)
         for index, route in enumerate(ROUTES)
-        for arrives_at in _arrivals(rng, route, rate)
+        for arrives_at in _arrivals(rng, route, rate, scale)
     )
     jobs = tuple(
         _job(rng, ROUTES[index], number, arrives_at)
@@ -148,10 +154,12 @@
     return leased_load.Load(jobs, upstreams, racks=locality.Racks(AWAY_FACTOR))
 
 
-def _arrivals(rng: random.Random, route: Route, rate: Shape) -> Iterator[float]:
+def _arrivals(
+    rng: random.Random, route: Route, rate: Shape, scale: float
+) -> Iterator[float]:
     at = 0.0
     while at < DURATION_S:
-        at += rng.expovariate(route.jobs_per_s * rate(route, at))
+        at += rng.expovariate(route.jobs_per_s * scale * rate(route, at))
         yield at
 
 
--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -27,6 +27,7 @@
 from godwitnotch.core.leased import placement as placement_module
 from godwitnotch.core.leased import queue_pass
 from godwitnotch.core.leased import run_outcomes
+from godwitnotch.core.leased import run_spread
 from godwitnotch.core.leased import run_times
 from godwitnotch.core.leased import task_records
 from godwitnotch.core.leased import unfinished_runs
@@ -96,12 +97,17 @@
         self._evidence = evidence_module.EvidenceSharing(
             self._times, self._health
         )
+        self._spread = run_spread.RunSpread()
         self._outcomes = run_outcomes.RunOutcomes(
-            out, self._times, self._health, self._task_records
+            out, self._times, self._health, self._task_records, self._spread
         )
         self._cold = cold_upstreams.ColdUpstreams()
         self._placement = placement_module.Placement(
-            self._times, self._health, cold=self._cold, out=out
+            self._times,
+            self._health,
+            cold=self._cold,
+            spread=self._spread,
+            out=out,
         )
         self._overdue = overdue_runs.OverdueRuns(self._times, self._placement)
         self._lease_manager = lease_manager.LeaseManager(
--- a/godwitnotch/core/leased/jobs.py
+++ b/godwitnotch/core/leased/jobs.py
@@ -47,6 +47,18 @@
         return self.rack_wait is not None and now < self.rack_wait.until
 
 
+class FasterWait(msgspec.Struct, frozen=True):
+    """A wait for an upstream on which the tasks of a job end in time.
+
+    Attributes:
+        slowness: Slowness of the best upstream that had a free place.
+        until: When the wait is decided on anew.
+    """
+
+    slowness: float
+    until: float
+
+
 class LeasedJob(msgspec.Struct):
     """One job at the leader.
 
@@ -75,6 +87,7 @@
         over_share: Whether it is beyond its route's share of scarce room.
         rack_wait_since: When a task of the job first waited for the rack of its
             data; None if none did.
+        faster_wait: Its last wait for a faster upstream; None if it had none.
     """
 
     request: model.JobRequest
@@ -96,6 +109,7 @@
     kept_late: bool = False
     over_share: bool = False
     rack_wait_since: float | None = None
+    faster_wait: FasterWait | None = None
 
     def __post_init__(self) -> None:
         """Creates the tasks."""
--- a/godwitnotch/core/leased/placement.py
+++ b/godwitnotch/core/leased/placement.py
@@ -3,9 +3,9 @@
 A task goes to the upstream on which it is expected to end first. Among nearly
 equal upstreams the upstream with the smallest share of free CPU is preferred,
 so that large tasks still fit on the others. If the job would end too late
-there, the task waits for a faster upstream, provided that a faster upstream is
-expected to be free in time. A task that names a rack also waits for a place
-there, as `locality` decides.
+there, should the run be a long one (`run_spread`), the task waits for a faster
+upstream, provided that one is expected to be free in time. A task that names a
+rack also waits for a place there, as `locality` decides.
 """
 
 from collections.abc import Iterable
@@ -21,6 +21,7 @@
 from godwitnotch.core.leased import lease as lease_module
 from godwitnotch.core.leased import locality
 from godwitnotch.core.leased import outbox as outbox_module
+from godwitnotch.core.leased import run_spread
 from godwitnotch.core.leased import run_times
 
 # An upstream with a recent failure is rated as slower by this factor.
@@ -31,6 +32,10 @@
 # An entirely free upstream costs this share more than a full one, so that free
 # CPU decides between upstreams of nearly equal run time.
 FREE_CPU_COST_SHARE = 0.1
+# A task that waits for a faster upstream is decided on anew this often, or as soon
+# as a faster one has room. Each event starts a pass over the queue, some thousand
+# in a second at high load.
+FASTER_CHECK_INTERVAL_S = 0.01
 
 
 class Placed(msgspec.Struct, frozen=True):
@@ -50,9 +55,15 @@
 
 
 class WaitsForFaster(msgspec.Struct, frozen=True):
-    """The task would end late now, and in time at a place to come."""
+    """The task may end late now, and in time at a place to come.
+
+    Attributes:
+        place: The place to come.
+        instead_of: The lease of the best upstream with a free place.
+    """
 
     place: locality.Place
+    instead_of: lease_module.Lease
 
 
 Verdict = Placed | NoRoom | WaitsForRack | WaitsForFaster
@@ -66,6 +77,8 @@
         health: Tells which upstreams are ejected.
         cold: Tells which upstreams are still slow after their start; None
             for none.
+        spread: Tells how far runs go past their expected time; None if nothing
+            was learnt.
         out: Collects the decisions for the log; None for none.
     """
 
@@ -75,11 +88,13 @@
         health: health_module.UpstreamHealth,
         *,
         cold: cold_upstreams.ColdUpstreams | None = None,
+        spread: run_spread.RunSpread | None = None,
         out: outbox_module.Outbox | None = None,
     ) -> None:
         self._times = times
         self._health = health
         self._cold = cold or cold_upstreams.ColdUpstreams()
+        self._spread = spread or run_spread.RunSpread()
         # The leases by rack, of the list that they were last looked up in.
         self._indexed_leases: Sequence[lease_module.Lease] = ()
         self._leases_by_rack: dict[str, list[lease_module.Lease]] = {}
@@ -107,7 +122,8 @@
     ) -> lease_module.Lease | None:
         """Returns the lease of the upstream for a task, None if the task waits.
 
-        Records the wait for a rack, and its end.
+        Records the wait for a rack, and its end, and when the job is next looked
+        at if it waits for a faster upstream.
 
         Args:
             job: The job of the task.
@@ -126,8 +142,38 @@
                     self._waits.begin(task.key, wait, now=now)
                     task.rack_wait = wait
                     job.rack_wait_since = wait.since
+            case WaitsForFaster(instead_of=lease):
+                job.faster_wait = jobs.FasterWait(
+                    self._times.slowness(lease.upstream),
+                    until=now + FASTER_CHECK_INTERVAL_S,
+                )
         return None
 
+    def still_waits_for_faster(
+        self,
+        job: jobs.LeasedJob,
+        leases: Sequence[lease_module.Lease],
+        *,
+        now: float,
+    ) -> bool:
+        """Returns whether a job's wait for a faster upstream surely goes on.
+
+        Checked first, since each pass over the queue meets the waiting tasks.
+
+        Args:
+            job: The job.
+            leases: The leases that accept runs, the fastest upstream first.
+            now: The current time.
+        """
+        wait = job.faster_wait
+        if wait is None or now >= wait.until:
+            return False
+        cpu_millis = job.request.tasks.needs.cpu_millis
+        for lease in leases:
+            if cpu_millis <= lease.free_resources.cpu_millis:
+                return self._times.slowness(lease.upstream) >= wait.slowness
+        return True
+
     def decide(
         self,
         job: jobs.LeasedJob,
@@ -154,15 +200,16 @@
         best = self._find_cheapest(job, task, leases, now=now)
         if best is None:
             return NoRoom()
-        away_end_at = now + self.expected_ms(job, best) / 1_000
         wait = self._rack_wait(job, task, leases, best, now=now)
         if wait is not None:
             return WaitsForRack(wait)
+        factor = self._spread.long_run_factor(job.request.settings.route)
+        away_end_at = now + factor * self.expected_ms(job, best) / 1_000
         if away_end_at <= job.target_end_at:
             return Placed(best)
         for place in self._sooner_places(job, task, leases, best, now=now):
-            if place.end_at <= job.target_end_at:
-                return WaitsForFaster(place)
+            if place.free_at + factor * place.expected_s <= job.target_end_at:
+                return WaitsForFaster(place, instead_of=best)
         return Placed(best)
 
     def count_suitable(
--- a/godwitnotch/core/leased/queue_pass.py
+++ b/godwitnotch/core/leased/queue_pass.py
@@ -24,6 +24,9 @@
 
 # A pass over the queue ends after this many jobs that could not be placed.
 MAX_UNPLACED_JOB_COUNT = 4
+# So many jobs that wait for a faster upstream are passed over; the places that
+# are left are then slow, and too few to look through a long queue for.
+MAX_PASSED_OVER_JOB_COUNT = 8
 
 
 class QueueFigures(msgspec.Struct, frozen=True):
@@ -105,6 +108,7 @@
         # an earlier leader has had.
         all_runs_known: bool | None = None
         unplaced: list[jobs.LeasedJob] = []
+        passed_over_count = 0
         for job in self._queue.ordered(now=now):
             if now < job.earlier_runs_end_by:
                 if all_runs_known is None:
@@ -118,6 +122,11 @@
             # jobs whose callers have stopped waiting.
             if now >= job.deadline or self._owners.is_lost(job.owner):
                 continue
+            if self._placement.still_waits_for_faster(job, leases, now=now):
+                passed_over_count += 1
+                if passed_over_count >= MAX_PASSED_OVER_JOB_COUNT:
+                    return
+                continue
             fits = job.request.tasks.needs.cpu_millis <= max_free_cpu_millis
             waiting_count = job.waiting_task_count
             if not fits or not self._place_job(job, leases, now=now):
@@ -149,7 +158,8 @@
     ) -> bool:
         """Starts a job's waiting tasks; returns whether there was room for all.
 
-        A task that waits for the rack of its data leaves room for others.
+        A task that waits for the rack of its data or for a faster upstream leaves
+        room for others.
         """
         for task in tuple(job.iter_waiting_tasks()):
             if self._lease_manager.has_run(task.key):
@@ -159,6 +169,10 @@
                 lease = self._placement.choose(job, task, leases, now=now)
                 if lease is not None:
                     self._start_run(job, task, lease, now=now)
+                elif self._placement.still_waits_for_faster(
+                    job, leases, now=now
+                ):
+                    return True
                 elif not task.waits_for_rack(now=now):
                     return False
             elif rule is StartRule.ALONE:
--- a/godwitnotch/core/leased/run_outcomes.py
+++ b/godwitnotch/core/leased/run_outcomes.py
@@ -6,6 +6,7 @@
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import outbox as outbox_module
 from godwitnotch.core.leased import peer_messages
+from godwitnotch.core.leased import run_spread
 from godwitnotch.core.leased import run_times
 from godwitnotch.core.leased import task_records
 
@@ -18,6 +19,7 @@
         times: Learns how long runs take.
         health: Learns at which upstreams runs fail.
         records: Learns which upstreams were lost under a task.
+        spread: Learns how far runs go past their expected time; None for nobody.
     """
 
     def __init__(
@@ -26,11 +28,13 @@
         times: run_times.RunTimes,
         health: health_module.UpstreamHealth,
         records: task_records.TaskRecords,
+        spread: run_spread.RunSpread | None = None,
     ) -> None:
         self._out = out
         self._times = times
         self._health = health
         self._records = records
+        self._spread = spread or run_spread.RunSpread()
 
     def run_succeeded(
         self,
@@ -49,6 +53,11 @@
         if not run.expected_s or run.confirmed_at is None:
             return
         ran_ms = (now - run.ordered_at) * 1_000
+        self._spread.learn(
+            job.request.settings.route,
+            expected_ms=run.expected_s * 1_000,
+            ran_ms=ran_ms,
+        )
         factor = self._times.run_factor(job.request, lease.upstream)
         self._times.run_succeeded(
             job.request, lease.upstream, ran_ms=ran_ms, now=now
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -1,6 +1,7 @@
 """Tests of single components for leased runs, such as the queue."""
 
 import json
+import math
 import os
 import random
 import socket
@@ -33,6 +34,7 @@
 from godwitnotch.core.leased import peer_messages
 from godwitnotch.core.leased import placement
 from godwitnotch.core.leased import run_outcomes
+from godwitnotch.core.leased import run_spread
 from godwitnotch.core.leased import run_times
 from godwitnotch.core.leased import task_records
 from godwitnotch.core.leased import waiting
@@ -218,8 +220,9 @@
         self.times = run_times.RunTimes()
         self.health = health.UpstreamHealth()
         self.cold = cold_upstreams.ColdUpstreams()
+        self.spread = run_spread.RunSpread()
         self.placement = placement.Placement(
-            self.times, self.health, cold=self.cold
+            self.times, self.health, cold=self.cold, spread=self.spread
         )
 
     def choose(
@@ -277,6 +280,59 @@
         self.add_run(fast, expected_s=0.05)
         self.assertIsNone(self.choose(make_job(), fast, slow))
 
+    def learn_runs(self, ran_ms: tuple[float, ...]) -> None:
+        for _ in range(200):
+            for each in ran_ms:
+                self.spread.learn(
+                    make_job().request.settings.route,
+                    expected_ms=100.0,
+                    ran_ms=each,
+                )
+
+    def test_task_waits_if_only_a_run_of_exactly_its_length_is_in_time(
+        self,
+    ) -> None:
+        # In bench.mixed_work, a third of the upstreams take 1.67 times as long
+        # as others, and a long job may take 1.6 times its run time: it was placed
+        # there, as it was expected to end in time by a few milliseconds, and
+        # every second such job was late.
+        slow, fast = self.slow_and_fast(2.1)
+        self.add_run(fast, expected_s=0.05)
+        self.learn_runs((75.0, 133.0))
+        self.assertIsNone(self.choose(make_job(), fast, slow))
+
+    def test_task_does_not_wait_if_runs_take_as_long_as_expected(self) -> None:
+        slow, fast = self.slow_and_fast(2.1)
+        self.add_run(fast, expected_s=0.05)
+        self.learn_runs((100.0,))
+        self.assertEqual(self.choose(make_job(), fast, slow), "slow")
+
+    def test_spread_follows_the_runs_and_stays_bounded(self) -> None:
+        route = make_job().request.settings.route
+        self.learn_runs((1.0, 100_000.0))
+        wide = self.spread.long_run_factor(route)
+        self.learn_runs((100.0,))
+        narrow = self.spread.long_run_factor(route)
+        limit = math.exp(run_spread.MAX_LOG_SPREAD)
+        self.assertAlmostEqual(wide, limit, places=2)
+        self.assertLess(narrow, 1.1)
+
+    def test_wait_for_a_faster_upstream_ends_when_one_has_room(self) -> None:
+        slow, fast = self.slow_and_fast(3.0)
+        self.add_run(fast, expected_s=0.05)
+        queued = make_job()
+        self.assertIsNone(self.choose(queued, fast, slow))
+        leases = (fast, slow)
+        self.assertTrue(
+            self.placement.still_waits_for_faster(queued, leases, now=NOW)
+        )
+        (run,) = fast.runs.values()
+        fast.remove_run(run)
+        self.assertFalse(
+            self.placement.still_waits_for_faster(queued, leases, now=NOW)
+        )
+        self.assertEqual(self.choose(queued, fast, slow), "fast")
+
     def test_slow_upstream_is_used_if_the_task_ends_in_time(self) -> None:
         slow, fast = self.slow_and_fast(1.5)
         self.add_run(fast, expected_s=0.05)
--- a/tests/test_leased_queue_pass.py
+++ b/tests/test_leased_queue_pass.py
@@ -1,16 +1,21 @@
 """Tests of the passes over the queue of waiting jobs."""
 
+import statistics
 import unittest
+import unittest.mock
 
 import msgspec
 
 from bench import leased_load
+from bench import leased_replay
+from bench import mixed_work
 from godwitnotch.core import ids
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import lease
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import queue_pass
+from godwitnotch.core.leased import run_spread
 from tests import leased_world
 
 
@@ -92,6 +97,34 @@
         )
 
 
+class FasterUpstreamTest(unittest.TestCase):
+    """Long jobs wait for fast upstreams while short ones can use slow ones."""
+
+    def replay(self, seed: int) -> mixed_work.Outcome:
+        shape = mixed_work.SHAPES["burst_on_crest"]
+        load = mixed_work.generate(seed, shape, 0.125)
+        return mixed_work.measure(load, leased_replay.Replay(load).run())
+
+    def test_decisions_count_on_long_runs(self) -> None:
+        # By the expected run time alone, every second task that was placed on a
+        # slow upstream at the edge of its target ended late. Other jobs must get
+        # the slow places meanwhile.
+        seeds = (1, 2, 3, 4)
+        outcomes = [self.replay(seed) for seed in seeds]
+        with unittest.mock.patch.object(
+            run_spread.RunSpread, "long_run_factor", return_value=1.0
+        ):
+            expected_only = [self.replay(seed) for seed in seeds]
+        gain = statistics.fmean(o.worth for o in outcomes) - statistics.fmean(
+            o.worth for o in expected_only
+        )
+        self.assertGreater(gain, 0.02)
+        self.assertLess(
+            sum(o.wasted for o in outcomes),
+            sum(o.wasted for o in expected_only),
+        )
+
+
 class StalledLeaderTest(unittest.TestCase):
     """The leader has stalled while callers' deadlines passed."""
 
