--- a/tests/test_leased_evacuation.py
+++ b/tests/test_leased_evacuation.py
@@ -231,6 +231,49 @@
         world.run(0.1)
         self.assertEqual(world.hosts[leader].evacuated, told(3))
 
+    def test_leader_that_the_store_turns_away_is_killed(self) -> None:
+        # It knows the set from its peers only, and takes over nothing by itself;
+        # the row is removed before its successor is killed too.
+        world = start_world()
+        (leader,) = world.leaders()
+        world.hosts_without_store.add(leader)
+        since = self.evacuate(world)
+        world.kill(leader)
+        self.assert_kept(world, since, duration_s=2.0)
+        world.hosts_without_store.add(world.leaders()[0])
+        world.evacuate()
+        world.run(0.1)
+        world.kill(world.leaders()[0])
+        ended_at = world.now
+        world.run(2.0)
+        send_jobs(world, 1.0, hosts=None)
+        self.assertTrue(starts(world, "a", since=ended_at))
+        self.assertEqual(world.overlaps(), [])
+
+    def test_two_domains_one_after_the_other(self) -> None:
+        world = start_world()
+        calls = []
+        for former, domain in (("", "a"), ("a", "b"), ("b", "c")):
+            world.evacuate(*filter(None, (former, domain)))
+            world.run(EFFECT_S)
+            both_at = world.now
+            calls += send_jobs(world, 0.5, hosts=None)
+            world.kill(world.leaders()[0])
+            calls += send_jobs(world, 1.5, hosts=None)
+            for closed in filter(None, (former, domain)):
+                self.assertEqual(starts(world, closed, since=both_at), [])
+            world.evacuate(domain)
+            world.run(EFFECT_S)
+            one_at = world.now
+            calls += send_jobs(world, 0.5, hosts=None)
+            self.assertEqual(starts(world, domain, since=one_at), [])
+            if former:
+                self.assertTrue(starts(world, former, since=one_at))
+            for name in tuple(world.dead):
+                world.start_host(name)
+            world.run(START_UP_S)
+        self.assertEqual(world.overlaps(), [])
+
     def test_restarted_host_leads(self) -> None:
         # All hosts restart, the last one while the store is down. It learns the
         # set from its peers before it leads.
