A completed job that comes again is answered, not run again

Cause, found while looking for what the operators list (after an answer was lost, work that had run was run again): a leader keeps the answers of ended jobs for 3 s, but gave them only to an owner that had handed the job over before. A caller whose connection was cut before the answer sends its job again, through any host, and all its tasks ran a second time.

Change: a job of the same name, spec and tasks that has completed within that time is answered at once. After a refusal or a failure it is tried anew, as before, and other work under the same name runs.

Shown by LostAnswerTest: 4 starts for 2 before. Not covered: the leader has changed meanwhile, or the job comes to the leader of another cell.

--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -263,9 +263,9 @@
             now: The current time.
         """
         name = message.request.job
-        retained = self._open_jobs.retained_answer(name)
-        if retained is not None and message.had_earlier_leader:
-            self._open_jobs.tell_answer(owner, name, retained)
+        answer = self._open_jobs.kept_answer(message)
+        if answer is not None:
+            self._open_jobs.tell_answer(owner, name, answer)
             return
         job = self._open_jobs.get(name)
         if job is not None:
--- a/godwitnotch/core/leased/open_jobs.py
+++ b/godwitnotch/core/leased/open_jobs.py
@@ -94,9 +94,13 @@
             return None
         return job
 
-    def retained_answer(self, name: model.JobName) -> model.Answer | None:
-        """Returns the answer for a job that has ended lately."""
-        return self._retained_answers.get(name)
+    def kept_answer(
+        self, message: peer_messages.JobHandedOver
+    ) -> model.Answer | None:
+        """Returns the answer for a job that has ended lately, if it holds."""
+        return self._retained_answers.find(
+            message.request, had_earlier_leader=message.had_earlier_leader
+        )
 
     def add(self, job: jobs.LeasedJob) -> None:
         """Adds a job, which isn't queued yet."""
@@ -146,7 +150,7 @@
         self, job: jobs.LeasedJob, answer: model.Answer, *, now: float
     ) -> None:
         """Removes a job and answers its owner."""
-        self._retained_answers.add(job.name, answer, now=now)
+        self._retained_answers.add(job.request, answer, now=now)
         self._remove(job, now=now)
         self.tell_answer(job.owner, job.name, answer)
 
--- a/tests/test_leased_load_patterns.py
+++ b/tests/test_leased_load_patterns.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from bench import leased_load
 from bench import leased_replay
 from bench import leased_yardstick
@@ -133,6 +135,59 @@
         self.assertEqual(self.world.overlaps(), [])
 
 
+class LostAnswerTest(unittest.TestCase):
+    """Callers that have lost the answer send their job again."""
+
+    def setUp(self) -> None:
+        self.world = leased_world.World({"a": ["a1", "a2", "a3"]}, upstreams=4)
+        self.world.link_all()
+        self.world.run(1.0)
+
+    def test_completed_job_that_comes_again_does_not_run_again(self) -> None:
+        for name in ("a1", "a2", "a3"):
+            first = self.world.submit("a1", f"job-{name}", tasks=2)
+            self.world.run(0.5)
+            again = self.world.submit(name, f"job-{name}", tasks=2)
+            self.world.run(0.5)
+            self.assertEqual(
+                outcomes(self.world, [first, again]),
+                {model.JobEnd.COMPLETED: 2},
+            )
+            self.assertEqual(self.world.start_count(f"job-{name}"), 2)
+
+    def test_other_work_of_the_same_name_runs(self) -> None:
+        self.world.submit("a1", "job", tasks=2)
+        self.world.run(0.5)
+        call = self.world.submit("a1", "job", tasks=3)
+        self.world.run(0.5)
+        self.assertEqual(
+            outcomes(self.world, [call]), {model.JobEnd.COMPLETED: 1}
+        )
+        self.assertEqual(self.world.start_count("job"), 5)
+
+    def test_refused_job_that_comes_again_is_tried_again(self) -> None:
+        for upstream in self.world.upstreams.values():
+            upstream.entry = msgspec.structs.replace(
+                upstream.entry, draining=True
+            )
+        self.world.run(3.0)
+        refused = self.world.submit("a1", "job")
+        self.world.run(1.0)
+        self.assertEqual(
+            outcomes(self.world, [refused]), {model.JobEnd.REFUSED: 1}
+        )
+        for upstream in self.world.upstreams.values():
+            upstream.entry = msgspec.structs.replace(
+                upstream.entry, draining=False
+            )
+        self.world.run(1.0)
+        call = self.world.submit("a1", "job")
+        self.world.run(1.0)
+        self.assertEqual(
+            outcomes(self.world, [call]), {model.JobEnd.COMPLETED: 1}
+        )
+
+
 class LateNewsTest(unittest.TestCase):
     """A run ended well, but the leader hears of it only after the lease."""
 
