--- a/tests/test_leased_shares.py
+++ b/tests/test_leased_shares.py
@@ -248,7 +248,7 @@
 
     def test_causes_and_shares_are_logged_with_their_route(self) -> None:
         load = uneven_load.generate(
-            1, uneven_load.SHAPES["overload"], duration_s=6.0
+            1, uneven_load.SHAPES["overload"], factor=1.1, duration_s=6.0
         )
         recorder = DecisionRecorder(load)
         recorder.run()
