Names and comments that would stop a newcomer; one registry of load shapes

No change of behaviour.

Not split: Dispatcher.__init__ and LeasedHost.__init__ create the parts of a leader and a host, a statement each.

--- a/bench/mixed_work.py
+++ b/bench/mixed_work.py
@@ -27,6 +27,7 @@
 from bench import leased_load
 from bench import leased_replay
 from bench import leased_yardstick
+from bench import load_shapes
 from godwitnotch.core.leased import locality
 from godwitnotch.core.leased import model
 
@@ -79,32 +80,22 @@
 )
 
 Shape = Callable[[Route, float], float]
-SHAPES: dict[str, Shape] = {}
+SHAPES: load_shapes.Shapes[Route] = load_shapes.Shapes()
 
 
-def shape(name: str) -> Callable[[Shape], Shape]:
-    """Registers the factor on a route's rate at a time, under a name."""
-
-    def register(function: Shape) -> Shape:
-        SHAPES[name] = function
-        return function
-
-    return register
-
-
-@shape("steady")
+@SHAPES.register("steady")
 def _steady(route: Route, at: float) -> float:
     del route, at
     return 1.0
 
 
-@shape("wave")
+@SHAPES.register("wave")
 def _wave(route: Route, at: float) -> float:
     del route
     return 1 + 0.27 * math.sin(2 * math.pi * at / 11.0)
 
 
-@shape("burst_on_crest")
+@SHAPES.register("burst_on_crest")
 def _burst_on_crest(route: Route, at: float) -> float:
     burst = 1.3 if 1.5 <= at < 4.5 else 1.0
     if route.name == "wide" and 2.0 <= at < 4.0:
@@ -112,13 +103,13 @@
     return burst * _wave(route, at)
 
 
-@shape("overload")
+@SHAPES.register("overload")
 def _overload(route: Route, at: float) -> float:
     del route, at
     return 1.8
 
 
-@shape("burst_of_long")
+@SHAPES.register("burst_of_long")
 def _burst_of_long(route: Route, at: float) -> float:
     return 3.0 if route.name == "long" and 2.0 <= at < 4.0 else 1.0
 
--- a/bench/uneven_load.py
+++ b/bench/uneven_load.py
@@ -27,6 +27,7 @@
 from bench import leased_load
 from bench import leased_replay
 from bench import leased_yardstick
+from bench import load_shapes
 
 UPSTREAM_COUNT = 24
 UPSTREAM_CPU_MILLIS = (32_000, 32_000, 48_000)
@@ -81,59 +82,49 @@
 )
 
 Shape = Callable[[Route, float], float]
-SHAPES: dict[str, Shape] = {}
+SHAPES: load_shapes.Shapes[Route] = load_shapes.Shapes()
 
 
-def shape(name: str) -> Callable[[Shape], Shape]:
-    """Registers the factor on a route's rate at a time, under a name."""
-
-    def register(function: Shape) -> Shape:
-        SHAPES[name] = function
-        return function
-
-    return register
-
-
-@shape("quiet")
+@SHAPES.register("quiet")
 def _quiet(route: Route, at: float) -> float:
     del route, at
     return 0.5
 
 
-@shape("steady")
+@SHAPES.register("steady")
 def _steady(route: Route, at: float) -> float:
     del route, at
     return 1.0
 
 
-@shape("burst_long")
+@SHAPES.register("burst_long")
 def _burst_long(route: Route, at: float) -> float:
     return 4.0 if route.name == "long" and 5.0 <= at < 9.0 else 1.0
 
 
-@shape("burst_narrow")
+@SHAPES.register("burst_narrow")
 def _burst_narrow(route: Route, at: float) -> float:
     return 4.0 if route.name == "narrow" and 5.0 <= at < 9.0 else 1.0
 
 
-@shape("burst_wide")
+@SHAPES.register("burst_wide")
 def _burst_wide(route: Route, at: float) -> float:
     return 5.0 if route.name == "wide" and 5.0 <= at < 9.0 else 1.0
 
 
-@shape("swing")
+@SHAPES.register("swing")
 def _swing(route: Route, at: float) -> float:
     del route
     return 1.2 * (1 + 0.55 * math.sin(2 * math.pi * at / 8.0))
 
 
-@shape("crowds")
+@SHAPES.register("crowds")
 def _crowds(route: Route, at: float) -> float:
     del route
     return 6.0 if at % 3.0 < 0.4 else 0.4
 
 
-@shape("overload")
+@SHAPES.register("overload")
 def _overload(route: Route, at: float) -> float:
     del route, at
     return 1.8
--- a/godwitnotch/core/leased/run_outcomes.py
+++ b/godwitnotch/core/leased/run_outcomes.py
@@ -19,7 +19,8 @@
         times: Learns how long runs take.
         health: Learns at which upstreams runs fail.
         records: Learns which upstreams were lost under a task.
-        spread: Learns how far runs go past their expected time; None for nobody.
+        spread: Learns how far runs go past their expected time; None for a
+            new one.
     """
 
     def __init__(
--- a/godwitnotch/net/codec.py
+++ b/godwitnotch/net/codec.py
@@ -100,7 +100,7 @@
         version, name, values = items
         if type(version) is not int or version != self._version:
             return _failure(CodecProblem.UNKNOWN_VERSION, repr(version))
-        decoder = self._decoder(name) if isinstance(name, str) else None
+        decoder = self._decoder_of(name) if isinstance(name, str) else None
         if decoder is None:
             return _failure(CodecProblem.UNKNOWN_KIND, repr(name))
         try:
@@ -108,7 +108,7 @@
         except _WrongFieldsError as error:
             return _failure(CodecProblem.WRONG_FIELDS, f"{name}: {error}")
 
-    def _decoder(self, name: str) -> _Converter | None:
+    def _decoder_of(self, name: str) -> _Converter | None:
         """Returns the decoder of a kind, None if there is no such kind."""
         decoder = self._decoders.get(name)
         if decoder is None and name in self._kinds:
--- a/godwitnotch/net/peer_links.py
+++ b/godwitnotch/net/peer_links.py
@@ -240,6 +240,7 @@
     def _monitor_link(
         self, link: peer_link.PeerLink, operation: Callable[[], None]
     ) -> None:
+        """Checks or probes a link; a fault closes that link only."""
         try:
             operation()
         except Exception:  # A fault on one link must not stop the others.
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -292,10 +292,8 @@
     def test_task_waits_if_only_a_run_of_exactly_its_length_is_in_time(
         self,
     ) -> None:
-        # In bench.mixed_work, a third of the upstreams take 1.67 times as long
-        # as others, and a long job may take 1.6 times its run time: it was placed
-        # there, as it was expected to end in time by a few milliseconds, and
-        # every second such job was late.
+        # A task that is expected to end just in time ends late about every
+        # second time, though it could have waited for a faster upstream.
         slow, fast = self.slow_and_fast(2.1)
         self.add_run(fast, expected_s=0.05)
         self.learn_runs((75.0, 133.0))
