Links: hosts that are busy linking no longer dial each other twice

Cause: the host with the higher id waits 0.15 s for the other one's dial, and handshakes have 0.6 s. Both are times on the wall: where all hosts link at once on slow processors, both ends dial, what has lasted for 50 ms is begun anew at each link that opens, and what times out is done again. Change: the higher id dials once nobody has dialled it for 0.15 s (1 s at most; a handshake under way counts); only opening the TCP connection is begun anew, as lost packets hold up that part alone; few dialled handshakes go on at once; a handshake has 2 s.

--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -61,10 +61,12 @@
     heartbeat_interval_s=0.13,
     max_heartbeats_per_s=80.0,
     silence_timeout_s=0.45,
-    handshake_timeout_s=0.6,
+    connect_timeout_s=0.6,
+    handshake_timeout_s=2.0,
     min_backoff_s=0.05,
     max_backoff_s=0.8,
     higher_id_delay_s=0.15,
+    max_peer_dial_wait_s=1.0,
     close_timeout_s=0.3,
 )
 
--- a/godwitnotch/net/peer_links.py
+++ b/godwitnotch/net/peer_links.py
@@ -1,18 +1,20 @@
 """Authenticated websocket links between hosts, one link for each pair.
 
-Either host of a pair may dial. The host with the higher id delays its first
-dial, so that usually only one link opens. If both hosts open a link at the same
-time, the link that the host with the lower id dialled is kept, so that both
-hosts keep the same link. See docs/design/peer-protocol.md.
+Either host of a pair may dial. The host with the higher id dials only if the
+other one doesn't, so that usually only one link opens. If both hosts open a link
+at the same time, the link that the host with the lower id dialled is kept, so
+that both hosts keep the same link. See docs/design/peer-protocol.md.
 """
 
 import asyncio
+import contextlib
 import functools
 import socket
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+import msgspec
 import websockets
 import websockets.asyncio.client
 import websockets.asyncio.server
@@ -24,6 +26,7 @@
 from godwitnotch.core import messages
 from godwitnotch.core import model
 from godwitnotch.core import random_source
+from godwitnotch.net import incoming_dials
 from godwitnotch.net import link_limits
 from godwitnotch.net import peer_auth
 from godwitnotch.net import peer_link
@@ -88,6 +91,14 @@
             max_s=self._limits.max_backoff_s,
             rng=rng,
         )
+        self._dial_turns = redial.DialTurns(
+            max_open=self._limits.max_dials,
+            max_turn_s=self._limits.dial_turn_s,
+        )
+        self._incoming_dials = incoming_dials.IncomingDials(
+            quiet_s=self._limits.higher_id_delay_s,
+            max_wait_s=self._limits.max_peer_dial_wait_s,
+        )
         self._server: websockets.asyncio.server.Server | None = None
         self._links: dict[ids.HostId, peer_link.PeerLink] = {}
         self._listed_hosts: dict[ids.HostId, model.HostEntry] = {}
@@ -95,7 +106,6 @@
         self._next_background_probe_at = 0.0
         self._told: messages.Heartbeat | None = None
         self._dial_tasks: dict[ids.HostId, asyncio.Task[None]] = {}
-        self._open_handshakes = 0
         self._closing = False
         self._monitor_task: asyncio.Task[None] | None = None
 
@@ -110,9 +120,11 @@
         self._server = await websockets.asyncio.server.serve(
             self._handle_connection,
             sock=listener,
+            process_request=self._note_arrival,
             compression=None,
             ping_interval=None,
-            open_timeout=self._limits.handshake_timeout_s,
+            # The other host may open a connection long before its turn to use it.
+            open_timeout=2 * self._limits.handshake_timeout_s,
             close_timeout=self._limits.close_timeout_s,
             max_size=_MAX_HANDSHAKE_BYTES,
         )
@@ -264,15 +276,13 @@
                 failures = 0
             if host not in self._listed_hosts:
                 return
-            waits_for_peer = not failures and self._hello.host > host
             await self._dial_backoff.wait(
-                host,
-                self._listed_hosts[host].domain,
-                failures=failures,
-                extra_delay_s=self._limits.higher_id_delay_s
-                if waits_for_peer
-                else 0.0,
+                host, self._listed_hosts[host].domain, failures=failures
             )
+            if self._hello.host > host:
+                await self._incoming_dials.wait_quiet(
+                    is_linked=functools.partial(self._links.__contains__, host)
+                )
             if host in self._links or host not in self._listed_hosts:
                 continue
             reason = await self._dial(self._listed_hosts[host])
@@ -284,12 +294,38 @@
     async def _dial(self, entry: model.HostEntry) -> peer_link.LinkEndReason:
         """Opens a link and runs it; returns the reason for its end."""
         try:
-            connection = await self._dial_backoff.connect(
+            sock = await self._dial_backoff.connect(
                 entry.host,
                 entry.domain,
-                lambda: self._connect(entry.address),
-                timeout_s=self._limits.handshake_timeout_s,
+                lambda: _connect_socket(entry.address),
+                timeout_s=self._limits.connect_timeout_s,
+            )
+        except TimeoutError:
+            return peer_link.LinkEndReason.HANDSHAKE_TIMEOUT
+        except OSError:
+            return peer_link.LinkEndReason.CONNECT_FAILED
+        with contextlib.closing(sock):
+            async with self._dial_turns.turn():
+                if self._hello.host > entry.host and entry.host in self._links:
+                    return peer_link.LinkEndReason.DUPLICATE
+                opened = await self._open_link(sock, entry)
+            if isinstance(opened, peer_link.LinkEndReason):
+                return opened
+            return await self._run_link(
+                opened.connection, opened.hello, dialler=self._hello.host
             )
+
+    async def _open_link(
+        self, sock: socket.socket, entry: model.HostEntry
+    ) -> "_OpenedLink | peer_link.LinkEndReason":
+        """Authenticates both hosts on a new connection.
+
+        Returns:
+            The link, or why it can't be opened.
+        """
+        try:
+            async with asyncio.timeout(self._limits.handshake_timeout_s):
+                connection = await self._open_websocket(sock, entry.address)
         except TimeoutError:
             return peer_link.LinkEndReason.HANDSHAKE_TIMEOUT
         except (OSError, websockets.WebSocketException):
@@ -306,11 +342,14 @@
         hello = result.unwrap()
         if hello.host != entry.host:
             return _abort(connection, peer_link.LinkEndReason.WRONG_HOST)
-        return await self._run_link(connection, hello, dialler=self._hello.host)
+        return _OpenedLink(connection, hello)
 
-    async def _connect(self, address: str) -> peer_link.Connection:
+    async def _open_websocket(
+        self, sock: socket.socket, address: str
+    ) -> peer_link.Connection:
         return await websockets.asyncio.client.connect(
             f"ws://{address}/",
+            sock=sock,
             compression=None,
             ping_interval=None,
             proxy=None,
@@ -319,18 +358,24 @@
             max_size=self._limits.max_message_bytes,
         )
 
+    def _note_arrival(
+        self,
+        connection: websockets.asyncio.server.ServerConnection,
+        request: websockets.Request,
+    ) -> None:
+        """Records that a host dials; accepts its request."""
+        self._incoming_dials.arrived()
+
     async def _handle_connection(
         self, connection: websockets.asyncio.server.ServerConnection
     ) -> None:
-        if self._open_handshakes >= self._limits.max_handshakes:
+        dials = self._incoming_dials
+        if dials.open_handshakes >= self._limits.max_handshakes:
             self._record_end(peer_link.LinkEndReason.TOO_MANY_HANDSHAKES, None)
             _abort(connection, peer_link.LinkEndReason.TOO_MANY_HANDSHAKES)
             return
-        self._open_handshakes += 1
-        try:
+        with dials.handshake():
             result = await self._accept_handshake(connection)
-        finally:
-            self._open_handshakes -= 1
         if isinstance(result, peer_link.LinkEndReason):
             self._record_end(result, None)
             await _close_with_reason(connection, result)
@@ -417,6 +462,7 @@
         )
         self._links[hello.host] = link
         self._dial_backoff.link_opened(hello.domain)
+        self._incoming_dials.arrived()
         self._on_note(_note("peer_link_up", hello.host))
         self._on_event(
             events.PeerUp(hello.host, hello.domain, hello.incarnation)
@@ -434,6 +480,28 @@
         self._on_note(_note(f"peer_link_{reason.value}", host))
 
 
+class _OpenedLink(msgspec.Struct, frozen=True):
+    """A connection that this host has dialled, and who has accepted it."""
+
+    connection: peer_link.Connection
+    hello: messages.Hello
+
+
+async def _connect_socket(address: str) -> socket.socket:
+    """Opens a TCP connection to the IP address and port of a host."""
+    ip, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    is_ipv6 = ":" in ip
+    sock = socket.socket(socket.AF_INET6 if is_ipv6 else socket.AF_INET)
+    try:
+        sock.setblocking(False)
+        await loop.sock_connect(sock, (ip.strip("[]"), int(port)))
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
 def _channel(connection: peer_link.Connection) -> peer_auth.Channel:
     async def receive() -> bytes:
         return await connection.recv(decode=False)
--- a/godwitnotch/net/redial.py
+++ b/godwitnotch/net/redial.py
@@ -1,6 +1,8 @@
-"""When hosts are dialled again, after a failed dial or a partition."""
+"""When hosts are dialled: after a failed dial, after a partition, in turn."""
 
 import asyncio
+import contextlib
+from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import TypeVar
@@ -41,6 +43,36 @@
         return self.restarted or self.timeout.expired()
 
 
+class DialTurns:
+    """Lets few handshakes go on at once.
+
+    If all began at once on a busy host, each would take as long as all of them,
+    and what times out has to be done again. A handshake with a host that doesn't
+    respond must not keep others waiting, so each counts only for a while.
+
+    Args:
+        max_open: Maximum number of handshakes that count.
+        max_turn_s: How long a handshake counts at most, in seconds.
+    """
+
+    def __init__(self, *, max_open: int, max_turn_s: float) -> None:
+        self._turns = asyncio.Semaphore(max_open)
+        self._max_turn_s = max_turn_s
+
+    @contextlib.asynccontextmanager
+    async def turn(self) -> AsyncIterator[None]:
+        """Waits for a turn, which ends with the context or before."""
+        await self._turns.acquire()
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(self._max_turn_s, self._turns.release)
+        try:
+            yield
+        finally:
+            if timer.when() > loop.time():  # Else it has ended the turn.
+                timer.cancel()
+                self._turns.release()
+
+
 class DialBackoff:
     """Exponential backoff with jitter between dials.
 
@@ -72,7 +104,6 @@
         domain: ids.DomainId,
         *,
         failures: int,
-        extra_delay_s: float = 0.0,
     ) -> None:
         """Waits until a host may be dialled.
 
@@ -80,9 +111,8 @@
             host: Host to dial.
             domain: Failure domain of the host.
             failures: Number of consecutive failed dials.
-            extra_delay_s: Time in seconds that is added to the delay.
         """
-        delay_s = self._delay_s(failures) + extra_delay_s
+        delay_s = self._delay_s(failures)
         if not failures:
             await asyncio.sleep(delay_s)
             return
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -151,6 +151,13 @@
     ) -> None:
         self.assertIs(sender.links.send(receiver.name, message), QUEUED)
 
+    async def open_connection(self, host: Host) -> None:
+        """Opens a connection to a host, and sends nothing on it."""
+        connection = await websockets.asyncio.client.connect(
+            f"ws://{host.address}/", proxy=None
+        )
+        self.addAsyncCleanup(connection.close)
+
     async def relay_to(self, target: str) -> relay.Relay:
         proxy = await relay.Relay(target).start()
         self.addAsyncCleanup(proxy.close)
@@ -194,6 +201,50 @@
             self.assertEqual(len(host.links.linked), 2)
             self.assertEqual(host.link_up_count() - host.link_down_count(), 2)
 
+    async def test_hosts_that_are_busy_with_links_dial_each_other_twice(
+        self,
+    ) -> None:
+        # A connection that isn't authenticated yet shows that others dial.
+        low, high = await self.host("a"), await self.host("b")
+        await self.open_connection(high)
+        await wait_until(lambda: high.links._incoming_dials.open_handshakes)
+        high.list_host(low)
+        await asyncio.sleep(4 * LIMITS.higher_id_delay_s)
+        self.assertEqual(low.links.linked, {})
+
+    async def test_wait_for_the_dial_of_the_lower_id_is_bounded(self) -> None:
+        limits = msgspec.structs.replace(
+            LIMITS, handshake_timeout_s=WAIT_S, max_peer_dial_wait_s=0.1
+        )
+        low = await self.host("a", limits=limits)
+        high = await self.host("b", limits=limits)
+        await self.open_connection(high)
+        high.list_host(low)
+        await wait_until(lambda: low.links.linked and high.links.linked)
+
+    async def test_a_link_does_not_shorten_the_delay_of_the_higher_id(
+        self,
+    ) -> None:
+        limits = msgspec.structs.replace(
+            LIMITS, higher_id_delay_s=WAIT_S, max_peer_dial_wait_s=WAIT_S
+        )
+        low, other = await self.host("a"), await self.host("c")
+        high = await self.host("b", limits=limits)
+        high.list_host(low)
+        other.list_host(high)
+        high.links.update_hosts(
+            model.HostEntry(
+                host.name,
+                ids.DomainId("d"),
+                ids.Incarnation("1"),
+                host.address,
+            )
+            for host in (low, other)
+        )
+        await wait_until(lambda: other.name in high.links.linked)
+        await asyncio.sleep(4 * LIMITS.min_backoff_s)
+        self.assertEqual(low.links.linked, {})
+
     async def test_link_dialled_by_the_lower_id_replaces_the_other(
         self,
     ) -> None:
