Leader: takes only the jobs that its processor can order in time

What callers saw: jobs were taken in, ordered too late and failed up to 1.5 s later; twice the load that a small host can lead, and next to nothing was served. Cause: admission counts the room of upstreams, and nothing counts the leader's processor. Late orders time out, are stopped, listed and ordered again, links look silent, and the leader does more the less it gets done. Change: a tick tells by how much it is late, as every event then is. While even the promptest of four is later than a quarter of what the callers' targets add to run times (a job passes the event loop four times), a growing share of the new jobs is refused as they arrive, of all routes alike; relays are used, and other leaders see no free slots. Event leader_behind, reason leader_behind, summary leader_late_seconds, gauges leader_sent_away_share and processor_seconds.

--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -25,6 +25,7 @@
 from godwitnotch.core.leased import owners
 from godwitnotch.core.leased import peer_messages
 from godwitnotch.core.leased import placement as placement_module
+from godwitnotch.core.leased import processor_load
 from godwitnotch.core.leased import queue_pass
 from godwitnotch.core.leased import run_outcomes
 from godwitnotch.core.leased import run_spread
@@ -98,6 +99,7 @@
             self._times, self._health
         )
         self._spread = run_spread.RunSpread()
+        self._processor = processor_load.ProcessorLoad()
         self._outcomes = run_outcomes.RunOutcomes(
             out, self._times, self._health, self._task_records, self._spread
         )
@@ -121,6 +123,7 @@
             self._meter,
             self._lease_manager,
             overflow=self._overflow,
+            processor=self._processor,
             suitability=suitability,
             least_slowness=self._least_slowness,
             evacuations=evacuations,
@@ -183,6 +186,11 @@
         """The loads of the other cells."""
         return self._overflow
 
+    @property
+    def processor(self) -> processor_load.ProcessorLoad:
+        """How far this leader's processor is behind."""
+        return self._processor
+
     @property
     def explainer(self) -> job_explainer.JobExplainer:
         """Reports where a job would go, without an effect."""
@@ -214,6 +222,7 @@
         """Starts to lead; the given hosts will hand over their open jobs."""
         self.stop_leading(now=now)
         self._leading = True
+        self._processor.reset()
         self._admission.start_leading(now=now)
         self._owners.await_hosts(hosts, now=now)
         self._lease_manager.start_leading(term, upstreams, now=now)
@@ -335,10 +344,19 @@
         self._placement_due = True
         self.place_waiting(now=now)
 
-    def tick(self, *, now: float) -> None:
-        """Handles what has become due, and starts waiting tasks."""
+    def tick(self, *, now: float, late_s: float = 0.0) -> None:
+        """Handles what has become due, and starts waiting tasks.
+
+        Args:
+            now: The current time.
+            late_s: How long after its time the tick is handled.
+        """
         if not self._leading:
             return
+        self._processor.ticked(late_s, now=now)
+        report = self._processor.take_report(now=now)
+        if report is not None:
+            self._out.add_decision("leader_behind", detail=report.pairs())
         if self._owners.all_handed_over(now=now):
             self._lease_manager.end_claim_period(now=now)
         self._lease_manager.tick(now=now)
@@ -577,12 +595,15 @@
         self._placement_due = True
         if not job.started:
             self._meter.job_added(job, now=now)
+            self._processor.job_arrived(request.settings)
         return job
 
     def cell_load(self, *, now: float) -> cell_load.CellLoad:
         """Returns the load of this leader's upstreams, for other leaders."""
         load = self._meter.load(now=now)
-        return cell_load.CellLoad(load.slots, load.free_slots, load.waiting_ms)
+        return self._processor.with_wait(
+            cell_load.CellLoad(load.slots, load.free_slots, load.waiting_ms)
+        )
 
     def _accepting_leases(self, *, now: float) -> list[lease_module.Lease]:
         """Returns the leases that accept runs, the fastest upstream first."""
--- a/godwitnotch/core/leased/events.py
+++ b/godwitnotch/core/leased/events.py
@@ -108,7 +108,13 @@
 
 
 class Ticked(msgspec.Struct, frozen=True):
-    """The regular timer of the runtime has fired."""
+    """The regular timer of the runtime has fired.
+
+    Attributes:
+        late_s: How long after its time the event is handled.
+    """
+
+    late_s: float = 0.0
 
 
 Event = (
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -205,6 +205,11 @@
         """How many jobs have not had a run; 0 unless this host leads."""
         return self._dispatcher.waiting_jobs
 
+    @property
+    def sent_away_share(self) -> float:
+        """Share of new jobs that this leader's processor has no time for."""
+        return self._dispatcher.processor.share
+
     @property
     def relays(self) -> order_relays.OrderRelays:
         """The hosts that send this leader's calls."""
@@ -636,7 +641,7 @@
         host._division.hold_upstreams(now=now)
     host._division.update_adopted(now=now)
     host._relaying.tick(now=now)
-    host._dispatcher.tick(now=now)
+    host._dispatcher.tick(now=now, late_s=event.late_s)
     if host.leads:
         if host._fleet.divided:
             host._updates.send_load(
--- a/godwitnotch/core/leased/job_admission.py
+++ b/godwitnotch/core/leased/job_admission.py
@@ -19,6 +19,7 @@
 from godwitnotch.core.leased import load_meter
 from godwitnotch.core.leased import model
 from godwitnotch.core.leased import overflow as overflow_module
+from godwitnotch.core.leased import processor_load
 from godwitnotch.core.leased import retry_times
 from godwitnotch.core.leased import shares as shares_module
 from godwitnotch.core.leased import useless_jobs
@@ -101,6 +102,7 @@
         meter: Measures the leader's load.
         leases: The leases on the upstreams.
         overflow: The loads of the other cells.
+        processor: How far this leader's processor is behind.
         suitability: Tells how long a job's tasks take in each cell.
         least_slowness: Returns the slowness of the fastest upstream that
             accepts runs; 0 if there is none.
@@ -115,6 +117,7 @@
         leases: lease_manager_module.LeaseManager,
         *,
         overflow: overflow_module.Overflow,
+        processor: processor_load.ProcessorLoad,
         suitability: Callable[[model.JobRequest], overflow_module.Suitability],
         least_slowness: Callable[[float], float],
         evacuations: evacuation.Evacuations,
@@ -124,6 +127,7 @@
         self._meter = meter
         self._leases = leases
         self._overflow = overflow
+        self._processor = processor
         self._suitability = suitability
         self._least_slowness = least_slowness
         self._evacuations = evacuations
@@ -170,8 +174,27 @@
             leader = self._find_sooner_leader(job, now=now)
             if leader is not None:
                 return Moved(leader)
+        if not job.rechecked and not self._processor.takes(job.name):
+            return self._leader_behind(job, now=now)
         return self._check_load(job, now=now)
 
+    def _leader_behind(self, job: jobs.LeasedJob, *, now: float) -> Ended:
+        """Refuses a job, as this leader's processor is behind."""
+        wait_s = admission.MIN_RETRY_AFTER_S + self._processor.wait_s
+        answer = model.Answer(
+            model.JobEnd.REFUSED,
+            model.EndReason.OVERLOADED,
+            retry_times.spread(wait_s, job.name),
+        )
+        return Ended(
+            answer,
+            "job_refused",
+            f"route={job.request.settings.route} "
+            f"share={self._processor.share:.2f} "
+            f"late_ms={self._processor.late_s * 1_000:.0f}",
+            "leader_behind",
+        )
+
     def check_open(self, job: jobs.LeasedJob, *, now: float) -> Verdict:
         """Decides again about a job that has not ended."""
         verdict = self.check_deadline(job, now=now)
@@ -307,8 +330,10 @@
         if not self._overflow.any_known:
             return None
         load = self._meter.load(now=now)
-        own = cell_load.CellLoad(
-            load.slots, load.free_slots, self._queue.ahead_ms(job, now=now)
+        own = self._processor.with_wait(
+            cell_load.CellLoad(
+                load.slots, load.free_slots, self._queue.ahead_ms(job, now=now)
+            )
         )
         return self._overflow.choose(
             job, own, self._suitability(job.request), now=now
--- a/godwitnotch/core/leased/order_relays.py
+++ b/godwitnotch/core/leased/order_relays.py
@@ -138,12 +138,17 @@
         self._rate.add(now=now)
 
     def update(
-        self, candidates: Callable[[], Sequence[Candidate]], *, now: float
+        self,
+        candidates: Callable[[], Sequence[Candidate]],
+        *,
+        behind: bool = False,
+        now: float,
     ) -> Switch | None:
         """Begins or ends the use of relays; called regularly by a leader.
 
         Args:
             candidates: Returns the hosts that may relay now.
+            behind: Whether this leader handles events late, whatever the rate.
             now: The current time.
 
         Returns:
@@ -152,7 +157,7 @@
         forecast = self._rate.forecast(FORECAST_S, now=now)
         was_active = self.active
         limit = self._stop_limit if was_active else self._start_limit
-        if forecast > limit:
+        if forecast > limit or behind:
             self._active_until = now + MIN_ACTIVE_S
         self.active = now < self._active_until
         if self.active:
--- a/godwitnotch/core/leased/relaying.py
+++ b/godwitnotch/core/leased/relaying.py
@@ -71,7 +71,11 @@
             return
         for lost in self._relays.take_overdue(now=now):
             self._dispatcher.lease_manager.order_unanswered(lost, now=now)
-        switch = self._relays.update(self._leadership.relay_candidates, now=now)
+        switch = self._relays.update(
+            self._leadership.relay_candidates,
+            behind=self._dispatcher.processor.behind,
+            now=now,
+        )
         if switch is not None:
             event = "relays_started" if switch.active else "relays_ended"
             self._out.add_decision(event, detail=switch.pairs())
--- a/godwitnotch/leased_metrics.py
+++ b/godwitnotch/leased_metrics.py
@@ -9,6 +9,7 @@
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 MAX_LATENCY_S = 600
+MAX_TICK_LATE_S = 60
 MAX_EVENT_SERIES = 400
 MAX_ROUTE_SERIES = 2_000
 
@@ -25,6 +26,9 @@
         self._latency = latency.LatencySummary(
             f"{_PREFIX}_job_seconds", max_s=MAX_LATENCY_S
         )
+        self._ticks_late = latency.LatencySummary(
+            f"{_PREFIX}_leader_late_seconds", max_s=MAX_TICK_LATE_S
+        )
 
     def count_event(self, event: str, reason: str) -> None:
         """Counts a log event; ignores new series beyond the maximum."""
@@ -48,6 +52,10 @@
         self._answers[answer.end, answer.reason] += 1
         self._latency.record(latency_s)
 
+    def record_leader_tick(self, late_s: float) -> None:
+        """Records by how much a leader's tick, as all its events, is late."""
+        self._ticks_late.record(late_s)
+
     def render(self, gauges: Iterable[tuple[str, float]]) -> bytes:
         """Renders all metrics and the given gauges."""
         lines = [
@@ -55,6 +63,7 @@
             *self._event_lines(),
             *self._route_lines(),
             *self._latency.lines(),
+            *self._ticks_late.lines(),
         ]
         for name, value in gauges:
             lines.append(f"# TYPE {_PREFIX}_{name} gauge")
--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -150,6 +150,7 @@
             order_client=self._order_client,
             on_decided=self._record_decision,
             on_fault=self._record_fault,
+            on_leader_tick=self._metrics.record_leader_tick,
         )
         self._store_client = http_client.HttpClient(
             max_idle_s=5.0, connect_timeout_s=0.5
@@ -376,6 +377,8 @@
             ("leads", float(self._core.leads)),
             ("open_jobs", float(self._core.open_jobs)),
             ("waiting_jobs", float(self._core.waiting_jobs)),
+            ("leader_sent_away_share", self._core.sent_away_share),
+            ("processor_seconds", time.process_time()),
             ("passed_by_jobs", float(queue.passed_by_count)),
             ("unfit_free_cores", queue.unfit_cpu_millis / 1_000),
             ("faster_wait_jobs", float(queue.faster_wait_count)),
--- a/godwitnotch/net/leased_runtime.py
+++ b/godwitnotch/net/leased_runtime.py
@@ -50,6 +50,8 @@
         on_decided: Called with decisions for the log and the counters.
         on_fault: Called with a description of the operation and its unexpected
             exception.
+        on_leader_tick: Called with the seconds by which a tick is late, while
+            this host leads.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         order_client: leased_calls.OrderClient,
         on_decided: OnDecided,
         on_fault: OnFault,
+        on_leader_tick: Callable[[float], None] = lambda late_s: None,
     ) -> None:
         self._core = core
         self._identity = identity
@@ -69,6 +72,7 @@
         self._order_queues = order_queues.OrderQueues(links.send)
         self._on_decided = on_decided
         self._on_fault = on_fault
+        self._on_leader_tick = on_leader_tick
         self._loop = asyncio.get_running_loop()
         self._call_ids = itertools.count(1)
         self._pending_answers: dict[
@@ -404,9 +408,14 @@
 
     def _tick(self) -> None:
         ticked_at = self._loop.time()
+        late_s = 0.0
+        if self._timer is not None:
+            late_s = max(0.0, ticked_at - self._timer.when())
+        if self._core.leads:
+            self._on_leader_tick(late_s)
         # First, so that no fault can end the ticks.
         self._schedule_tick(ticked_at + TICK_INTERVAL_S)
-        self.feed(events.Ticked())
+        self.feed(events.Ticked(late_s))
         if self._core.idle:
             self._schedule_tick(ticked_at + IDLE_TICK_INTERVAL_S)
         if self._loop.time() >= self._next_watched_update_at:
