Log: lines that the rate limit drops cost no record

Cause: the limit is a filter of the handler, which gets finished records. Change: decisions ask the limit first; what no line shows (thread, process, source file) isn't looked up, as the library's manual proposes.

--- a/godwitnotch/log.py
+++ b/godwitnotch/log.py
@@ -52,11 +52,14 @@
         max_lines_per_window: Maximum number of lines of each log event in a
             window of `RATE_WINDOW_S` seconds.
     """
+    global _rate_filter
+    _skip_unused_record_fields()
+    _rate_filter = RateFilter(
+        clock=clock, max_lines_per_window=max_lines_per_window
+    )
     handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(_LineFormatter())
-    handler.addFilter(
-        RateFilter(clock=clock, max_lines_per_window=max_lines_per_window)
-    )
+    handler.addFilter(_rate_filter)
     for old in tuple(logger.handlers):
         logger.removeHandler(old)
     logger.addHandler(handler)
@@ -64,6 +67,14 @@
     set_level(level)
 
 
+def _skip_unused_record_fields() -> None:
+    """Saves what `logging` looks up for fields that no line shows."""
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
+    logging._srcfile = None
+
+
 def set_level(level: str) -> None:
     """Sets the lowest level that is logged.
 
@@ -113,6 +124,10 @@
     """Logs a decision about a leased run or a request."""
     if not logger.isEnabledFor(logging.INFO):
         return
+    # At a peak most of these lines are dropped, so that is found out first.
+    dropped = _rate_filter.admit(entry.event) if _rate_filter else 0
+    if dropped is None:
+        return
     parts = []
     if entry.job:
         parts.append(f"job={format_value(entry.job)}")
@@ -120,7 +135,9 @@
         parts.append(f"reason={entry.reason}")
     if entry.detail:
         parts.append(entry.detail.replace("\n", " "))
-    logger.info(" ".join(parts), extra={"event": entry.event})
+    logger.info(
+        " ".join(parts), extra={"event": entry.event, "dropped": dropped}
+    )
 
 
 def is_routine(line: str) -> bool:
@@ -204,21 +221,34 @@
 
     def filter(self, record: logging.LogRecord) -> bool:
         """Returns whether to write the record."""
-        name = getattr(record, "event", record.name)
+        if hasattr(record, "dropped"):
+            return True  # Its line was admitted before.
+        dropped = self.admit(getattr(record, "event", record.name))
+        record.dropped = dropped
+        return dropped is not None
+
+    def admit(self, name: str) -> int | None:
+        """Counts a line of a log event.
+
+        Returns:
+            None to drop the line; else how many lines of the event were dropped
+            in its last window, if this is the first line after that, or 0.
+        """
+        dropped = 0
         now = self._clock()
         window = self._windows.get(name)
         if window is None or now - window.started_at >= RATE_WINDOW_S:
-            record.dropped = window.dropped if window else 0
+            dropped = window.dropped if window else 0
             window = self._windows[name] = _Window(now)
         self._windows.move_to_end(name)
         if len(self._windows) > MAX_TRACKED_EVENTS:
             self._windows.popitem(last=False)
         window.lines += 1
         if window.lines <= self._max_lines_per_window:
-            return True
+            return dropped
         window.dropped += 1
         self.dropped_lines += 1
-        return False
+        return None
 
     def take_dropped(self) -> dict[str, int]:
         """Returns how many lines were dropped in windows that are over.
@@ -236,6 +266,10 @@
         return taken
 
 
+# Of the handler that `configure` has set; None before.
+_rate_filter: RateFilter | None = None
+
+
 class _LineFormatter(logging.Formatter):
     """Formats a record as one line of key=value pairs."""
 
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -8,6 +8,7 @@
 from godwitnotch.core import actions
 from godwitnotch.core import ids
 from godwitnotch.core import model
+from godwitnotch.core.leased import actions as leased_actions
 
 
 class LogTest(unittest.TestCase):
@@ -48,6 +49,23 @@
             line.endswith("event=refused submission=a.b reason=queue_full n=1")
         )
 
+    def test_lines_of_decisions_cost_records_although_they_are_dropped(
+        self,
+    ) -> None:
+        made = []
+        factory = logging.getLogRecordFactory()
+        self.addCleanup(logging.setLogRecordFactory, factory)
+        logging.setLogRecordFactory(
+            lambda *args, **kwargs: made.append(1) or factory(*args, **kwargs)
+        )
+        for _ in range(log.MAX_LINES_PER_WINDOW + 7):
+            log.decision(leased_actions.Decided("run_ended"))
+        self.assertEqual(len(made), log.MAX_LINES_PER_WINDOW)
+        self.now = log.RATE_WINDOW_S
+        log.decision(leased_actions.Decided("run_ended"))
+        self.assertTrue(self.lines()[-1].endswith(" dropped=7"))
+        self.assertEqual(log.dropped_lines(), 7)
+
     def test_repeated_events_are_rate_limited_and_drops_are_counted(
         self,
     ) -> None:
