Leader: runs aren't overdue while the leader is late to learn of their ends

What callers saw: on busy small hosts one start in ten was stopped and its task run again elsewhere, which cost calls and made jobs later. Cause: a run counts as overdue by the time at which the leader looks, but it knows of ends only as of the events that it has handled. Change: the time by which the latest of the last ticks was late doesn't count. Also: the share of jobs sent away falls as fast as it grows, since jobs were refused for a second after a leader had caught up (late_ms=1, share=0.74).

--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -639,6 +639,7 @@
         overdue = self._overdue.find(
             self._lease_manager.leases.values(),
             self._accepting_leases(now=now),
+            late_s=self._processor.longest_late_s,
             now=now,
         )
         for overdue_run in overdue:
--- a/godwitnotch/core/leased/overdue_runs.py
+++ b/godwitnotch/core/leased/overdue_runs.py
@@ -54,6 +54,7 @@
         leases: Iterable[lease_module.Lease],
         accepting_leases: list[lease_module.Lease],
         *,
+        late_s: float = 0.0,
         now: float,
     ) -> list[OverdueRun]:
         """Returns the overdue runs whose tasks can run elsewhere now.
@@ -64,13 +65,18 @@
         Args:
             leases: All leases.
             accepting_leases: Leases that accept runs, the fastest first.
+            late_s: How late this host handles events. A run may have ended that
+                long ago without its knowing.
             now: The current time.
         """
+        known_until = now - late_s
         all_leases = tuple(leases)
         found = []
         for lease in all_leases:
             for run in lease.runs.values():
-                overdue = self._check_run(lease, run, all_leases, now=now)
+                overdue = self._check_run(
+                    lease, run, all_leases, now=now, known_until=known_until
+                )
                 if overdue is not None and self._exclude_upstream(
                     overdue, accepting_leases, now=now
                 ):
@@ -84,12 +90,13 @@
         leases: Iterable[lease_module.Lease],
         *,
         now: float,
+        known_until: float,
     ) -> OverdueRun | None:
         """Returns the run if it is overdue; raises its upstream's slowness."""
         job = run.job
         if job is None or run.state is not RunState.RUNNING:
             return None
-        running_s = now - run.ordered_at
+        running_s = known_until - run.ordered_at
         expected_s = run.expected_s
         if job.base_ms_measured:
             expected_s = self._placement.expected_ms(job, lease) / 1_000
@@ -101,7 +108,7 @@
         if running_s < limit_s:
             return None
         if not job.base_ms_measured and _others_run_as_long(
-            lease, run, leases, running_s, now=now
+            lease, run, leases, running_s, now=known_until
         ):
             return None
         self._times.run_overdue(
--- a/godwitnotch/core/leased/processor_load.py
+++ b/godwitnotch/core/leased/processor_load.py
@@ -22,9 +22,9 @@
 # One late tick may be a batch of events; a backlog makes all of them late.
 TICKS_TO_JUDGE = 4
 MAX_AGE_S = 1.0  # Of the ticks that are judged.
-# While the backlog is twice what it may be, the share grows by this a second.
-GROWTH_PER_S = 2.0
-MAX_DECLINE_PER_S = 0.5
+# While the backlog is twice what it may be, the share grows by this a second, and
+# without any backlog it falls as fast.
+CHANGE_PER_S = 2.0
 MAX_EXCESS = 2.0
 # Some jobs are always taken, so that the leader learns when it has caught up.
 MAX_SHARE = 0.95
@@ -76,6 +76,11 @@
             return 0.0
         return min(late_s for _, late_s in self._ticks)
 
+    @property
+    def longest_late_s(self) -> float:
+        """By how much the latest of the last ticks was late."""
+        return max((late_s for _, late_s in self._ticks), default=0.0)
+
     @property
     def allowed_s(self) -> float:
         """How late events may be: then jobs use up what targets add to runs."""
@@ -103,9 +108,7 @@
         elapsed_s = now - self._ticks[-1][0] if self._ticks else 0.0
         self._ticks.append((now, late_s))
         excess = self.late_s / self.allowed_s - 1
-        change_per_s = max(
-            -MAX_DECLINE_PER_S, GROWTH_PER_S * min(excess, MAX_EXCESS)
-        )
+        change_per_s = CHANGE_PER_S * min(excess, MAX_EXCESS)
         changed = self.share + change_per_s * elapsed_s
         self.share = min(MAX_SHARE, max(0.0, changed))
 
