Links: a message of an unknown kind is passed over and costs no link

A host that gets a message of a newer build's kind closed the link as bad_message, so that no kind could be added without cutting the two builds off from each other. It is now passed over, and logged once for each peer and kind. test_messages_of_a_newer_build_close_the_link failed before: the link was closed.

--- a/godwitnotch/net/peer_link.py
+++ b/godwitnotch/net/peer_link.py
@@ -9,6 +9,8 @@
 import websockets
 import websockets.asyncio.connection
 from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
 
 from godwitnotch.core import events
 from godwitnotch.core import ids
@@ -18,6 +20,7 @@
 from godwitnotch.net import link_limits
 
 _MAX_MISSED_HEARTBEATS = 3
+_UNKNOWN_KIND = codec.CodecProblem.UNKNOWN_KIND
 
 Connection = websockets.asyncio.connection.Connection
 OnEvent = Callable[[events.LinkEvent], None]
@@ -60,6 +63,8 @@
         dialler: The host that opened the connection.
         heartbeat: Returns the heartbeat to send.
         on_event: Called with the received messages.
+        on_unknown_message: Called with the kind of a message that this build
+            doesn't know; it is passed over, as a newer build may send it.
         limits: Timeouts and limits.
 
     Attributes:
@@ -76,6 +81,7 @@
         dialler: ids.HostId,
         heartbeat: Callable[[], messages.Heartbeat],
         on_event: OnEvent,
+        on_unknown_message: Callable[[str], None],
         limits: link_limits.PeerLimits,
     ) -> None:
         self.hello = hello
@@ -84,6 +90,7 @@
         self._connection = connection
         self._heartbeat = heartbeat
         self._on_event = on_event
+        self._on_unknown_message = on_unknown_message
         self._limits = limits
         self._queue = _SendQueue()
         self._end_reason: asyncio.Future[LinkEndReason] = (
@@ -96,7 +103,9 @@
         # Most heartbeats on a link equal the one before, sent and received.
         self._sent_heartbeat: messages.Heartbeat | None = None
         self._sent_heartbeat_data = b""
-        self._received_heartbeat: messages.Heartbeat | None = None
+        self._received_heartbeat: (
+            Result[messages.LinkMessage, codec.CodecError] | None
+        ) = None
         self._received_heartbeat_data = b""
         self._unanswered_since: float | None = None
 
@@ -239,26 +248,31 @@
         loop = asyncio.get_running_loop()
         while True:
             data = await self._connection.recv(decode=False)
-            message = self._decode(data)
+            result = self._decode(data)
             if self._end_reason.done():
                 return LinkEndReason.CLOSED
-            if message is None:
-                return LinkEndReason.BAD_MESSAGE
+            if isinstance(result, Failure):
+                if result.failure().problem is not _UNKNOWN_KIND:
+                    return LinkEndReason.BAD_MESSAGE
+                self._on_unknown_message(result.failure().detail)
             self.record_received(now=loop.time())
-            self._handle_message(message)
+            if isinstance(result, Success):
+                self._handle_message(result.unwrap())
 
-    def _decode(self, data: bytes) -> messages.LinkMessage | None:
-        """Returns a received message; None if it is malformed."""
+    def _decode(
+        self, data: bytes
+    ) -> Result[messages.LinkMessage, codec.CodecError]:
+        """Returns a received message, or why it can't be read."""
         if data == self._received_heartbeat_data:
+            assert self._received_heartbeat is not None
             return self._received_heartbeat
         result = codec.MESSAGES.decode(data)
-        if isinstance(result, Failure):
-            return None
-        message = result.unwrap()
-        if isinstance(message, messages.Heartbeat):
-            self._received_heartbeat = message
+        if isinstance(result, Success) and isinstance(
+            result.unwrap(), messages.Heartbeat
+        ):
+            self._received_heartbeat = result
             self._received_heartbeat_data = data
-        return message
+        return result
 
     def _handle_message(self, message: messages.LinkMessage) -> None:
         if isinstance(message, messages.Heartbeat):
--- a/godwitnotch/net/peer_links.py
+++ b/godwitnotch/net/peer_links.py
@@ -49,6 +49,7 @@
     }
 )
 _MAX_HANDSHAKE_BYTES = 4_096
+_MAX_UNKNOWN_KINDS = 1_000  # Of all peers together.
 # A message that has arrived is read after a few passes of the event loop.
 _PASSES_TO_READ = 10
 
@@ -106,6 +107,7 @@
         self._next_background_probe_at = 0.0
         self._told: messages.Heartbeat | None = None
         self._dial_tasks: dict[ids.HostId, asyncio.Task[None]] = {}
+        self._unknown_kinds: set[tuple[ids.HostId, str]] = set()
         self._closing = False
         self._monitor_task: asyncio.Task[None] | None = None
 
@@ -458,6 +460,9 @@
             dialler=dialler,
             heartbeat=self._heartbeat,
             on_event=self._on_event,
+            on_unknown_message=functools.partial(
+                self._note_unknown_message, hello.host
+            ),
             limits=self._limits,
         )
         self._links[hello.host] = link
@@ -474,6 +479,17 @@
                 del self._links[hello.host]
                 self._on_event(events.PeerDown(hello.host))
 
+    def _note_unknown_message(self, host: ids.HostId, kind: str) -> None:
+        """Logs the first message of a kind that a newer build sends."""
+        first = (host, kind) not in self._unknown_kinds
+        if first and len(self._unknown_kinds) < _MAX_UNKNOWN_KINDS:
+            self._unknown_kinds.add((host, kind))
+            self._on_note(
+                actions.Note(
+                    "peer_message_unknown", detail=f"peer={host} kind={kind}"
+                )
+            )
+
     def _record_end(
         self, reason: peer_link.LinkEndReason, host: ids.HostId | None
     ) -> None:
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -6,6 +6,7 @@
 import unittest
 from collections.abc import Callable
 
+import cbor2
 import msgspec
 import websockets
 import websockets.asyncio.client
@@ -397,6 +398,19 @@
             )
         self.assertEqual(host.link_up_count(), 0)
 
+    async def test_messages_of_a_newer_build_close_the_link(self) -> None:
+        low, high = await self.host("a"), await self.host("b")
+        low.list_host(high)
+        await wait_until(lambda: low.links.linked and high.links.linked)
+        link = low.links._links[high.name]
+        version = messages.PROTOCOL_VERSION
+        for _ in range(3):
+            link._push(cbor2.dumps([version, "of_next_year", [1]]))
+        self.send(low, high, messages.ConfigChanged(1))
+        await wait_until(lambda: high.received(messages.ConfigChanged))
+        self.assertEqual(high.note_count("peer_message_unknown"), 1)
+        self.assertEqual(high.link_down_count(), 0)
+
     async def test_large_message_before_authentication_is_rejected(
         self,
     ) -> None:
