--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -44,6 +44,7 @@
         port_step: Added to its ports after a change of ports.
         suspended_s: Time that its steady clock has not counted.
         ahead_s: How far its time of day is ahead.
+        root: Checkout of the build that it runs.
     """
 
     domain: str
@@ -53,6 +54,7 @@
     ahead_s: float
     port_step: int = 0
     suspended_s: float = 0.0
+    root: pathlib.Path = processes.ROOT
 
     @property
     def clock_file(self) -> pathlib.Path:
@@ -202,7 +204,7 @@
             host_process.DEFECT_VARIABLE: self._defect,
         }
         await host.process.start(
-            "tests.soak.host_process", environment=environment
+            "tests.soak.host_process", environment=environment, root=host.root
         )
 
     async def start_group(self, group: UpstreamGroup) -> None:
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -41,9 +41,18 @@
         return self._child.pid
 
     async def start(
-        self, *arguments: str, environment: Mapping[str, str] | None = None
+        self,
+        *arguments: str,
+        environment: Mapping[str, str] | None = None,
+        root: pathlib.Path = ROOT,
     ) -> None:
-        """Starts `python -m ARGUMENTS`; its output goes to the log."""
+        """Starts `python -m ARGUMENTS`; its output goes to the log.
+
+        Args:
+            arguments: A module and its arguments.
+            environment: Variables that are added.
+            root: Checkout of the build that runs.
+        """
         self._pauses = 0
         with self.log.open("ab") as output:
             self._log_bytes = output.tell()
@@ -54,7 +63,7 @@
                 stdin=asyncio.subprocess.PIPE,
                 stdout=output,
                 stderr=output,
-                cwd=ROOT,
+                cwd=root,
                 env={**os.environ, **(environment or {})},
             )
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -113,14 +113,14 @@
         load.start()
         await asyncio.sleep(options.warm_s)
         await faults.run(planned)
-        recovered = await _recovers(load)
+        recovered = await recovers(load)
         await load.stop()
     finally:
         await fleet.close()
-    return _check(fleet, load, faults, recovered=recovered)
+    return check(fleet, load, faults, recovered=recovered)
 
 
-async def _recovers(load: load_module.Load) -> bool:
+async def recovers(load: load_module.Load) -> bool:
     """Waits until jobs complete; returns whether they do in time."""
     since = time.monotonic()
     while load.completed_since(since) < RECOVERY_JOBS:
@@ -130,13 +130,14 @@
     return True
 
 
-def _check(
+def check(
     fleet: fleet_module.Fleet,
     load: load_module.Load,
     faults: faults_module.Faults,
     *,
     recovered: bool,
 ) -> Result:
+    """Returns what a run has shown, by the records of callers and upstreams."""
     records = checker.read_records(fleet.records)
     ended = {
         pid: at
