--- a/godwitnotch/net/link_limits.py
+++ b/godwitnotch/net/link_limits.py
@@ -12,7 +12,7 @@
         max_heartbeats_per_s: Maximum rate of heartbeats over all links. With
             many links, the interval on each link grows.
         max_background_heartbeats_per_s: Maximum rate of heartbeats over all
-            background links, see `PeerLinks.set_watched`.
+            background links, see `link_monitor`.
         background_probe_interval_s: Minimum time between two probes of all
             background links while a watched host is overdue.
         silence_timeout_s: A link is closed if the peer sends no message for
--- a/godwitnotch/net/peer_links.py
+++ b/godwitnotch/net/peer_links.py
@@ -28,6 +28,7 @@
 from godwitnotch.core import random_source
 from godwitnotch.net import incoming_dials
 from godwitnotch.net import link_limits
+from godwitnotch.net import link_monitor
 from godwitnotch.net import peer_auth
 from godwitnotch.net import peer_link
 from godwitnotch.net import redial
@@ -50,10 +51,8 @@
 )
 _MAX_HANDSHAKE_BYTES = 4_096
 _MAX_UNKNOWN_KINDS = 1_000  # Of all peers together.
-# A message that has arrived is read after a few passes of the event loop.
-_PASSES_TO_READ = 10
 
-OnNote = Callable[[actions.Note], None]
+OnNote = link_monitor.OnNote
 
 
 class PeerLinks:
@@ -103,12 +102,15 @@
         self._server: websockets.asyncio.server.Server | None = None
         self._links: dict[ids.HostId, peer_link.PeerLink] = {}
         self._listed_hosts: dict[ids.HostId, model.HostEntry] = {}
-        self._watched: frozenset[ids.HostId] | None = None
-        self._next_background_probe_at = 0.0
-        self._told: messages.Heartbeat | None = None
         self._dial_tasks: dict[ids.HostId, asyncio.Task[None]] = {}
         self._unknown_kinds: set[tuple[ids.HostId, str]] = set()
         self._closing = False
+        self._monitor = link_monitor.LinkMonitor(
+            self._links,
+            heartbeat=heartbeat,
+            on_note=on_note,
+            limits=self._limits,
+        )
         self._monitor_task: asyncio.Task[None] | None = None
 
     @property
@@ -118,7 +120,7 @@
 
     async def start(self, listener: socket.socket) -> None:
         """Accepts links on a listening socket and starts to monitor them."""
-        self._monitor_task = asyncio.create_task(self._monitor_links())
+        self._monitor_task = asyncio.create_task(self._monitor.run())
         self._server = await websockets.asyncio.server.serve(
             self._handle_connection,
             sock=listener,
@@ -147,14 +149,8 @@
                 )
 
     def set_watched(self, hosts: frozenset[ids.HostId] | None) -> None:
-        """Sets the hosts whose loss must be noticed soon; None for all.
-
-        The other links are background links: they get fewer heartbeats, so that
-        the cost of a host doesn't grow with the number of hosts. A message to
-        such a host that isn't answered still shows its loss, and while a watched
-        host is overdue, all are asked whether they are there.
-        """
-        self._watched = hosts
+        """Sets the hosts whose loss must be noticed soon; None for all."""
+        self._monitor.watched = hosts
 
     def send(
         self, host: ids.HostId, message: messages.LinkMessage
@@ -181,86 +177,6 @@
             self._server.close()
             await self._server.wait_closed()
 
-    async def _monitor_links(self) -> None:
-        """Sends heartbeats and closes silent links."""
-        loop = asyncio.get_running_loop()
-        limits = self._limits
-        last_check_at = loop.time()
-        while True:
-            await asyncio.sleep(limits.heartbeat_interval_s)
-            if loop.time() - last_check_at > 2 * limits.heartbeat_interval_s:
-                await _read_waiting_messages()
-            now = loop.time()
-            last_check_at = now
-            interval_s = max(
-                limits.heartbeat_interval_s,
-                len(self._links) / limits.max_heartbeats_per_s,
-            )
-            background_interval_s = self._background_interval_s(interval_s)
-            news = self._take_news()
-            watched_overdue = False
-            for link in list(self._links.values()):
-                watched = self._is_watched(link.hello.host)
-                link_interval_s = (
-                    interval_s if watched else background_interval_s
-                )
-                self._monitor_link(
-                    link,
-                    functools.partial(
-                        link.check, link_interval_s, now=now, news=news
-                    ),
-                )
-                watched_overdue |= watched and link.overdue(now=now)
-            if watched_overdue and self._watched is not None:
-                self._probe_background_links(now=now)
-
-    def _is_watched(self, host: ids.HostId) -> bool:
-        return self._watched is None or host in self._watched
-
-    def _background_interval_s(self, interval_s: float) -> float:
-        """Returns the interval between heartbeats on a background link."""
-        count = sum(not self._is_watched(host) for host in self._links)
-        rate = self._limits.max_background_heartbeats_per_s
-        return max(interval_s, count / rate)
-
-    def _take_news(self) -> bool:
-        """Returns whether this host's heartbeat has changed since the last call.
-
-        Peers learn of a newer configuration at once, also on background links.
-        """
-        try:
-            current = self._heartbeat()
-        except Exception:  # Noted for each link on which it can't be sent.
-            return False
-        changed = current != self._told
-        self._told = current
-        return changed
-
-    def _probe_background_links(self, *, now: float) -> None:
-        """Asks all background links for a reply, at most once in a while.
-
-        Hosts that were lost together with a watched one are thus noticed soon
-        after it, before they can mislead an election.
-        """
-        if now < self._next_background_probe_at:
-            return
-        self._next_background_probe_at = (
-            now + self._limits.background_probe_interval_s
-        )
-        for host, link in list(self._links.items()):
-            if not self._is_watched(host):
-                self._monitor_link(link, functools.partial(link.probe, now=now))
-
-    def _monitor_link(
-        self, link: peer_link.PeerLink, operation: Callable[[], None]
-    ) -> None:
-        """Checks or probes a link; a fault closes that link only."""
-        try:
-            operation()
-        except Exception:  # A fault on one link must not stop the others.
-            self._on_note(_note("peer_watch_fault", link.hello.host))
-            link.stop(peer_link.LinkEndReason.CLOSED)
-
     def _dial_finished(
         self, host: ids.HostId, task: asyncio.Task[None]
     ) -> None:
@@ -549,11 +465,5 @@
         return peer_link.LinkEndReason.HANDSHAKE_FAILED
 
 
-async def _read_waiting_messages() -> None:
-    """Lets all links read the messages that have arrived during a stall."""
-    for _ in range(_PASSES_TO_READ):
-        await asyncio.sleep(0)
-
-
 def _note(event: str, host: ids.HostId | None) -> actions.Note:
     return actions.Note(event, detail=f"peer={host}" if host else "")
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -520,7 +520,9 @@
         low, high, _ = await self.background_pair(BACKGROUND)
         working = low.heartbeat
         low.heartbeat = lambda: [][1]
-        low.links._probe_background_links(now=asyncio.get_running_loop().time())
+        low.links._monitor._probe_background_links(
+            now=asyncio.get_running_loop().time()
+        )
         self.assertEqual(low.note_count("peer_watch_fault"), 1)
         low.heartbeat = working
         await wait_until(lambda: low.link_up_count() == 2)
