--- a/godwitnotch/core/leased/processor_load.py
+++ b/godwitnotch/core/leased/processor_load.py
@@ -93,8 +93,13 @@
 
     @property
     def wait_s(self) -> float:
-        """How much later a job ends for the backlog of the processor."""
-        return PASSES_PER_JOB * self.late_s if self.behind else 0.0
+        """How much later a job ends for the backlog of the processor.
+
+        While jobs are sent away, the backlog is short only for that reason.
+        """
+        if not (self.behind or self.share):
+            return 0.0
+        return PASSES_PER_JOB * max(self.late_s, self.allowed_s)
 
     def reset(self) -> None:
         """Forgets all ticks, as this host starts to lead."""
@@ -127,9 +132,10 @@
     def with_wait(self, load: cell_load.CellLoad) -> cell_load.CellLoad:
         """Returns the load of a cell, with the wait for its leader's processor.
 
-        A leader that is behind can't use the free slots of its upstreams.
+        A leader that is behind can't use the free slots of its upstreams, so
+        others must not send it their jobs either.
         """
-        if not self.behind:
+        if not self.wait_s:
             return load
         wait_ms = self.wait_s * 1_000 * load.slots
         return cell_load.CellLoad(
--- a/tests/test_leased_busy_leader.py
+++ b/tests/test_leased_busy_leader.py
@@ -173,6 +173,14 @@
         self.tick(*[0.1] * 30)
         self.assertEqual(self.taken(), 1_000)
 
+    def test_jobs_move_to_a_leader_that_sends_its_own_away(self) -> None:
+        load = cell_load.CellLoad(10.0, 8.0, 0.0)
+        self.tick(*[0.1] * 8)
+        self.tick(*[0.0] * 4)
+        self.assertFalse(self.load.behind)
+        self.assertLess(self.taken(), 1_000)
+        self.assertGreater(self.load.with_wait(load).wait_s(1, 60.0), 0.05)
+
     def test_a_leader_that_is_behind_has_no_free_slots(self) -> None:
         load = cell_load.CellLoad(10.0, 8.0, 0.0)
         self.assertEqual(self.load.with_wait(load), load)
