Leader: while it is behind, what arrives meanwhile is placed in one pass

Cause: each end of a run and each arrival goes through the queue. Change: while ticks are late and 8 jobs or more wait, there is at most one pass in that time (20 ms at most).

--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -39,6 +39,11 @@
 OVERDUE_CHECK_INTERVAL_S = 0.05
 RUN_TIMES_UPDATE_INTERVAL_S = 0.2
 ACCEPTING_LEASES_CACHE_S = 0.01  # The list needs a scan of all upstreams.
+# While the processor is behind and so many jobs wait, a pass over them for each end
+# of a run and each arrival is most of its work: what comes while events are late
+# anyway is placed together.
+CROWDED_QUEUE_JOBS = 8
+MAX_PASS_INTERVAL_S = 0.02
 
 
 class Dispatcher:
@@ -153,6 +158,7 @@
             apply_verdict=self._open_jobs.apply,
         )
         self._placement_due = False
+        self._passed_at = float("-inf")
         self._next_overdue_check_at = 0.0
         self._next_run_times_update_at = 0.0
 
@@ -334,7 +340,14 @@
         """Starts waiting tasks, if jobs or resources may have changed."""
         if not self._placement_due or not self._leading:
             return
+        interval_s = min(self._processor.late_s, MAX_PASS_INTERVAL_S)
+        if (
+            now < self._passed_at + interval_s
+            and len(self._queue) >= CROWDED_QUEUE_JOBS
+        ):
+            return
         self._placement_due = False
+        self._passed_at = now
         self._queue_pass.run(now=now)
 
     def evacuations_changed(self, *, now: float) -> None:
--- a/godwitnotch/core/leased/processor_load.py
+++ b/godwitnotch/core/leased/processor_load.py
@@ -23,8 +23,9 @@
 TICKS_TO_JUDGE = 4
 MAX_AGE_S = 1.0  # Of the ticks that are judged.
 # While the backlog is twice what it may be, the share grows by this a second, and
-# without any backlog it falls as fast.
-CHANGE_PER_S = 2.0
+# without any backlog it falls as fast. A backlog follows the share after some
+# 0.1 s, so that a faster change would overshoot.
+CHANGE_PER_S = 1.0
 MAX_EXCESS = 2.0
 # Some jobs are always taken, so that the leader learns when it has caught up.
 MAX_SHARE = 0.95
