Leader: upstreams aren't blamed for the time by which the leader is late

A call has 0.15 s, also if it needs a new connection and a greeting first: then it passes the event loop some four times, so that a leader that is late by 40 ms times out calls that were answered at once, closes its idle connections, stops the runs and asks directly. The same class as runs that are overdue only for the leader that learns of them late. Change: while ticks are late, a call has four times as much longer, 0.1 s at most.

--- a/godwitnotch/net/leased_calls.py
+++ b/godwitnotch/net/leased_calls.py
@@ -17,6 +17,11 @@
 MAX_RESPONSE_BYTES = 1024 * 1024
 MAX_CONNECTION_IDLE_S = 20.0
 CONNECT_TIMEOUT_S = 0.15
+# A call on a new connection passes the event loop so often until its response is
+# handled. While events are handled late, the upstream isn't to blame for that.
+PASSES_PER_CALL = 4
+# A list request that is lost must be repeated within the rest of a lease.
+MAX_LATE_ALLOWANCE_S = 0.1
 
 _HTTP_OK = 200
 
@@ -25,9 +30,14 @@
 
 
 class OrderClient:
-    """Sends orders to upstreams over persistent connections."""
+    """Sends orders to upstreams over persistent connections.
+
+    Attributes:
+        late_s: By how much this process handles events late.
+    """
 
     def __init__(self) -> None:
+        self.late_s = 0.0
         self._client = http_client.HttpClient(
             max_idle_s=MAX_CONNECTION_IDLE_S,
             connect_timeout_s=CONNECT_TIMEOUT_S,
@@ -35,7 +45,10 @@
 
     async def send(self, order: Order) -> OrderResult:
         """Sends an order; a malformed response counts as no response."""
-        deadline = asyncio.get_running_loop().time() + _timeout_s(order)
+        timeout_s = _timeout_s(order) + min(
+            MAX_LATE_ALLOWANCE_S, PASSES_PER_CALL * self.late_s
+        )
+        deadline = asyncio.get_running_loop().time() + timeout_s
         try:
             response = await self._client.request(
                 order.upstream.address,
--- a/godwitnotch/net/leased_runtime.py
+++ b/godwitnotch/net/leased_runtime.py
@@ -411,6 +411,7 @@
         late_s = 0.0
         if self._timer is not None:
             late_s = max(0.0, ticked_at - self._timer.when())
+        self._order_client.late_s = late_s
         if self._core.leads:
             self._on_leader_tick(late_s)
         # First, so that no fault can end the ticks.
--- a/tests/test_leased_lives.py
+++ b/tests/test_leased_lives.py
@@ -4,6 +4,7 @@
 runs, numbers its ends from 1 again, and its clock starts anew.
 """
 
+import asyncio
 import json
 import unittest
 
@@ -26,9 +27,11 @@
 
     Attributes:
         received: Path and body of each order of the current life.
+        delay_s: How long it takes to answer a start.
     """
 
     def __init__(self) -> None:
+        self.delay_s = 0.0
         self.received: list[tuple[str, dict]] = []
         self._started_ms = FIRST_LIFE_MS
         self._port = 0
@@ -65,6 +68,8 @@
         body: dict[str, object] = {"clock_ms": 5}
         if request.path == "/hold":
             body |= {"born": self._started_ms, "running": [], "finished": []}
+        else:
+            await asyncio.sleep(self.delay_s)
         return http_types.HttpResponse(200, json.dumps(body).encode())
 
 
@@ -116,6 +121,16 @@
         await self.start_run()
         self.assertEqual(self.paths(), ["/hold", "/run-start", "/run-start"])
 
+    async def test_upstream_is_blamed_for_the_time_that_this_host_is_late(
+        self,
+    ) -> None:
+        self.upstream.delay_s = leased_calls.ORDER_TIMEOUT_S * 1.2
+        unanswered = await self.start_run()
+        self.assertIsInstance(unanswered, events.OrderUnanswered)
+        self.client.late_s = 1.0
+        result = await self.start_run()
+        self.assertIsInstance(result, events.OrderTaken)
+
     async def test_start_for_a_former_life_runs_in_the_next(self) -> None:
         await self.start_run()
         await self.upstream.restart()
