--- a/review/bed/fleet.py
+++ b/review/bed/fleet.py
@@ -23,6 +23,7 @@
 PREFIX = "/lohu930/"
 SERVICE = "huvo11a"
 READY_TIMEOUT_S = 30.0
+KINDS = ("a", "b")
 TASK_CPU = 14_000
 
 
@@ -169,6 +170,7 @@
                 zone=ZONES[number % len(ZONES)],
                 service=SERVICE,
                 record=record,
+                labels=(KINDS[number % len(KINDS)], "r1-1"),
             )
             for number in range(worker_count)
         ]
@@ -251,16 +253,19 @@
         run_s: float,
         wait_s: float,
         cpu: int = TASK_CPU,
+        label: str = "",
     ) -> web.Response:
         """Sends a job that needn't be kept, and returns its answer."""
-        step = {
+        step: dict[str, object] = {
             "count": count,
             "cpu": cpu,
             "mem_mb": 64,
             "estimate_ms": round(run_s * 1_000),
         }
+        if label:
+            step["required_label"] = label
         body = {
-            "spec": f"{run_s} {cpu}",
+            "spec": f"{run_s} {cpu} {label}".strip(),
             "steps": [step],
             "best_effort": True,
         }
--- a/review/bed/web.py
+++ b/review/bed/web.py
@@ -64,8 +64,9 @@
         self.address = ""
 
     async def start(self) -> None:
-        """Listens at a free port, which `address` then names."""
-        self._server = await asyncio.start_server(self._serve, IP, 0)
+        """Listens at a free port, and again at the same one after `close`."""
+        former = self.address.rpartition(":")[2] or "0"
+        self._server = await asyncio.start_server(self._serve, IP, int(former))
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{IP}:{port}"
 
--- a/review/bed/worker.py
+++ b/review/bed/worker.py
@@ -27,7 +27,7 @@
 
 
 class Worker:
-    """Runs tasks whose spec is `SECONDS CPU`, as a sound worker does.
+    """Runs tasks whose spec is `SECONDS CPU [LABEL]`, as a sound worker does.
 
     It guards its capacity.
 
@@ -58,6 +58,11 @@
         self._labels = labels
         self._server = web.Server(self._handle)
         self._loop = asyncio.get_running_loop()
+        self._beats: asyncio.Task[None] | None = None
+        self._begin_life()
+
+    def _begin_life(self) -> None:
+        """Begins with nothing that is known of before."""
         self._started_at = time.monotonic()
         self._born = int(time.time() * 1_000)
         self._fence = 0
@@ -68,7 +73,6 @@
         self._end_count = 0
         self._seq = 0
         self._ended = asyncio.Event()
-        self._beats: asyncio.Task[None] | None = None
 
     async def start(self, store: store_module.Store) -> None:
         """Begins to serve, and registers in the store."""
@@ -83,6 +87,28 @@
             run.timer.cancel()
         self._server.close()
 
+    async def restart(
+        self,
+        store: store_module.Store,
+        *,
+        down_s: float,
+        labels: tuple[str, ...],
+    ) -> None:
+        """Crashes, and starts again under its id, maybe as another kind."""
+        self.close()
+        for task, run in self._runs.items():
+            self._record.add(
+                "end", worker=self.name, task=task, run=run.number, how="crash"
+            )
+        self._runs.clear()
+        await asyncio.sleep(down_s)
+        self._labels = labels
+        self._begin_life()
+        self._record.add(
+            "life", worker=self.name, labels=",".join(labels), born=self._born
+        )
+        await self.start(store)
+
     async def _beat(self, store: store_module.Store) -> None:
         while True:
             self._seq += 1
@@ -129,7 +155,7 @@
         return 400, self._said()
 
     def _said(self, **values: object) -> dict[str, Any]:
-        return {"clock_ms": self._clock_ms(), "born": self._born, **values}
+        return {"clock_ms": self._clock_ms(), **values}
 
     def _start(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         task, number = body["task"], body["run"]
@@ -141,7 +167,7 @@
             return 200, self._said()
         if known is not None or number <= self._blocked.get(task, 0):
             return 409, self._said(reason="old")
-        seconds, needs = body["spec"].split()
+        seconds, needs, *label = body["spec"].split()
         used = sum(run.needs for run in self._runs.values())
         if used + int(needs) > self._cpu:
             return 409, self._said(reason="room")
@@ -150,7 +176,13 @@
         )
         self._runs[task] = _Run(number, int(needs), timer)
         self._record.add(
-            "start", worker=self.name, task=task, run=number, fence=self._fence
+            "start",
+            worker=self.name,
+            task=task,
+            run=number,
+            fence=self._fence,
+            wants=",".join(label),
+            labels=",".join(self._labels),
         )
         return 200, self._said()
 
@@ -179,7 +211,9 @@
             [task, run.number, "", 100, run.needs]
             for task, run in self._runs.items()
         ]
-        return self._said(running=running, finished=self._ends[:500])
+        return self._said(
+            born=self._born, running=running, finished=self._ends[:500]
+        )
 
     def _extend(self, deadline_ms: int) -> None:
         latest = self._clock_ms() + MAX_HOLD_MS
