--- a/review/bed/fleet.py
+++ b/review/bed/fleet.py
@@ -6,7 +6,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -23,6 +22,8 @@
 PREFIX = "/lohu930/"
 SERVICE = "huvo11a"
 READY_TIMEOUT_S = 30.0
+# Not 1, with which Python ends after an error of the program itself.
+_BROKEN_EXIT_CODE = 10
 KINDS = ("a", "b")
 TASK_CPU = 14_000
 
@@ -45,7 +46,7 @@
         self.zone = zone
         self.log = folder / f"{name}.log"
         self._settings = folder / f"{name}.conf"
-        ports = _free_ports(4)
+        ports = [web.free_port() for _ in range(4)]
         self.front, self.ready, self.control = (
             f"{web.IP}:{port}" for port in ports[:3]
         )
@@ -325,16 +326,6 @@
 
 
 def finish(broken: bool) -> None:
-    """Ends the script with the exit code that says whether the rule held."""
+    """Ends the program with the exit code that says whether the rule held."""
     print("the rule was broken" if broken else "the rule held")
-    sys.exit(1 if broken else 0)
-
-
-def _free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((web.IP, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    sys.exit(_BROKEN_EXIT_CODE if broken else 0)
--- a/review/bed/web.py
+++ b/review/bed/web.py
@@ -3,12 +3,18 @@
 import asyncio
 import contextlib
 import json
+import random
+import socket
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 IP = "127.0.0.1"
+# Below the ports that the system gives to outgoing channels, so that nothing else
+# takes the port of a process that is down for a while.
+_PORTS = range(10_000, 32_000)
+_BLOCK_PORTS = 100
 
 
 @dataclass(frozen=True)
@@ -34,6 +40,51 @@
     body: bytes = b""
 
 
+class _Ports:
+    """Gives each port once; a block of ports belongs to one program."""
+
+    def __init__(self) -> None:
+        self._lock = socket.socket()
+        self._free: list[int] = []
+
+    def take(self) -> int:
+        """Returns a port at which nobody listens."""
+        if not self._free:
+            self._take_block()
+        return self._free.pop()
+
+    def _take_block(self) -> None:
+        while not self._free:
+            first = random.choice(_PORTS[::_BLOCK_PORTS])
+            lock = socket.socket()
+            try:
+                lock.bind((IP, first))
+            except OSError:
+                lock.close()
+                continue
+            # The first port stays bound, so that nobody else takes the block.
+            self._lock = lock
+            ports = range(first + 1, first + _BLOCK_PORTS)
+            self._free = [port for port in ports if _is_free(port)]
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((IP, port))
+        except OSError:
+            return False
+    return True
+
+
+_ports = _Ports()
+
+
+def free_port() -> int:
+    """Returns a port at which nobody listens."""
+    return _ports.take()
+
+
 def _parse_query(text: str) -> dict[str, str]:
     pairs = (part.partition("=") for part in text.split("&") if part)
     return {name: value for name, _, value in pairs}
@@ -65,10 +116,9 @@
 
     async def start(self) -> None:
         """Listens at a free port, and again at the same one after `close`."""
-        former = self.address.rpartition(":")[2] or "0"
-        self._server = await asyncio.start_server(self._serve, IP, int(former))
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"{IP}:{port}"
+        self.address = self.address or f"{IP}:{free_port()}"
+        port = int(self.address.rpartition(":")[2])
+        self._server = await asyncio.start_server(self._serve, IP, port)
 
     def close(self) -> None:
         """Stops to listen and resets all channels."""
@@ -91,6 +141,8 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         first, headers, body = await _read_message(reader)
+        if writer.transport.is_closing():
+            return False
         method, target, _ = first.split(" ")
         path, _, query = target.partition("?")
         result = await self._handler(
