--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,27 +1,27 @@
-"""Cancels a job while the host that took it is frozen, and looks for late starts."""
+"""Restarts workers as another kind, and looks for tasks without their label."""
 
 import asyncio
+import itertools
 import pathlib
-import signal
 
 from review.bed import fleet as fleet_module
 from review.bed import record as record_module
 
 HERE = pathlib.Path(__file__).parent
-CANCEL_S = 3.0  # cancel_ms of the small sites.
-TASKS = 8
-RUN_S = 1.0
-WAIT_S = 15.0
-CANCEL_DELAY_S = 0.2
-FREEZE_S = 4.0
-JOB = f"{1:016x}"
+WORKER_COUNT = 6
+DOWN_S = 0.3
+RUN_S = 0.3
+WAIT_S = 1.5
+JOB_INTERVAL_S = 0.06
+LENGTH_S = 28.0
+CRASH_INTERVAL_S = 4.0
 
 
 async def run() -> bool:
     """Plays the case; returns whether the rule was broken."""
     record = record_module.Record(HERE / "record.txt")
     fleet = fleet_module.Fleet(
-        record, hosts=6, worker_count=2, target_duration_ms=15_000
+        record, hosts=6, worker_count=WORKER_COUNT, target_duration_ms=1_000
     )
     try:
         await fleet.start()
@@ -34,40 +34,52 @@
 async def _play(
     fleet: fleet_module.Fleet, record: record_module.Record
 ) -> bool:
-    leader = await fleet.leader()
-    record.add("leader", host=leader.name)
-    owner, other = [host for host in fleet.hosts if host is not leader][:2]
-    call = asyncio.create_task(
-        fleet.submit(owner, JOB, count=TASKS, run_s=RUN_S, wait_s=WAIT_S)
-    )
-    await asyncio.sleep(0.5)
-    if fleet_module.has_trouble():
-        record.add("freeze", host=owner.name)
-        owner.signal(signal.SIGSTOP)
-    await asyncio.sleep(CANCEL_DELAY_S)
-    response = await fleet.cancel(other, JOB)
-    acked_at = record.now
-    if response.status not in (200, 410):
-        raise fleet_module.CannotRunError(f"status {response.status}")
-    await asyncio.sleep(FREEZE_S - CANCEL_DELAY_S)
-    if fleet_module.has_trouble():
-        owner.signal(signal.SIGCONT)
-        record.add("wake", host=owner.name)
-    await call
-    return _judge(record, acked_at)
+    crashes = asyncio.create_task(_crash(fleet))
+    calls = []
+    ends_at = record.now + LENGTH_S
+    for number in itertools.count(1):
+        if record.now >= ends_at:
+            break
+        host = fleet.hosts[number % len(fleet.hosts)]
+        calls.append(
+            asyncio.create_task(
+                fleet.submit(
+                    host,
+                    f"{number:016x}",
+                    count=2,
+                    run_s=RUN_S,
+                    wait_s=WAIT_S,
+                    label=fleet_module.KINDS[number % 2],
+                )
+            )
+        )
+        await asyncio.sleep(JOB_INTERVAL_S)
+    await asyncio.gather(*calls)
+    await crashes
+    return _judge(record)
+
+
+async def _crash(fleet: fleet_module.Fleet) -> None:
+    """Crashes one worker after the other; each is another kind afterwards."""
+    for number, worker in enumerate(fleet.workers[:]):
+        await asyncio.sleep(CRASH_INTERVAL_S)
+        if fleet_module.has_trouble():
+            labels = (fleet_module.KINDS[(number + 1) % 2], "r1-1")
+            await worker.restart(fleet.store, down_s=DOWN_S, labels=labels)
 
 
-def _judge(record: record_module.Record, acked_at: float) -> bool:
-    """Compares the starts at the workers with the ack of the cancel."""
+def _judge(record: record_module.Record) -> bool:
+    """Compares the label that each started task requires with the worker's."""
     broken = False
     text = (HERE / "record.txt").read_text(encoding="utf-8")
     for line in text.splitlines():
-        at, kind, *pairs = line.split()
+        _, kind, *pairs = line.split()
         values = dict(pair.split("=", 1) for pair in pairs)
-        if kind == "start" and float(at) > acked_at + CANCEL_S:
+        if kind != "start":
+            continue
+        if values["wants"] not in values["labels"].split(","):
             broken = True
-            late_s = f"{float(at) - acked_at:.3f}"
-            record.add("UNASKED", task=values["task"], after_ack_s=late_s)
+            record.add("ROUTE", worker=values["worker"], task=values["task"])
     return broken
 
 
