--- a/review/bed/fleet.py
+++ b/review/bed/fleet.py
@@ -161,6 +161,8 @@
         timeout_ms: int = 1_500,
         target_duration_ms: int = 60,
     ) -> None:
+        # So that a script which is told to end ends its hosts as well.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.record = record
         self._temporary = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = pathlib.Path(self._temporary.name)
