Starts need an entry of the process that responds

Cause: an entry of the list of upstreams didn't tell which process it describes. The leader followed the new process as soon as it responded and placed tasks by the former one's labels, capacity and service for up to 0.6 s.

Change: the entry's start time is decoded. Runs start only while it names the process that responds; the list is read at once when it doesn't, and the upstream is asked at once when its entry is the newer one. What was learnt of a process (slowness, failures, cold time, excluded places) is forgotten with it, at the leader and at hosts that are told the list. Room of such an upstream counts as room to come for 1 s, so that jobs wait and aren't refused. The list goes to other hosts as a message of a new kind; the former kind is still read, byte for byte.

--- a/godwitnotch/core/leased/actions.py
+++ b/godwitnotch/core/leased/actions.py
@@ -108,6 +108,10 @@
     message: peer_messages.Message
 
 
+class ReadUpstreams(msgspec.Struct, frozen=True):
+    """Reads the list of upstreams now, before the next regular reading."""
+
+
 class Decided(msgspec.Struct, frozen=True):
     """A decision or a change of state, for the log and the metrics.
 
@@ -138,5 +142,6 @@
     | RelayOrder
     | SendForLeader
     | TellPeer
+    | ReadUpstreams
     | Decided
 )
--- a/godwitnotch/core/leased/admission.py
+++ b/godwitnotch/core/leased/admission.py
@@ -89,8 +89,9 @@
     times: run_times.RunTimes,
     *,
     cpu_millis: float,
+    now: float,
 ) -> float:
-    """Returns how many tasks of one size can run at once.
+    """Returns how many tasks of one size can run at once, now or soon.
 
     The slots of an upstream are divided by its slowness.
 
@@ -98,10 +99,11 @@
         leases: The leases to count.
         times: Tells how slow upstreams are.
         cpu_millis: CPU cores that one task needs, in thousandths.
+        now: The current time.
     """
     total = 0.0
     for lease in leases:
-        if lease.accepts_runs() or lease.runs:
+        if lease.counts_as_room(now=now):
             count = lease.upstream.capacity.cpu_millis // max(1, cpu_millis)
             count = min(count, lease.upstream.slots)
             total += count / times.slowness(lease.upstream)
--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -122,6 +122,7 @@
             placement=self._placement,
             outcomes=self._outcomes,
             health=self._health,
+            evidence=self._evidence,
             task_records=self._task_records,
             request_placement=self._request_placement,
             higher_term_seen=higher_term_seen,
--- a/godwitnotch/core/leased/evacuation.py
+++ b/godwitnotch/core/leased/evacuation.py
@@ -101,6 +101,7 @@
         """Returns whether a held lease is on an upstream that is permitted."""
         return any(
             lease.state is LeaseState.HELD
+            and lease.entry_expected(now=now)
             and self.permits(lease.upstream.domain, now=now)
             for lease in leases
         )
--- a/godwitnotch/core/leased/evidence.py
+++ b/godwitnotch/core/leased/evidence.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import health as health_module
@@ -35,6 +36,7 @@
         self._times = times
         self._health = health
         self._sent: dict[ids.UpstreamId, peer_messages.UpstreamEvidence] = {}
+        self._instances: Mapping[ids.UpstreamId, int] = {}
 
     def all_entries(self, *, now: float) -> peer_messages.UpstreamsLearnt:
         """Returns the entries of all upstreams, for a host that has none."""
@@ -70,8 +72,19 @@
                 unusable_until=now + entry.unusable_for_s,
             )
 
-    def retain_only(self, kept: frozenset[ids.UpstreamId]) -> None:
-        """Forgets all upstreams but those in `kept`."""
+    def follow_listing(self, instances: Mapping[ids.UpstreamId, int]) -> None:
+        """Forgets the upstreams that are gone, and those that have restarted.
+
+        Args:
+            instances: When the instance of each upstream started; 0 if not
+                known.
+        """
+        former, self._instances = self._instances, instances
+        for upstream, started_ms in instances.items():
+            known_ms = former.get(upstream, 0)
+            if known_ms and started_ms and known_ms != started_ms:
+                self.forget(upstream)
+        kept = frozenset(instances)
         self._times.retain_only(kept)
         self._health.retain_only(kept)
         self._sent = {
@@ -80,6 +93,12 @@
             if upstream in kept
         }
 
+    def forget(self, upstream: ids.UpstreamId) -> None:
+        """Forgets what the former instance of an upstream has shown."""
+        self._times.forget(upstream)
+        self._health.forget(upstream)
+        self._sent.pop(upstream, None)
+
     def _entries(
         self, *, now: float
     ) -> Iterable[peer_messages.UpstreamEvidence]:
--- a/godwitnotch/core/leased/health.py
+++ b/godwitnotch/core/leased/health.py
@@ -106,7 +106,11 @@
     def retain_only(self, upstreams: frozenset[ids.UpstreamId]) -> None:
         """Forgets all upstreams but these."""
         for upstream in self._records.keys() - upstreams:
-            del self._records[upstream]
+            self.forget(upstream)
+
+    def forget(self, upstream: ids.UpstreamId) -> None:
+        """Forgets an upstream, whose process has started anew."""
+        self._records.pop(upstream, None)
 
     def usable(self, upstream: ids.UpstreamId, *, now: float) -> bool:
         """Returns whether an upstream may get runs now."""
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -390,12 +390,10 @@
                 self._owned_jobs.job_answered(host, job, answer)
             case peer_messages.JobRedirected(job=job, leader=leader):
                 self._owned_jobs.job_redirected(host, job, leader, now=now)
-            case peer_messages.UpstreamsCopy(upstreams=upstreams):
-                listed = events.UpstreamsListed(upstreams)
-                if not self.leads:
-                    self._update_listing(listed, now=now)
-                elif not self.lists_upstreams:
-                    self._apply_listing(listed, now=now)
+            case peer_messages.ListedUpstreams(upstreams=upstreams):
+                self._list_received(upstreams, now=now)
+            case peer_messages.UpstreamsCopy():
+                self._list_received(message.listed(), now=now)
             case peer_messages.UpstreamsLearnt():
                 if not self.leads:
                     self._dispatcher.evidence.apply(message, now=now)
@@ -449,17 +447,28 @@
         self, event: events.UpstreamsListed, *, now: float
     ) -> bool:
         """Applies a list; returns whether the usable upstreams have changed."""
-        if event.cold_remaining_ms is not None:
-            cold = self._dispatcher.cold_upstreams
-            cold.update(event.cold_remaining_ms, now=now)
         changed = self._listing.update(
             event.upstreams, unreadable=event.unreadable, now=now
         )
+        instances = self._listing.instances
+        if event.cold_remaining_ms is not None:
+            cold = self._dispatcher.cold_upstreams
+            cold.update(event.cold_remaining_ms, instances, now=now)
         if changed:
-            self._dispatcher.evidence.retain_only(self._listing.tracked)
+            self._dispatcher.evidence.follow_listing(instances)
             self._fleet.update_map(self._listing.upstreams)
         return changed
 
+    def _list_received(
+        self, upstreams: tuple[model.LeasedUpstream, ...], *, now: float
+    ) -> None:
+        """Applies a list that a leader has sent, unless this host reads it."""
+        listed = events.UpstreamsListed(upstreams)
+        if not self.leads:
+            self._update_listing(listed, now=now)
+        elif not self.lists_upstreams:
+            self._apply_listing(listed, now=now)
+
     def _apply_listing(
         self, event: events.UpstreamsListed, *, now: float
     ) -> None:
--- a/godwitnotch/core/leased/job_runs.py
+++ b/godwitnotch/core/leased/job_runs.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from godwitnotch.core import ids
+from godwitnotch.core.leased import evidence as evidence_module
 from godwitnotch.core.leased import health as health_module
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import lease as lease_module
@@ -28,6 +29,7 @@
         placement: Tells how long runs are expected to take.
         outcomes: Learns from how runs end.
         health: Learns which upstreams reject orders.
+        evidence: What was learnt of upstreams.
         task_records: Tells how often tasks have failed or crashed upstreams.
         request_placement: Called when resources may be free for waiting tasks.
         higher_term_seen: Handles a rejection by an upstream that has seen a
@@ -43,6 +45,7 @@
         placement: placement_module.Placement,
         outcomes: run_outcomes.RunOutcomes,
         health: health_module.UpstreamHealth,
+        evidence: evidence_module.EvidenceSharing,
         task_records: task_records_module.TaskRecords,
         request_placement: Callable[[], None],
         higher_term_seen: Callable[[lease_module.Lease, bool, float], None],
@@ -53,6 +56,7 @@
         self._placement = placement
         self._outcomes = outcomes
         self._health = health
+        self._evidence = evidence
         self._task_records = task_records
         self._request_placement = request_placement
         self._higher_term_seen = higher_term_seen
@@ -210,6 +214,10 @@
         ):
             self._check_crashes(task, now=now)
 
+    def upstream_restarted(self, upstream: ids.UpstreamId) -> None:
+        """Forgets what was learnt of the upstream's former instance."""
+        self._evidence.forget(upstream)
+
     def check_history(self, job: jobs.LeasedJob, *, now: float) -> None:
         """Fails a job whose tasks have failed or crashed upstreams before."""
         max_failures = job.request.settings.max_failures
--- a/godwitnotch/core/leased/jobs.py
+++ b/godwitnotch/core/leased/jobs.py
@@ -27,7 +27,8 @@
         state: State of the task.
         next_run: Number of its next run.
         failures: How many of its runs failed.
-        excluded_upstreams: Upstreams on which a run failed or was overdue.
+        excluded_instances: Instances of upstreams on which a run failed or was
+            overdue.
         last_overdue_run_s: How long its last overdue run had lasted when it was
             stopped, in seconds; 0 if there was none.
         rack_wait: Its wait for the rack of its data; None if it had none. A
@@ -38,7 +39,9 @@
     state: TaskState = TaskState.WAITING
     next_run: int = 1
     failures: int = 0
-    excluded_upstreams: set[ids.UpstreamId] = msgspec.field(default_factory=set)
+    excluded_instances: set[model.UpstreamInstance] = msgspec.field(
+        default_factory=set
+    )
     last_overdue_run_s: float = 0.0
     rack_wait: locality.RackWait | None = None
 
--- a/godwitnotch/core/leased/leader_updates.py
+++ b/godwitnotch/core/leased/leader_updates.py
@@ -67,7 +67,7 @@
         receivers: Iterable[ids.HostId],
     ) -> None:
         """Sends the list of upstreams to receivers that don't have it."""
-        copy = peer_messages.UpstreamsCopy(upstreams)
+        copy = peer_messages.ListedUpstreams(upstreams)
         for host in receivers:
             if host not in self._hosts_with_list:
                 self._hosts_with_list.add(host)
--- a/godwitnotch/core/leased/lease.py
+++ b/godwitnotch/core/leased/lease.py
@@ -33,6 +33,9 @@
 # A single failed call may be a lost response; after two in a row the upstream
 # gets no new runs.
 SUSPENSION_FAILURE_COUNT = 2
+# The entry of a new instance is expected within this time after its first response;
+# until then the room that its former instance had counts as room to come.
+MAX_ENTRY_WAIT_S = 1.0
 # Resources reserved for a run that was found at an upstream, until its job is
 # known.
 UNKNOWN_NEEDS = model.Resources(0, 0, 0)
@@ -118,6 +121,9 @@
         upstream: The upstream's entry in the list of upstreams.
         state: State of the lease.
         listed: Whether the entry is still in the list.
+        entry_current: Whether the entry describes the instance that responds.
+            Another one may be of another kind, size, service or domain.
+        entry_awaited_since: Since when it doesn't; None while it does.
         clock_ms: The upstream's clock in its last response.
         responded_at: When that response arrived.
         instance_started_ms: When the upstream's process started, by its own
@@ -147,6 +153,8 @@
     upstream: model.LeasedUpstream
     state: LeaseState = LeaseState.UNHELD
     listed: bool = True
+    entry_current: bool = True
+    entry_awaited_since: float | None = None
     clock_ms: int = 0
     responded_at: float = 0.0
     instance_started_ms: int = 0
@@ -196,12 +204,54 @@
         run.needs = needs
         self.unknown_needs.discard(run.key.task)
 
-    def update_entry(self, upstream: model.LeasedUpstream) -> None:
+    def update_entry(
+        self, upstream: model.LeasedUpstream, *, now: float
+    ) -> None:
         """Replaces the upstream's entry by a newer one."""
         taken = self.upstream.capacity.minus(self.free_resources)
         self.upstream = upstream
         self.free_resources = upstream.capacity.minus(taken)
         self.listed = True
+        self._compare_instances(now=now)
+
+    def _compare_instances(self, *, now: float) -> None:
+        """Notes whether the entry describes the instance that responds."""
+        described = self.upstream.instance_started_ms
+        responding = self.instance_started_ms
+        self.entry_current = (
+            not described or not responding or described == responding
+        )
+        if self.entry_current:
+            self.entry_awaited_since = None
+        elif self.entry_awaited_since is None:
+            self.entry_awaited_since = now
+
+    def entry_expected(self, *, now: float) -> bool:
+        """Returns whether the entry is current, or should be so soon."""
+        return (
+            self.entry_awaited_since is None
+            or now - self.entry_awaited_since < MAX_ENTRY_WAIT_S
+        )
+
+    def counts_as_room(self, *, now: float) -> bool:
+        """Returns whether the upstream runs tasks now or should do so soon."""
+        return (
+            bool(self.runs)
+            or self.accepts_runs()
+            or (
+                not self.entry_current
+                and self.entry_expected(now=now)
+                and self.state is LeaseState.HELD
+                and self.listed
+            )
+        )
+
+    @property
+    def instance(self) -> model.UpstreamInstance:
+        """The instance that has responded last."""
+        return model.UpstreamInstance(
+            self.upstream.upstream, self.instance_started_ms
+        )
 
     @property
     def unused(self) -> bool:
@@ -293,6 +343,7 @@
             self.instance_changed_at = now
         self.instance_started_ms = started_ms
         self.instance_seen_at = now
+        self._compare_instances(now=now)
         return True
 
     def record_renewal(self, *, now: float) -> Renewal:
@@ -369,6 +420,7 @@
         return (
             self.state is LeaseState.HELD
             and self.listed
+            and self.entry_current
             and not self.upstream.draining
             and self.failures < SUSPENSION_FAILURE_COUNT
             and self.reserved_for is None
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -12,6 +12,7 @@
 from collections.abc import Mapping
 
 from godwitnotch.core import ids
+from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import lease as lease_module
@@ -179,6 +180,9 @@
                 self._leases[upstream] = lease_module.Lease(entry)
             elif known.upstream != entry or not known.listed:
                 self._update_entry(known, entry, now=now)
+            if known is not None and not known.entry_current:
+                # The instance that the entry describes may respond by now.
+                self._request_runs_once(known, now=now)
         self._maintain_all(now=now)
 
     def start_run(
@@ -411,7 +415,14 @@
         now: float,
     ) -> None:
         former_address = lease.upstream.address
-        lease.update_entry(entry)
+        awaited_since = lease.entry_awaited_since
+        lease.update_entry(entry, now=now)
+        if awaited_since is not None and lease.entry_current:
+            self._out.add_decision(
+                "upstream_entry_read",
+                detail=f"upstream={entry.upstream} "
+                f"waited_ms={(now - awaited_since) * 1_000:.0f}",
+            )
         if entry.address != former_address:
             self._out.add_decision(
                 "upstream_moved",
@@ -460,6 +471,13 @@
                     lease, now=now, wait_ms=lease.list_wait_ms(now=now)
                 )
 
+    def _request_runs_once(
+        self, lease: lease_module.Lease, *, now: float
+    ) -> None:
+        """Requests the list of runs of a held lease unless that was done."""
+        if lease.state is LeaseState.HELD and not lease.pending_list_requests:
+            self._request_runs(lease, now=now, wait_ms=0)
+
     def _request_runs(
         self, lease: lease_module.Lease, *, now: float, wait_ms: int
     ) -> None:
@@ -580,6 +598,7 @@
             return False
         lease = call.lease
         known_ms = lease.instance_started_ms
+        entry_was_current = lease.entry_current
         newest = lease.follow_instance(
             instance_started_ms, sent_at=call.sent_at, now=now
         )
@@ -588,6 +607,9 @@
                 "upstream_restarted",
                 detail=f"upstream={lease.upstream.upstream}",
             )
+            self._listener.upstream_restarted(lease.upstream.upstream)
+        if entry_was_current and not lease.entry_current:
+            self._await_entry(lease)
         if newest and instance_started_ms:
             self._listener.upstream_seen(
                 lease.upstream.upstream,
@@ -596,6 +618,18 @@
             )
         return newest
 
+    def _await_entry(self, lease: lease_module.Lease) -> None:
+        """Reads the list of upstreams, as an entry is of another instance."""
+        upstream = lease.upstream
+        self._out.add_decision(
+            "upstream_entry_awaited",
+            detail=f"upstream={upstream.upstream} "
+            f"cpu_millis={upstream.capacity.cpu_millis} "
+            f"responds={lease.instance_started_ms} "
+            f"listed={upstream.instance_started_ms}",
+        )
+        self._out.add(actions.ReadUpstreams())
+
     def _expire_if_asked(
         self, call: lease_calls.PendingCall, *, now: float
     ) -> None:
--- a/godwitnotch/core/leased/listing.py
+++ b/godwitnotch/core/leased/listing.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import model
@@ -29,6 +30,7 @@
         self._upstreams: tuple[model.LeasedUpstream, ...] = ()
         self._missing_since: dict[ids.UpstreamId, float] = {}
         self._removed_at: dict[ids.UpstreamId, float] = {}
+        self._instances: dict[ids.UpstreamId, int] = {}
 
     @property
     def upstreams(self) -> tuple[model.LeasedUpstream, ...]:
@@ -36,10 +38,13 @@
         return self._upstreams
 
     @property
-    def tracked(self) -> frozenset[ids.UpstreamId]:
-        """Upstreams that are usable, or were within MAX_RUN_AFTER_REMOVAL_S."""
-        usable_ids = {entry.upstream for entry in self._upstreams}
-        return frozenset(usable_ids | self._removed_at.keys())
+    def instances(self) -> Mapping[ids.UpstreamId, int]:
+        """When the last listed instance of each tracked upstream started.
+
+        These upstreams are usable, or were within MAX_RUN_AFTER_REMOVAL_S. The
+        time is 0 if not known.
+        """
+        return self._instances
 
     def update(
         self,
@@ -69,6 +74,9 @@
                 self._removed_at[upstream.upstream] = now
         self._upstreams = usable
         self._forget_old(usable_ids, now=now)
+        self._instances = {
+            upstream: self._instances[upstream] for upstream in self._removed_at
+        } | {entry.upstream: entry.instance_started_ms for entry in usable}
         return changed
 
     def complete(self, *, now: float) -> bool:
--- a/godwitnotch/core/leased/load_meter.py
+++ b/godwitnotch/core/leased/load_meter.py
@@ -94,7 +94,10 @@
         )
         return admission.Load(
             slots=admission.count_slots(
-                leases, self._times, cpu_millis=self._average_cpu_millis
+                leases,
+                self._times,
+                cpu_millis=self._average_cpu_millis,
+                now=now,
             ),
             waiting_ms=self._queue.total_ms(now=now),
             remaining_ms=remaining_s * 1_000,
--- a/godwitnotch/core/leased/model.py
+++ b/godwitnotch/core/leased/model.py
@@ -200,6 +200,8 @@
         labels: The first label is the kind of the upstream, by which run times
             are averaged; the others name its rack and other properties.
         draining: Whether it is shutting down and accepts no new runs.
+        instance_started_ms: When the instance that the entry describes started,
+            by its own clock; 0 if the entry doesn't state it.
     """
 
     upstream: ids.UpstreamId
@@ -210,6 +212,7 @@
     capacity: Resources
     labels: tuple[str, ...]
     draining: bool
+    instance_started_ms: int = 0
 
 
 class UpstreamAddress(msgspec.Struct, frozen=True):
@@ -227,6 +230,18 @@
 CalledUpstream = LeasedUpstream | UpstreamAddress
 
 
+class UpstreamInstance(msgspec.Struct, frozen=True):
+    """One instance of an upstream; a restart under the same id is another one.
+
+    Attributes:
+        upstream: Id of the upstream.
+        started_ms: When it started, by its own clock; 0 if not known.
+    """
+
+    upstream: ids.UpstreamId
+    started_ms: int
+
+
 class TaskKey(msgspec.Struct, frozen=True, order=True):
     """Identifies a task of a job."""
 
--- a/godwitnotch/core/leased/overdue_runs.py
+++ b/godwitnotch/core/leased/overdue_runs.py
@@ -125,7 +125,7 @@
     ) -> bool:
         """Excludes the upstream for the task; returns if another is free."""
         task = overdue.job.tasks[overdue.run.key.task.index]
-        task.excluded_upstreams.add(overdue.lease.upstream.upstream)
+        task.excluded_instances.add(overdue.lease.instance)
         verdict = self._placement.decide(
             overdue.job, task, accepting_leases, now=now
         )
--- a/godwitnotch/core/leased/peer_messages.py
+++ b/godwitnotch/core/leased/peer_messages.py
@@ -60,12 +60,41 @@
     document: bytes
 
 
-class UpstreamsCopy(msgspec.Struct, frozen=True):
+class ListedUpstreams(msgspec.Struct, frozen=True):
     """The leader's list of usable upstreams."""
 
     upstreams: tuple[model.LeasedUpstream, ...]
 
 
+class UpstreamEntry(msgspec.Struct, frozen=True):
+    """An entry that doesn't state which instance it describes.
+
+    See `model.LeasedUpstream`.
+    """
+
+    upstream: ids.UpstreamId
+    address: str
+    domain: ids.DomainId
+    service: model.ServiceName
+    slots: int
+    capacity: model.Resources
+    labels: tuple[str, ...]
+    draining: bool
+
+
+class UpstreamsCopy(msgspec.Struct, frozen=True):
+    """`ListedUpstreams` as hosts of the former release send it."""
+
+    upstreams: tuple[UpstreamEntry, ...]
+
+    def listed(self) -> tuple[model.LeasedUpstream, ...]:
+        """Returns the entries, whose instances aren't known."""
+        return tuple(
+            model.LeasedUpstream(*msgspec.structs.astuple(entry))
+            for entry in self.upstreams
+        )
+
+
 class UpstreamEvidence(msgspec.Struct, frozen=True):
     """What the leader has learnt of an upstream from its runs.
 
@@ -360,6 +389,7 @@
     | HostsKnown
     | ConfigurationWanted
     | ConfigurationCopy
+    | ListedUpstreams
     | UpstreamsCopy
     | UpstreamsLearnt
     | TasksLearnt
--- a/godwitnotch/core/leased/placement.py
+++ b/godwitnotch/core/leased/placement.py
@@ -408,7 +408,10 @@
             return False
         if group.required_label and group.required_label not in upstream.labels:
             return False
-        if upstream.upstream in task.excluded_upstreams:
+        if (
+            task.excluded_instances
+            and lease.instance in task.excluded_instances
+        ):
             return False
         return _below_max_per_upstream(job, lease)
 
--- a/godwitnotch/core/leased/run_listener.py
+++ b/godwitnotch/core/leased/run_listener.py
@@ -71,6 +71,9 @@
             now: The current time.
         """
 
+    def upstream_restarted(self, upstream: ids.UpstreamId) -> None:
+        """Handles the first response of a new instance of an upstream."""
+
     def higher_term_seen(
         self, lease: lease_module.Lease, *, was_held: bool, now: float
     ) -> None:
--- a/godwitnotch/core/leased/run_outcomes.py
+++ b/godwitnotch/core/leased/run_outcomes.py
@@ -80,7 +80,7 @@
         task = job.tasks[run.key.task.index]
         self._records.run_failed(run.key, upstream, now=now)
         task.failures = self._records.failures(task.key)
-        task.excluded_upstreams.add(upstream)
+        task.excluded_instances.add(lease.instance)
         if task.failures > 1:
             self._health.clear_failures_of(job.name)
         elif self._health.run_failed(upstream, job.name, now=now):
--- a/godwitnotch/core/leased/run_times.py
+++ b/godwitnotch/core/leased/run_times.py
@@ -113,10 +113,14 @@
     def retain_only(self, upstreams: frozenset[ids.UpstreamId]) -> None:
         """Forgets all upstreams but these."""
         for upstream in self._log_slowness.keys() - upstreams:
-            del self._log_slowness[upstream]
-            del self._slowness[upstream]
-            self._kinds.pop(upstream, None)
-            self._last_run_at.pop(upstream, None)
+            self.forget(upstream)
+
+    def forget(self, upstream: ids.UpstreamId) -> None:
+        """Forgets an upstream, which may be of another kind by now."""
+        self._log_slowness.pop(upstream, None)
+        self._slowness.pop(upstream, None)
+        self._kinds.pop(upstream, None)
+        self._last_run_at.pop(upstream, None)
 
     def update(self, *, now: float) -> None:
         """Forgets old slowness and fixes the scale; called at short intervals.
--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -217,7 +217,9 @@
         for signum in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(signum, self._start_drain)
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
-        self._runtime.start(on_elected=self._store_watcher.refresh_upstreams)
+        self._runtime.start(
+            read_upstreams=self._store_watcher.refresh_upstreams
+        )
         self._runtime.add_hosts(
             model.KnownHost(seed, ids.DomainId(""))
             for seed in self._settings.seeds
--- a/godwitnotch/net/leased_runtime.py
+++ b/godwitnotch/net/leased_runtime.py
@@ -86,7 +86,7 @@
         self._configuration: configuration_module.Configuration | None = None
         self._document = b""
         self._request_configuration_at: float | None = None
-        self._on_elected: Callable[[], None] | None = None
+        self._read_upstreams: Callable[[], None] = lambda: None
         self._was_leader = False
         self._linked_to_all = True
         self._next_watched_update_at = 0.0
@@ -127,13 +127,14 @@
         """
         return not self._links.linked or self._core.leads_cell
 
-    def start(self, *, on_elected: Callable[[], None]) -> None:
+    def start(self, *, read_upstreams: Callable[[], None]) -> None:
         """Starts the host core.
 
         Args:
-            on_elected: Called whenever this host becomes the leader.
+            read_upstreams: Reads the list of upstreams at once; called when this
+                host becomes the leader, and when it needs a newer list.
         """
-        self._on_elected = on_elected
+        self._read_upstreams = read_upstreams
         self._tick()
 
     def spawn(self, operation: Coroutine[Any, Any, None]) -> None:
@@ -212,8 +213,8 @@
         self._hasten_tick()
         if self._core.leads != self._was_leader:
             self._was_leader = self._core.leads
-            if self._was_leader and self._on_elected is not None:
-                self._on_elected()
+            if self._was_leader:
+                self._read_upstreams()
 
     def feed_peer(self, event: peer_events.LinkEvent) -> None:
         """Handles an event of a peer link."""
@@ -380,6 +381,8 @@
                     report_future.set_result(report)
             case actions.TellPeer(host=host, message=message):
                 self._links.send(host, message)
+            case actions.ReadUpstreams():
+                self._read_upstreams()
             case actions.Decided():
                 self._on_decided(action)
             case actions.RelayOrder(relay=relay, order=order):
--- a/godwitnotch/platform/upstreams.py
+++ b/godwitnotch/platform/upstreams.py
@@ -20,6 +20,9 @@
 # address, that process rejects the order with status 421.
 EXPECTED_INSTANCE_HEADER = "x-expected-instance"
 
+# When the upstream's process started, in Unix milliseconds of its own clock; in
+# its entry and in its lists of runs.
+_STARTED_FIELD = "born"
 _READY = "ready"
 _DRAINING = "draining"
 _WRONG_INSTANCE_STATUS = 421
@@ -91,6 +94,7 @@
         capacity=jobs.decode_resources(fields.mapping(entry, "capacity")),
         labels=tuple(labels),
         draining=state == _DRAINING,
+        instance_started_ms=fields.integer(entry, _STARTED_FIELD, 0),
     )
     try:
         cold_ms = fields.integer(entry, "cold_remaining_ms", 0)
@@ -157,7 +161,9 @@
         When its process started, by its own clock; 0 if it doesn't state that.
     """
     try:
-        return fields.integer(fields.parse_object(response.body), "born", 0)
+        return fields.integer(
+            fields.parse_object(response.body), _STARTED_FIELD, 0
+        )
     except fields.WrongFormatError:
         return 0
 
@@ -175,7 +181,7 @@
     values = fields.parse_object(response.body)
     return (
         fields.integer(values, "clock_ms"),
-        fields.integer(values, "born", 0),
+        fields.integer(values, _STARTED_FIELD, 0),
     )
 
 
@@ -188,7 +194,7 @@
     values = fields.parse_object(response.body)
     return model.RunList(
         clock_ms=fields.integer(values, "clock_ms"),
-        instance_started_ms=fields.integer(values, "born", 0),
+        instance_started_ms=fields.integer(values, _STARTED_FIELD, 0),
         running=tuple(map(_decode_running, fields.array(values, "running"))),
         ended=tuple(map(_decode_ended, fields.array(values, "finished"))),
     )
--- a/tests/leased_world.py
+++ b/tests/leased_world.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+import msgspec
+
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import events
@@ -38,6 +40,7 @@
         key: The task and the number of the run.
         started_at: When the run started.
         ends_at: When the run ends unless it hangs or is stopped.
+        labels: Labels of the upstream at the start.
         ended_at: When the run ended; None while active.
         end: How the run ended; None while active.
     """
@@ -45,6 +48,7 @@
     key: model.RunKey
     started_at: float
     ends_at: float
+    labels: tuple[str, ...] = ()
     ended_at: float | None = None
     end: model.RunEnd | None = None
 
@@ -54,7 +58,9 @@
     """An upstream that ends its runs when the lease expires.
 
     Attributes:
-        entry: The entry in the upstream list.
+        entry: What describes the upstream, without its instance.
+        listed_entry: The entry in the upstream list, which may still describe
+            the former instance; None for `entry`.
         instance_started_ms: When the process started, by its own clock; 0 if
             the upstream does not report the time.
         slowness: Factor on the run time of all tasks.
@@ -79,6 +85,7 @@
     """
 
     entry: model.LeasedUpstream
+    listed_entry: model.LeasedUpstream | None = None
     instance_started_ms: int = 1
     slowness: float = 1.0
     hangs: bool = False
@@ -100,6 +107,13 @@
     )
     pending_responses: list[Callable[[], None]] = field(default_factory=list)
 
+    @property
+    def current_entry(self) -> model.LeasedUpstream:
+        """The entry that describes this instance."""
+        return msgspec.structs.replace(
+            self.entry, instance_started_ms=self.instance_started_ms
+        )
+
     def clock_ms(self, now: float) -> int:
         """Returns what the upstream's clock shows."""
         return round(self.clock_offset_ms + now * 1_000 * self.clock_rate)
@@ -278,9 +292,29 @@
         for pair in [pair for pair in self.links if name in pair]:
             self._close_link(pair)
 
-    def restart_upstream(self, upstream_id: str) -> None:
-        """Restarts an upstream under its id; its state is lost."""
+    def restart_upstream(
+        self,
+        upstream_id: str,
+        *,
+        labels: tuple[str, ...] = (),
+        listed_after_s: float = 0.0,
+    ) -> None:
+        """Restarts an upstream under its id; its state is lost.
+
+        Args:
+            upstream_id: The upstream.
+            labels: Its labels from now on; empty for those that it had.
+            listed_after_s: When the list describes the new instance.
+        """
         upstream = self.upstreams[upstream_id]
+        upstream.listed_entry = upstream.current_entry
+        if labels:
+            upstream.entry = msgspec.structs.replace(
+                upstream.entry, labels=labels
+            )
+        self.call_later(
+            listed_after_s, lambda: setattr(upstream, "listed_entry", None)
+        )
         for run in tuple(upstream.running.values()):
             self._end_run(upstream, run, model.RunEnd.LOST)
         upstream.ended_runs.clear()
@@ -431,7 +465,7 @@
     ) -> None:
         """Delivers the upstream list to a host."""
         listed = tuple(
-            upstream.entry
+            upstream.listed_entry or upstream.current_entry
             for upstream_id, upstream in self.upstreams.items()
             if upstream_id not in without
         )
@@ -450,6 +484,7 @@
         tasks: int = 1,
         wait_s: float = 2.0,
         rack: str = "",
+        label: str = "",
     ) -> int:
         """Submits a job at a host; returns the id of the call."""
         call = next(self._call_ids)
@@ -464,6 +499,7 @@
                     estimate_ms=self.run_time_ms,
                     target_ms=self.target_ms,
                     rack=rack,
+                    label=label,
                 ),
                 self.now + wait_s,
             ),
@@ -586,6 +622,14 @@
                 self.answers[call] = (self.now, answer)
             case actions.ReportJob(call=call, report=report):
                 self.reports[call] = report
+            case actions.ReadUpstreams():
+                if name not in self.hosts_without_store:
+                    self.call_later(
+                        NETWORK_LATENCY_S,
+                        lambda: self.list_upstreams(
+                            name, without=self.unlisted
+                        ),
+                    )
             case actions.Decided():
                 self.decisions.append((self.now, name, action))
             case actions.TellPeer(host=host, message=message):
@@ -793,7 +837,9 @@
         rack = self.preferred_racks.get(action.key.task.job)
         if rack and rack not in upstream.entry.labels:
             run_time_s *= self.racks.slowdown_factor
-        run = UpstreamRun(key, self.now, self.now + run_time_s)
+        run = UpstreamRun(
+            key, self.now, self.now + run_time_s, upstream.entry.labels
+        )
         upstream.running[key.task] = run
         self.started_runs.append((upstream.entry.upstream, run))
         if key.task in self.deadly_tasks:
@@ -891,6 +937,7 @@
     estimate_ms: float = 100.0,
     target_ms: float = 60.0,
     rack: str = "",
+    label: str = "",
 ) -> model.JobRequest:
     """Returns a job whose tasks need half of an upstream's processors each."""
     return model.JobRequest(
@@ -900,7 +947,7 @@
             count=tasks,
             needs=model.Resources(1_000, 10, 0),
             estimate_ms=estimate_ms,
-            required_label="",
+            required_label=label,
             preferred_rack=rack,
             max_per_upstream=0,
         ),
--- a/tests/test_leased_cold.py
+++ b/tests/test_leased_cold.py
@@ -62,10 +62,10 @@
         self.cold = cold_upstreams.ColdUpstreams()
 
     def test_an_upstream_is_cold_for_the_remaining_time(self) -> None:
-        self.cold.update({UPSTREAM: 2_000}, now=NOW)
+        self.cold.update({UPSTREAM: 2_000}, {}, now=NOW)
         self.assertTrue(self.cold.is_cold(UPSTREAM, now=NOW + 1.9))
         self.assertFalse(self.cold.is_cold(UPSTREAM, now=NOW + 2.1))
-        self.cold.update({}, now=NOW + 0.6)
+        self.cold.update({}, {}, now=NOW + 0.6)
         self.assertFalse(self.cold.is_cold(UPSTREAM, now=NOW + 0.6))
 
     def test_an_entry_that_stays_the_same_does_not_put_off_the_end(
@@ -73,9 +73,9 @@
     ) -> None:
         # Such an upstream would have been passed over for ever.
         for tenth_s in range(0, 30, 6):
-            self.cold.update({UPSTREAM: 2_000}, now=NOW + tenth_s / 10)
+            self.cold.update({UPSTREAM: 2_000}, {}, now=NOW + tenth_s / 10)
         self.assertFalse(self.cold.is_cold(UPSTREAM, now=NOW + 2.5))
-        self.cold.update({UPSTREAM: 5_000}, now=NOW + 3.0)
+        self.cold.update({UPSTREAM: 5_000}, {}, now=NOW + 3.0)
         self.assertTrue(self.cold.is_cold(UPSTREAM, now=NOW + 7.0))
 
 
@@ -85,7 +85,7 @@
     ) -> None:
         slow, fast = self.slow_and_fast(2.0)
         job = test_leased_decisions.make_job()
-        self.cold.update({fast.upstream.upstream: 1_000}, now=NOW)
+        self.cold.update({fast.upstream.upstream: 1_000}, {}, now=NOW)
         self.assertEqual(self.choose(job, fast, slow), "slow")
         self.assertEqual(self.choose(job, fast), "fast")
 
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -364,7 +364,7 @@
     def test_excluded_upstreams_are_not_chosen(self) -> None:
         one, other = held_lease("one"), held_lease("other")
         waiting_job = make_job()
-        waiting_job.tasks[0].excluded_upstreams.add(ids.UpstreamId("one"))
+        waiting_job.tasks[0].excluded_instances.add(one.instance)
         self.assertEqual(self.choose(waiting_job, one, other), "other")
         self.assertIsNone(self.choose(waiting_job, one))
 
@@ -466,7 +466,7 @@
 
     def test_removed_upstreams_are_forgotten(self) -> None:
         self.eject(self.slow)
-        self.evidence.retain_only(frozenset({ids.UpstreamId("other")}))
+        self.evidence.follow_listing({ids.UpstreamId("other"): 0})
         self.assertEqual(self.evidence.all_entries(now=NOW).upstreams, ())
 
 
@@ -691,7 +691,21 @@
             ),
             peer_messages.ConfigurationWanted(2),
             peer_messages.ConfigurationCopy(3, b"{}"),
-            peer_messages.UpstreamsCopy((upstream,)),
+            peer_messages.ListedUpstreams((upstream,)),
+            peer_messages.UpstreamsCopy(
+                (
+                    peer_messages.UpstreamEntry(
+                        upstream.upstream,
+                        upstream.address,
+                        upstream.domain,
+                        upstream.service,
+                        upstream.slots,
+                        upstream.capacity,
+                        upstream.labels,
+                        upstream.draining,
+                    ),
+                )
+            ),
             peer_messages.TasksLearnt(
                 (
                     peer_messages.TaskHistory(
--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -47,6 +47,7 @@
         rejected: Task of each rejected start.
         seen: The start time in each list of runs; None if another upstream
             answered.
+        restarted: The upstreams that have restarted.
     """
 
     def __init__(self, job: jobs.LeasedJob) -> None:
@@ -54,6 +55,7 @@
         self.ended: list[tuple[int, model.RunEnd]] = []
         self.rejected: list[int] = []
         self.seen: list[int | None] = []
+        self.restarted: list[ids.UpstreamId] = []
 
     def adopt_run(self, key: model.RunKey) -> jobs.LeasedJob | None:
         return self._job
@@ -76,6 +78,9 @@
     def upstream_seen(self, upstream, *, instance_started_ms, now) -> None:
         self.seen.append(instance_started_ms)
 
+    def upstream_restarted(self, upstream) -> None:
+        self.restarted.append(upstream)
+
     def higher_term_seen(self, lease, *, was_held, now) -> None:
         pass
 
--- a/tests/test_leased_lives.py
+++ b/tests/test_leased_lives.py
@@ -8,14 +8,26 @@
 import json
 import unittest
 
+import msgspec
+
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
+from godwitnotch.core.leased import cold_upstreams
 from godwitnotch.core.leased import events
+from godwitnotch.core.leased import evidence
+from godwitnotch.core.leased import health
+from godwitnotch.core.leased import lease
+from godwitnotch.core.leased import listing
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased import peer_messages
+from godwitnotch.core.leased import placement
+from godwitnotch.core.leased import run_times
 from godwitnotch.net import http_server
 from godwitnotch.net import http_types
 from godwitnotch.net import leased_calls
 from tests import leased_world
+from tests import test_leased_decisions
+from tests import test_leased_instances
 
 FIRST_LIFE_MS = 1_700_000_000_000
 SECOND_LIFE_MS = 1_700_000_009_000
@@ -185,6 +197,202 @@
         self.assertEqual(world.answers[call][1].end, model.JobEnd.COMPLETED)
         self.assertEqual(world.start_count("second"), 2)
 
+    def test_former_kind_counts_until_the_entry_is_of_the_new_life(
+        self,
+    ) -> None:
+        # Tasks that required a label started on an upstream of another kind.
+        world = leased_world.World({"a": ["a1"]}, upstreams=4)
+        kinds = ("x", "y")
+        for number, name in enumerate(world.upstreams):
+            world.restart_upstream(name, labels=(kinds[number % 2],))
+        world.run(2.0)
+        calls = []
+        for number in range(240):
+            if number % 40 == 20:
+                name = tuple(world.upstreams)[number // 40 % 4]
+                (kind,) = world.upstreams[name].entry.labels
+                other = "y" if kind == "x" else "x"
+                world.restart_upstream(
+                    name, labels=(other,), listed_after_s=0.2
+                )
+            calls.append(
+                world.submit("a1", f"j{number}", label=kinds[number % 2])
+            )
+            world.run(0.05)
+        world.run(3.0)
+        for _, run in world.started_runs:
+            required = kinds[int(run.key.task.job[1:]) % 2]
+            self.assertIn(required, run.labels, run.key)
+        ends = [world.answers[call][1].end for call in calls]
+        self.assertEqual(ends.count(model.JobEnd.COMPLETED), len(calls))
+
+    def test_upstream_is_used_as_soon_as_its_entry_is_listed(self) -> None:
+        # The next regular reading of the list comes up to 0.6 s later.
+        world = leased_world.World({"a": ["a1"]}, upstreams=1)
+        world.run(2.01)
+        (name,) = world.upstreams
+        world.submit("a1", "first")
+        world.run(0.02)
+        world.restart_upstream(name, labels=("other",))
+        world.submit("a1", "second", label="other")
+        world.run(0.15)
+        self.assertEqual(world.start_count("second"), 1)
+
+
+class HeldRoomTest(unittest.TestCase):
+    """All upstreams restart, and their entries come late or never."""
+
+    def setUp(self) -> None:
+        self.world = leased_world.World({"a": ["a1"]}, upstreams=2)
+        self.world.run(2.0)
+
+    def restart_all(self, *, listed_after_s: float) -> None:
+        for name in self.world.upstreams:
+            self.world.restart_upstream(name, listed_after_s=listed_after_s)
+
+    def test_job_waits_for_the_entries(self) -> None:
+        # It was refused, as if no upstream had room.
+        self.restart_all(listed_after_s=0.3)
+        call = self.world.submit("a1", "first", tasks=2)
+        self.world.run(1.5)
+        end = self.world.answers[call][1].end
+        self.assertEqual(end, model.JobEnd.COMPLETED)
+
+    def test_jobs_are_refused_if_no_entry_comes(self) -> None:
+        self.restart_all(listed_after_s=60.0)
+        self.world.submit("a1", "first")
+        self.world.run(4.0)
+        call = self.world.submit("a1", "second", wait_s=3.0)
+        self.world.run(0.2)
+        answer = self.world.answers[call][1]
+        self.assertEqual(answer.end, model.JobEnd.REFUSED)
+        self.assertEqual(self.world.start_count("second"), 0)
+
+
+class EntryTest(test_leased_instances.ManagerTest):
+    def entry(self, started_ms: int, **values: object) -> model.LeasedUpstream:
+        return msgspec.structs.replace(
+            test_leased_instances.ENTRY,
+            instance_started_ms=started_ms,
+            **values,
+        )
+
+    def test_entry_of_the_former_life_gives_no_room(self) -> None:
+        self.manager.update_upstreams([self.entry(1_000)], now=self.now)
+        (request,) = self.accept(self.start(0))
+        self.list_runs(request, instance=2_000)
+        self.assertFalse(self.lease.accepts_runs())
+        self.assertEqual(
+            self.listener.restarted, [self.lease.upstream.upstream]
+        )
+        smaller = model.Resources(500, 500, 0)
+        self.manager.update_upstreams(
+            [self.entry(2_000, capacity=smaller)], now=self.now
+        )
+        self.assertTrue(self.lease.accepts_runs())
+        self.assertEqual(self.lease.free_resources, smaller)
+
+    def test_list_is_read_when_a_new_life_responds(self) -> None:
+        self.manager.update_upstreams([self.entry(1_000)], now=self.now)
+        (request,) = self.accept(self.start(0))
+        self.list_runs(request, instance=2_000)
+        self.assertEqual(len(self.take(actions.ReadUpstreams)), 1)
+
+    def test_entry_of_a_life_that_has_not_responded_gives_no_room(self) -> None:
+        # The upstream isn't asked for long while it has no runs.
+        self.manager.update_upstreams([self.entry(2_000)], now=self.now)
+        self.assertFalse(self.lease.accepts_runs())
+        (request,) = self.take(actions.RenewLease)
+        self.list_runs(request, instance=2_000)
+        self.assertTrue(self.lease.accepts_runs())
+
+    def test_life_is_known_before_the_entry_of_a_new_leader(self) -> None:
+        self.manager.start_leading(
+            model.Term(8), [self.entry(1_000)], now=self.now
+        )
+        self.manager.end_claim_period(now=self.now)
+        (request,) = self.take(actions.RenewLease)
+        self.list_runs(request, instance=2_000)
+        self.assertIs(self.lease.state, lease.LeaseState.HELD)
+        self.assertFalse(self.lease.accepts_runs())
+
+
+class LearntTest(unittest.TestCase):
+    """What a former life has shown says nothing of the next."""
+
+    NAME = ids.UpstreamId("slow")
+
+    def setUp(self) -> None:
+        self.times = run_times.RunTimes()
+        self.health = health.UpstreamHealth()
+        self.evidence = evidence.EvidenceSharing(self.times, self.health)
+        self.evidence.follow_listing({self.NAME: 1_000})
+        self.times.set_slowness(self.NAME, 8.0)
+        for job in ("one", "two"):
+            self.health.run_failed(self.NAME, model.JobName(job), now=0.0)
+
+    def assert_learnt(self, *, slowness: float, ejected: bool) -> None:
+        self.assertAlmostEqual(self.times.learnt_slowness(self.NAME), slowness)
+        self.assertEqual(self.health.half_open(self.NAME), ejected)
+
+    def test_listed_restart_makes_it_void(self) -> None:
+        self.evidence.follow_listing({self.NAME: 1_000})
+        self.assert_learnt(slowness=8.0, ejected=True)
+        self.evidence.follow_listing({self.NAME: 2_000})
+        self.assert_learnt(slowness=1.0, ejected=False)
+
+    def test_restart_that_a_response_shows_makes_it_void(self) -> None:
+        self.evidence.forget(self.NAME)
+        self.assert_learnt(slowness=1.0, ejected=False)
+
+    def test_it_stays_while_the_life_is_not_known(self) -> None:
+        self.evidence.follow_listing({self.NAME: 0})
+        self.assert_learnt(slowness=8.0, ejected=True)
+
+    def test_removed_upstream_that_returns_in_a_new_life(self) -> None:
+        listed = listing.UpstreamListing(now=0.0)
+        entry = test_leased_instances.ENTRY
+        first = msgspec.structs.replace(entry, instance_started_ms=1_000)
+        second = msgspec.structs.replace(entry, instance_started_ms=2_000)
+        listed.update((first,), now=1.0)
+        listed.update((), now=2.0)
+        listed.update((), now=8.0)
+        self.assertEqual(listed.instances, {entry.upstream: 1_000})
+        listed.update((second,), now=9.0)
+        self.assertEqual(listed.instances, {entry.upstream: 2_000})
+
+    def test_new_life_is_cold_anew(self) -> None:
+        # With the same remaining time it counted as warm at once.
+        cold = cold_upstreams.ColdUpstreams()
+        cold.update({self.NAME: 2_000}, {self.NAME: 1_000}, now=0.0)
+        cold.update({self.NAME: 2_000}, {self.NAME: 1_000}, now=3.0)
+        self.assertFalse(cold.is_cold(self.NAME, now=3.0))
+        cold.update({self.NAME: 2_000}, {self.NAME: 2_000}, now=3.5)
+        self.assertTrue(cold.is_cold(self.NAME, now=5.0))
+
+    def test_task_may_run_on_the_next_life_of_an_excluded_upstream(
+        self,
+    ) -> None:
+        held = test_leased_decisions.held_lease("one")
+        held.follow_instance(1_000, sent_at=0.0, now=0.0)
+        job = test_leased_decisions.make_job()
+        task = job.tasks[0]
+        task.excluded_instances.add(held.instance)
+        chooser = placement.Placement(self.times, self.health)
+        self.assertIsNone(chooser.choose(job, task, [held], now=1.0))
+        held.follow_instance(2_000, sent_at=1.0, now=1.0)
+        self.assertIs(chooser.choose(job, task, [held], now=2.0), held)
+
+
+class FormerReleaseTest(unittest.TestCase):
+    def test_list_of_a_host_that_states_no_lives_is_used(self) -> None:
+        entry = test_leased_instances.ENTRY
+        values = msgspec.structs.astuple(entry)[:-1]
+        copy = peer_messages.UpstreamsCopy(
+            (peer_messages.UpstreamEntry(*values),)
+        )
+        self.assertEqual(copy.listed(), (entry,))
+
 
 if __name__ == "__main__":
     unittest.main()
