An end that an upstream can't have reached isn't acknowledged

Seen from outside: one row with an end number of 2^70 for 3 s, and 8 of 255 jobs were not completed. Cause: the leader acknowledged that number, and the upstream forgot its ends from then on. Change: a list with an end more than 1,000 beyond the last known one, in a lease that is held and in the same process, counts as no answer (`run_list_implausible`). The first list of a term may begin anywhere.

--- a/godwitnotch/core/leased/lease_calls.py
+++ b/godwitnotch/core/leased/lease_calls.py
@@ -95,6 +95,10 @@
         """Forgets all pending calls, so that their responses are ignored."""
         self._calls.clear()
 
+    def get(self, call_id: model.UpstreamCallId) -> PendingCall | None:
+        """Returns a pending call; None if it was forgotten."""
+        return self._calls.get(call_id)
+
     def pop(self, call_id: model.UpstreamCallId) -> PendingCall | None:
         """Removes and returns a pending call; None if it was forgotten."""
         call = self._calls.pop(call_id, None)
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -385,11 +385,24 @@
 
     def runs_listed(self, event: events.RunsListed, *, now: float) -> None:
         """Handles an upstream's list of runs, which this host has requested."""
-        call = self._calls.pop(event.call)
+        call = self._calls.get(event.call)
         if call is None:
             return
         lease = call.lease
         run_list = event.runs
+        odd_end = run_lists.implausible_end(lease, run_list)
+        if odd_end is not None:
+            self._out.add_decision(
+                "run_list_implausible",
+                detail=f"upstream={lease.upstream.upstream} end={odd_end} "
+                f"acknowledged={lease.acknowledged_end}",
+            )
+            unreadable = model.CallFailure.UNREADABLE
+            self.order_unanswered(
+                events.OrderUnanswered(event.call, unreadable), now=now
+            )
+            return
+        self._calls.pop(event.call)
         if not self._follow_instance(
             call, run_list.instance_started_ms, now=now
         ):
--- a/godwitnotch/core/leased/run_lists.py
+++ b/godwitnotch/core/leased/run_lists.py
@@ -4,6 +4,35 @@
 
 from godwitnotch.core.leased import lease as lease_module
 from godwitnotch.core.leased import model
+from godwitnotch.core.leased.lease import LeaseState
+
+# Far more than the ends that an upstream can list anew between two lists, which
+# are those of the runs that its slots allow.
+MAX_END_STEP = 1_000
+
+
+def implausible_end(
+    lease: lease_module.Lease, run_list: model.RunList
+) -> int | None:
+    """Returns the number of an end that the upstream can't have reached.
+
+    To acknowledge it would make the upstream forget the ends that come until it
+    reaches that number.
+
+    Returns:
+        The number; None if all are plausible, or if the earlier ends aren't
+        known, as the lease isn't held or the upstream has restarted.
+    """
+    if lease.state not in (LeaseState.RECONCILING, LeaseState.HELD):
+        return None
+    if run_list.instance_started_ms not in (0, lease.instance_started_ms):
+        return None
+    last = lease.acknowledged_end
+    for ended in run_list.ended:
+        if ended.number > last + MAX_END_STEP:
+            return ended.number
+        last = max(last, ended.number)
+    return None
 
 
 def newly_ended(
--- a/tests/test_leased_instances.py
+++ b/tests/test_leased_instances.py
@@ -338,6 +338,31 @@
         self.assertTrue(self.lease.accepts_runs())
 
 
+class ImplausibleEndTest(ManagerTest):
+    def ended(self, number: int, index: int) -> model.EndedRun:
+        return model.EndedRun(number, self.key(index), model.RunEnd.DONE)
+
+    def test_end_that_can_not_be_reached_is_not_acknowledged(self) -> None:
+        # The upstream forgot all ends until it reached that number.
+        (request,) = self.accept(self.start(0))
+        self.list_runs(request, instance=1_000, ended=(self.ended(10**9, 0),))
+        self.assertEqual(self.listener.ended, [])
+        self.assertEqual(self.lease.acknowledged_end, 0)
+        self.assertEqual(self.lease.pending_list_requests, 0)
+        (request, *_) = self.tick(0.2)
+        self.list_runs(request, instance=1_000, ended=(self.ended(1, 0),))
+        self.assertEqual(self.listener.ended, [(0, model.RunEnd.DONE)])
+        self.assertEqual(self.lease.acknowledged_end, 1)
+
+    def test_first_list_of_a_term_may_begin_with_any_end(self) -> None:
+        self.manager.start_leading(model.Term(8), [ENTRY], now=self.now)
+        self.manager.end_claim_period(now=self.now)
+        (request,) = self.take(actions.RenewLease)
+        self.list_runs(request, instance=1_000, ended=(self.ended(70_000, 0),))
+        self.assertIs(self.lease.state, lease.LeaseState.HELD)
+        self.assertEqual(self.lease.acknowledged_end, 70_000)
+
+
 class UnclaimedRunTest(ManagerTest):
     def test_run_that_ended_well_before_it_was_claimed_runs_again(self) -> None:
         done: list[model.RunKey] = []
