Each call to an upstream ends in exactly one result

Cause: `decode_run_list` raised errors that its caller doesn't expect (a task index that `str.isdigit` takes and `int` doesn't, one of 5,000 digits, a list as the way a run ended), so that the call had no result and the core waited for it for ever.

Change, at both ends: the decoders raise their own error for every input; and an order that meets any error is unanswered, logged as `internal_fault` and counted. A response that can't be read is logged with its cause (`response_unreadable`). A fault in handling a peer's message doesn't end the link.

--- a/godwitnotch/core/leased/model.py
+++ b/godwitnotch/core/leased/model.py
@@ -83,7 +83,8 @@
     NOT_CONNECTED = "not_connected"  # No connection in time.
     CLOSED = "closed"  # The connection was closed or reset.
     TIMED_OUT = "timed_out"
-    UNREADABLE = "unreadable"  # A response that proves nothing.
+    # A response that proves nothing, or a fault of the host that sent the call.
+    UNREADABLE = "unreadable"
     RELAY_LOST = "relay_lost"  # The link to the relay closed.
     RELAY_SILENT = "relay_silent"  # The relay sent no result in time.
     RELAY_REFUSED = "relay_refused"  # The relay follows another leader.
--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -142,7 +142,9 @@
             racks=locality.Racks(settings.slowdown_factor),
         )
         self._links = self._make_links()
-        self._order_client = leased_calls.OrderClient()
+        self._order_client = leased_calls.OrderClient(
+            on_unreadable=self._record_unreadable
+        )
         self._runtime = leased_runtime.LeasedRuntime(
             core=self._core,
             identity=self._identity,
@@ -447,6 +449,10 @@
         self._metrics.count_event(note.event, "")
         log.note(note)
 
+    def _record_unreadable(self, upstream: ids.UpstreamId, cause: str) -> None:
+        self._metrics.count_event("response_unreadable", "")
+        log.event("response_unreadable", upstream=upstream, cause=cause)
+
     def _record_fault(self, where: str, error: BaseException) -> None:
         self._metrics.count_event("internal_fault", type(error).__name__)
         process.log_fault(where, error)
--- a/godwitnotch/net/leased_calls.py
+++ b/godwitnotch/net/leased_calls.py
@@ -1,7 +1,9 @@
 """Sends orders to upstreams and returns the results as events."""
 
 import asyncio
+from collections.abc import Callable
 
+from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import lease_calls
@@ -29,15 +31,27 @@
 OrderResult = order_results.OrderResult
 
 
+OnUnreadable = Callable[[ids.UpstreamId, str], None]
+
+
+def _ignore(upstream: ids.UpstreamId, cause: str) -> None:
+    pass
+
+
 class OrderClient:
     """Sends orders to upstreams over persistent connections.
 
+    Args:
+        on_unreadable: Called with an upstream and its response that can't be
+            read, for the log.
+
     Attributes:
         late_s: By how much this process handles events late.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, on_unreadable: OnUnreadable = _ignore) -> None:
         self.late_s = 0.0
+        self._on_unreadable = on_unreadable
         self._client = http_client.HttpClient(
             max_idle_s=MAX_CONNECTION_IDLE_S,
             connect_timeout_s=CONNECT_TIMEOUT_S,
@@ -67,12 +81,17 @@
         if response.status != _HTTP_OK:
             rejection = upstreams.decode_rejection(response)
             if rejection is None:
-                return _unreadable(order)
+                return self._unreadable(order, f"status {response.status}")
             return events.OrderRejected(order.call, rejection)
         try:
             return _result_when_accepted(order, response)
-        except fields.WrongFormatError:
-            return _unreadable(order)
+        except fields.WrongFormatError as error:
+            return self._unreadable(order, str(error))
+
+    def _unreadable(self, order: Order, cause: str) -> events.OrderUnanswered:
+        """Reports a response that proves nothing, and returns that."""
+        self._on_unreadable(order.upstream.upstream, cause)
+        return events.OrderUnanswered(order.call, model.CallFailure.UNREADABLE)
 
     async def close(self) -> None:
         """Closes all idle connections."""
@@ -140,10 +159,6 @@
     return model.CallFailure.NOT_CONNECTED
 
 
-def _unreadable(order: Order) -> events.OrderUnanswered:
-    return events.OrderUnanswered(order.call, model.CallFailure.UNREADABLE)
-
-
 def _result_when_not_sent(
     order: Order, failure: model.CallFailure
 ) -> OrderResult:
--- a/godwitnotch/net/leased_runtime.py
+++ b/godwitnotch/net/leased_runtime.py
@@ -218,7 +218,13 @@
                 self._read_upstreams()
 
     def feed_peer(self, event: peer_events.LinkEvent) -> None:
-        """Handles an event of a peer link."""
+        """Handles an event of a peer link; a fault doesn't end the link."""
+        try:
+            self._handle_link_event(event)
+        except Exception as error:
+            self._on_fault(f"handling {type(event).__name__}", error)
+
+    def _handle_link_event(self, event: peer_events.LinkEvent) -> None:
         match event:
             case peer_events.PeerUp(host=host, domain=domain):
                 self._order_queues.link_changed(host)
@@ -398,7 +404,22 @@
                 self.spawn(self._send_order(action))
 
     async def _send_order(self, order: leased_calls.Order) -> None:
-        self.feed(await self._order_client.send(order))
+        self.feed(await self._result_of(order))
+
+    async def _result_of(
+        self, order: leased_calls.Order
+    ) -> leased_calls.OrderResult:
+        """Sends an order; returns its result, whatever happens.
+
+        The core waits for it: without a result the upstream would not be used
+        again.
+        """
+        try:
+            return await self._order_client.send(order)
+        except Exception as error:
+            self._on_fault(f"sending {type(order).__name__}", error)
+            failure = model.CallFailure.UNREADABLE
+            return events.OrderUnanswered(order.call, failure)
 
     async def _relay_order(
         self,
@@ -407,7 +428,7 @@
         link_number: int,
     ) -> None:
         """Sends an order for a leader, and the result to the leader."""
-        result = await self._order_client.send(order)
+        result = await self._result_of(order)
         self._order_queues.add_result(
             action.leader, action.term, result, link_number=link_number
         )
--- a/godwitnotch/platform/upstreams.py
+++ b/godwitnotch/platform/upstreams.py
@@ -23,6 +23,10 @@
 # When the upstream's process started, in Unix milliseconds of its own clock; in
 # its entry and in its lists of runs.
 _STARTED_FIELD = "born"
+# The largest integer that any reader of JSON keeps exactly.
+_MAX_SERIAL_NUMBER = 2**53 - 1
+_MAX_INDEX_DIGITS = 9
+_MAX_TASK_CHARS = 80  # Of a malformed name of a task in a message.
 _READY = "ready"
 _DRAINING = "draining"
 _WRONG_INSTANCE_STATUS = 421
@@ -244,35 +248,57 @@
     return f"{key.job}.0.0.{key.index}"
 
 
-def _decode_running(row: Any) -> model.RunKey:
-    if not isinstance(row, list) or len(row) < 2:
-        raise fields.WrongFormatError(
-            "a running entry is not an array of 2 or more values"
 def _fits_in_header(key: str) -> bool:
     """Returns whether an upstream's id can be sent in a header."""
     return bool(key) and key.isascii() and key.isprintable() and " " not in key
 
 
+def _decode_running(row: Any) -> model.RunKey:
+    if not isinstance(row, list) or len(row) < 2:
+        raise fields.WrongFormatError(
+            "a running entry is not an array of 2 or more values"
         )
     return _decode_run_key(row[0], row[1])
 
 
 def _decode_ended(row: Any) -> model.EndedRun:
-    if not isinstance(row, list) or len(row) < 4 or type(row[0]) is not int:
+    if not isinstance(row, list) or len(row) < 4:
         raise fields.WrongFormatError(
             "a finished entry is not an array of 4 or more values"
         )
-    end = _RUN_ENDS.get(row[3], model.RunEnd.OTHER)
-    return model.EndedRun(row[0], _decode_run_key(row[1], row[2]), end)
+    number, task, run, end = row[:4]
+    if not _is_serial_number(number):
+        raise fields.WrongFormatError(
+            "a finished entry has no whole number from 1 on"
+        )
+    if not isinstance(end, str):
+        raise fields.WrongFormatError("a finished entry doesn't tell the end")
+    return model.EndedRun(
+        number,
+        _decode_run_key(task, run),
+        _RUN_ENDS.get(end, model.RunEnd.OTHER),
+    )
 
 
 def _decode_run_key(task: Any, run: Any) -> model.RunKey:
-    if not isinstance(task, str) or type(run) is not int:
+    if not isinstance(task, str) or not _is_serial_number(run):
         raise fields.WrongFormatError("an entry doesn't name a run")
-    parts = task.split(".")
-    if len(parts) != 4 or not parts[3].isdigit():
+    job, *numbers = task.split(".")
+    if (
+        len(numbers) != 3
+        or not fields.is_unicode(job)
+        or not all(map(_is_index, numbers))
+    ):
         raise fields.WrongFormatError(
-            f"task {task!r} is not ID.OCCURRENCE.STEP.INDEX"
+            f"task {task[:_MAX_TASK_CHARS]!r} is not ID.OCCURRENCE.STEP.INDEX"
         )
-    key = model.TaskKey(model.JobName(parts[0]), int(parts[3]))
+    key = model.TaskKey(model.JobName(job), int(numbers[-1]))
     return model.RunKey(key, model.RunNumber(run))
+
+
+def _is_serial_number(value: Any) -> bool:
+    return type(value) is int and 1 <= value <= _MAX_SERIAL_NUMBER
+
+
+def _is_index(text: str) -> bool:
+    return len(text) <= _MAX_INDEX_DIGITS and text.isascii() and text.isdigit()
--- a/godwitnotch/standins/leased_platform.py
+++ b/godwitnotch/standins/leased_platform.py
@@ -8,6 +8,7 @@
 import base64
 import itertools
 import json
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -249,12 +250,16 @@
             then closed without a response. 0 to execute orders at once and
             respond.
         response_delay_s: Delay of each response, after the order was executed.
+        odd_running: Row that is added to the active runs; None for none.
+        odd_ended: Row that is added to the ended runs; None for none.
     """
 
     fails: bool = False
     hangs: bool = False
     order_delay_s: float = 0.0
     response_delay_s: float = 0.0
+    odd_running: Any = None
+    odd_ended: Any = None
 
 
 class _UpstreamState(msgspec.Struct):
@@ -315,6 +320,7 @@
         self._slots = slots
         self.run_time_s = run_time_s
         self._state = _UpstreamState()
+        self._born_ms = round(time.time() * 1_000)
         self._end_numbers = itertools.count(1)
         self._run_ended = asyncio.Event()
         self._address = ""
@@ -355,6 +361,7 @@
                 "capacity": {"cpu": 1_000 * self._slots, "mem_mb": 1_000},
                 "labels": ["a", "r1"],
                 "clock_ms": self._clock_ms(),
+                "born": self._born_ms,
                 "seq": 1,
             }
         ).encode()
@@ -454,13 +461,18 @@
         rows = [
             [task, run.number, "", 100] for task, run in state.running.items()
         ]
+        ends = state.unacknowledged_ends
+        if self.faults.odd_running is not None:
+            rows = [*rows, self.faults.odd_running]
+        if self.faults.odd_ended is not None:
+            ends = [*ends, self.faults.odd_ended]
         return _json_response(
             200,
             {
                 "clock_ms": self._clock_ms(),
-                "born": 1,
+                "born": self._born_ms,
                 "running": rows,
-                "finished": state.unacknowledged_ends,
+                "finished": ends,
             },
         )
 
--- a/tests/test_leased_runtime.py
+++ b/tests/test_leased_runtime.py
@@ -1,8 +1,10 @@
 """Tests of the runtime of a leased host."""
 
+import asyncio
 import unittest
 import unittest.mock
 
+from godwitnotch.core import events as peer_events
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import events
@@ -11,6 +13,7 @@
 from godwitnotch.net import http_types
 from godwitnotch.net import leased_api
 from godwitnotch.net import leased_runtime
+from tests import relay_messages
 
 
 class CallerWaitTest(unittest.TestCase):
@@ -29,6 +32,56 @@
 
 
 class FaultTest(unittest.IsolatedAsyncioTestCase):
+    def make_runtime(
+        self, *, core, links=None, order_client=None
+    ) -> leased_runtime.LeasedRuntime:
+        self.on_decided = unittest.mock.Mock()
+        self.on_fault = unittest.mock.Mock()
+        return leased_runtime.LeasedRuntime(
+            core=core,
+            identity=model.KnownHost(ids.HostId("b"), ids.DomainId("d")),
+            links=links or unittest.mock.Mock(),
+            order_client=order_client or unittest.mock.Mock(),
+            on_decided=self.on_decided,
+            on_fault=self.on_fault,
+        )
+
+    async def test_order_that_meets_a_fault_has_a_result(self) -> None:
+        # The core waited for the result, and the upstream wasn't used again.
+        order = relay_messages.ORDERS[3]
+        core = unittest.mock.Mock(leads=False)
+        core.handle.side_effect = [[order], []]
+        client = unittest.mock.Mock()
+        client.send.side_effect = TypeError("unhashable type")
+        runtime = self.make_runtime(core=core, order_client=client)
+        runtime.feed(events.Ticked())
+        await asyncio.sleep(0)
+        ((result,), _) = core.handle.call_args
+        self.assertEqual(
+            result,
+            events.OrderUnanswered(order.call, model.CallFailure.UNREADABLE),
+        )
+        ((where, _), _) = self.on_fault.call_args
+        self.assertEqual(where, "sending RenewLease")
+
+    async def test_fault_of_a_message_does_not_end_its_link(self) -> None:
+        core = unittest.mock.Mock(leads=False)
+        runtime = self.make_runtime(core=core)
+        runtime._apply_copy = unittest.mock.Mock(side_effect=OverflowError)
+        copy = peer_messages.ConfigurationCopy(3, b"{}")
+        runtime.feed_peer(peer_events.LeasedPeerSaid(ids.HostId("a"), copy))
+        self.on_fault.assert_called_once()
+
+    async def test_hosts_without_an_address_are_not_known(self) -> None:
+        # They counted as hosts, so that a small fleet was divided.
+        core = unittest.mock.Mock(leads=False)
+        runtime = self.make_runtime(core=core)
+        runtime.add_hosts(
+            model.KnownHost(ids.HostId(host), ids.DomainId("d"))
+            for host in ("name:80", "127.0.0.1:99999", "127.0.0.1")
+        )
+        core.handle.assert_not_called()
+
     async def test_action_that_fails_takes_no_other_along(self) -> None:
         # A message that couldn't be encoded dropped the orders of other jobs
         # that the same event had caused; their calls then never ended.
@@ -41,16 +94,8 @@
         ]
         links = unittest.mock.Mock()
         links.send.side_effect = UnicodeEncodeError("utf-8", "", 0, 1, "")
-        on_decided, on_fault = unittest.mock.Mock(), unittest.mock.Mock()
-        runtime = leased_runtime.LeasedRuntime(
-            core=core,
-            identity=model.KnownHost(ids.HostId("b"), ids.DomainId("d")),
-            links=links,
-            order_client=unittest.mock.Mock(),
-            on_decided=on_decided,
-            on_fault=on_fault,
-        )
+        runtime = self.make_runtime(core=core, links=links)
         runtime.feed(events.Ticked())
-        on_decided.assert_called_once_with(decided)
-        ((where, _), _) = on_fault.call_args
+        self.on_decided.assert_called_once_with(decided)
+        ((where, _), _) = self.on_fault.call_args
         self.assertEqual(where, "executing TellPeer")
