The soak's upstreams read all changes of their room at once

Cause, shown apart: the process read one line for each time that its input was readable, through a buffer. Of three lines that come at once it handles one; the others wait for the next change, so an upstream keeps a room that was given back. That it was this, and no fault of the product, is inferred, not replayed.

Change: whole lines are split from what the pipe delivers. The check stays as it is.

--- a/tests/soak/upstream_process.py
+++ b/tests/soak/upstream_process.py
@@ -19,12 +19,29 @@
 
 from tests.soak import exact_upstream
 
+MAX_READ_BYTES = 65_536
 # Lets a run end before the timer that answers those who wait for it.
 TIMER_MARGIN_S = 0.0005
 # A crashed upstream starts again after one of these times, under its id.
 DOWN_TIMES_S = (0.02, 0.1, 0.5, 3.0)
 
 
+class LineReader:
+    """Splits what a pipe delivers into whole lines, all of them at once.
+
+    A line that stays in a buffer is read when the next one comes: an upstream then
+    kept a room that had been given back long before.
+    """
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[str]:
+        """Returns the lines that are whole by now."""
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        return [line.decode() for line in lines]
+
+
 class _Served:
     """One upstream with its connections and waiting responses.
 
@@ -199,16 +216,22 @@
         for served in upstreams:
             served.restart()
 
-    def read_room() -> None:
-        name, count = sys.stdin.readline().split()
-        rooms[name] = int(count)
-        for served in upstreams:
-            if served.state.upstream == name:
-                served.state.set_room(rooms[name], time.monotonic())
+    lines = LineReader()
+
+    def read_rooms() -> None:
+        data = os.read(sys.stdin.fileno(), MAX_READ_BYTES)
+        if not data:
+            loop.remove_reader(sys.stdin.fileno())
+        for line in lines.feed(data):
+            name, count = line.split()
+            rooms[name] = int(count)
+            for served in upstreams:
+                if served.state.upstream == name:
+                    served.state.set_room(rooms[name], time.monotonic())
 
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
-    loop.add_reader(sys.stdin.fileno(), read_room)
+    loop.add_reader(sys.stdin.fileno(), read_rooms)
     loop.add_signal_handler(signal.SIGUSR1, restart)
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
     print("listening", flush=True)
