Cancels are kept until no host can start the job

Cause: a cancel was one message that nobody kept, answered whether it arrived or not.

The soak cancels 3% of its jobs at any host and checks the rule.

--- a/godwitnotch/core/leased/actions.py
+++ b/godwitnotch/core/leased/actions.py
@@ -101,6 +101,19 @@
     orders: tuple[Order, ...]
 
 
+class AnswerCancel(msgspec.Struct, frozen=True):
+    """Answers a caller who cancels a job.
+
+    Attributes:
+        call: Id of the caller's call.
+        taken: Whether the job won't be started any more; if not, that isn't
+            known, and the caller is to ask again.
+    """
+
+    call: ids.CallId
+    taken: bool
+
+
 class TellPeer(msgspec.Struct, frozen=True):
     """Sends a message to a linked host."""
 
@@ -141,6 +154,7 @@
     | RenewLease
     | RelayOrder
     | SendForLeader
+    | AnswerCancel
     | TellPeer
     | ReadUpstreams
     | Decided
--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from godwitnotch.core import ids
+from godwitnotch.core.leased import cancelled_jobs
 from godwitnotch.core.leased import cell_load
 from godwitnotch.core.leased import cold_upstreams
 from godwitnotch.core.leased import evacuation
@@ -44,6 +45,8 @@
 CROWDED_QUEUE_JOBS = 8
 MAX_PASS_INTERVAL_S = 0.02
 
+_CANCELLED = model.Answer(model.JobEnd.FAILED, model.EndReason.CANCELLED)
+
 
 class Dispatcher:
     """Queues jobs, starts their tasks on upstreams and answers their owners.
@@ -60,6 +63,7 @@
             higher term.
         evacuations: The failure domains in which no task may start.
         closed_to: Returns whether only evacuated upstreams could run a job.
+        cancelled: The jobs that callers have cancelled.
         relays: Chooses the hosts that send calls; None if this host sends all.
     """
 
@@ -75,9 +79,11 @@
         higher_term_seen: Callable[[lease_module.Lease, bool, float], None],
         evacuations: evacuation.Evacuations,
         closed_to: Callable[[model.JobRequest], bool],
+        cancelled: cancelled_jobs.CancelledJobs,
         relays: order_relays.OrderRelays | None = None,
     ) -> None:
         self._out = out
+        self._cancelled = cancelled
         self._overflow = overflow.Overflow()
         self._evacuations = evacuations
         self._leading = False
@@ -288,6 +294,9 @@
             now: The current time.
         """
         name = message.request.job
+        if name in self._cancelled:
+            self._open_jobs.tell_answer(owner, name, _CANCELLED)
+            return
         answer = self._open_jobs.kept_answer(message)
         if answer is not None:
             self._open_jobs.tell_answer(owner, name, answer)
@@ -339,12 +348,14 @@
             self._open_jobs.drop(job, reason="owner_dropped", now=now)
             self.place_waiting(now=now)
 
-    def job_cancelled(self, name: model.JobName, *, now: float) -> None:
-        """Stops a job that its caller has cancelled."""
+    def job_cancelled(self, name: model.JobName, *, now: float) -> bool:
+        """Stops a job that its caller has cancelled; returns if it was open."""
         job = self._open_jobs.get(name)
-        if job is not None:
-            self._open_jobs.fail(job, model.EndReason.CANCELLED, now=now)
-            self.place_waiting(now=now)
+        if job is None:
+            return False
+        self._open_jobs.fail(job, model.EndReason.CANCELLED, now=now)
+        self.place_waiting(now=now)
+        return True
 
     def place_waiting(self, *, now: float) -> None:
         """Starts waiting tasks, if jobs or resources may have changed."""
--- a/godwitnotch/core/leased/events.py
+++ b/godwitnotch/core/leased/events.py
@@ -41,6 +41,7 @@
 class CancelAsked(msgspec.Struct, frozen=True):
     """A caller cancels a job by its name; another host may own the job."""
 
+    call: ids.CallId
     job: model.JobName
 
 
--- a/godwitnotch/core/leased/fleet.py
+++ b/godwitnotch/core/leased/fleet.py
@@ -75,6 +75,14 @@
         """The known leaders without this host."""
         return [host for host in self._leaders.hosts if host != self._host]
 
+    def leader_of_each_cell(self) -> list[ids.HostId] | None:
+        """Returns the leaders of all cells; None if one isn't known."""
+        cell_ids = [self.home]
+        if self._divided:
+            cell_ids = [model.CellId(domain) for domain in self._host_domains]
+        leaders = [self._leaders.host(cell) for cell in cell_ids]
+        return leaders if all(leaders) else None
+
     @property
     def lists_upstreams(self) -> bool:
         """Whether this host, if it leads, reads the list for all leaders."""
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -5,6 +5,8 @@
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
+from godwitnotch.core.leased import cancellations
+from godwitnotch.core.leased import cancelled_jobs
 from godwitnotch.core.leased import cell_load
 from godwitnotch.core.leased import dispatcher as dispatcher_module
 from godwitnotch.core.leased import evacuation
@@ -87,8 +89,12 @@
         self._leadership = leadership_module.Leadership(
             host=host, domain=domain, rank=rank, unix_time=unix_time, now=now
         )
+        cancelled = cancelled_jobs.CancelledJobs()
         self._owned_jobs = owned_jobs.OwnedJobs(
-            self._out, self._fleet.leaders, send=self._send
+            self._out,
+            self._fleet.leaders,
+            send=self._send,
+            cancelled=cancelled,
         )
         self._relays = order_relays.OrderRelays(runs_per_s=runs_per_s)
         self._dispatcher = dispatcher_module.Dispatcher(
@@ -101,8 +107,18 @@
             higher_term_seen=self._higher_term_seen,
             evacuations=self._evacuations,
             closed_to=self._fleet.closed_to,
+            cancelled=cancelled,
             relays=self._relays,
         )
+        self._cancellations = cancellations.Cancellations(
+            self._out,
+            host,
+            self._fleet,
+            cancelled,
+            self._owned_jobs,
+            self._dispatcher,
+            linked_domains=self._linked_domains,
+        )
         self._division = fleet_division.FleetDivision(
             self._out,
             self._fleet,
@@ -264,6 +280,7 @@
         self._send_standing()
         self._update_home_leader()
         self._report_unfinished_runs(now=now)
+        self._cancellations.leader_changed(leadership.leader, now=now)
         self._owned_jobs.leader_changed(
             self._fleet.home, leadership.leader, leadership.term, now=now
         )
@@ -409,6 +426,12 @@
                 self._job_reports.wanted(host, message, now=now)
             case peer_messages.JobReported():
                 self._job_reports.reported(message)
+            case peer_messages.JobCancelled(job=job):
+                self._cancellations.told(host, job, now=now)
+            case peer_messages.JobsCancelled(jobs=jobs):
+                self._cancellations.spread(jobs, now=now)
+            case peer_messages.CancelConfirmed(job=job, found=found):
+                self._cancellations.confirmed(host, job, found=found)
             case _ if self.leads:
                 self._handle_leader_message(host, message, now=now)
 
@@ -521,8 +544,6 @@
                     self._dispatcher.all_handed_over(host, now=now)
             case peer_messages.JobDropped(job=job):
                 self._dispatcher.job_dropped(host, job, now=now)
-            case peer_messages.JobCancelled(job=job):
-                self._dispatcher.job_cancelled(job, now=now)
 
 
 @_handles(events.JobAsked)
@@ -550,10 +571,7 @@
 def _cancel_asked(
     host: LeasedHost, event: events.CancelAsked, now: float
 ) -> None:
-    if host._owned_jobs.cancel(event.job):
-        return
-    for leader in host._fleet.leaders.hosts:
-        host._send(leader, peer_messages.JobCancelled(event.job))
+    host._cancellations.asked(event.call, event.job, now=now)
 
 
 @_handles(events.UpstreamsListed)
@@ -578,6 +596,8 @@
     # Before the standing, so that no host follows a leader that it knows and
     # starts tasks in a domain of whose evacuation it doesn't.
     host._evacuation_sharing.tell(event.host)
+    # Likewise, so that an owner hands over no job that was cancelled meanwhile.
+    host._cancellations.host_linked(event.host, now=now)
     host._fleet.hosts_seen((event.domain,))
     host._leadership.peer_linked(event.host, event.domain, now=now)
     host._dispatcher.owner_linked(event.host, now=now)
@@ -659,4 +679,5 @@
         successors = host._leadership.successors()
         host._updates.send_evidence(successors, now=now)
         host._updates.send_task_records(successors + host._fleet.other_leaders)
+    host._cancellations.tick(now=now)
     host._owned_jobs.tick(now=now)
--- a/godwitnotch/core/leased/owned_jobs.py
+++ b/godwitnotch/core/leased/owned_jobs.py
@@ -12,6 +12,7 @@
 
 from godwitnotch.core import ids
 from godwitnotch.core.leased import actions
+from godwitnotch.core.leased import cancelled_jobs
 from godwitnotch.core.leased import cells
 from godwitnotch.core.leased import lease
 from godwitnotch.core.leased import model
@@ -84,6 +85,7 @@
         out: Collects the actions to execute.
         leaders: The known leaders of all cells.
         send: Sends a message to a leader, which may be this host.
+        cancelled: The jobs that callers have cancelled; None for none.
     """
 
     def __init__(
@@ -92,9 +94,13 @@
         leaders: cells.CellLeaders,
         *,
         send: SendMessage,
+        cancelled: cancelled_jobs.CancelledJobs | None = None,
     ) -> None:
         self._out = out
         self._leaders = leaders
+        if cancelled is None:
+            cancelled = cancelled_jobs.CancelledJobs()
+        self._cancelled = cancelled
         self._send = send
         self._home = cells.WHOLE_FLEET
         self._jobs: dict[model.JobName, _OwnedJob] = {}
@@ -106,6 +112,10 @@
         """How many callers wait for an answer."""
         return len(self._jobs)
 
+    def __contains__(self, name: model.JobName) -> bool:
+        """Returns whether this host owns a job that is open."""
+        return name in self._jobs
+
     def set_home(self, cell: model.CellId) -> None:
         """Sets the cell that gets the jobs of this host."""
         self._home = cell
@@ -139,7 +149,9 @@
             owned.earlier_runs_end_by = earlier.earlier_runs_end_by
         self._jobs[request.job] = owned
         self._calls[call] = request.job
-        if owned.cell is None:
+        if request.job in self._cancelled:
+            self.cancel(request.job)
+        elif owned.cell is None:
             self._hand_to_any(owned, now=now)
         elif owned.leader_lost_at is None:
             self._hand_over(owned, owned.cell, now=now)
--- a/godwitnotch/core/leased/peer_messages.py
+++ b/godwitnotch/core/leased/peer_messages.py
@@ -216,9 +216,30 @@
 
 
 class JobCancelled(msgspec.Struct, frozen=True):
-    """A caller has cancelled a job at a host that doesn't own it."""
+    """A caller has cancelled a job at a host that doesn't own it.
+
+    The receiver confirms that it remembers the cancel.
+    """
+
+    job: model.JobName
+
+
+class JobsCancelled(msgspec.Struct, frozen=True):
+    """Callers have cancelled these jobs; no host may start them any more."""
+
+    jobs: tuple[model.JobName, ...]
+
+
+class CancelConfirmed(msgspec.Struct, frozen=True):
+    """The sender remembers a cancel that `JobCancelled` has told.
+
+    Attributes:
+        job: The job.
+        found: Whether the sender had the job, and has ended it.
+    """
 
     job: model.JobName
+    found: bool
 
 
 class FleetDivided(msgspec.Struct, frozen=True):
@@ -398,6 +419,8 @@
     | JobAnswered
     | JobDropped
     | JobCancelled
+    | JobsCancelled
+    | CancelConfirmed
     | FleetDivided
     | DomainsEvacuated
     | cell_load.CellLoad
--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -286,9 +286,9 @@
         self._metrics.count_answer(answer, latency_s=elapsed_s)
         return answer
 
-    def feed(self, event: events.Event) -> None:
-        """Passes an event to the host core."""
-        self._runtime.feed(event)
+    async def cancel_job(self, name: model.JobName) -> bool:
+        """Cancels a job; returns whether it won't be started any more."""
+        return await self._runtime.cancel_job(name)
 
     def log_received(
         self, job: model.JobRequest, wait_s: float, version: int
--- a/godwitnotch/net/leased_api.py
+++ b/godwitnotch/net/leased_api.py
@@ -4,7 +4,8 @@
 import math
 from typing import Protocol
 
-from godwitnotch.core.leased import events
+import msgspec
+
 from godwitnotch.core.leased import model
 from godwitnotch.net import http_server
 from godwitnotch.net import http_types
@@ -36,8 +37,8 @@
     ) -> model.Answer:
         """Runs a job and returns its answer."""
 
-    def feed(self, event: events.Event) -> None:
-        """Passes an event to the host core."""
+    async def cancel_job(self, name: model.JobName) -> bool:
+        """Cancels a job; returns whether it won't be started any more."""
 
     def log_received(
         self, job: model.JobRequest, wait_s: float, version: int
@@ -104,8 +105,7 @@
             case "POST":
                 return await self._submit(request, route, job_name, version)
             case "DELETE":
-                self._host.feed(events.CancelAsked(job_name))
-                return http_types.HttpResponse(410)
+                return await self._cancel(job_name)
             case "GET":
                 # The response to POST carries the answer, which is not kept.
                 return http_types.HttpResponse(410)
@@ -113,6 +113,17 @@
             405, "method_not_allowed", "use POST, GET or DELETE"
         )
 
+    async def _cancel(self, name: model.JobName) -> http_types.HttpResponse:
+        if await self._host.cancel_job(name):
+            return http_types.HttpResponse(410)
+        response = http_server.error_response(
+            503,
+            "cancel_not_taken",
+            "no leader has confirmed the cancel; send it again",
+        )
+        headers = {**response.headers, "retry-after": str(round(RETRY_AFTER_S))}
+        return msgspec.structs.replace(response, headers=headers)
+
     async def _submit(
         self,
         request: http_types.HttpRequest,
--- a/godwitnotch/net/leased_runtime.py
+++ b/godwitnotch/net/leased_runtime.py
@@ -82,6 +82,7 @@
         self._pending_reports: dict[
             ids.CallId, asyncio.Future[explanation.JobReport | None]
         ] = {}
+        self._pending_cancels: dict[ids.CallId, asyncio.Future[bool]] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
         self._known_hosts: dict[ids.HostId, model.KnownHost] = {}
         self._configuration: configuration_module.Configuration | None = None
@@ -196,6 +197,21 @@
         finally:
             del self._pending_reports[call]
 
+    async def cancel_job(self, name: model.JobName) -> bool:
+        """Cancels a job.
+
+        Returns:
+            Whether the job won't be started any more; if not, that isn't known.
+        """
+        call = ids.CallId(next(self._call_ids))
+        future: asyncio.Future[bool] = self._loop.create_future()
+        self._pending_cancels[call] = future
+        try:
+            self.feed(events.CancelAsked(call, name))
+            return await future
+        finally:
+            del self._pending_cancels[call]
+
     def feed(self, event: events.Event) -> None:
         """Passes an event to the host core; executes the resulting actions."""
         try:
@@ -388,6 +404,10 @@
                 report_future = self._pending_reports.get(call)
                 if report_future is not None and not report_future.done():
                     report_future.set_result(report)
+            case actions.AnswerCancel(call=call, taken=taken):
+                cancel_future = self._pending_cancels.get(call)
+                if cancel_future is not None and not cancel_future.done():
+                    cancel_future.set_result(taken)
             case actions.TellPeer(host=host, message=message):
                 self._links.send(host, message)
             case actions.ReadUpstreams():
--- a/tests/leased_world.py
+++ b/tests/leased_world.py
@@ -178,6 +178,7 @@
         upstreams: Upstreams by id.
         orders: Time and action of each order that a host has sent.
         answers: Time and answer of each answered call.
+        cancels: Time of each answered cancel, and whether it was taken.
         reports: The report of each call that asked for one.
         decisions: Time, host and action of each decision.
         started_runs: All runs that were started, each with its upstream.
@@ -223,6 +224,7 @@
         self.upstreams: dict[str, Upstream] = {}
         self.orders: list[tuple[float, actions.Action]] = []
         self.answers: dict[int, tuple[float, model.Answer]] = {}
+        self.cancels: dict[int, tuple[float, bool]] = {}
         self.reports: dict[int, explanation.JobReport | None] = {}
         self.decisions: list[tuple[float, str, actions.Decided]] = []
         self.started_runs: list[tuple[str, UpstreamRun]] = []
@@ -476,6 +478,13 @@
         }
         self.deliver(name, events.UpstreamsListed(listed, (), cold))
 
+    def cancel(self, name: str, job: str) -> int:
+        """Cancels a job at a host; returns the id of the call."""
+        call = ids.CallId(next(self._call_ids))
+        cancel = events.CancelAsked(call, model.JobName(job))
+        self.deliver(name, cancel)
+        return call
+
     def submit(
         self,
         name: str,
@@ -630,6 +639,9 @@
                             name, without=self.unlisted
                         ),
                     )
+            case actions.AnswerCancel(call=call, taken=taken):
+                assert call not in self.cancels, "answered twice"
+                self.cancels[call] = (self.now, taken)
             case actions.Decided():
                 self.decisions.append((self.now, name, action))
             case actions.TellPeer(host=host, message=message):
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -14,6 +14,10 @@
 # A task may be started twice more after it has crashed three upstreams.
 FORBIDDEN_CRASH_COUNT = 3
 FORBIDDEN_START_COUNT = 3
+# A cancelled job starts no task this long after the acknowledgement, and none of its
+# tasks runs on the time of a stop later.
+CANCEL_S = 3.0
+STOP_S = 0.05
 # A change of room counts after the platform's contact time and one report.
 ROOM_KNOWN_AFTER_S = 3.0 + 1.5
 
@@ -131,6 +135,23 @@
     ]
 
 
+def ran_after_cancel(
+    jobs: Iterable[load_module.Job], all_runs: Iterable[Run]
+) -> list[str]:
+    """Returns the runs of cancelled jobs long after the acknowledgement."""
+    cancelled_at = {job.name: job.cancelled_at for job in jobs}
+    found = []
+    for run in all_runs:
+        job = run.task.partition(".")[0]
+        bound = cancelled_at.get(job, float("inf")) + CANCEL_S
+        if run.started_at > bound or run.ended_at > bound + STOP_S:
+            found.append(
+                f"{run.task} run={run.number} at {run.upstream} "
+                f"started_s={run.started_at - bound + CANCEL_S:.3f} after"
+            )
+    return found
+
+
 def started_after_crashes(records: Iterable[Mapping[str, Any]]) -> list[str]:
     """Returns the tasks that were started too often after crashes."""
     crashes: dict[str, int] = {}
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -19,6 +19,10 @@
 # Jobs a second, tasks of a job, and duration of a task in ms.
 KINDS = ((17, 8, 60), (3, 4, 900), (50, 2, 200))
 GIVE_UP_SHARE = 0.01  # Callers that leave early, and send the job again.
+CANCELLED_SHARE = 0.03  # Callers that cancel their job, at any host.
+MAX_CANCEL_DELAY_S = 2.0
+CANCEL_WAIT_S = 4.0
+TAKEN_STATUSES = (200, 410)
 RESENT_STATUSES = (0, 502, 504)
 REFUSED_STATUSES = (429, 503)
 _RESPONSE = re.compile(
@@ -29,10 +33,15 @@
 
 @dataclass(slots=True)
 class Job:
-    """A job, with the time and status of each call; 0 without a response."""
+    """A job, with the time and status of each call; 0 without a response.
+
+    Attributes:
+        cancelled_at: When its cancel was acknowledged; infinite if none was.
+    """
 
     name: str
     calls: list[tuple[float, int]] = field(default_factory=list)
+    cancelled_at: float = float("inf")
 
 
 class _Connection(asyncio.Protocol):
@@ -68,12 +77,12 @@
         self.closed = True
         self._transport.abort()
 
-    async def post(self, path: str, body: bytes) -> int:
-        """Sends a job and returns the status of the response."""
+    async def exchange(self, method: str, path: str, body: bytes) -> int:
+        """Sends a request and returns the status of the response."""
         self._received = b""
         self._status = asyncio.get_running_loop().create_future()
         head = (
-            f"POST {path} HTTP/1.1\r\nhost: {leased_platform.ROUTE_AUTHORITY}"
+            f"{method} {path} HTTP/1.1\r\nhost: {leased_platform.ROUTE_AUTHORITY}"
             f"\r\nx-request-deadline: {CALLER_WAIT_S * 1_000:.0f}\r\n"
             f"content-length: {len(body)}\r\n\r\n"
         )
@@ -147,30 +156,47 @@
             job = Job(f"{next(self._numbers):016x}")
             self.jobs.append(job)
             self._spawn(self._send(job, json.dumps(body).encode()))
+            if self._rng.random() < CANCELLED_SHARE:
+                self._spawn(self._cancel(job))
+
+    async def _cancel(self, job: Job) -> None:
+        await asyncio.sleep(self._rng.uniform(0.0, MAX_CANCEL_DELAY_S))
+        host = self._rng.choice(self._fleet.hosts)
+        status = await self._call(
+            host, job.name, b"", method="DELETE", wait_s=CANCEL_WAIT_S
+        )
+        if status in TAKEN_STATUSES:
+            job.cancelled_at = time.monotonic()
 
     async def _send(self, job: Job, body: bytes) -> None:
         hosts = self._rng.choices(self._fleet.hosts, k=MAX_CALLS)
         for host in hosts:
             sent_at = time.monotonic()
-            status = await self._call(host, job.name, body)
+            wait_s = CALLER_WAIT_S
+            if self._rng.random() < GIVE_UP_SHARE:
+                wait_s = self._rng.uniform(0.0, CALLER_WAIT_S)
+            status = await self._call(host, job.name, body, wait_s=wait_s)
             job.calls.append((sent_at, status))
             if status not in RESENT_STATUSES or self._stopped:
                 return
             await asyncio.sleep(RETRY_DELAY_S)
 
     async def _call(
-        self, host: fleet_module.Host, name: str, body: bytes
+        self,
+        host: fleet_module.Host,
+        name: str,
+        body: bytes,
+        *,
+        method: str = "POST",
+        wait_s: float,
     ) -> int:
         """Returns the status of the response; 0 if there is none."""
-        wait_s = CALLER_WAIT_S
-        if self._rng.random() < GIVE_UP_SHARE:
-            wait_s = self._rng.uniform(0.0, CALLER_WAIT_S)
         connection = None
         try:
             async with asyncio.timeout(wait_s):
                 connection = await self._connect(host.callers)
                 path = leased_platform.ROUTE_PREFIX + name
-                status = await connection.post(path, body)
+                status = await connection.exchange(method, path, body)
         except (OSError, TimeoutError):
             if connection is not None:
                 connection.abort()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -61,6 +61,7 @@
         started_after_crashes: Tasks that were started too often after they had
             crashed upstreams.
         over_room: Starts beyond the room of an upstream.
+        ran_after_cancel: Runs long after their job's cancel was acknowledged.
         lines: Counts and traces as text.
     """
 
@@ -70,6 +71,7 @@
     recovered: bool
     started_after_crashes: list[str]
     over_room: list[str]
+    ran_after_cancel: list[str]
     lines: list[str] = field(default_factory=list)
 
     @property
@@ -81,6 +83,7 @@
             or self.stray_responses
             or self.started_after_crashes
             or self.over_room
+            or self.ran_after_cancel
         )
 
 
@@ -152,6 +155,7 @@
         recovered,
         checker.started_after_crashes(records),
         checker.over_room(records),
+        checker.ran_after_cancel(load.jobs, runs),
     )
     crashes = collections.Counter(
         record["task"] for record in records if record["kind"] == "crash"
@@ -175,6 +179,8 @@
         f"most_by_a_task={max(crashes.values(), default=0)} "
         f"started_after_crashes={result.started_after_crashes} "
         f"over_room={result.over_room}",
+        f"cancels={sum(job.cancelled_at < float('inf') for job in load.jobs)} "
+        f"ran_after_cancel={result.ran_after_cancel}",
         f"overlaps={len(result.overlaps)} "
         f"refused_but_ran={result.refused_but_ran} "
         f"stray_responses={result.stray_responses} recovered={recovered}",
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -7,6 +7,7 @@
 from tests.soak import exact_upstream
 from tests.soak import load
 from tests.soak import schedule
+from tests.soak import upstream_process
 
 TASK = "0000000000000001.0.0.0"
 
@@ -194,6 +195,28 @@
             with self.subTest(guards_room=guards_room, started_at=started_at):
                 self.assertEqual(checker.over_room(upstream.records), found)
 
+    def test_runs_long_after_a_cancel_are_found(self) -> None:
+        for cancelled_at, found in (
+            (float("inf"), 0),
+            (98.0, 0),
+            (96.9, 1),  # It starts 3.1 s after the acknowledgement.
+            (97.5, 1),  # It starts before, and runs on.
+        ):
+            upstream = Upstream()
+            upstream.start(100.0)
+            job = load.Job(TASK.partition(".")[0], cancelled_at=cancelled_at)
+            runs = checker.runs(upstream.records, {})
+            with self.subTest(cancelled_at=cancelled_at):
+                ran = checker.ran_after_cancel([job], runs)
+                self.assertEqual(len(ran), found)
+
+
+class LineReaderTest(unittest.TestCase):
+    def test_all_lines_of_one_read_are_returned(self) -> None:
+        lines = upstream_process.LineReader()
+        self.assertEqual(lines.feed(b"u1 2\nu3 2\nu5"), ["u1 2", "u3 2"])
+        self.assertEqual(lines.feed(b" 1\n"), ["u5 1"])
+
 
 class ScheduleTest(unittest.TestCase):
     def test_a_seed_gives_the_same_schedule_again(self) -> None:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -31,3 +31,4 @@
         self.assertEqual(result.stray_responses, [], text)
         self.assertEqual(result.started_after_crashes, [], text)
         self.assertEqual(result.over_room, [], text)
+        self.assertEqual(result.ran_after_cancel, [], text)
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -741,6 +741,8 @@
             peer_messages.JobAnswered(model.JobName("j"), answer),
             peer_messages.JobDropped(model.JobName("j")),
             peer_messages.JobCancelled(model.JobName("j")),
+            peer_messages.JobsCancelled((model.JobName("j"),)),
+            peer_messages.CancelConfirmed(model.JobName("j"), True),
             peer_messages.FleetDivided(),
             peer_messages.DomainsEvacuated(
                 7, frozenset({ids.DomainId("a"), ids.DomainId("b")})
--- a/tests/test_leased_host.py
+++ b/tests/test_leased_host.py
@@ -66,9 +66,9 @@
                 world.run_time_ms = 800.0
                 call = world.submit("a2", "cancelled", tasks=3)
                 world.run(0.1)
-                name = model.JobName("cancelled")
-                world.deliver(at, leased_world.events.CancelAsked(name))
+                cancel = world.cancel(at, "cancelled")
                 world.run(0.1)
+                self.assertTrue(world.cancels[cancel][1])
                 self.assert_end(world, call, model.JobEnd.FAILED)
                 ends = {run.end for _, run in world.started_runs}
                 self.assertEqual(ends, {model.RunEnd.STOPPED})
