A host that drains answers each of its jobs before it ends

Cause: the drain waited for open requests and aborted what was left; neither the owned jobs nor their leader knew of that time.

Change: a drain moves the deadline of each owned job to 0.4 s before the abort, and tells its leader, which refuses what can't end by then and hasn't begun. What is left is answered 504 by the owner. The message names the job only, so that a leader that has redirected it doesn't run it too.

--- a/godwitnotch/core/leased/dispatcher.py
+++ b/godwitnotch/core/leased/dispatcher.py
@@ -314,6 +314,21 @@
         self._check_arrival(job, now=now)
         self.place_waiting(now=now)
 
+    def job_deadline_moved(
+        self,
+        owner: ids.HostId,
+        message: peer_messages.JobDeadlineMoved,
+        *,
+        now: float,
+    ) -> None:
+        """Ends a job that can't end by the time that its owner has left."""
+        job = self._open_jobs.get(message.job)
+        if job is None or job.owner != owner:
+            return
+        job.deadline = min(job.deadline, now + message.deadline_in_s)
+        verdict = self._admission.check_deadline(job, now=now)
+        self._open_jobs.apply(verdict, job, now=now)
+
     def all_handed_over(self, owner: ids.HostId, *, now: float) -> None:
         """Records that a host has handed over all its open jobs."""
         away_since = self._owners.handed_over(owner)
--- a/godwitnotch/core/leased/events.py
+++ b/godwitnotch/core/leased/events.py
@@ -105,7 +105,13 @@
 
 
 class DrainStarted(msgspec.Struct, frozen=True):
-    """This host drains: it reports not ready and lets another host lead."""
+    """This host drains: it reports not ready and lets another host lead.
+
+    Attributes:
+        answer_by: When the callers of this host must have their answers.
+    """
+
+    answer_by: float = float("inf")
 
 
 class Ticked(msgspec.Struct, frozen=True):
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -542,6 +542,8 @@
                 # The sender may know a higher term, or not yet a raised one.
                 if term >= self._elected_term:
                     self._dispatcher.all_handed_over(host, now=now)
+            case peer_messages.JobDeadlineMoved():
+                self._dispatcher.job_deadline_moved(host, message, now=now)
             case peer_messages.JobDropped(job=job):
                 self._dispatcher.job_dropped(host, job, now=now)
 
@@ -659,6 +661,7 @@
     host._draining = True
     host._leadership.drain()
     host._send_standing()
+    host._owned_jobs.drain(answer_by=event.answer_by, now=now)
 
 
 @_handles(events.Ticked)
--- a/godwitnotch/core/leased/owned_jobs.py
+++ b/godwitnotch/core/leased/owned_jobs.py
@@ -106,6 +106,7 @@
         self._jobs: dict[model.JobName, _OwnedJob] = {}
         self._calls: dict[ids.CallId, model.JobName] = {}
         self._cells_chosen = 0
+        self._answer_by = float("inf")
 
     @property
     def open_count(self) -> int:
@@ -129,6 +130,7 @@
         now: float,
     ) -> None:
         """Handles a job that a caller has sent."""
+        deadline = min(deadline, self._answer_by)
         owned = _OwnedJob(call, request, now, deadline)
         earlier = self._jobs.get(request.job)
         if earlier is not None:
@@ -156,6 +158,24 @@
         elif owned.leader_lost_at is None:
             self._hand_over(owned, owned.cell, now=now)
 
+    def drain(self, *, answer_by: float, now: float) -> None:
+        """Answers all jobs by a time, as this host ends soon after it.
+
+        Their leaders refuse at once those that can't end by then, and have not
+        begun.
+        """
+        self._answer_by = answer_by
+        for owned in self._jobs.values():
+            if owned.deadline <= answer_by:
+                continue
+            owned.deadline = answer_by
+            if owned.leader and owned.leader_lost_at is None:
+                # Not handed over again: its leader may have redirected it.
+                moved = peer_messages.JobDeadlineMoved(
+                    owned.request.job, max(0.0, answer_by - now)
+                )
+                self._send(owned.leader, moved)
+
     def caller_left(self, call: ids.CallId) -> None:
         """Drops the job of a caller that has disconnected."""
         name = self._calls.pop(call, None)
@@ -352,12 +372,10 @@
         if not owned.handed_over:
             self._refuse(owned, model.EndReason.NO_LEADER)
             return
-        self._answer(
-            owned,
-            model.Answer(
-                model.JobEnd.GIVEN_UP, model.EndReason.DEADLINE_PASSED
-            ),
-        )
+        reason = model.EndReason.DEADLINE_PASSED
+        if owned.deadline == self._answer_by:
+            reason = model.EndReason.DRAINING
+        self._answer(owned, model.Answer(model.JobEnd.GIVEN_UP, reason))
 
     def _refuse(self, owned: _OwnedJob, reason: model.EndReason) -> None:
         self._answer(
--- a/godwitnotch/core/leased/peer_messages.py
+++ b/godwitnotch/core/leased/peer_messages.py
@@ -202,6 +202,18 @@
     term: model.Term
 
 
+class JobDeadlineMoved(msgspec.Struct, frozen=True):
+    """The owner of a job has to answer it sooner than it said.
+
+    Attributes:
+        job: The job.
+        deadline_in_s: How long the owner still waits.
+    """
+
+    job: model.JobName
+    deadline_in_s: float
+
+
 class JobAnswered(msgspec.Struct, frozen=True):
     """The leader's answer for the owner of a job."""
 
@@ -416,6 +428,7 @@
     | TasksLearnt
     | JobHandedOver
     | AllHandedOver
+    | JobDeadlineMoved
     | JobAnswered
     | JobDropped
     | JobCancelled
--- a/godwitnotch/leased_root.py
+++ b/godwitnotch/leased_root.py
@@ -45,6 +45,10 @@
 MIN_DRAIN_S = 2.6
 # Part of the time between SIGTERM and SIGKILL that is reserved for closing.
 EXIT_RESERVE_S = 0.8
+# Callers have their answers so long before the connections are aborted.
+DRAIN_ANSWER_MARGIN_S = 0.4
+# Callers without an answer get one at this last moment, if the host was late.
+LAST_TICK_MARGIN_S = 0.1
 # On exit, open requests get at least this time to finish. After that, the host
 # waits at most this time for its deregistration.
 CLOSE_GRACE_S = 0.5
@@ -245,10 +249,6 @@
     async def wait_drained(self) -> None:
         """Waits until a drain starts, then for `MIN_DRAIN_S`."""
         await self._draining.wait()
-        started_at = self._loop.time()
-        self._abort_at = (
-            started_at + self._settings.termination_grace_s - EXIT_RESERVE_S
-        )
         await asyncio.sleep(MIN_DRAIN_S)
 
     async def close(self) -> None:
@@ -415,7 +415,19 @@
         if not self._draining.is_set():
             log.event("drain_started", jobs=self._core.open_jobs)
             self._draining.set()
-            self._runtime.feed(events.DrainStarted())
+            self._abort_at = (
+                self._loop.time()
+                + self._settings.termination_grace_s
+                - EXIT_RESERVE_S
+            )
+            answer_by = self._abort_at - DRAIN_ANSWER_MARGIN_S
+            self._runtime.feed(events.DrainStarted(answer_by))
+            # Before the connections are aborted, also after a stall.
+            self._loop.call_at(
+                self._abort_at - LAST_TICK_MARGIN_S,
+                self._runtime.feed,
+                events.Ticked(),
+            )
 
     def _reload(self) -> None:
         """Reloads the settings file and opens links to its new seeds.
--- a/godwitnotch/net/http_server.py
+++ b/godwitnotch/net/http_server.py
@@ -20,6 +20,7 @@
 # The rest of a rejected request is read and dropped for this long, so that the
 # client receives the response and not a connection reset.
 LINGERING_CLOSE_S = 1.0
+_PASSES_BEFORE_ABORT = 5
 _STOP_POLL_INTERVAL_S = 0.01
 
 _LOG = logging.getLogger(__name__)
@@ -93,6 +94,9 @@
             if loop.time() >= grace_deadline:
                 self._close_idle()
             await asyncio.sleep(_STOP_POLL_INTERVAL_S)
+        # Lets handlers that have their answer send it, also after a stall.
+        for _ in range(_PASSES_BEFORE_ABORT):
+            await asyncio.sleep(0)
         for connection in tuple(self._server_state.connections):
             connection.abort()
         # Server.wait_closed() is not needed: in Python 3.11, close() already
--- a/tests/test_leased_decisions.py
+++ b/tests/test_leased_decisions.py
@@ -738,6 +738,7 @@
                 leased_world.request("j"), 1.0, 0.5, 0.0, model.Term(4)
             ),
             peer_messages.AllHandedOver(model.Term(5)),
+            peer_messages.JobDeadlineMoved(model.JobName("j"), 1.5),
             peer_messages.JobAnswered(model.JobName("j"), answer),
             peer_messages.JobDropped(model.JobName("j")),
             peer_messages.JobCancelled(model.JobName("j")),
