--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -29,6 +29,7 @@
 from godwitnotch.core.leased import relaying
 from godwitnotch.core.leased import stalls
 from godwitnotch.core.leased import term_raises
+from godwitnotch.core.leased import upstream_lists
 from godwitnotch.core.leased.leadership import LeadershipChange
 from godwitnotch.core.leased.leadership import Scope
 
@@ -145,6 +146,15 @@
         self._updates = leader_updates.LeaderUpdates(
             self._out, self._dispatcher.evidence, self._dispatcher.task_records
         )
+        self._lists = upstream_lists.UpstreamLists(
+            self._listing,
+            self._fleet,
+            self._leadership,
+            self._dispatcher,
+            self._division,
+            self._updates,
+            self._evacuation_sharing,
+        )
         self._term_raises = term_raises.TermRaises(now=now)
         self._draining = False
         self._told_leading = False
@@ -170,7 +180,7 @@
     @property
     def lists_upstreams(self) -> bool:
         """Whether this host reads the list of upstreams for all leaders."""
-        return self.leads and self._fleet.lists_upstreams
+        return self._lists.reads
 
     @property
     def leads_cell(self) -> bool:
@@ -402,15 +412,15 @@
                 )
                 self._apply_change(change, now=now)
                 self._notice_departed_owner(host, message, now=now)
-                self._send_upstreams()
+                self._lists.send()
             case peer_messages.JobAnswered(job=job, answer=answer):
                 self._owned_jobs.job_answered(host, job, answer)
             case peer_messages.JobRedirected(job=job, leader=leader):
                 self._owned_jobs.job_redirected(host, job, leader, now=now)
             case peer_messages.ListedUpstreams(upstreams=upstreams):
-                self._list_received(upstreams, now=now)
+                self._lists.received(upstreams, now=now)
             case peer_messages.UpstreamsCopy():
-                self._list_received(message.listed(), now=now)
+                self._lists.received(message.listed(), now=now)
             case peer_messages.UpstreamsLearnt():
                 if not self.leads:
                     self._dispatcher.evidence.apply(message, now=now)
@@ -460,60 +470,7 @@
         ):
             self._fleet.evacuations_changed()
             self._dispatcher.evacuations_changed(now=now)
-            self._report_unknown_evacuations()
-
-    def _report_unknown_evacuations(self) -> None:
-        if self.leads and self._listing.upstreams:
-            self._evacuation_sharing.report_unknown(self._fleet.domains)
-
-    def _update_listing(
-        self, event: events.UpstreamsListed, *, now: float
-    ) -> bool:
-        """Applies a list; returns whether the usable upstreams have changed."""
-        changed = self._listing.update(
-            event.upstreams, unreadable=event.unreadable, now=now
-        )
-        instances = self._listing.instances
-        if event.cold_remaining_ms is not None:
-            cold = self._dispatcher.cold_upstreams
-            cold.update(event.cold_remaining_ms, instances, now=now)
-        if changed:
-            self._dispatcher.evidence.follow_listing(instances)
-            self._fleet.update_map(self._listing.upstreams)
-        return changed
-
-    def _list_received(
-        self, upstreams: tuple[model.LeasedUpstream, ...], *, now: float
-    ) -> None:
-        """Applies a list that a leader has sent, unless this host reads it."""
-        listed = events.UpstreamsListed(upstreams)
-        if not self.leads:
-            self._update_listing(listed, now=now)
-        elif not self.lists_upstreams:
-            self._apply_listing(listed, now=now)
-
-    def _apply_listing(
-        self, event: events.UpstreamsListed, *, now: float
-    ) -> None:
-        """Applies a list; a leader holds what is new and tells others."""
-        changed = self._update_listing(event, now=now)
-        if not changed or not self.leads:
-            return
-        self._report_unknown_evacuations()
-        self._division.divide_if_too_large(now=now)
-        self._division.hold_upstreams(now=now)
-        self._updates.list_changed()
-        self._send_upstreams()
-        self._dispatcher.place_waiting(now=now)
-
-    def _send_upstreams(self) -> None:
-        """Sends the list of upstreams to the hosts that may lead next."""
-        if not self.leads or not self._listing.upstreams:
-            return
-        receivers = self._leadership.successors()
-        if self._fleet.divided and self.lists_upstreams:
-            receivers += self._fleet.other_leaders
-        self._updates.send_list(self._listing.upstreams, receivers)
+            self._lists.report_unknown_evacuations()
 
     def _handle_leader_message(
         self, host: ids.HostId, message: peer_messages.Message, *, now: float
@@ -580,7 +537,7 @@
 def _upstreams_listed(
     host: LeasedHost, event: events.UpstreamsListed, now: float
 ) -> None:
-    host._apply_listing(event, now=now)
+    host._lists.read(event, now=now)
 
 
 @_handles(events.EvacuationsRead)
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -12,7 +12,6 @@
 from collections.abc import Mapping
 
 from godwitnotch.core import ids
-from godwitnotch.core.leased import actions
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import jobs
 from godwitnotch.core.leased import lease as lease_module
@@ -25,6 +24,7 @@
 from godwitnotch.core.leased import run_index
 from godwitnotch.core.leased import run_listener
 from godwitnotch.core.leased import run_lists
+from godwitnotch.core.leased import upstream_instances
 from godwitnotch.core.leased.lease import LeaseEvent
 from godwitnotch.core.leased.lease import LeaseState
 from godwitnotch.core.leased.lease import RunState
@@ -69,6 +69,7 @@
             stop_run=self.stop_run,
             record_end=self._record_end,
         )
+        self._instances = upstream_instances.UpstreamInstances(out, listener)
         self._last_tick_at = 0.0
         self._tick_gap_s = 0.0
 
@@ -274,7 +275,7 @@
         if call is None or call.run is None:
             return
         lease, run = call.lease, call.run
-        if self._follow_instance(call, event.instance_started_ms, now=now):
+        if self._instances.follow(call, event.instance_started_ms, now=now):
             lease.record_response(event.clock_ms, now=now)
         if lease.runs.get(run.key.task) is not run:
             if call.kind is CallKind.START:
@@ -403,7 +404,7 @@
             )
             return
         self._calls.pop(event.call)
-        if not self._follow_instance(
+        if not self._instances.follow(
             call, run_list.instance_started_ms, now=now
         ):
             return
@@ -427,21 +428,7 @@
         *,
         now: float,
     ) -> None:
-        former_address = lease.upstream.address
-        awaited_since = lease.entry_awaited_since
-        lease.update_entry(entry, now=now)
-        if awaited_since is not None and lease.entry_current:
-            self._out.add_decision(
-                "upstream_entry_read",
-                detail=f"upstream={entry.upstream} "
-                f"waited_ms={(now - awaited_since) * 1_000:.0f}",
-            )
-        if entry.address != former_address:
-            self._out.add_decision(
-                "upstream_moved",
-                detail=f"upstream={entry.upstream} from={former_address} "
-                f"to={entry.address}",
-            )
+        if self._instances.update_entry(lease, entry, now=now):
             self._leave_address(lease, now=now)
             lease.next_list_request_at = now
 
@@ -599,50 +586,6 @@
             self._runs.remove(lease, run)
             self._listener.order_rejected(lease, run, rejection, now=now)
 
-    def _follow_instance(
-        self,
-        call: lease_calls.PendingCall,
-        instance_started_ms: int,
-        *,
-        now: float,
-    ) -> bool:
-        """Returns whether a response is from the upstream's newest instance."""
-        if call.to_former_address:
-            return False
-        lease = call.lease
-        known_ms = lease.instance_started_ms
-        entry_was_current = lease.entry_current
-        newest = lease.follow_instance(
-            instance_started_ms, sent_at=call.sent_at, now=now
-        )
-        if newest and known_ms not in (0, lease.instance_started_ms):
-            self._out.add_decision(
-                "upstream_restarted",
-                detail=f"upstream={lease.upstream.upstream}",
-            )
-            self._listener.upstream_restarted(lease.upstream.upstream)
-        if entry_was_current and not lease.entry_current:
-            self._await_entry(lease)
-        if newest and instance_started_ms:
-            self._listener.upstream_seen(
-                lease.upstream.upstream,
-                instance_started_ms=instance_started_ms,
-                now=now,
-            )
-        return newest
-
-    def _await_entry(self, lease: lease_module.Lease) -> None:
-        """Reads the list of upstreams, as an entry is of another instance."""
-        upstream = lease.upstream
-        self._out.add_decision(
-            "upstream_entry_awaited",
-            detail=f"upstream={upstream.upstream} "
-            f"cpu_millis={upstream.capacity.cpu_millis} "
-            f"responds={lease.instance_started_ms} "
-            f"listed={upstream.instance_started_ms}",
-        )
-        self._out.add(actions.ReadUpstreams())
-
     def _expire_if_asked(
         self, call: lease_calls.PendingCall, *, now: float
     ) -> None:
