--- a/godwitnotch/core/leased/cancellations.py
+++ b/godwitnotch/core/leased/cancellations.py
@@ -90,7 +90,7 @@
         self._linked_domains = linked_domains
         self._pending: dict[model.JobName, _PendingCancel] = {}
 
-    def asked(
+    def asked_by_caller(
         self, call: ids.CallId, name: model.JobName, *, now: float
     ) -> None:
         """Handles a caller's cancel, which is acknowledged now or later."""
@@ -110,7 +110,7 @@
         self._ask(name, pending)
         self._settle(name, pending)
 
-    def told(
+    def asked_by_host(
         self, host: ids.HostId, name: model.JobName, *, now: float
     ) -> None:
         """Handles a cancel that another host asks this one to confirm."""
@@ -126,7 +126,9 @@
             ]
             self._tell(near, (name,))
 
-    def spread(self, names: Iterable[model.JobName], *, now: float) -> None:
+    def spread_received(
+        self, names: Iterable[model.JobName], *, now: float
+    ) -> None:
         """Handles cancels that another host spreads."""
         for name in names:
             self._cancel_here(name, now=now)
--- a/godwitnotch/core/leased/host.py
+++ b/godwitnotch/core/leased/host.py
@@ -437,9 +437,9 @@
             case peer_messages.JobReported():
                 self._job_reports.reported(message)
             case peer_messages.JobCancelled(job=job):
-                self._cancellations.told(host, job, now=now)
+                self._cancellations.asked_by_host(host, job, now=now)
             case peer_messages.JobsCancelled(jobs=jobs):
-                self._cancellations.spread(jobs, now=now)
+                self._cancellations.spread_received(jobs, now=now)
             case peer_messages.CancelConfirmed(job=job, found=found):
                 self._cancellations.confirmed(host, job, found=found)
             case _ if self.leads:
@@ -530,7 +530,7 @@
 def _cancel_asked(
     host: LeasedHost, event: events.CancelAsked, now: float
 ) -> None:
-    host._cancellations.asked(event.call, event.job, now=now)
+    host._cancellations.asked_by_caller(event.call, event.job, now=now)
 
 
 @_handles(events.UpstreamsListed)
--- a/godwitnotch/core/leased/lease_manager.py
+++ b/godwitnotch/core/leased/lease_manager.py
@@ -183,7 +183,7 @@
                 self._update_entry(known, entry, now=now)
             if known is not None and not known.entry_current:
                 # The instance that the entry describes may respond by now.
-                self._request_runs_once(known, now=now)
+                self._request_runs_if_idle(known, now=now)
         self._maintain_all(now=now)
 
     def start_run(
@@ -471,10 +471,10 @@
                     lease, now=now, wait_ms=lease.list_wait_ms(now=now)
                 )
 
-    def _request_runs_once(
+    def _request_runs_if_idle(
         self, lease: lease_module.Lease, *, now: float
     ) -> None:
-        """Requests the list of runs of a held lease unless that was done."""
+        """Requests the list of a held lease unless a request is under way."""
         if lease.state is LeaseState.HELD and not lease.pending_list_requests:
             self._request_runs(lease, now=now, wait_ms=0)
 
--- a/godwitnotch/net/leased_runtime.py
+++ b/godwitnotch/net/leased_runtime.py
@@ -13,6 +13,7 @@
 from godwitnotch.core import messages
 from godwitnotch.core import model as host_model
 from godwitnotch.core.leased import actions
+from godwitnotch.core.leased import cancellations
 from godwitnotch.core.leased import events
 from godwitnotch.core.leased import explanation
 from godwitnotch.core.leased import host as host_module
@@ -33,6 +34,8 @@
 # store has not delivered it after this delay, and at most once per delay.
 CONFIGURATION_REQUEST_DELAY_S = 0.8
 WATCHED_UPDATE_INTERVAL_S = 0.5
+# The core answers a cancel before, unless it meets a fault.
+CANCEL_TIMEOUT_S = cancellations.CONFIRM_TIMEOUT_S + 0.5
 
 _UNKNOWN_DOMAIN = ids.DomainId("")
 
@@ -208,7 +211,10 @@
         self._pending_cancels[call] = future
         try:
             self.feed(events.CancelAsked(call, name))
-            return await future
+            async with asyncio.timeout(CANCEL_TIMEOUT_S):
+                return await future
+        except TimeoutError:
+            return False
         finally:
             del self._pending_cancels[call]
 
--- a/tests/test_leased_runtime.py
+++ b/tests/test_leased_runtime.py
@@ -64,6 +64,16 @@
         ((where, _), _) = self.on_fault.call_args
         self.assertEqual(where, "sending RenewLease")
 
+    async def test_cancel_that_meets_a_fault_is_not_taken(self) -> None:
+        core = unittest.mock.Mock(leads=False)
+        core.handle.side_effect = TypeError
+        runtime = self.make_runtime(core=core)
+        with unittest.mock.patch.object(
+            leased_runtime, "CANCEL_TIMEOUT_S", 0.01
+        ):
+            taken = await runtime.cancel_job(model.JobName("j"))
+        self.assertFalse(taken)
+
     async def test_fault_of_a_message_does_not_end_its_link(self) -> None:
         core = unittest.mock.Mock(leads=False)
         runtime = self.make_runtime(core=core)
