--- a/godwitnotch/standins/leased_platform.py
+++ b/godwitnotch/standins/leased_platform.py
@@ -252,6 +252,8 @@
         response_delay_s: Delay of each response, after the order was executed.
         odd_running: Row that is added to the active runs; None for none.
         odd_ended: Row that is added to the ended runs; None for none.
+        odd_body: Body of all responses, after the order was executed; None for
+            the usual ones.
     """
 
     fails: bool = False
@@ -260,6 +262,7 @@
     response_delay_s: float = 0.0
     odd_running: Any = None
     odd_ended: Any = None
+    odd_body: bytes | None = None
 
 
 class _UpstreamState(msgspec.Struct):
@@ -381,6 +384,8 @@
             raise http_server.DropConnection
         response = await self._execute(request)
         await asyncio.sleep(self.faults.response_delay_s)
+        if self.faults.odd_body is not None:
+            return http_types.HttpResponse(200, self.faults.odd_body, _JSON)
         return response
 
     async def _execute(
--- a/tests/process/test_odd_entries.py
+++ b/tests/process/test_odd_entries.py
@@ -50,6 +50,12 @@
     [10**9, TASK + "1", 1, "done", ""],
     [-1, TASK + "1", 1, {"how": 1}, ""],
 )
+ODD_ANSWERS: tuple[bytes, ...] = (
+    DEEP,
+    b"\xff",
+    b'{"clock_ms": 1e400, "running": [], "finished": []}',
+    b'{"clock_ms": 5, "born": "now", "running": [], "finished": []}',
+)
 ODD_ADDRESSES = (
     "127.0.0.1:99999",
     "127.0.0.1:65536",
@@ -243,6 +249,19 @@
         self.assertTrue(self.logged("event=response_unreadable"))
         self.assert_no_fault_logged()
 
+    async def test_odd_answers_of_one_upstream_to_all_orders(self) -> None:
+        usual = await self.send_jobs(MEASURED_JOBS)
+        names = tuple(self.upstreams)
+        for number, body in enumerate(ODD_ANSWERS):
+            name = names[number % len(names)]
+            with self.subTest(body=body[:60]):
+                self.upstreams[name].faults.odd_body = body
+                await self.send_jobs(2 * JOBS_AT_ONCE)
+                self.upstreams[name].faults.odd_body = None
+                await self.send_until_used(name)
+        self.assert_unharmed(usual, await self.send_jobs(MEASURED_JOBS))
+        self.assert_no_fault_logged()
+
     async def test_odd_rows_beside_the_upstreams(self) -> None:
         # Addresses that can't exist were taken as upstreams, with their room.
         usual = await self.send_jobs(MEASURED_JOBS)
